--- /dev/null
+++ b/crates/config/src/complaint.rs
@@ -0,0 +1,42 @@
+//! What is wrong with a file, where, and what would be right.
+
+use std::fmt;
+
+use serde::Serialize;
+
+/// One thing that is wrong.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Complaint {
+    /// The file, as the operator named it.
+    pub file: String,
+    /// The line, starting with 1.
+    pub line: usize,
+    /// The column in characters, starting with 1.
+    pub column: usize,
+    /// The field's path, such as `teams[2].rate_per_s`.
+    pub field: String,
+    /// What is wrong.
+    pub wrong: String,
+    /// What would be right.
+    pub expected: String,
+}
+
+impl fmt::Display for Complaint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Complaint { file, line, column, field, wrong, expected } = self;
+        write!(f, "{file}:{line}:{column}: {field}: {wrong}; expected {expected}")
+    }
+}
+
+/// Everything that is wrong with one file.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct Complaints(pub Vec<Complaint>);
+
+impl fmt::Display for Complaints {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let lines: Vec<String> = self.0.iter().map(Complaint::to_string).collect();
+        f.write_str(&lines.join("\n"))
+    }
+}
+
+impl std::error::Error for Complaints {}
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,30 @@
+//! Settings, fleet files, their checks, and which change is accepted.
+//!
+//! Reading a file is apart from deciding about it: `jsonc` finds fields and
+//! their places, `fleet_file` and `settings_file` check them, and `change`
+//! says, as a pure function of the log, which fleet is in force.
+
+#![forbid(unsafe_code)]
+
+mod change;
+mod complaint;
+mod difference;
+mod fleet;
+mod fleet_file;
+mod jsonc;
+mod references;
+mod settings;
+mod settings_file;
+
+pub use change::{
+    Acceptance, CONFIG_STREAM, ChangeRecord, Head, RefusedChange, Verdict, digest_of,
+};
+pub use complaint::{Complaint, Complaints};
+pub use difference::{Difference, DifferenceKind, differences};
+pub use fleet::{
+    BalanceWeights, Endpoint, EntryProcess, Fencing, Fleet, Region, Route, Service, ServiceKind,
+    Team, TokenDigest,
+};
+pub use fleet_file::parse_fleet;
+pub use settings::{EndpointSettings, EntrySettings, OperatorSettings, ProcessSettings};
+pub use settings_file::{parse_endpoint_settings, parse_entry_settings, parse_operator_settings};
--- /dev/null
+++ b/crates/endpoint/src/backend.rs
@@ -0,0 +1,137 @@
+//! The back end beside this process, by its published HTTP interface.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue, Method, Request, Response, Uri, header::CONNECTION};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use lynxmount_core::{Error, Result, Step, invalid, not_known, timed_out, unreachable};
+use lynxmount_wire::{Dispatch, Header};
+use serde::Deserialize;
+
+/// How long a connection may take to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How long the back end may take to tell its load.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Where back ends tell their load.
+const LOAD_PATH: &str = "/load";
+
+/// Names the attempt in the back end's records.
+const ATTEMPT_HEADER: HeaderName = HeaderName::from_static("lynxmount-attempt");
+
+/// The team's priority, which engines honour; 0 goes first.
+const PRIORITY_HEADER: HeaderName = HeaderName::from_static("lynxmount-priority");
+
+/// What a back end tells of its load. It lags.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub(crate) struct Load {
+    /// Requests that wait at the back end.
+    pub(crate) waiting: u32,
+}
+
+/// A client of the back end; clones share their connections.
+#[derive(Clone, Debug)]
+pub(crate) struct Backend {
+    address: SocketAddr,
+    http: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Backend {
+    pub(crate) fn new(address: SocketAddr) -> Backend {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        let http =
+            Client::builder(TokioExecutor::new()).pool_timer(TokioTimer::new()).build(connector);
+        Backend { address, http }
+    }
+
+    /// Sends an attempt and waits for status and headers.
+    ///
+    /// Fails with `Cause::Unreachable` if the back end has not seen it, and
+    /// with `Cause::NotKnown` if it may have.
+    pub(crate) async fn call(&self, dispatch: &Dispatch) -> Result<Response<Incoming>> {
+        let request = self.request_of(dispatch)?;
+        self.http.request(request).await.map_err(|e| self.transport_error(&e))
+    }
+
+    /// Asks for the back end's load.
+    ///
+    /// Fails if it doesn't answer in time.
+    pub(crate) async fn load(&self) -> Result<Load> {
+        let request = Request::get(self.uri(LOAD_PATH)?)
+            .body(Full::default())
+            .map_err(|e| invalid(Step::CallBackend, self.address, e))?;
+        let answer = async {
+            let response =
+                self.http.request(request).await.map_err(|e| self.transport_error(&e))?;
+            let body = response.into_body().collect().await;
+            body.map_err(|e| not_known(Step::CallBackend, self.address, e))
+        };
+        let body = tokio::time::timeout(LOAD_TIMEOUT, answer)
+            .await
+            .map_err(|_| timed_out(Step::CallBackend, self.address, "no load in time"))??;
+        serde_json::from_slice(&body.to_bytes())
+            .map_err(|e| invalid(Step::CallBackend, self.address, e))
+    }
+
+    fn request_of(&self, dispatch: &Dispatch) -> Result<Request<Full<Bytes>>> {
+        let fail = |e: String| invalid(Step::CallBackend, self.address, e);
+        let method =
+            Method::from_bytes(dispatch.method.as_bytes()).map_err(|e| fail(e.to_string()))?;
+        let mut request = Request::new(Full::new(dispatch.body.clone()));
+        *request.method_mut() = method;
+        *request.uri_mut() = self.uri(&dispatch.path)?;
+        let headers = request.headers_mut();
+        for header in &dispatch.headers {
+            let name = HeaderName::from_bytes(header.name.as_bytes());
+            let value = HeaderValue::from_maybe_shared(header.value.clone());
+            if let (Ok(name), Ok(value)) = (name, value) {
+                headers.append(name, value);
+            }
+        }
+        let attempt = format!("{}.{}", dispatch.id.request, dispatch.id.attempt);
+        headers.extend(HeaderValue::from_str(&attempt).map(|value| (ATTEMPT_HEADER, value)));
+        headers.insert(PRIORITY_HEADER, HeaderValue::from(u16::from(dispatch.priority)));
+        Ok(request)
+    }
+
+    fn uri(&self, path_and_query: &str) -> Result<Uri> {
+        Uri::builder()
+            .scheme("http")
+            .authority(self.address.to_string())
+            .path_and_query(path_and_query)
+            .build()
+            .map_err(|e| invalid(Step::CallBackend, self.address, e))
+    }
+
+    fn transport_error(&self, error: &hyper_util::client::legacy::Error) -> Error {
+        match error.is_connect() {
+            true => unreachable(Step::CallBackend, self.address, error),
+            false => not_known(Step::CallBackend, self.address, error),
+        }
+    }
+}
+
+/// Collects the headers that the caller gets; those of the connection to the
+/// back end (RFC 9110, 7.6.1) are left out.
+pub(crate) fn headers_to_pass(response: &Response<Incoming>) -> Vec<Header> {
+    use http::header::{CONTENT_LENGTH, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+    let not_passed_on = [CONNECTION, CONTENT_LENGTH, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
+    response
+        .headers()
+        .iter()
+        .filter(|(name, _)| !not_passed_on.contains(name))
+        .map(|(name, value)| Header {
+            name: name.as_str().to_owned(),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/endpoint/src/lib.rs
@@ -0,0 +1,16 @@
+//! The endpoint process: every request to one back end passes through it.
+
+#![forbid(unsafe_code)]
+
+mod backend;
+mod connection;
+mod data_port;
+mod keys;
+mod output;
+mod places;
+mod process;
+mod recording;
+mod reports;
+mod runner;
+
+pub use process::run;
--- /dev/null
+++ b/crates/endpoint/src/runner.rs
@@ -0,0 +1,268 @@
+//! Deciding about attempts and running them.
+
+use std::{
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
+
+use http_body_util::BodyExt;
+use lynxmount_config::Service;
+use lynxmount_core::{Cause, ServiceId, wall_time_ms};
+use lynxmount_node::{Counter, NodeHandle, RunningGuard, View};
+use lynxmount_wire::{Binding, Dispatch, Failure, RefusalReason};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    backend::{Backend, headers_to_pass},
+    keys::{KeyAdmission, Keys},
+    output::Output,
+    places::{Place, Places},
+    recording::{Recording, RecordingEnd},
+    reports::Reports,
+};
+
+/// What all attempts share.
+pub(crate) struct Runner {
+    pub(crate) node: NodeHandle,
+    pub(crate) service: ServiceId,
+    pub(crate) keys: Keys,
+    pub(crate) places: Arc<Places>,
+    pub(crate) backend: Backend,
+    pub(crate) reports: Arc<Reports>,
+}
+
+/// What an attempt holds while it runs.
+struct Permit {
+    place: Place,
+    running: RunningGuard,
+    was_last: bool,
+}
+
+/// Where a run's answer goes.
+enum Sink {
+    Direct(Output),
+    Recorded(Arc<Recording>),
+}
+
+impl Runner {
+    /// Decides about an attempt, runs it if it may, and sends the answer.
+    pub(crate) async fn run(
+        self: &Arc<Runner>,
+        dispatch: Dispatch,
+        output: Output,
+        cancel: CancellationToken,
+    ) {
+        let permit = self.permit(&dispatch);
+        match dispatch.binding.clone() {
+            Some(binding) => self.run_keyed(dispatch, binding, permit, output, cancel).await,
+            None => match permit {
+                Ok(permit) => self.run_direct(dispatch, permit, output, cancel).await,
+                Err(reason) => self.refuse(output, reason).await,
+            },
+        }
+    }
+
+    /// Says whether an attempt may start now, and takes its place.
+    ///
+    /// Fails with the reason why the attempt will never be run.
+    fn permit(&self, dispatch: &Dispatch) -> Result<Permit, RefusalReason> {
+        let view = self.node.view();
+        let service = self.service_of(dispatch, &view)?;
+        // Counted before the view is looked at again: a process that has
+        // begun to leave in between either sees the count or is seen.
+        let running = self.node.start_request();
+        if !self.node.view().is_ready() {
+            return Err(RefusalReason::Draining);
+        }
+        if dispatch.config_version < view.version() {
+            return Err(RefusalReason::ConfigOutdated);
+        }
+        if dispatch.config_version > view.version() {
+            self.node.note_newer_config();
+        }
+        if dispatch.deadline_at_ms <= wall_time_ms(SystemTime::now()) {
+            return Err(RefusalReason::Expired);
+        }
+        let max_running = service.max_running_per_endpoint;
+        let place = self.places.take(max_running).ok_or(RefusalReason::Busy)?;
+        let was_last = self.places.running() >= max_running;
+        Ok(Permit { place, running, was_last })
+    }
+
+    fn service_of(&self, dispatch: &Dispatch, view: &View) -> Result<Service, RefusalReason> {
+        if dispatch.service != self.service {
+            return Err(RefusalReason::WrongService);
+        }
+        let config = view.config.as_ref().ok_or(RefusalReason::Busy)?;
+        config.service(&self.service).cloned().ok_or(RefusalReason::WrongService)
+    }
+
+    async fn refuse(&self, mut output: Output, reason: RefusalReason) {
+        self.node.counters().count(Counter::AttemptsRefused);
+        let _ = output.refused(reason).await;
+    }
+
+    async fn run_direct(
+        &self,
+        dispatch: Dispatch,
+        permit: Permit,
+        output: Output,
+        cancel: CancellationToken,
+    ) {
+        let mut sink = Sink::Direct(output);
+        let end = tokio::select! {
+            end = self.call(&dispatch, &mut sink) => end,
+            // Dropping the call closes the connection, which the engine sees.
+            () = cancel.cancelled() => RecordingEnd::Failed(Failure::Cancelled),
+            () = expiry(&dispatch) => RecordingEnd::Failed(Failure::Expired),
+        };
+        // The process stays until the end of the answer is on its way.
+        let _running = self.give_back(permit);
+        sink.end(end).await;
+    }
+
+    /// Runs a key once, or takes part in the answer of its earlier run.
+    ///
+    /// A run goes on if its entry goes away: its caller will come back with
+    /// the same key, and a second run is not allowed.
+    async fn run_keyed(
+        self: &Arc<Runner>,
+        dispatch: Dispatch,
+        binding: Binding,
+        permit: Result<Permit, RefusalReason>,
+        mut output: Output,
+        cancel: CancellationToken,
+    ) {
+        let _running = self.node.start_request();
+        let obstacle = permit.as_ref().err().copied();
+        let recording = match (self.keys.admit(&binding, obstacle), permit) {
+            (KeyAdmission::Run(recording), Ok(permit)) => {
+                self.node.counters().count(Counter::KeysRun);
+                let runner = Arc::clone(self);
+                let recorded = Arc::clone(&recording);
+                tokio::spawn(
+                    async move { runner.record(dispatch, binding, permit, recorded).await },
+                );
+                recording
+            }
+            (KeyAdmission::Attach(recording), _) => {
+                self.node.counters().count(Counter::KeysAttached);
+                recording
+            }
+            (KeyAdmission::AnswerGone, _) => {
+                let _ = output.failed(Failure::AnswerGone).await;
+                return;
+            }
+            (KeyAdmission::Refuse(reason), _) | (KeyAdmission::Run(_), Err(reason)) => {
+                return self.refuse(output, reason).await;
+            }
+        };
+        tokio::select! {
+            _ = recording.play(&mut output) => {}
+            () = cancel.cancelled() => {}
+        }
+    }
+
+    async fn record(
+        &self,
+        dispatch: Dispatch,
+        binding: Binding,
+        permit: Permit,
+        recording: Arc<Recording>,
+    ) {
+        let mut sink = Sink::Recorded(Arc::clone(&recording));
+        let end = tokio::select! {
+            end = self.call(&dispatch, &mut sink) => end,
+            () = expiry(&dispatch) => RecordingEnd::Failed(Failure::Expired),
+        };
+        match end {
+            RecordingEnd::Refused(_) => self.keys.revoke_unstarted(&binding.key_digest),
+            RecordingEnd::Failed(_) | RecordingEnd::Whole => {
+                self.keys.keep(binding.key_digest, &recording);
+            }
+        }
+        // The process stays until the end of the answer is on its way.
+        let _running = self.give_back(permit);
+        sink.end(end).await;
+    }
+
+    /// Calls the back end and passes its answer on.
+    async fn call(&self, dispatch: &Dispatch, sink: &mut Sink) -> RecordingEnd {
+        self.node.counters().count(Counter::AttemptsStarted);
+        let response = match self.backend.call(dispatch).await {
+            Ok(response) => response,
+            Err(error) if matches!(error.cause, Cause::Unreachable | Cause::Invalid) => {
+                self.reports.note_backend(false);
+                return RecordingEnd::Refused(RefusalReason::BackendUnreachable);
+            }
+            Err(_) => return RecordingEnd::Failed(Failure::Backend),
+        };
+        let headers = headers_to_pass(&response);
+        sink.head(response.status().as_u16(), headers).await;
+        let mut body = response.into_body();
+        while let Some(frame) = body.frame().await {
+            match frame {
+                Ok(frame) => {
+                    if let Ok(bytes) = frame.into_data() {
+                        sink.piece(bytes).await;
+                    }
+                }
+                Err(_) => return RecordingEnd::Failed(Failure::Backend),
+            }
+        }
+        RecordingEnd::Whole
+    }
+
+    /// Gives the place back; entries that wait for one are told at once.
+    fn give_back(&self, permit: Permit) -> RunningGuard {
+        drop(permit.place);
+        if permit.was_last {
+            self.reports.note_change();
+        }
+        permit.running
+    }
+}
+
+impl Sink {
+    async fn head(&mut self, status: u16, headers: Vec<lynxmount_wire::Header>) {
+        match self {
+            // An entry that has gone cancels the run by closing its connection.
+            Sink::Direct(output) => {
+                let _ = output.head(status, headers).await;
+            }
+            Sink::Recorded(recording) => recording.set_head(status, headers),
+        }
+    }
+
+    async fn piece(&mut self, bytes: bytes::Bytes) {
+        match self {
+            Sink::Direct(output) => {
+                let _ = output.piece(bytes).await;
+            }
+            Sink::Recorded(recording) => recording.add_piece(bytes),
+        }
+    }
+
+    async fn end(&mut self, end: RecordingEnd) {
+        match (self, end) {
+            (Sink::Recorded(recording), end) => recording.set_end(end),
+            (Sink::Direct(output), end) => send_end(output, end).await,
+        }
+    }
+}
+
+async fn send_end(output: &mut Output, end: RecordingEnd) {
+    // An entry that has gone needs no end.
+    let _ = match end {
+        RecordingEnd::Failed(failure) => output.failed(failure).await,
+        RecordingEnd::Refused(reason) => output.refused(reason).await,
+        RecordingEnd::Whole => output.end().await,
+    };
+}
+
+/// Waits until the request's time is over.
+async fn expiry(dispatch: &Dispatch) {
+    let now_ms = wall_time_ms(SystemTime::now());
+    let left = Duration::from_millis(dispatch.deadline_at_ms.saturating_sub(now_ms));
+    tokio::time::sleep(left).await;
+}
--- /dev/null
+++ b/crates/entry/src/attempt.rs
@@ -0,0 +1,178 @@
+//! One attempt at one endpoint, as the entry sees it.
+
+use bytes::Bytes;
+use lynxmount_node::{Counter, NodeHandle};
+use lynxmount_policy::AttemptEnd;
+use lynxmount_wire::{
+    Answer, AnswerEnd, AttemptId, Dispatch, Header, Piece, RefusalReason, ToEndpoint, ToEntry,
+};
+
+use crate::{deadline::Deadline, gate::Place, link::Mailbox};
+
+/// How many bytes are passed on before the endpoint gets credit for them.
+const CREDIT_BYTES: u32 = 64 * 1024;
+
+/// What comes next of an attempt.
+#[derive(Debug)]
+pub(crate) enum Next {
+    /// Further pieces of the body, in order.
+    Data(Vec<Bytes>),
+    /// The attempt has ended without a whole answer.
+    Ended(AttemptEnd),
+    /// Status and headers.
+    Head {
+        /// The HTTP status.
+        status: u16,
+        /// Headers to pass on.
+        headers: Vec<Header>,
+    },
+    /// The endpoint will never run the attempt.
+    Refused(RefusalReason),
+    /// The answer is whole.
+    Whole,
+}
+
+/// An attempt that was sent. Dropping it before its end cancels it.
+pub(crate) struct Attempt {
+    id: AttemptId,
+    place: Place,
+    mailbox: Mailbox,
+    answer: Answer,
+    node: NodeHandle,
+    is_over: bool,
+    uncredited_bytes: u32,
+}
+
+impl Attempt {
+    /// Sends an attempt to the endpoint at which it has a place.
+    ///
+    /// Fails if it was not sent and never will be.
+    pub(crate) fn send(
+        place: Place,
+        dispatch: Dispatch,
+        node: &NodeHandle,
+    ) -> Result<Attempt, AttemptEnd> {
+        let id = dispatch.id;
+        let frame = ToEndpoint::Dispatch(Box::new(dispatch));
+        let mailbox = place.link.open(id, frame).map_err(|_| AttemptEnd::Busy)?;
+        node.counters().count(Counter::AttemptsSent);
+        Ok(Attempt {
+            id,
+            place,
+            mailbox,
+            answer: Answer::default(),
+            node: node.clone(),
+            is_over: false,
+            uncredited_bytes: 0,
+        })
+    }
+
+    /// The endpoint's name.
+    pub(crate) fn endpoint(&self) -> &lynxmount_core::EndpointId {
+        &self.place.link.endpoint.id
+    }
+
+    /// Waits for what comes next.
+    pub(crate) async fn next(&mut self, deadline: Deadline) -> Next {
+        loop {
+            let frame = tokio::time::timeout_at(deadline.at, self.mailbox.recv()).await;
+            let next = match frame {
+                Err(_) => Some(Next::Ended(AttemptEnd::TimedOut)),
+                Ok(None) => {
+                    self.node.counters().count(Counter::AttemptsLost);
+                    self.is_over = true;
+                    Some(Next::Ended(AttemptEnd::Lost))
+                }
+                Ok(Some(frame)) => self.take(frame),
+            };
+            if let Some(next) = next {
+                return next;
+            }
+        }
+    }
+
+    fn take(&mut self, frame: ToEntry) -> Option<Next> {
+        match frame {
+            ToEntry::Head { status, headers, .. } => Some(Next::Head { status, headers }),
+            ToEntry::Data { sequence, bytes, .. } => self.take_piece(sequence, bytes),
+            ToEntry::End { pieces, digest, .. } => {
+                let end = self.answer.end(pieces, digest);
+                self.take_end(end)
+            }
+            ToEntry::Failed { .. } => {
+                self.is_over = true;
+                Some(Next::Ended(AttemptEnd::Failed))
+            }
+            ToEntry::Refused { reason, .. } => {
+                self.is_over = true;
+                self.note_refusal(reason);
+                Some(Next::Refused(reason))
+            }
+            ToEntry::Welcome { .. } | ToEntry::Report(_) => None,
+        }
+    }
+
+    fn take_piece(&mut self, sequence: u64, bytes: Bytes) -> Option<Next> {
+        match self.answer.piece(sequence, bytes) {
+            Piece::Ready(pieces) => {
+                self.give_credit(&pieces);
+                Some(Next::Data(pieces))
+            }
+            Piece::Held => {
+                self.node.counters().count(Counter::FramesDropped);
+                None
+            }
+            Piece::Broken => Some(self.broken()),
+        }
+    }
+
+    fn take_end(&mut self, end: AnswerEnd) -> Option<Next> {
+        match end {
+            AnswerEnd::Whole => {
+                self.is_over = true;
+                Some(Next::Whole)
+            }
+            AnswerEnd::Waiting => None,
+            AnswerEnd::Broken => Some(self.broken()),
+        }
+    }
+
+    fn broken(&mut self) -> Next {
+        self.node.counters().count(Counter::AnswersBroken);
+        Next::Ended(AttemptEnd::Failed)
+    }
+
+    fn give_credit(&mut self, pieces: &[Bytes]) {
+        let bytes: usize = pieces.iter().map(Bytes::len).sum();
+        self.uncredited_bytes += bytes as u32;
+        if self.uncredited_bytes >= CREDIT_BYTES {
+            let bytes = std::mem::take(&mut self.uncredited_bytes);
+            self.place.link.send(ToEndpoint::Credit { id: self.id, bytes });
+        }
+    }
+
+    fn note_refusal(&self, reason: RefusalReason) {
+        self.node.counters().count(Counter::AttemptsRefused);
+        match reason {
+            RefusalReason::BackendUnreachable => self.place.link.note_backend_down(),
+            RefusalReason::Busy => self.place.link.note_full(),
+            RefusalReason::ConfigOutdated => self.node.note_newer_config(),
+            RefusalReason::Draining => self.place.link.note_draining(),
+            RefusalReason::Expired
+            | RefusalReason::KeyReused
+            | RefusalReason::LedgerFull
+            | RefusalReason::NotBoundHere
+            | RefusalReason::Revoked
+            | RefusalReason::WrongService => {}
+        }
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        self.place.link.close(self.id);
+        if !self.is_over {
+            self.place.link.send(ToEndpoint::Cancel(self.id));
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/keyed.rs
@@ -0,0 +1,115 @@
+//! Requests that run at most once: where a key may run.
+
+use std::{sync::Arc, time::SystemTime};
+
+use lynxmount_audit::AuditEvent;
+use lynxmount_core::{Offset, Reason, wall_time_ms};
+use lynxmount_idempotency::{Claim, KeyDigest, RequestDigest, Standing};
+use lynxmount_node::NodeHandle;
+use lynxmount_wire::Binding;
+
+use crate::{
+    claims::Claims,
+    gate::{Gate, Place, Want},
+    reply::Refusal,
+};
+
+/// A key and the request that came with it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Key {
+    pub(crate) key_digest: KeyDigest,
+    pub(crate) request_digest: RequestDigest,
+    /// The claim that this request has seen refused, and thereby revoked.
+    pub(crate) revoked: Option<Offset>,
+}
+
+/// Finds the one place where a key may run, claiming one if there is none.
+///
+/// Fails with *unknown* if the key is bound to a process that can't be
+/// reached, and with *not run* if it could not be bound.
+pub(crate) async fn bind(
+    key: &Key,
+    want: Want<'_>,
+    gate: &Arc<Gate>,
+    claims: &Claims,
+    node: &NodeHandle,
+) -> Result<(Place, Binding), Refusal> {
+    match claims.get(&key.key_digest) {
+        Some(standing) if key.revoked != Some(standing.offset) => {
+            let link = bound_link(key, &standing, gate)?;
+            Ok((gate.place_at(link), binding_of(&standing)))
+        }
+        standing => {
+            let replaces = standing.map(|standing| standing.offset);
+            claim_place(key, replaces, want, gate, claims, node).await
+        }
+    }
+}
+
+async fn claim_place(
+    key: &Key,
+    replaces: Option<Offset>,
+    want: Want<'_>,
+    gate: &Arc<Gate>,
+    claims: &Claims,
+    node: &NodeHandle,
+) -> Result<(Place, Binding), Refusal> {
+    let place = gate.place(want).await?;
+    let endpoint = place.link.endpoint.id.clone();
+    let Some(incarnation) = place.link.incarnation() else {
+        return Err(Refusal::not_run(Reason::NoEndpoint, "the endpoint has just gone"));
+    };
+    let claim = Claim {
+        key_digest: key.key_digest,
+        request_digest: key.request_digest,
+        endpoint: endpoint.clone(),
+        incarnation,
+        claimed_at_ms: wall_time_ms(SystemTime::now()),
+        replaces,
+    };
+    let standing = claims
+        .claim(claim.clone())
+        .await
+        .map_err(|error| Refusal::not_run(Reason::PlatformOut, error.to_string()))?;
+    if let (Some(replaced), true) = (replaces, standing.claim == claim) {
+        node.audit(AuditEvent::KeyRebound { replaced, endpoint });
+    }
+    match standing.claim == claim {
+        true => Ok((place, binding_of(&standing))),
+        // Another entry was first; the key runs where its claim says.
+        false => {
+            let link = bound_link(key, &standing, gate)?;
+            Ok((gate.place_at(link), binding_of(&standing)))
+        }
+    }
+}
+
+fn bound_link(
+    key: &Key,
+    standing: &Standing,
+    gate: &Gate,
+) -> Result<Arc<crate::link::Link>, Refusal> {
+    if standing.claim.request_digest != key.request_digest {
+        let detail = "the key came with another method, path or body before";
+        return Err(Refusal::not_run(Reason::KeyReused, detail));
+    }
+    let endpoint = &standing.claim.endpoint;
+    match gate.link(endpoint) {
+        Some(link) if link.incarnation() == Some(standing.claim.incarnation) => Ok(link),
+        _ => {
+            let detail = format!("the key was given to {endpoint}, which can't be asked now");
+            Err(Refusal::unknown(Reason::LostAttempt, detail))
+        }
+    }
+}
+
+fn binding_of(standing: &Standing) -> Binding {
+    let Standing { offset, claim } = standing;
+    Binding {
+        key_digest: claim.key_digest,
+        request_digest: claim.request_digest,
+        incarnation: claim.incarnation,
+        claim_offset: *offset,
+        claimed_at_ms: claim.claimed_at_ms,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/process.rs
@@ -0,0 +1,40 @@
+//! Setting an entry process up and running it to its end.
+
+use std::sync::Arc;
+
+use lynxmount_config::EntrySettings;
+use lynxmount_core::{Result, Step, invalid};
+use lynxmount_node::{DrainState, Node, NodeHandle, ProcessKind, drain_on_signals};
+use lynxmount_platform::Platform;
+
+use crate::{
+    callers_port::CallersPort, claims::Claims, gate::Gates, handler::Handler, links::Links,
+};
+
+/// Runs an entry process until it has drained.
+///
+/// Fails if it can't be set up, for example if an address is in use.
+pub fn run(settings: EntrySettings) -> Result<()> {
+    let node = Node::start(settings.process.clone(), ProcessKind::Entry)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.process.traffic_threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()
+        .map_err(|e| invalid(Step::Start, "traffic threads", e))?;
+    runtime.block_on(serve(settings, node))
+}
+
+async fn serve(settings: EntrySettings, node: NodeHandle) -> Result<()> {
+    drain_on_signals(&node)?;
+    let gates = Arc::new(Gates::new(node.clone()));
+    let claims =
+        Arc::new(Claims::new(node.clone(), Platform::new(settings.process.platform_address)));
+    tokio::spawn(Links::new(node.clone(), Arc::clone(&gates)).run());
+    tokio::spawn(Arc::clone(&claims).follow());
+    let handler = Arc::new(Handler::new(node.clone(), gates, claims, &settings));
+    let port = CallersPort::bind(&settings, handler).await?;
+    let is_finished = node.wait_for(|view| view.drain == DrainState::Finished);
+    port.serve_until(is_finished).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/lynxmount/src/cli.rs
@@ -0,0 +1,212 @@
+//! The command line, as `--help` shows it.
+
+use clap::{Arg, ArgAction, Command, crate_version, value_parser};
+use clap_complete::Shell;
+use uuid::Uuid;
+
+/// Name of the argument for the form of output.
+pub(crate) const OUTPUT: &str = "output";
+/// Value of [`OUTPUT`] for JSON lines.
+pub(crate) const OUTPUT_JSON: &str = "json";
+/// Name of the argument for a settings file.
+pub(crate) const SETTINGS: &str = "settings";
+/// Name of the argument for a file.
+pub(crate) const FILE: &str = "file";
+/// Name of the argument for the kind of a file.
+pub(crate) const KIND: &str = "kind";
+/// Name of the argument for the accepted offset that a change was written against.
+pub(crate) const BASE: &str = "base";
+/// Name of the argument for a change's id.
+pub(crate) const CHANGE_ID: &str = "change-id";
+/// Name of the argument for a time limit.
+pub(crate) const TIMEOUT_MS: &str = "timeout-ms";
+/// Name of the argument for a version.
+pub(crate) const VERSION: &str = "at";
+/// Name of the flag to go on reading.
+pub(crate) const FOLLOW: &str = "follow";
+/// Name of the argument for a kind of event.
+pub(crate) const EVENT: &str = "event";
+/// Name of the argument for a process.
+pub(crate) const PROCESS: &str = "process";
+/// Name of the argument for the processes to drain.
+pub(crate) const PROCESSES: &str = "processes";
+/// Name of the argument for the greatest number of rows.
+pub(crate) const LIMIT: &str = "limit";
+/// Name of the argument for a shell.
+pub(crate) const SHELL: &str = "shell";
+
+const EXIT_CODES: &str = "\
+Exit codes:
+  0  done
+  1  failed; the message names the step and the peer
+  2  wrong arguments or an invalid file; nothing was changed";
+
+/// The whole command tree.
+pub fn command() -> Command {
+    Command::new("lynxmount")
+        .version(crate_version!())
+        .about("A load balancer for expert-parallel model groups")
+        .after_help(EXIT_CODES)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .arg(output())
+        .subcommand(process("entry", "Take callers' requests on an entry VM"))
+        .subcommand(process("endpoint", "Stand beside one back end"))
+        .subcommand(config())
+        .subcommand(status())
+        .subcommand(audit())
+        .subcommand(drain())
+        .subcommand(completions())
+}
+
+fn output() -> Arg {
+    Arg::new(OUTPUT)
+        .long(OUTPUT)
+        .global(true)
+        .value_parser([OUTPUT_JSON, "table"])
+        .default_value("table")
+        .help("Form of the output: a table, or one JSON value a line")
+}
+
+fn settings(about: &'static str) -> Arg {
+    Arg::new(SETTINGS).long(SETTINGS).short('s').required(true).value_name("FILE").help(about)
+}
+
+fn operator_settings() -> Arg {
+    settings("Operator's settings: author, scope and platform address (docs/SETTINGS.md)")
+}
+
+fn process(name: &'static str, about: &'static str) -> Command {
+    Command::new(name)
+        .about(about)
+        .after_help(
+            "Runs until SIGTERM, SIGINT or `lynxmount drain`; then finishes the requests in \
+             progress and exits 0.",
+        )
+        .arg(settings("The process's settings (docs/SETTINGS.md)"))
+}
+
+fn config() -> Command {
+    Command::new("config")
+        .about("Check, compare, apply and list fleet files")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(config_check())
+        .subcommand(
+            Command::new("diff")
+                .about("Show what applying a file would change")
+                .arg(operator_settings())
+                .arg(fleet_file()),
+        )
+        .subcommand(config_apply())
+        .subcommand(
+            Command::new("show")
+                .about("Print the fleet in force, or an earlier one")
+                .arg(operator_settings())
+                .arg(
+                    Arg::new(VERSION)
+                        .long(VERSION)
+                        .value_name("VERSION")
+                        .value_parser(value_parser!(u64))
+                        .help("An accepted version from `lynxmount config history`"),
+                ),
+        )
+        .subcommand(
+            Command::new("history")
+                .about("List all changes that the log still has, accepted and refused")
+                .arg(operator_settings()),
+        )
+}
+
+fn fleet_file() -> Arg {
+    Arg::new(FILE).required(true).value_name("FILE").help("A fleet file, in JSON with comments")
+}
+
+fn config_check() -> Command {
+    Command::new("check")
+        .about("Check a file and say everything that is wrong with it; needs no platform")
+        .arg(
+            Arg::new(KIND)
+                .long(KIND)
+                .value_parser(["fleet", "entry", "endpoint", "operator"])
+                .default_value("fleet")
+                .help("What the file is"),
+        )
+        .arg(fleet_file())
+}
+
+fn config_apply() -> Command {
+    Command::new("apply")
+        .about("Put a fleet file in force, as a whole and everywhere")
+        .after_help(
+            "The change is written against the version in force when the command starts. If \
+             another operator's change comes first, this one is refused and exit code 1 says so: \
+             compare again with `lynxmount config diff`, then apply again.\n\n\
+             If it can't be learnt whether the change was recorded, repeat the command with the \
+             printed --change-id: the same id is never applied twice.",
+        )
+        .arg(operator_settings())
+        .arg(fleet_file())
+        .arg(
+            Arg::new(BASE)
+                .long(BASE)
+                .value_name("VERSION")
+                .value_parser(value_parser!(u64))
+                .help("Apply only if this version is still in force"),
+        )
+        .arg(
+            Arg::new(CHANGE_ID)
+                .long(CHANGE_ID)
+                .value_name("UUID")
+                .value_parser(value_parser!(Uuid))
+                .help("Id of the change, to repeat an earlier try"),
+        )
+        .arg(
+            Arg::new(TIMEOUT_MS)
+                .long(TIMEOUT_MS)
+                .value_parser(value_parser!(u64))
+                .default_value("7000")
+                .help("How long to wait until the change is in force everywhere"),
+        )
+}
+
+fn status() -> Command {
+    Command::new("status")
+        .about("Show every process of the fleet: version in force, readiness, requests in progress")
+        .after_help("Exits 1 if a process does not answer or is not at the newest version.")
+        .arg(operator_settings())
+}
+
+fn audit() -> Command {
+    Command::new("audit")
+        .about("Show what was done, when, by whom and why")
+        .arg(operator_settings())
+        .arg(Arg::new(FOLLOW).long(FOLLOW).action(ArgAction::SetTrue).help("Go on as records come"))
+        .arg(Arg::new(EVENT).long(EVENT).value_name("EVENT").help("Only events of this kind"))
+        .arg(Arg::new(PROCESS).long(PROCESS).value_name("ID").help("Only records of this process"))
+        .arg(
+            Arg::new(LIMIT)
+                .long(LIMIT)
+                .value_parser(value_parser!(usize))
+                .help("Only the newest so many records"),
+        )
+}
+
+fn drain() -> Command {
+    Command::new("drain")
+        .about("Ask processes to take no new work, finish what they have, and exit")
+        .arg(operator_settings())
+        .arg(
+            Arg::new(PROCESSES)
+                .required(true)
+                .num_args(1..)
+                .value_name("ID")
+                .help("Entries or endpoints of the fleet in force"),
+        )
+}
+
+fn completions() -> Command {
+    Command::new("completions")
+        .about("Print a completion script")
+        .arg(Arg::new(SHELL).required(true).value_parser(value_parser!(Shell)))
+}
--- /dev/null
+++ b/crates/lynxmount/src/commands/check.rs
@@ -0,0 +1,31 @@
+//! `lynxmount config check`.
+
+use clap::ArgMatches;
+use lynxmount_config::{
+    parse_endpoint_settings, parse_entry_settings, parse_fleet, parse_operator_settings,
+};
+
+use crate::{
+    Exit,
+    cli::{FILE, KIND},
+    commands::operator::read_file,
+    table::OutputForm,
+};
+
+/// Checks a file and prints everything that is wrong with it.
+pub(crate) fn run(matches: &ArgMatches, form: OutputForm) -> anyhow::Result<Exit> {
+    let kind = matches.get_one::<String>(KIND).map(String::as_str);
+    let is_valid = match kind {
+        Some("entry") => read_file(matches, FILE, parse_entry_settings, form)?.is_some(),
+        Some("endpoint") => read_file(matches, FILE, parse_endpoint_settings, form)?.is_some(),
+        Some("operator") => read_file(matches, FILE, parse_operator_settings, form)?.is_some(),
+        _ => read_file(matches, FILE, parse_fleet, form)?.is_some(),
+    };
+    match is_valid {
+        true => {
+            eprintln!("valid");
+            Ok(Exit::Done)
+        }
+        false => Ok(Exit::Invalid),
+    }
+}
--- /dev/null
+++ b/crates/lynxmount/src/commands/show.rs
@@ -0,0 +1,117 @@
+//! `lynxmount config diff`, `show` and `history`.
+
+use anyhow::{Context, bail};
+use clap::ArgMatches;
+use lynxmount_config::{Difference, Fleet, Verdict, differences};
+use lynxmount_core::{ChangeId, Offset};
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::{
+    Exit,
+    cli::VERSION,
+    commands::operator::{Operator, read_fleet},
+    config_log::JudgedChange,
+    table::OutputForm,
+};
+
+/// Prints what applying a file would change.
+pub(crate) async fn run_diff(matches: &ArgMatches, form: OutputForm) -> anyhow::Result<Exit> {
+    let Some(operator) = Operator::from_matches(matches, form)? else { return Ok(Exit::Invalid) };
+    let Some(fleet) = read_fleet(matches, form)? else { return Ok(Exit::Invalid) };
+    let log = operator.config_log().await?;
+    let head = log.acceptance.head().map(|head| &*head.change.fleet);
+    print_differences(&differences(head, &fleet), form);
+    Ok(Exit::Done)
+}
+
+/// Prints differences between two fleets.
+pub(crate) fn print_differences(differences: &[Difference], form: OutputForm) {
+    form.print(&["PATH", "WHAT", "BEFORE", "AFTER"], differences, |difference| {
+        let what = serde_json::to_value(difference.kind).unwrap_or_default();
+        vec![
+            difference.path.clone(),
+            what.as_str().unwrap_or_default().to_owned(),
+            cell(&difference.before),
+            cell(&difference.after),
+        ]
+    });
+}
+
+fn cell(value: &Value) -> String {
+    match value {
+        Value::Null => "-".to_owned(),
+        value => value.to_string(),
+    }
+}
+
+/// Prints the fleet in force, or that of an earlier version, as JSON.
+pub(crate) async fn run_show(matches: &ArgMatches) -> anyhow::Result<Exit> {
+    let operator = Operator::from_matches(matches, OutputForm::Table)?;
+    let Some(operator) = operator else { return Ok(Exit::Invalid) };
+    let log = operator.config_log().await?;
+    let fleet: &Fleet = match matches.get_one::<Offset>(VERSION) {
+        None => &log.acceptance.head().context("no fleet file was ever accepted")?.change.fleet,
+        Some(&version) => match log.at(version) {
+            Some(judged) if judged.verdict == Verdict::Accepted => &judged.change.fleet,
+            Some(_) => bail!("version {version} was not accepted"),
+            None => bail!("the log has no version {version}"),
+        },
+    };
+    println!("{}", serde_json::to_string_pretty(fleet)?);
+    Ok(Exit::Done)
+}
+
+#[derive(Serialize)]
+struct HistoryRow {
+    version: Offset,
+    time_ms: u64,
+    author: String,
+    base: Option<Offset>,
+    change_id: ChangeId,
+    result: Verdict,
+}
+
+/// Lists all changes that the log still has.
+pub(crate) async fn run_history(matches: &ArgMatches, form: OutputForm) -> anyhow::Result<Exit> {
+    let Some(operator) = Operator::from_matches(matches, form)? else { return Ok(Exit::Invalid) };
+    let log = operator.config_log().await?;
+    let rows: Vec<HistoryRow> = log.changes.iter().map(history_row).collect();
+    form.print(&["VERSION", "TIME_MS", "AUTHOR", "BASE", "CHANGE", "RESULT"], &rows, |row| {
+        vec![
+            row.version.to_string(),
+            row.time_ms.to_string(),
+            row.author.clone(),
+            row.base.map_or("-".to_owned(), |base| base.to_string()),
+            row.change_id.to_string(),
+            describe(&row.result),
+        ]
+    });
+    Ok(Exit::Done)
+}
+
+fn history_row(judged: &JudgedChange) -> HistoryRow {
+    HistoryRow {
+        version: judged.offset,
+        time_ms: judged.time_ms,
+        author: judged.change.author.clone(),
+        base: judged.change.base,
+        change_id: judged.change.change_id,
+        result: judged.verdict.clone(),
+    }
+}
+
+/// Says in words what became of a change.
+pub(crate) fn describe(verdict: &Verdict) -> String {
+    use lynxmount_config::RefusedChange;
+    match verdict {
+        Verdict::Accepted => "accepted".to_owned(),
+        Verdict::Repeated { of } => format!("repeats {of}"),
+        Verdict::Refused(RefusedChange::DigestWrong) => "refused: wrong digest".to_owned(),
+        Verdict::Refused(RefusedChange::Overtaken { by, author }) => {
+            let by = by.map_or("no version".to_owned(), |by| format!("version {by}"));
+            let author = author.as_deref().unwrap_or("nobody");
+            format!("refused: {by} of {author} is in force")
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/control_thread.rs
@@ -0,0 +1,199 @@
+//! The thread that owns the blackboard.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::{Duration, Instant, SystemTime},
+};
+
+use lynxmount_audit::{AUDIT_STREAM, AuditBatch, AuditEvent};
+use lynxmount_config::{CONFIG_STREAM, ProcessSettings};
+use lynxmount_core::{Incarnation, Result, wall_time_ms};
+use lynxmount_platform::Platform;
+use parking_lot::RwLock;
+use tokio::sync::{Notify, mpsc, oneshot};
+
+use crate::{
+    Counters, HeadMessage, ProcessKind, ProcessStatus, Readiness,
+    blackboard::{Blackboard, Event, Now, Order, PlatformState},
+    control_port::{Told, serve_control},
+    controllers::run_all,
+    counters::{CounterSender, SEND_PERIOD},
+    follower::Follower,
+    operators_port::{Probes, serve_operators},
+    view::{ActiveConfig, DrainState, Published, View},
+};
+
+/// How often controllers run if nothing happens.
+const TICK: Duration = Duration::from_millis(100);
+
+/// How long a leaving process tries to get its last audit records out.
+const LAST_AUDIT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Everything that the control thread owns.
+pub(crate) struct ControlThread {
+    pub(crate) board: Blackboard,
+    pub(crate) platform: Platform,
+    pub(crate) told: Arc<Told>,
+    pub(crate) events: mpsc::UnboundedSender<Event>,
+    pub(crate) receiver: mpsc::UnboundedReceiver<Event>,
+    pub(crate) published: Arc<Published>,
+    pub(crate) counters: Arc<Counters>,
+    pub(crate) sender: Option<CounterSender>,
+    pub(crate) peer_is_ahead: Arc<Notify>,
+}
+
+/// What the control port tells before anything was learnt.
+pub(crate) fn told_at_start(
+    settings: &ProcessSettings,
+    kind: ProcessKind,
+    incarnation: Incarnation,
+) -> Told {
+    let status = ProcessStatus {
+        process_id: settings.process_id.clone(),
+        kind,
+        failure_domain: settings.failure_domain.clone(),
+        incarnation,
+        config_version: None,
+        change_id: None,
+        readiness: Readiness::NoConfig,
+        running: 0,
+        platform_up: false,
+    };
+    Told { status: RwLock::new(status), head: RwLock::new(None) }
+}
+
+impl ControlThread {
+    /// Binds the ports, says so, and runs until the process exits.
+    pub(crate) async fn run(mut self, bound: oneshot::Sender<Result<()>>) {
+        let ports = self.bind().await;
+        let _ports = match ports {
+            Ok(ports) => {
+                let _ = bound.send(Ok(()));
+                ports
+            }
+            Err(error) => {
+                let _ = bound.send(Err(error));
+                return;
+            }
+        };
+        tokio::spawn(self.follower().run());
+        self.record_start();
+        self.run_controllers().await;
+    }
+
+    async fn bind(&self) -> Result<impl Sized + use<>> {
+        let settings = &self.board.settings;
+        let told = Arc::clone(&self.told);
+        let control = serve_control(settings.control_address, told, self.events.clone()).await?;
+        let probes = Probes { told: Arc::clone(&self.told), counters: Arc::clone(&self.counters) };
+        let operators = serve_operators(settings.operators_address, probes)?;
+        Ok((control, operators))
+    }
+
+    fn follower(&self) -> Follower {
+        Follower {
+            settings: self.board.settings.clone(),
+            platform: self.platform.clone(),
+            events: self.events.clone(),
+            published: Arc::clone(&self.published),
+            peer_is_ahead: Arc::clone(&self.peer_is_ahead),
+        }
+    }
+
+    fn record_start(&mut self) {
+        let incarnation = self.board.incarnation;
+        self.board.record(now(), AuditEvent::ProcessStarted { incarnation });
+    }
+
+    async fn run_controllers(&mut self) {
+        let mut ticks = tokio::time::interval(TICK);
+        let mut sent_at = Instant::now();
+        loop {
+            let event = tokio::select! {
+                event = self.receiver.recv() => event.unwrap_or(Event::Tick),
+                _ = ticks.tick() => Event::Tick,
+            };
+            self.board.running = self.published.running.load(Ordering::Relaxed);
+            run_all(&mut self.board, &event, now());
+            self.carry_out_orders().await;
+            self.publish();
+            if let Some(sender) = self.sender.as_mut().filter(|_| sent_at.elapsed() >= SEND_PERIOD)
+            {
+                sender.send(&self.counters);
+                sent_at = Instant::now();
+            }
+        }
+    }
+
+    async fn carry_out_orders(&mut self) {
+        let is_last = self.board.drain == DrainState::Finished;
+        for order in std::mem::take(&mut self.board.orders) {
+            let work = carry_out(order, self.platform.clone(), self.board.settings.scope.clone());
+            let events = self.events.clone();
+            let task = tokio::spawn(async move {
+                if let Some(event) = work.await {
+                    let _ = events.send(event);
+                }
+            });
+            // The process exits once it is told that it has finished.
+            if is_last {
+                let _ = tokio::time::timeout(LAST_AUDIT_TIMEOUT, task).await;
+            }
+        }
+    }
+
+    /// Publishes the view if it differs from the last one.
+    fn publish(&self) {
+        let before = self.published.view.load();
+        let head = self.board.acceptance.head();
+        let is_new = head.map(|head| head.offset) != before.config.as_ref().map(|c| c.version);
+        let config = match head {
+            Some(head) if is_new => Some(Arc::new(ActiveConfig::new(head))),
+            _ => before.config.clone(),
+        };
+        if is_new {
+            let message = head.map(|h| HeadMessage { offset: h.offset, change: h.change.clone() });
+            *self.told.head.write() = message;
+        }
+        let platform_up = self.board.platform == PlatformState::Up;
+        let view = View { config, drain: self.board.drain, platform_up };
+        self.tell_status(&view);
+        let is_same = !is_new && before.drain == view.drain && before.platform_up == platform_up;
+        if !is_same {
+            self.published.publish(view);
+        }
+    }
+
+    fn tell_status(&self, view: &View) {
+        let mut status = self.told.status.write();
+        status.config_version = view.config.as_ref().map(|config| config.version);
+        status.change_id = self.board.acceptance.head().map(|head| head.change.change_id);
+        status.running = self.board.running;
+        status.platform_up = view.platform_up;
+        status.readiness = match view.config {
+            _ if view.drain != DrainState::Serving => Readiness::Draining,
+            None => Readiness::NoConfig,
+            Some(_) => Readiness::Ready,
+        };
+    }
+}
+
+/// Carries an order out and says what came of it.
+async fn carry_out(order: Order, platform: Platform, scope: String) -> Option<Event> {
+    match order {
+        Order::AppendAudit(records) => {
+            let batch = AuditBatch { scope, records };
+            let appended = platform.append(AUDIT_STREAM, &batch).await;
+            Some(Event::AuditAppended(appended.map(|_| batch.records)))
+        }
+        Order::AppendChange(change) => {
+            // Whether it was appended shows when the stream is read.
+            let _ = platform.append(CONFIG_STREAM, &*change).await;
+            None
+        }
+    }
+}
+
+fn now() -> Now {
+    Now { instant: Instant::now(), wall_ms: wall_time_ms(SystemTime::now()) }
+}
--- /dev/null
+++ b/crates/node/src/controllers.rs
@@ -0,0 +1,214 @@
+//! The controllers and the order in which they run.
+//!
+//! | controller | reads | writes |
+//! |---|---|---|
+//! | `Platform` | reads and failures of the log | `platform`, `audit` |
+//! | `Config` | records of the log, heads of peers | `acceptance`, `head_time_ms`, `audit` |
+//! | `Republish` | `acceptance`, `head_time_ms`, `platform` | `republished`, `orders` |
+//! | `Drain` | orders to leave, `running` | `drain`, `drain_since`, `audit` |
+//! | `Audit` | `audit`, `platform` | `audit_in_flight`, `audit_sent_at`, `orders` |
+
+use std::{net::SocketAddr, time::Duration};
+
+use log::info;
+use lynxmount_audit::{Actor, AuditEvent};
+use lynxmount_config::{CONFIG_STREAM, ChangeRecord, Head, Verdict};
+use lynxmount_core::{Offset, duration_ms};
+use uuid::Uuid;
+
+use crate::{
+    blackboard::{Blackboard, ConfigRead, Event, Now, Order, PlatformState},
+    view::DrainState,
+};
+
+/// How long records wait for others to share their append.
+const AUDIT_PERIOD: Duration = Duration::from_millis(500);
+
+/// The part of the log's retention after which the head is appended again.
+const REPUBLISH_AFTER_PART: u32 = 2;
+
+/// The author of heads that are appended again.
+const REPUBLISH_AUTHOR: &str = "lynxmount";
+
+/// The closed set of controllers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Controller {
+    Audit,
+    Config,
+    Drain,
+    Platform,
+    Republish,
+}
+
+/// The order in which controllers run after each event.
+const ORDER: [Controller; 5] = [
+    Controller::Platform,
+    Controller::Config,
+    Controller::Republish,
+    Controller::Drain,
+    Controller::Audit,
+];
+
+/// Lets all controllers see an event.
+pub(crate) fn run_all(board: &mut Blackboard, event: &Event, now: Now) {
+    for controller in ORDER {
+        match controller {
+            Controller::Audit => run_audit(board, event, now),
+            Controller::Config => run_config(board, event, now),
+            Controller::Drain => run_drain(board, event, now),
+            Controller::Platform => run_platform(board, event, now),
+            Controller::Republish => run_republish(board, now),
+        }
+    }
+}
+
+fn run_platform(board: &mut Blackboard, event: &Event, now: Now) {
+    let state = match event {
+        Event::ConfigRead(_) => PlatformState::Up,
+        Event::PlatformFailed(_) => PlatformState::Out,
+        _ => board.platform,
+    };
+    let before = std::mem::replace(&mut board.platform, state);
+    match (before, state, event) {
+        (PlatformState::Out, PlatformState::Up, _) => {
+            info!("platform is back");
+            board.record(now, AuditEvent::PlatformBack);
+        }
+        (
+            PlatformState::Up | PlatformState::Untried,
+            PlatformState::Out,
+            Event::PlatformFailed(error),
+        ) => {
+            info!("platform is out: {error}");
+            board.record(now, AuditEvent::PlatformOut { why: error.to_string() });
+        }
+        _ => {}
+    }
+}
+
+fn run_config(board: &mut Blackboard, event: &Event, now: Now) {
+    match event {
+        Event::ConfigRead(read) => take_read(board, read, now),
+        Event::PeerHead { peer, head } => take_peer_head(board, *peer, head, now),
+        _ => {}
+    }
+}
+
+fn take_peer_head(board: &mut Blackboard, peer: SocketAddr, head: &Head, now: Now) {
+    if board.acceptance.adopt(head.clone()) {
+        board.head_time_ms = now.wall_ms;
+        note_in_force(board, format!("peer {peer}"), now);
+    }
+}
+
+fn take_read(board: &mut Blackboard, read: &ConfigRead, now: Now) {
+    let version_before = version(board);
+    if read.first > board.acceptance.next() {
+        board.acceptance.resume(read.first, &read.changes);
+    }
+    for (offset, change) in &read.changes {
+        let verdict = board.acceptance.take(*offset, change.clone());
+        if let Some(Verdict::Refused(why)) = verdict {
+            let why = format!("{why:?}");
+            let change_id = change.change_id;
+            board.record(now, AuditEvent::ChangeRefused { offset: *offset, change_id, why });
+        }
+    }
+    board.acceptance.forget_before(read.first);
+    if version(board) != version_before {
+        board.head_time_ms = read.newest_time_ms.unwrap_or(now.wall_ms);
+        note_in_force(board, "log".to_owned(), now);
+    }
+}
+
+fn note_in_force(board: &mut Blackboard, source: String, now: Now) {
+    let Some(head) = board.acceptance.head() else { return };
+    let (version, change_id) = (head.offset, head.change.change_id);
+    info!("configuration {version} is in force, from {source}");
+    board.record(now, AuditEvent::ConfigInForce { version, change_id, source });
+}
+
+fn version(board: &Blackboard) -> Option<Offset> {
+    board.acceptance.head().map(|head| head.offset)
+}
+
+/// Appends the head again when half of its retention is over.
+///
+/// All processes that do so write the same change id, so however many race
+/// it is one change, with the content that is in force already.
+fn run_republish(board: &mut Blackboard, now: Now) {
+    let Some(head) = board.acceptance.head() else { return };
+    let due_ms = duration_ms(board.settings.log_retention_ms / REPUBLISH_AFTER_PART);
+    let is_due = now.wall_ms >= board.head_time_ms.saturating_add(due_ms);
+    let is_done = board.republished == Some(head.offset);
+    if !is_due || is_done || board.platform != PlatformState::Up {
+        return;
+    }
+    let change = ChangeRecord {
+        change_id: republish_id(head.offset, &head.change.digest),
+        base: Some(head.offset),
+        author: REPUBLISH_AUTHOR.to_owned(),
+        ..head.change.clone()
+    };
+    board.republished = Some(head.offset);
+    board.orders.push(Order::AppendChange(Box::new(change)));
+}
+
+/// The id that every process gives to the same republication.
+fn republish_id(head: Offset, digest: &[u8; 32]) -> Uuid {
+    let mut name = CONFIG_STREAM.as_bytes().to_vec();
+    name.extend(head.to_le_bytes());
+    name.extend(digest);
+    Uuid::new_v5(&Uuid::NAMESPACE_OID, &name)
+}
+
+fn run_drain(board: &mut Blackboard, event: &Event, now: Now) {
+    match (board.drain, event) {
+        (DrainState::Serving, Event::Drain(actor)) => start_drain(board, actor.clone(), now),
+        (DrainState::Draining, _) if board.running == 0 => finish_drain(board, now),
+        (DrainState::Draining, _) if board.draining_for(now) >= board.settings.drain_timeout_ms => {
+            finish_drain(board, now);
+        }
+        _ => {}
+    }
+}
+
+fn start_drain(board: &mut Blackboard, actor: Actor, now: Now) {
+    info!("draining, asked by {actor:?}");
+    board.drain = DrainState::Draining;
+    board.drain_since = Some(now.instant);
+    board.audit.push(now.wall_ms, actor, AuditEvent::DrainStarted);
+}
+
+fn finish_drain(board: &mut Blackboard, now: Now) {
+    let cut_off = board.running;
+    info!("drained, {cut_off} requests cut off");
+    board.drain = DrainState::Finished;
+    board.record(now, AuditEvent::DrainFinished { cut_off });
+}
+
+fn run_audit(board: &mut Blackboard, event: &Event, now: Now) {
+    match event {
+        Event::Audited(event) => board.record(now, event.clone()),
+        Event::AuditAppended(result) => {
+            board.audit_in_flight = false;
+            if let Ok(batch) = result {
+                board.audit.confirm(batch);
+            }
+        }
+        _ => {}
+    }
+    let is_due = match board.audit_sent_at {
+        Some(sent_at) => now.instant.duration_since(sent_at) >= AUDIT_PERIOD,
+        None => true,
+    };
+    let is_last = board.drain == DrainState::Finished;
+    let may_send = board.platform == PlatformState::Up && !board.audit_in_flight;
+    let batch = board.audit.batch();
+    if batch.is_empty() || !may_send || !(is_due || is_last) {
+        return;
+    }
+    board.audit_in_flight = true;
+    board.audit_sent_at = Some(now.instant);
+    board.orders.push(Order::AppendAudit(batch));
+}
--- /dev/null
+++ b/crates/node/src/counters.rs
@@ -0,0 +1,126 @@
+//! Counters, kept in the process and sent to a statsd address.
+
+use std::{
+    net::{SocketAddr, UdpSocket},
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+use cadence::{BufferedUdpMetricSink, Counted, StatsdClient};
+use lynxmount_core::{Result, Step, invalid};
+
+/// How often counters are sent.
+pub(crate) const SEND_PERIOD: Duration = Duration::from_secs(1);
+
+/// The prefix of all counters' names.
+const PREFIX: &str = "lynxmount";
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $variant:ident => $name:literal,)*) => {
+        /// The closed set of counters.
+        #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+        pub enum Counter {
+            $($(#[$doc])* $variant,)*
+        }
+
+        const NAMES: &[&str] = &[$($name,)*];
+    };
+}
+
+counters! {
+    /// Attempts that an entry sent to endpoints.
+    AttemptsSent => "attempts.sent",
+    /// Attempts that an endpoint refused.
+    AttemptsRefused => "attempts.refused",
+    /// Attempts that an endpoint started.
+    AttemptsStarted => "attempts.started",
+    /// Attempts whose connection broke.
+    AttemptsLost => "attempts.lost",
+    /// Frames that were dropped as late, doubled or of an older attempt.
+    FramesDropped => "frames.dropped",
+    /// Answers that an endpoint gave to a repeated key.
+    KeysAttached => "keys.attached",
+    /// Keys that an entry bound in the log.
+    KeysClaimed => "keys.claimed",
+    /// Keys that an endpoint ran.
+    KeysRun => "keys.run",
+    /// Requests that waited in a queue.
+    RequestsQueued => "requests.queued",
+    /// Requests whose caller went away.
+    RequestsAbandoned => "requests.abandoned",
+    /// Requests that got their whole answer.
+    RequestsComplete => "requests.complete",
+    /// Requests that were told *not run*.
+    RequestsNotRun => "requests.not_run",
+    /// Requests that were told *unknown*.
+    RequestsUnknown => "requests.unknown",
+    /// Retries.
+    Retries => "retries",
+    /// Answers that did not match their digest.
+    AnswersBroken => "answers.broken",
+}
+
+/// The counters of a process.
+#[derive(Debug)]
+pub struct Counters {
+    totals: Vec<AtomicU64>,
+}
+
+impl Default for Counters {
+    /// Starts all counters at 0.
+    fn default() -> Counters {
+        Counters { totals: NAMES.iter().map(|_| AtomicU64::new(0)).collect() }
+    }
+}
+
+impl Counters {
+    /// Counts one.
+    pub fn count(&self, counter: Counter) {
+        self.totals[counter as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// The count since the process's start.
+    pub fn total(&self, counter: Counter) -> u64 {
+        self.totals[counter as usize].load(Ordering::Relaxed)
+    }
+
+    /// All counters, by name.
+    pub fn totals(&self) -> impl Iterator<Item = (&'static str, u64)> {
+        NAMES.iter().zip(&self.totals).map(|(name, total)| (*name, total.load(Ordering::Relaxed)))
+    }
+}
+
+/// Sends what was counted since the last time.
+pub(crate) struct CounterSender {
+    client: StatsdClient,
+    sent: Vec<u64>,
+}
+
+impl CounterSender {
+    /// Makes a sender to a statsd address.
+    ///
+    /// Fails if no socket can be had.
+    pub(crate) fn new(address: SocketAddr) -> Result<CounterSender> {
+        let fail = |e: String| invalid(Step::Start, address, e);
+        let unspecified: SocketAddr = match address {
+            SocketAddr::V4(_) => ([0, 0, 0, 0], 0).into(),
+            SocketAddr::V6(_) => ([0; 8], 0).into(),
+        };
+        let socket = UdpSocket::bind(unspecified).map_err(|e| fail(e.to_string()))?;
+        socket.set_nonblocking(true).map_err(|e| fail(e.to_string()))?;
+        let sink = BufferedUdpMetricSink::from(address, socket).map_err(|e| fail(e.to_string()))?;
+        let client = StatsdClient::from_sink(PREFIX, sink);
+        Ok(CounterSender { client, sent: vec![0; NAMES.len()] })
+    }
+
+    /// Sends all differences; what can't be sent now is sent next time.
+    pub(crate) fn send(&mut self, counters: &Counters) {
+        for ((name, total), sent) in counters.totals().zip(&mut self.sent) {
+            let difference = total.saturating_sub(*sent) as i64;
+            if difference > 0 && self.client.count(name, difference).is_ok() {
+                *sent = total;
+            }
+        }
+        let _ = self.client.flush();
+    }
+}
--- /dev/null
+++ b/crates/node/src/follower.rs
@@ -0,0 +1,116 @@
+//! Reading the configuration stream, and peers while the log is out.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use lynxmount_config::{CONFIG_STREAM, ChangeRecord, ProcessSettings};
+use lynxmount_core::{Offset, Result};
+use lynxmount_platform::{Page, Platform};
+use tokio::sync::{Notify, mpsc};
+
+use crate::{
+    blackboard::{ConfigRead, Event},
+    control_port::ControlClient,
+    view::Published,
+};
+
+/// How long a read waits for a new record.
+const LONG_POLL: Duration = Duration::from_secs(5);
+
+/// The pause after a failed read.
+const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(250);
+
+/// How many peers are asked at a time.
+const PEERS_ASKED: usize = 3;
+
+/// Follows the configuration for as long as the process runs.
+pub(crate) struct Follower {
+    pub(crate) settings: ProcessSettings,
+    pub(crate) platform: Platform,
+    pub(crate) events: mpsc::UnboundedSender<Event>,
+    pub(crate) published: Arc<Published>,
+    /// Rung when a peer has shown a newer configuration.
+    pub(crate) peer_is_ahead: Arc<Notify>,
+}
+
+impl Follower {
+    /// Reads the log to its end, then waits for more, without end.
+    pub(crate) async fn run(self) {
+        let mut next = 0;
+        let mut wait = Duration::ZERO;
+        loop {
+            let read = tokio::select! {
+                read = self.read(next, wait) => Some(read),
+                () = self.peer_is_ahead.notified() => None,
+            };
+            match read {
+                Some(Ok(page)) => {
+                    next = self.send_page(page, next);
+                    wait = LONG_POLL;
+                }
+                Some(Err(error)) => {
+                    let _ = self.events.send(Event::PlatformFailed(error));
+                    self.ask_peers().await;
+                    tokio::time::sleep(PAUSE_AFTER_FAILURE).await;
+                }
+                None => self.ask_peers().await,
+            }
+        }
+    }
+
+    async fn read(&self, next: Offset, wait: Duration) -> Result<Page> {
+        match wait {
+            Duration::ZERO => self.platform.read_to_end(CONFIG_STREAM, next).await,
+            wait => self.platform.read(CONFIG_STREAM, next, wait).await,
+        }
+    }
+
+    /// Hands the page's changes over and returns the next offset to read.
+    fn send_page(&self, page: Page, next: Offset) -> Offset {
+        let after = page.records.last().map_or(next, |record| record.offset + 1).max(page.first);
+        let newest_time_ms = page.records.last().map(|record| record.time_ms);
+        let changes = page
+            .records
+            .into_iter()
+            // A record that is no change has no effect at any process.
+            .filter_map(|record| {
+                let change = serde_json::from_value::<ChangeRecord>(record.data).ok()?;
+                Some((record.offset, change))
+            })
+            .collect();
+        let read = ConfigRead { first: page.first, changes, newest_time_ms };
+        let _ = self.events.send(Event::ConfigRead(read));
+        after
+    }
+
+    async fn ask_peers(&self) {
+        for peer in self.peers() {
+            let head = match ControlClient::new(peer) {
+                Ok(client) => client.config_head().await,
+                Err(error) => Err(error),
+            };
+            if let Ok(Some(head)) = head {
+                let _ = self.events.send(Event::PeerHead { peer, head: Box::new(head.into()) });
+            }
+        }
+    }
+
+    /// Peers from the settings and from the fleet in force, in an order that
+    /// differs between processes.
+    fn peers(&self) -> Vec<SocketAddr> {
+        let view = self.published.view.load();
+        let fleet = view.config.as_ref().map(|config| Arc::clone(&config.fleet));
+        let mut peers = self.settings.peers.clone();
+        if let Some(fleet) = fleet {
+            peers.extend(fleet.entries.iter().map(|entry| entry.control_address));
+            peers.extend(fleet.endpoints.iter().map(|endpoint| endpoint.control_address));
+        }
+        peers.retain(|peer| *peer != self.settings.control_address);
+        peers.sort_unstable();
+        peers.dedup();
+        let own = self.settings.process_id.to_string();
+        let mut named: Vec<(String, SocketAddr)> =
+            peers.iter().map(|p| (p.to_string(), *p)).collect();
+        named.sort_by_key(|(name, _)| std::cmp::Reverse(lynxmount_policy::rank(&own, name)));
+        named.into_iter().map(|(_, peer)| peer).take(PEERS_ASKED).collect()
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,28 @@
+//! What entry and endpoint processes share: blackboard, controllers and ports.
+//!
+//! One thread owns the [`Blackboard`](blackboard::Blackboard); controllers
+//! read and write it in a fixed order. Traffic threads read the [`View`] that
+//! the last controller publishes as a whole.
+
+#![forbid(unsafe_code)]
+
+mod blackboard;
+mod control_port;
+mod control_thread;
+mod controllers;
+mod counters;
+mod follower;
+mod logging;
+mod node;
+mod operators_port;
+mod signals;
+mod view;
+
+pub use control_port::{
+    ControlApiClient, ControlClient, HeadMessage, ProcessKind, ProcessStatus, Readiness,
+};
+pub use counters::{Counter, Counters};
+pub use logging::init_logging;
+pub use node::{Node, NodeHandle, RunningGuard};
+pub use signals::drain_on_signals;
+pub use view::{ActiveConfig, DrainState, View};
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,162 @@
+//! Starting the control side of a process, and talking to it.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::{Duration, Instant},
+};
+
+use lynxmount_audit::{Actor, AuditEvent};
+use lynxmount_config::ProcessSettings;
+use lynxmount_core::{Incarnation, Result, Step, invalid, new_incarnation};
+use lynxmount_platform::Platform;
+use tokio::sync::{Notify, mpsc, oneshot, watch};
+
+use crate::{
+    Counters, ProcessKind, View,
+    blackboard::{Blackboard, Event},
+    control_thread::{ControlThread, told_at_start},
+    counters::CounterSender,
+    view::Published,
+};
+
+/// The control side of a process.
+#[derive(Debug)]
+pub struct Node;
+
+/// What traffic threads hold of the control side; clones share it.
+#[derive(Clone, Debug)]
+pub struct NodeHandle {
+    settings: Arc<ProcessSettings>,
+    incarnation: Incarnation,
+    started: Instant,
+    published: Arc<Published>,
+    counters: Arc<Counters>,
+    events: mpsc::UnboundedSender<Event>,
+    peer_is_ahead: Arc<Notify>,
+}
+
+/// Counts a request as in progress until it is dropped.
+#[derive(Debug)]
+pub struct RunningGuard(Arc<Published>);
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Node {
+    /// Binds the ports and starts the control thread.
+    ///
+    /// Fails if a port can't be bound or the thread can't be started.
+    pub fn start(settings: ProcessSettings, kind: ProcessKind) -> Result<NodeHandle> {
+        let incarnation = new_incarnation();
+        let (events, receiver) = mpsc::unbounded_channel();
+        let published = Arc::new(Published::new());
+        let counters = Arc::new(Counters::default());
+        let peer_is_ahead = Arc::new(Notify::new());
+        let sender = settings.statsd_address.map(CounterSender::new).transpose()?;
+        let thread = ControlThread {
+            told: Arc::new(told_at_start(&settings, kind, incarnation)),
+            platform: Platform::new(settings.platform_address),
+            board: Blackboard::new(settings.clone(), incarnation),
+            events: events.clone(),
+            receiver,
+            published: Arc::clone(&published),
+            counters: Arc::clone(&counters),
+            sender,
+            peer_is_ahead: Arc::clone(&peer_is_ahead),
+        };
+        start_thread(thread)?;
+        let settings = Arc::new(settings);
+        let started = Instant::now();
+        Ok(NodeHandle {
+            settings,
+            incarnation,
+            started,
+            published,
+            counters,
+            events,
+            peer_is_ahead,
+        })
+    }
+}
+
+fn start_thread(thread: ControlThread) -> Result<()> {
+    let fail = |e: std::io::Error| invalid(Step::Start, "control thread", e);
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(fail)?;
+    let (bound, is_bound) = oneshot::channel();
+    std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || runtime.block_on(thread.run(bound)))
+        .map_err(fail)?;
+    is_bound.blocking_recv().unwrap_or_else(|e| Err(invalid(Step::Start, "control thread", e)))
+}
+
+impl NodeHandle {
+    /// The process's settings.
+    pub fn settings(&self) -> &ProcessSettings {
+        &self.settings
+    }
+
+    /// The process's life.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// The process's counters.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Time since the process's start, which policies count in.
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// The newest view.
+    pub fn view(&self) -> Arc<View> {
+        self.published.view.load_full()
+    }
+
+    /// Tells each time that there is a newer view.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.published.changed.subscribe()
+    }
+
+    /// Counts a request as in progress; leaving waits for it.
+    pub fn start_request(&self) -> RunningGuard {
+        self.published.running.fetch_add(1, Ordering::Relaxed);
+        RunningGuard(Arc::clone(&self.published))
+    }
+
+    /// Puts something into the audit trail.
+    pub fn audit(&self, event: AuditEvent) {
+        let _ = self.events.send(Event::Audited(event));
+    }
+
+    /// Asks the process to finish its work and exit.
+    pub fn drain(&self, actor: Actor) {
+        let _ = self.events.send(Event::Drain(actor));
+    }
+
+    /// Says that a peer has shown a newer configuration than this process's.
+    pub fn note_newer_config(&self) {
+        self.peer_is_ahead.notify_one();
+    }
+
+    /// Waits until the view has a property.
+    pub async fn wait_for(&self, mut property: impl FnMut(&View) -> bool) {
+        let mut changes = self.changes();
+        loop {
+            changes.mark_unchanged();
+            if property(&self.view()) {
+                return;
+            }
+            if changes.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/client.rs
@@ -0,0 +1,158 @@
+//! The HTTP client.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode, Uri};
+use http_body_util::{BodyExt, Full};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use lynxmount_core::{
+    Error, Offset, Result, Step, invalid, not_known, refused, timed_out, unreachable,
+};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{AppendAnswer, AppendRequest, Page, ReadQuery, VmList};
+
+/// How long an answer may take beyond the wait that was asked for.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How long a connection may take to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The largest number of records that one read asks for.
+const MAX_PAGE_RECORDS: u32 = 1000;
+
+/// A client of one platform address; clones share their connections.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    address: SocketAddr,
+    http: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Platform {
+    /// Makes a client that connects when it is first used.
+    pub fn new(address: SocketAddr) -> Platform {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        let http =
+            Client::builder(TokioExecutor::new()).pool_timer(TokioTimer::new()).build(connector);
+        Platform { address, http }
+    }
+
+    /// Appends a record and returns its offset.
+    ///
+    /// Fails with `Cause::Unreachable` or `Cause::Refused` if nothing was
+    /// appended; any other failure leaves it open whether the record is there.
+    pub async fn append(&self, stream: &str, data: &impl Serialize) -> Result<Offset> {
+        let step = Step::AppendLog;
+        let data = serde_json::to_value(data).map_err(|e| invalid(step, self.address, e))?;
+        let path = format!("/v1/streams/{stream}/records");
+        let body = serde_json::to_vec(&AppendRequest { data })
+            .map_err(|e| invalid(step, self.address, e))?;
+        let answer: AppendAnswer =
+            self.call(step, Method::POST, &path, body.into(), ANSWER_TIMEOUT).await?;
+        Ok(answer.offset)
+    }
+
+    /// Reads records from an offset on, waiting for the first if need be.
+    ///
+    /// Fails if the platform can't be reached or doesn't answer in time.
+    pub async fn read(&self, stream: &str, from: Offset, wait: Duration) -> Result<Page> {
+        let query = ReadQuery { from, limit: MAX_PAGE_RECORDS, wait_ms: wait };
+        let path = format!(
+            "/v1/streams/{stream}/records?from={}&limit={}&wait_ms={}",
+            query.from,
+            query.limit,
+            query.wait_ms.as_millis()
+        );
+        self.call(Step::ReadLog, Method::GET, &path, Bytes::new(), wait + ANSWER_TIMEOUT).await
+    }
+
+    /// Reads a stream to its end, as the end was when the read began.
+    ///
+    /// Fails as [`Platform::read`] does.
+    pub async fn read_to_end(&self, stream: &str, from: Offset) -> Result<Page> {
+        let mut whole = self.read(stream, from, Duration::ZERO).await?;
+        let goal = whole.end;
+        while let Some(next) = whole.records.last().map(|r| r.offset + 1).filter(|&o| o < goal) {
+            let page = self.read(stream, next, Duration::ZERO).await?;
+            if page.records.is_empty() {
+                break;
+            }
+            whole.records.extend(page.records);
+        }
+        Ok(whole)
+    }
+
+    /// Reads the VM list, which lags.
+    ///
+    /// Fails if the platform can't be reached or doesn't answer in time.
+    pub async fn list_vms(&self) -> Result<VmList> {
+        self.call(Step::ListVms, Method::GET, "/v1/vms", Bytes::new(), ANSWER_TIMEOUT).await
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        step: Step,
+        method: Method,
+        path_and_query: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<T> {
+        let exchange = self.exchange(step, method, path_and_query, body);
+        match tokio::time::timeout(timeout, exchange).await {
+            Ok(answer) => answer,
+            Err(_) => Err(timed_out(step, self.address, "no answer in time")),
+        }
+    }
+
+    async fn exchange<T: DeserializeOwned>(
+        &self,
+        step: Step,
+        method: Method,
+        path_and_query: &str,
+        body: Bytes,
+    ) -> Result<T> {
+        let uri = Uri::builder()
+            .scheme("http")
+            .authority(self.address.to_string())
+            .path_and_query(path_and_query)
+            .build()
+            .map_err(|e| invalid(step, self.address, e))?;
+        let request = Request::builder()
+            .method(method)
+            .uri(uri)
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(|e| invalid(step, self.address, e))?;
+        let response =
+            self.http.request(request).await.map_err(|e| self.transport_error(step, &e))?;
+        let status = response.status();
+        let body = response
+            .into_body()
+            .collect()
+            .await
+            .map_err(|e| not_known(step, self.address, e))?
+            .to_bytes();
+        match status {
+            StatusCode::OK => {
+                serde_json::from_slice(&body).map_err(|e| not_known(step, self.address, e))
+            }
+            status if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE => {
+                Err(refused(step, self.address, status))
+            }
+            status => Err(not_known(step, self.address, status)),
+        }
+    }
+
+    fn transport_error(&self, step: Step, error: &hyper_util::client::legacy::Error) -> Error {
+        match error.is_connect() {
+            true => unreachable(step, self.address, error),
+            false => not_known(step, self.address, error),
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,22 @@
+//! Decisions about admission, limits, choice of endpoint and retries.
+//!
+//! Everything here is a plain state machine: events and the time go in,
+//! decisions come out. Times are durations since the process's start.
+
+#![forbid(unsafe_code)]
+
+mod bucket;
+mod choice;
+mod queue;
+mod retry;
+mod retry_budget;
+mod subset;
+mod team_limits;
+
+pub use bucket::TokenBucket;
+pub use choice::{Candidate, Choice, ChoiceOptions, choose};
+pub use queue::{Offer, QueueOptions, ServiceQueue, Ticket, Waiter};
+pub use retry::{AttemptEnd, GiveUp, Next, Retry};
+pub use retry_budget::RetryBudget;
+pub use subset::{rank, rendezvous};
+pub use team_limits::{OverLimit, TeamLimits, TeamRate};
--- /dev/null
+++ b/crates/policy/src/subset.rs
@@ -0,0 +1,22 @@
+//! Rendezvous hashing: every process comes to the same order of members for a
+//! key, and a member's leaving moves only what it held.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The members with the highest rank for a key, highest first.
+pub fn rendezvous<'a, T>(
+    key: &str,
+    members: &'a [T],
+    name: impl Fn(&T) -> &str,
+    count: usize,
+) -> Vec<&'a T> {
+    let mut ranked: Vec<(u64, &T)> = members.iter().map(|m| (rank(key, name(m)), m)).collect();
+    ranked.sort_by_key(|(rank, _)| std::cmp::Reverse(*rank));
+    ranked.into_iter().take(count).map(|(_, member)| member).collect()
+}
+
+/// The rank of one member for a key.
+pub fn rank(key: &str, member: &str) -> u64 {
+    let seed = xxh3_64_with_seed(key.as_bytes(), 0);
+    xxh3_64_with_seed(member.as_bytes(), seed)
+}
--- /dev/null
+++ b/crates/standin/src/http_server.rs
@@ -0,0 +1,56 @@
+//! A minimal HTTP server for stand-ins of back ends.
+
+use std::{convert::Infallible, future::Future, net::SocketAddr, sync::Arc};
+
+use anyhow::Context;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpListener, task::JoinHandle};
+
+/// A body that a stand-in sends; an error cuts the connection.
+pub(crate) type Body = UnsyncBoxBody<Bytes, anyhow::Error>;
+
+/// Serves requests by `handle` until the returned task is aborted.
+///
+/// Fails if the address can't be bound.
+pub(crate) async fn serve<S, F>(
+    address: SocketAddr,
+    state: Arc<S>,
+    handle: impl Fn(Arc<S>, Request<Incoming>) -> F + Clone + Send + 'static,
+) -> anyhow::Result<(SocketAddr, JoinHandle<()>)>
+where
+    S: Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let listener = TcpListener::bind(address).await.with_context(|| format!("bind {address}"))?;
+    let bound = listener.local_addr()?;
+    let task = tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let _ = stream.set_nodelay(true);
+            let (state, handle) = (Arc::clone(&state), handle.clone());
+            let service = service_fn(move |request| {
+                let answer = handle(Arc::clone(&state), request);
+                async move { Ok::<_, Infallible>(answer.await) }
+            });
+            tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+        }
+    });
+    Ok((bound, task))
+}
+
+/// Makes a JSON response.
+pub(crate) fn json(status: StatusCode, value: &serde_json::Value) -> Response<Body> {
+    let mut response = Response::new(whole(value.to_string().into()));
+    *response.status_mut() = status;
+    let json = http::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(http::header::CONTENT_TYPE, json);
+    response
+}
+
+/// Makes a body of known length.
+pub(crate) fn whole(bytes: Bytes) -> Body {
+    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+}
--- /dev/null
+++ b/crates/standin/src/plain.rs
@@ -0,0 +1,132 @@
+//! A plain service that answers lookups and takes orders that must not be
+//! repeated.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use serde_json::json;
+use tokio::task::JoinHandle;
+
+use crate::http_server::{Body, json, serve};
+
+/// How a plain service behaves.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PlainOptions {
+    /// How long a call takes.
+    pub delay: Duration,
+}
+
+/// A call that the service has run.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SeenCall {
+    /// The HTTP method.
+    pub method: String,
+    /// The path and query.
+    pub path: String,
+    /// The body, as text.
+    pub body: String,
+}
+
+struct State {
+    options: PlainOptions,
+    seen: Mutex<Vec<SeenCall>>,
+    active: AtomicUsize,
+}
+
+/// A running plain service.
+pub struct Plain {
+    state: Arc<State>,
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Plain {
+    /// Starts a service; port 0 takes a free port.
+    ///
+    /// Fails if the address can't be bound.
+    pub async fn start(address: SocketAddr, options: PlainOptions) -> anyhow::Result<Plain> {
+        let state =
+            Arc::new(State { options, seen: Mutex::default(), active: AtomicUsize::new(0) });
+        let (address, task) = serve(address, Arc::clone(&state), handle).await?;
+        Ok(Plain { state, address, task })
+    }
+
+    /// The bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// All calls that change something, oldest first.
+    pub fn seen(&self) -> Vec<SeenCall> {
+        self.state.seen.lock().clone()
+    }
+
+    /// How many calls are being run now.
+    pub fn active(&self) -> usize {
+        self.state.active.load(Ordering::Relaxed)
+    }
+
+    /// Stops the service.
+    pub fn stop(&self) {
+        self.task.abort();
+    }
+
+    /// Runs until it is stopped.
+    pub async fn join(self) {
+        let _ = self.task.await;
+    }
+}
+
+struct Active<'a>(&'a AtomicUsize);
+
+impl Drop for Active<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn handle(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
+    if request.uri().path() == "/load" {
+        let running = state.active.load(Ordering::Relaxed);
+        return json(StatusCode::OK, &json!({ "running": running, "waiting": 0 }));
+    }
+    state.active.fetch_add(1, Ordering::Relaxed);
+    let _active = Active(&state.active);
+    let (parts, body) = request.into_parts();
+    let Ok(body) = body.collect().await else {
+        return json(StatusCode::BAD_REQUEST, &json!({ "error": "no body" }));
+    };
+    let call = SeenCall {
+        method: parts.method.to_string(),
+        path: parts.uri.to_string(),
+        body: String::from_utf8_lossy(&body.to_bytes()).into_owned(),
+    };
+    let number = match parts.method {
+        Method::GET | Method::HEAD => 0,
+        _ => {
+            let mut seen = state.seen.lock();
+            seen.push(call.clone());
+            seen.len()
+        }
+    };
+    if !state.options.delay.is_zero() {
+        tokio::time::sleep(state.options.delay).await;
+    }
+    let answer = json!({
+        "method": call.method,
+        "path": call.path,
+        "received": call.body,
+        "run_number": number,
+    });
+    json(StatusCode::OK, &answer)
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,18 @@
+//! The framed protocol between an entry and an endpoint process.
+//!
+//! Frames are length-delimited and encoded by `postcard`. One connection
+//! carries many requests; each frame names its request and attempt, and each
+//! piece of an answer its sequence number. `docs/PROTOCOL.md` has the rules.
+
+#![forbid(unsafe_code)]
+
+mod answer;
+mod codec;
+mod frame;
+
+pub use answer::{Answer, AnswerEnd, Piece};
+pub use codec::{FrameReader, FrameWriter, MAX_FRAME_BYTES};
+pub use frame::{
+    AttemptId, Binding, Dispatch, Failure, Header, LoadReport, PROTOCOL_VERSION, RefusalReason,
+    ToEndpoint, ToEntry,
+};
