--- /dev/null
+++ b/crates/audit/tests/buffer.rs
@@ -0,0 +1,62 @@
+//! The trail has no silent gaps.
+
+use lynxmount_audit::{Actor, AuditBuffer, AuditEvent};
+
+fn buffer_with(records: u64) -> AuditBuffer {
+    let mut buffer = AuditBuffer::new("entry-1".into());
+    for time_ms in 0..records {
+        buffer.push(time_ms, Actor::Signal, AuditEvent::PlatformBack);
+    }
+    buffer
+}
+
+#[test]
+fn records_stay_until_they_are_confirmed() {
+    let mut buffer = buffer_with(3);
+
+    let batch = buffer.batch();
+    assert_eq!(buffer.batch(), batch);
+    buffer.confirm(&batch);
+
+    assert_eq!(batch.len(), 3);
+    assert!(buffer.batch().is_empty());
+}
+
+#[test]
+fn what_does_not_fit_is_recorded_as_a_gap() {
+    let buffer = buffer_with(1_010);
+
+    let batch = buffer.batch();
+
+    assert_eq!(batch[0].event, AuditEvent::Gap { lost: 10 });
+    assert_eq!(batch[1].time_ms, 10);
+}
+
+#[test]
+fn every_record_is_either_written_or_counted_in_a_gap() {
+    let mut buffer = buffer_with(1_000);
+    let batch = buffer.batch();
+    // The buffer overflows while the append is under way.
+    for time_ms in 1_000..1_050 {
+        buffer.push(time_ms, Actor::Signal, AuditEvent::PlatformBack);
+    }
+
+    buffer.confirm(&batch);
+
+    let mut written = batch.len() as u64;
+    let mut lost = 0;
+    loop {
+        let batch = buffer.batch();
+        if batch.is_empty() {
+            break;
+        }
+        for record in &batch {
+            match record.event {
+                AuditEvent::Gap { lost: count } => lost += count,
+                _ => written += 1,
+            }
+        }
+        buffer.confirm(&batch);
+    }
+    assert_eq!((written, lost), (1_050, 0));
+}
--- /dev/null
+++ b/crates/config/tests/fleet_file.rs
@@ -0,0 +1,190 @@
+//! Fleet and settings files: what is wrong is told with its place, all at once.
+
+use lynxmount_config::{
+    Complaint, parse_endpoint_settings, parse_entry_settings, parse_fleet, parse_operator_settings,
+};
+
+const FILE: &str = "fleet.jsonc";
+
+/// A small fleet in which every kind of field occurs.
+fn fleet_text() -> String {
+    r#"{
+  // A comment.
+  "scope": "daugava",
+  "regions": [{ "id": "latvia", "failure_domains": ["purvciems"] }],
+  "entries": [{ "id": "entry-1", "failure_domain": "purvciems", "control_address": "127.0.0.1:1" }],
+  "services": [{ "id": "claims", "kind": "plain", "request_timeout_ms": 5000, "max_running_per_endpoint": 8 }],
+  "endpoints": [{ "id": "claims-1", "service": "claims", "failure_domain": "purvciems", "data_address": "127.0.0.1:2", "control_address": "127.0.0.1:3" }],
+  "teams": [{ "id": "handlers", "token_sha256": "0000000000000000000000000000000000000000000000000000000000000000", "priority": 0, "services": ["claims"], "rate_per_s": 10, "burst_requests": 20, "max_concurrent": 5 }]
+}"#
+    .to_owned()
+}
+
+fn complaints_about(text: &str) -> Vec<Complaint> {
+    match parse_fleet(FILE, text) {
+        Ok(_) => Vec::new(),
+        Err(complaints) => complaints.0,
+    }
+}
+
+#[test]
+fn the_example_fleets_are_valid() {
+    for name in ["daugava", "association"] {
+        let path = format!("{}/../../examples/{name}.jsonc", env!("CARGO_MANIFEST_DIR"));
+        let text = std::fs::read_to_string(&path).expect("the example is there");
+
+        let fleet = parse_fleet(&path, &text).expect("the example is valid");
+
+        assert_eq!(fleet.scope, name);
+        assert_eq!(fleet.endpoints.len(), 19);
+        assert_eq!(fleet.teams.len(), 10);
+    }
+}
+
+#[test]
+fn the_example_settings_are_valid() {
+    let read = |name: &str| {
+        let path = format!("{}/../../examples/settings/{name}.jsonc", env!("CARGO_MANIFEST_DIR"));
+        std::fs::read_to_string(path).expect("the example is there")
+    };
+
+    assert!(parse_entry_settings(FILE, &read("entry")).is_ok());
+    assert!(parse_endpoint_settings(FILE, &read("endpoint")).is_ok());
+    assert!(parse_operator_settings(FILE, &read("operator")).is_ok());
+}
+
+#[test]
+fn each_mistake_is_told_with_its_field_and_what_would_be_right() {
+    // What to replace, by what, the field that is named, and what is expected.
+    let cases = [
+        (
+            "\"rate_per_s\": 10",
+            "\"rate_per_s\": -1",
+            "teams[0].rate_per_s",
+            "a whole number from 1",
+        ),
+        ("\"rate_per_s\": 10", "\"rate_per_s\": \"10\"", "teams[0].rate_per_s", "a whole number"),
+        ("\"rate_per_s\": 10", "\"rate_per_min\": 10", "teams[0].rate_per_min", "\"rate_per_s\""),
+        (
+            "\"request_timeout_ms\": 5000",
+            "\"request_timeout_s\": 5",
+            "services[0].request_timeout_s",
+            "\"request_timeout_ms\"",
+        ),
+        ("\"priority\": 0", "\"priority\": 10", "teams[0].priority", "from 0 to 9"),
+        (
+            "\"kind\": \"plain\"",
+            "\"kind\": \"plane\"",
+            "services[0].kind",
+            "\"model\" or \"plain\"",
+        ),
+        (
+            "\"kind\": \"plain\"",
+            "\"kind\": \"plain\", \"colour\": 1",
+            "services[0].colour",
+            "one of: ",
+        ),
+        (
+            "\"service\": \"claims\"",
+            "\"service\": \"claim\"",
+            "endpoints[0].service",
+            "one of: claims",
+        ),
+        (
+            "\"services\": [\"claims\"]",
+            "\"services\": [\"claim\"]",
+            "teams[0].services[0]",
+            "one of: claims",
+        ),
+        (
+            "\"id\": \"entry-1\", \"failure_domain\": \"purvciems\"",
+            "\"id\": \"entry-1\", \"failure_domain\": \"riga\"",
+            "entries[0].failure_domain",
+            "one of: purvciems",
+        ),
+        ("\"id\": \"entry-1\"", "\"id\": \"claims-1\"", "endpoints[0].id", "each once"),
+        ("127.0.0.1:3", "127.0.0.1:2", "endpoints[0].control_address", "each once"),
+        ("127.0.0.1:3", "localhost:3", "endpoints[0].control_address", "an IP address with a port"),
+        (
+            "\"id\": \"handlers\"",
+            "\"id\": \"Claims Handlers\"",
+            "teams[0].id",
+            "lower-case letters",
+        ),
+        ("\"id\": \"handlers\", ", "", "teams[0].id", "a text"),
+        ("00000000\",", "0000000g\",", "teams[0].token_sha256", "64 hexadecimal digits"),
+        (
+            "\"id\": \"claims\", \"kind\"",
+            "\"id\": \"v1\", \"kind\"",
+            "services[0].id",
+            "another name",
+        ),
+        (
+            "\"scope\": \"daugava\"",
+            "\"scope\": \"daugava\", \"scope\": \"x\"",
+            "scope",
+            "one value",
+        ),
+        (
+            "\"failure_domains\": [\"purvciems\"]",
+            "\"failure_domains\": \"purvciems\"",
+            "regions[0].failure_domains",
+            "a list of ids",
+        ),
+    ];
+    for (right, wrong, field, expected) in cases {
+        let text = fleet_text().replacen(right, wrong, 1);
+
+        let complaints = complaints_about(&text);
+
+        let told = complaints.iter().find(|c| c.field == field);
+        let told = told.unwrap_or_else(|| panic!("{wrong}: {field} is not among {complaints:?}"));
+        assert!(told.expected.contains(expected), "{wrong}: expected is \"{}\"", told.expected);
+        assert_eq!(told.file, FILE);
+    }
+}
+
+#[test]
+fn the_place_is_that_of_the_wrong_value() {
+    let text = "{\n  \"scope\": 7,\n  // čaka iela\n  /* č */ \"regions\": 8\n}";
+
+    let complaints = complaints_about(text);
+
+    let place = |field: &str| {
+        let complaint = complaints.iter().find(|c| c.field == field).expect("it is told");
+        (complaint.line, complaint.column)
+    };
+    assert_eq!(place("scope"), (2, 12));
+    assert_eq!(place("regions"), (4, 22));
+}
+
+#[test]
+fn all_mistakes_are_told_at_once_in_the_order_of_the_file() {
+    let text = fleet_text()
+        .replace("\"priority\": 0", "\"priority\": 11")
+        .replace("\"kind\": \"plain\"", "\"kind\": 1")
+        .replace("\"max_concurrent\": 5", "\"max_concurrent\": 0");
+
+    let complaints = complaints_about(&text);
+
+    let fields: Vec<&str> = complaints.iter().map(|c| c.field.as_str()).collect();
+    assert_eq!(fields, ["services[0].kind", "teams[0].priority", "teams[0].max_concurrent"]);
+}
+
+#[test]
+fn a_file_that_is_no_json_is_told_with_its_place() {
+    let complaints = complaints_about("{\n  \"scope\": \n}");
+
+    assert_eq!(complaints.len(), 1);
+    assert_eq!(complaints[0].line, 3);
+}
+
+#[test]
+fn settings_complain_like_fleet_files() {
+    let text = "{ \"author\": \"\", \"scope\": \"daugava\", \"platform_adress\": \"127.0.0.1:1\" }";
+
+    let complaints = parse_operator_settings(FILE, text).expect_err("it is invalid").0;
+
+    let fields: Vec<&str> = complaints.iter().map(|c| c.field.as_str()).collect();
+    assert_eq!(fields, ["platform_address", "author", "platform_adress"]);
+}
--- a/crates/endpoint/src/runner.rs
+++ b/crates/endpoint/src/runner.rs
@@ -35,7 +35,7 @@
 struct Permit {
     place: Place,
     running: RunningGuard,
-    was_last: bool,
+    max_running: u32,
 }
 
 /// Where a run's answer goes.
@@ -85,8 +85,7 @@
         }
         let max_running = service.max_running_per_endpoint;
         let place = self.places.take(max_running).ok_or(RefusalReason::Busy)?;
-        let was_last = self.places.running() >= max_running;
-        Ok(Permit { place, running, was_last })
+        Ok(Permit { place, running, max_running })
     }
 
     fn service_of(&self, dispatch: &Dispatch, view: &View) -> Result<Service, RefusalReason> {
@@ -215,8 +214,9 @@
 
     /// Gives the place back; entries that wait for one are told at once.
     fn give_back(&self, permit: Permit) -> RunningGuard {
+        let was_full = self.places.running() >= permit.max_running;
         drop(permit.place);
-        if permit.was_last {
+        if was_full {
             self.reports.note_change();
         }
         permit.running
--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -1,12 +1,11 @@
 //! Places at endpoints: who gets one now, who waits, who is refused.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::HashMap, sync::Arc};
 
 use lynxmount_core::{EndpointId, Reason, ServiceId};
 use lynxmount_node::{ActiveConfig, Counter, NodeHandle};
 use lynxmount_policy::{
-    Candidate, ChoiceOptions, Offer, QueueOptions, RetryBudget, ServiceQueue, Ticket, Waiter,
-    choose, rank,
+    Candidate, ChoiceOptions, Offer, RetryBudget, ServiceQueue, Ticket, Waiter, choose, rank,
 };
 use parking_lot::{Mutex, RwLock};
 use rand::{SeedableRng, rngs::SmallRng};
@@ -29,10 +28,10 @@
 
 /// What a request wants of a place.
 pub(crate) struct Want<'a> {
-    /// Whose request it is, its priority and its deadline.
+    /// Whose request it is, its priority and until when it may wait.
     pub(crate) waiter: Waiter,
-    /// The same deadline, for the timer.
-    pub(crate) deadline: Deadline,
+    /// The same end of waiting, for the timer.
+    pub(crate) wait_until: Deadline,
     /// Endpoints that this request has tried; they are avoided.
     pub(crate) tried: &'a [EndpointId],
     /// The beginning of the prompt, if the service caches prefixes.
@@ -62,9 +61,8 @@
             let gate = by_service
                 .entry(service.id.clone())
                 .or_insert_with(|| Arc::new(Gate::new(self.node.clone())));
-            let options = QueueOptions { max_wait: service.max_queue_ms };
             let links = links.remove(&service.id).unwrap_or_default();
-            gate.set(options, service.max_running_per_endpoint, links);
+            gate.set(service.max_running_per_endpoint, links);
         }
     }
 
@@ -115,7 +113,7 @@
         // The seed differs between processes, so that entries don't choose alike.
         let seed = node.incarnation().as_u64_pair().0;
         let inner = Inner {
-            queue: ServiceQueue::new(QueueOptions { max_wait: Duration::ZERO }),
+            queue: ServiceQueue::default(),
             waiting: HashMap::new(),
             links: Vec::new(),
             max_running: 0,
@@ -125,9 +123,8 @@
         Gate { node, inner: Mutex::new(inner) }
     }
 
-    fn set(&self, options: QueueOptions, max_running: u32, links: Vec<Arc<Link>>) {
+    fn set(&self, max_running: u32, links: Vec<Arc<Link>>) {
         let mut inner = self.inner.lock();
-        inner.queue.set_options(options);
         inner.max_running = max_running;
         inner.links = links;
     }
@@ -164,9 +161,9 @@
         };
         self.node.counters().count(Counter::RequestsQueued);
         let _guard = WaitGuard { gate: self, ticket };
-        match tokio::time::timeout_at(want.deadline.at, receiver).await {
+        match tokio::time::timeout_at(want.wait_until.at, receiver).await {
             Ok(Ok(place)) => Ok(place),
-            _ => Err(Refusal::not_run(Reason::TimedOut, "no place became free in time")
+            _ => Err(Refusal::not_run(Reason::Overload, "no place became free in time")
                 .retry_after(self.inner.lock().queue.drain_time())),
         }
     }
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -57,6 +57,7 @@
     body: Bytes,
     prefix: Option<String>,
     key: Option<Key>,
+    wait_until: Deadline,
     deadline: Deadline,
     guards: Guards,
 }
@@ -219,6 +220,10 @@
             body: body.clone(),
             prefix,
             key,
+            wait_until: Deadline::after(
+                service.max_queue_ms.min(service.request_timeout_ms),
+                self.node.now(),
+            ),
             deadline: Deadline::after(service.request_timeout_ms, self.node.now()),
             guards: Guards { _running: self.node.start_request(), _team: guard },
             service: service.clone(),
@@ -251,8 +256,12 @@
     /// Tries until there is an answer or nothing more may be tried.
     async fn run(&self, mut call: Call) -> Result<Ran, Refusal> {
         let is_idempotent = call.key.is_none();
-        let mut retry =
-            Retry::new(call.service.max_attempts, call.deadline.since_start, is_idempotent);
+        let mut retry = Retry::new(
+            call.service.max_attempts,
+            call.wait_until.since_start,
+            call.deadline.since_start,
+            is_idempotent,
+        );
         let mut tried = Vec::new();
         call.gate.note_first_attempt(call.service.retry_budget_percent);
         for attempt_number in 1.. {
@@ -305,9 +314,9 @@
             waiter: Waiter {
                 team: call.team.id.clone(),
                 priority: call.team.priority,
-                deadline: call.deadline.since_start,
+                wait_until: call.wait_until.since_start,
             },
-            deadline: call.deadline,
+            wait_until: call.wait_until,
             tried,
             prefix: call.prefix.as_deref(),
         };
--- /dev/null
+++ b/crates/lynxmount/tests/callers.rs
@@ -0,0 +1,219 @@
+//! The callers' side: what a caller gets for good and for bad input.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Fleet, OTHER_TEAM, Wanted, answer_text, chat, eventually, streamed_text, token_of};
+use http::Method;
+use http_body_util::BodyExt;
+use lynxmount_standin::{Answer, BatchOptions, Caller};
+
+const CHAT: &str = "/v1/chat/completions";
+
+fn assert_refused(answer: &Answer, status: u16, reason: &str, what: &str) {
+    assert_eq!(answer.status, status, "{what}: {}", answer.body);
+    assert_eq!(answer.outcome(), "not-run", "{what}");
+    assert_eq!(answer.header("content-type"), "application/problem+json", "{what}");
+    assert_eq!(answer.json()["reason"], reason, "{what}");
+    assert_eq!(answer.json()["outcome"], "not-run", "{what}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_gets_streams_whole_answers_and_lookups() {
+    let fleet = Fleet::start(Wanted::default()).await;
+    let caller = fleet.caller(0);
+
+    let streamed = caller.call(Method::POST, CHAT, &[], chat("dent", 5, true)).await.unwrap();
+    let whole = caller.call(Method::POST, CHAT, &[], chat("dent", 5, false)).await.unwrap();
+    let headers = [("x-request-id", "mine-7")];
+    let lookup = caller.call(Method::GET, "/bookings/7?day=2", &headers, "").await.unwrap();
+
+    assert_eq!(streamed_text(&streamed.body), (answer_text("dent", 5), true));
+    let content = &whole.json()["choices"][0]["message"]["content"];
+    assert_eq!(content.as_str(), Some(answer_text("dent", 5).as_str()));
+    assert_eq!(whole.outcome(), "complete");
+    assert_eq!(lookup.json()["path"], "/7?day=2");
+    assert_eq!(lookup.header("x-request-id"), "mine-7");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_input_is_refused_and_told_as_not_run() {
+    let fleet = Fleet::start(Wanted::default()).await;
+    let caller = fleet.caller(0);
+    let guest = Caller::new(fleet.callers_address(0), token_of(OTHER_TEAM));
+    let nobody = Caller::new(fleet.callers_address(0), "guess");
+    let large = "x".repeat(5_000);
+    let empty_key = [("idempotency-key", "")];
+    let seen = fleet.engines.iter().map(|e| e.seen().len()).sum::<usize>();
+    let cases = [
+        (&nobody, Method::GET, "/bookings/1", "", &[][..], 401, "unauthenticated"),
+        (&guest, Method::POST, CHAT, &chat("x", 1, false)[..], &[], 403, "team-not-allowed"),
+        (&caller, Method::GET, "/nowhere/1", "", &[], 404, "unknown-service"),
+        (&caller, Method::GET, "/", "", &[], 404, "unknown-service"),
+        (&caller, Method::GET, "/lm/1", "", &[], 404, "unknown-service"),
+        (&caller, Method::POST, CHAT, r#"{"model": "nobody"}"#, &[], 404, "unknown-service"),
+        (&caller, Method::POST, CHAT, r#"{"model": 7}"#, &[], 400, "malformed"),
+        (&caller, Method::POST, CHAT, "not json", &[], 400, "malformed"),
+        (&caller, Method::POST, "/bookings/orders", "{}", &[], 400, "missing-key"),
+        (&caller, Method::POST, "/bookings/orders", "{}", &empty_key, 400, "malformed"),
+        (&caller, Method::POST, "/bookings/notes", &large, &[], 413, "body-too-large"),
+        (&caller, Method::POST, CHAT, &large, &[], 413, "body-too-large"),
+    ];
+
+    for (caller, method, path, body, headers, status, reason) in cases {
+        let what = format!("{method} {path} {body:.20}");
+        let answer = caller.call(method, path, headers, body.to_owned()).await.unwrap();
+        assert_refused(&answer, status, reason, &what);
+    }
+
+    assert_eq!(fleet.engines.iter().map(|e| e.seen().len()).sum::<usize>(), seen);
+    assert!(fleet.plains.iter().all(|plain| plain.seen().is_empty()));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_team_over_its_limit_is_told_when_to_come_back() {
+    let fleet = Fleet::start(Wanted { entries: 1, ..Wanted::default() }).await;
+    let guest = Caller::new(fleet.callers_address(0), token_of(OTHER_TEAM));
+
+    let mut answers = Vec::new();
+    for _ in 0..3 {
+        answers.push(guest.call(Method::GET, "/bookings/1", &[], "").await.unwrap());
+    }
+
+    assert_eq!(answers[0].status, 200);
+    assert_eq!(answers[1].status, 200);
+    assert_refused(&answers[2], 429, "over-limit", "the third call");
+    assert_eq!(answers[2].header("retry-after"), "1");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_overloaded_service_refuses_at_once_and_keeps_what_it_has() {
+    let wanted = Wanted {
+        entries: 1,
+        engines: 0,
+        plains: 1,
+        max_running: 1,
+        max_queue_ms: 0,
+        ..Wanted::default()
+    };
+    let mut fleet = Fleet::start(wanted).await;
+    let slow = lynxmount_standin::PlainOptions { delay: Duration::from_secs(5) };
+    let slow = lynxmount_standin::Plain::start(fleet.address(0), slow).await.unwrap();
+    fleet.plains = vec![slow];
+    fleet.endpoints[0] = None;
+    fleet.endpoints[0] = Some(fleet.spawn_endpoint(0));
+    let (first, second) = (fleet.caller(0), fleet.caller(0));
+    fleet.wait_ready(async || fleet.endpoint_status(0).await).await;
+    let running = tokio::spawn(async move {
+        loop {
+            // The entry has to find the new process first.
+            let answer = first.call(Method::GET, "/bookings/1", &[], "").await.unwrap();
+            if answer.status == 200 {
+                return answer;
+            }
+        }
+    });
+    eventually("the first call runs", async || fleet.plains[0].active() == 1).await;
+
+    let refused = second.call(Method::GET, "/bookings/2", &[], "").await.unwrap();
+
+    assert_refused(&refused, 503, "overload", "the second call");
+    assert!(!refused.header("retry-after").is_empty());
+    assert_eq!(fleet.plains[0].active(), 1);
+    assert_eq!(running.await.unwrap().outcome(), "complete");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_goes_away_is_cancelled_at_the_engine() {
+    let batch = BatchOptions { step: Duration::from_millis(20), ..BatchOptions::default() };
+    let fleet = Fleet::start(Wanted { batch, ..Wanted::default() }).await;
+    let caller = fleet.caller(0);
+    let body = chat("long story", 100_000, true);
+    let mut response = caller.open(Method::POST, CHAT, &[], body).await.unwrap();
+    let first = response.body_mut().frame().await;
+    assert!(first.is_some_and(|frame| frame.is_ok()));
+    assert_eq!(fleet.engines.iter().map(|engine| engine.active()).sum::<usize>(), 1);
+
+    drop(response);
+    drop(caller);
+
+    eventually("the engine is idle", async || fleet.engines.iter().all(|e| e.active() == 0)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_pauses_for_too_long_is_refused() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let fleet = Fleet::start(Wanted::default()).await;
+    let mut stream = tokio::net::TcpStream::connect(fleet.callers_address(0)).await.unwrap();
+    let token = token_of(common::TEAM);
+    let head = format!(
+        "POST /bookings/notes HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {token}\r\ncontent-length: 100\r\n\r\nhalf"
+    );
+
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut answer = vec![0; 4_096];
+    let length = stream.read(&mut answer).await.unwrap();
+
+    let answer = String::from_utf8_lossy(&answer[..length]);
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    assert!(answer.contains("the body paused for too long"), "{answer}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn headers_that_are_too_large_or_too_slow_end_the_connection() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let fleet = Fleet::start(Wanted::default()).await;
+    let mut large = tokio::net::TcpStream::connect(fleet.callers_address(0)).await.unwrap();
+    let mut slow = tokio::net::TcpStream::connect(fleet.callers_address(0)).await.unwrap();
+    let head =
+        format!("GET /bookings/1 HTTP/1.1\r\nhost: x\r\nx-fill: {}\r\n\r\n", "x".repeat(20_000));
+
+    large.write_all(head.as_bytes()).await.unwrap();
+    slow.write_all(b"GET /bookings/1 HTTP/1.1\r\nhost").await.unwrap();
+    let mut told = vec![0; 4_096];
+    let length = large.read(&mut told).await.unwrap();
+    let mut rest = Vec::new();
+    slow.read_to_end(&mut rest).await.unwrap();
+
+    let told = String::from_utf8_lossy(&told[..length]);
+    assert!(told.starts_with("HTTP/1.1 431"), "{told}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_runs_once_wherever_it_is_repeated() {
+    let fleet = Fleet::start(Wanted::default()).await;
+    let key = [("idempotency-key", "order-1")];
+    let path = "/bookings/orders";
+
+    let first = fleet.caller(0).call(Method::POST, path, &key, "{}").await.unwrap();
+    let again = fleet.caller(1).call(Method::POST, path, &key, "{}").await.unwrap();
+    let other = fleet.caller(1).call(Method::POST, path, &key, "{\"seats\": 2}").await.unwrap();
+
+    assert_eq!(first.body, again.body);
+    assert_eq!((first.status.as_u16(), again.status.as_u16()), (200, 200));
+    assert_refused(&other, 422, "key-reused", "the same key with another body");
+    let runs: usize = fleet.plains.iter().map(|plain| plain.seen().len()).sum();
+    assert_eq!(runs, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn many_callers_each_get_their_own_answer() {
+    let fleet = Fleet::start(Wanted::default()).await;
+    let mut calls = tokio::task::JoinSet::new();
+    for number in 0..200_u32 {
+        let caller = fleet.caller(number as usize % 2);
+        calls.spawn(async move {
+            let prompt = format!("caller-{number}");
+            let tokens = 1 + number % 20;
+            let answer = caller.call(Method::POST, CHAT, &[], chat(&prompt, tokens, true)).await;
+            (prompt, tokens, answer.unwrap())
+        });
+    }
+
+    while let Some(call) = calls.join_next().await {
+        let (prompt, tokens, answer) = call.unwrap();
+        let told = format!("{prompt}: {}", answer.body);
+        assert_eq!(streamed_text(&answer.body), (answer_text(&prompt, tokens), true), "{told}");
+    }
+}
--- /dev/null
+++ b/crates/lynxmount/tests/common/mod.rs
@@ -0,0 +1,442 @@
+//! A small fleet of real processes on loopback, with stand-ins in the test.
+
+#![allow(dead_code, unreachable_pub)]
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    process::{Child, Command, Output, Stdio},
+    sync::atomic::{AtomicU8, Ordering},
+    time::Duration,
+};
+
+use lynxmount_node::{ControlClient, ProcessStatus, Readiness};
+use lynxmount_standin::{
+    BatchOptions, Caller, Engine, Plain, PlainOptions, PlatformLog, PlatformServer,
+};
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use sha2::{Digest, Sha256};
+use tempfile::TempDir;
+
+pub const SCOPE: &str = "trial";
+pub const MODEL: &str = "lm";
+pub const PLAIN: &str = "bookings";
+pub const TEAM: &str = "handlers";
+pub const OTHER_TEAM: &str = "guests";
+
+const BINARY: &str = env!("CARGO_BIN_EXE_lynxmount");
+const PLATFORM_PORT: u16 = 7000;
+const CALLERS_PORT: u16 = 7100;
+const CONTROL_PORT: u16 = 7200;
+const OPERATORS_PORT: u16 = 7300;
+const DATA_PORT: u16 = 7400;
+
+/// Far longer than anything waits; reaching it fails the test.
+const GIVE_UP_AFTER: Duration = Duration::from_secs(30);
+const POLL: Duration = Duration::from_millis(10);
+
+/// What a test wants of its fleet.
+#[derive(Clone, Debug)]
+pub struct Wanted {
+    pub entries: usize,
+    pub engines: usize,
+    pub plains: usize,
+    pub max_running: u32,
+    pub max_queue_ms: u64,
+    pub plain_timeout_ms: u64,
+    pub team_rate: u32,
+    pub plain_delay: Duration,
+    pub batch: BatchOptions,
+    pub log_retention_ms: u64,
+}
+
+impl Default for Wanted {
+    fn default() -> Wanted {
+        Wanted {
+            entries: 2,
+            engines: 2,
+            plains: 2,
+            max_running: 64,
+            max_queue_ms: 2_000,
+            plain_timeout_ms: 10_000,
+            team_rate: 100_000,
+            plain_delay: Duration::ZERO,
+            batch: BatchOptions::default(),
+            log_retention_ms: 604_800_000,
+        }
+    }
+}
+
+/// A process that is killed when the test ends.
+pub struct Process {
+    child: Child,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Process {
+    pub fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.child.id() as i32), signal).expect("the process is there");
+    }
+
+    pub fn has_exited(&mut self) -> bool {
+        self.child.try_wait().expect("the process can be waited for").is_some()
+    }
+
+    /// Waits for the exit code.
+    pub async fn exit_code(&mut self) -> Option<i32> {
+        eventually("the process exits", async || self.has_exited()).await;
+        self.child.wait().expect("the process can be waited for").code()
+    }
+}
+
+/// A running fleet.
+pub struct Fleet {
+    pub wanted: Wanted,
+    pub platform: PlatformServer,
+    pub engines: Vec<Engine>,
+    pub plains: Vec<Plain>,
+    pub entries: Vec<Option<Process>>,
+    pub endpoints: Vec<Option<Process>>,
+    pub directory: TempDir,
+    ip: IpAddr,
+}
+
+/// An address that no other test has: a loopback address for each fleet.
+fn own_ip() -> IpAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(127, 1 + high % 200, low, number))
+}
+
+/// Waits until something is so.
+pub async fn eventually(what: &str, mut is_so: impl AsyncFnMut() -> bool) {
+    let waiting = async {
+        while !is_so().await {
+            tokio::time::sleep(POLL).await;
+        }
+    };
+    if tokio::time::timeout(GIVE_UP_AFTER, waiting).await.is_err() {
+        panic!("waited in vain: {what}");
+    }
+}
+
+pub fn token_of(team: &str) -> String {
+    format!("{team}-token")
+}
+
+impl Fleet {
+    /// Starts everything, applies the fleet file and waits until it serves.
+    pub async fn start(wanted: Wanted) -> Fleet {
+        let mut fleet = Fleet::start_without_config(wanted).await;
+        fleet.start_processes();
+        fleet.apply_ok();
+        fleet.serving().await;
+        fleet
+    }
+
+    /// Starts only the stand-ins.
+    pub async fn start_without_config(wanted: Wanted) -> Fleet {
+        let ip = own_ip();
+        let address = |port| SocketAddr::new(ip, port);
+        let platform = PlatformServer::start(address(PLATFORM_PORT), PlatformLog::default());
+        let mut engines = Vec::new();
+        for _ in 0..wanted.engines {
+            let engine = Engine::start(address(0), wanted.batch).await;
+            engines.push(engine.expect("the engine starts"));
+        }
+        let mut plains = Vec::new();
+        for _ in 0..wanted.plains {
+            let plain = Plain::start(address(0), PlainOptions { delay: wanted.plain_delay }).await;
+            plains.push(plain.expect("the service starts"));
+        }
+        let fleet = Fleet {
+            platform: platform.expect("the platform starts"),
+            engines,
+            plains,
+            entries: Vec::new(),
+            endpoints: Vec::new(),
+            directory: TempDir::new().expect("there is a temporary directory"),
+            ip,
+            wanted,
+        };
+        fleet.write("operator.jsonc", &fleet.operator_settings("operator"));
+        fleet.write("fleet.jsonc", &fleet.file());
+        fleet
+    }
+
+    fn start_processes(&mut self) {
+        for number in 0..self.wanted.engines + self.wanted.plains {
+            let process = self.spawn_endpoint(number);
+            self.endpoints.push(Some(process));
+        }
+        for number in 0..self.wanted.entries {
+            let process = self.spawn_entry(number);
+            self.entries.push(Some(process));
+        }
+    }
+
+    /// Waits until every entry reaches a back end of each service.
+    pub async fn serving(&self) {
+        for number in 0..self.entries.len() {
+            self.entry_serves(number).await;
+        }
+    }
+
+    /// Waits until an entry gets answers from each service.
+    pub async fn entry_serves(&self, number: usize) {
+        let caller = self.caller(number);
+        eventually("the entry serves lookups", async || {
+            let answer = caller.call(http::Method::GET, "/bookings/1", &[], "").await;
+            self.wanted.plains == 0 || answer.is_ok_and(|a| a.status == 200)
+        })
+        .await;
+        eventually("the entry serves chats", async || {
+            let body = chat("ready?", 1, false);
+            let answer = caller.call(http::Method::POST, "/v1/chat/completions", &[], body).await;
+            self.wanted.engines == 0 || answer.is_ok_and(|a| a.status == 200)
+        })
+        .await;
+    }
+
+    pub fn address(&self, port: u16) -> SocketAddr {
+        SocketAddr::new(self.ip, port)
+    }
+
+    pub fn callers_address(&self, number: usize) -> SocketAddr {
+        self.address(CALLERS_PORT + number as u16)
+    }
+
+    pub fn caller(&self, number: usize) -> Caller {
+        Caller::new(self.callers_address(number), token_of(TEAM))
+    }
+
+    pub fn endpoint_id(&self, number: usize) -> String {
+        match number.checked_sub(self.wanted.engines) {
+            None => format!("{MODEL}-{number}"),
+            Some(number) => format!("{PLAIN}-{number}"),
+        }
+    }
+
+    fn endpoint_control_port(&self, number: usize) -> u16 {
+        CONTROL_PORT + 50 + number as u16
+    }
+
+    pub async fn entry_status(&self, number: usize) -> Option<ProcessStatus> {
+        self.status(CONTROL_PORT + number as u16).await
+    }
+
+    pub async fn endpoint_status(&self, number: usize) -> Option<ProcessStatus> {
+        self.status(self.endpoint_control_port(number)).await
+    }
+
+    async fn status(&self, port: u16) -> Option<ProcessStatus> {
+        ControlClient::new(self.address(port)).ok()?.status().await.ok()
+    }
+
+    pub async fn wait_ready(&self, status: impl AsyncFn() -> Option<ProcessStatus>) {
+        eventually("the process is ready", async || {
+            status().await.is_some_and(|s| s.readiness == Readiness::Ready)
+        })
+        .await;
+    }
+
+    pub fn spawn_entry(&self, number: usize) -> Process {
+        let name = format!("entry-{number}");
+        let settings = format!(
+            "{{ {}, \"callers_address\": \"{}\", \"idle_timeout_ms\": 500, \"header_timeout_ms\": 500 }}",
+            self.process_settings(
+                &name,
+                CONTROL_PORT + number as u16,
+                OPERATORS_PORT + number as u16
+            ),
+            self.callers_address(number),
+        );
+        self.spawn("entry", &name, &settings)
+    }
+
+    pub fn spawn_endpoint(&self, number: usize) -> Process {
+        let name = self.endpoint_id(number);
+        let (service, backend) = match number.checked_sub(self.wanted.engines) {
+            None => (MODEL, self.engines[number].address()),
+            Some(plain) => (PLAIN, self.plains[plain].address()),
+        };
+        let control = self.endpoint_control_port(number);
+        let operators = OPERATORS_PORT + 50 + number as u16;
+        let settings = format!(
+            "{{ {}, \"service\": \"{service}\", \"data_address\": \"{}\", \"backend_address\": \"{backend}\" }}",
+            self.process_settings(&name, control, operators),
+            self.address(DATA_PORT + number as u16),
+        );
+        self.spawn("endpoint", &name, &settings)
+    }
+
+    fn process_settings(&self, name: &str, control: u16, operators: u16) -> String {
+        // Two peers that are not the process itself, as far as there are.
+        let peers: Vec<String> = [CONTROL_PORT, CONTROL_PORT + 1, CONTROL_PORT + 50]
+            .iter()
+            .filter(|port| **port != control)
+            .map(|port| format!("\"{}\"", self.address(*port)))
+            .collect();
+        format!(
+            "\"process_id\": \"{name}\", \"failure_domain\": \"north\", \"scope\": \"{SCOPE}\", \
+             \"platform_address\": \"{}\", \"control_address\": \"{}\", \
+             \"operators_address\": \"{}\", \"peers\": [{}], \"traffic_threads\": 1, \
+             \"log_retention_ms\": {}",
+            self.platform.address(),
+            self.address(control),
+            self.address(operators),
+            peers.join(", "),
+            self.wanted.log_retention_ms,
+        )
+    }
+
+    fn spawn(&self, kind: &str, name: &str, settings: &str) -> Process {
+        let path = self.write(&format!("{name}.jsonc"), settings);
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.directory.path().join(format!("{name}.log")))
+            .expect("the log can be written");
+        let child = Command::new(BINARY)
+            .args([kind, "--settings"])
+            .arg(path)
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .expect("the process starts");
+        Process { child }
+    }
+
+    pub fn write(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.directory.path().join(name);
+        std::fs::write(&path, text).expect("the file can be written");
+        path
+    }
+
+    pub fn operator_settings(&self, author: &str) -> String {
+        format!(
+            "{{ \"author\": \"{author}\", \"scope\": \"{SCOPE}\", \"platform_address\": \"{}\" }}",
+            self.platform.address()
+        )
+    }
+
+    /// The fleet file that the test wants.
+    pub fn file(&self) -> String {
+        let wanted = &self.wanted;
+        let entries: Vec<String> = (0..wanted.entries).map(|n| self.entry_in_file(n)).collect();
+        let endpoints: Vec<String> =
+            (0..wanted.engines + wanted.plains).map(|n| self.endpoint_in_file(n)).collect();
+        format!(
+            r#"{{
+  "scope": "{SCOPE}",
+  "regions": [{{ "id": "home", "failure_domains": ["north", "south"] }}],
+  "entries": [{}],
+  "services": [
+    {{ "id": "{MODEL}", "kind": "model", "request_timeout_ms": 30000, "max_running_per_endpoint": {max},
+       "max_queue_ms": {queue}, "max_body_bytes": 4096 }},
+    {{ "id": "{PLAIN}", "kind": "plain", "request_timeout_ms": {timeout}, "max_running_per_endpoint": {max},
+       "max_queue_ms": {queue}, "max_body_bytes": 4096,
+       "non_idempotent_routes": [{{ "method": "POST", "path_prefix": "/orders" }}] }}
+  ],
+  "endpoints": [{}],
+  "teams": [
+    {{ "id": "{TEAM}", "token_sha256": "{}", "priority": 0, "services": ["{MODEL}", "{PLAIN}"],
+       "rate_per_s": {rate}, "burst_requests": {rate}, "max_concurrent": 10000 }},
+    {{ "id": "{OTHER_TEAM}", "token_sha256": "{}", "priority": 5, "services": ["{PLAIN}"],
+       "rate_per_s": 2, "burst_requests": 2, "max_concurrent": 100 }}
+  ]
+}}"#,
+            entries.join(", "),
+            endpoints.join(", "),
+            digest(TEAM),
+            digest(OTHER_TEAM),
+            max = wanted.max_running,
+            queue = wanted.max_queue_ms,
+            timeout = wanted.plain_timeout_ms,
+            rate = wanted.team_rate,
+        )
+    }
+
+    fn entry_in_file(&self, number: usize) -> String {
+        let control = self.address(CONTROL_PORT + number as u16);
+        format!(
+            r#"{{ "id": "entry-{number}", "failure_domain": "north", "control_address": "{control}" }}"#
+        )
+    }
+
+    fn endpoint_in_file(&self, number: usize) -> String {
+        let service = if number < self.wanted.engines { MODEL } else { PLAIN };
+        let domain = if number.is_multiple_of(2) { "north" } else { "south" };
+        format!(
+            r#"{{ "id": "{}", "service": "{service}", "failure_domain": "{domain}", "data_address": "{}", "control_address": "{}" }}"#,
+            self.endpoint_id(number),
+            self.address(DATA_PORT + number as u16),
+            self.address(self.endpoint_control_port(number)),
+        )
+    }
+
+    /// Runs an operator's command with the operator's settings.
+    pub fn operate(&self, arguments: &[&str]) -> Output {
+        self.operate_as("operator.jsonc", arguments)
+    }
+
+    pub fn operate_as(&self, settings: &str, arguments: &[&str]) -> Output {
+        Command::new(BINARY)
+            .current_dir(self.directory.path())
+            .args(arguments)
+            .args(["--settings", settings])
+            .output()
+            .expect("the command runs")
+    }
+
+    /// Applies the fleet file; the change need not be in force everywhere.
+    pub fn apply_ok(&self) {
+        let output = self.operate(&["config", "apply", "fleet.jsonc", "--timeout-ms", "0"]);
+        let told = String::from_utf8_lossy(&output.stderr);
+        assert!(told.contains("accepted"), "{told}");
+    }
+}
+
+fn digest(team: &str) -> String {
+    Sha256::digest(token_of(team)).iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// The body of a chat request.
+pub fn chat(prompt: &str, max_tokens: u32, stream: bool) -> String {
+    format!(
+        r#"{{ "model": "{MODEL}", "stream": {stream}, "max_tokens": {max_tokens},
+              "messages": [{{ "role": "user", "content": "{prompt}" }}] }}"#
+    )
+}
+
+/// The text of a whole answer to [`chat`].
+pub fn answer_text(prompt: &str, max_tokens: u32) -> String {
+    (0..max_tokens).map(|number| lynxmount_standin::token_text(prompt, number)).collect()
+}
+
+/// The text that a stream of events carries, and whether it ended properly.
+pub fn streamed_text(body: &str) -> (String, bool) {
+    let events = body.split("\n\n").filter_map(|event| event.strip_prefix("data: "));
+    let mut text = String::new();
+    let mut is_whole = false;
+    for event in events {
+        match serde_json::from_str::<serde_json::Value>(event) {
+            Ok(chunk) => {
+                let content = &chunk["choices"][0]["delta"]["content"];
+                text.push_str(content.as_str().unwrap_or_default());
+            }
+            Err(_) => is_whole = event == "[DONE]",
+        }
+    }
+    (text, is_whole)
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use bucket::TokenBucket;
 pub use choice::{Candidate, Choice, ChoiceOptions, choose};
-pub use queue::{Offer, QueueOptions, ServiceQueue, Ticket, Waiter};
+pub use queue::{Offer, ServiceQueue, Ticket, Waiter};
 pub use retry::{AttemptEnd, GiveUp, Next, Retry};
 pub use retry_budget::RetryBudget;
 pub use subset::{rank, rendezvous};
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -2,7 +2,7 @@
 //!
 //! Priorities go first; within a priority, teams take turns, so that a large
 //! team's backlog delays only that team. A request that can't be started
-//! within the service's longest wait is refused on arrival.
+//! within the time that it may wait is refused on arrival.
 
 use std::{
     collections::{BTreeMap, HashMap, VecDeque},
@@ -20,13 +20,6 @@
 /// The shortest time that a refused caller is asked to stay away.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
-/// Limits of a queue.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct QueueOptions {
-    /// The longest time that a request may be expected to wait.
-    pub max_wait: Duration,
-}
-
 /// Names a request that waits.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Ticket(pub u64);
@@ -38,8 +31,8 @@
     pub team: TeamId,
     /// Its priority; 0 goes first.
     pub priority: u8,
-    /// When it must be answered.
-    pub deadline: Duration,
+    /// Until when it may wait.
+    pub wait_until: Duration,
 }
 
 /// What becomes of a request on arrival.
@@ -67,7 +60,6 @@
 /// The queue of one service.
 #[derive(Debug)]
 pub struct ServiceQueue {
-    options: QueueOptions,
     classes: BTreeMap<u8, Class>,
     tickets: HashMap<Ticket, Waiter>,
     next_ticket: u64,
@@ -75,11 +67,10 @@
     departed_at: Option<Duration>,
 }
 
-impl ServiceQueue {
-    /// Makes an empty queue.
-    pub fn new(options: QueueOptions) -> ServiceQueue {
+impl Default for ServiceQueue {
+    /// Starts empty.
+    fn default() -> ServiceQueue {
         ServiceQueue {
-            options,
             classes: BTreeMap::new(),
             tickets: HashMap::new(),
             next_ticket: 0,
@@ -87,25 +78,23 @@
             departed_at: None,
         }
     }
+}
 
-    /// Changes the limits.
-    pub fn set_options(&mut self, options: QueueOptions) {
-        self.options = options;
-    }
-
+impl ServiceQueue {
     /// Decides about a request on arrival.
     pub fn offer(&mut self, waiter: Waiter, has_place: bool, now: Duration) -> Offer {
         if has_place && self.is_first(waiter.priority) {
             return Offer::Start;
         }
         let wait = self.expected_wait(&waiter);
-        let limit = self.options.max_wait.min(waiter.deadline.saturating_sub(now));
+        let limit = waiter.wait_until.saturating_sub(now);
         if wait > limit {
             let retry_after = wait.saturating_sub(limit).max(MIN_RETRY_AFTER);
             return Offer::Refuse { retry_after };
         }
         if self.tickets.is_empty() {
-            self.departed_at = None;
+            // An idle pause is no interval; the first to wait starts a new one.
+            self.departed_at = Some(now);
         }
         Offer::Wait(self.enqueue(waiter))
     }
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -67,6 +67,7 @@
 pub struct Retry {
     max_attempts: u32,
     attempts: u32,
+    wait_until: Duration,
     deadline: Duration,
     is_idempotent: bool,
     may_have_run: bool,
@@ -74,8 +75,23 @@
 
 impl Retry {
     /// Starts with one allowance and one deadline for the whole request.
-    pub fn new(max_attempts: u32, deadline: Duration, is_idempotent: bool) -> Retry {
-        Retry { max_attempts, attempts: 0, deadline, is_idempotent, may_have_run: false }
+    ///
+    /// An attempt that found no place is no attempt: the request goes back
+    /// into the queue, until `wait_until`.
+    pub fn new(
+        max_attempts: u32,
+        wait_until: Duration,
+        deadline: Duration,
+        is_idempotent: bool,
+    ) -> Retry {
+        Retry {
+            max_attempts,
+            attempts: 0,
+            wait_until,
+            deadline,
+            is_idempotent,
+            may_have_run: false,
+        }
     }
 
     /// Says whether some attempt may have run.
@@ -91,13 +107,15 @@
         now: Duration,
         take_budget: impl FnOnce() -> bool,
     ) -> Next {
-        self.attempts += 1;
+        self.attempts += u32::from(end != AttemptEnd::Busy);
         self.may_have_run |= end.may_have_run();
         match end {
             _ if now >= self.deadline => self.give_up(Reason::TimedOut),
             AttemptEnd::TimedOut | AttemptEnd::NoEndpoint => self.give_up(end.reason()),
             AttemptEnd::Declined(Reason::KeyReused) => self.give_up(Reason::KeyReused),
             _ if self.may_have_run && !self.is_idempotent => self.give_up(end.reason()),
+            AttemptEnd::Busy if now < self.wait_until => Next::TryAgain,
+            AttemptEnd::Busy => self.give_up(end.reason()),
             _ if self.attempts >= self.max_attempts => self.give_up(end.reason()),
             _ if !take_budget() => self.give_up(end.reason()),
             _ => Next::TryAgain,
--- /dev/null
+++ b/crates/policy/tests/decisions.rs
@@ -0,0 +1,187 @@
+//! Limits, retries and the choice of endpoint.
+
+use std::time::Duration;
+
+use lynxmount_core::{Outcome, Reason, TeamId};
+use lynxmount_policy::{
+    AttemptEnd, Candidate, ChoiceOptions, GiveUp, Next, Retry, RetryBudget, TeamLimits, TeamRate,
+    choose, rendezvous,
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+use rand::{SeedableRng, rngs::SmallRng};
+
+const WAIT_UNTIL: Duration = Duration::from_secs(2);
+const DEADLINE: Duration = Duration::from_secs(10);
+
+fn retry(is_idempotent: bool) -> Retry {
+    Retry::new(3, WAIT_UNTIL, DEADLINE, is_idempotent)
+}
+
+fn give_up(outcome: Outcome, reason: Reason) -> Next {
+    Next::GiveUp(GiveUp { outcome, reason })
+}
+
+#[test]
+fn a_declined_attempt_is_tried_elsewhere_and_told_as_not_run() {
+    let mut retry = retry(false);
+    let declined = AttemptEnd::Declined(Reason::NoEndpoint);
+
+    assert_eq!(retry.attempt_ended(declined, Duration::ZERO, || true), Next::TryAgain);
+    assert_eq!(retry.attempt_ended(declined, Duration::ZERO, || true), Next::TryAgain);
+    let last = retry.attempt_ended(declined, Duration::ZERO, || true);
+
+    assert_eq!(last, give_up(Outcome::NotRun, Reason::NoEndpoint));
+}
+
+#[test]
+fn an_attempt_without_a_place_waits_on_and_costs_no_retry() {
+    let mut retry = retry(false);
+
+    for _ in 0..10 {
+        let next = retry.attempt_ended(AttemptEnd::Busy, Duration::ZERO, || false);
+        assert_eq!(next, Next::TryAgain);
+    }
+    let last = retry.attempt_ended(AttemptEnd::Busy, WAIT_UNTIL, || true);
+
+    assert_eq!(last, give_up(Outcome::NotRun, Reason::Overload));
+}
+
+#[test]
+fn a_lost_attempt_that_may_not_be_repeated_is_told_as_unknown_at_once() {
+    let next = retry(false).attempt_ended(AttemptEnd::Lost, Duration::ZERO, || true);
+
+    assert_eq!(next, give_up(Outcome::Unknown, Reason::LostAttempt));
+}
+
+#[test]
+fn not_run_is_not_told_after_an_attempt_that_may_have_run() {
+    let mut retry = retry(true);
+    retry.attempt_ended(AttemptEnd::Lost, Duration::ZERO, || true);
+
+    let next = retry.attempt_ended(AttemptEnd::NoEndpoint, Duration::ZERO, || true);
+
+    assert_eq!(next, give_up(Outcome::Unknown, Reason::NoEndpoint));
+}
+
+#[test]
+fn there_is_no_retry_past_the_deadline_or_without_budget() {
+    let late = retry(true).attempt_ended(AttemptEnd::Failed, DEADLINE, || true);
+    let poor = retry(true).attempt_ended(AttemptEnd::Failed, Duration::ZERO, || false);
+
+    assert_eq!(late, give_up(Outcome::Unknown, Reason::TimedOut));
+    assert_eq!(poor, give_up(Outcome::Unknown, Reason::BackendFailed));
+}
+
+#[test]
+fn retries_stay_a_fixed_share_of_the_work() {
+    let mut budget = RetryBudget::default();
+    let mut retries = 0;
+
+    for _ in 0..10_000 {
+        budget.note_first_attempt(10);
+        retries += u32::from(budget.take());
+    }
+
+    assert!((1_000..=1_011).contains(&retries), "{retries} retries");
+}
+
+#[test]
+fn a_team_gets_its_rate_and_no_more() {
+    let mut limits = TeamLimits::default();
+    let team = TeamId::from("handlers");
+    let rate = TeamRate { rate_per_s: 10.0, burst: 5.0, max_concurrent: 1_000 };
+
+    let admitted = (0..1_000_u64)
+        .filter(|tick| limits.admit(&team, rate, Duration::from_millis(tick * 10)).is_ok())
+        .count();
+
+    // Ten seconds at ten a second, and the burst.
+    assert!((104..=105).contains(&admitted), "{admitted} admitted");
+}
+
+#[test]
+fn a_team_that_comes_back_when_it_was_told_is_admitted() {
+    let mut limits = TeamLimits::default();
+    let team = TeamId::from("handlers");
+    let rate = TeamRate { rate_per_s: 3.0, burst: 1.0, max_concurrent: 1_000 };
+    limits.admit(&team, rate, Duration::ZERO).expect("the burst is there");
+
+    let over = limits.admit(&team, rate, Duration::ZERO).expect_err("the burst is used up");
+
+    let margin = Duration::from_nanos(10);
+    assert!(limits.admit(&team, rate, over.retry_after + margin).is_ok());
+}
+
+#[test]
+fn a_team_has_no_more_in_progress_than_allowed() {
+    let mut limits = TeamLimits::default();
+    let team = TeamId::from("handlers");
+    let rate = TeamRate { rate_per_s: 1e6, burst: 1e6, max_concurrent: 2 };
+
+    let admitted: Vec<bool> =
+        (0..3).map(|_| limits.admit(&team, rate, Duration::ZERO).is_ok()).collect();
+    limits.finish(&team);
+
+    assert_eq!(admitted, [true, true, false]);
+    assert!(limits.admit(&team, rate, Duration::ZERO).is_ok());
+}
+
+#[test]
+fn the_shares_of_all_entries_make_up_the_limit() {
+    let share = TeamRate::share(400, 800, 400, 4);
+
+    assert_eq!(share, TeamRate { rate_per_s: 100.0, burst: 200.0, max_concurrent: 100 });
+}
+
+fn candidate(load: f64, is_local: bool) -> Candidate {
+    Candidate { load, is_local }
+}
+
+fn rng() -> SmallRng {
+    SmallRng::seed_from_u64(7)
+}
+
+#[test]
+fn the_own_failure_domain_goes_first_until_it_is_loaded() {
+    let options = ChoiceOptions::default();
+    let idle = [candidate(0.5, true), candidate(0.0, false)];
+    let loaded = [candidate(0.9, true), candidate(0.0, false)];
+
+    assert_eq!(choose(&idle, None, options, &mut rng()).map(|c| c.index), Some(0));
+    assert_eq!(choose(&loaded, None, options, &mut rng()).map(|c| c.index), Some(1));
+}
+
+#[test]
+fn a_cached_prefix_is_worth_some_load_and_no_more() {
+    let options = ChoiceOptions::default();
+    let near = [candidate(0.2, true), candidate(0.0, true)];
+    let far = [candidate(0.7, true), candidate(0.0, true)];
+
+    assert_eq!(choose(&near, Some(0), options, &mut rng()).map(|c| c.index), Some(0));
+    assert_eq!(choose(&far, Some(0), options, &mut rng()).map(|c| c.index), Some(1));
+}
+
+#[test]
+fn without_candidates_there_is_no_choice() {
+    assert_eq!(choose(&[], None, ChoiceOptions::default(), &mut rng()), None);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
+
+    #[test]
+    fn a_member_that_leaves_moves_only_what_it_held(
+        keys in prop::collection::vec("[a-z]{1,8}", 1..40),
+        gone in 0..10_usize,
+    ) {
+        let members: Vec<String> = (0..10).map(|number| format!("member-{number}")).collect();
+        let mut fewer = members.clone();
+        fewer.remove(gone);
+
+        for key in keys {
+            let before = rendezvous(&key, &members, |m| m, 1)[0];
+            let after = rendezvous(&key, &fewer, |m| m, 1)[0];
+            prop_assert!(before == &members[gone] || before == after);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/queue.rs
@@ -0,0 +1,145 @@
+//! The queue: priorities first, teams in turn, no hopeless waiting.
+
+use std::time::Duration;
+
+use lynxmount_core::TeamId;
+use lynxmount_policy::{Offer, ServiceQueue, Ticket, Waiter};
+use proptest::{prelude::*, test_runner::RngSeed};
+
+const MAX_WAIT: Duration = Duration::from_secs(2);
+
+fn queue() -> ServiceQueue {
+    ServiceQueue::default()
+}
+
+fn waiter(team: &str, priority: u8) -> Waiter {
+    Waiter { team: TeamId::from(team), priority, wait_until: MAX_WAIT }
+}
+
+fn wait(queue: &mut ServiceQueue, team: &str, priority: u8) -> Ticket {
+    match queue.offer(waiter(team, priority), false, Duration::ZERO) {
+        Offer::Wait(ticket) => ticket,
+        other => panic!("{team} got {other:?}"),
+    }
+}
+
+#[test]
+fn a_free_place_is_taken_at_once_if_nobody_waits() {
+    assert_eq!(queue().offer(waiter("a", 0), true, Duration::ZERO), Offer::Start);
+}
+
+#[test]
+fn nobody_overtakes_those_of_the_same_priority() {
+    let mut queue = queue();
+    wait(&mut queue, "a", 1);
+
+    let same = queue.offer(waiter("b", 1), true, Duration::ZERO);
+    let higher = queue.offer(waiter("b", 0), true, Duration::ZERO);
+
+    assert!(matches!(same, Offer::Wait(_)));
+    assert_eq!(higher, Offer::Start);
+}
+
+#[test]
+fn higher_priorities_go_first() {
+    let mut queue = queue();
+    let low = wait(&mut queue, "a", 5);
+    let high = wait(&mut queue, "b", 0);
+
+    assert_eq!(queue.start_next(Duration::ZERO), Some(high));
+    assert_eq!(queue.start_next(Duration::ZERO), Some(low));
+    assert_eq!(queue.start_next(Duration::ZERO), None);
+}
+
+#[test]
+fn a_large_team_does_not_keep_a_small_one_waiting() {
+    let mut queue = queue();
+    for _ in 0..40 {
+        wait(&mut queue, "large", 1);
+    }
+    let small = wait(&mut queue, "small", 1);
+
+    let started: Vec<Option<Ticket>> = (0..2).map(|_| queue.start_next(Duration::ZERO)).collect();
+
+    assert!(started.contains(&Some(small)));
+}
+
+#[test]
+fn a_large_teams_backlog_does_not_get_a_small_one_refused() {
+    let mut queue = queue();
+    while let Offer::Wait(_) = queue.offer(waiter("large", 1), false, Duration::ZERO) {}
+
+    assert!(matches!(queue.offer(waiter("small", 1), false, Duration::ZERO), Offer::Wait(_)));
+}
+
+#[test]
+fn a_request_that_would_wait_too_long_is_refused_with_a_time_to_come_back() {
+    let mut queue = queue();
+
+    let refusal = std::iter::repeat_with(|| queue.offer(waiter("a", 1), false, Duration::ZERO))
+        .find(|offer| !matches!(offer, Offer::Wait(_)));
+
+    let Some(Offer::Refuse { retry_after }) = refusal else { panic!("it was {refusal:?}") };
+    assert!(retry_after >= Duration::from_millis(100));
+    assert!(queue.drain_time() <= MAX_WAIT);
+}
+
+#[test]
+fn a_request_that_may_wait_less_is_refused_sooner() {
+    let mut queue = queue();
+    for _ in 0..10 {
+        wait(&mut queue, "a", 1);
+    }
+    let hurried = Waiter { wait_until: Duration::from_millis(10), ..waiter("a", 1) };
+
+    assert!(matches!(queue.offer(hurried, false, Duration::ZERO), Offer::Refuse { .. }));
+}
+
+#[test]
+fn a_slower_drain_shortens_the_queue() {
+    let mut queue = queue();
+    wait(&mut queue, "a", 1);
+    for number in 1..60 {
+        wait(&mut queue, "a", 1);
+        queue.start_next(Duration::from_millis(number * 500));
+    }
+
+    let accepted = std::iter::repeat_with(|| queue.offer(waiter("a", 1), false, Duration::ZERO))
+        .take_while(|offer| matches!(offer, Offer::Wait(_)))
+        .count();
+
+    assert!(accepted <= 5, "{accepted} requests wait for places that come each 500 ms");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
+
+    #[test]
+    fn every_ticket_is_started_once_or_removed(
+        acts in prop::collection::vec((0..3_u8, 0..3_u8, 0..4_u8), 1..200),
+    ) {
+        let mut queue = queue();
+        let mut waiting: Vec<Ticket> = Vec::new();
+        for (act, team, priority) in acts {
+            match act {
+                0 => {
+                    let offer = queue.offer(waiter(&team.to_string(), priority), false, Duration::ZERO);
+                    if let Offer::Wait(ticket) = offer {
+                        waiting.push(ticket);
+                    }
+                }
+                1 => {
+                    let started = queue.start_next(Duration::ZERO);
+                    prop_assert_eq!(started.is_some(), !waiting.is_empty());
+                    waiting.retain(|ticket| Some(*ticket) != started);
+                }
+                _ if !waiting.is_empty() => {
+                    let gone = waiting.remove(usize::from(team) % waiting.len());
+                    queue.remove(gone);
+                }
+                _ => {}
+            }
+            prop_assert_eq!(queue.len(), waiting.len());
+        }
+    }
+}
