Test deaths, freezes, drains and outages with real processes

Cause: what must hold under failure had only been reasoned about.

Change: 19 tests with real processes on loopback: kill -9 of an entry and of an endpoint process in mid-answer, SIGSTOP and SIGCONT, SIGTERM and drain under load, rolling replacement, an outage of the platform, lost append answers, a fresh entry during an outage, an entry frozen over a change, a log whose beginning is gone.

Before: not tried.

--- /dev/null
+++ b/crates/lynxmount/tests/deaths.rs
@@ -0,0 +1,273 @@
+//! Processes that die, freeze and leave, with callers in the middle.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Fleet, Wanted, answer_text, chat, eventually, streamed_text};
+use http::Method;
+use http_body_util::BodyExt;
+use lynxmount_standin::{Answer, BatchOptions};
+use nix::sys::signal::Signal;
+
+const CHAT: &str = "/v1/chat/completions";
+const ORDERS: &str = "/bookings/orders";
+
+/// A stream of this length lasts long enough to be in the middle of.
+const LONG: u32 = 60;
+
+fn slow_engines() -> Wanted {
+    let batch = BatchOptions { step: Duration::from_millis(20), ..BatchOptions::default() };
+    Wanted { batch, plains: 1, ..Wanted::default() }
+}
+
+fn slow_orders(plains: usize) -> Wanted {
+    Wanted { engines: 0, plains, plain_delay: Duration::from_millis(500), ..Wanted::default() }
+}
+
+fn runs(fleet: &Fleet) -> usize {
+    fleet.plains.iter().map(|plain| plain.seen().len()).sum()
+}
+
+/// The endpoint whose back end runs the one call that there is.
+fn busy_plain(fleet: &Fleet) -> usize {
+    fleet.plains.iter().position(|plain| plain.active() > 0).expect("a call runs")
+}
+
+/// Orders at an entry from a task of its own.
+fn order(
+    fleet: &Fleet,
+    entry: usize,
+    key: &'static str,
+) -> tokio::task::JoinHandle<anyhow::Result<Answer>> {
+    let caller = fleet.caller(entry);
+    tokio::spawn(async move {
+        caller.call(Method::POST, ORDERS, &[("idempotency-key", key)], "{}").await
+    })
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_keyed_stream_whose_entry_is_killed_goes_on_at_another_entry() {
+    let mut fleet = Fleet::start(slow_engines()).await;
+    let key = [("idempotency-key", "estimate-1")];
+    let before: usize = fleet.engines.iter().map(|engine| engine.seen().len()).sum();
+    let caller = fleet.caller(0);
+    let mut response =
+        caller.open(Method::POST, CHAT, &key, chat("dent", LONG, true)).await.unwrap();
+    assert!(response.body_mut().frame().await.unwrap().is_ok());
+
+    fleet.entries[0] = None;
+    let rest = response.into_body().collect().await;
+    let again = fleet.caller(1).call(Method::POST, CHAT, &key, chat("dent", LONG, true)).await;
+
+    assert!(rest.is_err(), "a cut answer must not look whole");
+    assert_eq!(streamed_text(&again.unwrap().body), (answer_text("dent", LONG), true));
+    let after: usize = fleet.engines.iter().map(|engine| engine.seen().len()).sum();
+    assert_eq!(after - before, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_endpoint_is_killed_ends_with_a_problem_and_not_as_whole() {
+    let mut fleet = Fleet::start(Wanted { engines: 1, ..slow_engines() }).await;
+    let caller = fleet.caller(0);
+    let mut response =
+        caller.open(Method::POST, CHAT, &[], chat("dent", 10_000, true)).await.unwrap();
+    assert!(response.body_mut().frame().await.unwrap().is_ok());
+
+    fleet.endpoints[0] = None;
+
+    let mut text = String::new();
+    let mut is_cut = false;
+    while let Some(frame) = response.body_mut().frame().await {
+        match frame {
+            Ok(frame) => text.push_str(&String::from_utf8_lossy(frame.data_ref().unwrap())),
+            Err(_) => is_cut = true,
+        }
+    }
+    assert!(is_cut);
+    assert!(text.contains("event: error"), "{text}");
+    assert!(text.contains("\"outcome\":\"unknown\""), "{text}");
+    assert!(!streamed_text(&text).1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idempotent_call_whose_endpoint_is_killed_is_answered_by_another() {
+    let mut fleet = Fleet::start(slow_orders(2)).await;
+    let caller = fleet.caller(0);
+    let call = tokio::spawn(async move { caller.call(Method::GET, "/bookings/9", &[], "").await });
+    eventually("the call runs", async || fleet.plains.iter().any(|p| p.active() > 0)).await;
+
+    let busy = busy_plain(&fleet);
+    fleet.endpoints[busy] = None;
+
+    let answer = call.await.unwrap().unwrap();
+    assert_eq!((answer.status.as_u16(), answer.outcome()), (200, "complete"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_whose_endpoint_is_killed_is_told_as_unknown_and_never_run_again() {
+    let mut fleet = Fleet::start(slow_orders(2)).await;
+    let first = order(&fleet, 0, "o-1");
+    eventually("the order runs", async || runs(&fleet) == 1).await;
+
+    let busy = busy_plain(&fleet);
+    fleet.endpoints[busy] = None;
+
+    let first = first.await.unwrap().unwrap();
+    assert_eq!((first.status.as_u16(), first.outcome()), (502, "unknown"));
+    assert!(!first.header("retry-after").is_empty());
+    // A new life of the process does not know what the old one ran.
+    fleet.endpoints[busy] = Some(fleet.spawn_endpoint(busy));
+    fleet.wait_ready(async || fleet.endpoint_status(busy).await).await;
+    for entry in [0, 1] {
+        let again = order(&fleet, entry, "o-1").await.unwrap().unwrap();
+        assert_eq!((again.status.as_u16(), again.outcome()), (502, "unknown"));
+    }
+    assert_eq!(runs(&fleet), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_whose_entry_is_killed_is_answered_from_its_one_run() {
+    let mut fleet = Fleet::start(slow_orders(2)).await;
+    let first = order(&fleet, 0, "o-1");
+    eventually("the order runs", async || runs(&fleet) == 1).await;
+
+    fleet.entries[0] = None;
+
+    assert!(first.await.unwrap().is_err());
+    let again = order(&fleet, 1, "o-1").await.unwrap().unwrap();
+    assert_eq!((again.status.as_u16(), again.json()["run_number"].as_u64()), (200, Some(1)));
+    assert_eq!(runs(&fleet), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_endpoint_is_avoided_and_its_order_runs_once() {
+    let fleet = Fleet::start(slow_orders(2)).await;
+    let first = order(&fleet, 0, "o-1");
+    eventually("the order runs", async || runs(&fleet) == 1).await;
+    let frozen = busy_plain(&fleet);
+    let process = fleet.endpoints[frozen].as_ref().unwrap();
+
+    process.signal(Signal::SIGSTOP);
+    let first = first.await.unwrap().unwrap();
+    let lookup = fleet.caller(0).call(Method::GET, "/bookings/1", &[], "").await.unwrap();
+    process.signal(Signal::SIGCONT);
+
+    assert_eq!(first.outcome(), "unknown");
+    assert_eq!(lookup.status, 200);
+    eventually("the order is answered", async || {
+        order(&fleet, 1, "o-1").await.unwrap().unwrap().status == 200
+    })
+    .await;
+    assert_eq!(runs(&fleet), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_is_asked_to_leave_cuts_nothing() {
+    let mut fleet = Fleet::start(slow_engines()).await;
+    let caller = fleet.caller(0);
+    let mut response =
+        caller.open(Method::POST, CHAT, &[], chat("dent", LONG, true)).await.unwrap();
+    let first = response.body_mut().frame().await.unwrap().unwrap().into_data().unwrap();
+
+    fleet.entries[0].as_ref().unwrap().signal(Signal::SIGTERM);
+    eventually("the entry is draining", async || {
+        let answer = fleet.caller(0).call(Method::GET, "/bookings/1", &[], "").await;
+        answer.is_ok_and(|a| a.status == 503 && a.outcome() == "not-run")
+    })
+    .await;
+    let rest = response.into_body().collect().await.expect("nothing is cut").to_bytes();
+
+    let body = [first, rest].concat();
+    let text = streamed_text(&String::from_utf8_lossy(&body));
+    assert_eq!(text, (answer_text("dent", LONG), true));
+    assert_eq!(fleet.entries[0].as_mut().unwrap().exit_code().await, Some(0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_that_is_drained_finishes_its_work_and_gets_no_more() {
+    let mut fleet = Fleet::start(slow_engines()).await;
+    let mut responses = Vec::new();
+    for entry in [0, 1, 0, 1] {
+        let caller = fleet.caller(entry);
+        let body = chat("dent", LONG, true);
+        responses.push(caller.open(Method::POST, CHAT, &[], body).await.unwrap());
+    }
+    let before = fleet.engines[0].seen().len();
+
+    let drained = fleet.operate(&["drain", "lm-0"]);
+    assert_eq!(drained.status.code(), Some(0));
+    // The endpoint itself refuses from the moment at which it says so.
+    eventually("the endpoint is draining", async || {
+        let status = fleet.endpoint_status(0).await;
+        status.is_none_or(|s| s.readiness == lynxmount_node::Readiness::Draining)
+    })
+    .await;
+    let seen = fleet.engines[0].seen().len();
+    for number in 0..20 {
+        let body = chat("after", 1, false);
+        let answer = fleet.caller(number % 2).call(Method::POST, CHAT, &[], body).await.unwrap();
+        assert_eq!(answer.status, 200);
+    }
+
+    assert_eq!(fleet.engines[0].seen().len(), seen);
+    assert!(seen >= before);
+    for response in responses {
+        let body = response.into_body().collect().await.expect("nothing is cut").to_bytes();
+        let text = streamed_text(&String::from_utf8_lossy(&body));
+        assert_eq!(text, (answer_text("dent", LONG), true));
+    }
+    assert_eq!(fleet.endpoints[0].as_mut().unwrap().exit_code().await, Some(0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_is_lost_while_endpoints_are_replaced_one_by_one_under_load() {
+    let mut fleet = Fleet::start(Wanted { engines: 0, plains: 3, ..Wanted::default() }).await;
+    let stop = stop_flag();
+    let mut callers = tokio::task::JoinSet::new();
+    for number in 0..8 {
+        let (caller, stop) = (fleet.caller(number % 2), stop.clone());
+        callers.spawn(async move {
+            let mut answered = 0;
+            while !stop.load(std::sync::atomic::Ordering::Relaxed) {
+                let answer = caller.call(Method::GET, "/bookings/1", &[], "").await.unwrap();
+                assert_eq!(answer.status, 200, "{}", answer.body);
+                answered += 1;
+            }
+            answered
+        });
+    }
+
+    for number in 0..3 {
+        fleet.endpoints[number].as_ref().unwrap().signal(Signal::SIGTERM);
+        assert_eq!(fleet.endpoints[number].as_mut().unwrap().exit_code().await, Some(0));
+        fleet.endpoints[number] = Some(fleet.spawn_endpoint(number));
+        fleet.wait_ready(async || fleet.endpoint_status(number).await).await;
+        // The next one leaves once both entries use this one again.
+        for entry in [0, 1] {
+            let name = format!("bookings-{number}");
+            eventually("the entry is connected again", async || {
+                let audit = fleet.operate(&[
+                    "audit",
+                    "--event",
+                    "endpoint-up",
+                    "--process",
+                    &format!("entry-{entry}"),
+                ]);
+                String::from_utf8_lossy(&audit.stdout).matches(&name).count() == 2
+            })
+            .await;
+        }
+    }
+    stop.store(true, std::sync::atomic::Ordering::Relaxed);
+
+    let mut answered = 0;
+    while let Some(count) = callers.join_next().await {
+        answered += count.unwrap();
+    }
+    assert!(answered > 0);
+}
+
+fn stop_flag() -> std::sync::Arc<std::sync::atomic::AtomicBool> {
+    std::sync::Arc::default()
+}
--- /dev/null
+++ b/crates/lynxmount/tests/outages.rs
@@ -0,0 +1,220 @@
+//! The platform's outages, and configurations that never go back.
+
+mod common;
+
+use common::{Fleet, OTHER_TEAM, Wanted, chat, eventually, token_of};
+use http::Method;
+use lynxmount_standin::{Caller, Faults};
+use nix::sys::signal::Signal;
+
+const CHAT: &str = "/v1/chat/completions";
+const ORDERS: &str = "/bookings/orders";
+const KEY: [(&str, &str); 1] = [("idempotency-key", "o-1")];
+
+fn down() -> Faults {
+    Faults { down: true, ..Faults::default() }
+}
+
+fn plains(count: usize) -> Wanted {
+    Wanted { engines: 0, plains: count, ..Wanted::default() }
+}
+
+fn runs(fleet: &Fleet) -> usize {
+    fleet.plains.iter().map(|plain| plain.seen().len()).sum()
+}
+
+/// Raises the guests' limit, which makes a new version.
+fn write_changed_file(fleet: &Fleet, max_concurrent: u32) {
+    let changed = format!("\"max_concurrent\": {max_concurrent} }}\n  ]");
+    let text = fleet.file().replace("\"max_concurrent\": 100 }\n  ]", &changed);
+    assert!(text.contains(&changed));
+    fleet.write("fleet.jsonc", &text);
+}
+
+/// Takes the guests out of the file.
+fn write_file_without_guests(fleet: &Fleet) {
+    let text = fleet.file();
+    let start = text.find(",\n    { \"id\": \"guests\"").expect("the guests are there");
+    let end = text.rfind("\n  ]\n}").expect("the list ends");
+    fleet.write("fleet.jsonc", &format!("{}{}", &text[..start], &text[end..]));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_of_the_platform_is_none_for_callers_of_idempotent_routes() {
+    let fleet = Fleet::start(Wanted { engines: 1, plains: 1, ..Wanted::default() }).await;
+
+    fleet.platform.log.set_faults(down());
+    eventually("the entry has noticed", async || {
+        fleet.entry_status(0).await.is_some_and(|status| !status.platform_up)
+    })
+    .await;
+
+    for number in 0..10 {
+        let caller = fleet.caller(number % 2);
+        let lookup = caller.call(Method::GET, "/bookings/1", &[], "").await.unwrap();
+        let whole = caller.call(Method::POST, CHAT, &[], chat("x", 2, false)).await.unwrap();
+        assert_eq!((lookup.status.as_u16(), whole.status.as_u16()), (200, 200));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn during_an_outage_new_orders_are_not_run_and_afterwards_they_are() {
+    let fleet = Fleet::start(plains(2)).await;
+    fleet.platform.log.set_faults(down());
+
+    let refused = fleet.caller(0).call(Method::POST, ORDERS, &KEY, "{}").await.unwrap();
+
+    assert_eq!(refused.status, 503);
+    assert_eq!(refused.json()["reason"], "platform-out");
+    assert!(!refused.header("retry-after").is_empty());
+    assert_eq!(runs(&fleet), 0);
+    fleet.platform.log.set_faults(Faults::default());
+    let accepted = fleet.caller(1).call(Method::POST, ORDERS, &KEY, "{}").await.unwrap();
+    assert_eq!(accepted.status, 200);
+    assert_eq!(runs(&fleet), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn during_an_outage_a_repeated_order_is_answered_from_its_run() {
+    let fleet = Fleet::start(plains(2)).await;
+    let first = fleet.caller(0).call(Method::POST, ORDERS, &KEY, "{}").await.unwrap();
+    // The other entry has read the claim when it attaches to the run.
+    let second = fleet.caller(1).call(Method::POST, ORDERS, &KEY, "{}").await.unwrap();
+
+    fleet.platform.log.set_faults(down());
+    let third = fleet.caller(1).call(Method::POST, ORDERS, &KEY, "{}").await.unwrap();
+
+    assert_eq!((&first.body, &first.body), (&second.body, &third.body));
+    assert_eq!(runs(&fleet), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claim_whose_append_answer_is_lost_still_runs_once() {
+    let fleet = Fleet::start(plains(2)).await;
+    // Audit records are appended too, so the loss has to cover them.
+    fleet.platform.log.set_faults(Faults { lose_answers: 50, ..Faults::default() });
+
+    let answer = fleet.caller(0).call(Method::POST, ORDERS, &KEY, "{}").await.unwrap();
+
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    assert_eq!(runs(&fleet), 1);
+    let claims = fleet.platform.log.read("claims", 0, 10).records.len();
+    assert_eq!(claims, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_fresh_entry_learns_the_newest_version_from_its_peers_during_an_outage() {
+    let mut fleet = Fleet::start(plains(1)).await;
+    write_changed_file(&fleet, 41);
+    let applied = fleet.operate(&["config", "apply", "fleet.jsonc"]);
+    assert_eq!(applied.status.code(), Some(0), "{}", String::from_utf8_lossy(&applied.stderr));
+
+    fleet.platform.log.set_faults(down());
+    fleet.entries[0] = None;
+    fleet.entries[0] = Some(fleet.spawn_entry(0));
+    fleet.wait_ready(async || fleet.entry_status(0).await).await;
+
+    let status = fleet.entry_status(0).await.unwrap();
+    assert_eq!(status.config_version, Some(1));
+    assert!(!status.platform_up);
+    fleet.entry_serves(0).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_fresh_entry_without_log_and_peers_takes_no_work() {
+    let mut fleet = Fleet::start_without_config(Wanted { entries: 1, ..plains(0) }).await;
+    fleet.platform.log.set_faults(down());
+    let entry = fleet.spawn_entry(0);
+    fleet.entries.push(Some(entry));
+
+    eventually("the entry answers", async || {
+        let answer = fleet.caller(0).call(Method::GET, "/bookings/1", &[], "").await;
+        answer.is_ok_and(|a| {
+            (a.status.as_u16(), a.outcome()) == (503, "not-run")
+                && a.json()["reason"] == "not-ready"
+        })
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_was_frozen_over_a_change_serves_nobody_under_the_old_one() {
+    let fleet = Fleet::start(plains(1)).await;
+    let guest = Caller::new(fleet.callers_address(0), token_of(OTHER_TEAM));
+    assert_eq!(guest.call(Method::GET, "/bookings/1", &[], "").await.unwrap().status, 200);
+    let entry = fleet.entries[0].as_ref().unwrap();
+
+    entry.signal(Signal::SIGSTOP);
+    write_file_without_guests(&fleet);
+    let applied = fleet.operate(&["config", "apply", "fleet.jsonc", "--timeout-ms", "0"]);
+    assert!(String::from_utf8_lossy(&applied.stderr).contains("accepted"));
+    eventually("the endpoint has the change in force", async || {
+        fleet.endpoint_status(0).await.is_some_and(|s| s.config_version == Some(1))
+    })
+    .await;
+    // The guest's call waits in the frozen entry's socket and is read first.
+    let waiting =
+        tokio::spawn(async move { guest.call(Method::GET, "/bookings/1", &[], "").await });
+    entry.signal(Signal::SIGCONT);
+
+    let answer = waiting.await.unwrap().unwrap();
+    assert_eq!(answer.status, 401, "{}", answer.body);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_process_that_is_woken_goes_to_the_newest_version() {
+    let fleet = Fleet::start(plains(1)).await;
+    let endpoint = fleet.endpoints[0].as_ref().unwrap();
+
+    endpoint.signal(Signal::SIGSTOP);
+    for max_concurrent in [41, 42] {
+        write_changed_file(&fleet, max_concurrent);
+        fleet.operate(&["config", "apply", "fleet.jsonc", "--timeout-ms", "0"]);
+    }
+    endpoint.signal(Signal::SIGCONT);
+
+    eventually("the endpoint has the newest version", async || {
+        fleet.endpoint_status(0).await.is_some_and(|s| s.config_version == Some(2))
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_head_is_appended_again_before_its_retention_runs_out() {
+    let mut fleet = Fleet::start(Wanted { log_retention_ms: 1_000, ..plains(1) }).await;
+
+    eventually("the head was appended again", async || {
+        fleet.platform.log.read("config", 0, 100).end >= 3
+    })
+    .await;
+    // The first records go, as they would by their age.
+    let end = fleet.platform.log.read("config", 0, 100).end;
+    fleet.platform.log.trim("config", end - 1);
+    fleet.entries[0] = None;
+    fleet.entries[0] = Some(fleet.spawn_entry(0));
+    fleet.wait_ready(async || fleet.entry_status(0).await).await;
+
+    let version = fleet.entry_status(0).await.unwrap().config_version;
+    assert!(version >= Some(end - 1));
+    fleet.entry_serves(0).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_leaves_its_traces_in_the_audit_trail() {
+    let fleet = Fleet::start(plains(1)).await;
+
+    fleet.platform.log.set_faults(down());
+    eventually("the entry has noticed", async || {
+        fleet.entry_status(0).await.is_some_and(|status| !status.platform_up)
+    })
+    .await;
+    fleet.platform.log.set_faults(Faults::default());
+
+    for event in ["platform-out", "platform-back"] {
+        eventually("the trail tells", async || {
+            let audit = fleet.operate(&["audit", "--event", event, "--process", "entry-0"]);
+            String::from_utf8_lossy(&audit.stdout).contains(event)
+        })
+        .await;
+    }
+}
