--- /dev/null
+++ b/crates/balance/src/lib.rs
@@ -0,0 +1,1 @@
+//! Which rank holds which experts: policies, traces and their measures.
--- a/crates/endpoint/src/runner.rs
+++ b/crates/endpoint/src/runner.rs
@@ -6,6 +6,7 @@
 };
 
 use http_body_util::BodyExt;
+use hyper::body::Body;
 use lynxmount_config::Service;
 use lynxmount_core::{Cause, ServiceId, wall_time_ms};
 use lynxmount_node::{Counter, NodeHandle, RunningGuard, View};
@@ -88,7 +89,7 @@
         Ok(Permit { place, running, max_running })
     }
 
-    fn service_of(&self, dispatch: &Dispatch, view: &View) -> Result<Service, RefusalReason> {
+    fn service_of(&self, dispatch: &Dispatch, view: &View) -> Result<Arc<Service>, RefusalReason> {
         if dispatch.service != self.service {
             return Err(RefusalReason::WrongService);
         }
@@ -196,19 +197,22 @@
             }
             Err(_) => return RecordingEnd::Failed(Failure::Backend),
         };
-        let headers = headers_to_pass(&response);
-        sink.head(response.status().as_u16(), headers).await;
+        // Head, first piece and end are handed over without a pause between
+        // them where they can be, so that they share one write and one read.
+        let mut head = Some((response.status().as_u16(), headers_to_pass(&response)));
         let mut body = response.into_body();
-        while let Some(frame) = body.frame().await {
-            match frame {
-                Ok(frame) => {
-                    if let Ok(bytes) = frame.into_data() {
-                        sink.piece(bytes).await;
-                    }
+        while !body.is_end_stream() {
+            match body.frame().await {
+                Some(Ok(frame)) => {
+                    let Ok(bytes) = frame.into_data() else { continue };
+                    sink.head(head.take()).await;
+                    sink.piece(bytes).await;
                 }
-                Err(_) => return RecordingEnd::Failed(Failure::Backend),
+                Some(Err(_)) => return RecordingEnd::Failed(Failure::Backend),
+                None => break,
             }
         }
+        sink.head(head.take()).await;
         RecordingEnd::Whole
     }
 
@@ -224,7 +228,9 @@
 }
 
 impl Sink {
-    async fn head(&mut self, status: u16, headers: Vec<lynxmount_wire::Header>) {
+    /// Passes the head on, unless it was passed on before.
+    async fn head(&mut self, head: Option<(u16, Vec<lynxmount_wire::Header>)>) {
+        let Some((status, headers)) = head else { return };
         match self {
             // An entry that has gone cancels the run by closing its connection.
             Sink::Direct(output) => {
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -75,15 +75,9 @@
     /// Waits for what comes next.
     pub(crate) async fn next(&mut self, deadline: Deadline) -> Next {
         loop {
-            let frame = tokio::time::timeout_at(deadline.at, self.mailbox.recv()).await;
-            let next = match frame {
-                Err(_) => Some(Next::Ended(AttemptEnd::TimedOut)),
-                Ok(None) => {
-                    self.node.counters().count(Counter::AttemptsLost);
-                    self.is_over = true;
-                    Some(Next::Ended(AttemptEnd::Lost))
-                }
-                Ok(Some(frame)) => self.take(frame),
+            let next = match self.receive(deadline).await {
+                Ok(frame) => self.take(frame),
+                Err(end) => Some(Next::Ended(end)),
             };
             if let Some(next) = next {
                 return next;
@@ -91,6 +85,20 @@
         }
     }
 
+    async fn receive(&mut self, deadline: Deadline) -> Result<ToEntry, AttemptEnd> {
+        // Frames mostly come several at a time; those need no timer.
+        if let Ok(frame) = self.mailbox.try_recv() {
+            return Ok(frame);
+        }
+        let received = tokio::time::timeout_at(deadline.at, self.mailbox.recv()).await;
+        let frame = received.map_err(|_| AttemptEnd::TimedOut)?;
+        frame.ok_or_else(|| {
+            self.node.counters().count(Counter::AttemptsLost);
+            self.is_over = true;
+            AttemptEnd::Lost
+        })
+    }
+
     fn take(&mut self, frame: ToEntry) -> Option<Next> {
         match frame {
             ToEntry::Head { status, headers, .. } => Some(Next::Head { status, headers }),
--- a/crates/entry/src/authentication.rs
+++ b/crates/entry/src/authentication.rs
@@ -1,5 +1,7 @@
 //! Which team a bearer token belongs to.
 
+use std::sync::Arc;
+
 use http::{HeaderMap, header::AUTHORIZATION};
 use lynxmount_config::{Team, TokenDigest};
 use lynxmount_node::ActiveConfig;
@@ -14,7 +16,10 @@
 /// The index is searched by the token's digest, which tells an attacker
 /// nothing about tokens that are near; the digests are then compared in
 /// constant time.
-pub(crate) fn authenticate<'a>(headers: &HeaderMap, config: &'a ActiveConfig) -> Option<&'a Team> {
+pub(crate) fn authenticate<'a>(
+    headers: &HeaderMap,
+    config: &'a ActiveConfig,
+) -> Option<&'a Arc<Team>> {
     let token = headers.get(AUTHORIZATION)?.to_str().ok()?.strip_prefix(SCHEME)?;
     let digest = TokenDigest(Sha256::digest(token.as_bytes()).into());
     let team = config.team(&digest)?;
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -47,8 +47,8 @@
 /// A request that was let in under one configuration.
 struct Call {
     id: RequestId,
-    team: Team,
-    service: Service,
+    team: Arc<Team>,
+    service: Arc<Service>,
     gate: Arc<Gate>,
     config_version: u64,
     path: String,
@@ -64,8 +64,8 @@
 
 /// What a request asks for, checked against the configuration.
 struct Located<'a> {
-    team: &'a Team,
-    service: &'a Service,
+    team: &'a Arc<Team>,
+    service: &'a Arc<Service>,
     path: String,
     prefix: Option<String>,
     key: Option<Key>,
@@ -226,8 +226,8 @@
             ),
             deadline: Deadline::after(service.request_timeout_ms, self.node.now()),
             guards: Guards { _running: self.node.start_request(), _team: guard },
-            service: service.clone(),
-            team: team.clone(),
+            service: Arc::clone(service),
+            team: Arc::clone(team),
         })
     }
 
@@ -420,7 +420,7 @@
     }
 }
 
-fn authenticated<'a>(parts: &Parts, config: &'a ActiveConfig) -> Result<&'a Team, Refusal> {
+fn authenticated<'a>(parts: &Parts, config: &'a ActiveConfig) -> Result<&'a Arc<Team>, Refusal> {
     authenticate(&parts.headers, config)
         .ok_or_else(|| Refusal::not_run(Reason::Unauthenticated, "no team has this token"))
 }
@@ -445,7 +445,7 @@
 }
 
 /// A service, the path there, and the beginning of the prompt.
-type ServicePath<'a> = (&'a Service, String, Option<String>);
+type ServicePath<'a> = (&'a Arc<Service>, String, Option<String>);
 
 fn service_of<'a>(
     parts: &Parts,
@@ -478,7 +478,7 @@
     }
 }
 
-fn known_service<'a>(config: &'a ActiveConfig, id: &str) -> Result<&'a Service, Refusal> {
+fn known_service<'a>(config: &'a ActiveConfig, id: &str) -> Result<&'a Arc<Service>, Refusal> {
     config.service(id).ok_or_else(|| {
         Refusal::not_run(Reason::UnknownService, format!("there is no service \"{id}\""))
     })
--- a/crates/lynxmount/tests/common/mod.rs
+++ b/crates/lynxmount/tests/common/mod.rs
@@ -51,6 +51,7 @@
     pub plain_delay: Duration,
     pub batch: BatchOptions,
     pub log_retention_ms: u64,
+    pub entry_threads: usize,
 }
 
 impl Default for Wanted {
@@ -66,6 +67,7 @@
             plain_delay: Duration::ZERO,
             batch: BatchOptions::default(),
             log_retention_ms: 604_800_000,
+            entry_threads: 1,
         }
     }
 }
@@ -83,6 +85,10 @@
 }
 
 impl Process {
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, signal: Signal) {
         kill(Pid::from_raw(self.child.id() as i32), signal).expect("the process is there");
     }
@@ -107,6 +113,8 @@
     pub entries: Vec<Option<Process>>,
     pub endpoints: Vec<Option<Process>>,
     pub directory: TempDir,
+    /// Where processes find the platform.
+    pub platform_address: SocketAddr,
     ip: IpAddr,
 }
 
@@ -159,8 +167,10 @@
             let plain = Plain::start(address(0), PlainOptions { delay: wanted.plain_delay }).await;
             plains.push(plain.expect("the service starts"));
         }
+        let platform = platform.expect("the platform starts");
         let fleet = Fleet {
-            platform: platform.expect("the platform starts"),
+            platform_address: platform.address(),
+            platform,
             engines,
             plains,
             entries: Vec::new(),
@@ -253,13 +263,14 @@
     pub fn spawn_entry(&self, number: usize) -> Process {
         let name = format!("entry-{number}");
         let settings = format!(
-            "{{ {}, \"callers_address\": \"{}\", \"idle_timeout_ms\": 500, \"header_timeout_ms\": 500 }}",
+            "{{ {}, \"callers_address\": \"{}\", \"traffic_threads\": {}, \"idle_timeout_ms\": 500, \"header_timeout_ms\": 500 }}",
             self.process_settings(
                 &name,
                 CONTROL_PORT + number as u16,
                 OPERATORS_PORT + number as u16
             ),
             self.callers_address(number),
+            self.wanted.entry_threads,
         );
         self.spawn("entry", &name, &settings)
     }
@@ -273,7 +284,7 @@
         let control = self.endpoint_control_port(number);
         let operators = OPERATORS_PORT + 50 + number as u16;
         let settings = format!(
-            "{{ {}, \"service\": \"{service}\", \"data_address\": \"{}\", \"backend_address\": \"{backend}\" }}",
+            "{{ {}, \"traffic_threads\": 1, \"service\": \"{service}\", \"data_address\": \"{}\", \"backend_address\": \"{backend}\" }}",
             self.process_settings(&name, control, operators),
             self.address(DATA_PORT + number as u16),
         );
@@ -290,9 +301,9 @@
         format!(
             "\"process_id\": \"{name}\", \"failure_domain\": \"north\", \"scope\": \"{SCOPE}\", \
              \"platform_address\": \"{}\", \"control_address\": \"{}\", \
-             \"operators_address\": \"{}\", \"peers\": [{}], \"traffic_threads\": 1, \
+             \"operators_address\": \"{}\", \"peers\": [{}], \
              \"log_retention_ms\": {}",
-            self.platform.address(),
+            self.platform_address,
             self.address(control),
             self.address(operators),
             peers.join(", "),
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -6,7 +6,7 @@
 };
 
 use arc_swap::ArcSwap;
-use lynxmount_config::{Endpoint, Fleet, Head, Service, Team, TokenDigest};
+use lynxmount_config::{Fleet, Head, Service, Team, TokenDigest};
 use lynxmount_core::{Offset, ServiceId};
 use tokio::sync::watch;
 
@@ -28,33 +28,27 @@
     pub version: Offset,
     /// The whole fleet.
     pub fleet: Arc<Fleet>,
-    teams: HashMap<TokenDigest, usize>,
-    services: HashMap<ServiceId, usize>,
+    teams: HashMap<TokenDigest, Arc<Team>>,
+    services: HashMap<ServiceId, Arc<Service>>,
 }
 
 impl ActiveConfig {
     /// Indexes the fleet of an accepted change.
     pub fn new(head: &Head) -> ActiveConfig {
         let fleet = Arc::clone(&head.change.fleet);
-        let teams = fleet.teams.iter().enumerate().map(|(i, t)| (t.token_sha256, i)).collect();
-        let services =
-            fleet.services.iter().enumerate().map(|(i, s)| (ServiceId::clone(&s.id), i)).collect();
+        let teams = fleet.teams.iter().map(|t| (t.token_sha256, Arc::new(t.clone()))).collect();
+        let services = fleet.services.iter().map(|s| (s.id.clone(), Arc::new(s.clone()))).collect();
         ActiveConfig { version: head.offset, fleet, teams, services }
     }
 
     /// The team whose token has the digest.
-    pub fn team(&self, digest: &TokenDigest) -> Option<&Team> {
-        self.teams.get(digest).map(|&index| &self.fleet.teams[index])
+    pub fn team(&self, digest: &TokenDigest) -> Option<&Arc<Team>> {
+        self.teams.get(digest)
     }
 
     /// The service of that name.
-    pub fn service(&self, id: &str) -> Option<&Service> {
-        self.services.get(id).map(|&index| &self.fleet.services[index])
-    }
-
-    /// The endpoints of a service.
-    pub fn endpoints<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Endpoint> {
-        self.fleet.endpoints.iter().filter(move |endpoint| &*endpoint.service == service)
+    pub fn service(&self, id: &str) -> Option<&Arc<Service>> {
+        self.services.get(id)
     }
 }
 
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -7,15 +7,18 @@
         Arc,
         atomic::{AtomicUsize, Ordering},
     },
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use http::{Method, Request, Response, StatusCode};
-use http_body_util::BodyExt;
+use bytes::Bytes;
+use futures::stream;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header::CONTENT_TYPE};
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 use serde_json::json;
-use tokio::task::JoinHandle;
+use tokio::{task::JoinHandle, time::Instant};
 
 use crate::http_server::{Body, json, serve};
 
@@ -87,6 +90,38 @@
     }
 }
 
+/// A stream of events that each tell when they were sent, at
+/// `/stream/{events}/{interval in microseconds}`.
+struct TimedStream {
+    left: u32,
+    interval: Duration,
+    next_at: Instant,
+}
+
+impl TimedStream {
+    fn of(path: &str) -> Option<TimedStream> {
+        let (left, interval_us) = path.strip_prefix("/stream/")?.split_once('/')?;
+        let interval = Duration::from_micros(interval_us.parse().ok()?);
+        Some(TimedStream { left: left.parse().ok()?, interval, next_at: Instant::now() })
+    }
+
+    fn response(self) -> Response<Body> {
+        let events = stream::unfold(self, |mut timed| async move {
+            timed.left = timed.left.checked_sub(1)?;
+            tokio::time::sleep_until(timed.next_at).await;
+            timed.next_at += timed.interval;
+            let sent_ns =
+                SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos();
+            let event = Bytes::from(format!("data: {sent_ns}\n\n"));
+            Some((Ok(Frame::data(event)), timed))
+        });
+        let mut response = Response::new(StreamBody::new(events).boxed_unsync());
+        let events = HeaderValue::from_static("text/event-stream");
+        response.headers_mut().insert(CONTENT_TYPE, events);
+        response
+    }
+}
+
 struct Active<'a>(&'a AtomicUsize);
 
 impl Drop for Active<'_> {
@@ -96,6 +131,9 @@
 }
 
 async fn handle(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
+    if let Some(stream) = TimedStream::of(request.uri().path()) {
+        return stream.response();
+    }
     if request.uri().path() == "/load" {
         let running = state.active.load(Ordering::Relaxed);
         return json(StatusCode::OK, &json!({ "running": running, "waiting": 0 }));
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -2,7 +2,7 @@
 
 use std::marker::PhantomData;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
 use lynxmount_core::{Error, Step, not_known};
 use serde::{Serialize, de::DeserializeOwned};
@@ -101,6 +101,5 @@
 }
 
 fn encode<F: Serialize>(frame: &F) -> Result<Bytes, postcard::Error> {
-    let buffer = postcard::to_extend(frame, BytesMut::new())?;
-    Ok(buffer.freeze())
+    Ok(postcard::to_stdvec(frame)?.into())
 }
