Balance experts by few moves that pay, and replay traces

Cause: popularity drifts and one overloaded rank holds its group back; there was no policy and no way to try one.

Change: crate `balance`: forecasters that compete by their record, a search off the slowest rank, changes weighed in steps saved against steps paid, bounded by the weight store's rate; `static` and `replan` as baselines; generated traces; `lynxmount balance replay`.

Before: none.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -1,1 +1,24 @@
 //! Which rank holds which experts: policies, traces and their measures.
+//!
+//! Everything here is a pure function of counts seen so far. The running system
+//! and `lynxmount balance replay` use the same policies.
+
+#![forbid(unsafe_code)]
+
+mod adaptive;
+mod expert_map;
+mod forecast;
+mod generate;
+mod measure;
+mod policy;
+mod replan;
+mod replay;
+mod search;
+mod trace;
+
+pub use expert_map::{Expert, ExpertMap, Shape};
+pub use generate::{GeneratedTrace, TraceKind, generate};
+pub use measure::{layer_skew, percentile, rank_loads};
+pub use policy::{BalanceOptions, Planner, PolicyKind};
+pub use replay::{MapInForce, Replay, ReplaySummary};
+pub use trace::{StepCounts, TraceError, TraceReader};
--- /dev/null
+++ b/crates/balance/src/search.rs
@@ -0,0 +1,219 @@
+//! Improving a map by few moves.
+
+use crate::{Expert, ExpertMap};
+
+/// The power by which loads are summed up: high, so that the slowest ranks
+/// decide, and not so high that second-slowest ones do not count.
+const POWER: i32 = 8;
+
+/// The gain below which a move is taken for rounding.
+const MIN_GAIN: f64 = 1e-9;
+
+/// One change of a map.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Move {
+    /// A slot takes a further replica of an expert in place of a replica.
+    Replicate { rank: usize, slot: usize, expert: Expert },
+    /// Two ranks exchange an expert each.
+    Swap { rank: usize, slot: usize, other_rank: usize, other_slot: usize },
+}
+
+/// A point on the path of improvements.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Improved {
+    /// The skew that is expected there.
+    pub(crate) skew: f64,
+    /// Slots that have to fetch to come there.
+    pub(crate) fetches: usize,
+    /// How many moves of the path lead there.
+    moves: usize,
+}
+
+/// A map and the path of moves that improves it.
+#[derive(Debug)]
+pub(crate) struct Path {
+    from: ExpertMap,
+    moves: Vec<Move>,
+    /// The map itself, and the point after each move.
+    pub(crate) points: Vec<Improved>,
+}
+
+impl Path {
+    /// The map at a point.
+    pub(crate) fn map_at(&self, point: Improved) -> ExpertMap {
+        let mut map = self.from.clone();
+        self.moves[..point.moves].iter().for_each(|m| apply(&mut map, *m));
+        map
+    }
+}
+
+/// A map with what is needed to judge moves quickly.
+struct Search {
+    /// Each expert's load, in units of the mean rank's load.
+    parts: Vec<f64>,
+    map: ExpertMap,
+    /// The ranks that hold each expert.
+    holders: Vec<Vec<usize>>,
+    /// Each expert's load at each of its holders.
+    shares: Vec<f64>,
+    loads: Vec<f64>,
+    costs: Vec<f64>,
+}
+
+/// Improves a map until no move helps or the fetches are used up.
+pub(crate) fn improve(map: &ExpertMap, parts: &[f64], max_fetches: usize) -> Path {
+    let mut search = Search::new(map, parts);
+    let mut path =
+        Path { from: map.clone(), moves: Vec::new(), points: vec![search.point(map, 0)] };
+    while let Some(best) = search.best_move() {
+        apply(&mut search.map, best);
+        search.refresh();
+        path.moves.push(best);
+        let point = search.point(map, path.moves.len());
+        if point.fetches > max_fetches {
+            break;
+        }
+        path.points.push(point);
+    }
+    path
+}
+
+/// The skew that a map is expected to have.
+pub(crate) fn expected_skew(map: &ExpertMap, parts: &[f64]) -> f64 {
+    Search::new(map, parts).skew()
+}
+
+fn apply(map: &mut ExpertMap, m: Move) {
+    match m {
+        Move::Replicate { rank, slot, expert } => map.replace(rank, slot, expert),
+        Move::Swap { rank, slot, other_rank, other_slot } => {
+            let expert = map.ranks()[rank][slot];
+            let other = map.ranks()[other_rank][other_slot];
+            map.replace(rank, slot, other);
+            map.replace(other_rank, other_slot, expert);
+        }
+    }
+}
+
+/// The best move so far, by its gain for each fetch.
+#[derive(Default)]
+struct Best(Option<(Move, f64)>);
+
+impl Best {
+    fn offer(&mut self, m: Move, gain_per_fetch: f64) {
+        let best = self.0.map_or(MIN_GAIN, |(_, gain)| gain);
+        if gain_per_fetch > best {
+            self.0 = Some((m, gain_per_fetch));
+        }
+    }
+}
+
+impl Search {
+    fn new(map: &ExpertMap, parts: &[f64]) -> Search {
+        // Moves don't change the whole load, so the mean stays what it is.
+        let mean = parts.iter().sum::<f64>() / map.ranks().len() as f64;
+        let unit = mean.max(f64::MIN_POSITIVE);
+        let mut search = Search {
+            parts: parts.iter().map(|part| part / unit).collect(),
+            map: map.clone(),
+            holders: vec![Vec::new(); parts.len()],
+            shares: vec![0.0; parts.len()],
+            loads: Vec::new(),
+            costs: Vec::new(),
+        };
+        search.refresh();
+        search
+    }
+
+    /// Works everything out again after a move.
+    fn refresh(&mut self) {
+        self.holders.iter_mut().for_each(Vec::clear);
+        for (rank, held) in self.map.ranks().iter().enumerate() {
+            held.iter().for_each(|&expert| self.holders[expert].push(rank));
+        }
+        for (expert, holders) in self.holders.iter().enumerate() {
+            self.shares[expert] = self.parts[expert] / holders.len() as f64;
+        }
+        let load = |held: &Vec<Expert>| held.iter().map(|&expert| self.shares[expert]).sum();
+        self.loads = self.map.ranks().iter().map(load).collect();
+        self.costs = self.loads.iter().map(|load| cost(*load)).collect();
+    }
+
+    fn skew(&self) -> f64 {
+        self.loads.iter().copied().fold(0.0, f64::max)
+    }
+
+    fn point(&self, from: &ExpertMap, moves: usize) -> Improved {
+        Improved { skew: self.skew(), fetches: self.map.fetches_from(from), moves }
+    }
+
+    /// The move off the slowest rank that gains most for each fetch.
+    fn best_move(&self) -> Option<Move> {
+        let by_load = |a: &usize, b: &usize| self.loads[*a].total_cmp(&self.loads[*b]);
+        let slowest = (0..self.loads.len()).max_by(by_load)?;
+        let mut best = Best::default();
+        for slot in 0..self.map.ranks()[slowest].len() {
+            self.offer_swaps(slowest, slot, &mut best);
+            self.offer_replications(self.map.ranks()[slowest][slot], &mut best);
+        }
+        best.0.map(|(m, _)| m)
+    }
+
+    fn offer_swaps(&self, rank: usize, slot: usize, best: &mut Best) {
+        let held_here = &self.map.ranks()[rank];
+        let expert = held_here[slot];
+        for (other_rank, held) in self.map.ranks().iter().enumerate() {
+            if self.loads[other_rank] >= self.loads[rank] || held.contains(&expert) {
+                continue;
+            }
+            for (other_slot, &other) in held.iter().enumerate() {
+                let difference = self.shares[expert] - self.shares[other];
+                if difference <= 0.0 || held_here.contains(&other) {
+                    continue;
+                }
+                let after =
+                    cost(self.loads[rank] - difference) + cost(self.loads[other_rank] + difference);
+                let gain = self.costs[rank] + self.costs[other_rank] - after;
+                // Both ranks have to fetch.
+                best.offer(Move::Swap { rank, slot, other_rank, other_slot }, gain / 2.0);
+            }
+        }
+    }
+
+    fn offer_replications(&self, expert: Expert, best: &mut Best) {
+        for (rank, held) in self.map.ranks().iter().enumerate() {
+            if held.contains(&expert) {
+                continue;
+            }
+            for (slot, &given_up) in held.iter().enumerate() {
+                if self.holders[given_up].len() > 1 {
+                    let gain = self.replication_gain(rank, expert, given_up);
+                    best.offer(Move::Replicate { rank, slot, expert }, gain);
+                }
+            }
+        }
+    }
+
+    /// What a replica of `expert` at a rank, in place of one of `given_up`, gains.
+    fn replication_gain(&self, at: usize, expert: Expert, given_up: Expert) -> f64 {
+        let replicas = |expert: Expert| self.holders[expert].len() as f64;
+        let new_share = self.parts[expert] / (replicas(expert) + 1.0);
+        let relief = self.shares[expert] - new_share;
+        let burden = self.parts[given_up] / (replicas(given_up) - 1.0) - self.shares[given_up];
+        let mut gain = 0.0;
+        for &rank in &self.holders[expert] {
+            let more = if self.holders[given_up].contains(&rank) { burden } else { 0.0 };
+            gain += self.costs[rank] - cost(self.loads[rank] - relief + more);
+        }
+        for &rank in &self.holders[given_up] {
+            if rank != at && !self.holders[expert].contains(&rank) {
+                gain += self.costs[rank] - cost(self.loads[rank] + burden);
+            }
+        }
+        gain + self.costs[at] - cost(self.loads[at] + new_share - self.shares[given_up])
+    }
+}
+
+fn cost(load: f64) -> f64 {
+    load.powi(POWER)
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -27,4 +27,6 @@
 };
 pub use fleet_file::parse_fleet;
 pub use settings::{EndpointSettings, EntrySettings, OperatorSettings, ProcessSettings};
-pub use settings_file::{parse_endpoint_settings, parse_entry_settings, parse_operator_settings};
+pub use settings_file::{
+    parse_balance_settings, parse_endpoint_settings, parse_entry_settings, parse_operator_settings,
+};
--- a/crates/config/src/settings_file.rs
+++ b/crates/config/src/settings_file.rs
@@ -2,6 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use lynxmount_balance::BalanceOptions;
+
 use crate::{
     Complaints, EndpointSettings, EntrySettings, OperatorSettings, ProcessSettings,
     jsonc::{Document, Fields},
@@ -10,6 +12,8 @@
 const ADDRESS: &str = "an IP address with a port, such as \"10.0.0.7:7001\"";
 const MAX_TIMEOUT_MS: u64 = 3_600_000;
 
+const MAX_EXPERT_BYTES: u64 = 1 << 50;
+
 const DEFAULT_TRAFFIC_THREADS: u64 = 2;
 const DEFAULT_DRAIN_TIMEOUT_MS: u64 = 300_000;
 const DEFAULT_LOG_RETENTION_MS: u64 = 7 * 24 * 3_600_000;
@@ -41,6 +45,39 @@
     Document::read(file, text, read_operator)
 }
 
+/// Reads and checks the settings of the expert balancer; all fields have
+/// defaults.
+///
+/// Fails with everything that is wrong with them.
+pub fn parse_balance_settings(file: &str, text: &str) -> Result<BalanceOptions, Complaints> {
+    Document::read(file, text, read_balance)
+}
+
+fn read_balance(fields: &Fields<'_, '_>) -> Option<BalanceOptions> {
+    let default = BalanceOptions::default();
+    let skew_weight = fields.weight_or("skew_weight", default.skew_weight);
+    let cost_weight = fields.weight_or("cost_weight", default.cost_weight);
+    let window_steps = fields.integer_or("window_steps", default.window_steps, 1..=1_000_000);
+    let expert_bytes =
+        fields.integer_or("expert_bytes", default.expert_bytes, 1..=MAX_EXPERT_BYTES);
+    let staging = fields.integer_or(
+        "staging_bytes_per_step",
+        default.staging_bytes_per_step,
+        0..=MAX_EXPERT_BYTES,
+    );
+    let steps_lost = fields.weight_or("steps_lost_per_switch", default.steps_lost_per_switch);
+    let steps_per_fetch = fields.weight_or("steps_per_fetch", default.steps_per_fetch);
+    Some(BalanceOptions {
+        skew_weight: skew_weight?,
+        cost_weight: cost_weight?,
+        window_steps: window_steps?,
+        expert_bytes: expert_bytes?,
+        staging_bytes_per_step: staging?,
+        steps_lost_per_switch: steps_lost?,
+        steps_per_fetch: steps_per_fetch?,
+    })
+}
+
 fn read_entry(fields: &Fields<'_, '_>) -> Option<EntrySettings> {
     let process = read_process(fields);
     let callers_address = fields.parsed("callers_address", ADDRESS);
--- a/crates/lynxmount/src/cli.rs
+++ b/crates/lynxmount/src/cli.rs
@@ -32,6 +32,12 @@
 pub(crate) const PROCESSES: &str = "processes";
 /// Name of the argument for the greatest number of rows.
 pub(crate) const LIMIT: &str = "limit";
+/// Name of the argument for a trace.
+pub(crate) const TRACE: &str = "trace";
+/// Name of the argument for a policy.
+pub(crate) const POLICY: &str = "policy";
+/// Name of the argument for the file that maps are written to.
+pub(crate) const MAPS_OUT: &str = "maps-out";
 /// Name of the argument for a shell.
 pub(crate) const SHELL: &str = "shell";
 
@@ -56,6 +62,7 @@
         .subcommand(status())
         .subcommand(audit())
         .subcommand(drain())
+        .subcommand(balance())
         .subcommand(completions())
 }
 
@@ -128,7 +135,7 @@
         .arg(
             Arg::new(KIND)
                 .long(KIND)
-                .value_parser(["fleet", "entry", "endpoint", "operator"])
+                .value_parser(["fleet", "entry", "endpoint", "operator", "balance"])
                 .default_value("fleet")
                 .help("What the file is"),
         )
@@ -205,6 +212,45 @@
         )
 }
 
+fn balance() -> Command {
+    Command::new("balance")
+        .about("Try the expert balancer on recorded traces")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(balance_replay())
+}
+
+fn balance_replay() -> Command {
+    Command::new("replay")
+        .about("Run a policy over a trace of expert popularity and print its measures")
+        .after_help(
+            "A trace is JSON lines: first {\"ranks\":R,\"experts\":E,\"layers\":L,\"slots_per_rank\":S}, \
+             then one line for each step and layer: {\"step\":n,\"layer\":l,\"tokens\":[E counts]}. \
+             A wrong line exits 2 with file, line and reason.",
+        )
+        .arg(Arg::new(TRACE).long(TRACE).required(true).value_name("FILE").help("The trace"))
+        .arg(
+            Arg::new(SETTINGS)
+                .long(SETTINGS)
+                .short('s')
+                .value_name("FILE")
+                .help("Balance settings, or a fleet file, whose first model service's weights count"),
+        )
+        .arg(
+            Arg::new(POLICY)
+                .long(POLICY)
+                .value_parser(["static", "replan", "adaptive"])
+                .default_value("adaptive")
+                .help("The first map for ever, a map from scratch each window, or ours"),
+        )
+        .arg(
+            Arg::new(MAPS_OUT)
+                .long(MAPS_OUT)
+                .value_name("FILE")
+                .help("Write every map that is put in force, one JSON value a line"),
+        )
+}
+
 fn completions() -> Command {
     Command::new("completions")
         .about("Print a completion script")
--- /dev/null
+++ b/crates/lynxmount/src/commands/balance.rs
@@ -0,0 +1,138 @@
+//! `lynxmount balance replay`.
+
+use std::{
+    fs::File,
+    io::{BufReader, BufWriter, Write},
+};
+
+use anyhow::Context;
+use clap::ArgMatches;
+use lynxmount_balance::{
+    BalanceOptions, MapInForce, PolicyKind, Replay, ReplaySummary, TraceError, TraceReader,
+};
+use lynxmount_config::{Complaints, ServiceKind, parse_balance_settings, parse_fleet};
+
+use crate::{
+    Exit,
+    cli::{MAPS_OUT, POLICY, SETTINGS, TRACE},
+    commands::operator::read_file,
+    table::{OutputForm, print_json},
+};
+
+/// The field by which a fleet file is told from balance settings.
+const FLEET_FIELD: &str = "\"services\"";
+
+/// Runs a policy over a trace and prints its measures.
+pub(crate) fn run_replay(matches: &ArgMatches, form: OutputForm) -> anyhow::Result<Exit> {
+    let Some(options) = read_options(matches, form)? else { return Ok(Exit::Invalid) };
+    let path = matches.get_one::<String>(TRACE).context("the argument is required")?;
+    let file = File::open(path).with_context(|| format!("read {path}"))?;
+    let maps_out = match matches.get_one::<String>(MAPS_OUT) {
+        Some(path) => Some(File::create(path).with_context(|| format!("write {path}"))?),
+        None => None,
+    };
+    let mut maps_out = maps_out.map(BufWriter::new);
+    let summary = match replay(BufReader::new(file), policy_of(matches), options, &mut maps_out)? {
+        Ok(summary) => summary,
+        Err(error) => {
+            eprintln!("lynxmount: {path}:{error}");
+            return Ok(Exit::Invalid);
+        }
+    };
+    print_summary(&summary, form);
+    Ok(Exit::Done)
+}
+
+fn policy_of(matches: &ArgMatches) -> PolicyKind {
+    match matches.get_one::<String>(POLICY).map(String::as_str) {
+        Some("static") => PolicyKind::Static,
+        Some("replan") => PolicyKind::Replan,
+        _ => PolicyKind::Adaptive,
+    }
+}
+
+fn read_options(matches: &ArgMatches, form: OutputForm) -> anyhow::Result<Option<BalanceOptions>> {
+    if matches.get_one::<String>(SETTINGS).is_none() {
+        return Ok(Some(BalanceOptions::default()));
+    }
+    read_file(matches, SETTINGS, parse_options, form)
+}
+
+fn parse_options(file: &str, text: &str) -> Result<BalanceOptions, Complaints> {
+    if !text.contains(FLEET_FIELD) {
+        return parse_balance_settings(file, text);
+    }
+    let fleet = parse_fleet(file, text)?;
+    let model = fleet.services.iter().find(|service| service.kind == ServiceKind::Model);
+    let weights = model.map(|service| service.balance);
+    Ok(weights.map_or_else(BalanceOptions::default, |weights| BalanceOptions {
+        skew_weight: weights.skew,
+        cost_weight: weights.cost,
+        ..BalanceOptions::default()
+    }))
+}
+
+/// Plays the whole trace. The inner error is the trace's, the outer that of
+/// writing maps.
+fn replay(
+    input: BufReader<File>,
+    policy: PolicyKind,
+    options: BalanceOptions,
+    maps_out: &mut Option<BufWriter<File>>,
+) -> anyhow::Result<Result<ReplaySummary, TraceError>> {
+    let mut reader = match TraceReader::new(input) {
+        Ok(reader) => reader,
+        Err(error) => return Ok(Err(error)),
+    };
+    let mut replay = Replay::new(policy, reader.shape(), options);
+    loop {
+        match reader.next_step() {
+            Ok(Some(counts)) => write_maps(maps_out, &replay.step(&counts))?,
+            Ok(None) => break,
+            Err(error) => return Ok(Err(error)),
+        }
+    }
+    if let Some(out) = maps_out {
+        out.flush().context("write maps")?;
+    }
+    Ok(Ok(replay.summary()))
+}
+
+fn write_maps(out: &mut Option<BufWriter<File>>, maps: &[MapInForce]) -> anyhow::Result<()> {
+    let Some(out) = out else { return Ok(()) };
+    for map in maps {
+        serde_json::to_writer(&mut *out, map).context("write maps")?;
+        out.write_all(b"\n").context("write maps")?;
+    }
+    Ok(())
+}
+
+fn print_summary(summary: &ReplaySummary, form: OutputForm) {
+    match form {
+        OutputForm::Json => print_json(summary),
+        OutputForm::Table => {
+            let heading = [
+                "POLICY",
+                "STEPS",
+                "SKEW_MEAN",
+                "SKEW_P99",
+                "REBALANCES",
+                "MOVED",
+                "BYTES",
+                "LOST",
+            ];
+            form.print(&heading, std::slice::from_ref(summary), |s| {
+                vec![
+                    s.policy.clone(),
+                    s.steps.to_string(),
+                    format!("{:.4}", s.step_skew_mean),
+                    format!("{:.4}", s.step_skew_p99),
+                    s.rebalances.to_string(),
+                    s.experts_moved.to_string(),
+                    s.bytes_moved.to_string(),
+                    format!("{:.1}", s.steps_lost),
+                ]
+            });
+        }
+    }
+}
--- a/crates/lynxmount/src/commands/check.rs
+++ b/crates/lynxmount/src/commands/check.rs
@@ -2,7 +2,8 @@
 
 use clap::ArgMatches;
 use lynxmount_config::{
-    parse_endpoint_settings, parse_entry_settings, parse_fleet, parse_operator_settings,
+    parse_balance_settings, parse_endpoint_settings, parse_entry_settings, parse_fleet,
+    parse_operator_settings,
 };
 
 use crate::{
@@ -16,6 +17,7 @@
 pub(crate) fn run(matches: &ArgMatches, form: OutputForm) -> anyhow::Result<Exit> {
     let kind = matches.get_one::<String>(KIND).map(String::as_str);
     let is_valid = match kind {
+        Some("balance") => read_file(matches, FILE, parse_balance_settings, form)?.is_some(),
         Some("entry") => read_file(matches, FILE, parse_entry_settings, form)?.is_some(),
         Some("endpoint") => read_file(matches, FILE, parse_endpoint_settings, form)?.is_some(),
         Some("operator") => read_file(matches, FILE, parse_operator_settings, form)?.is_some(),
--- a/crates/lynxmount/src/commands/mod.rs
+++ b/crates/lynxmount/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod audit;
+mod balance;
 mod check;
 mod completions;
 mod drain;
@@ -35,6 +36,10 @@
         Some(("status", matches)) => block_on(status::run(matches, form)),
         Some(("audit", matches)) => block_on(audit::run(matches, form)),
         Some(("drain", matches)) => block_on(drain::run(matches)),
+        Some(("balance", matches)) => match matches.subcommand() {
+            Some(("replay", matches)) => balance::run_replay(matches, form),
+            _ => Ok(Exit::Invalid),
+        },
         Some(("completions", matches)) => Ok(completions::run(matches)),
         _ => Ok(Exit::Invalid),
     }
--- a/crates/lynxmount/tests/commands.rs
+++ b/crates/lynxmount/tests/commands.rs
@@ -175,3 +175,72 @@
     assert!(text(&second.stderr).contains("version 0: accepted"));
     assert_eq!(fleet.platform.log.read("config", 0, 10).records.len(), 1);
 }
+
+const TRACE: &str = r#"{"ranks":2,"experts":4,"layers":1,"slots_per_rank":2}
+{"step":0,"layer":0,"tokens":[10,1,10,1]}
+{"step":1,"layer":0,"tokens":[10,1,10,1]}
+{"step":2,"layer":0,"tokens":[10,1,10,1]}
+"#;
+
+#[test]
+fn a_replay_prints_measures_and_writes_maps() {
+    let directory = tempfile::TempDir::new().unwrap();
+    let path = |name: &str| directory.path().join(name).to_str().unwrap().to_owned();
+    std::fs::write(path("trace"), TRACE).unwrap();
+    std::fs::write(path("settings"), "{ \"window_steps\": 1, \"skew_weight\": 4 } // ours")
+        .unwrap();
+    let (trace, settings, maps) = (path("trace"), path("settings"), path("maps"));
+
+    let replay = run(&[
+        "balance",
+        "replay",
+        "--trace",
+        &trace,
+        "--settings",
+        &settings,
+        "--policy",
+        "replan",
+        "--maps-out",
+        &maps,
+        "--output",
+        "json",
+    ]);
+
+    assert_eq!(replay.status.code(), Some(0), "{}", text(&replay.stderr));
+    let summary: serde_json::Value = serde_json::from_str(&text(&replay.stdout)).unwrap();
+    assert_eq!((&summary["policy"], &summary["steps"]), (&"replan".into(), &3.into()));
+    // The first map has both hot experts on one rank; a new one has not.
+    let expected = (20.0 / 11.0 + 1.0 + 1.0) / 3.0;
+    assert!((summary["step_skew_mean"].as_f64().unwrap() - expected).abs() < 1e-9);
+    let maps = std::fs::read_to_string(maps).unwrap();
+    assert!(maps.starts_with(r#"{"step":0,"layer":0,"ranks":[[0,2],[1,3]]}"#), "{maps}");
+    assert_eq!(maps.lines().count(), 2);
+}
+
+#[test]
+fn a_wrong_line_of_a_trace_exits_2_with_its_place() {
+    let directory = tempfile::TempDir::new().unwrap();
+    let trace = directory.path().join("trace");
+    std::fs::write(&trace, TRACE.replace("\"step\":1,\"layer\":0", "\"step\":1,\"layer\":1"))
+        .unwrap();
+    let trace = trace.to_str().unwrap();
+
+    let replay = run(&["balance", "replay", "--trace", trace]);
+
+    assert_eq!(replay.status.code(), Some(2));
+    assert!(text(&replay.stderr).contains(&format!("{trace}:3: layer must be below 1")));
+}
+
+#[test]
+fn a_replay_takes_the_weights_of_a_fleet_file() {
+    let directory = tempfile::TempDir::new().unwrap();
+    let trace = directory.path().join("trace");
+    std::fs::write(&trace, TRACE).unwrap();
+    let fleet = format!("{}/../../examples/daugava.jsonc", env!("CARGO_MANIFEST_DIR"));
+
+    let replay =
+        run(&["balance", "replay", "--trace", trace.to_str().unwrap(), "--settings", &fleet]);
+
+    assert_eq!(replay.status.code(), Some(0), "{}", text(&replay.stderr));
+    assert!(text(&replay.stdout).contains("adaptive"));
+}
