--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use lynxmount_config::{EntrySettings, Service, ServiceKind, Team};
 use lynxmount_core::{EndpointId, Outcome, Reason, RequestId, ServiceId, new_request_id};
-use lynxmount_idempotency::{key_digest, request_digest};
+use lynxmount_idempotency::{key_digest, may_say_not_run, request_digest};
 use lynxmount_node::{ActiveConfig, Counter, NodeHandle};
 use lynxmount_policy::{AttemptEnd, Next, Retry, TeamLimits, TeamRate, Waiter};
 use lynxmount_wire::{AttemptId, Binding, Dispatch, Header, RefusalReason};
@@ -240,10 +240,11 @@
         else {
             return refusal;
         };
-        match self.claims.get_confirmed(&key.key_digest).await {
-            Ok(None) => refusal,
-            Ok(Some(standing)) if key.revoked == Some(standing.offset) => refusal,
-            Ok(Some(_)) | Err(_) => Refusal { outcome: Outcome::Unknown, ..refusal },
+        let standing = self.claims.get_confirmed(&key.key_digest).await;
+        let standing = standing.ok().map(|standing| standing.map(|standing| standing.offset));
+        match may_say_not_run(key.revoked, standing) {
+            true => refusal,
+            false => Refusal { outcome: Outcome::Unknown, ..refusal },
         }
     }
 
--- a/crates/entry/src/keyed.rs
+++ b/crates/entry/src/keyed.rs
@@ -4,7 +4,7 @@
 
 use lynxmount_audit::AuditEvent;
 use lynxmount_core::{Offset, Reason, wall_time_ms};
-use lynxmount_idempotency::{Claim, KeyDigest, RequestDigest, Standing};
+use lynxmount_idempotency::{Claim, KeyDigest, KeyStep, RequestDigest, Standing, next_step};
 use lynxmount_node::NodeHandle;
 use lynxmount_wire::Binding;
 
@@ -34,18 +34,19 @@
     claims: &Claims,
     node: &NodeHandle,
 ) -> Result<(Place, Binding), Refusal> {
-    match claims.get(&key.key_digest) {
-        Some(standing) if key.revoked != Some(standing.offset) => {
-            let link = bound_link(key, &standing, gate)?;
-            Ok((gate.place_at(link), binding_of(&standing)))
-        }
-        standing => {
-            let replaces = standing.map(|standing| standing.offset);
-            claim_place(key, replaces, want, gate, claims, node).await
-        }
+    let standing = claims.get(&key.key_digest);
+    match step_of(key, standing.as_ref(), gate) {
+        KeyStep::Claim { replaces } => claim_place(key, replaces, want, gate, claims, node).await,
+        _ => place_of_claim(key, standing.as_ref(), gate),
     }
 }
 
+fn step_of(key: &Key, standing: Option<&Standing>, gate: &Gate) -> KeyStep {
+    let link = standing.and_then(|standing| gate.link(&standing.claim.endpoint));
+    let live = link.and_then(|link| link.incarnation());
+    next_step(&key.request_digest, key.revoked, standing, live)
+}
+
 async fn claim_place(
     key: &Key,
     replaces: Option<Offset>,
@@ -77,25 +78,25 @@
     match standing.claim == claim {
         true => Ok((place, binding_of(&standing))),
         // Another entry was first; the key runs where its claim says.
-        false => {
-            let link = bound_link(key, &standing, gate)?;
-            Ok((gate.place_at(link), binding_of(&standing)))
-        }
+        false => place_of_claim(key, Some(&standing), gate),
     }
 }
 
-fn bound_link(
+/// Takes a place at the incarnation that the claim names, however loaded it is.
+fn place_of_claim(
     key: &Key,
-    standing: &Standing,
-    gate: &Gate,
-) -> Result<Arc<crate::link::Link>, Refusal> {
-    if standing.claim.request_digest != key.request_digest {
-        let detail = "the key came with another method, path or body before";
-        return Err(Refusal::not_run(Reason::KeyReused, detail));
-    }
-    let endpoint = &standing.claim.endpoint;
-    match gate.link(endpoint) {
-        Some(link) if link.incarnation() == Some(standing.claim.incarnation) => Ok(link),
+    standing: Option<&Standing>,
+    gate: &Arc<Gate>,
+) -> Result<(Place, Binding), Refusal> {
+    let endpoint = standing.map(|standing| standing.claim.endpoint.clone()).unwrap_or_default();
+    match (step_of(key, standing, gate), standing, gate.link(&endpoint)) {
+        (KeyStep::Dispatch, Some(standing), Some(link)) => {
+            Ok((gate.place_at(link), binding_of(standing)))
+        }
+        (KeyStep::Reused, ..) => {
+            let detail = "the key came with another method, path or body before";
+            Err(Refusal::not_run(Reason::KeyReused, detail))
+        }
         _ => {
             let detail = format!("the key was given to {endpoint}, which can't be asked now");
             Err(Refusal::unknown(Reason::LostAttempt, detail))
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -38,6 +38,9 @@
 /// How long an endpoint may be silent. It reports at least four times as often.
 pub(crate) const SILENCE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How long to look for frames that came while this process was paused.
+const AFTER_PAUSE: Duration = Duration::from_millis(100);
+
 /// How many frames may wait to be written to one endpoint.
 const MAX_FRAMES_WAITING: usize = 4_096;
 
@@ -215,16 +218,27 @@
     async fn read(&self, mut reader: Reader, node: &NodeHandle, gates: &Gates) -> Error {
         let peer = &self.endpoint.id;
         loop {
-            match tokio::time::timeout(SILENCE_TIMEOUT, reader.next()).await {
-                Err(_) => return timed_out(Step::ReadAnswer, peer, "silent for too long"),
-                Ok(Err(error)) => return error,
-                Ok(Ok(None)) => return not_known(Step::ReadAnswer, peer, "connection closed"),
-                Ok(Ok(Some(ToEntry::Report(report)))) => self.take_report(report, node, gates),
-                Ok(Ok(Some(frame))) => self.deliver(frame, node),
+            match self.read_frame(&mut reader).await {
+                Err(error) => return error,
+                Ok(None) => return not_known(Step::ReadAnswer, peer, "connection closed"),
+                Ok(Some(ToEntry::Report(report))) => self.take_report(report, node, gates),
+                Ok(Some(frame)) => self.deliver(frame, node),
             }
         }
     }
 
+    async fn read_frame(&self, reader: &mut Reader) -> Result<Option<ToEntry>> {
+        if let Ok(frame) = tokio::time::timeout(SILENCE_TIMEOUT, reader.next()).await {
+            return frame;
+        }
+        // If this process itself was paused, its timers fire before its sockets
+        // are looked at; frames that came meanwhile are there at once.
+        match tokio::time::timeout(AFTER_PAUSE, reader.next()).await {
+            Ok(frame) => frame,
+            Err(_) => Err(timed_out(Step::ReadAnswer, &self.endpoint.id, "silent for too long")),
+        }
+    }
+
     fn take_report(&self, report: LoadReport, node: &NodeHandle, gates: &Gates) {
         let own = self.own_running.load(Ordering::Relaxed);
         {
--- a/crates/idempotency/src/lib.rs
+++ b/crates/idempotency/src/lib.rs
@@ -8,12 +8,14 @@
 
 mod claim;
 mod ledger;
+mod placement;
 
 pub use claim::{
     CLAIMS_STREAM, Claim, ClaimBatch, ClaimTable, KeyDigest, RequestDigest, Standing, key_digest,
     request_digest,
 };
 pub use ledger::{Admission, Ledger, LedgerOptions};
+pub use placement::{KeyStep, may_say_not_run, next_step};
 
 use std::time::Duration;
 
--- /dev/null
+++ b/crates/idempotency/src/placement.rs
@@ -0,0 +1,53 @@
+//! Where a key may run, and what may be said if it did not.
+
+use lynxmount_core::{Incarnation, Offset};
+
+use crate::{RequestDigest, Standing};
+
+/// What an entry does next with a request that carries a key.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum KeyStep {
+    /// Choose an endpoint and claim the key for its incarnation.
+    Claim {
+        /// The claim that is given up.
+        replaces: Option<Offset>,
+    },
+    /// Send it to the incarnation that the claim names.
+    Dispatch,
+    /// The key came with another request before.
+    Reused,
+    /// The incarnation that may have run it can't be asked.
+    Unreachable,
+}
+
+/// Decides about a request whose key has a standing claim or none.
+///
+/// `revoked` is the claim that this request has seen refused for ever, and
+/// `live` the incarnation that answers at the claim's endpoint now.
+pub fn next_step(
+    request: &RequestDigest,
+    revoked: Option<Offset>,
+    standing: Option<&Standing>,
+    live: Option<Incarnation>,
+) -> KeyStep {
+    match standing {
+        None => KeyStep::Claim { replaces: None },
+        Some(standing) if standing.claim.request_digest != *request => KeyStep::Reused,
+        Some(standing) if revoked == Some(standing.offset) => {
+            KeyStep::Claim { replaces: Some(standing.offset) }
+        }
+        Some(standing) if live == Some(standing.claim.incarnation) => KeyStep::Dispatch,
+        Some(_) => KeyStep::Unreachable,
+    }
+}
+
+/// Says whether a request that is given up may be told that its key was not
+/// run: only if the log, read to its end, shows no claim, or one that was
+/// revoked. `standing` is `None` if the log could not be read.
+pub fn may_say_not_run(revoked: Option<Offset>, standing: Option<Option<Offset>>) -> bool {
+    match standing {
+        None => false,
+        Some(None) => true,
+        Some(claim) => claim == revoked,
+    }
+}
--- a/crates/lynxmount/tests/outages.rs
+++ b/crates/lynxmount/tests/outages.rs
@@ -152,7 +152,9 @@
         fleet.endpoint_status(0).await.is_some_and(|s| s.config_version == Some(1))
     })
     .await;
-    // The guest's call waits in the frozen entry's socket and is read first.
+    // The call waits in the frozen entry's socket. Its connection is a new one:
+    // the old one has been idle for longer than the entry keeps it.
+    let guest = Caller::new(fleet.callers_address(0), token_of(OTHER_TEAM));
     let waiting =
         tokio::spawn(async move { guest.call(Method::GET, "/bookings/1", &[], "").await });
     entry.signal(Signal::SIGCONT);
