--- a/crates/config/src/change.rs
+++ b/crates/config/src/change.rs
@@ -9,73 +9,96 @@
 
 use lynxmount_core::{ChangeId, Offset};
 use serde::{Deserialize, Serialize};
-use serde_with::{hex::Hex, serde_as};
-use sha2::{Digest, Sha256};
 
-use crate::Fleet;
+use crate::{Fleet, FleetChange, FleetDigest};
 
 /// The stream of the platform's log that holds changes.
 pub const CONFIG_STREAM: &str = "config";
 
+/// A record of the configuration stream.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ConfigRecord {
+    /// An operator wants a change.
+    Change(Box<ChangeRecord>),
+    /// A process tells what the log had come to.
+    Snapshot(Snapshot),
+}
+
 /// A change, as it stands in the log.
-#[serde_as]
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ChangeRecord {
     /// The change's id; the same id twice is one change.
     pub change_id: ChangeId,
     /// The scope that is changed.
     pub scope: String,
-    /// The accepted offset that the change was written against.
+    /// The accepted offset that the change was written against; without one,
+    /// the change starts from an empty fleet.
     pub base: Option<Offset>,
     /// Who made the change.
     pub author: String,
-    /// SHA-256 over the fleet's canonical JSON.
-    #[serde_as(as = "Hex")]
-    pub digest: [u8; 32],
-    /// The whole fleet that is wanted.
-    pub fleet: Arc<Fleet>,
+    /// The digest of the whole fleet after the change.
+    pub digest: FleetDigest,
+    /// What changes.
+    pub change: FleetChange,
 }
 
 impl ChangeRecord {
-    /// Writes the change of a scope to a fleet.
+    /// Writes the change from the fleet in force, if there is one, to another.
     pub fn new(
         change_id: ChangeId,
-        base: Option<Offset>,
+        head: Option<&Head>,
         author: String,
-        fleet: Fleet,
+        wanted: &Fleet,
     ) -> ChangeRecord {
-        let digest = digest_of(&fleet);
+        let empty = Fleet::empty(&wanted.scope);
+        let before = head.map_or(&empty, |head| &*head.fleet);
         ChangeRecord {
             change_id,
-            scope: fleet.scope.clone(),
-            base,
+            scope: wanted.scope.clone(),
+            base: head.map(|head| head.offset),
             author,
-            digest,
-            fleet: Arc::new(fleet),
+            digest: FleetDigest::of(wanted),
+            change: FleetChange::between(before, wanted),
         }
     }
 }
 
-/// Digests a fleet's canonical JSON, which has its fields in declared order.
-pub fn digest_of(fleet: &Fleet) -> [u8; 32] {
-    let json = serde_json::to_vec(fleet).unwrap_or_default();
-    Sha256::digest(&json).into()
+/// What the log had come to when all records before an offset were read.
+///
+/// It is true wherever in the log it stands, so it matters neither how late it
+/// is appended nor how often. A reader of a log whose beginning is gone starts
+/// from one that leaves out nothing that is still there.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Snapshot {
+    /// The scope that it tells of.
+    pub scope: String,
+    /// The first offset that it does not take in.
+    pub as_of: Offset,
+    /// What was in force then.
+    pub head: Head,
 }
 
-/// The change that is in force.
-#[derive(Clone, Debug, PartialEq)]
+/// What is in force.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Head {
-    /// The change's offset, which is the configuration's version.
+    /// The offset of the change that brought it: the configuration's version.
     pub offset: Offset,
-    /// The change.
-    pub change: ChangeRecord,
+    /// That change.
+    pub change_id: ChangeId,
+    /// Who made it.
+    pub author: String,
+    /// The fleet's digest.
+    pub digest: FleetDigest,
+    /// The whole fleet.
+    pub fleet: Arc<Fleet>,
 }
 
 /// Why a change is not accepted.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum RefusedChange {
-    /// The content does not have the digest that the record names.
+    /// The fleet after the change does not have the digest that it names.
     DigestWrong,
     /// Another change came first.
     Overtaken {
@@ -116,7 +139,7 @@
         Acceptance { scope: scope.into(), head: None, known: BTreeMap::new(), next: 0 }
     }
 
-    /// The change in force, if any was accepted.
+    /// What is in force, if any change was accepted.
     pub fn head(&self) -> Option<&Head> {
         self.head.as_ref()
     }
@@ -126,54 +149,53 @@
         self.next
     }
 
-    /// Takes the record at an offset; `None` if it was taken before or is of
-    /// another scope.
-    pub fn take(&mut self, offset: Offset, change: ChangeRecord) -> Option<Verdict> {
+    /// Takes the record at an offset; `None` if it was taken before, is of
+    /// another scope or is no change.
+    pub fn take(&mut self, offset: Offset, record: &ConfigRecord) -> Option<Verdict> {
         if offset < self.next {
             return None;
         }
         self.next = offset + 1;
-        if change.scope != self.scope {
-            return None;
-        }
-        let verdict = self.judge(&change);
-        self.known.entry(change.change_id).or_insert(offset);
-        if verdict == Verdict::Accepted {
-            self.head = Some(Head { offset, change });
+        match record {
+            ConfigRecord::Change(change) if change.scope == self.scope => {
+                Some(self.take_change(offset, change))
+            }
+            ConfigRecord::Change(_) | ConfigRecord::Snapshot(_) => None,
         }
-        Some(verdict)
     }
 
-    /// Starts over with the records of a log whose beginning is gone.
+    /// Tells what the log has come to, for readers who start later.
+    pub fn snapshot(&self) -> Option<Snapshot> {
+        let head = self.head.clone()?;
+        Some(Snapshot { scope: self.scope.clone(), as_of: self.next, head })
+    }
+
+    /// Starts over with the records of a log that begins at `first`.
     ///
-    /// As every head is appended again before its retention runs out, the
-    /// head is among the records. Of the records whose base is gone, only
-    /// those with the greatest base can have followed the newest accepted
-    /// change that is gone, and the first of them did.
-    pub fn resume(&mut self, first: Offset, records: &[(Offset, ChangeRecord)]) {
-        let own = records.iter().filter(|(_, change)| change.scope == self.scope);
-        let anchor = own
-            .filter(|(_, change)| change.base.is_none_or(|base| base < first))
-            .filter(|(_, change)| digest_of(&change.fleet) == change.digest)
-            .max_by_key(|(offset, change)| (change.base, std::cmp::Reverse(*offset)));
-        let Some((offset, change)) = anchor else { return };
-        if self.head.as_ref().is_none_or(|head| head.offset < *offset) {
-            self.known.insert(change.change_id, *offset);
-            self.head = Some(Head { offset: *offset, change: change.clone() });
-            self.next = offset + 1;
+    /// Nothing happens unless one of them is a snapshot that leaves out no
+    /// record that is gone.
+    pub fn resume<'a>(&mut self, first: Offset, records: impl Iterator<Item = &'a ConfigRecord>) {
+        let snapshots = records.filter_map(|record| match record {
+            ConfigRecord::Snapshot(snapshot) if snapshot.scope == self.scope => Some(snapshot),
+            ConfigRecord::Change(_) | ConfigRecord::Snapshot(_) => None,
+        });
+        let usable = snapshots.filter(|snapshot| snapshot.as_of >= first);
+        let Some(latest) = usable.max_by_key(|snapshot| snapshot.as_of) else { return };
+        if latest.as_of > self.next && is_sound(&self.scope, &latest.head) {
+            self.known.insert(latest.head.change_id, latest.head.offset);
+            self.head = Some(latest.head.clone());
+            self.next = latest.as_of;
         }
     }
 
     /// Takes a head that a peer has in force; says whether it is newer.
     pub fn adopt(&mut self, head: Head) -> bool {
         let is_newer = self.head.as_ref().is_none_or(|own| own.offset < head.offset);
-        let is_sound =
-            head.change.scope == self.scope && digest_of(&head.change.fleet) == head.change.digest;
-        if !is_newer || !is_sound {
+        if !is_newer || !is_sound(&self.scope, &head) {
             return false;
         }
         self.next = self.next.max(head.offset + 1);
-        self.known.insert(head.change.change_id, head.offset);
+        self.known.insert(head.change_id, head.offset);
         self.head = Some(head);
         true
     }
@@ -183,18 +205,45 @@
         self.known.retain(|_, offset| *offset >= first);
     }
 
-    fn judge(&self, change: &ChangeRecord) -> Verdict {
-        let head_offset = self.head.as_ref().map(|head| head.offset);
-        match self.known.get(&change.change_id) {
-            Some(&of) => Verdict::Repeated { of },
-            None if digest_of(&change.fleet) != change.digest => {
-                Verdict::Refused(RefusedChange::DigestWrong)
+    fn take_change(&mut self, offset: Offset, change: &ChangeRecord) -> Verdict {
+        let known = self.known.get(&change.change_id).copied();
+        self.known.entry(change.change_id).or_insert(offset);
+        if let Some(of) = known {
+            return Verdict::Repeated { of };
+        }
+        match self.head_after(offset, change) {
+            Ok(head) => {
+                self.head = Some(head);
+                Verdict::Accepted
             }
-            None if change.base != head_offset => Verdict::Refused(RefusedChange::Overtaken {
-                by: head_offset,
-                author: self.head.as_ref().map(|head| head.change.author.clone()),
-            }),
-            None => Verdict::Accepted,
+            Err(why) => Verdict::Refused(why),
         }
     }
+
+    fn head_after(&self, offset: Offset, record: &ChangeRecord) -> Result<Head, RefusedChange> {
+        let head = self.head.as_ref();
+        let head_offset = head.map(|head| head.offset);
+        if record.base != head_offset {
+            let author = head.map(|head| head.author.clone());
+            return Err(RefusedChange::Overtaken { by: head_offset, author });
+        }
+        let empty = Fleet::empty(&self.scope);
+        let before = head.map_or(&empty, |head| &*head.fleet);
+        let digest = head.map_or_else(FleetDigest::default, |head| head.digest);
+        if digest.after(before, &record.change) != record.digest {
+            return Err(RefusedChange::DigestWrong);
+        }
+        Ok(Head {
+            offset,
+            change_id: record.change_id,
+            author: record.author.clone(),
+            digest: record.digest,
+            fleet: Arc::new(record.change.apply(before)),
+        })
+    }
+}
+
+/// Says whether a head that came from elsewhere is what it says.
+fn is_sound(scope: &str, head: &Head) -> bool {
+    head.fleet.scope == scope && FleetDigest::of(&head.fleet) == head.digest
 }
--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -1,6 +1,6 @@
 //! The fleet that operators want, as plain data.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use lynxmount_core::{EndpointId, FailureDomainId, ProcessId, RegionId, ServiceId, TeamId};
 use serde::{Deserialize, Serialize};
@@ -12,21 +12,35 @@
 #[serde(transparent)]
 pub struct TokenDigest(#[serde_as(as = "Hex")] pub [u8; 32]);
 
-/// A whole fleet: what one file declares.
+/// A whole fleet: what one file declares. Its lists are ordered by id.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Fleet {
     /// The scope that the file governs; one log holds changes of many scopes.
     pub scope: String,
     /// Regions with their failure domains.
-    pub regions: Vec<Region>,
+    pub regions: Vec<Arc<Region>>,
     /// Entry processes.
-    pub entries: Vec<EntryProcess>,
+    pub entries: Vec<Arc<EntryProcess>>,
     /// Model services and plain services.
-    pub services: Vec<Service>,
+    pub services: Vec<Arc<Service>>,
     /// Endpoints of the services.
-    pub endpoints: Vec<Endpoint>,
+    pub endpoints: Vec<Arc<Endpoint>>,
     /// Teams that may call.
-    pub teams: Vec<Team>,
+    pub teams: Vec<Arc<Team>>,
+}
+
+impl Fleet {
+    /// A fleet of a scope that declares nothing.
+    pub fn empty(scope: &str) -> Fleet {
+        Fleet {
+            scope: scope.to_owned(),
+            regions: Vec::new(),
+            entries: Vec::new(),
+            services: Vec::new(),
+            endpoints: Vec::new(),
+            teams: Vec::new(),
+        }
+    }
 }
 
 /// A region and the failure domains in it.
--- a/crates/config/src/fleet_file.rs
+++ b/crates/config/src/fleet_file.rs
@@ -8,6 +8,7 @@
     BalanceWeights, Complaints, Endpoint, EntryProcess, Fencing, Fleet, Region, Route, Service,
     ServiceKind, Team, TokenDigest,
     jsonc::{Document, Fields},
+    members::in_order,
     references::References,
 };
 
@@ -43,11 +44,11 @@
     references.check();
     Some(Fleet {
         scope: scope?,
-        regions: regions?,
-        entries: entries?,
-        services: services?,
-        endpoints: endpoints?,
-        teams: teams?,
+        regions: in_order(regions?),
+        entries: in_order(entries?),
+        services: in_order(services?),
+        endpoints: in_order(endpoints?),
+        teams: in_order(teams?),
     })
 }
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -12,12 +12,13 @@
 mod fleet;
 mod fleet_file;
 mod jsonc;
+mod members;
 mod references;
 mod settings;
 mod settings_file;
 
 pub use change::{
-    Acceptance, CONFIG_STREAM, ChangeRecord, Head, RefusedChange, Verdict, digest_of,
+    Acceptance, CONFIG_STREAM, ChangeRecord, ConfigRecord, Head, RefusedChange, Snapshot, Verdict,
 };
 pub use complaint::{Complaint, Complaints};
 pub use difference::{Difference, DifferenceKind, differences};
@@ -26,6 +27,7 @@
     Team, TokenDigest,
 };
 pub use fleet_file::parse_fleet;
+pub use members::{FleetChange, FleetDigest, ListChange};
 pub use settings::{EndpointSettings, EntrySettings, OperatorSettings, ProcessSettings};
 pub use settings_file::{
     parse_balance_settings, parse_endpoint_settings, parse_entry_settings, parse_operator_settings,
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -107,13 +107,13 @@
 /// The endpoints that an entry is connected to: all of a small service, and
 /// the first by rendezvous hashing of a large one.
 fn wanted_endpoints(fleet: &Fleet, own: &str) -> BTreeMap<EndpointId, Endpoint> {
-    let mut by_service: BTreeMap<&str, Vec<&Endpoint>> = BTreeMap::new();
+    let mut by_service: BTreeMap<&str, Vec<&Arc<Endpoint>>> = BTreeMap::new();
     for endpoint in &fleet.endpoints {
         by_service.entry(&endpoint.service).or_default().push(endpoint);
     }
     by_service
         .values()
         .flat_map(|endpoints| rendezvous(own, endpoints, |e| &e.id, MAX_LINKS_PER_SERVICE))
-        .map(|endpoint| (endpoint.id.clone(), (*endpoint).clone()))
+        .map(|endpoint| (endpoint.id.clone(), Endpoint::clone(endpoint)))
         .collect()
 }
--- a/crates/lynxmount/src/commands/apply.rs
+++ b/crates/lynxmount/src/commands/apply.rs
@@ -4,7 +4,8 @@
 
 use clap::ArgMatches;
 use lynxmount_config::{
-    CONFIG_STREAM, ChangeRecord, Fleet, RefusedChange, Verdict, differences, digest_of,
+    CONFIG_STREAM, ChangeRecord, ConfigRecord, Fleet, FleetDigest, RefusedChange, Verdict,
+    differences,
 };
 use lynxmount_core::{Cause, ChangeId, Offset};
 use uuid::Uuid;
@@ -43,12 +44,15 @@
         return report(&known, &log, matches, form).await;
     }
     let head = log.acceptance.head();
-    if head.is_some_and(|head| head.change.digest == digest_of(&fleet)) {
+    if head.is_some_and(|head| head.digest == FleetDigest::of(&fleet)) {
         eprintln!("this fleet is in force already");
         return Ok(Exit::Done);
     }
-    let base = matches.get_one::<Offset>(BASE).copied().or(head.map(|head| head.offset));
-    let change = ChangeRecord::new(change_id, base, operator.settings.author.clone(), fleet);
+    let author = operator.settings.author.clone();
+    let mut change = ChangeRecord::new(change_id, head, author, &fleet);
+    if let Some(&base) = matches.get_one::<Offset>(BASE) {
+        change.base = Some(base);
+    }
     if let Err(error) = append(&operator, &change).await {
         eprintln!("lynxmount: {error}; nothing was changed");
         return Ok(Exit::Failed);
@@ -68,7 +72,11 @@
 
 /// Appends a change once; a lost answer is no failure, as the log will tell.
 async fn append(operator: &Operator, change: &ChangeRecord) -> lynxmount_core::Result<()> {
-    match operator.platform.append(CONFIG_STREAM, change).await {
+    match operator
+        .platform
+        .append(CONFIG_STREAM, &ConfigRecord::Change(Box::new(change.clone())))
+        .await
+    {
         Ok(_) => Ok(()),
         Err(error) => match error.cause {
             Cause::NotKnown | Cause::TimedOut => Ok(()),
@@ -104,13 +112,13 @@
     let (version, change_id) = (judged.offset, judged.change.change_id);
     eprintln!("change {change_id} at version {version}: {}", describe(&judged.verdict));
     match &judged.verdict {
-        Verdict::Accepted => Ok(wait_in_force(version, &judged.change.fleet, matches, form).await),
+        Verdict::Accepted => Ok(wait_in_force(version, &judged.fleet, matches, form).await),
         Verdict::Refused(RefusedChange::Overtaken { by: Some(by), .. }) => {
-            let winner = log.at(*by).map(|winner| &winner.change.fleet);
+            let winner = log.at(*by).map(|winner| &winner.fleet);
             let base = judged.change.base.and_then(|base| log.at(base));
             if let Some(winner) = winner {
                 eprintln!("what the other change did:");
-                let base = base.map(|base| &*base.change.fleet);
+                let base = base.map(|base| &*base.fleet);
                 print_differences(&differences(base, winner), form);
             }
             Ok(Exit::Failed)
--- a/crates/lynxmount/src/commands/show.rs
+++ b/crates/lynxmount/src/commands/show.rs
@@ -20,7 +20,7 @@
     let Some(operator) = Operator::from_matches(matches, form)? else { return Ok(Exit::Invalid) };
     let Some(fleet) = read_fleet(matches, form)? else { return Ok(Exit::Invalid) };
     let log = operator.config_log().await?;
-    let head = log.acceptance.head().map(|head| &*head.change.fleet);
+    let head = log.acceptance.head().map(|head| &*head.fleet);
     print_differences(&differences(head, &fleet), form);
     Ok(Exit::Done)
 }
@@ -51,9 +51,9 @@
     let Some(operator) = operator else { return Ok(Exit::Invalid) };
     let log = operator.config_log().await?;
     let fleet: &Fleet = match matches.get_one::<Offset>(VERSION) {
-        None => &log.acceptance.head().context("no fleet file was ever accepted")?.change.fleet,
+        None => &log.acceptance.head().context("no fleet file was ever accepted")?.fleet,
         Some(&version) => match log.at(version) {
-            Some(judged) if judged.verdict == Verdict::Accepted => &judged.change.fleet,
+            Some(judged) if judged.verdict == Verdict::Accepted => &judged.fleet,
             Some(_) => bail!("version {version} was not accepted"),
             None => bail!("the log has no version {version}"),
         },
--- a/crates/lynxmount/src/commands/status.rs
+++ b/crates/lynxmount/src/commands/status.rs
@@ -81,7 +81,7 @@
         eprintln!("lynxmount: no fleet file was ever accepted for {}", operator.settings.scope);
         return Ok(Exit::Failed);
     };
-    let rows = ask_all(&members(&head.change.fleet)).await;
+    let rows = ask_all(&members(&head.fleet)).await;
     print_status(&rows, form);
     match rows.iter().all(|row| row.is_at(head.offset)) {
         true => Ok(Exit::Done),
--- a/crates/lynxmount/src/config_log.rs
+++ b/crates/lynxmount/src/config_log.rs
@@ -1,6 +1,8 @@
 //! The configuration stream, read to its end and judged.
 
-use lynxmount_config::{Acceptance, CONFIG_STREAM, ChangeRecord, Verdict};
+use std::sync::Arc;
+
+use lynxmount_config::{Acceptance, CONFIG_STREAM, ChangeRecord, ConfigRecord, Fleet, Verdict};
 use lynxmount_core::{Offset, Result};
 use lynxmount_platform::Platform;
 
@@ -11,6 +13,8 @@
     pub(crate) time_ms: u64,
     pub(crate) change: ChangeRecord,
     pub(crate) verdict: Verdict,
+    /// The fleet that was in force after the change.
+    pub(crate) fleet: Arc<Fleet>,
 }
 
 /// All changes of one scope that the log still has.
@@ -37,20 +41,26 @@
     /// Fails if the platform can't be reached.
     pub(crate) async fn read_on(&mut self) -> Result<()> {
         let page = self.platform.read_to_end(CONFIG_STREAM, self.acceptance.next()).await?;
-        let changes: Vec<(Offset, u64, ChangeRecord)> = page
+        let records: Vec<(Offset, u64, ConfigRecord)> = page
             .records
             .into_iter()
             .filter_map(|record| {
-                let change = serde_json::from_value(record.data).ok()?;
-                Some((record.offset, record.time_ms, change))
+                let content = serde_json::from_value(record.data).ok()?;
+                Some((record.offset, record.time_ms, content))
             })
             .collect();
         if page.first > self.acceptance.next() {
-            self.resume(page.first, &changes);
+            self.acceptance.resume(page.first, records.iter().map(|(_, _, record)| record));
         }
-        for (offset, time_ms, change) in changes {
-            if let Some(verdict) = self.acceptance.take(offset, change.clone()) {
-                self.changes.push(JudgedChange { offset, time_ms, change, verdict });
+        for (offset, time_ms, record) in records {
+            let verdict = self.acceptance.take(offset, &record);
+            if let (ConfigRecord::Change(change), Some(verdict)) = (record, verdict) {
+                let change = *change;
+                let fleet = match self.acceptance.head() {
+                    Some(head) => Arc::clone(&head.fleet),
+                    None => Arc::new(Fleet::empty(&change.scope)),
+                };
+                self.changes.push(JudgedChange { offset, time_ms, change, verdict, fleet });
             }
         }
         Ok(())
@@ -60,19 +70,4 @@
     pub(crate) fn at(&self, offset: Offset) -> Option<&JudgedChange> {
         self.changes.iter().find(|judged| judged.offset == offset)
     }
-
-    fn resume(&mut self, first: Offset, changes: &[(Offset, u64, ChangeRecord)]) {
-        let records: Vec<(Offset, ChangeRecord)> =
-            changes.iter().map(|(offset, _, change)| (*offset, change.clone())).collect();
-        self.acceptance.resume(first, &records);
-        let Some(head) = self.acceptance.head().cloned() else { return };
-        let time_ms = changes.iter().find(|(o, _, _)| *o == head.offset).map_or(0, |(_, t, _)| *t);
-        let verdict = Verdict::Accepted;
-        self.changes.push(JudgedChange {
-            offset: head.offset,
-            time_ms,
-            change: head.change,
-            verdict,
-        });
-    }
 }
--- /dev/null
+++ b/crates/lynxmount/tests/frames.rs
@@ -0,0 +1,198 @@
+//! What an endpoint process refuses by itself, whatever an entry believes.
+
+mod common;
+
+use std::time::{Duration, SystemTime};
+
+use bytes::Bytes;
+use common::{Fleet, PLAIN, Wanted};
+use lynxmount_core::{Incarnation, RequestId, wall_time_ms};
+use lynxmount_node::Readiness;
+use lynxmount_wire::{
+    AttemptId, Binding, Dispatch, Failure, FrameReader, FrameWriter, PROTOCOL_VERSION,
+    RefusalReason, ToEndpoint, ToEntry,
+};
+use tokio::net::{
+    TcpStream,
+    tcp::{OwnedReadHalf, OwnedWriteHalf},
+};
+
+const DATA_PORT: u16 = 7400;
+
+/// A connection as an entry has it, but one that sends what it likes.
+struct Peer {
+    incarnation: Incarnation,
+    reader: FrameReader<OwnedReadHalf, ToEntry>,
+    writer: FrameWriter<OwnedWriteHalf, ToEndpoint>,
+}
+
+impl Peer {
+    async fn connect(fleet: &Fleet) -> Peer {
+        let stream = TcpStream::connect(fleet.address(DATA_PORT)).await.unwrap();
+        let (read, write) = stream.into_split();
+        let mut reader = FrameReader::new(read, "endpoint");
+        let mut writer = FrameWriter::new(write, "endpoint");
+        let hello =
+            ToEndpoint::Hello { protocol_version: PROTOCOL_VERSION, process: "peer".into() };
+        writer.send(&hello).await.unwrap();
+        let Some(ToEntry::Welcome { incarnation }) = reader.next().await.unwrap() else {
+            panic!("no welcome")
+        };
+        Peer { incarnation, reader, writer }
+    }
+
+    async fn send(&mut self, dispatch: &Dispatch) {
+        self.writer.send(&ToEndpoint::Dispatch(Box::new(dispatch.clone()))).await.unwrap();
+    }
+
+    /// The last frame of an attempt's answer.
+    async fn end_of(&mut self, id: AttemptId) -> ToEntry {
+        loop {
+            let frame = self.reader.next().await.unwrap().expect("the endpoint is there");
+            let is_end = !matches!(frame, ToEntry::Head { .. } | ToEntry::Data { .. });
+            if frame.attempt() == Some(id) && is_end {
+                return frame;
+            }
+        }
+    }
+
+    async fn refusal_of(&mut self, dispatch: &Dispatch) -> Option<RefusalReason> {
+        self.send(dispatch).await;
+        match self.end_of(dispatch.id).await {
+            ToEntry::Refused { reason, .. } => Some(reason),
+            _ => None,
+        }
+    }
+}
+
+fn now_ms() -> u64 {
+    wall_time_ms(SystemTime::now())
+}
+
+fn dispatch(number: u128) -> Dispatch {
+    Dispatch {
+        id: AttemptId { request: RequestId::from_u128(number), attempt: 1 },
+        service: PLAIN.into(),
+        config_version: 0,
+        deadline_at_ms: now_ms() + 20_000,
+        priority: 0,
+        method: "POST".to_owned(),
+        path: "/orders".to_owned(),
+        headers: Vec::new(),
+        body: Bytes::from_static(b"{}"),
+        binding: None,
+    }
+}
+
+fn keyed(number: u128, key: u8, incarnation: Incarnation) -> Dispatch {
+    let binding = Binding {
+        key_digest: [key; 32],
+        request_digest: [1; 32],
+        incarnation,
+        claim_offset: 0,
+        claimed_at_ms: now_ms(),
+    };
+    Dispatch { binding: Some(binding), ..dispatch(number) }
+}
+
+fn wanted() -> Wanted {
+    Wanted { entries: 1, engines: 0, plains: 1, max_running: 1, ..Wanted::default() }
+}
+
+fn runs(fleet: &Fleet) -> usize {
+    fleet.plains[0].seen().len()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_must_not_be_run_is_refused() {
+    let fleet = Fleet::start(wanted()).await;
+    fleet.write("fleet.jsonc", &fleet.file().replace("\"rate_per_s\": 2", "\"rate_per_s\": 3"));
+    assert_eq!(fleet.operate(&["config", "apply", "fleet.jsonc"]).status.code(), Some(0));
+    let mut peer = Peer::connect(&fleet).await;
+    let other_life = Incarnation::from_u128(7);
+    let current = |dispatch: Dispatch| Dispatch { config_version: 1, ..dispatch };
+    let cases = [
+        (dispatch(1), RefusalReason::ConfigOutdated),
+        (current(Dispatch { deadline_at_ms: now_ms() - 1, ..dispatch(2) }), RefusalReason::Expired),
+        (current(Dispatch { service: "lm".into(), ..dispatch(3) }), RefusalReason::WrongService),
+        (current(keyed(4, 1, other_life)), RefusalReason::NotBoundHere),
+    ];
+
+    for (dispatch, reason) in cases {
+        assert_eq!(peer.refusal_of(&dispatch).await, Some(reason));
+    }
+
+    assert_eq!(runs(&fleet), 0);
+    assert_eq!(peer.refusal_of(&current(dispatch(5))).await, None);
+    assert_eq!(runs(&fleet), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_that_was_refused_is_never_run_here() {
+    let fleet = Fleet::start(wanted()).await;
+    let mut peer = Peer::connect(&fleet).await;
+    let late = Dispatch { deadline_at_ms: now_ms() - 1, ..keyed(1, 1, peer.incarnation) };
+
+    assert_eq!(peer.refusal_of(&late).await, Some(RefusalReason::Expired));
+
+    // The same key, in time: another entry was held back meanwhile.
+    let again = keyed(2, 1, peer.incarnation);
+    assert_eq!(peer.refusal_of(&again).await, Some(RefusalReason::Revoked));
+    assert_eq!(runs(&fleet), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_doubled_frame_runs_once() {
+    let fleet = Fleet::start(Wanted { plain_delay: Duration::from_millis(100), ..wanted() }).await;
+    let mut peer = Peer::connect(&fleet).await;
+    let twice = dispatch(1);
+
+    peer.send(&twice).await;
+    peer.send(&twice).await;
+
+    assert!(matches!(peer.end_of(twice.id).await, ToEntry::End { .. }));
+    assert_eq!(runs(&fleet), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cancelled_attempt_ends_and_a_cancelled_key_runs_on() {
+    let fleet = Fleet::start(Wanted { plain_delay: Duration::from_millis(300), ..wanted() }).await;
+    let mut peer = Peer::connect(&fleet).await;
+    let plain = dispatch(1);
+    peer.send(&plain).await;
+    common::eventually("the call runs", async || runs(&fleet) == 1).await;
+    peer.writer.send(&ToEndpoint::Cancel(plain.id)).await.unwrap();
+    let cancelled = ToEntry::Failed { id: plain.id, failure: Failure::Cancelled };
+    assert_eq!(peer.end_of(plain.id).await, cancelled);
+
+    let first = keyed(2, 1, peer.incarnation);
+    peer.send(&first).await;
+    peer.writer.send(&ToEndpoint::Cancel(first.id)).await.unwrap();
+    let again = keyed(3, 1, peer.incarnation);
+    peer.send(&again).await;
+
+    assert!(matches!(peer.end_of(again.id).await, ToEntry::End { .. }));
+    assert_eq!(runs(&fleet), 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_endpoint_refuses_whatever_it_is_sent() {
+    let fleet = Fleet::start(Wanted { plain_delay: Duration::from_secs(5), ..wanted() }).await;
+    let mut peer = Peer::connect(&fleet).await;
+    let running = dispatch(1);
+    peer.send(&running).await;
+    common::eventually("the call runs", async || runs(&fleet) == 1).await;
+
+    fleet.operate(&["drain", "bookings-0"]);
+    common::eventually("the endpoint is draining", async || {
+        let status = fleet.endpoint_status(0).await;
+        status.is_some_and(|status| status.readiness == Readiness::Draining)
+    })
+    .await;
+
+    assert_eq!(peer.refusal_of(&dispatch(2)).await, Some(RefusalReason::Draining));
+    let key = keyed(3, 1, peer.incarnation);
+    assert_eq!(peer.refusal_of(&key).await, Some(RefusalReason::Draining));
+    assert!(matches!(peer.end_of(running.id).await, ToEntry::End { .. }));
+    assert_eq!(runs(&fleet), 1);
+}
--- a/crates/node/src/blackboard.rs
+++ b/crates/node/src/blackboard.rs
@@ -6,7 +6,7 @@
 };
 
 use lynxmount_audit::{Actor, AuditBuffer, AuditEvent, AuditRecord};
-use lynxmount_config::{Acceptance, ChangeRecord, Head, ProcessSettings};
+use lynxmount_config::{Acceptance, ConfigRecord, Head, ProcessSettings, Snapshot};
 use lynxmount_core::{Error, Incarnation, Offset};
 
 use crate::view::DrainState;
@@ -41,7 +41,7 @@
     /// The oldest offset that the log still keeps.
     pub(crate) first: Offset,
     /// The records, in order, with their wall time in milliseconds.
-    pub(crate) changes: Vec<(Offset, ChangeRecord)>,
+    pub(crate) records: Vec<(Offset, ConfigRecord)>,
     /// When the platform took the newest of them, if there was one.
     pub(crate) newest_time_ms: Option<u64>,
 }
@@ -51,8 +51,8 @@
 pub(crate) enum Order {
     /// Append audit records to the log.
     AppendAudit(Vec<AuditRecord>),
-    /// Append the head again, so that retention does not remove it.
-    AppendChange(Box<ChangeRecord>),
+    /// Append a snapshot, for readers after the retention of what is in force.
+    AppendSnapshot(Box<Snapshot>),
 }
 
 /// What is known of the platform's log.
@@ -75,10 +75,9 @@
     pub(crate) incarnation: Incarnation,
     /// Decides which configuration is in force.
     pub(crate) acceptance: Acceptance,
-    /// When the platform took the head, in milliseconds since the Unix epoch.
-    pub(crate) head_time_ms: u64,
-    /// The head that was last appended again.
-    pub(crate) republished: Option<Offset>,
+    /// When what is in force was last recorded in the log, as far as is known,
+    /// in milliseconds since the Unix epoch.
+    pub(crate) recorded_at_ms: u64,
     /// What is known of the platform.
     pub(crate) platform: PlatformState,
     /// Whether the process is leaving.
@@ -114,8 +113,7 @@
             settings,
             incarnation,
             acceptance,
-            head_time_ms: 0,
-            republished: None,
+            recorded_at_ms: 0,
             platform: PlatformState::Untried,
             drain: DrainState::Serving,
             drain_since: None,
--- a/crates/node/src/control_port.rs
+++ b/crates/node/src/control_port.rs
@@ -9,7 +9,7 @@
     server::{Server, ServerConfig, ServerHandle},
 };
 use lynxmount_audit::Actor;
-use lynxmount_config::{ChangeRecord, Head};
+use lynxmount_config::Head;
 use lynxmount_core::{
     ChangeId, Error, FailureDomainId, Incarnation, Offset, ProcessId, Result, Step, invalid,
     unreachable,
@@ -71,27 +71,12 @@
     pub platform_up: bool,
 }
 
-/// The configuration that a process has in force.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct HeadMessage {
-    /// The change's offset.
-    pub offset: Offset,
-    /// The change.
-    pub change: ChangeRecord,
-}
-
-impl From<HeadMessage> for Head {
-    fn from(message: HeadMessage) -> Head {
-        Head { offset: message.offset, change: message.change }
-    }
-}
-
 /// The methods of the control port.
 #[rpc(client, server)]
 pub trait ControlApi {
     /// The configuration in force.
     #[method(name = "config_head")]
-    async fn config_head(&self) -> RpcResult<Option<HeadMessage>>;
+    async fn config_head(&self) -> RpcResult<Option<Head>>;
 
     /// Asks the process to finish its work and exit.
     #[method(name = "drain")]
@@ -106,7 +91,7 @@
 #[derive(Debug)]
 pub(crate) struct Told {
     pub(crate) status: RwLock<ProcessStatus>,
-    pub(crate) head: RwLock<Option<HeadMessage>>,
+    pub(crate) head: RwLock<Option<Head>>,
 }
 
 struct ControlServer {
@@ -116,7 +101,7 @@
 
 #[async_trait]
 impl ControlApiServer for ControlServer {
-    async fn config_head(&self) -> RpcResult<Option<HeadMessage>> {
+    async fn config_head(&self) -> RpcResult<Option<Head>> {
         Ok(self.told.head.read().clone())
     }
 
@@ -171,7 +156,7 @@
     /// Asks for the configuration in force.
     ///
     /// Fails if the process doesn't answer.
-    pub async fn config_head(&self) -> Result<Option<HeadMessage>> {
+    pub async fn config_head(&self) -> Result<Option<Head>> {
         self.client.config_head().await.map_err(|e| self.error(&e))
     }
 
--- a/crates/node/src/control_thread.rs
+++ b/crates/node/src/control_thread.rs
@@ -6,14 +6,14 @@
 };
 
 use lynxmount_audit::{AUDIT_STREAM, AuditBatch, AuditEvent};
-use lynxmount_config::{CONFIG_STREAM, ProcessSettings};
+use lynxmount_config::{CONFIG_STREAM, ConfigRecord, ProcessSettings};
 use lynxmount_core::{Incarnation, Result, wall_time_ms};
 use lynxmount_platform::Platform;
 use parking_lot::RwLock;
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::{
-    Counters, HeadMessage, ProcessKind, ProcessStatus, Readiness,
+    Counters, ProcessKind, ProcessStatus, Readiness,
     blackboard::{Blackboard, Event, Now, Order, PlatformState},
     control_port::{Told, serve_control},
     controllers::run_all,
@@ -152,8 +152,7 @@
             _ => before.config.clone(),
         };
         if is_new {
-            let message = head.map(|h| HeadMessage { offset: h.offset, change: h.change.clone() });
-            *self.told.head.write() = message;
+            *self.told.head.write() = head.cloned();
         }
         let platform_up = self.board.platform == PlatformState::Up;
         let view = View { config, drain: self.board.drain, platform_up };
@@ -167,7 +166,7 @@
     fn tell_status(&self, view: &View) {
         let mut status = self.told.status.write();
         status.config_version = view.config.as_ref().map(|config| config.version);
-        status.change_id = self.board.acceptance.head().map(|head| head.change.change_id);
+        status.change_id = self.board.acceptance.head().map(|head| head.change_id);
         status.running = self.board.running;
         status.platform_up = view.platform_up;
         status.readiness = match view.config {
@@ -186,9 +185,10 @@
             let appended = platform.append(AUDIT_STREAM, &batch).await;
             Some(Event::AuditAppended(appended.map(|_| batch.records)))
         }
-        Order::AppendChange(change) => {
+        Order::AppendSnapshot(snapshot) => {
             // Whether it was appended shows when the stream is read.
-            let _ = platform.append(CONFIG_STREAM, &*change).await;
+            let record = ConfigRecord::Snapshot(*snapshot);
+            let _ = platform.append(CONFIG_STREAM, &record).await;
             None
         }
     }
--- a/crates/node/src/controllers.rs
+++ b/crates/node/src/controllers.rs
@@ -3,8 +3,8 @@
 //! | controller | reads | writes |
 //! |---|---|---|
 //! | `Platform` | reads and failures of the log | `platform`, `audit` |
-//! | `Config` | records of the log, heads of peers | `acceptance`, `head_time_ms`, `audit` |
-//! | `Republish` | `acceptance`, `head_time_ms`, `platform` | `republished`, `orders` |
+//! | `Config` | records of the log, heads of peers | `acceptance`, `recorded_at_ms`, `audit` |
+//! | `Snapshot` | `acceptance`, `recorded_at_ms`, `platform` | `recorded_at_ms`, `orders` |
 //! | `Drain` | orders to leave, `running` | `drain`, `drain_since`, `audit` |
 //! | `Audit` | `audit`, `platform` | `audit_in_flight`, `audit_sent_at`, `orders` |
 
@@ -12,9 +12,9 @@
 
 use log::info;
 use lynxmount_audit::{Actor, AuditEvent};
-use lynxmount_config::{CONFIG_STREAM, ChangeRecord, Head, Verdict};
+use lynxmount_config::{ConfigRecord, Head, Verdict};
 use lynxmount_core::{Offset, duration_ms};
-use uuid::Uuid;
+use lynxmount_policy::rendezvous;
 
 use crate::{
     blackboard::{Blackboard, ConfigRead, Event, Now, Order, PlatformState},
@@ -24,11 +24,15 @@
 /// How long records wait for others to share their append.
 const AUDIT_PERIOD: Duration = Duration::from_millis(500);
 
-/// The part of the log's retention after which the head is appended again.
-const REPUBLISH_AFTER_PART: u32 = 2;
+/// The part of the log's retention after which a snapshot is due.
+const SNAPSHOT_AFTER_PART: u32 = 2;
 
-/// The author of heads that are appended again.
-const REPUBLISH_AUTHOR: &str = "lynxmount";
+/// The part of the log's retention by which each further process waits longer
+/// for the one before it to append the snapshot.
+const SNAPSHOT_TURN_PART: u32 = 64;
+
+/// How many processes take turns; all others wait like the last of these.
+const SNAPSHOT_TURNS: usize = 16;
 
 /// The closed set of controllers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -37,14 +41,14 @@
     Config,
     Drain,
     Platform,
-    Republish,
+    Snapshot,
 }
 
 /// The order in which controllers run after each event.
 const ORDER: [Controller; 5] = [
     Controller::Platform,
     Controller::Config,
-    Controller::Republish,
+    Controller::Snapshot,
     Controller::Drain,
     Controller::Audit,
 ];
@@ -57,7 +61,7 @@
             Controller::Config => run_config(board, event, now),
             Controller::Drain => run_drain(board, event, now),
             Controller::Platform => run_platform(board, event, now),
-            Controller::Republish => run_republish(board, now),
+            Controller::Snapshot => run_snapshot(board, now),
         }
     }
 }
@@ -96,7 +100,7 @@
 
 fn take_peer_head(board: &mut Blackboard, peer: SocketAddr, head: &Head, now: Now) {
     if board.acceptance.adopt(head.clone()) {
-        board.head_time_ms = now.wall_ms;
+        board.recorded_at_ms = now.wall_ms;
         note_in_force(board, format!("peer {peer}"), now);
     }
 }
@@ -104,26 +108,31 @@
 fn take_read(board: &mut Blackboard, read: &ConfigRead, now: Now) {
     let version_before = version(board);
     if read.first > board.acceptance.next() {
-        board.acceptance.resume(read.first, &read.changes);
+        board.acceptance.resume(read.first, read.records.iter().map(|(_, record)| record));
     }
-    for (offset, change) in &read.changes {
-        let verdict = board.acceptance.take(*offset, change.clone());
-        if let Some(Verdict::Refused(why)) = verdict {
-            let why = format!("{why:?}");
-            let change_id = change.change_id;
-            board.record(now, AuditEvent::ChangeRefused { offset: *offset, change_id, why });
+    for (offset, record) in &read.records {
+        let verdict = board.acceptance.take(*offset, record);
+        match (record, verdict) {
+            (ConfigRecord::Change(change), Some(Verdict::Refused(why))) => {
+                let (change_id, why) = (change.change_id, format!("{why:?}"));
+                board.record(now, AuditEvent::ChangeRefused { offset: *offset, change_id, why });
+            }
+            (ConfigRecord::Snapshot(snapshot), _) if snapshot.scope == board.settings.scope => {
+                board.recorded_at_ms = read.newest_time_ms.unwrap_or(now.wall_ms);
+            }
+            _ => {}
         }
     }
     board.acceptance.forget_before(read.first);
     if version(board) != version_before {
-        board.head_time_ms = read.newest_time_ms.unwrap_or(now.wall_ms);
+        board.recorded_at_ms = read.newest_time_ms.unwrap_or(now.wall_ms);
         note_in_force(board, "log".to_owned(), now);
     }
 }
 
 fn note_in_force(board: &mut Blackboard, source: String, now: Now) {
     let Some(head) = board.acceptance.head() else { return };
-    let (version, change_id) = (head.offset, head.change.change_id);
+    let (version, change_id) = (head.offset, head.change_id);
     info!("configuration {version} is in force, from {source}");
     board.record(now, AuditEvent::ConfigInForce { version, change_id, source });
 }
@@ -132,34 +141,30 @@
     board.acceptance.head().map(|head| head.offset)
 }
 
-/// Appends the head again when half of its retention is over.
+/// Appends a snapshot when half of the retention of what is in force is over.
 ///
-/// All processes that do so write the same change id, so however many race
-/// it is one change, with the content that is in force already.
-fn run_republish(board: &mut Blackboard, now: Now) {
+/// Processes wait for each other by rank. It does no harm if two append one.
+fn run_snapshot(board: &mut Blackboard, now: Now) {
     let Some(head) = board.acceptance.head() else { return };
-    let due_ms = duration_ms(board.settings.log_retention_ms / REPUBLISH_AFTER_PART);
-    let is_due = now.wall_ms >= board.head_time_ms.saturating_add(due_ms);
-    let is_done = board.republished == Some(head.offset);
-    if !is_due || is_done || board.platform != PlatformState::Up {
+    let retention = board.settings.log_retention_ms;
+    let turn = retention / SNAPSHOT_TURN_PART * turn_of(&board.settings.process_id, head) as u32;
+    let due_ms = duration_ms(retention / SNAPSHOT_AFTER_PART + turn);
+    let is_due = now.wall_ms >= board.recorded_at_ms.saturating_add(due_ms);
+    if !is_due || board.platform != PlatformState::Up {
         return;
     }
-    let change = ChangeRecord {
-        change_id: republish_id(head.offset, &head.change.digest),
-        base: Some(head.offset),
-        author: REPUBLISH_AUTHOR.to_owned(),
-        ..head.change.clone()
-    };
-    board.republished = Some(head.offset);
-    board.orders.push(Order::AppendChange(Box::new(change)));
+    let snapshot = board.acceptance.snapshot();
+    // If the append fails, the next try is due after as long again.
+    board.recorded_at_ms = now.wall_ms;
+    board.orders.extend(snapshot.map(|snapshot| Order::AppendSnapshot(Box::new(snapshot))));
 }
 
-/// The id that every process gives to the same republication.
-fn republish_id(head: Offset, digest: &[u8; 32]) -> Uuid {
-    let mut name = CONFIG_STREAM.as_bytes().to_vec();
-    name.extend(head.to_le_bytes());
-    name.extend(digest);
-    Uuid::new_v5(&Uuid::NAMESPACE_OID, &name)
+/// The process's place among the entries, which differs from version to version.
+fn turn_of(process: &str, head: &Head) -> usize {
+    let key = head.offset.to_string();
+    let entries = &head.fleet.entries;
+    let first = rendezvous(&key, entries, |entry| &entry.id, SNAPSHOT_TURNS);
+    first.iter().position(|entry| &*entry.id == process).unwrap_or(SNAPSHOT_TURNS)
 }
 
 fn run_drain(board: &mut Blackboard, event: &Event, now: Now) {
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -2,9 +2,10 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use lynxmount_config::{CONFIG_STREAM, ChangeRecord, ProcessSettings};
+use lynxmount_config::{CONFIG_STREAM, ConfigRecord, ProcessSettings};
 use lynxmount_core::{Offset, Result};
 use lynxmount_platform::{Page, Platform};
+use serde::Deserialize;
 use tokio::sync::{Notify, mpsc};
 
 use crate::{
@@ -64,20 +65,20 @@
         }
     }
 
-    /// Hands the page's changes over and returns the next offset to read.
+    /// Hands the page's records over and returns the next offset to read.
     fn send_page(&self, page: Page, next: Offset) -> Offset {
         let after = page.records.last().map_or(next, |record| record.offset + 1).max(page.first);
         let newest_time_ms = page.records.last().map(|record| record.time_ms);
-        let changes = page
+        let records = page
             .records
             .into_iter()
-            // A record that is no change has no effect at any process.
+            // A record that can't be read has no effect at any process.
             .filter_map(|record| {
-                let change = serde_json::from_value::<ChangeRecord>(record.data).ok()?;
-                Some((record.offset, change))
+                let content = ConfigRecord::deserialize(record.data).ok()?;
+                Some((record.offset, content))
             })
             .collect();
-        let read = ConfigRead { first: page.first, changes, newest_time_ms };
+        let read = ConfigRead { first: page.first, records, newest_time_ms };
         let _ = self.events.send(Event::ConfigRead(read));
         after
     }
@@ -89,7 +90,7 @@
                 Err(error) => Err(error),
             };
             if let Ok(Some(head)) = head {
-                let _ = self.events.send(Event::PeerHead { peer, head: Box::new(head.into()) });
+                let _ = self.events.send(Event::PeerHead { peer, head: Box::new(head) });
             }
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,9 +18,7 @@
 mod signals;
 mod view;
 
-pub use control_port::{
-    ControlApiClient, ControlClient, HeadMessage, ProcessKind, ProcessStatus, Readiness,
-};
+pub use control_port::{ControlApiClient, ControlClient, ProcessKind, ProcessStatus, Readiness};
 pub use counters::{Counter, Counters};
 pub use logging::init_logging;
 pub use node::{Node, NodeHandle, RunningGuard};
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -35,9 +35,9 @@
 impl ActiveConfig {
     /// Indexes the fleet of an accepted change.
     pub fn new(head: &Head) -> ActiveConfig {
-        let fleet = Arc::clone(&head.change.fleet);
-        let teams = fleet.teams.iter().map(|t| (t.token_sha256, Arc::new(t.clone()))).collect();
-        let services = fleet.services.iter().map(|s| (s.id.clone(), Arc::new(s.clone()))).collect();
+        let fleet = Arc::clone(&head.fleet);
+        let teams = fleet.teams.iter().map(|t| (t.token_sha256, Arc::clone(t))).collect();
+        let services = fleet.services.iter().map(|s| (s.id.clone(), Arc::clone(s))).collect();
         ActiveConfig { version: head.offset, fleet, teams, services }
     }
 
