Choose endpoints by what is still known, queue by what was learnt

Change: a report's worth falls with its age; common prefixes get several holders; two candidates are compared among those that the entry has not chosen lately. Of 16 departures one goes to the lowest priority that waits; expected waits are corrected by how long requests have really waited.

--- a/crates/config/tests/acceptance.rs
+++ b/crates/config/tests/acceptance.rs
@@ -137,6 +137,24 @@
     assert!(!Acceptance::new(SCOPE).adopt(altered));
 }
 
+#[test]
+fn a_snapshot_that_leaves_out_a_record_that_is_gone_is_not_used() {
+    let mut writer = reader();
+    let early = ConfigRecord::Snapshot(writer.snapshot().expect("a change was accepted"));
+    let head = writer.head().cloned();
+    writer.take(1, &record(&change(2, head.as_ref())));
+    let late = ConfigRecord::Snapshot(writer.snapshot().expect("a change was accepted"));
+    let resumed = |records: &[ConfigRecord]| {
+        let mut fresh = Acceptance::new(SCOPE);
+        fresh.resume(2, records.iter());
+        head_offset(&fresh)
+    };
+
+    // The second change, at offset 1, is gone.
+    assert_eq!(resumed(std::slice::from_ref(&early)), None);
+    assert_eq!(resumed(&[early, late]), Some(1));
+}
+
 #[test]
 fn differences_name_members_by_their_ids() {
     let (before, after) = (fleet("a"), fleet("b"));
--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -5,7 +5,8 @@
 use lynxmount_core::{EndpointId, Reason, ServiceId};
 use lynxmount_node::{ActiveConfig, Counter, NodeHandle};
 use lynxmount_policy::{
-    Candidate, ChoiceOptions, Offer, RetryBudget, ServiceQueue, Ticket, Waiter, choose, rank,
+    Candidate, ChoiceOptions, Offer, PrefixCounts, RetryBudget, ServiceQueue, Ticket, Waiter,
+    choose, rendezvous,
 };
 use parking_lot::{Mutex, RwLock};
 use rand::{SeedableRng, rngs::SmallRng};
@@ -91,6 +92,8 @@
     links: Vec<Arc<Link>>,
     max_running: u32,
     budget: RetryBudget,
+    prefixes: PrefixCounts,
+    choices: u64,
     rng: SmallRng,
 }
 
@@ -103,7 +106,7 @@
 impl Drop for WaitGuard<'_> {
     fn drop(&mut self) {
         let mut inner = self.gate.inner.lock();
-        inner.queue.remove(self.ticket);
+        inner.queue.remove(self.ticket, self.gate.node.now());
         inner.waiting.remove(&self.ticket);
     }
 }
@@ -118,6 +121,8 @@
             links: Vec::new(),
             max_running: 0,
             budget: RetryBudget::default(),
+            prefixes: PrefixCounts::default(),
+            choices: 0,
             rng: SmallRng::seed_from_u64(seed),
         };
         Gate { node, inner: Mutex::new(inner) }
@@ -223,35 +228,34 @@
     /// Chooses an endpoint with a free place, avoiding those that were tried
     /// as long as there are others.
     fn choose(&mut self, tried: &[EndpointId], prefix: Option<&str>) -> Option<Arc<Link>> {
-        let free: Vec<(usize, f64)> = self
+        let free: Vec<(usize, Candidate)> = self
             .links
             .iter()
             .enumerate()
-            .filter_map(|(index, link)| Some((index, link.load(self.max_running)?)))
-            .collect();
-        let untried: Vec<(usize, f64)> = free
-            .iter()
-            .copied()
-            .filter(|(index, _)| !tried.contains(&self.links[*index].endpoint.id))
+            .filter_map(|(index, link)| Some((index, link.candidate(self.max_running)?)))
             .collect();
+        let is_untried =
+            |(index, _): &&(usize, Candidate)| !tried.contains(&self.links[*index].endpoint.id);
+        let untried: Vec<(usize, Candidate)> = free.iter().filter(is_untried).copied().collect();
         let eligible = if untried.is_empty() { free } else { untried };
-        let candidates: Vec<Candidate> = eligible
-            .iter()
-            .map(|&(index, load)| Candidate { load, is_local: self.links[index].is_local })
-            .collect();
-        let preferred = prefix.and_then(|prefix| self.holder_of(prefix, &eligible));
-        let choice = choose(&candidates, preferred, ChoiceOptions::default(), &mut self.rng)?;
-        Some(Arc::clone(&self.links[eligible[choice.index].0]))
+        let candidates: Vec<Candidate> = eligible.iter().map(|(_, candidate)| *candidate).collect();
+        let holders = prefix.map(|prefix| self.holders_of(prefix, &eligible)).unwrap_or_default();
+        let choice = choose(&candidates, &holders, ChoiceOptions::default(), &mut self.rng)?;
+        let link = &self.links[eligible[choice.index].0];
+        self.choices += 1;
+        link.note_chosen(self.choices);
+        Some(Arc::clone(link))
     }
 
-    /// The endpoint that prompts with this beginning are sent to, so that its
-    /// engine has it cached. All entries come to the same one.
-    fn holder_of(&self, prefix: &str, eligible: &[(usize, f64)]) -> Option<usize> {
-        let (holder, _) = self
-            .links
-            .iter()
-            .enumerate()
-            .max_by_key(|(_, link)| rank(prefix, &link.endpoint.id))?;
-        eligible.iter().position(|(index, _)| *index == holder)
+    /// The eligible endpoints that prompts with this beginning are sent to, so
+    /// that their engines have it cached.
+    fn holders_of(&mut self, prefix: &str, eligible: &[(usize, Candidate)]) -> Vec<usize> {
+        let count = self.prefixes.count(prefix, self.links.len());
+        let holders = rendezvous(prefix, &self.links, |link| &link.endpoint.id, count);
+        let is_holder = |(index, _): &(usize, Candidate)| {
+            holders.iter().any(|h| Arc::ptr_eq(h, &self.links[*index]))
+        };
+        let positions = eligible.iter().enumerate().filter(|(_, candidate)| is_holder(candidate));
+        positions.map(|(position, _)| position).collect()
     }
 }
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -4,9 +4,9 @@
     collections::HashMap,
     sync::{
         Arc,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicU32, AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use lynxmount_audit::AuditEvent;
@@ -15,6 +15,7 @@
     Error, Incarnation, Result, Step, invalid, not_known, timed_out, unreachable,
 };
 use lynxmount_node::{Counter, NodeHandle};
+use lynxmount_policy::Candidate;
 use lynxmount_wire::{
     AttemptId, FrameReader, FrameWriter, LoadReport, PROTOCOL_VERSION, ToEndpoint, ToEntry,
 };
@@ -55,8 +56,9 @@
     /// The endpoint, as the fleet file has it.
     pub(crate) endpoint: Endpoint,
     /// Whether it stands in this entry's failure domain.
-    pub(crate) is_local: bool,
+    is_local: bool,
     own_running: AtomicU32,
+    last_chosen: AtomicU64,
     state: Mutex<State>,
 }
 
@@ -64,6 +66,7 @@
 struct State {
     connection: Option<Connection>,
     report: LoadReport,
+    reported_at: Option<Instant>,
     /// Work of other entries, as of the last report.
     others_running: u32,
     /// Set when the endpoint refused for want of places; cleared by a report.
@@ -78,7 +81,13 @@
 
 impl Link {
     pub(crate) fn new(endpoint: Endpoint, is_local: bool) -> Link {
-        Link { endpoint, is_local, own_running: AtomicU32::new(0), state: Mutex::default() }
+        Link {
+            endpoint,
+            is_local,
+            own_running: AtomicU32::new(0),
+            last_chosen: AtomicU64::new(0),
+            state: Mutex::default(),
+        }
     }
 
     /// The life of the connected endpoint process, if it is connected.
@@ -86,14 +95,21 @@
         self.state.lock().connection.as_ref().map(|connection| connection.incarnation)
     }
 
-    /// The endpoint's load as a part of what it runs at a time; `None` if it
-    /// can't take an attempt now.
-    pub(crate) fn load(&self, max_running: u32) -> Option<f64> {
+    /// What is known of the endpoint's load; `None` if it can't take an attempt
+    /// now.
+    pub(crate) fn candidate(&self, max_running: u32) -> Option<Candidate> {
         let state = self.state.lock();
-        let running = self.own_running.load(Ordering::Relaxed) + state.others_running;
+        let own = self.own_running.load(Ordering::Relaxed);
         let can_take = state.connection.is_some() && !state.report.draining && !state.is_full;
-        (can_take && state.report.backend_up && running < max_running)
-            .then(|| f64::from(running + state.report.waiting) / f64::from(max_running))
+        let has_place = own + state.others_running < max_running;
+        let others = state.others_running + state.report.waiting;
+        (can_take && state.report.backend_up && has_place).then(|| Candidate {
+            own_load: f64::from(own) / f64::from(max_running),
+            others_load: f64::from(others) / f64::from(max_running),
+            report_age: state.reported_at.map_or(Duration::ZERO, |at| at.elapsed()),
+            last_chosen: self.last_chosen.load(Ordering::Relaxed),
+            is_local: self.is_local,
+        })
     }
 
     /// Says whether the endpoint could take attempts if it had places.
@@ -102,6 +118,11 @@
         state.connection.is_some() && !state.report.draining && state.report.backend_up
     }
 
+    /// Notes that the endpoint was chosen, by a count of the gate's choices.
+    pub(crate) fn note_chosen(&self, choices: u64) {
+        self.last_chosen.store(choices, Ordering::Relaxed);
+    }
+
     /// Counts an attempt as running there.
     pub(crate) fn reserve(&self) {
         self.own_running.fetch_add(1, Ordering::Relaxed);
@@ -244,6 +265,7 @@
         {
             let mut state = self.state.lock();
             state.report = report;
+            state.reported_at = Some(Instant::now());
             state.others_running = report.running.saturating_sub(own);
             state.is_full = false;
         }
--- a/crates/lynxmount/benches/slopes.rs
+++ b/crates/lynxmount/benches/slopes.rs
@@ -183,12 +183,18 @@
         .iter()
         .map(|&count| {
             let candidates: Vec<Candidate> = (0..count)
-                .map(|n| Candidate { load: n as f64 / count as f64, is_local: n % 3 == 0 })
+                .map(|n| Candidate {
+                    own_load: n as f64 / count as f64,
+                    others_load: 0.5,
+                    report_age: Duration::from_millis(100),
+                    last_chosen: n as u64,
+                    is_local: n % 3 == 0,
+                })
                 .collect();
             let mut rng = SmallRng::seed_from_u64(1);
             let started = Instant::now();
             for _ in 0..ROUNDS {
-                black_box(choose(&candidates, None, ChoiceOptions::default(), &mut rng));
+                black_box(choose(&candidates, &[], ChoiceOptions::default(), &mut rng));
             }
             let per_choice = started.elapsed().as_secs_f64() * 1e9 / f64::from(ROUNDS);
             (count, json!({ "choice_ns": per_choice }))
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod bucket;
 mod choice;
+mod prefix;
 mod queue;
 mod retry;
 mod retry_budget;
@@ -15,6 +16,7 @@
 
 pub use bucket::TokenBucket;
 pub use choice::{Candidate, Choice, ChoiceOptions, choose};
+pub use prefix::PrefixCounts;
 pub use queue::{Offer, ServiceQueue, Ticket, Waiter};
 pub use retry::{AttemptEnd, GiveUp, Next, Retry};
 pub use retry_budget::RetryBudget;
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -20,6 +20,16 @@
 /// The shortest time that a refused caller is asked to stay away.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// Of so many departures one goes to the lowest priority that waits, so that a
+/// lasting overload does not shut it out altogether.
+const LOWEST_TURN: u64 = 16;
+
+/// How strongly the newest error of an expected wait counts.
+const ERROR_WEIGHT: f64 = 0.05;
+
+/// The factor by which expected waits may be corrected at most.
+const MAX_CORRECTION: f64 = 8.0;
+
 /// Names a request that waits.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Ticket(pub u64);
@@ -50,21 +60,41 @@
 }
 
 /// Requests of one priority, by team, with the teams in turn.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Class {
+    /// By how much longer than expected requests have waited lately: those that
+    /// arrive later overtake by priority or by their team's turn.
+    correction: f64,
     turns: VecDeque<TeamId>,
     by_team: HashMap<TeamId, VecDeque<Ticket>>,
     waiting: usize,
 }
 
+impl Default for Class {
+    /// Starts empty, with expectations that were right so far.
+    fn default() -> Class {
+        Class { correction: 1.0, turns: VecDeque::new(), by_team: HashMap::new(), waiting: 0 }
+    }
+}
+
+/// A request that waits.
+#[derive(Debug)]
+struct Waiting {
+    waiter: Waiter,
+    since: Duration,
+    /// How long it was expected to wait, before any correction.
+    expected: Duration,
+}
+
 /// The queue of one service.
 #[derive(Debug)]
 pub struct ServiceQueue {
     classes: BTreeMap<u8, Class>,
-    tickets: HashMap<Ticket, Waiter>,
+    tickets: HashMap<Ticket, Waiting>,
     next_ticket: u64,
     interval: Duration,
     departed_at: Option<Duration>,
+    departures: u64,
 }
 
 impl Default for ServiceQueue {
@@ -76,6 +106,7 @@
             next_ticket: 0,
             interval: FIRST_INTERVAL,
             departed_at: None,
+            departures: 0,
         }
     }
 }
@@ -86,7 +117,8 @@
         if has_place && self.is_first(waiter.priority) {
             return Offer::Start;
         }
-        let wait = self.expected_wait(&waiter);
+        let expected = self.expected_wait(&waiter);
+        let wait = expected.mul_f64(self.correction(waiter.priority));
         let limit = waiter.wait_until.saturating_sub(now);
         if wait > limit {
             let retry_after = wait.saturating_sub(limit).max(MIN_RETRY_AFTER);
@@ -96,25 +128,35 @@
             // An idle pause is no interval; the first to wait starts a new one.
             self.departed_at = Some(now);
         }
-        Offer::Wait(self.enqueue(waiter))
+        Offer::Wait(self.enqueue(Waiting { waiter, since: now, expected }))
     }
 
     /// Takes the request that goes next, if one waits.
     ///
     /// Call it when there is a place; it measures how fast the queue drains.
     pub fn start_next(&mut self, now: Duration) -> Option<Ticket> {
-        let priority = self.classes.iter().find(|(_, class)| class.waiting > 0).map(|(p, _)| *p)?;
+        let mut waiting = self.classes.iter().filter(|(_, class)| class.waiting > 0);
+        let is_lowest_turn = (self.departures + 1).is_multiple_of(LOWEST_TURN);
+        let turn = if is_lowest_turn { waiting.next_back() } else { waiting.next() };
+        let priority = turn.map(|(priority, _)| *priority)?;
         let ticket = self.classes.get_mut(&priority)?.pop()?;
-        self.tickets.remove(&ticket);
+        self.departures += 1;
         self.note_departure(now);
+        if let Some(started) = self.tickets.remove(&ticket) {
+            self.note_wait(&started, now);
+        }
         Some(ticket)
     }
 
-    /// Takes a request out that nobody waits for any more.
-    pub fn remove(&mut self, ticket: Ticket) {
-        let Some(waiter) = self.tickets.remove(&ticket) else { return };
-        if let Some(class) = self.classes.get_mut(&waiter.priority) {
-            class.remove(&waiter.team, ticket);
+    /// Takes a request out that nobody waits for any more, or that has waited
+    /// for too long.
+    pub fn remove(&mut self, ticket: Ticket, now: Duration) {
+        let Some(gone) = self.tickets.remove(&ticket) else { return };
+        if let Some(class) = self.classes.get_mut(&gone.waiter.priority) {
+            class.remove(&gone.waiter.team, ticket);
+        }
+        if now >= gone.waiter.wait_until {
+            self.note_wait(&gone, now);
         }
     }
 
@@ -138,21 +180,39 @@
     }
 
     /// A request waits for everyone of a higher priority, and in its own for
-    /// its team's backlog with all teams taking turns.
+    /// its team's backlog with all teams taking turns; at most, though, for the
+    /// turns that the lowest priority has in any case.
     fn expected_wait(&self, waiter: &Waiter) -> Duration {
         let before: usize = self.classes.range(..waiter.priority).map(|(_, c)| c.waiting).sum();
         let beside = match self.classes.get(&waiter.priority) {
             Some(class) => class.position(&waiter.team),
             None => 0,
         };
-        self.interval.saturating_mul((before + beside + 1) as u32)
+        let is_lowest = self.classes.range(waiter.priority + 1..).all(|(_, c)| c.waiting == 0);
+        let in_order = before + beside + 1;
+        let by_lowest_turn = (beside + 1).saturating_mul(LOWEST_TURN as usize);
+        let departures = if is_lowest { in_order.min(by_lowest_turn) } else { in_order };
+        self.interval.saturating_mul(departures as u32)
+    }
+
+    fn correction(&self, priority: u8) -> f64 {
+        self.classes.get(&priority).map_or(1.0, |class| class.correction)
+    }
+
+    /// Learns from how long a request has waited.
+    fn note_wait(&mut self, ended: &Waiting, now: Duration) {
+        let Some(class) = self.classes.get_mut(&ended.waiter.priority) else { return };
+        let waited = now.saturating_sub(ended.since).as_secs_f64();
+        let ratio = waited / ended.expected.as_secs_f64().max(f64::MIN_POSITIVE);
+        class.correction += ERROR_WEIGHT * (ratio.clamp(1.0, MAX_CORRECTION) - class.correction);
     }
 
-    fn enqueue(&mut self, waiter: Waiter) -> Ticket {
+    fn enqueue(&mut self, waiting: Waiting) -> Ticket {
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
+        let waiter = &waiting.waiter;
         self.classes.entry(waiter.priority).or_default().push(&waiter.team, ticket);
-        self.tickets.insert(ticket, waiter);
+        self.tickets.insert(ticket, waiting);
         ticket
     }
 
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -4,8 +4,8 @@
 
 use lynxmount_core::{Outcome, Reason, TeamId};
 use lynxmount_policy::{
-    AttemptEnd, Candidate, ChoiceOptions, GiveUp, Next, Retry, RetryBudget, TeamLimits, TeamRate,
-    choose, rendezvous,
+    AttemptEnd, Candidate, ChoiceOptions, GiveUp, Next, PrefixCounts, Retry, RetryBudget,
+    TeamLimits, TeamRate, choose, rendezvous,
 };
 use proptest::{prelude::*, test_runner::RngSeed};
 use rand::{SeedableRng, rngs::SmallRng};
@@ -134,7 +134,13 @@
 }
 
 fn candidate(load: f64, is_local: bool) -> Candidate {
-    Candidate { load, is_local }
+    Candidate {
+        own_load: load,
+        others_load: 0.0,
+        report_age: Duration::ZERO,
+        last_chosen: 0,
+        is_local,
+    }
 }
 
 fn rng() -> SmallRng {
@@ -147,8 +153,8 @@
     let idle = [candidate(0.5, true), candidate(0.0, false)];
     let loaded = [candidate(0.9, true), candidate(0.0, false)];
 
-    assert_eq!(choose(&idle, None, options, &mut rng()).map(|c| c.index), Some(0));
-    assert_eq!(choose(&loaded, None, options, &mut rng()).map(|c| c.index), Some(1));
+    assert_eq!(choose(&idle, &[], options, &mut rng()).map(|c| c.index), Some(0));
+    assert_eq!(choose(&loaded, &[], options, &mut rng()).map(|c| c.index), Some(1));
 }
 
 #[test]
@@ -157,13 +163,43 @@
     let near = [candidate(0.2, true), candidate(0.0, true)];
     let far = [candidate(0.7, true), candidate(0.0, true)];
 
-    assert_eq!(choose(&near, Some(0), options, &mut rng()).map(|c| c.index), Some(0));
-    assert_eq!(choose(&far, Some(0), options, &mut rng()).map(|c| c.index), Some(1));
+    assert_eq!(choose(&near, &[0], options, &mut rng()).map(|c| c.index), Some(0));
+    assert_eq!(choose(&far, &[0], options, &mut rng()).map(|c| c.index), Some(1));
+}
+
+#[test]
+fn an_old_report_counts_for_little() {
+    let options = ChoiceOptions::default();
+    let reported = |others_load: f64, age_ms: u64| Candidate {
+        own_load: 0.1,
+        others_load,
+        report_age: Duration::from_millis(age_ms),
+        last_chosen: 0,
+        is_local: true,
+    };
+    let fresh = [reported(0.5, 0), candidate(0.2, true)];
+    let old = [reported(0.5, 5_000), candidate(0.2, true)];
+
+    assert_eq!(choose(&fresh, &[], options, &mut rng()).map(|c| c.index), Some(1));
+    assert_eq!(choose(&old, &[], options, &mut rng()).map(|c| c.index), Some(0));
+}
+
+#[test]
+fn a_common_prefix_gets_several_holders_and_a_rare_one_gets_one() {
+    let mut counts = PrefixCounts::default();
+    let mut holders = (0, 0);
+    for number in 0..10_000 {
+        let rare = counts.count(&format!("rare-{number}"), 16);
+        let common = counts.count("common", 16);
+        holders = (rare, common);
+    }
+
+    assert_eq!(holders, (1, 16));
 }
 
 #[test]
 fn without_candidates_there_is_no_choice() {
-    assert_eq!(choose(&[], None, ChoiceOptions::default(), &mut rng()), None);
+    assert_eq!(choose(&[], &[], ChoiceOptions::default(), &mut rng()), None);
 }
 
 proptest! {
--- a/crates/policy/tests/queue.rs
+++ b/crates/policy/tests/queue.rs
@@ -51,6 +51,41 @@
     assert_eq!(queue.start_next(Duration::ZERO), None);
 }
 
+#[test]
+fn the_lowest_priority_is_not_shut_out_for_ever() {
+    let mut queue = queue();
+    let low = wait(&mut queue, "a", 9);
+    let mut started = Vec::new();
+    for _ in 0..16 {
+        wait(&mut queue, "b", 0);
+        started.extend(queue.start_next(Duration::ZERO));
+    }
+
+    assert_eq!(started.iter().filter(|ticket| **ticket == low).count(), 1);
+}
+
+#[test]
+fn expectations_that_were_too_good_are_corrected() {
+    let mut queue = queue();
+    let patient = Waiter { wait_until: Duration::from_secs(60), ..waiter("a", 1) };
+    let accepted = |queue: &mut ServiceQueue, now: Duration| {
+        let waiter = Waiter { wait_until: now + MAX_WAIT, ..waiter("a", 1) };
+        let offers = std::iter::repeat_with(|| queue.offer(waiter.clone(), false, now));
+        offers.take_while(|offer| matches!(offer, Offer::Wait(_))).count()
+    };
+    let at_first = accepted(&mut ServiceQueue::default(), Duration::ZERO);
+    // Each waits four times as long as one interval between departures.
+    for number in 0..100 {
+        let now = Duration::from_millis(number * 80);
+        queue.offer(patient.clone(), false, now);
+        queue.start_next(now + Duration::from_millis(80));
+    }
+
+    let later = accepted(&mut queue, Duration::from_secs(10));
+
+    assert!(later < at_first, "{later} are let in, {at_first} at first");
+}
+
 #[test]
 fn a_large_team_does_not_keep_a_small_one_waiting() {
     let mut queue = queue();
@@ -98,10 +133,12 @@
 #[test]
 fn a_slower_drain_shortens_the_queue() {
     let mut queue = queue();
-    wait(&mut queue, "a", 1);
+    let patient = Waiter { wait_until: Duration::from_secs(600), ..waiter("a", 1) };
+    queue.offer(patient.clone(), false, Duration::ZERO);
     for number in 1..60 {
-        wait(&mut queue, "a", 1);
-        queue.start_next(Duration::from_millis(number * 500));
+        let now = Duration::from_millis(number * 500);
+        queue.offer(patient.clone(), false, now);
+        queue.start_next(now);
     }
 
     let accepted = std::iter::repeat_with(|| queue.offer(waiter("a", 1), false, Duration::ZERO))
@@ -135,7 +172,7 @@
                 }
                 _ if !waiting.is_empty() => {
                     let gone = waiting.remove(usize::from(team) % waiting.len());
-                    queue.remove(gone);
+                    queue.remove(gone, Duration::ZERO);
                 }
                 _ => {}
             }
