Replay recorded traces of events and faults against the decisions

Change: crate `replay` and `lynxmount replay FILE`: JSON lines, each an event for a request, a key, a configuration or a gate, with its stated result; it exits 1 at the first that differs.

--- a/crates/lynxmount/src/cli.rs
+++ b/crates/lynxmount/src/cli.rs
@@ -38,6 +38,8 @@
 pub(crate) const POLICY: &str = "policy";
 /// Name of the argument for the file that maps are written to.
 pub(crate) const MAPS_OUT: &str = "maps-out";
+/// Name of the flag to print results.
+pub(crate) const RECORD: &str = "record";
 /// Name of the argument for a shell.
 pub(crate) const SHELL: &str = "shell";
 
@@ -63,6 +65,7 @@
         .subcommand(audit())
         .subcommand(drain())
         .subcommand(balance())
+        .subcommand(replay())
         .subcommand(completions())
 }
 
@@ -251,6 +254,21 @@
         )
 }
 
+fn replay() -> Command {
+    Command::new("replay")
+        .about("Play a recorded trace of events and faults against the decisions")
+        .after_help(
+            "Exits 1 at the first event whose result is not the stated one (docs/TRACES.md).",
+        )
+        .arg(
+            Arg::new(RECORD)
+                .long(RECORD)
+                .action(ArgAction::SetTrue)
+                .help("Print every event with the result that it came to"),
+        )
+        .arg(Arg::new(FILE).required(true).value_name("FILE").help("A trace, in JSON lines"))
+}
+
 fn completions() -> Command {
     Command::new("completions")
         .about("Print a completion script")
--- a/crates/lynxmount/src/commands/mod.rs
+++ b/crates/lynxmount/src/commands/mod.rs
@@ -8,6 +8,7 @@
 mod drain;
 mod operator;
 mod processes;
+mod replay;
 mod show;
 mod status;
 
@@ -40,6 +41,7 @@
             Some(("replay", matches)) => balance::run_replay(matches, form),
             _ => Ok(Exit::Invalid),
         },
+        Some(("replay", matches)) => replay::run(matches),
         Some(("completions", matches)) => Ok(completions::run(matches)),
         _ => Ok(Exit::Invalid),
     }
--- /dev/null
+++ b/crates/replay/src/key_events.rs
@@ -0,0 +1,93 @@
+//! Events of idempotency keys. Keys, requests and lives have short names in a
+//! trace; their digests and ids are made from these.
+
+use lynxmount_core::Incarnation;
+use lynxmount_idempotency::{
+    Admission, Claim, ClaimBatch, KeyDigest, KeyStep, Ledger, LedgerOptions, RequestDigest,
+    key_digest, next_step, request_digest,
+};
+use serde_json::{Value, json};
+use uuid::Uuid;
+
+use crate::{Event, World};
+
+/// Keys that a life remembers in a trace.
+const MAX_KEYS: usize = 1_000;
+
+pub(crate) fn play(world: &mut World, event: &Event) -> Result<Value, String> {
+    match event {
+        Event::ClaimRead { entry, offset, key, request, life, replaces } => {
+            let claim = Claim {
+                key_digest: key_of(key),
+                request_digest: request_of(request),
+                endpoint: endpoint_of(life).into(),
+                incarnation: incarnation_of(life),
+                claimed_at_ms: 0,
+                replaces: *replaces,
+            };
+            let table = world.entries.entry(entry.clone()).or_default();
+            table.take(*offset, ClaimBatch { claims: vec![claim] });
+            Ok(json!({ "counts": table.get(&key_of(key)).map(|standing| standing.offset) }))
+        }
+        Event::Dispatched { life, key, request, bound_to, claimed_at_ms, at_ms, is_obstructed } => {
+            let options = LedgerOptions { max_keys: MAX_KEYS };
+            let ledger = world
+                .lives
+                .entry(life.clone())
+                .or_insert_with(|| Ledger::new(incarnation_of(life), options));
+            let bound_to = incarnation_of(bound_to);
+            let key = key_of(key);
+            let admission =
+                ledger.admit(key, request_of(request), bound_to, *claimed_at_ms, *at_ms);
+            if admission == Admission::Run && *is_obstructed {
+                ledger.revoke_unstarted(&key);
+                return Ok(json!("refused-and-revoked"));
+            }
+            Ok(json!(admission_name(admission)))
+        }
+        Event::KeyWanted { entry, key, request, revoked, live } => {
+            let table = world.entries.entry(entry.clone()).or_default();
+            let standing = table.get(&key_of(key));
+            let live = live.as_deref().map(incarnation_of);
+            let step = next_step(&request_of(request), *revoked, standing, live);
+            Ok(step_value(step))
+        }
+        _ => Err("no event of keys".to_owned()),
+    }
+}
+
+fn key_of(name: &str) -> KeyDigest {
+    key_digest("team", "service", name.as_bytes())
+}
+
+fn request_of(name: &str) -> RequestDigest {
+    request_digest("POST", "/", name.as_bytes())
+}
+
+fn incarnation_of(life: &str) -> Incarnation {
+    Uuid::new_v5(&Uuid::NAMESPACE_OID, life.as_bytes())
+}
+
+fn endpoint_of(life: &str) -> &str {
+    life.split('/').next().unwrap_or(life)
+}
+
+fn admission_name(admission: Admission) -> &'static str {
+    match admission {
+        Admission::Attach => "attach",
+        Admission::Full => "full",
+        Admission::KeyReused => "key-reused",
+        Admission::NotBoundHere => "not-bound-here",
+        Admission::Revoked => "revoked",
+        Admission::Run => "run",
+    }
+}
+
+fn step_value(step: KeyStep) -> Value {
+    match step {
+        KeyStep::Claim { replaces } => json!({ "claim": { "replaces": replaces } }),
+        KeyStep::Dispatch => json!("dispatch"),
+        KeyStep::Reused => json!("reused"),
+        KeyStep::Unreachable => json!("unreachable"),
+    }
+}
--- /dev/null
+++ b/crates/replay/src/request_events.rs
@@ -0,0 +1,37 @@
+//! Events of requests and their attempts.
+
+use lynxmount_policy::{Next, Retry};
+use serde_json::{Value, json};
+
+use crate::{Event, World};
+
+pub(crate) fn play(world: &mut World, event: &Event) -> Result<Value, String> {
+    match event {
+        Event::RequestBegan {
+            request,
+            max_attempts,
+            wait_until_ms,
+            deadline_ms,
+            is_idempotent,
+        } => {
+            let retry = Retry::new(*max_attempts, *wait_until_ms, *deadline_ms, *is_idempotent);
+            world.requests.insert(request.clone(), retry);
+            Ok(Value::Null)
+        }
+        Event::AttemptEnded { request, end, at_ms, has_budget } => {
+            let retry = world.requests.get_mut(request);
+            let retry = retry.ok_or_else(|| format!("request {request} has not begun"))?;
+            Ok(next_value(retry.attempt_ended((*end).into(), *at_ms, || *has_budget)))
+        }
+        _ => Err("no event of requests".to_owned()),
+    }
+}
+
+fn next_value(next: Next) -> Value {
+    match next {
+        Next::GiveUp(give_up) => {
+            json!({ "give_up": { "outcome": give_up.outcome, "reason": give_up.reason } })
+        }
+        Next::TryAgain => json!("try-again"),
+    }
+}
