Resume an engine's stream where its connection broke

Cause: engines can resume streams, and a connection to the engine that broke in mid-stream still ended the caller's stream as unknown.

Ruled out: resuming by bytes (engines number events, and the part of an event that came before the break would come twice).

Change: an endpoint process passes whole events on and holds back the part of one; after a break it asks the engine to go on after the last whole event, up to three times. A cancelled attempt is cancelled at the engine by name, as a broken connection alone keeps the stream for a while.

--- a/crates/endpoint/src/backend.rs
+++ b/crates/endpoint/src/backend.rs
@@ -3,26 +3,31 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderName, HeaderValue, Method, Request, Response, Uri, header::CONNECTION};
+use http::{
+    HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, header::CONNECTION,
+};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
-use lynxmount_core::{Error, Result, Step, invalid, not_known, timed_out, unreachable};
-use lynxmount_wire::{Dispatch, Header};
+use lynxmount_core::{Error, Result, Step, invalid, not_known, refused, timed_out, unreachable};
+use lynxmount_wire::{AttemptId, Dispatch, Header};
 use serde::Deserialize;
 
 /// How long a connection may take to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// How long the back end may take to tell its load.
+/// How long the back end may take to tell its load, or to begin to resume.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Where back ends tell their load.
 const LOAD_PATH: &str = "/load";
 
+/// Where engines go on with streams and cancel them.
+const STREAMS_PATH: &str = "/v1/streams/";
+
 /// Names the attempt in the back end's records.
 const ATTEMPT_HEADER: HeaderName = HeaderName::from_static("lynxmount-attempt");
 
@@ -62,22 +67,46 @@
         self.http.request(request).await.map_err(|e| self.transport_error(&e))
     }
 
+    /// Goes on with an attempt's stream of events after those that have come.
+    ///
+    /// Fails if the engine doesn't answer, or has the stream no more.
+    pub(crate) async fn resume(&self, id: AttemptId, events: u64) -> Result<Response<Incoming>> {
+        let path = format!("{STREAMS_PATH}{}?from={events}", attempt_name(id));
+        let response = self.bare(Method::GET, &path).await?;
+        match response.status() {
+            StatusCode::OK => Ok(response),
+            status => Err(refused(Step::CallBackend, self.address, status)),
+        }
+    }
+
+    /// Tells an engine that nobody waits for an attempt's stream any more.
+    ///
+    /// Fails if the engine doesn't answer.
+    pub(crate) async fn cancel(&self, id: AttemptId) -> Result<()> {
+        let path = format!("{STREAMS_PATH}{}", attempt_name(id));
+        self.bare(Method::DELETE, &path).await.map(drop)
+    }
+
+    async fn bare(&self, method: Method, path: &str) -> Result<Response<Incoming>> {
+        let mut request = Request::new(Full::default());
+        *request.method_mut() = method;
+        *request.uri_mut() = self.uri(path)?;
+        let answer = self.http.request(request);
+        let answer = tokio::time::timeout(LOAD_TIMEOUT, answer).await;
+        let answer =
+            answer.map_err(|_| timed_out(Step::CallBackend, self.address, "no answer in time"))?;
+        answer.map_err(|e| self.transport_error(&e))
+    }
+
     /// Asks for the back end's load.
     ///
     /// Fails if it doesn't answer in time.
     pub(crate) async fn load(&self) -> Result<Load> {
-        let request = Request::get(self.uri(LOAD_PATH)?)
-            .body(Full::default())
-            .map_err(|e| invalid(Step::CallBackend, self.address, e))?;
-        let answer = async {
-            let response =
-                self.http.request(request).await.map_err(|e| self.transport_error(&e))?;
-            let body = response.into_body().collect().await;
-            body.map_err(|e| not_known(Step::CallBackend, self.address, e))
-        };
-        let body = tokio::time::timeout(LOAD_TIMEOUT, answer)
+        let response = self.bare(Method::GET, LOAD_PATH).await?;
+        let body = tokio::time::timeout(LOAD_TIMEOUT, response.into_body().collect())
             .await
-            .map_err(|_| timed_out(Step::CallBackend, self.address, "no load in time"))??;
+            .map_err(|_| timed_out(Step::CallBackend, self.address, "no load in time"))?
+            .map_err(|e| not_known(Step::CallBackend, self.address, e))?;
         serde_json::from_slice(&body.to_bytes())
             .map_err(|e| invalid(Step::CallBackend, self.address, e))
     }
@@ -97,8 +126,9 @@
                 headers.append(name, value);
             }
         }
-        let attempt = format!("{}.{}", dispatch.id.request, dispatch.id.attempt);
-        headers.extend(HeaderValue::from_str(&attempt).map(|value| (ATTEMPT_HEADER, value)));
+        headers.extend(
+            HeaderValue::from_str(&attempt_name(dispatch.id)).map(|value| (ATTEMPT_HEADER, value)),
+        );
         headers.insert(PRIORITY_HEADER, HeaderValue::from(u16::from(dispatch.priority)));
         Ok(request)
     }
@@ -120,6 +150,11 @@
     }
 }
 
+/// An attempt's name in the back end's records.
+fn attempt_name(id: AttemptId) -> String {
+    format!("{}.{}", id.request, id.attempt)
+}
+
 /// Collects the headers that the caller gets; those of the connection to the
 /// back end (RFC 9110, 7.6.1) are left out.
 pub(crate) fn headers_to_pass(response: &Response<Incoming>) -> Vec<Header> {
--- a/crates/endpoint/src/runner.rs
+++ b/crates/endpoint/src/runner.rs
@@ -5,12 +5,13 @@
     time::{Duration, SystemTime},
 };
 
+use http::{Response, header::CONTENT_TYPE};
 use http_body_util::BodyExt;
-use hyper::body::Body;
-use lynxmount_config::Service;
+use hyper::body::{Body, Incoming};
+use lynxmount_config::{Service, ServiceKind};
 use lynxmount_core::{Cause, ServiceId, wall_time_ms};
 use lynxmount_node::{Counter, NodeHandle, RunningGuard, View};
-use lynxmount_wire::{Binding, Dispatch, Failure, RefusalReason};
+use lynxmount_wire::{Binding, Dispatch, EventStream, Failure, Header, RefusalReason};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -22,6 +23,12 @@
     reports::Reports,
 };
 
+/// How often one stream is resumed at most.
+const MAX_RESUMES: u32 = 3;
+
+/// The media type of a stream of server-sent events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// What all attempts share.
 pub(crate) struct Runner {
     pub(crate) node: NodeHandle,
@@ -112,15 +119,24 @@
         let mut sink = Sink::Direct(output);
         let end = tokio::select! {
             end = self.call(&dispatch, &mut sink) => end,
-            // Dropping the call closes the connection, which the engine sees.
             () = cancel.cancelled() => RecordingEnd::Failed(Failure::Cancelled),
             () = expiry(&dispatch) => RecordingEnd::Failed(Failure::Expired),
         };
+        // An engine keeps a broken stream for a while, in case it is resumed.
+        if end == RecordingEnd::Failed(Failure::Cancelled) && self.is_model() {
+            let _ = self.backend.cancel(dispatch.id).await;
+        }
         // The process stays until the end of the answer is on its way.
         let _running = self.give_back(permit);
         sink.end(end).await;
     }
 
+    fn is_model(&self) -> bool {
+        let view = self.node.view();
+        let service = view.config.as_ref().and_then(|config| config.service(&self.service));
+        service.is_some_and(|service| service.kind == ServiceKind::Model)
+    }
+
     /// Runs a key once, or takes part in the answer of its earlier run.
     ///
     /// A run goes on if its entry goes away: its caller will come back with
@@ -197,23 +213,35 @@
             }
             Err(_) => return RecordingEnd::Failed(Failure::Backend),
         };
-        // Head, first piece and end are handed over without a pause between
-        // them where they can be, so that they share one write and one read.
-        let mut head = Some((response.status().as_u16(), headers_to_pass(&response)));
+        match is_event_stream(&response) {
+            true => self.pass_events(dispatch, response, sink).await,
+            false => pass_body(response, sink).await,
+        }
+    }
+
+    /// Passes a stream of events on; where it breaks, the engine is asked to go
+    /// on after the last event that was whole.
+    async fn pass_events(
+        &self,
+        dispatch: &Dispatch,
+        response: Response<Incoming>,
+        sink: &mut Sink,
+    ) -> RecordingEnd {
+        let mut events = EventStream::default();
+        let mut head = Some(head_of(&response));
         let mut body = response.into_body();
-        while !body.is_end_stream() {
-            match body.frame().await {
-                Some(Ok(frame)) => {
-                    let Ok(bytes) = frame.into_data() else { continue };
-                    sink.head(head.take()).await;
-                    sink.piece(bytes).await;
-                }
-                Some(Err(_)) => return RecordingEnd::Failed(Failure::Backend),
-                None => break,
+        for _ in 0..=MAX_RESUMES {
+            if pass_whole_events(&mut body, &mut events, &mut head, sink).await {
+                return RecordingEnd::Whole;
+            }
+            events.restart();
+            self.node.counters().count(Counter::StreamsResumed);
+            match self.backend.resume(dispatch.id, events.events()).await {
+                Ok(response) => body = response.into_body(),
+                Err(_) => return RecordingEnd::Failed(Failure::Backend),
             }
         }
-        sink.head(head.take()).await;
-        RecordingEnd::Whole
+        RecordingEnd::Failed(Failure::Backend)
     }
 
     /// Gives the place back; entries that wait for one are told at once.
@@ -229,7 +257,7 @@
 
 impl Sink {
     /// Passes the head on, unless it was passed on before.
-    async fn head(&mut self, head: Option<(u16, Vec<lynxmount_wire::Header>)>) {
+    async fn head(&mut self, head: Option<AnswerHead>) {
         let Some((status, headers)) = head else { return };
         match self {
             // An entry that has gone cancels the run by closing its connection.
@@ -257,6 +285,62 @@
     }
 }
 
+/// Passes a body on that can't be resumed.
+///
+/// Head, first piece and end are handed over without a pause between them where
+/// they can be, so that they share one write and one read.
+async fn pass_body(response: Response<Incoming>, sink: &mut Sink) -> RecordingEnd {
+    let mut head = Some(head_of(&response));
+    let mut body = response.into_body();
+    while !body.is_end_stream() {
+        match body.frame().await {
+            Some(Ok(frame)) => {
+                let Ok(bytes) = frame.into_data() else { continue };
+                sink.head(head.take()).await;
+                sink.piece(bytes).await;
+            }
+            Some(Err(_)) => return RecordingEnd::Failed(Failure::Backend),
+            None => break,
+        }
+    }
+    sink.head(head.take()).await;
+    RecordingEnd::Whole
+}
+
+/// Passes events on until the stream ends; `false` if it breaks.
+async fn pass_whole_events(
+    body: &mut Incoming,
+    events: &mut EventStream,
+    head: &mut Option<AnswerHead>,
+    sink: &mut Sink,
+) -> bool {
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return false };
+        let whole = frame.data_ref().and_then(|bytes| events.take(bytes));
+        if let Some(whole) = whole {
+            sink.head(head.take()).await;
+            sink.piece(whole).await;
+        }
+    }
+    sink.head(head.take()).await;
+    if let Some(rest) = events.rest() {
+        sink.piece(rest).await;
+    }
+    true
+}
+
+/// An answer's status and headers.
+type AnswerHead = (u16, Vec<Header>);
+
+fn head_of(response: &Response<Incoming>) -> AnswerHead {
+    (response.status().as_u16(), headers_to_pass(response))
+}
+
+fn is_event_stream(response: &Response<Incoming>) -> bool {
+    let media_type = response.headers().get(CONTENT_TYPE);
+    media_type.is_some_and(|value| value.as_bytes().starts_with(EVENT_STREAM))
+}
+
 async fn send_end(output: &mut Output, end: RecordingEnd) {
     // An entry that has gone needs no end.
     let _ = match end {
--- a/crates/lynxmount/tests/deaths.rs
+++ b/crates/lynxmount/tests/deaths.rs
@@ -66,6 +66,18 @@
     assert_eq!(after - before, 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_engine_connection_breaks_is_resumed_where_it_broke() {
+    let fleet = Fleet::start(Wanted { engines: 1, plains: 0, ..slow_engines() }).await;
+    let before = fleet.engines[0].seen().len();
+    fleet.engines[0].cut_next_stream_after(7);
+
+    let answer = fleet.caller(0).call(Method::POST, CHAT, &[], chat("dent", 20, true)).await;
+
+    assert_eq!(streamed_text(&answer.unwrap().body), (answer_text("dent", 20), true));
+    assert_eq!(fleet.engines[0].seen().len() - before, 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_whose_endpoint_is_killed_ends_with_a_problem_and_not_as_whole() {
     let mut fleet = Fleet::start(Wanted { engines: 1, ..slow_engines() }).await;
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -56,6 +56,8 @@
     RequestsUnknown => "requests.unknown",
     /// Retries.
     Retries => "retries",
+    /// Streams that broke and were asked for again after their last event.
+    StreamsResumed => "streams.resumed",
     /// Answers that did not match their digest.
     AnswersBroken => "answers.broken",
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -31,6 +31,8 @@
     pub attempt: String,
     /// The content of the request's last message.
     pub prompt: String,
+    /// How many tokens were asked for.
+    pub max_tokens: u32,
 }
 
 /// A running engine.
@@ -128,7 +130,11 @@
     };
     let prompt = prompt_of(&body);
     let max_tokens = body["max_tokens"].as_u64().unwrap_or(DEFAULT_MAX_TOKENS) as u32;
-    state.seen.lock().push(SeenRun { attempt: attempt.clone(), prompt: prompt.clone() });
+    state.seen.lock().push(SeenRun {
+        attempt: attempt.clone(),
+        prompt: prompt.clone(),
+        max_tokens,
+    });
     let priority = priority.unwrap_or(LOWEST_PRIORITY);
     let progress = state.batch.add(attempt.clone(), priority, max_tokens);
     match body["stream"].as_bool() {
@@ -140,8 +146,7 @@
     }
 }
 
-/// Continues a stream; the query names the prompt, the length and the first
-/// token that is wanted.
+/// Continues a stream; the query names the first event that is wanted.
 fn resume(state: &State, request: &Request<Incoming>) -> Response<Body> {
     let id = request.uri().path().trim_start_matches("/v1/streams/");
     let from = query_number(request, "from").unwrap_or(0);
@@ -149,8 +154,7 @@
     let (Some(progress), Some(run)) = (state.batch.find(id), seen) else {
         return json(StatusCode::NOT_FOUND, &json!({ "error": "no such stream" }));
     };
-    let max_tokens = query_number(request, "max_tokens").unwrap_or(DEFAULT_MAX_TOKENS as u32);
-    let prompt = run.prompt;
+    let SeenRun { prompt, max_tokens, .. } = run;
     event_stream(TokenStream { prompt, max_tokens, sent: from, progress, cut_after: None })
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,10 +8,12 @@
 
 mod answer;
 mod codec;
+mod event_stream;
 mod frame;
 
 pub use answer::{Answer, AnswerEnd, Piece};
 pub use codec::{FrameReader, FrameWriter, MAX_FRAME_BYTES};
+pub use event_stream::EventStream;
 pub use frame::{
     AttemptId, Binding, Dispatch, Failure, Header, LoadReport, PROTOCOL_VERSION, RefusalReason,
     ToEndpoint, ToEntry,
