Split the handler by job; finish requests whose body still comes

Change: `call` finds out what a request asks for, `attempts` has the attempts, `handler` the way between. A request that was taken on is finished. A request that waits on for a place is counted as no retry. Tests of the probes, the counters and statsd.

Before: 503 to a body that came after SIGTERM. After: 200 (test with processes).

--- /dev/null
+++ b/crates/entry/src/attempts.rs
@@ -0,0 +1,175 @@
+//! The attempts of an admitted request, up to its answer.
+
+use bytes::Bytes;
+use http::{HeaderValue, Response};
+use lynxmount_core::{EndpointId, Outcome, Reason};
+use lynxmount_node::Counter;
+use lynxmount_policy::{AttemptEnd, Next, Retry, Waiter};
+use lynxmount_wire::{Binding, Header, RefusalReason};
+
+use crate::{
+    attempt::Attempt,
+    call::Call,
+    gate::{Place, Want},
+    handler::Handler,
+    keyed::bind,
+    relay::{Collected, StreamContext, StreamingAnswer, collect},
+    reply::{OUTCOME_HEADER, Refusal, ReplyBody, answer_response, whole_body},
+};
+
+/// What an admitted request has come to.
+pub(crate) enum Ran {
+    /// An endpoint has a newer configuration; admit the request anew.
+    ConfigOutdated,
+    /// The response.
+    Response(Response<ReplyBody>),
+}
+
+/// What follows when an attempt ends.
+enum AfterAttempt {
+    GiveUp(Refusal),
+    ReadmitUnderNewConfig,
+    TryAgain,
+}
+
+impl Handler {
+    /// Tries until there is an answer or nothing more may be tried.
+    pub(crate) async fn run(&self, mut call: Call) -> Result<Ran, Refusal> {
+        let is_idempotent = call.key.is_none();
+        let mut retry = Retry::new(
+            call.service.max_attempts,
+            call.wait_until.since_start,
+            call.deadline.since_start,
+            is_idempotent,
+        );
+        let mut tried = Vec::new();
+        call.gate.note_first_attempt(call.service.retry_budget_percent);
+        for attempt_number in 1.. {
+            let (place, binding) = match self.find_place(&call, &tried).await {
+                Ok(found) => found,
+                Err(refusal) => {
+                    let refusal = with_history(refusal, &retry);
+                    return Err(self.checked_refusal(refusal, call.key.as_ref()).await);
+                }
+            };
+            tried.push(place.link.endpoint.id.clone());
+            let bound_at = binding.as_ref().map(|binding| binding.claim_offset);
+            let dispatch = call.dispatch(attempt_number, binding);
+            let collected = match Attempt::send(place, dispatch, &self.node) {
+                Ok(attempt) => collect(attempt, call.deadline).await,
+                Err(end) => Collected::Ended(end),
+            };
+            let end = match collected {
+                Collected::Whole { status, headers, body } => {
+                    return Ok(Ran::Response(self.whole(status, &headers, body)));
+                }
+                Collected::Streaming(answer) => {
+                    return Ok(Ran::Response(self.streaming(call, answer)));
+                }
+                Collected::Refused(reason) => {
+                    if reason.revokes_key() {
+                        call.note_revoked(bound_at);
+                    }
+                    self.after_refusal(&mut retry, reason, &call)
+                }
+                Collected::Ended(end) => self.after_end(&mut retry, end, &call),
+            };
+            match end {
+                AfterAttempt::GiveUp(refusal) => {
+                    return Err(self.checked_refusal(refusal, call.key.as_ref()).await);
+                }
+                AfterAttempt::ReadmitUnderNewConfig => return Ok(Ran::ConfigOutdated),
+                AfterAttempt::TryAgain => {}
+            }
+        }
+        unreachable!("the number of attempts is bounded by the retry policy")
+    }
+
+    async fn find_place(
+        &self,
+        call: &Call,
+        tried: &[EndpointId],
+    ) -> Result<(Place, Option<Binding>), Refusal> {
+        let want = Want {
+            waiter: Waiter {
+                team: call.team.id.clone(),
+                priority: call.team.priority,
+                wait_until: call.wait_until.since_start,
+            },
+            wait_until: call.wait_until,
+            tried,
+            prefix: call.prefix.as_deref(),
+        };
+        match &call.key {
+            None => Ok((call.gate.place(want).await?, None)),
+            Some(key) => {
+                let bound = bind(key, want, &call.gate, &self.claims, &self.node).await;
+                bound.map(|(place, binding)| (place, Some(binding)))
+            }
+        }
+    }
+
+    fn after_refusal(&self, retry: &mut Retry, reason: RefusalReason, call: &Call) -> AfterAttempt {
+        let end = match reason {
+            RefusalReason::Busy => AttemptEnd::Busy,
+            RefusalReason::BackendUnreachable
+            | RefusalReason::Draining
+            | RefusalReason::Revoked
+            | RefusalReason::WrongService => AttemptEnd::Declined(Reason::NoEndpoint),
+            RefusalReason::ConfigOutdated if !retry.may_have_run() => {
+                return AfterAttempt::ReadmitUnderNewConfig;
+            }
+            RefusalReason::ConfigOutdated => AttemptEnd::Declined(Reason::NotReady),
+            RefusalReason::Expired => AttemptEnd::Declined(Reason::TimedOut),
+            RefusalReason::KeyReused => AttemptEnd::Declined(Reason::KeyReused),
+            // The key may have been run before, and nobody remembers.
+            RefusalReason::LedgerFull | RefusalReason::NotBoundHere => AttemptEnd::Lost,
+        };
+        self.after_end(retry, end, call)
+    }
+
+    fn after_end(&self, retry: &mut Retry, end: AttemptEnd, call: &Call) -> AfterAttempt {
+        let now = self.node.now();
+        match retry.attempt_ended(end, now, || call.gate.take_retry()) {
+            // A request that found no place waits on; that is no retry.
+            Next::TryAgain if end == AttemptEnd::Busy => AfterAttempt::TryAgain,
+            Next::TryAgain => {
+                self.node.counters().count(Counter::Retries);
+                AfterAttempt::TryAgain
+            }
+            Next::GiveUp(give_up) => AfterAttempt::GiveUp(Refusal {
+                reason: give_up.reason,
+                outcome: give_up.outcome,
+                detail: format!("the last attempt ended as {end:?}"),
+                retry_after: None,
+            }),
+        }
+    }
+
+    fn whole(&self, status: u16, headers: &[Header], body: Bytes) -> Response<ReplyBody> {
+        self.node.counters().count(Counter::RequestsComplete);
+        let mut response = answer_response(status, headers, whole_body(body));
+        let outcome = HeaderValue::from_static(Outcome::Complete.as_str());
+        response.headers_mut().insert(OUTCOME_HEADER, outcome);
+        response
+    }
+
+    fn streaming(&self, call: Call, answer: StreamingAnswer) -> Response<ReplyBody> {
+        let context = StreamContext {
+            request: call.id,
+            deadline: call.deadline,
+            node: self.node.clone(),
+            _guards: call.guards,
+        };
+        let (status, headers) = (answer.status, answer.headers.clone());
+        answer_response(status, &headers, answer.into_body(context))
+    }
+}
+
+/// What can be said if no further place is found after earlier attempts.
+fn with_history(refusal: Refusal, retry: &Retry) -> Refusal {
+    match retry.may_have_run() {
+        true => Refusal { outcome: Outcome::Unknown, ..refusal },
+        false => refusal,
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,7 +3,9 @@
 #![forbid(unsafe_code)]
 
 mod attempt;
+mod attempts;
 mod authentication;
+mod call;
 mod callers_port;
 mod claims;
 mod deadline;
--- a/crates/lynxmount/tests/common/mod.rs
+++ b/crates/lynxmount/tests/common/mod.rs
@@ -52,6 +52,7 @@
     pub batch: BatchOptions,
     pub log_retention_ms: u64,
     pub entry_threads: usize,
+    pub statsd_address: Option<SocketAddr>,
 }
 
 impl Default for Wanted {
@@ -68,6 +69,7 @@
             batch: BatchOptions::default(),
             log_retention_ms: 604_800_000,
             entry_threads: 1,
+            statsd_address: None,
         }
     }
 }
@@ -226,6 +228,11 @@
         self.address(CALLERS_PORT + number as u16)
     }
 
+    /// An entry's operators' port.
+    pub fn operators_address(&self, number: usize) -> SocketAddr {
+        self.address(OPERATORS_PORT + number as u16)
+    }
+
     pub fn caller(&self, number: usize) -> Caller {
         Caller::new(self.callers_address(number), token_of(TEAM))
     }
@@ -298,8 +305,10 @@
             .filter(|port| **port != control)
             .map(|port| format!("\"{}\"", self.address(*port)))
             .collect();
+        let statsd = self.wanted.statsd_address;
+        let statsd = statsd.map(|to| format!("\"statsd_address\": \"{to}\", ")).unwrap_or_default();
         format!(
-            "\"process_id\": \"{name}\", \"failure_domain\": \"north\", \"scope\": \"{SCOPE}\", \
+            "{statsd}\"process_id\": \"{name}\", \"failure_domain\": \"north\", \"scope\": \"{SCOPE}\", \
              \"platform_address\": \"{}\", \"control_address\": \"{}\", \
              \"operators_address\": \"{}\", \"peers\": [{}], \
              \"log_retention_ms\": {}",
--- a/crates/lynxmount/tests/deaths.rs
+++ b/crates/lynxmount/tests/deaths.rs
@@ -196,6 +196,36 @@
     assert_eq!(fleet.entries[0].as_mut().unwrap().exit_code().await, Some(0));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_body_still_comes_is_answered_by_an_entry_that_leaves() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut fleet = Fleet::start(slow_orders(1)).await;
+    let mut stream = tokio::net::TcpStream::connect(fleet.callers_address(0)).await.unwrap();
+    let token = common::token_of(common::TEAM);
+    let head = format!(
+        "POST /bookings/notes HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {token}\r\ncontent-length: 8\r\n\r\nhalf"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    eventually("the request has arrived", async || {
+        fleet.entry_status(0).await.is_some_and(|status| status.running == 1)
+    })
+    .await;
+
+    fleet.entries[0].as_ref().unwrap().signal(Signal::SIGTERM);
+    eventually("the entry is draining", async || {
+        let status = fleet.entry_status(0).await;
+        status.is_some_and(|s| s.readiness == lynxmount_node::Readiness::Draining)
+    })
+    .await;
+    stream.write_all(b"rest").await.unwrap();
+    let mut answer = vec![0; 4_096];
+    let length = stream.read(&mut answer).await.unwrap();
+
+    let answer = String::from_utf8_lossy(&answer[..length]);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert_eq!(fleet.entries[0].as_mut().unwrap().exit_code().await, Some(0));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_endpoint_that_is_drained_finishes_its_work_and_gets_no_more() {
     let mut fleet = Fleet::start(slow_engines()).await;
--- /dev/null
+++ b/crates/lynxmount/tests/probes.rs
@@ -0,0 +1,54 @@
+//! What operators and the platform's balancer see of a process.
+
+mod common;
+
+use common::{Fleet, Wanted, eventually};
+use http::Method;
+use lynxmount_standin::{Caller, Faults};
+use tokio::net::UdpSocket;
+
+fn wanted() -> Wanted {
+    Wanted { entries: 1, engines: 0, plains: 1, ..Wanted::default() }
+}
+
+async fn status_of(operators: &Caller, path: &str) -> Option<u16> {
+    operators.call(Method::GET, path, &[], "").await.ok().map(|answer| answer.status.as_u16())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_is_live_before_it_is_ready() {
+    let mut fleet = Fleet::start_without_config(wanted()).await;
+    fleet.platform.log.set_faults(Faults { down: true, ..Faults::default() });
+    let entry = fleet.spawn_entry(0);
+    fleet.entries.push(Some(entry));
+    let operators = Caller::new(fleet.operators_address(0), "");
+
+    eventually("it is live", async || status_of(&operators, "/live").await == Some(200)).await;
+    assert_eq!(status_of(&operators, "/ready").await, Some(503));
+    fleet.platform.log.set_faults(Faults::default());
+    fleet.apply_ok();
+
+    eventually("it is ready", async || status_of(&operators, "/ready").await == Some(200)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn counters_can_be_read_and_are_sent() {
+    let statsd = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let statsd_address = Some(statsd.local_addr().unwrap());
+    let fleet = Fleet::start(Wanted { statsd_address, ..wanted() }).await;
+    let operators = Caller::new(fleet.operators_address(0), "");
+
+    let counters = operators.call(Method::GET, "/counters", &[], "").await.unwrap();
+
+    let counters = counters.json();
+    let complete = counters.as_array().unwrap().iter().find(|c| c["name"] == "requests.complete");
+    assert!(complete.unwrap()["count"].as_u64() >= Some(1));
+    let mut sent = String::new();
+    eventually("the counter is sent", async || {
+        let mut packet = vec![0; 2_048];
+        let length = statsd.recv(&mut packet).await.unwrap();
+        sent.push_str(&String::from_utf8_lossy(&packet[..length]));
+        sent.contains("lynxmount.requests.complete:")
+    })
+    .await;
+}
