--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -3,8 +3,10 @@
 use std::sync::Arc;
 
 use lynxmount_config::EntrySettings;
-use lynxmount_core::{Result, Step, invalid};
-use lynxmount_node::{DrainState, Node, NodeHandle, ProcessKind, drain_on_signals};
+use lynxmount_core::Result;
+use lynxmount_node::{
+    DrainState, Node, NodeHandle, ProcessKind, drain_on_signals, traffic_runtime,
+};
 use lynxmount_platform::Platform;
 
 use crate::{
@@ -16,12 +18,7 @@
 /// Fails if it can't be set up, for example if an address is in use.
 pub fn run(settings: EntrySettings) -> Result<()> {
     let node = Node::start(settings.process.clone(), ProcessKind::Entry)?;
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(settings.process.traffic_threads)
-        .thread_name("traffic")
-        .enable_all()
-        .build()
-        .map_err(|e| invalid(Step::Start, "traffic threads", e))?;
+    let runtime = traffic_runtime(&settings.process)?;
     runtime.block_on(serve(settings, node))
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,6 @@
 pub use control_port::{ControlApiClient, ControlClient, ProcessKind, ProcessStatus, Readiness};
 pub use counters::{Counter, Counters};
 pub use logging::init_logging;
-pub use node::{Node, NodeHandle, RunningGuard};
+pub use node::{Node, NodeHandle, RunningGuard, traffic_runtime};
 pub use signals::drain_on_signals;
 pub use view::{ActiveConfig, DrainState, View};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,7 +9,10 @@
 use lynxmount_config::ProcessSettings;
 use lynxmount_core::{Incarnation, Result, Step, invalid, new_incarnation};
 use lynxmount_platform::Platform;
-use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::{
+    runtime::Runtime,
+    sync::{Notify, mpsc, oneshot, watch},
+};
 
 use crate::{
     Counters, ProcessKind, View,
@@ -82,6 +85,18 @@
     }
 }
 
+/// Makes the threads for traffic, which stay apart from the control thread.
+///
+/// Fails if they can't be started.
+pub fn traffic_runtime(settings: &ProcessSettings) -> Result<Runtime> {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.traffic_threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()
+        .map_err(|e| invalid(Step::Start, "traffic threads", e))
+}
+
 fn start_thread(thread: ControlThread) -> Result<()> {
     let fail = |e: std::io::Error| invalid(Step::Start, "control thread", e);
     let runtime =
