Cancel at the engine what has run out of time

Cause: reading the runner as a newcomer: an attempt that was cancelled is cancelled at the engine by name, one whose time ran out was left to the engine's resume window (0.5 s at the stand-in).

Change: both are cancelled.

--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -73,7 +73,7 @@
 }
 
 /// A failed step, with the peer it concerns.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Eq, thiserror::Error, PartialEq)]
 #[error("{step}: {peer}: {detail}")]
 pub struct Error {
     /// The step at which the error arose.
--- a/crates/endpoint/src/runner.rs
+++ b/crates/endpoint/src/runner.rs
@@ -122,15 +122,24 @@
             () = cancel.cancelled() => RecordingEnd::Failed(Failure::Cancelled),
             () = expiry(&dispatch) => RecordingEnd::Failed(Failure::Expired),
         };
-        // An engine keeps a broken stream for a while, in case it is resumed.
-        if end == RecordingEnd::Failed(Failure::Cancelled) && self.is_model() {
-            let _ = self.backend.cancel(dispatch.id).await;
-        }
+        self.cancel_at_engine(&dispatch, end).await;
         // The process stays until the end of the answer is on its way.
         let _running = self.give_back(permit);
         sink.end(end).await;
     }
 
+    /// Cancels a run that was given up here. An engine keeps a stream whose
+    /// connection breaks for a while, in case it is resumed.
+    async fn cancel_at_engine(&self, dispatch: &Dispatch, end: RecordingEnd) {
+        let is_given_up = matches!(
+            end,
+            RecordingEnd::Failed(Failure::Cancelled) | RecordingEnd::Failed(Failure::Expired)
+        );
+        if is_given_up && self.is_model() {
+            let _ = self.backend.cancel(dispatch.id).await;
+        }
+    }
+
     fn is_model(&self) -> bool {
         let view = self.node.view();
         let service = view.config.as_ref().and_then(|config| config.service(&self.service));
@@ -191,6 +200,7 @@
             end = self.call(&dispatch, &mut sink) => end,
             () = expiry(&dispatch) => RecordingEnd::Failed(Failure::Expired),
         };
+        self.cancel_at_engine(&dispatch, end).await;
         match end {
             RecordingEnd::Refused(_) => self.keys.revoke_unstarted(&binding.key_digest),
             RecordingEnd::Failed(_) | RecordingEnd::Whole => {
