Test that cancelled and overdue runs end at the engine

Cause: the engine stand-in forgets an unread stream after half a second, so the test of a caller that goes away would have passed without a cancel.

Change: an engine that keeps unread streams for an hour; tests of a caller that goes away and of a request whose time is over.

--- a/crates/lynxmount/tests/callers.rs
+++ b/crates/lynxmount/tests/callers.rs
@@ -124,10 +124,29 @@
     assert_eq!(running.await.unwrap().outcome(), "complete");
 }
 
+/// An engine that keeps what nobody reads, until it is told to cancel it.
+fn patient_batch() -> BatchOptions {
+    let (step, resume_window) = (Duration::from_millis(20), Duration::from_secs(3_600));
+    BatchOptions { step, resume_window, ..BatchOptions::default() }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_time_is_over_ends_and_is_cancelled_at_the_engine() {
+    let wanted = Wanted { batch: patient_batch(), model_timeout_ms: 1_000, ..Wanted::default() };
+    let fleet = Fleet::start(wanted).await;
+    let caller = fleet.caller(0);
+
+    let whole = caller.call(Method::POST, CHAT, &[], chat("long story", 100_000, false)).await;
+
+    let whole = whole.unwrap();
+    assert_eq!((whole.status.as_u16(), whole.outcome()), (504, "unknown"));
+    assert_eq!(whole.json()["reason"], "timed-out");
+    eventually("the engine is idle", async || fleet.engines.iter().all(|e| e.active() == 0)).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_that_goes_away_is_cancelled_at_the_engine() {
-    let batch = BatchOptions { step: Duration::from_millis(20), ..BatchOptions::default() };
-    let fleet = Fleet::start(Wanted { batch, ..Wanted::default() }).await;
+    let fleet = Fleet::start(Wanted { batch: patient_batch(), ..Wanted::default() }).await;
     let caller = fleet.caller(0);
     let body = chat("long story", 100_000, true);
     let mut response = caller.open(Method::POST, CHAT, &[], body).await.unwrap();
--- a/crates/lynxmount/tests/common/mod.rs
+++ b/crates/lynxmount/tests/common/mod.rs
@@ -47,6 +47,7 @@
     pub max_running: u32,
     pub max_queue_ms: u64,
     pub plain_timeout_ms: u64,
+    pub model_timeout_ms: u64,
     pub team_rate: u32,
     pub plain_delay: Duration,
     pub batch: BatchOptions,
@@ -64,6 +65,7 @@
             max_running: 64,
             max_queue_ms: 2_000,
             plain_timeout_ms: 10_000,
+            model_timeout_ms: 30_000,
             team_rate: 100_000,
             plain_delay: Duration::ZERO,
             batch: BatchOptions::default(),
@@ -362,7 +364,7 @@
   "regions": [{{ "id": "home", "failure_domains": ["north", "south"] }}],
   "entries": [{}],
   "services": [
-    {{ "id": "{MODEL}", "kind": "model", "request_timeout_ms": 30000, "max_running_per_endpoint": {max},
+    {{ "id": "{MODEL}", "kind": "model", "request_timeout_ms": {model_timeout}, "max_running_per_endpoint": {max},
        "max_queue_ms": {queue}, "max_body_bytes": 4096 }},
     {{ "id": "{PLAIN}", "kind": "plain", "request_timeout_ms": {timeout}, "max_running_per_endpoint": {max},
        "max_queue_ms": {queue}, "max_body_bytes": 4096,
@@ -383,6 +385,7 @@
             max = wanted.max_running,
             queue = wanted.max_queue_ms,
             timeout = wanted.plain_timeout_ms,
+            model_timeout = wanted.model_timeout_ms,
             rate = wanted.team_rate,
         )
     }
