--- a/crates/node/src/controllers.rs
+++ b/crates/node/src/controllers.rs
@@ -147,10 +147,14 @@
 fn run_snapshot(board: &mut Blackboard, now: Now) {
     let Some(head) = board.acceptance.head() else { return };
     let retention = board.settings.log_retention_ms;
+    let age_ms = now.wall_ms.saturating_sub(board.recorded_at_ms);
+    // Ranking all entries on each tick would cost more than all else here.
+    if age_ms < duration_ms(retention / SNAPSHOT_AFTER_PART) {
+        return;
+    }
     let turn = retention / SNAPSHOT_TURN_PART * turn_of(&board.settings.process_id, head) as u32;
     let due_ms = duration_ms(retention / SNAPSHOT_AFTER_PART + turn);
-    let is_due = now.wall_ms >= board.recorded_at_ms.saturating_add(due_ms);
-    if !is_due || board.platform != PlatformState::Up {
+    if age_ms < due_ms || board.platform != PlatformState::Up {
         return;
     }
     let snapshot = board.acceptance.snapshot();
@@ -209,8 +213,11 @@
     };
     let is_last = board.drain == DrainState::Finished;
     let may_send = board.platform == PlatformState::Up && !board.audit_in_flight;
+    if !may_send || !(is_due || is_last) {
+        return;
+    }
     let batch = board.audit.batch();
-    if batch.is_empty() || !may_send || !(is_due || is_last) {
+    if batch.is_empty() {
         return;
     }
     board.audit_in_flight = true;
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use lynxmount_core::{Outcome, Reason};
+use serde::{Deserialize, Serialize};
 
 /// How an attempt ended without a whole answer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum AttemptEnd {
     /// The endpoint will never run it: all its places were taken.
     Busy,
--- a/crates/replay/src/event.rs
+++ b/crates/replay/src/event.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use lynxmount_config::ConfigRecord;
-use lynxmount_core::{Offset, Reason};
+use lynxmount_core::Offset;
 use lynxmount_group::{ChangeNumber, FencingNumber, MapNumber, RankNumber, Step};
 use lynxmount_policy::AttemptEnd;
 use serde::{Deserialize, Serialize};
@@ -31,7 +31,7 @@
         /// The request.
         request: String,
         /// How it ended.
-        end: End,
+        end: AttemptEnd,
         /// Since the request's entry started.
         #[serde_as(as = "DurationMilliSeconds<u64>")]
         at_ms: Duration,
@@ -171,34 +171,3 @@
         is_idempotent: bool,
     },
 }
-
-/// How an attempt ended.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum End {
-    /// No place was free.
-    Busy,
-    /// It was refused for another reason.
-    Declined(Reason),
-    /// It was started and failed.
-    Failed,
-    /// The connection broke.
-    Lost,
-    /// No endpoint could be had.
-    NoEndpoint,
-    /// Its time ran out.
-    TimedOut,
-}
-
-impl From<End> for AttemptEnd {
-    fn from(end: End) -> AttemptEnd {
-        match end {
-            End::Busy => AttemptEnd::Busy,
-            End::Declined(reason) => AttemptEnd::Declined(reason),
-            End::Failed => AttemptEnd::Failed,
-            End::Lost => AttemptEnd::Lost,
-            End::NoEndpoint => AttemptEnd::NoEndpoint,
-            End::TimedOut => AttemptEnd::TimedOut,
-        }
-    }
-}
--- a/crates/replay/src/request_events.rs
+++ b/crates/replay/src/request_events.rs
@@ -21,7 +21,7 @@
         Event::AttemptEnded { request, end, at_ms, has_budget } => {
             let retry = world.requests.get_mut(request);
             let retry = retry.ok_or_else(|| format!("request {request} has not begun"))?;
-            Ok(next_value(retry.attempt_ended((*end).into(), *at_ms, || *has_budget)))
+            Ok(next_value(retry.attempt_ended(*end, *at_ms, || *has_budget)))
         }
         _ => Err("no event of requests".to_owned()),
     }
