Serve the users' platform end to end, thin

Cause: nothing of lynxmount started on the users' platform.

Change: platform/ decodes settings, headers, configurations, registrations, reports and the store's log; crates/direct calls back ends straight from the entry; crates/telemetry logs JSON lines without blocking and serves metrics. The endpoint process only reads its engine so far.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,17 +4,26 @@
 
 #![forbid(unsafe_code)]
 
+pub mod edge;
 mod error;
+pub mod experts;
+mod fleet;
 mod ids;
 mod outcome;
 mod problem;
+mod site;
 mod time;
 
 pub use error::{Cause, Error, Result, Step, invalid, not_known, refused, timed_out, unreachable};
+pub use fleet::{
+    ApiKey, CallKind, CallerLimits, ConfigVersion, EndpointList, EndpointRecord, EndpointState,
+    EngineSpec, ExpertSpec, FleetConfig, Route, RouteId, ServiceSpec, Target, TeamSpec,
+};
 pub use ids::{
     AttemptNumber, ChangeId, EndpointId, FailureDomainId, Incarnation, Offset, ProcessId, RegionId,
     RequestId, ServiceId, TeamId, new_incarnation, new_request_id,
 };
 pub use outcome::Outcome;
 pub use problem::{Problem, Reason};
+pub use site::{SiteBounds, SiteSettings};
 pub use time::{duration_ms, wall_time_ms};
--- /dev/null
+++ b/crates/direct/src/attempt.rs
@@ -0,0 +1,171 @@
+//! One attempt at one endpoint.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use lynxmount_core::edge::{AnswerHead, AnswerKind, Dialect, Forward};
+use lynxmount_link::Connection;
+use lynxmount_policy::CallEnd;
+
+use crate::places::Place;
+
+/// What is sent to an endpoint, whatever endpoint it is.
+pub(crate) struct Outgoing<'a> {
+    pub(crate) method: &'a Method,
+    pub(crate) uri: &'a Uri,
+    pub(crate) headers: &'a HeaderMap,
+    pub(crate) body: &'a Bytes,
+    /// The caller's id of the request.
+    pub(crate) id: Option<&'a str>,
+    pub(crate) may_repeat: bool,
+}
+
+/// The head of an answer, with the connection that the body comes on.
+pub(crate) struct Opened {
+    pub(crate) place: Place,
+    pub(crate) connection: Connection,
+    pub(crate) told: AnswerHead,
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Incoming,
+}
+
+/// An answer that is there as a whole.
+pub(crate) struct WholeAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// How an attempt ended without an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Ended {
+    /// It was sent, and its answer is lost or not whole.
+    Lost,
+    /// The endpoint said that it did not run it.
+    NotRun,
+    /// Another endpoint has the address.
+    OtherEndpoint,
+    /// It was sent, and there was no answer in time.
+    TimedOut,
+    /// Nothing was sent.
+    Unreachable,
+}
+
+/// Sends an attempt and waits for the head of its answer.
+pub(crate) async fn open(
+    dialect: &impl Dialect,
+    place: Place,
+    outgoing: &Outgoing<'_>,
+    forward: Forward<'_>,
+    until: Instant,
+) -> Result<Opened, Ended> {
+    let address = place.endpoint.record.address;
+    let connected = place.endpoint.pool.connect(address, outgoing.may_repeat).await;
+    let mut connection = connected.map_err(|error| {
+        log::info!(request = outgoing.id, error:% = error; "attempt not sent");
+        place.note_end(CallEnd::Unreachable);
+        Ended::Unreachable
+    })?;
+    let request = request(dialect, outgoing, &forward);
+    let limit = until.saturating_duration_since(Instant::now());
+    let response = match tokio::time::timeout(limit, connection.send(request)).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(error)) => {
+            let endpoint = &*place.endpoint.record.id;
+            log::info!(request = outgoing.id, endpoint, error:% = error; "attempt lost");
+            place.note_end(CallEnd::Unreachable);
+            return Err(Ended::Lost);
+        }
+        Err(_) => {
+            place.note_end(CallEnd::Unreachable);
+            return Err(Ended::TimedOut);
+        }
+    };
+    judge(dialect, place, connection, outgoing, response)
+}
+
+fn request(
+    dialect: &impl Dialect,
+    outgoing: &Outgoing<'_>,
+    forward: &Forward<'_>,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(outgoing.body.clone()));
+    *request.method_mut() = outgoing.method.clone();
+    *request.uri_mut() = outgoing.uri.clone();
+    *request.headers_mut() = dialect.write_attempt(outgoing.headers, forward);
+    request
+}
+
+fn judge(
+    dialect: &impl Dialect,
+    place: Place,
+    connection: Connection,
+    outgoing: &Outgoing<'_>,
+    response: Response<Incoming>,
+) -> Result<Opened, Ended> {
+    let (parts, body) = response.into_parts();
+    let head = Response::from_parts(parts, ());
+    let told = dialect.read_answer(outgoing.id, &head);
+    if let Some(load) = told.load {
+        place.endpoint.note_load(load);
+    }
+    let endpoint = &*place.endpoint.record.id;
+    match told.kind {
+        AnswerKind::Foreign => {
+            log::warn!(request = outgoing.id, endpoint; "answer is not this request's");
+            place.note_end(CallEnd::Failed);
+            Err(Ended::Lost)
+        }
+        AnswerKind::NotRun => Err(Ended::NotRun),
+        AnswerKind::OtherEndpoint => {
+            place.note_end(CallEnd::Unreachable);
+            Err(Ended::OtherEndpoint)
+        }
+        AnswerKind::Ran => {
+            let (parts, ()) = head.into_parts();
+            Ok(Opened {
+                place,
+                connection,
+                told,
+                status: parts.status,
+                headers: parts.headers,
+                body,
+            })
+        }
+    }
+}
+
+impl Opened {
+    /// Reads the whole body.
+    ///
+    /// Fails if it ends early or does not come in time.
+    pub(crate) async fn whole(self, until: Instant) -> Result<WholeAnswer, Ended> {
+        let Opened { place, connection, told, status, headers, body } = self;
+        let limit = until.saturating_duration_since(Instant::now());
+        match tokio::time::timeout(limit, body.collect()).await {
+            Ok(Ok(collected)) => {
+                let is_failure = status.is_server_error();
+                place.note_end(if is_failure { CallEnd::Failed } else { CallEnd::Answered });
+                place.endpoint.pool.give_back(connection, told.keep_alive);
+                Ok(WholeAnswer { status, headers, body: collected.to_bytes() })
+            }
+            Ok(Err(_)) => {
+                place.note_end(CallEnd::Failed);
+                Err(Ended::Lost)
+            }
+            Err(_) => {
+                place.note_end(CallEnd::Unreachable);
+                Err(Ended::TimedOut)
+            }
+        }
+    }
+}
+
+/// How long is left until a moment.
+pub(crate) fn left(until: Instant) -> Duration {
+    until.saturating_duration_since(Instant::now())
+}
--- /dev/null
+++ b/crates/direct/src/handler.rs
@@ -0,0 +1,400 @@
+//! The way of a request, from its headers to its answer.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{Method, Request, Response, header, request::Parts};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use lynxmount_core::{
+    CallKind, EndpointId, Route, RouteId, Target, TeamId,
+    edge::{CallHead, Dialect, Forward},
+};
+use lynxmount_policy::Waiter;
+use lynxmount_telemetry::Metrics;
+use parking_lot::Mutex;
+use rand::Rng;
+
+use crate::{
+    attempt::{Ended, Opened, Outgoing, WholeAnswer, left, open},
+    drain::Drain,
+    fleet::{ConfigView, Fleet},
+    places::{Clock, NoPlace, Place, Places, Service, Want},
+    reply::{Refusal, ReplyBody, whole_body},
+    stream::StreamRelay,
+};
+
+/// When to come back to an entry that knows no configuration yet: it asks
+/// platform and peers several times a second.
+const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// When to come back to a service that has no endpoint: registrations are read
+/// about twice a second.
+const NOWHERE_RETRY_AFTER: Duration = Duration::from_millis(1000);
+
+/// The shortest time to stay away from a service that is full.
+const FULL_RETRY_AFTER: Duration = Duration::from_millis(400);
+
+/// The part of the latency objective that a call may wait for a place.
+const WAIT_PART: f64 = 0.5;
+
+/// The part of the time that is left which one of several attempts may take,
+/// so that there is time for another.
+const ATTEMPT_PART: f64 = 0.45;
+
+/// Connections that may fail to open for one call; nothing is sent on these.
+const MAX_UNREACHABLE: u32 = 3;
+
+/// The team of calls that need no key.
+const PUBLIC_TEAM: &str = "public";
+
+/// What requests share.
+pub(crate) struct Handler<D: Dialect> {
+    pub(crate) dialect: Arc<D>,
+    pub(crate) fleet: Arc<Fleet>,
+    pub(crate) places: Arc<Places>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) drain: Arc<Drain>,
+    pub(crate) clock: Clock,
+}
+
+/// An admitted request.
+pub(crate) struct Call<D: Dialect> {
+    dialect: Arc<D>,
+    metrics: Arc<Metrics>,
+    clock: Clock,
+    parts: Parts,
+    body: Bytes,
+    pub(crate) head: CallHead,
+    pub(crate) kind: CallKind,
+    pub(crate) service: Arc<Service>,
+    pub(crate) deadline: Instant,
+    arrived: Instant,
+    route: RouteId,
+    max_attempts: u32,
+    goal: Duration,
+    team: Option<TeamId>,
+    priority: u8,
+    attempts: AtomicU32,
+    tried: Mutex<Vec<EndpointId>>,
+}
+
+impl<D: Dialect> Handler<D> {
+    /// Answers a request; whatever happens, there is an answer.
+    pub(crate) async fn handle(&self, request: Request<Incoming>) -> Response<ReplyBody> {
+        let arrived = Instant::now();
+        let (parts, body) = request.into_parts();
+        let head = self.dialect.read_call(&parts);
+        let id = head.id.clone();
+        let answered = self.answer(parts, body, head, arrived).await;
+        let mut response = answered.unwrap_or_else(|refusal| {
+            self.metrics.count("requests.refused");
+            let waited_ms = arrived.elapsed().as_millis() as u64;
+            log::info!(request = id.as_deref(), reason:? = refusal, waited_ms; "refused");
+            refusal.response(&*self.dialect)
+        });
+        if self.drain.is_draining() {
+            let close = http::HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        response
+    }
+
+    async fn answer(
+        &self,
+        parts: Parts,
+        body: Incoming,
+        head: CallHead,
+        arrived: Instant,
+    ) -> Result<Response<ReplyBody>, Refusal> {
+        self.metrics.count("requests.received");
+        let not_ready = Refusal::NotRun { retry_after: NOT_READY_RETRY_AFTER };
+        let config = self.fleet.config().ok_or(not_ready)?;
+        if self.drain.refuses_new() {
+            return Err(not_ready);
+        }
+        let body_limit = config.config.limits.body_bytes;
+        let body_timeout = config.config.limits.idle_timeout;
+        // The configuration is taken anew once the body is there: a key may have
+        // been withdrawn meanwhile.
+        drop(config);
+        let body = read_body(body, body_limit, body_timeout).await?;
+        let config = self.fleet.config().ok_or(not_ready)?;
+        let call = Arc::new(self.admit(&config, parts, body, head, arrived)?);
+        call.service.note_call();
+        call.run().await
+    }
+
+    /// Checks everything that can be checked without an endpoint.
+    fn admit(
+        &self,
+        config: &ConfigView,
+        parts: Parts,
+        body: Bytes,
+        head: CallHead,
+        arrived: Instant,
+    ) -> Result<Call<D>, Refusal> {
+        let host = host(&parts).ok_or(Refusal::BadRequest)?;
+        let route = config.route(host, parts.uri.path()).ok_or(Refusal::NoRoute)?;
+        let (team, priority) = authenticate(config, route, &head)?;
+        let target = draw_target(&route.targets).ok_or(Refusal::NoRoute)?;
+        let nowhere = Refusal::NotRun { retry_after: NOWHERE_RETRY_AFTER };
+        let service = self.places.service(&target.service).ok_or(nowhere)?;
+        let time = head.time_left.map_or(route.timeout, |left| left.min(route.timeout));
+        Ok(Call {
+            dialect: Arc::clone(&self.dialect),
+            metrics: Arc::clone(&self.metrics),
+            clock: self.clock,
+            parts,
+            body,
+            head,
+            kind: route.kind,
+            service,
+            deadline: arrived + time,
+            arrived,
+            route: RouteId::clone(&route.id),
+            max_attempts: route.max_attempts,
+            goal: route.goal,
+            team,
+            priority,
+            attempts: AtomicU32::new(0),
+            tried: Mutex::default(),
+        })
+    }
+}
+
+impl<D: Dialect> Call<D> {
+    /// Tries until there is an answer or nothing more may be tried.
+    async fn run(self: &Arc<Call<D>>) -> Result<Response<ReplyBody>, Refusal> {
+        let mut may_have_run = false;
+        let mut unreachable = 0;
+        loop {
+            let place = match self.place(self.wait_time()).await {
+                Ok(place) => place,
+                Err(no_place) => return Err(self.no_place(no_place, may_have_run)),
+            };
+            let ended = match self.attempt(place).await {
+                Ok(response) => return Ok(response),
+                Err(ended) => ended,
+            };
+            self.metrics.count(attempt_counter(ended));
+            may_have_run |= matches!(ended, Ended::Lost | Ended::TimedOut);
+            unreachable += u32::from(ended == Ended::Unreachable);
+            let is_out_of_time = left(self.deadline).is_zero();
+            let may_send = !may_have_run || self.kind.may_repeat();
+            let may_retry = match ended {
+                Ended::Unreachable => unreachable <= MAX_UNREACHABLE,
+                _ => self.has_attempts_left() && self.service.take_repeat(),
+            };
+            if is_out_of_time || !may_send || !may_retry {
+                return Err(self.give_up(may_have_run, is_out_of_time));
+            }
+            self.metrics.count("attempts.retried");
+        }
+    }
+
+    async fn place(&self, wait: Duration) -> Result<Place, NoPlace> {
+        let tried = self.tried.lock().clone();
+        let team = self.team.clone().unwrap_or_else(|| PUBLIC_TEAM.into());
+        let wait_until = self.clock.now() + wait.min(left(self.deadline));
+        let waiter = Waiter { team, priority: self.priority, wait_until };
+        self.service.place(Want { waiter, tried: &tried }).await
+    }
+
+    /// How long the call may wait for a place: what is left of its part of the
+    /// objective.
+    fn wait_time(&self) -> Duration {
+        self.goal.mul_f64(WAIT_PART).saturating_sub(self.arrived.elapsed())
+    }
+
+    fn no_place(&self, no_place: NoPlace, may_have_run: bool) -> Refusal {
+        match no_place {
+            _ if may_have_run => Refusal::MayHaveRun,
+            NoPlace::Full { retry_after } => {
+                Refusal::NotRun { retry_after: retry_after.max(FULL_RETRY_AFTER) }
+            }
+            NoPlace::Nowhere => Refusal::NotRun { retry_after: NOWHERE_RETRY_AFTER },
+        }
+    }
+
+    fn give_up(&self, may_have_run: bool, is_out_of_time: bool) -> Refusal {
+        match may_have_run {
+            true if is_out_of_time => Refusal::TimedOut,
+            true => Refusal::MayHaveRun,
+            false => Refusal::NotRun { retry_after: FULL_RETRY_AFTER },
+        }
+    }
+
+    async fn attempt(self: &Arc<Call<D>>, place: Place) -> Result<Response<ReplyBody>, Ended> {
+        let opened = self.open(place, self.head.last_event).await?;
+        if self.kind.is_stream() && opened.status.is_success() {
+            return self.start_stream(opened).await;
+        }
+        let endpoint = EndpointId::clone(&opened.place.endpoint.record.id);
+        let answer = opened.whole(self.attempt_end()).await?;
+        let is_failure = answer.status.is_server_error();
+        if is_failure && self.kind == CallKind::Idempotent && self.may_try_again() {
+            log::info!(request = self.head.id.as_deref(), endpoint = &*endpoint,
+                status = answer.status.as_u16(); "the endpoint failed; another is tried");
+            return Err(Ended::Lost);
+        }
+        self.metrics.latency("requests.answered", self.arrived.elapsed());
+        self.finished(answer.status.as_str(), None);
+        Ok(self.whole_response(answer))
+    }
+
+    /// Sends the call to an endpoint, after the last event that the caller has.
+    async fn open(&self, place: Place, last_event: Option<u64>) -> Result<Opened, Ended> {
+        let endpoint = EndpointId::clone(&place.endpoint.record.id);
+        log::info!(request = self.head.id.as_deref(), route = &*self.route, endpoint = &*endpoint,
+            running = place.endpoint.own_running(), left_ms = left(self.deadline).as_millis() as u64,
+            after_event = last_event; "attempt");
+        let outgoing = Outgoing {
+            method: &self.parts.method,
+            uri: &self.parts.uri,
+            headers: &self.parts.headers,
+            body: &self.body,
+            id: self.head.id.as_deref(),
+            may_repeat: self.kind.may_repeat(),
+        };
+        let forward = Forward {
+            endpoint: &endpoint,
+            team: self.team.as_ref(),
+            time_left: left(self.deadline),
+            last_event,
+            priority: None,
+        };
+        self.tried.lock().push(EndpointId::clone(&endpoint));
+        let opened = open(&*self.dialect, place, &outgoing, forward, self.attempt_end()).await;
+        // A request of which nothing was sent is no attempt.
+        if !matches!(opened, Err(Ended::Unreachable)) {
+            self.attempts.fetch_add(1, Ordering::Relaxed);
+        }
+        opened
+    }
+
+    async fn start_stream(
+        self: &Arc<Call<D>>,
+        opened: Opened,
+    ) -> Result<Response<ReplyBody>, Ended> {
+        let mut response = Response::new(());
+        *response.status_mut() = opened.status;
+        *response.headers_mut() = self.dialect.write_answer(&opened.headers);
+        response.headers_mut().remove(header::CONTENT_LENGTH);
+        let mut relay = StreamRelay::new(Arc::clone(self), opened);
+        let first = relay.first_events().await?;
+        self.metrics.latency("requests.first_event", self.arrived.elapsed());
+        Ok(response.map(|()| relay.into_body(first)))
+    }
+
+    /// Sends a broken stream's call to another endpoint.
+    pub(crate) async fn resume(&self, last_event: Option<u64>, why: &str) -> Option<Opened> {
+        let is_allowed = self.service.take_repeat();
+        log::info!(request = self.head.id.as_deref(), why, last_event, is_allowed;
+            "stream broke");
+        if !is_allowed {
+            return None;
+        }
+        let place = self.place(self.goal.mul_f64(WAIT_PART)).await.ok()?;
+        let opened = self.open(place, last_event).await.ok()?;
+        if !opened.status.is_success() {
+            return None;
+        }
+        self.metrics.count("streams.resumed");
+        Some(opened)
+    }
+
+    pub(crate) fn has_attempts_left(&self) -> bool {
+        self.attempts.load(Ordering::Relaxed) < self.max_attempts
+    }
+
+    fn may_try_again(&self) -> bool {
+        self.has_attempts_left() && !left(self.deadline).is_zero()
+    }
+
+    /// Until when the next attempt may take: not all of the time that is left if
+    /// another may follow it.
+    fn attempt_end(&self) -> Instant {
+        let may_follow = self.attempts.load(Ordering::Relaxed) + 1 < self.max_attempts;
+        match self.kind {
+            CallKind::Idempotent if may_follow => {
+                Instant::now() + left(self.deadline).mul_f64(ATTEMPT_PART)
+            }
+            _ => self.deadline,
+        }
+    }
+
+    fn whole_response(&self, answer: WholeAnswer) -> Response<ReplyBody> {
+        let mut response = Response::new(whole_body(answer.body));
+        *response.status_mut() = answer.status;
+        *response.headers_mut() = self.dialect.write_answer(&answer.headers);
+        if self.parts.method != Method::HEAD {
+            response.headers_mut().remove(header::CONTENT_LENGTH);
+        }
+        response
+    }
+
+    /// Notes how the call has ended.
+    pub(crate) fn finished(&self, outcome: &str, last_event: Option<u64>) {
+        let took_ms = self.arrived.elapsed().as_millis() as u64;
+        let attempts = self.attempts.load(Ordering::Relaxed);
+        log::info!(request = self.head.id.as_deref(), outcome, attempts, took_ms, last_event;
+            "finished");
+    }
+}
+
+fn attempt_counter(ended: Ended) -> &'static str {
+    match ended {
+        Ended::Lost => "attempts.lost",
+        Ended::NotRun => "attempts.not_run",
+        Ended::OtherEndpoint => "attempts.other_endpoint",
+        Ended::TimedOut => "attempts.timed_out",
+        Ended::Unreachable => "attempts.unreachable",
+    }
+}
+
+fn host(parts: &Parts) -> Option<&str> {
+    let named = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    parts.uri.host().or(named)
+}
+
+fn authenticate(
+    config: &ConfigView,
+    route: &Route,
+    head: &CallHead,
+) -> Result<(Option<TeamId>, u8), Refusal> {
+    if route.is_public || config.config.teams.is_empty() {
+        return Ok((None, route.priority));
+    }
+    let key = head.key.as_deref().ok_or(Refusal::UnknownKey)?;
+    let caller = config.caller(key).ok_or(Refusal::UnknownKey)?;
+    Ok((Some(TeamId::clone(caller.team)), caller.priority.unwrap_or(route.priority)))
+}
+
+/// Draws one of a route's targets by weight.
+fn draw_target(targets: &[Target]) -> Option<&Target> {
+    let total: u32 = targets.iter().map(|target| target.weight).sum();
+    if total == 0 {
+        return targets.first();
+    }
+    let mut drawn = rand::rng().random_range(0..total);
+    targets.iter().find(|target| {
+        let is_it = drawn < target.weight;
+        drawn = drawn.saturating_sub(target.weight);
+        is_it
+    })
+}
+
+async fn read_body(body: Incoming, limit: usize, timeout: Duration) -> Result<Bytes, Refusal> {
+    match tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
+        Ok(Err(_)) | Err(_) => Err(Refusal::BadRequest),
+    }
+}
--- /dev/null
+++ b/crates/direct/src/process.rs
@@ -0,0 +1,112 @@
+//! Setting the process up, and taking it down.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use anyhow::Context;
+use lynxmount_core::{
+    SiteSettings,
+    edge::{Dialect, FleetSource},
+};
+use lynxmount_link::{bind, serve};
+use lynxmount_telemetry::{Metrics, MetricsPort};
+use parking_lot::Mutex;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::{
+    callers_port,
+    drain::Drain,
+    fleet::Fleet,
+    handler::Handler,
+    peers::{PeerPort, Peers},
+    places::{Clock, Places},
+    readiness::ReadinessPort,
+    watch::Watch,
+};
+
+/// Runs an entry process until it has drained.
+///
+/// One thread serves everything: a machine has a fraction of a core, and a
+/// second thread costs more in switches than it gains.
+///
+/// Fails if the settings lack an address, or one can't be bound.
+pub fn run(
+    settings: SiteSettings,
+    metrics_port: Option<u16>,
+    dialect: impl Dialect,
+    source: impl FleetSource,
+) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("the runtime can't be started")?;
+    runtime.block_on(run_entry(settings, metrics_port, dialect, source))
+}
+
+async fn run_entry(
+    settings: SiteSettings,
+    metrics_port: Option<u16>,
+    dialect: impl Dialect,
+    source: impl FleetSource,
+) -> anyhow::Result<()> {
+    let callers = settings.callers_address.context("the settings name no address for callers")?;
+    let internal = SocketAddr::new(settings.ip, settings.internal_ports.0);
+    let peer_address = settings.control_address.unwrap_or(internal);
+    let clock = Clock::start();
+    let dialect = Arc::new(dialect);
+    let fleet = Arc::new(Fleet::default());
+    let drain = Arc::new(Drain::default());
+    let metrics = Arc::new(Metrics::default());
+    let places = Arc::new(Places::new(clock, settings.bounds));
+    let peers = Arc::new(Peers::new(peer_address, settings.seeds.clone()));
+    let last_read = Arc::new(Mutex::default());
+
+    let peer_port = PeerPort { fleet: Arc::clone(&fleet), last_read: Arc::clone(&last_read) };
+    tokio::spawn(serve(bind(peer_address).await?, Arc::new(peer_port)));
+    if let Some(port) = metrics_port {
+        let address = SocketAddr::new(settings.ip, port);
+        let shown = MetricsPort(Arc::clone(&metrics));
+        tokio::spawn(serve(bind(address).await?, Arc::new(shown)));
+    }
+    if let Some(address) = settings.readiness_address {
+        let readiness = ReadinessPort {
+            dialect: Arc::clone(&dialect),
+            fleet: Arc::clone(&fleet),
+            drain: Arc::clone(&drain),
+        };
+        tokio::spawn(serve(bind(address).await?, Arc::new(readiness)));
+    }
+    let watch = Arc::new(Watch {
+        source: Arc::new(source),
+        fleet: Arc::clone(&fleet),
+        places: Arc::clone(&places),
+        peers,
+        metrics: Arc::clone(&metrics),
+        clock,
+        last_read,
+        membership: Mutex::default(),
+    });
+    tokio::spawn(Arc::clone(&watch).follow_config());
+    tokio::spawn(Arc::clone(&watch).follow_endpoints());
+    tokio::spawn(watch.follow_peers(settings.process.to_string(), peer_address));
+    let handler = Handler { dialect, fleet, places, metrics, drain: Arc::clone(&drain), clock };
+    tokio::spawn(callers_port::serve(bind(callers).await?, Arc::new(handler)));
+    log::info!(process = &*settings.process, callers:% = callers, peers:% = peer_address; "started");
+    wait_for_end().await?;
+    drain.run(settings.bounds.grace).await;
+    Ok(())
+}
+
+/// Waits for the signal to leave. Settings that change meanwhile hold from the
+/// next start on.
+async fn wait_for_end() -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).context("SIGTERM can't be watched")?;
+    let mut interrupt = signal(SignalKind::interrupt()).context("SIGINT can't be watched")?;
+    let mut hangup = signal(SignalKind::hangup()).context("SIGHUP can't be watched")?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = hangup.recv() => log::info!("settings are read at the next start"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/direct/src/readiness.rs
@@ -0,0 +1,35 @@
+//! Whether this process takes connections, as the platform asks.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use lynxmount_core::edge::Dialect;
+use lynxmount_link::Handle;
+
+use crate::{drain::Drain, fleet::Fleet};
+
+/// Answers the platform's question.
+pub(crate) struct ReadinessPort<D> {
+    pub(crate) dialect: Arc<D>,
+    pub(crate) fleet: Arc<Fleet>,
+    pub(crate) drain: Arc<Drain>,
+}
+
+impl<D: Dialect> Handle for ReadinessPort<D> {
+    async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let (parts, _) = request.into_parts();
+        let is_ready = self.fleet.config().is_some()
+            && self.fleet.endpoints().is_some()
+            && !self.drain.is_draining();
+        let mut response = Response::new(Full::default());
+        *response.status_mut() = match self.dialect.is_readiness_probe(&parts) {
+            true if is_ready => StatusCode::OK,
+            true => StatusCode::SERVICE_UNAVAILABLE,
+            false => StatusCode::NOT_FOUND,
+        };
+        response
+    }
+}
--- /dev/null
+++ b/crates/direct/src/reply.rs
@@ -0,0 +1,62 @@
+//! Answers to callers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+use lynxmount_core::edge::Dialect;
+
+/// The body of an answer.
+pub(crate) type ReplyBody = UnsyncBoxBody<Bytes, std::io::Error>;
+
+/// Why the system answers by itself. Each says whether the request has run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Refusal {
+    /// The request is not whole, or not HTTP that can be passed on.
+    BadRequest,
+    /// The body is larger than callers may send.
+    BodyTooLarge,
+    /// It was sent and may have run.
+    MayHaveRun,
+    /// No route leads anywhere.
+    NoRoute,
+    /// It has not run and never will.
+    NotRun { retry_after: Duration },
+    /// The time is up; it may have run.
+    TimedOut,
+    /// No team has the key.
+    UnknownKey,
+}
+
+impl Refusal {
+    fn status(self) -> StatusCode {
+        match self {
+            Refusal::BadRequest => StatusCode::BAD_REQUEST,
+            Refusal::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::MayHaveRun => StatusCode::BAD_GATEWAY,
+            Refusal::NoRoute => StatusCode::NOT_FOUND,
+            Refusal::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
+        }
+    }
+
+    fn retry_after(self) -> Option<Duration> {
+        match self {
+            Refusal::NotRun { retry_after } => Some(retry_after),
+            _ => None,
+        }
+    }
+
+    /// The answer that says so.
+    pub(crate) fn response(self, dialect: &impl Dialect) -> Response<ReplyBody> {
+        let head = dialect.own_answer(self.status(), self.retry_after());
+        head.map(|()| whole_body(Bytes::new()))
+    }
+}
+
+/// A body that is there as a whole.
+pub(crate) fn whole_body(bytes: Bytes) -> ReplyBody {
+    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+}
--- /dev/null
+++ b/crates/direct/src/stream.rs
@@ -0,0 +1,199 @@
+//! Passing a stream's events on as they come, and resuming it where it broke.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use futures::stream::unfold;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use lynxmount_core::edge::Dialect;
+use lynxmount_link::Connection;
+use lynxmount_policy::CallEnd;
+use lynxmount_wire::{Numbered, NumberedEvents};
+
+use crate::{
+    attempt::{Ended, Opened, left},
+    handler::Call,
+    places::Place,
+    reply::ReplyBody,
+};
+
+/// How long a stream may be silent while other streams of the service go on,
+/// before its connection is taken for dead. Ranks of a group run in lock-step,
+/// so that a live stream has an event at each pass; passes of the reference
+/// deployments take 30 to 120 ms. Callers give up after 2 s.
+const SILENCE_LIMIT: Duration = Duration::from_millis(900);
+
+/// How often a silent stream is compared with the others.
+const SILENCE_CHECK: Duration = Duration::from_millis(300);
+
+/// How long before the comparison another stream must have had an event.
+const OTHERS_FRESH: Duration = Duration::from_millis(250);
+
+/// A stream on its way to the caller.
+pub(crate) struct StreamRelay<D: Dialect> {
+    call: Arc<Call<D>>,
+    place: Option<Place>,
+    /// Closes the connection with the relay.
+    connection: Option<Connection>,
+    body: Incoming,
+    events: NumberedEvents,
+    last_event_at: Instant,
+    is_over: bool,
+}
+
+/// What comes next of a stream.
+enum Next {
+    Broken(&'static str),
+    End,
+    Events(Bytes),
+    TimedOut,
+}
+
+impl<D: Dialect> StreamRelay<D> {
+    pub(crate) fn new(call: Arc<Call<D>>, opened: Opened) -> StreamRelay<D> {
+        let events = NumberedEvents::after(call.head.last_event);
+        StreamRelay {
+            call,
+            place: Some(opened.place),
+            connection: Some(opened.connection),
+            body: opened.body,
+            events,
+            last_event_at: Instant::now(),
+            is_over: false,
+        }
+    }
+
+    /// Waits for the first events; before they are there, another endpoint can
+    /// still be asked.
+    ///
+    /// Fails if the stream breaks, or ends with no event.
+    pub(crate) async fn first_events(&mut self) -> Result<Bytes, Ended> {
+        match self.read().await {
+            Next::Events(events) => Ok(events),
+            Next::TimedOut => {
+                self.note_end(CallEnd::Unreachable);
+                Err(Ended::TimedOut)
+            }
+            Next::Broken(_) | Next::End => {
+                self.note_end(CallEnd::Failed);
+                Err(Ended::Lost)
+            }
+        }
+    }
+
+    /// The body of the caller's answer, beginning with the first events.
+    pub(crate) fn into_body(self, first: Bytes) -> ReplyBody {
+        let frames = unfold((self, Some(first)), |(mut relay, first)| async move {
+            let next = match first {
+                Some(first) => Some(Ok(first)),
+                None => relay.next().await,
+            };
+            next.map(|result| (result.map(Frame::data), (relay, None)))
+        });
+        StreamBody::new(frames).boxed_unsync()
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, std::io::Error>> {
+        if self.is_over {
+            return None;
+        }
+        loop {
+            match self.read().await {
+                Next::Events(events) => return Some(Ok(events)),
+                Next::End => {
+                    self.finish("complete");
+                    self.note_end(CallEnd::Answered);
+                    return None;
+                }
+                Next::TimedOut => {
+                    self.finish("timed out in mid-stream");
+                    return Some(Err(broken("the time is up")));
+                }
+                Next::Broken(why) => {
+                    self.note_end(CallEnd::Failed);
+                    if !self.resume(why).await {
+                        self.finish("cut in mid-stream");
+                        return Some(Err(broken(why)));
+                    }
+                }
+            }
+        }
+    }
+
+    fn finish(&mut self, outcome: &'static str) {
+        self.is_over = true;
+        self.call.finished(outcome, self.events.last());
+    }
+
+    fn note_end(&self, end: CallEnd) {
+        if let Some(place) = &self.place {
+            place.note_end(end);
+        }
+    }
+
+    async fn read(&mut self) -> Next {
+        loop {
+            let limit = left(self.call.deadline).min(SILENCE_CHECK);
+            match tokio::time::timeout(limit, self.body.frame()).await {
+                Ok(Some(Ok(frame))) => {
+                    let Ok(data) = frame.into_data() else { continue };
+                    match self.events.take(&data) {
+                        Numbered::Whole(events) => {
+                            self.last_event_at = Instant::now();
+                            self.call.service.note_event();
+                            return Next::Events(events);
+                        }
+                        Numbered::Nothing => {}
+                        Numbered::Broken => return Next::Broken("events do not follow each other"),
+                    }
+                }
+                Ok(Some(Err(_))) => return Next::Broken("the connection broke"),
+                Ok(None) if self.events.ends_early() => return Next::Broken("an event is cut"),
+                Ok(None) => return Next::End,
+                Err(_) if left(self.call.deadline).is_zero() => return Next::TimedOut,
+                Err(_) if self.is_silent_alone() => return Next::Broken("the endpoint is silent"),
+                Err(_) => {}
+            }
+        }
+    }
+
+    /// Says whether this stream is silent while others of the service are not.
+    fn is_silent_alone(&self) -> bool {
+        self.last_event_at.elapsed() >= SILENCE_LIMIT
+            && self.call.service.last_event_age().is_some_and(|age| age <= OTHERS_FRESH)
+    }
+
+    /// Goes on at another endpoint after the last event. Returns whether it does.
+    async fn resume(&mut self, why: &'static str) -> bool {
+        if !self.call.kind.may_repeat() || !self.call.has_attempts_left() {
+            return false;
+        }
+        // The old connection is closed first, so that no two runs go on at once.
+        self.connection = None;
+        self.place = None;
+        self.events.restart();
+        let resumed = self.call.resume(self.events.last(), why).await;
+        let Some(opened) = resumed else { return false };
+        self.place = Some(opened.place);
+        self.connection = Some(opened.connection);
+        self.body = opened.body;
+        self.last_event_at = Instant::now();
+        true
+    }
+}
+
+impl<D: Dialect> Drop for StreamRelay<D> {
+    fn drop(&mut self) {
+        if !self.is_over {
+            self.call.finished("caller went away", self.events.last());
+        }
+    }
+}
+
+fn broken(why: &'static str) -> std::io::Error {
+    std::io::Error::new(std::io::ErrorKind::ConnectionAborted, why)
+}
--- /dev/null
+++ b/crates/direct/src/watch.rs
@@ -0,0 +1,178 @@
+//! Keeping up with the platform: configurations, endpoints and peers.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use lynxmount_core::{EndpointList, FleetConfig, Offset, edge::FleetSource};
+use lynxmount_policy::Membership;
+use lynxmount_telemetry::Metrics;
+use parking_lot::Mutex;
+
+use crate::{
+    fleet::Fleet,
+    peers::Peers,
+    places::{Clock, Places},
+};
+
+/// How long a read waits for a new configuration: a connection that has gone
+/// silent is noticed within this and the client's timeout.
+const CONFIG_WAIT: Duration = Duration::from_millis(1500);
+
+/// How often registrations are read. A leaving endpoint must get no more work
+/// within 2 s in the reference deployments; this leaves time for one lost read.
+const ENDPOINTS_PERIOD: Duration = Duration::from_millis(750);
+
+/// How soon a failed read is tried again.
+const RETRY_PERIOD: Duration = Duration::from_millis(300);
+
+/// How often the addresses of peers are read.
+const PEERS_PERIOD: Duration = Duration::from_secs(8);
+
+/// What the watching tasks share.
+pub(crate) struct Watch<S> {
+    pub(crate) source: Arc<S>,
+    pub(crate) fleet: Arc<Fleet>,
+    pub(crate) places: Arc<Places>,
+    pub(crate) peers: Arc<Peers>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) clock: Clock,
+    /// When the platform was last read.
+    pub(crate) last_read: Arc<Mutex<Option<Instant>>>,
+    pub(crate) membership: Mutex<Membership>,
+}
+
+/// Tells the loss and the return of something that was read.
+struct Reachability {
+    what: &'static str,
+    lost_at: Option<Instant>,
+}
+
+impl Reachability {
+    fn new(what: &'static str) -> Reachability {
+        Reachability { what, lost_at: None }
+    }
+
+    fn lost(&mut self, error: &lynxmount_core::Error) {
+        if self.lost_at.is_none() {
+            log::warn!(what = self.what, error:% = error; "dependency lost");
+            self.lost_at = Some(Instant::now());
+        }
+    }
+
+    fn regained(&mut self) {
+        if let Some(at) = self.lost_at.take() {
+            let out_ms = at.elapsed().as_millis() as u64;
+            log::info!(what = self.what, out_ms; "dependency regained");
+        }
+    }
+}
+
+impl<S: FleetSource> Watch<S> {
+    /// Follows configurations until the task is dropped.
+    pub(crate) async fn follow_config(self: Arc<Watch<S>>) {
+        let mut reachability = Reachability::new("configuration");
+        loop {
+            let after = self.fleet.config().map(|view| view.offset);
+            match self.source.config_after(after, CONFIG_WAIT).await {
+                Ok(found) => {
+                    reachability.regained();
+                    self.note_read();
+                    let is_waiting = found.is_none() && after.is_none();
+                    self.take_config(found);
+                    if is_waiting {
+                        tokio::time::sleep(RETRY_PERIOD).await;
+                    }
+                }
+                Err(error) => {
+                    self.metrics.count("platform.config_read_failed");
+                    reachability.lost(&error);
+                    self.learn_from_peers().await;
+                    tokio::time::sleep(RETRY_PERIOD).await;
+                }
+            }
+        }
+    }
+
+    fn take_config(&self, found: Option<(Offset, FleetConfig)>) {
+        let Some((offset, config)) = found else { return };
+        let version = config.version;
+        if self.fleet.offer_config(offset, config) {
+            log::info!(version, offset; "configuration in force");
+            self.update_places();
+        }
+    }
+
+    /// Follows registrations until the task is dropped.
+    pub(crate) async fn follow_endpoints(self: Arc<Watch<S>>) {
+        let mut reachability = Reachability::new("endpoints");
+        loop {
+            let known = self.fleet.endpoints().map(|list| (*list).clone()).unwrap_or_default();
+            match self.source.refresh_endpoints(&known).await {
+                Ok(list) => {
+                    reachability.regained();
+                    self.note_read();
+                    self.take_endpoints(list);
+                    tokio::time::sleep(ENDPOINTS_PERIOD).await;
+                }
+                Err(error) => {
+                    self.metrics.count("platform.endpoints_read_failed");
+                    reachability.lost(&error);
+                    self.learn_from_peers().await;
+                    tokio::time::sleep(RETRY_PERIOD).await;
+                }
+            }
+        }
+    }
+
+    fn take_endpoints(&self, list: EndpointList) {
+        self.membership.lock().take(&list, self.clock.now());
+        self.fleet.offer_endpoints(list);
+        self.update_places();
+    }
+
+    /// Follows the addresses of peers until the task is dropped.
+    pub(crate) async fn follow_peers(self: Arc<Watch<S>>, name: String, own: SocketAddr) {
+        let mut is_registered = false;
+        loop {
+            if !is_registered {
+                match self.source.register_peer(&name, own).await {
+                    Ok(()) => is_registered = true,
+                    Err(error) => log::warn!(error:% = error; "not registered yet"),
+                }
+            }
+            match self.source.peers().await {
+                Ok(addresses) => {
+                    self.peers.set_registered(addresses);
+                    self.update_places();
+                }
+                Err(error) => log::warn!(error:% = error; "peers can't be read"),
+            }
+            tokio::time::sleep(PEERS_PERIOD).await;
+        }
+    }
+
+    async fn learn_from_peers(&self) {
+        self.peers.learn(&self.fleet).await;
+        self.update_places();
+    }
+
+    fn update_places(&self) {
+        let Some(config) = self.fleet.config() else { return };
+        let known = self.fleet.endpoints();
+        let read_to = known.as_ref().map_or(0, |list| list.read_to);
+        let mut endpoints = self.membership.lock().endpoints();
+        if endpoints.is_empty() {
+            // Nothing was read from the platform yet; peers may have told some.
+            endpoints = known.map(|list| list.endpoints.clone()).unwrap_or_default();
+        }
+        let list = EndpointList { read_to, endpoints };
+        self.places.update(&config, &list, self.peers.count());
+    }
+
+    fn note_read(&self) {
+        *self.last_read.lock() = Some(Instant::now());
+    }
+}
--- /dev/null
+++ b/crates/link/src/connection.rs
@@ -0,0 +1,79 @@
+//! One connection as a client.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{Builder, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use lynxmount_core::{Error, Result, Step, unreachable};
+use tokio::{net::TcpStream, task::JoinHandle};
+
+/// The largest head of an answer, and what is read ahead of a slow reader, in
+/// bytes: hyper's own default of 400 kB is more than a small process can have
+/// for each connection.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+
+/// A connection; dropping it closes it, which ends what the peer does for it.
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Connection {
+    /// Opens a connection.
+    ///
+    /// Fails if that takes longer than the timeout or the peer refuses.
+    pub async fn open(address: SocketAddr, timeout: Duration) -> Result<Connection> {
+        let fail = |e: &dyn std::fmt::Display| -> Error { unreachable(Step::Connect, address, e) };
+        let opened = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
+        let stream = opened.map_err(|e| fail(&e))?.map_err(|e| fail(&e))?;
+        stream.set_nodelay(true).map_err(|e| fail(&e))?;
+        let mut builder = Builder::new();
+        builder.max_buf_size(MAX_BUFFER_BYTES);
+        let shaken = builder.handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = shaken.map_err(|e| fail(&e))?;
+        let task = tokio::spawn(async move {
+            // The failure of a connection shows in the call that uses it.
+            let _ = connection.await;
+        });
+        Ok(Connection { sender, task })
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// Fails if there is none; the peer may have seen the request then.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> std::result::Result<Response<Incoming>, hyper::Error> {
+        self.sender.send_request(request).await
+    }
+
+    /// Waits until the connection can take a request.
+    ///
+    /// Fails if it is closed.
+    pub async fn ready(&mut self) -> std::result::Result<(), hyper::Error> {
+        self.sender.ready().await
+    }
+
+    /// Says whether the connection can take a request at once.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Says whether the connection can take no further request.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
--- a/crates/lynxmount/src/cli.rs
+++ b/crates/lynxmount/src/cli.rs
@@ -10,6 +10,8 @@
 pub(crate) const OUTPUT_JSON: &str = "json";
 /// Name of the argument for a settings file.
 pub(crate) const SETTINGS: &str = "settings";
+/// Name of the argument for the port that shows metrics.
+pub(crate) const METRICS_PORT: &str = "metrics-port";
 /// Name of the argument for a file.
 pub(crate) const FILE: &str = "file";
 /// Name of the argument for the kind of a file.
@@ -60,6 +62,11 @@
         .arg(output())
         .subcommand(process("entry", "Take callers' requests on an entry VM"))
         .subcommand(process("endpoint", "Stand beside one back end"))
+        .subcommand(platform_process("platform-entry", "Take callers' requests on the platform"))
+        .subcommand(platform_process(
+            "platform-endpoint",
+            "Stand beside one engine on the platform",
+        ))
         .subcommand(config())
         .subcommand(status())
         .subcommand(audit())
@@ -96,6 +103,28 @@
         .arg(settings("The process's settings (docs/SETTINGS.md)"))
 }
 
+fn platform_process(name: &'static str, about: &'static str) -> Command {
+    Command::new(name)
+        .about(about)
+        .after_help(
+            "Runs until SIGTERM or SIGINT; then finishes the requests in progress and exits 0.",
+        )
+        .arg(
+            Arg::new(SETTINGS)
+                .long(SETTINGS)
+                .short('s')
+                .value_name("FILE")
+                .help("The settings file; by default the one that the platform's variable names"),
+        )
+        .arg(
+            Arg::new(METRICS_PORT)
+                .long(METRICS_PORT)
+                .value_name("PORT")
+                .value_parser(value_parser!(u16))
+                .help("The port on the process's own address that shows counters and latencies"),
+        )
+}
+
 fn config() -> Command {
     Command::new("config")
         .about("Check, compare, apply and list fleet files")
--- a/crates/lynxmount/src/commands/mod.rs
+++ b/crates/lynxmount/src/commands/mod.rs
@@ -7,6 +7,7 @@
 mod completions;
 mod drain;
 mod operator;
+mod platform;
 mod processes;
 mod replay;
 mod show;
@@ -33,6 +34,8 @@
     match matches.subcommand() {
         Some(("entry", matches)) => processes::run_entry(matches),
         Some(("endpoint", matches)) => processes::run_endpoint(matches),
+        Some(("platform-entry", matches)) => platform::run_platform_entry(matches),
+        Some(("platform-endpoint", matches)) => platform::run_platform_endpoint(matches),
         Some(("config", matches)) => dispatch_config(matches, form),
         Some(("status", matches)) => block_on(status::run(matches, form)),
         Some(("audit", matches)) => block_on(audit::run(matches, form)),
--- /dev/null
+++ b/crates/lynxmount/src/commands/platform.rs
@@ -0,0 +1,60 @@
+//! `lynxmount platform-entry` and `lynxmount platform-endpoint`: the processes on
+//! the users' platform.
+
+use std::{env, fs};
+
+use anyhow::Context;
+use clap::ArgMatches;
+use lynxmount_adapter::{
+    PlatformDialect, PlatformEngine, SETTINGS_PATH_VARIABLE, Store, parse_settings,
+};
+use lynxmount_core::SiteSettings;
+use lynxmount_telemetry::init_json_logging;
+
+use crate::{
+    Exit,
+    cli::{METRICS_PORT, SETTINGS},
+};
+
+/// Runs an entry process until it has drained.
+pub(crate) fn run_platform_entry(matches: &ArgMatches) -> anyhow::Result<Exit> {
+    let Some(settings) = read_settings(matches)? else { return Ok(Exit::Invalid) };
+    let source = Store::new(settings.store_address);
+    let metrics_port = matches.get_one::<u16>(METRICS_PORT).copied();
+    lynxmount_direct::run(settings, metrics_port, PlatformDialect, source)?;
+    Ok(Exit::Done)
+}
+
+/// Runs an endpoint process until it is told to leave.
+pub(crate) fn run_platform_endpoint(matches: &ArgMatches) -> anyhow::Result<Exit> {
+    let Some(settings) = read_settings(matches)? else { return Ok(Exit::Invalid) };
+    let source = Store::new(settings.store_address);
+    let metrics_port = matches.get_one::<u16>(METRICS_PORT).copied();
+    lynxmount_rank::run(settings, metrics_port, source, PlatformEngine::new)?;
+    Ok(Exit::Done)
+}
+
+/// Reads the settings and starts logging; `None` if the file is wrong, after
+/// telling how.
+fn read_settings(matches: &ArgMatches) -> anyhow::Result<Option<SiteSettings>> {
+    let named = matches.get_one::<String>(SETTINGS).cloned();
+    let path = match named {
+        Some(path) => path,
+        None => env::var(SETTINGS_PATH_VARIABLE).with_context(|| {
+            format!("neither --{SETTINGS} nor {SETTINGS_PATH_VARIABLE} names a settings file")
+        })?,
+    };
+    let text = fs::read_to_string(&path).with_context(|| format!("{path} can't be read"))?;
+    let (settings, unknown) = match parse_settings(&path, &text) {
+        Ok(parsed) => parsed,
+        Err(error) => {
+            eprintln!("{error}");
+            return Ok(None);
+        }
+    };
+    init_json_logging()?;
+    if !unknown.is_empty() {
+        log::info!(fields:? = unknown; "settings that are unknown are ignored");
+    }
+    Ok(Some(settings))
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,18 +7,26 @@
 
 mod bucket;
 mod choice;
+mod health;
+mod membership;
+mod placement;
 mod prefix;
 mod queue;
 mod retry;
 mod retry_budget;
 mod subset;
 mod team_limits;
+mod window_budget;
 
 pub use bucket::TokenBucket;
 pub use choice::{Candidate, Choice, ChoiceOptions, choose};
+pub use health::{CallEnd, Health};
+pub use membership::Membership;
+pub use placement::{Placement, Seat, place};
 pub use prefix::PrefixCounts;
 pub use queue::{Offer, ServiceQueue, Ticket, Waiter};
 pub use retry::{AttemptEnd, GiveUp, Next, Retry};
 pub use retry_budget::RetryBudget;
 pub use subset::{rank, rendezvous};
 pub use team_limits::{OverLimit, TeamLimits, TeamRate};
+pub use window_budget::{WindowBudget, WindowBudgetOptions};
--- /dev/null
+++ b/crates/policy/src/placement.rs
@@ -0,0 +1,63 @@
+//! Where a call goes when endpoints are called directly.
+//!
+//! An entry knows its own calls exactly and those of others from late reports.
+//! With few endpoints the least loaded one is taken; among equals, the one that
+//! was chosen longest ago, so that entries which start alike don't stay alike.
+
+/// What an entry knows of an endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Seat {
+    /// This entry's calls in progress there.
+    pub own_running: u32,
+    /// Calls of others, by the last report.
+    pub others_running: u32,
+    /// Calls that may be in progress there from all entries.
+    pub capacity: u32,
+    /// Calls of this entry that may be in progress there.
+    pub own_capacity: u32,
+    /// Left out because of failures, as long as others are not.
+    pub is_ejected: bool,
+    /// Tried by the same call before.
+    pub was_tried: bool,
+    /// When this entry last chose it, as a count of its choices; 0 for never.
+    pub last_chosen: u64,
+}
+
+impl Seat {
+    fn has_room(&self) -> bool {
+        self.own_running < self.own_capacity
+            && self.own_running + self.others_running < self.capacity
+    }
+
+    /// Orders by load in parts of the capacity, without rounding.
+    fn load(&self) -> u64 {
+        let running = u64::from(self.own_running + self.others_running);
+        running * 1_000_000 / u64::from(self.capacity.max(1))
+    }
+}
+
+/// What the endpoints of a service have to offer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Placement {
+    /// This endpoint, as an index.
+    At(usize),
+    /// All that could take the call are full.
+    Full,
+    /// There is no endpoint.
+    Nowhere,
+}
+
+/// Chooses an endpoint. Those that were tried or are ejected are taken only if
+/// there are no others: an ejection never empties a service.
+pub fn place(seats: &[Seat]) -> Placement {
+    let best_class = |seat: &&(usize, &Seat)| (seat.1.is_ejected, seat.1.was_tried);
+    let indexed: Vec<(usize, &Seat)> = seats.iter().enumerate().collect();
+    let Some(class) = indexed.iter().map(|seat| best_class(&seat)).min() else {
+        return Placement::Nowhere;
+    };
+    indexed
+        .iter()
+        .filter(|seat| best_class(seat) == class && seat.1.has_room())
+        .min_by_key(|(_, seat)| (seat.load(), seat.last_chosen))
+        .map_or(Placement::Full, |(index, _)| Placement::At(*index))
+}
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,9 @@
+//! JSON log lines that never block, counters and latency histograms.
+
+#![forbid(unsafe_code)]
+
+mod logging;
+mod metrics;
+
+pub use logging::init_json_logging;
+pub use metrics::{Metrics, MetricsPort};
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,7 @@
 mod codec;
 mod event_stream;
 mod frame;
+mod numbered_events;
 
 pub use answer::{Answer, AnswerEnd, Piece};
 pub use codec::{FrameReader, FrameWriter, MAX_FRAME_BYTES};
@@ -18,3 +19,4 @@
     AttemptId, Binding, Dispatch, Failure, Header, LoadReport, PROTOCOL_VERSION, RefusalReason,
     ToEndpoint, ToEntry,
 };
+pub use numbered_events::{Numbered, NumberedEvents};
