Balance expert groups from the processes beside the engines

Cause: with the first map the most loaded rank had 3.57 times the mean and the service could not keep up.

Change: crates/group gets Switch, a state machine that prepares, holds, arms, verifies and lets go, and settles ranks that were left behind; crates/rank reads the engine, tells the first processes by address, and passes orders on locally; balance::plan_group plans within what engines can fetch.

--- a/crates/balance/src/adaptive.rs
+++ b/crates/balance/src/adaptive.rs
@@ -9,7 +9,7 @@
     BalanceOptions, ExpertMap, Shape,
     forecast::Forecast,
     replan::replan_near,
-    search::{Improved, Path, expected_skew, improve},
+    search::{Improved, Limits, Path, expected_skew, improve},
 };
 
 /// The part of the forecast's error that an improvement must exceed.
@@ -112,7 +112,12 @@
     fn propose(&self, layer: usize, weight: f64, map: &ExpertMap) -> Option<Proposal> {
         let forecast = &self.layers[layer];
         let expected = forecast.expected()?;
-        let path = improve(map, &expected, MAX_FETCHES_PER_LAYER * self.windows_to_use());
+        let limits = Limits {
+            max_fetches: MAX_FETCHES_PER_LAYER * self.windows_to_use(),
+            max_fetches_per_rank: usize::MAX,
+            slots_per_rank: self.shape.slots_per_rank,
+        };
+        let path = improve(map, &expected, limits);
         let now = path.points[0].skew;
         let doubt = ERROR_PART * forecast.error();
         let horizon_steps = forecast.horizon_windows() * self.options.window_steps as f64;
--- a/crates/balance/src/expert_map.rs
+++ b/crates/balance/src/expert_map.rs
@@ -102,6 +102,11 @@
             && replicas.iter().all(|count| *count > 0)
     }
 
+    /// Lets a rank hold one more expert.
+    pub(crate) fn add(&mut self, rank: usize, expert: Expert) {
+        self.ranks[rank].push(expert);
+    }
+
     /// Replaces what a rank holds in one slot.
     pub(crate) fn replace(&mut self, rank: usize, slot: usize, expert: Expert) {
         self.ranks[rank][slot] = expert;
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -9,6 +9,7 @@
 mod expert_map;
 mod forecast;
 mod generate;
+mod group_plan;
 mod measure;
 mod policy;
 mod replan;
@@ -18,6 +19,7 @@
 
 pub use expert_map::{Expert, ExpertMap, Shape};
 pub use generate::{GeneratedTrace, TraceKind, generate};
+pub use group_plan::{GroupPlan, PlanLimits, plan_group};
 pub use measure::{layer_skew, percentile, rank_loads};
 pub use policy::{BalanceOptions, Planner, PolicyKind};
 pub use replay::{MapInForce, Replay, ReplaySummary};
--- a/crates/balance/src/search.rs
+++ b/crates/balance/src/search.rs
@@ -9,9 +9,22 @@
 /// The gain below which a move is taken for rounding.
 const MIN_GAIN: f64 = 1e-9;
 
+/// Limits of a search.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Limits {
+    /// Slots that may have to fetch, in all.
+    pub(crate) max_fetches: usize,
+    /// Slots of one rank that may have to fetch.
+    pub(crate) max_fetches_per_rank: usize,
+    /// Experts that a rank has room for.
+    pub(crate) slots_per_rank: usize,
+}
+
 /// One change of a map.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Move {
+    /// An empty slot takes a replica of an expert.
+    Add { rank: usize, expert: Expert },
     /// A slot takes a further replica of an expert in place of a replica.
     Replicate { rank: usize, slot: usize, expert: Expert },
     /// Two ranks exchange an expert each.
@@ -49,6 +62,9 @@
 
 /// A map with what is needed to judge moves quickly.
 struct Search {
+    limits: Limits,
+    /// The map that the search has started from.
+    from: ExpertMap,
     /// Each expert's load, in units of the mean rank's load.
     parts: Vec<f64>,
     map: ExpertMap,
@@ -61,8 +77,8 @@
 }
 
 /// Improves a map until no move helps or the fetches are used up.
-pub(crate) fn improve(map: &ExpertMap, parts: &[f64], max_fetches: usize) -> Path {
-    let mut search = Search::new(map, parts);
+pub(crate) fn improve(map: &ExpertMap, parts: &[f64], limits: Limits) -> Path {
+    let mut search = Search::new(map, parts, limits);
     let mut path =
         Path { from: map.clone(), moves: Vec::new(), points: vec![search.point(map, 0)] };
     while let Some(best) = search.best_move() {
@@ -70,7 +86,7 @@
         search.refresh();
         path.moves.push(best);
         let point = search.point(map, path.moves.len());
-        if point.fetches > max_fetches {
+        if point.fetches > limits.max_fetches {
             break;
         }
         path.points.push(point);
@@ -80,11 +96,14 @@
 
 /// The skew that a map is expected to have.
 pub(crate) fn expected_skew(map: &ExpertMap, parts: &[f64]) -> f64 {
-    Search::new(map, parts).skew()
+    let any = usize::MAX;
+    let limits = Limits { max_fetches: any, max_fetches_per_rank: any, slots_per_rank: any };
+    Search::new(map, parts, limits).skew()
 }
 
 fn apply(map: &mut ExpertMap, m: Move) {
     match m {
+        Move::Add { rank, expert } => map.add(rank, expert),
         Move::Replicate { rank, slot, expert } => map.replace(rank, slot, expert),
         Move::Swap { rank, slot, other_rank, other_slot } => {
             let expert = map.ranks()[rank][slot];
@@ -109,11 +128,13 @@
 }
 
 impl Search {
-    fn new(map: &ExpertMap, parts: &[f64]) -> Search {
+    fn new(map: &ExpertMap, parts: &[f64], limits: Limits) -> Search {
         // Moves don't change the whole load, so the mean stays what it is.
         let mean = parts.iter().sum::<f64>() / map.ranks().len() as f64;
         let unit = mean.max(f64::MIN_POSITIVE);
         let mut search = Search {
+            limits,
+            from: map.clone(),
             parts: parts.iter().map(|part| part / unit).collect(),
             map: map.clone(),
             holders: vec![Vec::new(); parts.len()],
@@ -163,12 +184,15 @@
         let held_here = &self.map.ranks()[rank];
         let expert = held_here[slot];
         for (other_rank, held) in self.map.ranks().iter().enumerate() {
-            if self.loads[other_rank] >= self.loads[rank] || held.contains(&expert) {
+            if self.loads[other_rank] >= self.loads[rank]
+                || held.contains(&expert)
+                || !self.may_fetch(other_rank, expert)
+            {
                 continue;
             }
             for (other_slot, &other) in held.iter().enumerate() {
                 let difference = self.shares[expert] - self.shares[other];
-                if difference <= 0.0 || held_here.contains(&other) {
+                if difference <= 0.0 || held_here.contains(&other) || !self.may_fetch(rank, other) {
                     continue;
                 }
                 let after =
@@ -182,9 +206,12 @@
 
     fn offer_replications(&self, expert: Expert, best: &mut Best) {
         for (rank, held) in self.map.ranks().iter().enumerate() {
-            if held.contains(&expert) {
+            if held.contains(&expert) || !self.may_fetch(rank, expert) {
                 continue;
             }
+            if held.len() < self.limits.slots_per_rank {
+                best.offer(Move::Add { rank, expert }, self.addition_gain(rank, expert));
+            }
             for (slot, &given_up) in held.iter().enumerate() {
                 if self.holders[given_up].len() > 1 {
                     let gain = self.replication_gain(rank, expert, given_up);
@@ -194,6 +221,26 @@
         }
     }
 
+    /// Says whether a rank may come to hold an expert: it held it before, or may
+    /// fetch one more.
+    fn may_fetch(&self, rank: usize, expert: Expert) -> bool {
+        let before = &self.from.ranks()[rank];
+        let is_new = |expert: &&Expert| !before.contains(expert);
+        let fetched = self.map.ranks()[rank].iter().filter(is_new).count();
+        before.contains(&expert) || fetched < self.limits.max_fetches_per_rank
+    }
+
+    /// What a further replica of `expert` at a rank gains.
+    fn addition_gain(&self, at: usize, expert: Expert) -> f64 {
+        let replicas = self.holders[expert].len() as f64;
+        let new_share = self.parts[expert] / (replicas + 1.0);
+        let relief = self.shares[expert] - new_share;
+        let at_holders = self.holders[expert].iter();
+        let relieved: f64 =
+            at_holders.map(|&rank| self.costs[rank] - cost(self.loads[rank] - relief)).sum();
+        relieved + self.costs[at] - cost(self.loads[at] + new_share)
+    }
+
     /// What a replica of `expert` at a rank, in place of one of `given_up`, gains.
     fn replication_gain(&self, at: usize, expert: Expert, given_up: Expert) -> f64 {
         let replicas = |expert: Expert| self.holders[expert].len() as f64;
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -12,8 +12,10 @@
 mod lease;
 mod message;
 mod rank_gate;
+mod switch;
 
 pub use balancer::{Balancer, BalancerAction, BalancerOptions, ChangeEnd};
 pub use lease::{LEASE_MARGIN, Lease, LeaseRecord, LeaseTable};
 pub use message::{ChangeNumber, FencingNumber, MapNumber, Order, OrderAnswer, RankNumber, Step};
 pub use rank_gate::{Armed, EngineState, GateAction, RankGate};
+pub use switch::{RankOrder, Switch, SwitchEnd, SwitchOptions, left_behind};
--- /dev/null
+++ b/crates/rank/src/beliefs.rs
@@ -0,0 +1,88 @@
+//! What a listening process believes of the ranks of its group.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use lynxmount_core::experts::{EngineReport, GroupEpoch, GroupMap};
+
+use crate::message::RankState;
+
+/// How old a rank's state may be to be acted on: five periods of reports.
+const FRESH: Duration = Duration::from_millis(1000);
+
+/// A state and when it came.
+struct Heard {
+    state: RankState,
+    at: Instant,
+}
+
+/// The last state of each rank, by its engine's address.
+#[derive(Default)]
+pub(crate) struct Beliefs {
+    heard: BTreeMap<SocketAddr, Heard>,
+}
+
+/// All ranks of a group in one life, in order.
+pub(crate) struct Group {
+    pub(crate) epoch: GroupEpoch,
+    pub(crate) engines: Vec<SocketAddr>,
+    pub(crate) states: Vec<RankState>,
+}
+
+impl Beliefs {
+    pub(crate) fn hear(&mut self, state: RankState) {
+        self.heard.insert(state.engine, Heard { state, at: Instant::now() });
+    }
+
+    /// When an engine's process was heard last.
+    pub(crate) fn heard_ago(&self, engine: SocketAddr) -> Option<Duration> {
+        self.heard.get(&engine).map(|heard| heard.at.elapsed())
+    }
+
+    /// What an engine told last.
+    pub(crate) fn last_report(&self, engine: SocketAddr) -> Option<EngineReport> {
+        self.heard.get(&engine).map(|heard| heard.state.report.clone())
+    }
+
+    /// The group of an engine, if all its ranks were heard lately and are in the
+    /// same life of it.
+    pub(crate) fn group_of(&self, engine: SocketAddr) -> Option<Group> {
+        let own = self.heard.get(&engine)?.state.report.membership.clone()?;
+        let mut by_rank: Vec<Option<&RankState>> = vec![None; own.ranks];
+        for heard in self.heard.values().filter(|heard| heard.at.elapsed() <= FRESH) {
+            let membership = heard.state.report.membership.as_ref();
+            let same = membership.filter(|m| m.group == own.group && m.epoch == own.epoch);
+            if let Some(place) = same.and_then(|m| by_rank.get_mut(m.rank)) {
+                *place = Some(&heard.state);
+            }
+        }
+        let states: Option<Vec<RankState>> = by_rank.into_iter().map(|s| s.cloned()).collect();
+        let states = states.filter(|_| own.is_open)?;
+        let engines = states.iter().map(|state| state.engine).collect();
+        Some(Group { epoch: own.epoch, engines, states })
+    }
+}
+
+impl Group {
+    pub(crate) fn reports(&self) -> Vec<EngineReport> {
+        self.states.iter().map(|state| state.report.clone()).collect()
+    }
+
+    /// The map in use, if all ranks tell the same version of it.
+    pub(crate) fn map(&self) -> Option<GroupMap> {
+        let version = self.states.first()?.report.map;
+        let is_one = self
+            .states
+            .iter()
+            .all(|state| state.report.map == version && state.held.version == version);
+        let sets = self.states.first()?.held.experts.len();
+        let by_set = (0..sets).map(|set| {
+            let of_rank = |state: &RankState| state.held.experts.get(set).cloned();
+            self.states.iter().map(of_rank).collect::<Option<Vec<_>>>()
+        });
+        by_set.collect::<Option<GroupMap>>().filter(|_| is_one)
+    }
+}
--- /dev/null
+++ b/crates/rank/src/coordinator.rs
@@ -0,0 +1,263 @@
+//! Balancing a group: when to change its map, and seeing the change through.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
+use lynxmount_balance::{GroupPlan, PlanLimits, plan_group};
+use lynxmount_core::{
+    ExpertSpec, Result,
+    edge::{Engine, FleetSource},
+    experts::{EngineOrder, MapVersion},
+};
+use lynxmount_group::{RankOrder, Switch, SwitchEnd, SwitchOptions, left_behind};
+use lynxmount_telemetry::Metrics;
+use parking_lot::Mutex;
+
+use crate::{
+    beliefs::{Beliefs, Group},
+    demand::Demand,
+    message::OrderAnswer,
+    orders::{give, give_through},
+    roster::Roster,
+};
+
+/// How often demand is taken up and a change is weighed: the period of reports.
+const PERIOD: Duration = Duration::from_millis(200);
+
+/// How often a switch under way is looked after if nothing is answered.
+const SWITCH_TICK: Duration = Duration::from_millis(20);
+
+/// How long a process must be silent before the next one balances.
+const SILENCE: Duration = Duration::from_millis(1200);
+
+/// How long after its start a process listens before it balances.
+const LISTEN_FIRST: Duration = Duration::from_millis(1500);
+
+/// How long a hold may stand before it is taken for left behind: a switch holds
+/// a group for 20 ms as a rule, and undoes it after 400 ms.
+const LEFT_BEHIND_AFTER: Duration = Duration::from_millis(900);
+
+/// The smallest gain in skew that a change is made for.
+const MIN_GAIN: f64 = 0.04;
+
+/// The most experts of a set that all ranks fetch in one change.
+const FETCHES_PER_SET: usize = 24;
+
+/// The most experts of a set that one rank fetches in one change: each takes
+/// about 0.11 s, in which all ranks' passes are longer.
+const FETCHES_PER_RANK: usize = 1;
+
+/// Balances one group as long as this process is the first live one.
+pub(crate) struct Coordinator<E, S, F> {
+    pub(crate) engine: Arc<E>,
+    pub(crate) make_engine: F,
+    pub(crate) source: Arc<S>,
+    pub(crate) own: SocketAddr,
+    pub(crate) port: u16,
+    pub(crate) roster: Arc<Roster>,
+    pub(crate) beliefs: Arc<Mutex<Beliefs>>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) started: Instant,
+}
+
+/// What the balancing process remembers from one change to the next.
+#[derive(Default)]
+struct Memory {
+    demand: Demand,
+    experts: Option<ExpertSpec>,
+    min_version: MapVersion,
+    left_behind_since: Option<Instant>,
+    was_leading: bool,
+}
+
+impl<E, S, F> Coordinator<E, S, F>
+where
+    E: Engine,
+    S: FleetSource,
+    F: Fn(SocketAddr) -> E + Send + Sync + 'static,
+{
+    /// Balances until the task is dropped.
+    pub(crate) async fn run(self) {
+        let mut memory = Memory::default();
+        loop {
+            tokio::time::sleep(PERIOD).await;
+            let is_leading = self.is_leading();
+            if is_leading != memory.was_leading {
+                log::info!(is_leading; "balancing duty");
+                memory.was_leading = is_leading;
+            }
+            if is_leading {
+                self.balance(&mut memory).await;
+            }
+        }
+    }
+
+    /// Says whether all processes before this one are silent.
+    fn is_leading(&self) -> bool {
+        let listeners = self.roster.listeners();
+        let Some(place) = listeners.iter().position(|engine| *engine == self.own) else {
+            return false;
+        };
+        let beliefs = self.beliefs.lock();
+        let is_silent =
+            |engine: &SocketAddr| beliefs.heard_ago(*engine).is_none_or(|ago| ago > SILENCE);
+        self.started.elapsed() > LISTEN_FIRST && listeners[..place].iter().all(is_silent)
+    }
+
+    async fn balance(&self, memory: &mut Memory) {
+        let Some(group) = self.beliefs.lock().group_of(self.own) else { return };
+        let Some(spec) = self.experts(memory).await else { return };
+        memory.demand.take(group.epoch, &group.states, spec.experts);
+        let reports = group.reports();
+        match (left_behind(&reports).is_some(), memory.left_behind_since) {
+            (false, _) => {
+                memory.left_behind_since = None;
+                self.change(memory, &spec, group).await;
+            }
+            (true, None) => memory.left_behind_since = Some(Instant::now()),
+            (true, Some(since)) if since.elapsed() < LEFT_BEHIND_AFTER => {}
+            (true, Some(_)) => {
+                memory.left_behind_since = None;
+                self.undo(memory, group).await;
+            }
+        }
+    }
+
+    async fn experts(&self, memory: &mut Memory) -> Option<ExpertSpec> {
+        if memory.experts.is_none() {
+            let read = self.source.config_after(None, Duration::ZERO).await;
+            let config = match read {
+                Ok(config) => config.map(|(_, config)| config),
+                Err(error) => {
+                    log::warn!(error:% = error; "the configuration can't be read");
+                    None
+                }
+            };
+            let services = config.into_iter().flat_map(|config| config.services);
+            let mut engines = services.filter_map(|service| service.engine);
+            memory.experts = engines.find_map(|engine| engine.experts);
+        }
+        memory.experts
+    }
+
+    async fn change(&self, memory: &mut Memory, spec: &ExpertSpec, group: Group) {
+        let (Some(current), Some(demand)) = (group.map(), memory.demand.by_set()) else { return };
+        let limits = PlanLimits {
+            slots_per_rank: spec.places_per_rank,
+            fetches_per_rank: spec.spare_per_set.min(FETCHES_PER_RANK),
+            fetches_per_set: FETCHES_PER_SET,
+        };
+        let planned = plan_group(&current, &demand, limits);
+        let Some(plan) = planned.filter(|p| p.skew_before - p.skew_after >= MIN_GAIN) else {
+            return;
+        };
+        let Some(own) = group.engines.iter().position(|engine| *engine == self.own) else { return };
+        let reports = group.reports();
+        let switch = Switch::start(
+            SwitchOptions::default(),
+            own,
+            group.epoch,
+            reports,
+            current,
+            plan.maps.clone(),
+            memory.min_version,
+            self.started.elapsed(),
+        );
+        memory.min_version = switch.version() + 1;
+        self.metrics.count("maps.started");
+        let began = Instant::now();
+        let end = self.drive(switch, &group.engines).await;
+        self.note(&plan, memory.min_version - 1, end, began.elapsed());
+        if end == SwitchEnd::NotPrepared {
+            // The number may have been had before; a higher one has not.
+            memory.min_version += 16;
+        }
+    }
+
+    fn note(&self, plan: &GroupPlan, version: MapVersion, end: SwitchEnd, took: Duration) {
+        let (before, after, fetches) = (plan.skew_before, plan.skew_after, plan.fetches);
+        let took_ms = took.as_millis() as u64;
+        log::info!(version, skew_before = before, skew_after = after, fetches, took_ms,
+            end:? = end; "change of map");
+        self.metrics.latency("maps.change", took);
+        if end == SwitchEnd::Switched {
+            self.metrics.count("maps.switched");
+        }
+    }
+
+    async fn undo(&self, memory: &mut Memory, group: Group) {
+        let Some(current) = group.map() else { return };
+        let Some(own) = group.engines.iter().position(|engine| *engine == self.own) else { return };
+        let (epoch, reports) = (group.epoch, group.reports());
+        let now = self.started.elapsed();
+        let options = SwitchOptions::default();
+        let Some(switch) = Switch::undo(options, own, epoch, reports, current, now) else { return };
+        log::warn!(epoch; "a change of map was left behind; it is undone");
+        memory.min_version = memory.min_version.max(switch.version() + 2);
+        let end = self.drive(switch, &group.engines).await;
+        log::info!(end:? = end; "a change of map that was left behind is over");
+        self.metrics.count("maps.undone");
+    }
+
+    /// Sees a switch through.
+    async fn drive(&self, mut switch: Switch, engines: &[SocketAddr]) -> SwitchEnd {
+        let mut under_way: FuturesUnordered<BoxFuture<'_, (usize, Result<OrderAnswer>)>> =
+            FuturesUnordered::new();
+        loop {
+            for RankOrder { rank, order } in switch.tick(self.started.elapsed()) {
+                let engine = engines[rank];
+                under_way.push(Box::pin(async move { (rank, self.give(engine, &order).await) }));
+            }
+            if let Some(end) = switch.end() {
+                return end;
+            }
+            tokio::select! {
+                Some((rank, answered)) = under_way.next(), if !under_way.is_empty() => {
+                    take_answer(&mut switch, rank, answered);
+                }
+                () = tokio::time::sleep(SWITCH_TICK) => self.observe(&mut switch, engines),
+            }
+        }
+    }
+
+    /// Takes what the ranks have told meanwhile.
+    fn observe(&self, switch: &mut Switch, engines: &[SocketAddr]) {
+        let beliefs = self.beliefs.lock();
+        for (rank, engine) in engines.iter().enumerate() {
+            if let Some(report) = beliefs.last_report(*engine) {
+                switch.observe(rank, report);
+            }
+        }
+    }
+
+    /// Gives an order through the process beside the engine, or straight to the
+    /// engine if that process does not answer.
+    async fn give(&self, engine: SocketAddr, order: &EngineOrder) -> Result<OrderAnswer> {
+        if engine == self.own {
+            return give(&*self.engine, order).await;
+        }
+        let peer = SocketAddr::new(engine.ip(), self.port);
+        match give_through(peer, order).await {
+            Ok(answer) => Ok(answer),
+            Err(error) => {
+                log::info!(error:% = error; "order given to the engine directly");
+                self.metrics.count("orders.direct");
+                give(&(self.make_engine)(engine), order).await
+            }
+        }
+    }
+}
+
+fn take_answer(switch: &mut Switch, rank: usize, answered: Result<OrderAnswer>) {
+    match answered {
+        Ok(OrderAnswer { result, report }) => {
+            switch.observe(rank, report);
+            switch.answered(rank, result);
+        }
+        Err(error) => log::info!(rank, error:% = error; "nothing is known of an order"),
+    }
+}
