Notice a shift of demand within a window, and copy little at once

Cause: demand shifts at once and stays for seconds; counts of a second and more mixed both, and a change that copied four experts a rank took 0.7 s, so that passes were over 120 ms for 1.5 s after each shift.

Ruled out: forecasting a shift; the experts that come up have nothing in common with those before (distance 0.3 to 0.5 between spans, recorded counts).

Change: demand is summed over the windows since the last shift; sets share a rank's budget of fetches, worst set first; the group is held one step ahead.

--- a/crates/balance/src/adaptive.rs
+++ b/crates/balance/src/adaptive.rs
@@ -114,7 +114,7 @@
         let expected = forecast.expected()?;
         let limits = Limits {
             max_fetches: MAX_FETCHES_PER_LAYER * self.windows_to_use(),
-            max_fetches_per_rank: usize::MAX,
+            fetches_by_rank: Vec::new(),
             slots_per_rank: self.shape.slots_per_rank,
         };
         let path = improve(map, &expected, limits);
--- a/crates/balance/src/search.rs
+++ b/crates/balance/src/search.rs
@@ -10,12 +10,12 @@
 const MIN_GAIN: f64 = 1e-9;
 
 /// Limits of a search.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct Limits {
     /// Slots that may have to fetch, in all.
     pub(crate) max_fetches: usize,
-    /// Slots of one rank that may have to fetch.
-    pub(crate) max_fetches_per_rank: usize,
+    /// Slots of each rank that may have to fetch; any number if it is empty.
+    pub(crate) fetches_by_rank: Vec<usize>,
     /// Experts that a rank has room for.
     pub(crate) slots_per_rank: usize,
 }
@@ -78,6 +78,7 @@
 
 /// Improves a map until no move helps or the fetches are used up.
 pub(crate) fn improve(map: &ExpertMap, parts: &[f64], limits: Limits) -> Path {
+    let max_fetches = limits.max_fetches;
     let mut search = Search::new(map, parts, limits);
     let mut path =
         Path { from: map.clone(), moves: Vec::new(), points: vec![search.point(map, 0)] };
@@ -86,7 +87,7 @@
         search.refresh();
         path.moves.push(best);
         let point = search.point(map, path.moves.len());
-        if point.fetches > limits.max_fetches {
+        if point.fetches > max_fetches {
             break;
         }
         path.points.push(point);
@@ -97,7 +98,7 @@
 /// The skew that a map is expected to have.
 pub(crate) fn expected_skew(map: &ExpertMap, parts: &[f64]) -> f64 {
     let any = usize::MAX;
-    let limits = Limits { max_fetches: any, max_fetches_per_rank: any, slots_per_rank: any };
+    let limits = Limits { max_fetches: any, fetches_by_rank: Vec::new(), slots_per_rank: any };
     Search::new(map, parts, limits).skew()
 }
 
@@ -227,7 +228,8 @@
         let before = &self.from.ranks()[rank];
         let is_new = |expert: &&Expert| !before.contains(expert);
         let fetched = self.map.ranks()[rank].iter().filter(is_new).count();
-        before.contains(&expert) || fetched < self.limits.max_fetches_per_rank
+        let limit = self.limits.fetches_by_rank.get(rank).copied();
+        before.contains(&expert) || limit.is_none_or(|limit| fetched < limit)
     }
 
     /// What a further replica of `expert` at a rank gains.
--- a/crates/group/src/switch.rs
+++ b/crates/group/src/switch.rs
@@ -31,21 +31,21 @@
     pub arm_timeout: Duration,
     /// How long an order without an answer is waited for before it is repeated.
     pub repeat_after: Duration,
-    /// How many steps ahead the group is held: so many that it is armed before
-    /// it comes there, which takes about 10 ms, and passes take 20 ms or more.
+    /// How many steps ahead the group is held. One is enough: the hold takes a
+    /// millisecond and arming about ten, and passes take 20 ms or more.
     pub lead_steps: GroupStep,
     /// How often a hold that came too late is tried at a later step.
     pub max_holds: u32,
 }
 
 impl Default for SwitchOptions {
-    /// Three seconds to prepare, 0.4 s to arm, two steps ahead.
+    /// Three seconds to prepare, 0.4 s to arm, one step ahead.
     fn default() -> SwitchOptions {
         SwitchOptions {
             prepare_timeout: Duration::from_secs(3),
             arm_timeout: Duration::from_millis(400),
             repeat_after: Duration::from_millis(350),
-            lead_steps: 2,
+            lead_steps: 1,
             max_holds: 6,
         }
     }
--- a/crates/rank/src/beliefs.rs
+++ b/crates/rank/src/beliefs.rs
@@ -8,7 +8,7 @@
 
 use lynxmount_core::experts::{EngineReport, GroupEpoch, GroupMap};
 
-use crate::message::RankState;
+use crate::{demand::Demand, message::RankState};
 
 /// How old a rank's state may be to be acted on: five periods of reports.
 const FRESH: Duration = Duration::from_millis(1000);
@@ -23,6 +23,7 @@
 #[derive(Default)]
 pub(crate) struct Beliefs {
     heard: BTreeMap<SocketAddr, Heard>,
+    demand: Demand,
 }
 
 /// All ranks of a group in one life, in order.
@@ -34,9 +35,15 @@
 
 impl Beliefs {
     pub(crate) fn hear(&mut self, state: RankState) {
+        self.demand.take(&state);
         self.heard.insert(state.engine, Heard { state, at: Instant::now() });
     }
 
+    /// Demand by set and expert; `None` before anything was seen.
+    pub(crate) fn demand(&self, experts: usize) -> Option<Vec<Vec<f64>>> {
+        self.demand.by_set(experts)
+    }
+
     /// When an engine's process was heard last.
     pub(crate) fn heard_ago(&self, engine: SocketAddr) -> Option<Duration> {
         self.heard.get(&engine).map(|heard| heard.at.elapsed())
--- a/crates/rank/src/coordinator.rs
+++ b/crates/rank/src/coordinator.rs
@@ -11,7 +11,7 @@
 use lynxmount_core::{
     ExpertSpec, Result,
     edge::{Engine, FleetSource},
-    experts::{EngineOrder, MapVersion},
+    experts::{EngineOrder, GroupMap, MapVersion},
 };
 use lynxmount_group::{RankOrder, Switch, SwitchEnd, SwitchOptions, left_behind};
 use lynxmount_telemetry::Metrics;
@@ -19,14 +19,13 @@
 
 use crate::{
     beliefs::{Beliefs, Group},
-    demand::Demand,
     message::OrderAnswer,
     orders::{give, give_through},
     roster::Roster,
 };
 
-/// How often demand is taken up and a change is weighed: the period of reports.
-const PERIOD: Duration = Duration::from_millis(200);
+/// How often a change is weighed.
+const PERIOD: Duration = Duration::from_millis(50);
 
 /// How often a switch under way is looked after if nothing is answered.
 const SWITCH_TICK: Duration = Duration::from_millis(20);
@@ -44,11 +43,15 @@
 /// The smallest gain in skew that a change is made for.
 const MIN_GAIN: f64 = 0.04;
 
-/// The most experts of a set that all ranks fetch in one change.
-const FETCHES_PER_SET: usize = 24;
+/// By how much the skew of a set must fall for each expert that is fetched.
+const LEAST_GAIN_PER_FETCH: f64 = 0.01;
 
-/// The most experts of a set that one rank fetches in one change: each takes
-/// about 0.11 s, in which all ranks' passes are longer.
+/// The skew from which on a change may take twice as long: after a shift, one
+/// expert a rank is not enough to spread those that are in demand now.
+const HIGH_SKEW: f64 = 1.6;
+
+/// Experts that a rank fetches in one change. Each takes about 0.11 s on the
+/// reference deployments, in which all ranks' passes are longer.
 const FETCHES_PER_RANK: usize = 1;
 
 /// Balances one group as long as this process is the first live one.
@@ -67,7 +70,6 @@
 /// What the balancing process remembers from one change to the next.
 #[derive(Default)]
 struct Memory {
-    demand: Demand,
     experts: Option<ExpertSpec>,
     min_version: MapVersion,
     left_behind_since: Option<Instant>,
@@ -111,7 +113,6 @@
     async fn balance(&self, memory: &mut Memory) {
         let Some(group) = self.beliefs.lock().group_of(self.own) else { return };
         let Some(spec) = self.experts(memory).await else { return };
-        memory.demand.take(group.epoch, &group.states, spec.experts);
         let reports = group.reports();
         match (left_behind(&reports).is_some(), memory.left_behind_since) {
             (false, _) => {
@@ -145,13 +146,13 @@
     }
 
     async fn change(&self, memory: &mut Memory, spec: &ExpertSpec, group: Group) {
-        let (Some(current), Some(demand)) = (group.map(), memory.demand.by_set()) else { return };
-        let limits = PlanLimits {
-            slots_per_rank: spec.places_per_rank,
-            fetches_per_rank: spec.spare_per_set.min(FETCHES_PER_RANK),
-            fetches_per_set: FETCHES_PER_SET,
-        };
-        let planned = plan_group(&current, &demand, limits);
+        // A map that is armed comes into use with the next pass of the group.
+        if group.states.iter().any(|state| state.report.armed.is_some()) {
+            return;
+        }
+        let demand = self.beliefs.lock().demand(spec.experts);
+        let (Some(current), Some(demand)) = (group.map(), demand) else { return };
+        let planned = plan(&current, &demand, spec);
         let Some(plan) = planned.filter(|p| p.skew_before - p.skew_after >= MIN_GAIN) else {
             return;
         };
@@ -252,6 +253,24 @@
     }
 }
 
+/// Plans a change that is quick, or a larger one if much is out of balance.
+fn plan(current: &GroupMap, demand: &[Vec<f64>], spec: &ExpertSpec) -> Option<GroupPlan> {
+    let limits = PlanLimits {
+        slots_per_rank: spec.places_per_rank,
+        fetches_per_set: spec.spare_per_set,
+        fetches_per_rank: FETCHES_PER_RANK,
+        least_gain_per_fetch: LEAST_GAIN_PER_FETCH,
+    };
+    let quick = plan_group(current, demand, limits)?;
+    match quick.skew_before >= HIGH_SKEW {
+        true => {
+            let fetches_per_rank = 2 * FETCHES_PER_RANK;
+            plan_group(current, demand, PlanLimits { fetches_per_rank, ..limits })
+        }
+        false => Some(quick),
+    }
+}
+
 fn take_answer(switch: &mut Switch, rank: usize, answered: Result<OrderAnswer>) {
     match answered {
         Ok(OrderAnswer { result, report }) => {
--- a/crates/rank/src/reporter.rs
+++ b/crates/rank/src/reporter.rs
@@ -19,10 +19,10 @@
 
 /// How often the engine is read. Reading it on its own machine is free, and
 /// demand shifts within seconds.
-const PERIOD: Duration = Duration::from_millis(200);
+const PERIOD: Duration = Duration::from_millis(100);
 
 /// How often it is read while it copies experts: a switch waits for the last.
-const COPYING_PERIOD: Duration = Duration::from_millis(40);
+const COPYING_PERIOD: Duration = Duration::from_millis(25);
 
 /// How long after an order to prepare the engine is taken to copy at most.
 const COPYING_TIME: Duration = Duration::from_secs(3);
