--- a/crates/rank/src/coordinator.rs
+++ b/crates/rank/src/coordinator.rs
@@ -20,7 +20,7 @@
 use crate::{
     beliefs::{Beliefs, Group},
     message::OrderAnswer,
-    orders::{give, give_through},
+    orders::{Peers, give},
     roster::Roster,
 };
 
@@ -63,6 +63,7 @@
     pub(crate) port: u16,
     pub(crate) roster: Arc<Roster>,
     pub(crate) beliefs: Arc<Mutex<Beliefs>>,
+    pub(crate) peers: Peers,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) started: Instant,
 }
@@ -242,7 +243,7 @@
             return give(&*self.engine, order).await;
         }
         let peer = SocketAddr::new(engine.ip(), self.port);
-        match give_through(peer, order).await {
+        match self.peers.give(peer, order).await {
             Ok(answer) => Ok(answer),
             Err(error) => {
                 log::info!(error:% = error; "order given to the engine directly");
--- a/crates/rank/src/orders.rs
+++ b/crates/rank/src/orders.rs
@@ -1,7 +1,7 @@
 //! Passing orders on to an engine: to the own one for others, and to others'
 //! through the processes beside them.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
@@ -14,6 +14,7 @@
     invalid, refused,
 };
 use lynxmount_link::{Handle, HttpClient};
+use parking_lot::Mutex;
 
 use crate::{
     message::{OrderAnswer, OrderRequest},
@@ -30,35 +31,55 @@
 /// its engine.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(450);
 
+/// How often an order without an answer is given, in all. It takes effect once at
+/// most, as it carries a number.
+const MAX_TRIES: u32 = 4;
+
 /// Gives an order, and reads the engine's state after it.
 ///
 /// Fails if the state can't be read.
 pub(crate) async fn give(engine: &impl Engine, order: &EngineOrder) -> Result<OrderAnswer> {
-    let result = match engine.order(order).await {
-        Ok(result) => Some(result),
-        Err(error) => {
-            log::info!(error:% = error; "order without an answer");
-            None
+    let mut result = None;
+    for attempt in 1..=MAX_TRIES {
+        match engine.order(order).await {
+            Ok(answered) => {
+                result = Some(answered);
+                break;
+            }
+            Err(error) => log::info!(attempt, error:% = error; "order without an answer"),
         }
-    };
+    }
     let report = engine.report().await?;
     Ok(OrderAnswer { result, report })
 }
 
-/// Asks the process beside an engine to give an order.
-///
-/// Fails if that process or its engine does not answer.
-pub(crate) async fn give_through(peer: SocketAddr, order: &EngineOrder) -> Result<OrderAnswer> {
-    let request = OrderRequest { order: order.clone() };
-    let body = serde_json::to_vec(&request).map_err(|e| invalid(Step::Order, peer, e))?;
-    let client = HttpClient::new(peer);
-    let answer =
-        client.call(Step::Order, Method::POST, ORDER_PATH, body.into(), ORDER_TIMEOUT).await?;
-    match answer.status {
-        StatusCode::OK => {
-            serde_json::from_slice(&answer.body).map_err(|e| invalid(Step::Order, peer, e))
+/// Connections to the processes beside other engines.
+#[derive(Default)]
+pub(crate) struct Peers {
+    clients: Mutex<HashMap<SocketAddr, Arc<HttpClient>>>,
+}
+
+impl Peers {
+    /// Asks the process beside an engine to give an order.
+    ///
+    /// Fails if that process or its engine does not answer.
+    pub(crate) async fn give(&self, peer: SocketAddr, order: &EngineOrder) -> Result<OrderAnswer> {
+        let request = OrderRequest { order: order.clone() };
+        let body = serde_json::to_vec(&request).map_err(|e| invalid(Step::Order, peer, e))?;
+        let client = self.client(peer);
+        let answer =
+            client.call(Step::Order, Method::POST, ORDER_PATH, body.into(), ORDER_TIMEOUT).await?;
+        match answer.status {
+            StatusCode::OK => {
+                serde_json::from_slice(&answer.body).map_err(|e| invalid(Step::Order, peer, e))
+            }
+            status => Err(refused(Step::Order, peer, status)),
         }
-        status => Err(refused(Step::Order, peer, status)),
+    }
+
+    fn client(&self, peer: SocketAddr) -> Arc<HttpClient> {
+        let mut clients = self.clients.lock();
+        Arc::clone(clients.entry(peer).or_insert_with(|| Arc::new(HttpClient::new(peer))))
     }
 }
 
@@ -99,8 +120,8 @@
 impl<E: Engine> OrderPort<E> {
     async fn give(&self, order: &EngineOrder) -> Result<Response<Full<Bytes>>> {
         let answer = give(&*self.reporter.engine, order).await?;
-        if matches!(order.action, Action::Prepare { .. }) {
-            self.reporter.note_copying();
+        if let Action::Prepare { version, .. } = order.action {
+            self.reporter.note_copying(version);
         }
         let body = serde_json::to_vec(&answer)
             .map_err(|e| invalid(Step::Order, self.reporter.address, e))?;
--- a/crates/rank/src/process.rs
+++ b/crates/rank/src/process.rs
@@ -17,8 +17,12 @@
 };
 
 use crate::{
-    beliefs::Beliefs, coordinator::Coordinator, message::RankState, orders::OrderPort,
-    reporter::Reporter, roster::Roster,
+    beliefs::Beliefs,
+    coordinator::Coordinator,
+    message::RankState,
+    orders::{OrderPort, Peers},
+    reporter::Reporter,
+    roster::Roster,
 };
 
 /// The largest report, in bytes: that of a datagram.
@@ -63,7 +67,7 @@
         socket: Arc::clone(&socket),
         port,
         metrics: Arc::clone(&metrics),
-        copying_until: Mutex::default(),
+        copying: Mutex::default(),
         wake: Notify::new(),
     });
     if let Some(port) = metrics_port {
@@ -83,6 +87,7 @@
         port,
         roster,
         beliefs,
+        peers: Peers::default(),
         metrics,
         started: Instant::now(),
     };
--- a/crates/rank/src/reporter.rs
+++ b/crates/rank/src/reporter.rs
@@ -9,7 +9,7 @@
 use lynxmount_core::{
     Result,
     edge::Engine,
-    experts::{Counts, EngineReport, RankMap},
+    experts::{Counts, EngineReport, MapVersion, RankMap},
 };
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
@@ -21,12 +21,21 @@
 /// demand shifts within seconds.
 const PERIOD: Duration = Duration::from_millis(100);
 
-/// How often it is read while it copies experts: a switch waits for the last.
+/// How often it is read while it copies experts. Nothing is told meanwhile: four
+/// times the datagrams kept the balancing process busy for 0.2 s at a time.
 const COPYING_PERIOD: Duration = Duration::from_millis(25);
 
 /// How long after an order to prepare the engine is taken to copy at most.
 const COPYING_TIME: Duration = Duration::from_secs(3);
 
+/// A copy of experts that was ordered.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Copying {
+    version: MapVersion,
+    /// Until when it is waited for.
+    until: Instant,
+}
+
 /// Reads one engine.
 pub(crate) struct Reporter<E> {
     pub(crate) engine: Arc<E>,
@@ -36,15 +45,15 @@
     /// The port of peers' sockets.
     pub(crate) port: u16,
     pub(crate) metrics: Arc<Metrics>,
-    /// Until when the engine is taken to copy experts.
-    pub(crate) copying_until: Mutex<Option<Instant>>,
+    /// The copy that was ordered last, until it has ended.
+    pub(crate) copying: Mutex<Option<Copying>>,
     pub(crate) wake: Notify,
 }
 
 impl<E: Engine> Reporter<E> {
     /// Notes that the engine was told to copy experts.
-    pub(crate) fn note_copying(&self) {
-        *self.copying_until.lock() = Some(Instant::now() + COPYING_TIME);
+    pub(crate) fn note_copying(&self, version: MapVersion) {
+        *self.copying.lock() = Some(Copying { version, until: Instant::now() + COPYING_TIME });
         self.wake.notify_one();
     }
 
@@ -69,10 +78,9 @@
                     is_lost = true;
                 }
             }
-            let period = self.period();
             tokio::select! {
-                () = tokio::time::sleep(period) => {}
-                () = self.wake.notified() => {}
+                () = tokio::time::sleep(PERIOD) => {}
+                () = self.copied() => {}
             }
         }
     }
@@ -82,17 +90,25 @@
         if held.experts.is_empty() || held.version != report.map || report.map == 0 {
             *held = self.engine.rank_map().await?;
         }
-        if report.prepared.is_some() && report.armed.is_none() {
-            *self.copying_until.lock() = None;
-        }
         let counts: Counts = self.engine.counts().await?;
         Ok(RankState { engine: self.address, report, held: held.clone(), counts })
     }
 
-    fn period(&self) -> Duration {
-        match *self.copying_until.lock() {
-            Some(until) if Instant::now() < until => COPYING_PERIOD,
-            _ => PERIOD,
+    /// Waits until a copy that was ordered has ended: a switch waits for the last
+    /// of all ranks.
+    async fn copied(&self) {
+        loop {
+            let copying = *self.copying.lock();
+            let Some(copying) = copying.filter(|copying| copying.until > Instant::now()) else {
+                self.wake.notified().await;
+                continue;
+            };
+            tokio::time::sleep(COPYING_PERIOD).await;
+            let report = self.engine.report().await;
+            if report.is_ok_and(|report| report.prepared == Some(copying.version)) {
+                *self.copying.lock() = None;
+                return;
+            }
         }
     }
 
