Send orders between endpoint processes as datagrams, maps by their rows

Cause: 72 orders of 10 kB each, as JSON over HTTP, took a second on a small machine's link; every rank's counts went to three processes ten times a second.

Change: orders, answers and reports are datagrams; a map goes by the rows that differ from the one in use; 16 ranks of a group tell their counts.

--- a/crates/rank/src/beliefs.rs
+++ b/crates/rank/src/beliefs.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use lynxmount_core::experts::{EngineReport, GroupEpoch, GroupMap};
+use lynxmount_core::experts::{EngineReport, GroupEpoch, GroupMap, MapVersion};
 
 use crate::{demand::Demand, message::RankState};
 
@@ -78,6 +78,11 @@
         self.states.iter().map(|state| state.report.clone()).collect()
     }
 
+    /// The number of the map in use, as the first rank tells it.
+    pub(crate) fn map_version(&self) -> MapVersion {
+        self.states.first().map_or(0, |state| state.report.map)
+    }
+
     /// The map in use, if all ranks tell the same version of it.
     pub(crate) fn map(&self) -> Option<GroupMap> {
         let version = self.states.first()?.report.map;
--- a/crates/rank/src/coordinator.rs
+++ b/crates/rank/src/coordinator.rs
@@ -20,7 +20,7 @@
 use crate::{
     beliefs::{Beliefs, Group},
     message::OrderAnswer,
-    orders::{Peers, give},
+    orders::{Outbox, give},
     roster::Roster,
 };
 
@@ -54,10 +54,13 @@
 /// reference deployments, in which all ranks' passes are longer.
 const FETCHES_PER_RANK: usize = 1;
 
-/// How many steps ahead a group is held while answers to orders are lost. Arming
-/// 16 ranks then takes 50 to 100 ms, which the group works through instead of
-/// standing still.
-const LEAD_STEPS_WITH_LOSS: GroupStep = 4;
+/// How many steps ahead a group is held while answers to orders are lost, or if
+/// it is large. Arming then takes 50 to 100 ms, which the group works through
+/// instead of standing still.
+const LONG_LEAD_STEPS: GroupStep = 4;
+
+/// Ranks that are armed in about 10 ms.
+const MANY_RANKS: usize = 24;
 
 /// How long after a lost answer others are expected to be lost.
 const LOSS_TIME: Duration = Duration::from_secs(3);
@@ -71,11 +74,14 @@
     pub(crate) port: u16,
     pub(crate) roster: Arc<Roster>,
     pub(crate) beliefs: Arc<Mutex<Beliefs>>,
-    pub(crate) peers: Peers,
+    pub(crate) outbox: Arc<Outbox>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) started: Instant,
 }
 
+/// The map in use, which other processes know, if they have prepared it.
+type Base<'a> = Option<(MapVersion, &'a GroupMap)>;
+
 /// What the balancing process remembers from one change to the next.
 #[derive(Default)]
 struct Memory {
@@ -93,13 +99,12 @@
         }
     }
 
-    fn switch_options(&self) -> SwitchOptions {
+    fn switch_options(&self, ranks: usize) -> SwitchOptions {
         let options = SwitchOptions::default();
-        match self.answer_lost_at {
-            Some(at) if at.elapsed() < LOSS_TIME => {
-                SwitchOptions { lead_steps: LEAD_STEPS_WITH_LOSS, ..options }
-            }
-            _ => options,
+        let is_lossy = self.answer_lost_at.is_some_and(|at| at.elapsed() < LOSS_TIME);
+        match is_lossy || ranks > MANY_RANKS {
+            true => SwitchOptions { lead_steps: LONG_LEAD_STEPS, ..options },
+            false => options,
         }
     }
 }
@@ -187,8 +192,11 @@
         };
         let Some(own) = group.engines.iter().position(|engine| *engine == self.own) else { return };
         let reports = group.reports();
+        let (in_use, map_in_use) = (group.map_version(), current.clone());
+        // Nobody has prepared the first map, so that it is not known to others.
+        let base = (in_use > 0).then_some((in_use, &map_in_use));
         let switch = Switch::start(
-            memory.switch_options(),
+            memory.switch_options(group.engines.len()),
             own,
             group.epoch,
             reports,
@@ -200,7 +208,7 @@
         memory.min_version = switch.version() + 1;
         self.metrics.count("maps.started");
         let began = Instant::now();
-        let end = self.drive(memory, switch, &group.engines).await;
+        let end = self.drive(memory, switch, &group.engines, base).await;
         self.note(&plan, memory.min_version - 1, end, began.elapsed());
         if end == SwitchEnd::NotPrepared {
             // The number may have been had before; a higher one has not.
@@ -228,7 +236,7 @@
         let Some(switch) = Switch::undo(options, own, epoch, reports, current, now) else { return };
         log::warn!(epoch; "a change of map was left behind; it is undone");
         memory.min_version = memory.min_version.max(switch.version() + 2);
-        let end = self.drive(memory, switch, &group.engines).await;
+        let end = self.drive(memory, switch, &group.engines, None).await;
         log::info!(end:? = end; "a change of map that was left behind is over");
         self.metrics.count("maps.undone");
     }
@@ -239,13 +247,15 @@
         memory: &mut Memory,
         mut switch: Switch,
         engines: &[SocketAddr],
+        base: Base<'_>,
     ) -> SwitchEnd {
         let mut under_way: FuturesUnordered<BoxFuture<'_, (usize, Result<OrderAnswer>)>> =
             FuturesUnordered::new();
         loop {
             for RankOrder { rank, order } in switch.tick(self.started.elapsed()) {
                 let engine = engines[rank];
-                under_way.push(Box::pin(async move { (rank, self.give(engine, &order).await) }));
+                under_way
+                    .push(Box::pin(async move { (rank, self.give(engine, &order, base).await) }));
             }
             if let Some(end) = switch.end() {
                 return end;
@@ -272,12 +282,17 @@
 
     /// Gives an order through the process beside the engine, or straight to the
     /// engine if that process does not answer.
-    async fn give(&self, engine: SocketAddr, order: &EngineOrder) -> Result<OrderAnswer> {
+    async fn give(
+        &self,
+        engine: SocketAddr,
+        order: &EngineOrder,
+        base: Base<'_>,
+    ) -> Result<OrderAnswer> {
         if engine == self.own {
             return give(&*self.engine, order).await;
         }
         let peer = SocketAddr::new(engine.ip(), self.port);
-        match self.peers.give(peer, order).await {
+        match self.outbox.give(peer, order, base).await {
             Ok(answer) => Ok(answer),
             Err(error) => {
                 log::info!(error:% = error; "order given to the engine directly");
--- a/crates/rank/src/demand.rs
+++ b/crates/rank/src/demand.rs
@@ -44,7 +44,7 @@
 impl Demand {
     /// Takes the counts of a rank.
     pub(crate) fn take(&mut self, state: &RankState) {
-        let counts = &state.counts;
+        let Some(counts) = &state.counts else { return };
         if self.epoch != counts.epoch {
             *self = Demand { epoch: counts.epoch, ..Demand::default() };
         }
--- a/crates/rank/src/message.rs
+++ b/crates/rank/src/message.rs
@@ -1,15 +1,32 @@
-//! What endpoint processes tell each other.
+//! What endpoint processes tell each other, in datagrams.
 
 use std::net::SocketAddr;
 
 use lynxmount_core::{
     Result, Step,
-    experts::{Counts, EngineOrder, EngineReport, OrderResult, RankMap},
+    experts::{
+        Action, Counts, EngineOrder, EngineReport, GroupEpoch, GroupMap, GroupStep, MapVersion,
+        OrderNumber, OrderResult, RankMap,
+    },
     invalid,
 };
 use serde::{Deserialize, Serialize};
 
-/// The state of one rank; one datagram.
+/// Names an order and its answer.
+pub(crate) type OrderId = u64;
+
+/// One datagram.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) enum Datagram {
+    /// What has become of an order.
+    Answer(AnswerMessage),
+    /// An order to the engine beside the receiver.
+    Order(OrderMessage),
+    /// The state of the sender's rank.
+    Report(Box<RankState>),
+}
+
+/// The state of one rank.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct RankState {
     /// The engine's address, which names the rank's process.
@@ -18,28 +35,69 @@
     pub(crate) report: EngineReport,
     /// The experts that the rank holds.
     pub(crate) held: RankMap,
-    /// Counts since the engine's start.
-    pub(crate) counts: Counts,
+    /// Counts since the engine's start, from some of the ranks.
+    pub(crate) counts: Option<Counts>,
 }
 
-impl RankState {
-    pub(crate) fn encode(&self) -> Result<Vec<u8>> {
-        postcard::to_stdvec(self).map_err(|e| invalid(Step::Order, self.engine, e))
-    }
+/// An order to an engine. Whoever gets it twice gives it twice, which changes
+/// nothing, as it carries a number.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct OrderMessage {
+    pub(crate) id: OrderId,
+    /// The group's life.
+    pub(crate) epoch: GroupEpoch,
+    /// The number of orders that the engine must have seen.
+    pub(crate) after: OrderNumber,
+    pub(crate) action: ActionMessage,
+}
 
-    pub(crate) fn decode(peer: SocketAddr, bytes: &[u8]) -> Result<RankState> {
-        postcard::from_bytes(bytes).map_err(|e| invalid(Step::Order, peer, e))
-    }
+/// What an engine is asked to do; see [`Action`].
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) enum ActionMessage {
+    Arm { version: MapVersion, step: GroupStep },
+    Disarm { version: MapVersion },
+    Go { step: GroupStep },
+    Hold { step: GroupStep },
+    Prepare { version: MapVersion, map: MapMessage },
 }
 
-/// An order to the engine beside a process: `POST /v1/order`.
+/// A map, as a whole or by what differs: a whole one of 72 ranks takes 4 kB, and
+/// 72 of them half a second of a small machine's link.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub(crate) struct OrderRequest {
-    /// The order.
-    pub(crate) order: EngineOrder,
+pub(crate) enum MapMessage {
+    /// Rows that differ from another map.
+    Changed { base: MapVersion, rows: Vec<MapRow> },
+    /// All experts of each set and rank.
+    Full(GroupMap),
 }
 
-/// What came of it.
+/// The experts of one rank in one set.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct MapRow {
+    pub(crate) set: usize,
+    pub(crate) rank: usize,
+    pub(crate) experts: Vec<usize>,
+}
+
+/// What has become of an order.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct AnswerMessage {
+    pub(crate) id: OrderId,
+    pub(crate) outcome: OrderOutcome,
+}
+
+/// What has become of an order.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) enum OrderOutcome {
+    /// The engine was given it.
+    Given(Box<OrderAnswer>),
+    /// The process does not know the map that the order builds on.
+    MapUnknown,
+    /// The engine can't be read.
+    Unreachable,
+}
+
+/// An engine's answer to an order.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct OrderAnswer {
     /// The engine's answer; `None` if it gave none in time.
@@ -49,3 +107,82 @@
     /// The engine's state after that.
     pub(crate) report: EngineReport,
 }
+
+impl Datagram {
+    pub(crate) fn encode(&self) -> Result<Vec<u8>> {
+        postcard::to_stdvec(self).map_err(|e| invalid(Step::Order, "datagram", e))
+    }
+
+    pub(crate) fn decode(peer: SocketAddr, bytes: &[u8]) -> Result<Datagram> {
+        postcard::from_bytes(bytes).map_err(|e| invalid(Step::Order, peer, e))
+    }
+}
+
+impl OrderMessage {
+    /// Makes a message of an order; a map goes by what differs from a map that
+    /// the receiver is expected to know.
+    pub(crate) fn new(
+        id: OrderId,
+        order: &EngineOrder,
+        base: Option<(MapVersion, &GroupMap)>,
+    ) -> OrderMessage {
+        let action = match &order.action {
+            Action::Arm { version, step } => ActionMessage::Arm { version: *version, step: *step },
+            Action::Disarm { version } => ActionMessage::Disarm { version: *version },
+            Action::Go { step } => ActionMessage::Go { step: *step },
+            Action::Hold { step } => ActionMessage::Hold { step: *step },
+            Action::Prepare { version, map } => {
+                ActionMessage::Prepare { version: *version, map: MapMessage::new(map, base) }
+            }
+        };
+        OrderMessage { id, epoch: order.epoch, after: order.after, action }
+    }
+
+    /// The order; `None` if it builds on a map that is not known.
+    pub(crate) fn order(
+        self,
+        known: impl FnOnce(MapVersion) -> Option<GroupMap>,
+    ) -> Option<EngineOrder> {
+        let action = match self.action {
+            ActionMessage::Arm { version, step } => Action::Arm { version, step },
+            ActionMessage::Disarm { version } => Action::Disarm { version },
+            ActionMessage::Go { step } => Action::Go { step },
+            ActionMessage::Hold { step } => Action::Hold { step },
+            ActionMessage::Prepare { version, map } => {
+                Action::Prepare { version, map: map.map(known)? }
+            }
+        };
+        Some(EngineOrder { epoch: self.epoch, after: self.after, action })
+    }
+}
+
+impl MapMessage {
+    fn new(map: &GroupMap, base: Option<(MapVersion, &GroupMap)>) -> MapMessage {
+        let Some((base, from)) = base else { return MapMessage::Full(map.clone()) };
+        let mut rows = Vec::new();
+        for (set, (new, old)) in map.iter().zip(from).enumerate() {
+            let pairs = new.iter().zip(old).enumerate();
+            rows.extend(
+                pairs.filter(|(_, (new, old))| new != old).map(|(rank, (experts, _))| MapRow {
+                    set,
+                    rank,
+                    experts: experts.clone(),
+                }),
+            );
+        }
+        MapMessage::Changed { base, rows }
+    }
+
+    fn map(self, known: impl FnOnce(MapVersion) -> Option<GroupMap>) -> Option<GroupMap> {
+        match self {
+            MapMessage::Full(map) => Some(map),
+            MapMessage::Changed { base, rows } => {
+                let mut map = known(base)?;
+                for MapRow { set, rank, experts } in rows {
+                    *map.get_mut(set)?.get_mut(rank)? = experts;
+                }
+                Some(map)
+            }
+        }
+    }
+}
--- a/crates/rank/src/orders.rs
+++ b/crates/rank/src/orders.rs
@@ -1,40 +1,45 @@
-//! Passing orders on to an engine: to the own one for others, and to others'
-//! through the processes beside them.
+//! Giving orders: to the own engine for others, and to others' engines through
+//! the processes beside them.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
-use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
 use lynxmount_core::{
     Result, Step,
     edge::Engine,
-    experts::{Action, EngineOrder},
-    invalid, refused,
+    experts::{Action, EngineOrder, GroupEpoch, GroupMap, MapVersion},
+    timed_out, unreachable,
 };
-use lynxmount_link::{Handle, HttpClient};
 use parking_lot::Mutex;
+use tokio::{net::UdpSocket, sync::oneshot};
 
 use crate::{
-    message::{OrderAnswer, OrderRequest},
+    message::{AnswerMessage, Datagram, OrderAnswer, OrderId, OrderMessage, OrderOutcome},
     reporter::Reporter,
 };
 
-/// The path of orders.
-const ORDER_PATH: &str = "/v1/order";
-
-/// The largest order, in bytes: a map of 72 ranks, 12 sets and 3 places takes 30 kB.
-const MAX_ORDER_BYTES: usize = 256 * 1024;
-
-/// How long a process may take to pass an order on: longer than it waits for
-/// its engine.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(450);
-
 /// How often an order without an answer is given, in all. It takes effect once at
 /// most, as it carries a number.
 const MAX_TRIES: u32 = 4;
 
+/// How long a process is waited for before the order is sent to it again: a busy
+/// one takes about 10 ms.
+const RESEND_AFTER: Duration = Duration::from_millis(60);
+
+/// How often an order is sent to a process. It is longer on the way altogether
+/// than a process tries its engine.
+const MAX_SENDS: u32 = 5;
+
+/// Maps that a process remembers, so that orders can build on them.
+const MAX_MAPS: usize = 4;
+
 /// Gives an order, and reads the engine's state after it.
 ///
 /// Fails if the state can't be read.
@@ -52,84 +57,143 @@
     Ok(OrderAnswer { result, tries, report })
 }
 
-/// Connections to the processes beside other engines.
-#[derive(Default)]
-pub(crate) struct Peers {
-    clients: Mutex<HashMap<SocketAddr, Arc<HttpClient>>>,
+/// Orders on their way to other processes.
+pub(crate) struct Outbox {
+    socket: Arc<UdpSocket>,
+    next_id: AtomicU64,
+    waiting: Mutex<HashMap<OrderId, oneshot::Sender<OrderOutcome>>>,
 }
 
-impl Peers {
+impl Outbox {
+    pub(crate) fn new(socket: Arc<UdpSocket>) -> Outbox {
+        Outbox { socket, next_id: AtomicU64::new(1), waiting: Mutex::default() }
+    }
+
+    /// Takes an answer.
+    pub(crate) fn answered(&self, answer: AnswerMessage) {
+        if let Some(sender) = self.waiting.lock().remove(&answer.id) {
+            // Whoever waited may have given up just now.
+            let _ = sender.send(answer.outcome);
+        }
+    }
+
     /// Asks the process beside an engine to give an order.
     ///
     /// Fails if that process or its engine does not answer.
-    pub(crate) async fn give(&self, peer: SocketAddr, order: &EngineOrder) -> Result<OrderAnswer> {
-        let request = OrderRequest { order: order.clone() };
-        let body = serde_json::to_vec(&request).map_err(|e| invalid(Step::Order, peer, e))?;
-        let client = self.client(peer);
-        let answer =
-            client.call(Step::Order, Method::POST, ORDER_PATH, body.into(), ORDER_TIMEOUT).await?;
-        match answer.status {
-            StatusCode::OK => {
-                serde_json::from_slice(&answer.body).map_err(|e| invalid(Step::Order, peer, e))
+    pub(crate) async fn give(
+        &self,
+        peer: SocketAddr,
+        order: &EngineOrder,
+        base: Option<(MapVersion, &GroupMap)>,
+    ) -> Result<OrderAnswer> {
+        match self.ask(peer, order, base).await? {
+            OrderOutcome::Given(answer) => Ok(*answer),
+            OrderOutcome::MapUnknown => match self.ask(peer, order, None).await? {
+                OrderOutcome::Given(answer) => Ok(*answer),
+                _ => Err(unreachable(Step::Order, peer, "the engine can't be read")),
+            },
+            OrderOutcome::Unreachable => {
+                Err(unreachable(Step::Order, peer, "the engine can't be read"))
             }
-            status => Err(refused(Step::Order, peer, status)),
         }
     }
 
-    fn client(&self, peer: SocketAddr) -> Arc<HttpClient> {
-        let mut clients = self.clients.lock();
-        Arc::clone(clients.entry(peer).or_insert_with(|| Arc::new(HttpClient::new(peer))))
+    async fn ask(
+        &self,
+        peer: SocketAddr,
+        order: &EngineOrder,
+        base: Option<(MapVersion, &GroupMap)>,
+    ) -> Result<OrderOutcome> {
+        let id = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let datagram = Datagram::Order(OrderMessage::new(id, order, base)).encode()?;
+        let (sender, mut receiver) = oneshot::channel();
+        self.waiting.lock().insert(id, sender);
+        for _ in 0..MAX_SENDS {
+            if let Err(error) = self.socket.send_to(&datagram, peer).await {
+                log::debug!(peer:% = peer, error:% = error; "an order was not sent");
+            }
+            match tokio::time::timeout(RESEND_AFTER, &mut receiver).await {
+                Ok(Ok(outcome)) => return Ok(outcome),
+                Ok(Err(_)) => break,
+                Err(_) => {}
+            }
+        }
+        self.waiting.lock().remove(&id);
+        Err(timed_out(Step::Order, peer, "no answer from the process beside the engine"))
     }
 }
 
-/// Takes orders of the process that balances.
-pub(crate) struct OrderPort<E> {
+/// Maps that were prepared lately, in one life of the group.
+#[derive(Default)]
+struct KnownMaps {
+    epoch: GroupEpoch,
+    by_version: BTreeMap<MapVersion, GroupMap>,
+}
+
+impl KnownMaps {
+    fn note(&mut self, order: &EngineOrder) {
+        let Action::Prepare { version, map } = &order.action else { return };
+        if self.epoch != order.epoch {
+            *self = KnownMaps { epoch: order.epoch, ..KnownMaps::default() };
+        }
+        self.by_version.insert(*version, map.clone());
+        while self.by_version.len() > MAX_MAPS {
+            self.by_version.pop_first();
+        }
+    }
+
+    fn get(&self, epoch: GroupEpoch, version: MapVersion) -> Option<GroupMap> {
+        self.by_version.get(&version).filter(|_| self.epoch == epoch).cloned()
+    }
+}
+
+/// Orders of the process that balances.
+pub(crate) struct Inbox<E> {
     pub(crate) reporter: Arc<Reporter<E>>,
+    pub(crate) socket: Arc<UdpSocket>,
+    under_way: Mutex<HashSet<(SocketAddr, OrderId)>>,
+    maps: Mutex<KnownMaps>,
 }
 
-impl<E: Engine> Handle for OrderPort<E> {
-    async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        if request.uri().path() != ORDER_PATH || request.method() != Method::POST {
-            return status(StatusCode::NOT_FOUND);
+impl<E: Engine> Inbox<E> {
+    pub(crate) fn new(reporter: Arc<Reporter<E>>, socket: Arc<UdpSocket>) -> Inbox<E> {
+        Inbox { reporter, socket, under_way: Mutex::default(), maps: Mutex::default() }
+    }
+
+    /// Gives an order to the own engine and answers whoever sent it.
+    pub(crate) async fn take(self: Arc<Inbox<E>>, peer: SocketAddr, message: OrderMessage) {
+        let id = message.id;
+        if !self.under_way.lock().insert((peer, id)) {
+            return;
         }
-        let body = match Limited::new(request.into_body(), MAX_ORDER_BYTES).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(error) => {
-                log::warn!(error:% = error; "an order did not arrive whole");
-                return status(StatusCode::BAD_REQUEST);
-            }
+        let outcome = self.give(message).await;
+        self.under_way.lock().remove(&(peer, id));
+        let answer = Datagram::Answer(AnswerMessage { id, outcome });
+        let sent = match answer.encode() {
+            Ok(datagram) => self.socket.send_to(&datagram, peer).await.map(|_| ()),
+            Err(error) => Err(std::io::Error::other(error)),
         };
-        let order = match serde_json::from_slice::<OrderRequest>(&body) {
-            Ok(request) => request.order,
-            Err(error) => {
-                log::warn!(error:% = error; "an order can't be read");
-                return status(StatusCode::BAD_REQUEST);
+        if let Err(error) = sent {
+            log::info!(peer:% = peer, error:% = error; "an answer was not sent");
+        }
+    }
+
+    async fn give(&self, message: OrderMessage) -> OrderOutcome {
+        let epoch = message.epoch;
+        let known = |version| self.maps.lock().get(epoch, version);
+        let Some(order) = message.order(known) else { return OrderOutcome::MapUnknown };
+        self.maps.lock().note(&order);
+        match give(&*self.reporter.engine, &order).await {
+            Ok(answer) => {
+                if let Action::Prepare { version, .. } = order.action {
+                    self.reporter.note_copying(version);
+                }
+                OrderOutcome::Given(Box::new(answer))
             }
-        };
-        match self.give(&order).await {
-            Ok(answer) => answer,
             Err(error) => {
                 log::info!(error:% = error; "an order was not passed on");
-                status(StatusCode::BAD_GATEWAY)
+                OrderOutcome::Unreachable
             }
         }
     }
 }
-
-impl<E: Engine> OrderPort<E> {
-    async fn give(&self, order: &EngineOrder) -> Result<Response<Full<Bytes>>> {
-        let answer = give(&*self.reporter.engine, order).await?;
-        if let Action::Prepare { version, .. } = order.action {
-            self.reporter.note_copying(version);
-        }
-        let body = serde_json::to_vec(&answer)
-            .map_err(|e| invalid(Step::Order, self.reporter.address, e))?;
-        Ok(Response::new(Full::new(body.into())))
-    }
-}
-
-fn status(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
-    *response.status_mut() = status;
-    response
-}
--- a/crates/rank/src/process.rs
+++ b/crates/rank/src/process.rs
@@ -19,14 +19,14 @@
 use crate::{
     beliefs::Beliefs,
     coordinator::Coordinator,
-    message::RankState,
-    orders::{OrderPort, Peers},
+    message::Datagram,
+    orders::{Inbox, Outbox},
     reporter::Reporter,
     roster::Roster,
 };
 
-/// The largest report, in bytes: that of a datagram.
-const MAX_REPORT_BYTES: usize = 65_536;
+/// The largest datagram, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 65_536;
 
 /// Runs an endpoint process until it is told to leave.
 ///
@@ -74,10 +74,17 @@
         let shown = MetricsPort(Arc::clone(&metrics));
         tokio::spawn(serve(bind(SocketAddr::new(settings.ip, port)).await?, Arc::new(shown)));
     }
-    let order_port = OrderPort { reporter: Arc::clone(&reporter) };
-    tokio::spawn(serve(bind(address).await?, Arc::new(order_port)));
+    let outbox = Arc::new(Outbox::new(Arc::clone(&socket)));
+    let inbox = Arc::new(Inbox::new(Arc::clone(&reporter), Arc::clone(&socket)));
+    let port_state = Port {
+        socket,
+        beliefs: Arc::clone(&beliefs),
+        inbox,
+        outbox: Arc::clone(&outbox),
+        metrics: Arc::clone(&metrics),
+    };
     tokio::spawn(Arc::clone(&roster).follow(Arc::clone(&source), own));
-    tokio::spawn(listen(socket, Arc::clone(&beliefs), Arc::clone(&metrics)));
+    tokio::spawn(port_state.listen());
     tokio::spawn(reporter.run());
     let coordinator = Coordinator {
         engine,
@@ -87,7 +94,7 @@
         port,
         roster,
         beliefs,
-        peers: Peers::default(),
+        outbox,
         metrics,
         started: Instant::now(),
     };
@@ -98,24 +105,45 @@
     Ok(())
 }
 
-/// Takes reports until the task is dropped.
-async fn listen(socket: Arc<UdpSocket>, beliefs: Arc<Mutex<Beliefs>>, metrics: Arc<Metrics>) {
-    let mut datagram = vec![0; MAX_REPORT_BYTES];
-    loop {
-        let (length, peer) = match socket.recv_from(&mut datagram).await {
-            Ok(received) => received,
-            Err(error) => {
-                // An earlier datagram may have come back as undeliverable.
-                log::debug!("no report received: {error}");
-                continue;
+/// The port on which processes talk.
+struct Port<E> {
+    socket: Arc<UdpSocket>,
+    beliefs: Arc<Mutex<Beliefs>>,
+    inbox: Arc<Inbox<E>>,
+    outbox: Arc<Outbox>,
+    metrics: Arc<Metrics>,
+}
+
+impl<E: Engine> Port<E> {
+    /// Takes datagrams until the task is dropped.
+    async fn listen(self) {
+        let mut bytes = vec![0; MAX_DATAGRAM_BYTES];
+        loop {
+            let (length, peer) = match self.socket.recv_from(&mut bytes).await {
+                Ok(received) => received,
+                Err(error) => {
+                    // An earlier datagram may have come back as undeliverable.
+                    log::debug!("nothing received: {error}");
+                    continue;
+                }
+            };
+            match Datagram::decode(peer, &bytes[..length]) {
+                Ok(datagram) => self.take(peer, datagram),
+                Err(error) => {
+                    self.metrics.count("datagrams.unreadable");
+                    log::warn!(error:% = error; "a datagram can't be read");
+                }
             }
-        };
-        match RankState::decode(peer, &datagram[..length]) {
-            Ok(state) => beliefs.lock().hear(state),
-            Err(error) => {
-                metrics.count("reports.unreadable");
-                log::warn!(error:% = error; "a report can't be read");
+        }
+    }
+
+    fn take(&self, peer: SocketAddr, datagram: Datagram) {
+        match datagram {
+            Datagram::Answer(answer) => self.outbox.answered(answer),
+            Datagram::Order(order) => {
+                tokio::spawn(Arc::clone(&self.inbox).take(peer, order));
             }
+            Datagram::Report(state) => self.beliefs.lock().hear(*state),
         }
     }
 }
--- a/crates/rank/src/reporter.rs
+++ b/crates/rank/src/reporter.rs
@@ -9,18 +9,25 @@
 use lynxmount_core::{
     Result,
     edge::Engine,
-    experts::{Counts, EngineReport, MapVersion, RankMap},
+    experts::{EngineReport, MapVersion, RankMap},
 };
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
 use tokio::{net::UdpSocket, sync::Notify};
 
-use crate::{message::RankState, roster::Roster};
+use crate::{
+    message::{Datagram, RankState},
+    roster::Roster,
+};
 
 /// How often the engine is read. Reading it on its own machine is free, and
 /// demand shifts within seconds.
 const PERIOD: Duration = Duration::from_millis(100);
 
+/// How many ranks of a group tell their counts. Each report of them takes 1 to
+/// 6 kB, and a small machine's link carries 1 MB/s.
+const COUNTING_RANKS: usize = 16;
+
 /// How often it is read while it copies experts. Nothing is told meanwhile: four
 /// times the datagrams kept the balancing process busy for 0.2 s at a time.
 const COPYING_PERIOD: Duration = Duration::from_millis(25);
@@ -61,9 +68,11 @@
     pub(crate) async fn run(self: Arc<Reporter<E>>) {
         let mut held = RankMap::default();
         let mut is_lost = false;
+        let mut period = PERIOD;
         loop {
             match self.read(&mut held).await {
                 Ok(state) => {
+                    period = report_period(&state.report);
                     if is_lost {
                         log::info!("the engine answers again");
                     }
@@ -79,7 +88,7 @@
                 }
             }
             tokio::select! {
-                () = tokio::time::sleep(PERIOD) => {}
+                () = tokio::time::sleep(period) => {}
                 () = self.copied() => {}
             }
         }
@@ -90,7 +99,10 @@
         if held.experts.is_empty() || held.version != report.map || report.map == 0 {
             *held = self.engine.rank_map().await?;
         }
-        let counts: Counts = self.engine.counts().await?;
+        let counts = match counts_are_wanted(&report) {
+            true => Some(self.engine.counts().await?),
+            false => None,
+        };
         Ok(RankState { engine: self.address, report, held: held.clone(), counts })
     }
 
@@ -113,7 +125,7 @@
     }
 
     async fn tell(&self, state: &RankState) {
-        let datagram = match state.encode() {
+        let datagram = match Datagram::Report(Box::new(state.clone())).encode() {
             Ok(datagram) => datagram,
             Err(error) => {
                 log::error!(error:% = error; "a report can't be written");
@@ -128,3 +140,21 @@
         }
     }
 }
+
+/// Says whether a rank tells its counts. Each rank's requests are a sample of the
+/// same demand, so that a part of a large group's ranks shows it.
+fn counts_are_wanted(report: &EngineReport) -> bool {
+    let Some(membership) = &report.membership else { return false };
+    let stride = membership.ranks.div_ceil(COUNTING_RANKS).max(1);
+    membership.rank.is_multiple_of(stride)
+}
+
+/// How often a rank of a group is read: less often in a large one, as all ranks
+/// tell the same few processes.
+fn report_period(report: &EngineReport) -> Duration {
+    let ranks = report.membership.as_ref().map_or(0, |membership| membership.ranks);
+    match ranks > COUNTING_RANKS && !counts_are_wanted(report) {
+        true => PERIOD * 3,
+        false => PERIOD,
+    }
+}
