Let endpoint processes work out the first map and ask entries for the list

Cause: the first change of a large group's map sent 72 whole maps at once, which the link dropped; 72 processes read registrations from the store.

Change: a process works out the first map of a group's life, checked against its own rank, so that changes go by rows from the start; registrations are asked from the entries that the settings name, the store being the fallback.

--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -1,44 +1,21 @@
 //! Other entries: what they know while the platform can't be reached.
 
-use std::{
-    collections::BTreeSet,
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Instant};
 
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use lynxmount_core::{EndpointList, FleetConfig, Offset, Result, Step, invalid, refused};
-use lynxmount_link::{Handle, HttpClient};
+use lynxmount_core::{Offset, Result};
+use lynxmount_link::{Handle, KnownFleet, ask_fleet, asked_fleet};
 use parking_lot::Mutex;
 use rand::seq::SliceRandom;
-use serde::{Deserialize, Serialize};
 
 use crate::fleet::Fleet;
 
-/// How long a peer may take to answer; most take a few milliseconds.
-const PEER_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Peers that are asked for what they know at one time.
 const PEERS_ASKED: usize = 3;
 
-/// The path of the only question.
-const FLEET_PATH: &str = "/v1/fleet";
-
-/// What a process knows of the fleet.
-#[derive(Debug, Default, Deserialize, Serialize)]
-pub(crate) struct Known {
-    /// The configuration, if the asker's is older.
-    pub(crate) config: Option<(Offset, FleetConfig)>,
-    /// The endpoints, if the asker's are older.
-    pub(crate) endpoints: Option<EndpointList>,
-    /// How long ago the platform was last read, in milliseconds.
-    pub(crate) read_ago_ms: u64,
-}
-
 /// Addresses of other entries.
 pub(crate) struct Peers {
     own: SocketAddr,
@@ -84,21 +61,13 @@
     }
 }
 
-async fn ask(peer: SocketAddr, fleet: &Fleet) -> Result<Known> {
-    let config = fleet.config().map_or(0, |view| view.offset + 1);
-    let endpoints = fleet.endpoints().map_or(0, |list| list.read_to);
-    let path = format!("{FLEET_PATH}?config={config}&endpoints={endpoints}");
-    let client = HttpClient::new(peer);
-    let answer = client.call(Step::Order, Method::GET, &path, Bytes::new(), PEER_TIMEOUT).await?;
-    match answer.status {
-        StatusCode::OK => {
-            serde_json::from_slice(&answer.body).map_err(|e| invalid(Step::Order, peer, e))
-        }
-        status => Err(refused(Step::Order, peer, status)),
-    }
+async fn ask(peer: SocketAddr, fleet: &Fleet) -> Result<KnownFleet> {
+    let config_from = fleet.config().map_or(0, |view| view.offset + 1);
+    let endpoints_after = fleet.endpoints().map_or(0, |list| list.read_to);
+    ask_fleet(peer, config_from, endpoints_after).await
 }
 
-fn take_over(peer: SocketAddr, known: Known, fleet: &Fleet) {
+fn take_over(peer: SocketAddr, known: KnownFleet, fleet: &Fleet) {
     let read_ago_ms = known.read_ago_ms;
     if let Some((offset, config)) = known.config {
         let version = config.version;
@@ -122,11 +91,10 @@
 
 impl Handle for PeerPort {
     async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        if request.uri().path() != FLEET_PATH {
+        let Some((config_from, endpoints_after)) = asked_fleet(request.uri()) else {
             return status(StatusCode::NOT_FOUND);
-        }
-        let query = request.uri().query().unwrap_or_default();
-        let known = self.known(number(query, "config"), number(query, "endpoints"));
+        };
+        let known = self.known(config_from, endpoints_after);
         match serde_json::to_vec(&known) {
             Ok(body) => Response::new(Full::new(body.into())),
             Err(error) => {
@@ -138,11 +106,11 @@
 }
 
 impl PeerPort {
-    fn known(&self, config_from: Offset, endpoints_from: Offset) -> Known {
+    fn known(&self, config_from: Offset, endpoints_after: Offset) -> KnownFleet {
         let config = self.fleet.config().filter(|view| view.offset >= config_from);
-        let endpoints = self.fleet.endpoints().filter(|list| list.read_to > endpoints_from);
+        let endpoints = self.fleet.endpoints().filter(|list| list.read_to > endpoints_after);
         let read_ago = self.last_read.lock().map(|at| at.elapsed());
-        Known {
+        KnownFleet {
             config: config.map(|view| (view.offset, view.config.clone())),
             endpoints: endpoints.map(|list| (*list).clone()),
             read_ago_ms: read_ago.map_or(u64::MAX, |ago| ago.as_millis() as u64),
@@ -150,12 +118,6 @@
     }
 }
 
-fn number(query: &str, name: &str) -> u64 {
-    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    let mut values = pairs.filter(|(key, _)| *key == name).filter_map(|(_, v)| v.parse().ok());
-    values.next().unwrap_or_default()
-}
-
 fn status(status: StatusCode) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     *response.status_mut() = status;
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -1,11 +1,14 @@
-//! HTTP connections: one at a time as a client, and a small server loop.
+//! HTTP between processes: connections, a small client, a small server loop, and
+//! the question what a process knows of the fleet.
 
 #![forbid(unsafe_code)]
 
 mod client;
 mod connection;
+mod fleet_exchange;
 mod server;
 
 pub use client::{Answer, HttpClient};
 pub use connection::Connection;
+pub use fleet_exchange::{KnownFleet, ask_fleet, asked_fleet};
 pub use server::{Handle, bind, serve};
--- a/crates/rank/src/coordinator.rs
+++ b/crates/rank/src/coordinator.rs
@@ -193,8 +193,7 @@
         let Some(own) = group.engines.iter().position(|engine| *engine == self.own) else { return };
         let reports = group.reports();
         let (in_use, map_in_use) = (group.map_version(), current.clone());
-        // Nobody has prepared the first map, so that it is not known to others.
-        let base = (in_use > 0).then_some((in_use, &map_in_use));
+        let base = Some((in_use, &map_in_use));
         let switch = Switch::start(
             memory.switch_options(group.engines.len()),
             own,
--- a/crates/rank/src/orders.rs
+++ b/crates/rank/src/orders.rs
@@ -30,12 +30,13 @@
 const MAX_TRIES: u32 = 4;
 
 /// How long a process is waited for before the order is sent to it again: a busy
-/// one takes about 10 ms.
-const RESEND_AFTER: Duration = Duration::from_millis(60);
+/// one takes about 10 ms, and one that balances 72 ranks takes up answers 50 ms
+/// later.
+const RESEND_AFTER: Duration = Duration::from_millis(90);
 
 /// How often an order is sent to a process. It is longer on the way altogether
 /// than a process tries its engine.
-const MAX_SENDS: u32 = 5;
+const MAX_SENDS: u32 = 4;
 
 /// Maps that a process remembers, so that orders can build on them.
 const MAX_MAPS: usize = 4;
@@ -180,7 +181,10 @@
 
     async fn give(&self, message: OrderMessage) -> OrderOutcome {
         let epoch = message.epoch;
-        let known = |version| self.maps.lock().get(epoch, version);
+        let known = |version| match version {
+            0 => self.reporter.first_map(epoch),
+            _ => self.maps.lock().get(epoch, version),
+        };
         let Some(order) = message.order(known) else { return OrderOutcome::MapUnknown };
         self.maps.lock().note(&order);
         match give(&*self.reporter.engine, &order).await {
--- a/crates/rank/src/process.rs
+++ b/crates/rank/src/process.rs
@@ -68,6 +68,7 @@
         port,
         metrics: Arc::clone(&metrics),
         copying: Mutex::default(),
+        first_map: Mutex::default(),
         wake: Notify::new(),
     });
     if let Some(port) = metrics_port {
@@ -83,7 +84,8 @@
         outbox: Arc::clone(&outbox),
         metrics: Arc::clone(&metrics),
     };
-    tokio::spawn(Arc::clone(&roster).follow(Arc::clone(&source), own));
+    let seeds = settings.seeds.clone();
+    tokio::spawn(Arc::clone(&roster).follow(Arc::clone(&source), seeds, own));
     tokio::spawn(port_state.listen());
     tokio::spawn(reporter.run());
     let coordinator = Coordinator {
--- a/crates/rank/src/reporter.rs
+++ b/crates/rank/src/reporter.rs
@@ -9,7 +9,7 @@
 use lynxmount_core::{
     Result,
     edge::Engine,
-    experts::{EngineReport, MapVersion, RankMap},
+    experts::{Counts, EngineReport, GroupEpoch, GroupMap, MapVersion, RankMap},
 };
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
@@ -55,6 +55,8 @@
     /// The copy that was ordered last, until it has ended.
     pub(crate) copying: Mutex<Option<Copying>>,
     pub(crate) wake: Notify,
+    /// The first map of the group's life.
+    pub(crate) first_map: Mutex<Option<(GroupEpoch, GroupMap)>>,
 }
 
 impl<E: Engine> Reporter<E> {
@@ -99,13 +101,37 @@
         if held.experts.is_empty() || held.version != report.map || report.map == 0 {
             *held = self.engine.rank_map().await?;
         }
-        let counts = match counts_are_wanted(&report) {
+        let is_first_map = report.map == 0;
+        let counts = match counts_are_wanted(&report) || is_first_map {
             true => Some(self.engine.counts().await?),
             false => None,
         };
+        if let (true, Some(counts)) = (is_first_map, &counts) {
+            self.note_first_map(&report, held, counts);
+        }
+        let counts = counts.filter(|_| counts_are_wanted(&report));
         Ok(RankState { engine: self.address, report, held: held.clone(), counts })
     }
 
+    /// Works out what all ranks hold at first: experts are dealt in turn. It is
+    /// believed if the own rank holds what it should by that.
+    fn note_first_map(&self, report: &EngineReport, held: &RankMap, counts: &Counts) {
+        let Some(membership) = &report.membership else { return };
+        let sets = held.experts.len();
+        let experts = counts.by_set_and_expert.len() / sets.max(1);
+        let of_rank = |rank: usize| (rank..experts).step_by(membership.ranks.max(1)).collect();
+        let of_set: Vec<Vec<usize>> = (0..membership.ranks).map(of_rank).collect();
+        let is_so = held.experts.iter().all(|own| Some(own) == of_set.get(membership.rank));
+        let map = (membership.epoch, vec![of_set; sets]);
+        *self.first_map.lock() = is_so.then_some(map);
+    }
+
+    /// The first map in a life of the group, if it is known.
+    pub(crate) fn first_map(&self, epoch: GroupEpoch) -> Option<GroupMap> {
+        let known = self.first_map.lock();
+        known.as_ref().filter(|(of, _)| *of == epoch).map(|(_, map)| map.clone())
+    }
+
     /// Waits until a copy that was ordered has ended: a switch waits for the last
     /// of all ranks.
     async fn copied(&self) {
--- a/crates/rank/src/roster.rs
+++ b/crates/rank/src/roster.rs
@@ -2,7 +2,8 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use lynxmount_core::{EndpointList, edge::FleetSource};
+use lynxmount_core::{EndpointList, Offset, Result, edge::FleetSource};
+use lynxmount_link::ask_fleet;
 use parking_lot::Mutex;
 
 /// How often the registrations are read. Only a replaced machine changes who the
@@ -44,10 +45,15 @@
     }
 
     /// Follows the registrations until the task is dropped.
-    pub(crate) async fn follow(self: Arc<Roster>, source: Arc<impl FleetSource>, own: SocketAddr) {
+    pub(crate) async fn follow(
+        self: Arc<Roster>,
+        source: Arc<impl FleetSource>,
+        seeds: Vec<SocketAddr>,
+        own: SocketAddr,
+    ) {
         let mut list = EndpointList::default();
         loop {
-            match source.refresh_endpoints(&list).await {
+            match read(&*source, &seeds, &list).await {
                 Ok(read) => {
                     list = read;
                     self.take(&list, own);
@@ -59,3 +65,19 @@
         }
     }
 }
+
+/// Reads the registrations from an entry, which has read them for itself, or
+/// from the platform if no entry answers.
+async fn read(
+    source: &impl FleetSource,
+    seeds: &[SocketAddr],
+    list: &EndpointList,
+) -> Result<EndpointList> {
+    for seed in seeds {
+        match ask_fleet(*seed, Offset::MAX, list.read_to).await {
+            Ok(known) => return Ok(known.endpoints.unwrap_or_else(|| list.clone())),
+            Err(error) => log::debug!("{error}"),
+        }
+    }
+    source.refresh_endpoints(list).await
+}
