Switch maps by their numbers alone; prove it against deaths, pauses and late orders

Cause: a fault matrix over the state machine found passes with two maps when two coordinators met: a paused one disarmed what a later one had armed, two maps could have one number, and a late order let go a hold that was needed.

Ruled out: the count of orders as a fence (reverted in the same change); holding eight steps ahead after a start (late orders of earlier lives met it).

Change: numbers of maps are drawn within steps, so that no two maps share one; all ranks are settled under one and the same number; a coordinator holds through ranks of its own, in turn by the maps' numbers; orders are not repeated while they are under way.

--- a/crates/core/src/experts.rs
+++ b/crates/core/src/experts.rs
@@ -8,8 +8,6 @@
 pub type MapVersion = u64;
 /// A life of a group: it forms anew after it has lost a rank.
 pub type GroupEpoch = u64;
-/// How many orders have changed something at an engine since its start.
-pub type OrderNumber = u64;
 /// The experts of each set and rank.
 pub type GroupMap = Vec<Vec<Vec<usize>>>;
 
@@ -43,8 +41,6 @@
     pub armed: Option<(MapVersion, GroupStep)>,
     /// The step that the group does not begin before it is let go.
     pub held: Option<GroupStep>,
-    /// Orders that have changed something.
-    pub orders: OrderNumber,
     /// Requests that run.
     pub running: u32,
     /// Requests that wait.
@@ -107,15 +103,12 @@
     },
 }
 
-/// An order to an engine. It takes effect only in its group's life, and if no
-/// other order has changed anything since its number was read: so one that is
-/// late can't undo a later one.
+/// An order to an engine. It takes effect only in its group's life; one without an
+/// answer may take effect seconds later.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EngineOrder {
     /// The group's life.
     pub epoch: GroupEpoch,
-    /// The number of orders that the engine must have seen.
-    pub after: OrderNumber,
     /// What to do.
     pub action: Action,
 }
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -18,4 +18,6 @@
 pub use lease::{LEASE_MARGIN, Lease, LeaseRecord, LeaseTable};
 pub use message::{ChangeNumber, FencingNumber, MapNumber, Order, OrderAnswer, RankNumber, Step};
 pub use rank_gate::{Armed, EngineState, GateAction, RankGate};
-pub use switch::{RankOrder, Switch, SwitchEnd, SwitchOptions, left_behind};
+pub use switch::{
+    Guard, Guards, RankOrder, Switch, SwitchEnd, SwitchOptions, SwitchStart, left_behind,
+};
--- /dev/null
+++ b/crates/group/src/switch/mod.rs
@@ -0,0 +1,419 @@
+//! Switching a group to another expert map, through engines that hold, arm and
+//! let go by themselves.
+//!
+//! A map is prepared on every rank; then the coordinator holds the group at a
+//! step, arms every rank for that step, and lets go once all are seen to be
+//! armed. If one is not, every rank is settled: disarmed, and given one and the
+//! same later map to prepare. Only then is the group let go.
+//!
+//! Whoever finds a hold that its coordinator has left behind settles all ranks
+//! in the same way, under a hold of its own. It never arms, so that several that
+//! do this at once can't disagree.
+//!
+//! What makes this safe is that engines take a map only under a number above all
+//! that they have had, and arm only the map that they were given last:
+//!
+//! - A map that some rank has had before it was settled can never be armed again
+//!   on any rank, however late an order to arm or to disarm it arrives.
+//! - Whoever lets go the hold of another has settled all ranks after that hold was
+//!   placed. A coordinator that was paused and has lost its hold so can neither arm
+//!   nor disarm anything that matters: it knows only maps that were settled.
+//! - Each coordinator holds the group through ranks that no other uses, and never
+//!   twice at one step, so that a late order can't let go a hold that is needed.
+
+mod guards;
+mod options;
+mod rank;
+
+use std::time::Duration;
+
+use lynxmount_core::experts::{
+    Action, EngineOrder, EngineReport, GroupEpoch, GroupMap, GroupStep, MapVersion, OrderResult,
+};
+
+pub use self::guards::{Guard, Guards};
+pub use self::options::{SwitchEnd, SwitchOptions};
+use self::rank::Rank;
+use crate::RankNumber;
+
+/// Numbers of maps go up in steps. Within a step the number is drawn, so that two
+/// coordinators, or two lives of one, never give one number to two maps: a rank
+/// would tell the one as prepared where the other is meant.
+const VERSION_STEP: MapVersion = 1 << 20;
+
+/// How often ranks are settled anew because another has given them a later map.
+const MAX_SETTLE_RAISES: u32 = 4;
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Phase {
+    Arming { since: Duration },
+    Holding { tries: u32 },
+    Over(SwitchEnd),
+    Preparing,
+    Releasing { end: SwitchEnd },
+    Settling,
+}
+
+/// One switch, or the undoing of one that was left behind.
+#[derive(Clone, Debug)]
+pub struct Switch {
+    options: SwitchOptions,
+    guard: RankNumber,
+    epoch: GroupEpoch,
+    started: Duration,
+    /// The map to switch to; `None` if another's switch is undone.
+    goal: Option<GroupMap>,
+    /// The map to switch to, or the highest that may have to be undone.
+    version: MapVersion,
+    /// The map in use, which ranks prepare again as they are settled.
+    current: GroupMap,
+    /// The number under which they do.
+    settle_version: MapVersion,
+    /// How often that number was raised.
+    settle_raises: u32,
+    nonce: u64,
+    step: GroupStep,
+    min_step: GroupStep,
+    /// Holds that stood at the beginning, to be let go at the end.
+    others_held: Vec<(RankNumber, GroupStep)>,
+    phase: Phase,
+    ranks: Vec<Rank>,
+}
+
+/// An order for one rank.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RankOrder {
+    /// The rank.
+    pub rank: RankNumber,
+    /// The order.
+    pub order: EngineOrder,
+}
+
+/// What a switch starts from.
+#[derive(Clone, Debug)]
+pub struct SwitchStart {
+    /// Limits.
+    pub options: SwitchOptions,
+    /// The rank through which the group is held, which is not held now. Nobody else
+    /// holds the group through it.
+    pub guard: RankNumber,
+    /// The first step at which the group may be held: after all at which it was
+    /// held through that rank before.
+    pub min_step: GroupStep,
+    /// The group's life.
+    pub epoch: GroupEpoch,
+    /// The state of each rank.
+    pub reports: Vec<EngineReport>,
+    /// The map in use.
+    pub current: GroupMap,
+    /// A number that no other switch has drawn.
+    pub nonce: u64,
+    /// The time.
+    pub now: Duration,
+}
+
+impl Switch {
+    /// Starts a switch to a map. Its number is above `min_version`: engines refuse
+    /// numbers that they have had, and don't tell those whose copies have not
+    /// ended.
+    pub fn start(start: SwitchStart, goal: GroupMap, min_version: MapVersion) -> Switch {
+        let nonce = start.nonce;
+        let version = next_version(highest_version(&start.reports).max(min_version), nonce);
+        let mut switch = Switch::new(start, version);
+        switch.goal = Some(goal);
+        switch
+    }
+
+    /// Starts to undo a switch that was left behind: the group is held, or some
+    /// ranks are armed and others are not.
+    ///
+    /// `None` if there is nothing to undo.
+    pub fn undo(start: SwitchStart) -> Option<Switch> {
+        let step = left_behind(&start.reports)?;
+        let held = start.reports.iter().enumerate();
+        let others_held = held.filter_map(|(rank, report)| Some((rank, report.held?))).collect();
+        let version = highest_version(&start.reports);
+        let tries = start.options.max_holds;
+        let mut switch = Switch::new(start, version);
+        switch.step = step;
+        switch.others_held = others_held;
+        switch.phase = Phase::Holding { tries };
+        Some(switch)
+    }
+
+    fn new(start: SwitchStart, version: MapVersion) -> Switch {
+        Switch {
+            options: start.options,
+            guard: start.guard,
+            epoch: start.epoch,
+            started: start.now,
+            goal: None,
+            version,
+            current: start.current,
+            settle_version: next_version(version, start.nonce),
+            settle_raises: 0,
+            nonce: start.nonce,
+            step: 0,
+            min_step: start.min_step,
+            others_held: Vec::new(),
+            phase: Phase::Preparing,
+            ranks: start.reports.into_iter().map(Rank::new).collect(),
+        }
+    }
+
+    /// How the switch has ended, once it has.
+    pub fn end(&self) -> Option<SwitchEnd> {
+        match self.phase {
+            Phase::Over(end) => Some(end),
+            _ => None,
+        }
+    }
+
+    /// The number of the map that is switched to, or the highest that is undone.
+    pub fn version(&self) -> MapVersion {
+        self.version
+    }
+
+    /// The group's life.
+    pub fn epoch(&self) -> GroupEpoch {
+        self.epoch
+    }
+
+    /// The rank through which the group is held.
+    pub fn guard(&self) -> RankNumber {
+        self.guard
+    }
+
+    /// The step at which the group was held last.
+    pub fn step(&self) -> GroupStep {
+        self.step
+    }
+
+    /// Takes the state of a rank. States are to be observed in their order.
+    pub fn observe(&mut self, rank: RankNumber, report: EngineReport) {
+        let epoch = report.membership.as_ref().map(|membership| membership.epoch);
+        match epoch == Some(self.epoch) {
+            true => self.ranks[rank].report = report,
+            false => self.phase = Phase::Over(SwitchEnd::GroupFormedAnew),
+        }
+    }
+
+    /// Takes the answer to an order; the rank's state after it is to be observed
+    /// first. An order without an answer may take effect yet, and is repeated.
+    pub fn answered(&mut self, rank: RankNumber, result: Option<OrderResult>) {
+        let refused = match result {
+            Some(OrderResult::Refused) => self.ranks[rank].note_refused(),
+            Some(OrderResult::Accepted) | None => None,
+        };
+        if let Some(action) = refused {
+            self.refused(rank, &action);
+        }
+    }
+
+    fn refused(&mut self, rank: RankNumber, action: &Action) {
+        match (self.phase, action) {
+            (Phase::Preparing, _) if !self.has_prepared(rank) => {
+                self.phase = Phase::Over(SwitchEnd::NotPrepared);
+            }
+            (Phase::Arming { .. }, Action::Arm { .. }) if !self.is_armed(rank) => {
+                self.phase = Phase::Settling;
+            }
+            (Phase::Holding { tries }, Action::Hold { .. }) if !self.is_held() => {
+                self.hold_refused(tries);
+            }
+            // The rank has had that number, perhaps for a copy that has not ended.
+            (Phase::Settling, Action::Prepare { version, .. })
+                if *version == self.settle_version && !self.is_settled(rank) =>
+            {
+                self.raise_settle_version();
+            }
+            _ => {}
+        }
+    }
+
+    fn hold_refused(&mut self, tries: u32) {
+        match tries < self.options.max_holds {
+            true => {
+                self.phase = Phase::Holding { tries: tries + 1 };
+                self.step = self.next_hold_step();
+            }
+            // What was found is over, as its step has begun.
+            false if self.goal.is_none() => self.phase = Phase::Over(SwitchEnd::Undone),
+            false => self.phase = Phase::Over(SwitchEnd::NotHeld),
+        }
+    }
+
+    /// Settles all ranks anew under a higher number. Another may do the same, so
+    /// that this ends: what is left then is found left behind again.
+    fn raise_settle_version(&mut self) {
+        let known = self.ranks.iter().filter_map(|rank| rank.report.prepared).max();
+        let above = known.unwrap_or_default().max(self.settle_version);
+        self.settle_version = next_version(above, self.nonce);
+        self.settle_raises += 1;
+        if self.settle_raises > MAX_SETTLE_RAISES {
+            self.phase = Phase::Over(SwitchEnd::Overtaken);
+        }
+    }
+
+    /// Says what is to be sent now; call it after each answer, and regularly.
+    pub fn tick(&mut self, now: Duration) -> Vec<RankOrder> {
+        self.advance(now);
+        (0..self.ranks.len()).filter_map(|rank| self.next_order(rank, now)).collect()
+    }
+
+    fn advance(&mut self, now: Duration) {
+        while let Some(next) = self.next_phase(now) {
+            self.phase = next;
+        }
+    }
+
+    fn next_phase(&mut self, now: Duration) -> Option<Phase> {
+        match self.phase {
+            Phase::Preparing if self.all(Switch::has_prepared) => {
+                self.step = self.next_hold_step();
+                Some(Phase::Holding { tries: 0 })
+            }
+            Phase::Preparing if now >= self.started + self.options.prepare_timeout => {
+                Some(Phase::Over(SwitchEnd::NotPrepared))
+            }
+            Phase::Holding { .. } if !self.is_held() => None,
+            Phase::Holding { .. } if self.goal.is_some() => Some(Phase::Arming { since: now }),
+            Phase::Holding { .. } => Some(Phase::Settling),
+            Phase::Arming { .. } if self.all(Switch::is_armed) => {
+                Some(Phase::Releasing { end: SwitchEnd::Switched })
+            }
+            Phase::Arming { since } if now >= since + self.options.arm_timeout => {
+                Some(Phase::Settling)
+            }
+            Phase::Settling if self.all(Switch::is_settled) => {
+                Some(Phase::Releasing { end: SwitchEnd::Undone })
+            }
+            Phase::Settling if !self.all(Switch::may_settle) => {
+                Some(Phase::Over(SwitchEnd::Overtaken))
+            }
+            Phase::Releasing { end } if self.is_released() => Some(Phase::Over(end)),
+            _ => None,
+        }
+    }
+
+    fn all(&self, holds: fn(&Switch, RankNumber) -> bool) -> bool {
+        (0..self.ranks.len()).all(|rank| holds(self, rank))
+    }
+
+    fn has_prepared(&self, rank: RankNumber) -> bool {
+        self.ranks[rank].report.prepared == Some(self.version)
+    }
+
+    fn is_armed(&self, rank: RankNumber) -> bool {
+        self.ranks[rank].is_armed(self.version, self.step)
+    }
+
+    fn is_held(&self) -> bool {
+        self.ranks[self.guard].report.held == Some(self.step)
+    }
+
+    fn is_settled(&self, rank: RankNumber) -> bool {
+        self.ranks[rank].is_settled(self.settle_version)
+    }
+
+    /// Says whether a rank may be disarmed: only of maps that were known as the
+    /// group was held, and of no other than the own one by a switch that fails.
+    fn may_settle(&self, rank: RankNumber) -> bool {
+        let armed = self.ranks[rank].report.armed;
+        armed.is_none_or(|(version, _)| match self.goal {
+            Some(_) => version == self.version,
+            None => version <= self.version,
+        })
+    }
+
+    fn is_released(&self) -> bool {
+        let others = self.others_held.iter().all(|held| !self.stands(*held));
+        others && !self.is_held()
+    }
+
+    /// Says whether a hold that stood at the beginning still does.
+    fn stands(&self, (rank, step): (RankNumber, GroupStep)) -> bool {
+        self.ranks[rank].report.held == Some(step)
+    }
+
+    fn next_hold_step(&self) -> GroupStep {
+        let newest = self.ranks.iter().map(|rank| rank.report.step).max().unwrap_or_default();
+        (newest + self.options.lead_steps).max(self.min_step).max(self.step + 1)
+    }
+
+    /// The order that a rank needs, unless it was given just now.
+    fn next_order(&mut self, rank: RankNumber, now: Duration) -> Option<RankOrder> {
+        let action = self.wanted(rank)?;
+        let repeat_after = self.options.repeat_after;
+        let order = self.ranks[rank].give(self.epoch, action, now, repeat_after)?;
+        Some(RankOrder { rank, order })
+    }
+
+    fn wanted(&self, rank: RankNumber) -> Option<Action> {
+        match self.phase {
+            Phase::Preparing if !self.has_prepared(rank) => {
+                let map = self.goal.clone()?;
+                Some(Action::Prepare { version: self.version, map })
+            }
+            Phase::Holding { .. } if rank == self.guard => Some(Action::Hold { step: self.step }),
+            Phase::Arming { .. } if !self.is_armed(rank) => {
+                Some(Action::Arm { version: self.version, step: self.step })
+            }
+            Phase::Settling if !self.is_settled(rank) => self.settling_order(rank),
+            Phase::Releasing { .. } => self.release_order(rank),
+            _ => None,
+        }
+    }
+
+    fn settling_order(&self, rank: RankNumber) -> Option<Action> {
+        match self.ranks[rank].report.armed {
+            Some((version, _)) => Some(Action::Disarm { version }),
+            None => {
+                Some(Action::Prepare { version: self.settle_version, map: self.current.clone() })
+            }
+        }
+    }
+
+    /// Others' holds go first, so that the own one guards to the last.
+    fn release_order(&self, rank: RankNumber) -> Option<Action> {
+        let of_rank = self.others_held.iter().find(|held| held.0 == rank && self.stands(**held));
+        let are_others_open = self.others_held.iter().all(|held| !self.stands(*held));
+        match of_rank {
+            Some((_, step)) => Some(Action::Go { step: *step }),
+            None if rank == self.guard && are_others_open && self.is_held() => {
+                Some(Action::Go { step: self.step })
+            }
+            None => None,
+        }
+    }
+}
+
+/// The step of a switch that was left behind, if there is one.
+///
+/// All ranks armed alike without a hold are a switch that takes place as soon as
+/// the group has work.
+pub fn left_behind(reports: &[EngineReport]) -> Option<GroupStep> {
+    let held = reports.iter().filter_map(|report| report.held).min();
+    let armed: Vec<_> = reports.iter().filter_map(|report| report.armed).collect();
+    let is_uniform =
+        armed.len() == reports.len() && armed.windows(2).all(|pair| pair[0] == pair[1]);
+    match held {
+        Some(step) => Some(step),
+        None if armed.is_empty() || is_uniform => None,
+        None => armed.iter().map(|(_, step)| *step).min(),
+    }
+}
+
+/// A number above another, in the next step.
+fn next_version(above: MapVersion, nonce: u64) -> MapVersion {
+    (above / VERSION_STEP + 1) * VERSION_STEP + nonce % VERSION_STEP
+}
+
+/// The highest version that any rank knows.
+fn highest_version(reports: &[EngineReport]) -> MapVersion {
+    let versions = reports.iter().flat_map(|report| {
+        let armed = report.armed.map(|(version, _)| version);
+        [Some(report.map), report.prepared, armed]
+    });
+    versions.flatten().max().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/group/src/switch/options.rs
@@ -0,0 +1,53 @@
+//! Limits of a switch, and what can come of one.
+
+use std::time::Duration;
+
+use lynxmount_core::experts::GroupStep;
+
+/// Limits of a switch.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SwitchOptions {
+    /// How long the copies of experts may take. A rank copies an expert in about
+    /// 0.11 s on the reference deployments, and eight at most.
+    pub prepare_timeout: Duration,
+    /// How long a group may be kept with some ranks armed. Orders are answered
+    /// in a few milliseconds, and a held group serves nobody.
+    pub arm_timeout: Duration,
+    /// How long an order without an answer is waited for before it is repeated.
+    pub repeat_after: Duration,
+    /// How many steps ahead the group is held. One is enough: the hold takes a
+    /// millisecond and arming about ten, and passes take 20 ms or more.
+    pub lead_steps: GroupStep,
+    /// How often a hold that came too late is tried at a later step.
+    pub max_holds: u32,
+}
+
+impl Default for SwitchOptions {
+    /// Three seconds to prepare, 0.4 s to arm, one step ahead.
+    fn default() -> SwitchOptions {
+        SwitchOptions {
+            prepare_timeout: Duration::from_secs(3),
+            arm_timeout: Duration::from_millis(400),
+            repeat_after: Duration::from_millis(350),
+            lead_steps: 1,
+            max_holds: 6,
+        }
+    }
+}
+
+/// What came of a switch.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SwitchEnd {
+    /// The group formed anew; nothing of the switch is left.
+    GroupFormedAnew,
+    /// The group could not be held in time; no rank was armed.
+    NotHeld,
+    /// Not every rank has prepared the map; no rank was armed.
+    NotPrepared,
+    /// Another coordinator has given orders meanwhile, and settles what is left.
+    Overtaken,
+    /// All ranks switch.
+    Switched,
+    /// No rank switches.
+    Undone,
+}
--- a/crates/rank/src/beliefs.rs
+++ b/crates/rank/src/beliefs.rs
@@ -44,6 +44,13 @@
         self.demand.by_set(experts)
     }
 
+    /// Takes what an engine has told with an answer.
+    pub(crate) fn note_report(&mut self, engine: SocketAddr, report: EngineReport) {
+        if let Some(heard) = self.heard.get_mut(&engine) {
+            heard.state.report = report;
+        }
+    }
+
     /// When an engine's process was heard last.
     pub(crate) fn heard_ago(&self, engine: SocketAddr) -> Option<Duration> {
         self.heard.get(&engine).map(|heard| heard.at.elapsed())
--- a/crates/rank/src/coordinator.rs
+++ b/crates/rank/src/coordinator.rs
@@ -13,9 +13,12 @@
     edge::{Engine, FleetSource},
     experts::{EngineOrder, GroupMap, GroupStep, MapVersion},
 };
-use lynxmount_group::{RankOrder, Switch, SwitchEnd, SwitchOptions, left_behind};
+use lynxmount_group::{
+    Guards, RankNumber, RankOrder, Switch, SwitchEnd, SwitchOptions, SwitchStart, left_behind,
+};
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
+use rand::Rng;
 
 use crate::{
     beliefs::{Beliefs, Group},
@@ -97,6 +100,7 @@
     left_behind_since: Option<Instant>,
     was_leading: bool,
     answer_lost_at: Option<Instant>,
+    guards: Guards,
 }
 
 impl Memory {
@@ -154,8 +158,8 @@
     async fn balance(&self, memory: &mut Memory) {
         let Some(group) = self.beliefs.lock().group_of(self.own) else { return };
         let Some(spec) = self.experts(memory).await else { return };
-        let reports = group.reports();
-        match (left_behind(&reports).is_some(), memory.left_behind_since) {
+        let is_left_behind = left_behind(&group.reports()).is_some();
+        match (is_left_behind, memory.left_behind_since) {
             (false, _) => {
                 memory.left_behind_since = None;
                 self.change(memory, &spec, group).await;
@@ -197,29 +201,32 @@
         let Some(plan) = planned.filter(|p| p.skew_before - p.skew_after >= MIN_GAIN) else {
             return;
         };
-        let Some(own) = group.engines.iter().position(|engine| *engine == self.own) else { return };
-        let reports = group.reports();
-        let (in_use, map_in_use) = (group.map_version(), current.clone());
-        let base = Some((in_use, &map_in_use));
-        let switch = Switch::start(
-            memory.switch_options(group.engines.len()),
-            own,
-            group.epoch,
-            reports,
-            current,
-            plan.maps.clone(),
-            memory.min_version,
-            self.started.elapsed(),
-        );
-        memory.min_version = switch.version() + 1;
+        let Some(start) = self.start(memory, &group, current.clone()) else { return };
+        let base = Some((group.map_version(), &current));
+        let switch = Switch::start(start, plan.maps.clone(), memory.min_version);
+        memory.min_version = switch.version();
         self.metrics.count("maps.started");
         let began = Instant::now();
         let end = self.drive(memory, switch, &group.engines, base).await;
-        self.note(&plan, memory.min_version - 1, end, began.elapsed());
-        if end == SwitchEnd::NotPrepared {
-            // The number may have been had before; a higher one has not.
-            memory.min_version += 16;
-        }
+        self.note(&plan, memory.min_version, end, began.elapsed());
+    }
+
+    fn start(&self, memory: &Memory, group: &Group, current: GroupMap) -> Option<SwitchStart> {
+        let reports = group.reports();
+        let listeners = self.roster.listeners();
+        let place = listeners.iter().position(|engine| *engine == self.own)?;
+        let is_own = |rank: usize| is_own_guard(&group.engines, &listeners, place, rank);
+        let guard = memory.guards.choose(group.epoch, &reports, is_own)?;
+        Some(SwitchStart {
+            options: memory.switch_options(group.engines.len()),
+            guard: guard.rank,
+            min_step: guard.min_step,
+            epoch: group.epoch,
+            reports,
+            current,
+            nonce: rand::rng().random(),
+            now: self.started.elapsed(),
+        })
     }
 
     fn note(&self, plan: &GroupPlan, version: MapVersion, end: SwitchEnd, took: Duration) {
@@ -235,13 +242,10 @@
 
     async fn undo(&self, memory: &mut Memory, group: Group) {
         let Some(current) = group.map() else { return };
-        let Some(own) = group.engines.iter().position(|engine| *engine == self.own) else { return };
-        let (epoch, reports) = (group.epoch, group.reports());
-        let now = self.started.elapsed();
-        let options = SwitchOptions::default();
-        let Some(switch) = Switch::undo(options, own, epoch, reports, current, now) else { return };
-        log::warn!(epoch; "a change of map was left behind; it is undone");
-        memory.min_version = memory.min_version.max(switch.version() + 2);
+        let Some(start) = self.start(memory, &group, current) else { return };
+        let Some(switch) = Switch::undo(start) else { return };
+        log::warn!(epoch = group.epoch; "a change of map was left behind; it is undone");
+        memory.min_version = memory.min_version.max(switch.version());
         let end = self.drive(memory, switch, &group.engines, None).await;
         log::info!(end:? = end; "a change of map that was left behind is over");
         self.metrics.count("maps.undone");
@@ -263,12 +267,14 @@
                 under_way
                     .push(Box::pin(async move { (rank, self.give(engine, &order, base).await) }));
             }
+            memory.guards.note(switch.epoch(), switch.guard(), switch.step());
             if let Some(end) = switch.end() {
                 return end;
             }
             tokio::select! {
                 Some((rank, answered)) = under_way.next(), if !under_way.is_empty() => {
                     memory.note_loss(&answered);
+                    self.note_report(engines[rank], &answered);
                     take_answer(&mut switch, rank, answered);
                 }
                 () = tokio::time::sleep(SWITCH_TICK) => self.observe(&mut switch, engines),
@@ -276,6 +282,13 @@
         }
     }
 
+    /// Keeps what an answer tells, so that an older report does not follow it.
+    fn note_report(&self, engine: SocketAddr, answered: &Result<OrderAnswer>) {
+        if let Ok(answer) = answered {
+            self.beliefs.lock().note_report(engine, answer.report.clone());
+        }
+    }
+
     /// Takes what the ranks have told meanwhile.
     fn observe(&self, switch: &mut Switch, engines: &[SocketAddr]) {
         let beliefs = self.beliefs.lock();
@@ -343,6 +356,20 @@
     LEAST_GAIN_PER_FETCH * REFERENCE_RANKS / ranks.max(1) as f64
 }
 
+/// Says whether a rank is this process's to hold the group through: its own, and
+/// of those that no process balances beside its share.
+fn is_own_guard(
+    engines: &[SocketAddr],
+    listeners: &[SocketAddr],
+    place: usize,
+    rank: RankNumber,
+) -> bool {
+    match listeners.iter().position(|listener| *listener == engines[rank]) {
+        Some(listener) => listener == place,
+        None => rank % listeners.len() == place,
+    }
+}
+
 fn take_answer(switch: &mut Switch, rank: usize, answered: Result<OrderAnswer>) {
     match answered {
         Ok(OrderAnswer { result, report, .. }) => {
--- a/crates/rank/src/message.rs
+++ b/crates/rank/src/message.rs
@@ -6,7 +6,7 @@
     Result, Step,
     experts::{
         Action, Counts, EngineOrder, EngineReport, GroupEpoch, GroupMap, GroupStep, MapVersion,
-        OrderNumber, OrderResult, RankMap,
+        OrderResult, RankMap,
     },
     invalid,
 };
@@ -40,14 +40,12 @@
 }
 
 /// An order to an engine. Whoever gets it twice gives it twice, which changes
-/// nothing, as it carries a number.
+/// nothing.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct OrderMessage {
     pub(crate) id: OrderId,
     /// The group's life.
     pub(crate) epoch: GroupEpoch,
-    /// The number of orders that the engine must have seen.
-    pub(crate) after: OrderNumber,
     pub(crate) action: ActionMessage,
 }
 
@@ -135,7 +133,7 @@
                 ActionMessage::Prepare { version: *version, map: MapMessage::new(map, base) }
             }
         };
-        OrderMessage { id, epoch: order.epoch, after: order.after, action }
+        OrderMessage { id, epoch: order.epoch, action }
     }
 
     /// The order; `None` if it builds on a map that is not known.
@@ -152,7 +150,7 @@
                 Action::Prepare { version, map: map.map(known)? }
             }
         };
-        Some(EngineOrder { epoch: self.epoch, after: self.after, action })
+        Some(EngineOrder { epoch: self.epoch, action })
     }
 }
 
--- a/crates/rank/src/orders.rs
+++ b/crates/rank/src/orders.rs
@@ -28,8 +28,8 @@
     reporter::Reporter,
 };
 
-/// How often an order without an answer is given, in all. It takes effect once at
-/// most, as it carries a number.
+/// How often an order without an answer is given, in all. What it asks for holds
+/// after the first time, so that it may be given again.
 const MAX_TRIES: u32 = 4;
 
 /// How long a process is waited for before the order is sent to it again: a busy
