Test the processes of the users' platform against stand-ins of it

Change: platform/standin has the store with its refusals, replicas that break off, answer twice, hang or have changed, and engines of a group in lock-step; 25 tests start the real programs against them on loopback.

--- /dev/null
+++ b/crates/lynxmount/tests/platform_common/mod.rs
@@ -0,0 +1,248 @@
+//! Real processes against stand-ins of the users' platform, on loopback.
+
+#![allow(dead_code, unreachable_pub)]
+
+use std::{
+    fs,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU8, Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use lynxmount_link::Connection;
+use lynxmount_platform_standin::{Behaviour, ReplicaStandin, StoreStandin};
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use tempfile::TempDir;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_lynxmount");
+
+pub const CALLERS_PORT: u16 = 8101;
+pub const READINESS_PORT: u16 = 8102;
+pub const CONTROL_PORT: u16 = 8103;
+pub const INTERNAL_PORT: u16 = 8104;
+pub const REPLICA_PORT: u16 = 8110;
+pub const STORE_PORT: u16 = 8120;
+
+pub const HOST: &str = "desk.example";
+pub const KEY: &str = "key-of-claims";
+pub const TEAM: &str = "claims";
+pub const PLAIN: &str = "lookup";
+pub const ONCE: &str = "booking";
+pub const STREAM: &str = "draft";
+
+/// Far longer than anything waits; reaching it fails the test.
+pub const GIVE_UP_AFTER: Duration = Duration::from_secs(20);
+const POLL: Duration = Duration::from_millis(10);
+
+/// A loopback network of its own for each test, so that tests run side by side.
+pub fn network() -> u8 {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    // Other test binaries use networks with another second byte.
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
+
+pub fn ip(network: u8, host: u8) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(127, 91, network, host))
+}
+
+/// A process that is killed when the test ends.
+pub struct Process {
+    pub child: Child,
+    _settings: TempDir,
+}
+
+impl Process {
+    pub fn start(command: &str, settings: &str) -> Process {
+        let folder = TempDir::new().expect("a folder");
+        let path = folder.path().join("local.conf");
+        fs::write(&path, settings).expect("settings are written");
+        let child = Command::new(BINARY)
+            .arg(command)
+            .arg("--settings")
+            .arg(&path)
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the process starts");
+        Process { child, _settings: folder }
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.child.id() as i32), signal).expect("the process is there");
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Settings of a process; `more` are further lines.
+pub fn settings(own: IpAddr, store: SocketAddr, more: &str) -> String {
+    format!(
+        "NodeName=node-{own}\nIp={own}\nZone=z\nInternalPorts={INTERNAL_PORT},8105\n\
+         Seeds=\nHeartbeatMs=1200\nBounds.ConfigApplyMs=2000\nBounds.DrainMs=2000\n\
+         Bounds.GraceS=8\nBounds.RetryRatio=0.2\nBounds.RetrySlack=88\nBounds.RetryWindowS=10\n\
+         Bounds.stall_ms=1500\nPlatform.Address={store}\n{more}"
+    )
+}
+
+pub fn entry_settings(own: IpAddr, store: SocketAddr, seeds: &[IpAddr]) -> String {
+    let seeds: Vec<String> = seeds.iter().map(|ip| format!("{ip}:{CONTROL_PORT}")).collect();
+    let more = format!(
+        "Listen.FrontendAddr={own}:{CALLERS_PORT}\nListen.ReadinessAddr={own}:{READINESS_PORT}\n\
+         Listen.ControlAddr={own}:{CONTROL_PORT}\nSeeds={}\n",
+        seeds.join(",")
+    );
+    settings(own, store, &more).replacen("Seeds=\n", "", 1)
+}
+
+/// A configuration with one route of each kind; `keys` are those of the team.
+pub fn config(version: u64, keys: &[&str]) -> String {
+    let route = |name: &str, kind: &str, attempts: u32, more: &str| {
+        format!(
+            r#"{{"Name":"r-{name}","Hostname":"{HOST}","PathPrefix":"/{name}/","RouteKind":"{kind}",
+            "TimeoutMs":4000,"GoalMs":500,"Priority":1,"Service":"{name}-service",
+            "MaxAttempts":{attempts},"Public":false{more}}}"#
+        )
+    };
+    let service = |name: &str| format!(r#"{{"Name":"{name}-service","MaxConns":100}}"#);
+    let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
+    format!(
+        r#"{{"Version":{version},"Routes":[{},{},{}],"Services":[{},{},{}],
+        "Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":1000,"HeaderTimeoutMs":3000,
+        "IdleTimeoutMs":15000}},"Tenants":[{{"Name":"{TEAM}","ApiKeys":[{}],"Priority":1}}]}}"#,
+        route(PLAIN, "idempotent", 2, ""),
+        route(ONCE, "non_idempotent", 1, ""),
+        route(STREAM, "streaming", 2, r#","Resumable":true,"GapGoalMs":120"#),
+        service(PLAIN),
+        service(ONCE),
+        service(STREAM),
+        keys.join(",")
+    )
+}
+
+pub fn registration(replica: &ReplicaStandin, service: &str, state: &str) -> String {
+    format!(
+        r#"{{"Service":"{service}-service","Address":"{}","Zone":"z","Version":"v1","Slots":8,
+        "State":"{state}","ColdLeftMs":0,"SeqNo":1}}"#,
+        replica.address
+    )
+}
+
+/// A store, two replicas of a service, and an entry.
+pub struct Fleet {
+    pub network: u8,
+    pub store: StoreStandin,
+    pub replicas: Vec<ReplicaStandin>,
+    pub entry: Process,
+}
+
+impl Fleet {
+    /// Starts a fleet whose entry is ready.
+    pub async fn start(service: &str, behaviours: &[Behaviour]) -> Fleet {
+        let fleet = Fleet::start_unready(service, behaviours).await;
+        fleet.wait_until_ready(entry_ip(fleet.network, 0)).await;
+        fleet
+    }
+
+    pub async fn start_unready(service: &str, behaviours: &[Behaviour]) -> Fleet {
+        let network = network();
+        let store =
+            StoreStandin::start((ip(network, 250), STORE_PORT).into()).await.expect("a store");
+        store.put("keyed.op", "config", &config(1, &[KEY]));
+        let mut replicas = Vec::new();
+        for (index, behaviour) in behaviours.iter().enumerate() {
+            let address = (ip(network, 100 + index as u8), REPLICA_PORT).into();
+            let id = format!("i-{index}");
+            let replica =
+                ReplicaStandin::start(&id, address, behaviour.clone()).await.expect("a replica");
+            store.put("keyed.servers", &id, &registration(&replica, service, "ready"));
+            replicas.push(replica);
+        }
+        let own = entry_ip(network, 0);
+        let entry = Process::start("platform-entry", &entry_settings(own, store.address(), &[]));
+        Fleet { network, store, replicas, entry }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        (entry_ip(self.network, 0), CALLERS_PORT).into()
+    }
+
+    pub async fn wait_until_ready(&self, entry: IpAddr) {
+        let readiness = SocketAddr::new(entry, READINESS_PORT);
+        wait_for("the entry to be ready", async || {
+            get(readiness, "/lynxmount/readyz").await == Some(StatusCode::OK)
+        })
+        .await;
+    }
+
+    /// How many requests the replicas have seen.
+    pub fn arrivals(&self) -> usize {
+        self.replicas.iter().map(|replica| replica.seen().len()).sum()
+    }
+}
+
+pub fn entry_ip(network: u8, index: u8) -> IpAddr {
+    ip(network, 10 + index)
+}
+
+/// Waits until something holds.
+pub async fn wait_for(what: &str, holds: impl AsyncFn() -> bool) {
+    let waiting = async {
+        while !holds().await {
+            tokio::time::sleep(POLL).await;
+        }
+    };
+    let waited = tokio::time::timeout(GIVE_UP_AFTER, waiting).await;
+    assert!(waited.is_ok(), "gave up waiting for {what}");
+}
+
+/// A caller's answer; `body` is `None` if it was cut.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub retry_after: Option<f64>,
+    pub signature: Option<String>,
+    pub body: Option<Bytes>,
+}
+
+/// Calls as a caller does, on a connection of its own. `None` if there is no head
+/// of an answer.
+pub async fn call(address: SocketAddr, method: Method, path: &str, key: &str) -> Option<Answer> {
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", HOST)
+        .header("x-attempt-id", "attempt-1")
+        .header("x-credential", key)
+        .header("x-tenant", "forged")
+        .header("x-deadline-ms", "3000")
+        .body(Full::new(Bytes::from_static(b"{}")))
+        .expect("a request");
+    send(address, request).await
+}
+
+async fn send(address: SocketAddr, request: Request<Full<Bytes>>) -> Option<Answer> {
+    let mut connection = Connection::open(address, GIVE_UP_AFTER).await.ok()?;
+    let response = connection.send(request).await.ok()?;
+    let status = response.status();
+    let text = |name: &str| Some(response.headers().get(name)?.to_str().ok()?.to_owned());
+    let retry_after = text("retry-after").and_then(|after| after.parse().ok());
+    let signature = text("x-server-stamp");
+    let body = response.into_body().collect().await.ok().map(|body| body.to_bytes());
+    Some(Answer { status, retry_after, signature, body })
+}
+
+pub async fn get(address: SocketAddr, path: &str) -> Option<StatusCode> {
+    let request = Request::get(path).header("host", HOST).body(Full::default()).ok()?;
+    send(address, request).await.map(|answer| answer.status)
+}
--- /dev/null
+++ b/crates/lynxmount/tests/platform_endpoint.rs
@@ -0,0 +1,123 @@
+//! Endpoint processes on the users' platform, beside engines in lock-step.
+
+mod platform_common;
+
+use std::{net::SocketAddr, time::Duration};
+
+use lynxmount_platform_standin::{GroupStandin, StoreStandin};
+use nix::sys::signal::Signal;
+use platform_common::{Process, STORE_PORT, STREAM, ip, network, settings, wait_for};
+
+const RANKS: u8 = 4;
+const EXPERTS: usize = 8;
+const ENGINE_PORT: u16 = 8130;
+const PASS: Duration = Duration::from_millis(20);
+
+struct World {
+    group: GroupStandin,
+    processes: Vec<Process>,
+    settings: Vec<String>,
+}
+
+/// A configuration whose service has a group of engines.
+fn config() -> String {
+    format!(
+        r#"{{"Version":1,"Routes":[],"Services":[{{"Name":"{STREAM}-service","MaxConns":100,
+        "Engine":{{"Slots":4,"KvCapacity":1000,"Stride":1,"step_ms":1.0,"per_seq_ms":0.1,
+        "read_per_s":1000.0,"usual":{{"prompt":10,"answer":10}},"Sets":1,"Experts":{EXPERTS},
+        "Placements":3,"Spare":1,"ExpertMb":1.0,"LinkMbps":1000.0,"form_ms":100.0}}}}],
+        "Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":1000,"HeaderTimeoutMs":3000,
+        "IdleTimeoutMs":15000}}}}"#
+    )
+}
+
+async fn start() -> World {
+    let network = network() + 100;
+    let store = StoreStandin::start((ip(network, 250), STORE_PORT).into()).await.expect("a store");
+    store.put("keyed.op", "config", &config());
+    let engines: Vec<SocketAddr> =
+        (0..RANKS).map(|rank| (ip(network, 10 + rank), ENGINE_PORT).into()).collect();
+    let group = GroupStandin::start(&engines, EXPERTS, PASS).await.expect("a group");
+    for (rank, engine) in engines.iter().enumerate() {
+        let registration = format!(
+            r#"{{"Service":"{STREAM}-service","Address":"{engine}","Zone":"z","Slots":4,
+            "State":"ready"}}"#
+        );
+        store.put("keyed.servers", &format!("i-{rank}"), &registration);
+    }
+    let own =
+        |engine: &SocketAddr| settings(engine.ip(), store.address(), &format!("app={engine}\n"));
+    let settings: Vec<String> = engines.iter().map(own).collect();
+    let processes = settings.iter().map(|text| Process::start("platform-endpoint", text)).collect();
+    World { group, processes, settings }
+}
+
+/// Demand for one expert above all others.
+fn demand_for(expert: usize) -> Vec<u64> {
+    (0..EXPERTS).map(|other| if other == expert { 4000 } else { 100 }).collect()
+}
+
+fn replicas(world: &World, expert: usize) -> usize {
+    let (_, map, _) = world.group.map();
+    map[0].iter().filter(|held| held.contains(&expert)).count()
+}
+
+fn assert_one_map(world: &World) {
+    let (_, _, split) = world.group.map();
+    assert_eq!(split, None, "ranks had different maps in a pass");
+}
+
+#[tokio::test]
+async fn experts_in_demand_get_replicas_and_all_ranks_switch_together() {
+    let world = start().await;
+
+    for expert in [3, 6, 1] {
+        world.group.set_demand(demand_for(expert));
+
+        wait_for("replicas", async || replicas(&world, expert) >= 3).await;
+        assert_one_map(&world);
+    }
+}
+
+#[tokio::test]
+async fn lost_answers_to_orders_delay_a_switch_and_split_nothing() {
+    let world = start().await;
+    world.group.lose_answers(3);
+
+    world.group.set_demand(demand_for(5));
+
+    wait_for("replicas", async || replicas(&world, 5) >= 3).await;
+    assert_one_map(&world);
+}
+
+#[tokio::test]
+async fn another_process_balances_when_the_first_is_gone() {
+    let mut world = start().await;
+    world.group.set_demand(demand_for(2));
+    wait_for("replicas", async || replicas(&world, 2) >= 3).await;
+
+    world.processes.remove(0);
+    world.group.set_demand(demand_for(7));
+
+    // The rank whose process is gone is told and read directly by nobody, so that
+    // the group waits for its process.
+    world.processes.insert(0, Process::start("platform-endpoint", &world.settings[0]));
+    wait_for("replicas", async || replicas(&world, 7) >= 3).await;
+    assert_one_map(&world);
+}
+
+#[tokio::test]
+async fn a_paused_process_holds_the_group_up_for_a_while_only() {
+    let world = start().await;
+    for round in 0..6 {
+        world.group.set_demand(demand_for(round % EXPERTS));
+        world.processes[0].signal(Signal::SIGSTOP);
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        world.processes[0].signal(Signal::SIGCONT);
+    }
+    let step = world.group.step();
+
+    wait_for("passes", async || world.group.step() > step + 20).await;
+
+    assert_one_map(&world);
+}
--- /dev/null
+++ b/crates/lynxmount/tests/platform_entry.rs
@@ -0,0 +1,306 @@
+//! The entry on the users' platform, as callers and replicas see it.
+
+mod platform_common;
+
+use std::time::{Duration, Instant};
+
+use http::{Method, StatusCode};
+use lynxmount_platform_standin::{Behaviour, StoreMode};
+use nix::sys::signal::Signal;
+use platform_common::{
+    Fleet, KEY, ONCE, PLAIN, Process, READINESS_PORT, STREAM, TEAM, call, config, entry_ip,
+    entry_settings, get, registration, wait_for,
+};
+
+fn path(service: &str) -> String {
+    format!("/{service}/7")
+}
+
+#[tokio::test]
+async fn a_lookup_reaches_a_replica_with_the_team_and_without_the_key() {
+    let fleet = Fleet::start(PLAIN, &[Behaviour::Answer]).await;
+
+    let answer = call(fleet.address(), Method::GET, &path(PLAIN), KEY).await.expect("an answer");
+
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(answer.signature.as_deref(), Some("i-0"));
+    assert_eq!(answer.body.as_deref(), Some(b"answer of i-0".as_slice()));
+    let seen = &fleet.replicas[0].seen()[0];
+    assert_eq!(seen.line, format!("GET {} HTTP/1.1", path(PLAIN)));
+    assert_eq!(seen.header("x-tenant"), Some(TEAM));
+    assert_eq!(seen.header("x-credential"), None);
+    assert_eq!(seen.header("x-expect-instance"), Some("i-0"));
+    assert_eq!(seen.header("x-attempt-id"), Some("attempt-1"));
+    assert_eq!(seen.body, b"{}");
+    let left_ms: u64 = seen.header("x-deadline-ms").expect("time left").parse().expect("a number");
+    assert!(left_ms <= 3000 && left_ms > 1500, "{left_ms} ms are left");
+}
+
+#[tokio::test]
+async fn unknown_keys_and_routes_are_told_so() {
+    let fleet = Fleet::start(PLAIN, &[Behaviour::Answer]).await;
+
+    let unknown_key = call(fleet.address(), Method::GET, &path(PLAIN), "no-key").await;
+    let unknown_route = call(fleet.address(), Method::GET, "/nowhere/7", KEY).await;
+
+    assert_eq!(unknown_key.expect("an answer").status, StatusCode::UNAUTHORIZED);
+    assert_eq!(unknown_route.expect("an answer").status, StatusCode::NOT_FOUND);
+    assert_eq!(fleet.arrivals(), 0);
+}
+
+#[tokio::test]
+async fn a_fresh_entry_without_a_configuration_refuses_and_says_when_to_come_back() {
+    let fleet = Fleet::start_unready(PLAIN, &[Behaviour::Answer]).await;
+    fleet.store.set_mode(StoreMode::Silent);
+    let own = entry_ip(fleet.network, 1);
+    let _entry = Process::start("platform-entry", &entry_settings(own, fleet.store.address(), &[]));
+    wait_for("the port", async || get((own, READINESS_PORT).into(), "/x").await.is_some()).await;
+
+    let address = (own, platform_common::CALLERS_PORT).into();
+    let answer = call(address, Method::GET, &path(PLAIN), KEY).await.expect("an answer");
+    let ready = get((own, READINESS_PORT).into(), "/lynxmount/readyz").await;
+
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.retry_after.is_some_and(|after| (0.5..1.0).contains(&after)), "{answer:?}");
+    assert_eq!(ready, Some(StatusCode::SERVICE_UNAVAILABLE));
+}
+
+#[tokio::test]
+async fn a_fresh_entry_learns_from_a_peer_while_the_store_turns_it_away() {
+    let fleet = Fleet::start(PLAIN, &[Behaviour::Answer]).await;
+    fleet.store.set_mode(StoreMode::Busy);
+    let own = entry_ip(fleet.network, 1);
+    let seeds = [entry_ip(fleet.network, 0)];
+    let settings = entry_settings(own, fleet.store.address(), &seeds);
+
+    let _entry = Process::start("platform-entry", &settings);
+
+    fleet.wait_until_ready(own).await;
+    let address = (own, platform_common::CALLERS_PORT).into();
+    let answer = call(address, Method::GET, &path(PLAIN), KEY).await.expect("an answer");
+    assert_eq!(answer.status, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn a_lost_answer_to_what_may_run_once_is_no_refusal_and_no_second_run() {
+    let fleet = Fleet::start(ONCE, &[Behaviour::Reset, Behaviour::Reset]).await;
+
+    let answer = call(fleet.address(), Method::POST, &path(ONCE), KEY).await.expect("an answer");
+
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    assert_eq!(fleet.arrivals(), 1);
+}
+
+#[tokio::test]
+async fn a_lost_answer_to_a_lookup_is_asked_of_another_replica() {
+    let fleet = Fleet::start(PLAIN, &[Behaviour::Reset, Behaviour::Answer]).await;
+
+    for _ in 0..4 {
+        let answer = call(fleet.address(), Method::GET, &path(PLAIN), KEY).await;
+
+        assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+    }
+}
+
+#[tokio::test]
+async fn what_a_replica_did_not_run_is_refused_with_a_time_to_come_back() {
+    let fleet = Fleet::start(ONCE, &[Behaviour::Shed]).await;
+
+    let answer = call(fleet.address(), Method::POST, &path(ONCE), KEY).await.expect("an answer");
+
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.retry_after.is_some(), "{answer:?}");
+    assert_eq!(answer.signature, None);
+}
+
+#[tokio::test]
+async fn a_truncated_answer_is_never_delivered_as_a_success() {
+    let fleet = Fleet::start(PLAIN, &[Behaviour::Truncate, Behaviour::Truncate]).await;
+
+    let answer = call(fleet.address(), Method::GET, &path(PLAIN), KEY).await.expect("an answer");
+
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+}
+
+#[tokio::test]
+async fn a_second_answer_belongs_to_no_other_request() {
+    let fleet = Fleet::start(PLAIN, &[Behaviour::AnswerTwice]).await;
+
+    for _ in 0..6 {
+        let answer = call(fleet.address(), Method::GET, &path(PLAIN), KEY).await;
+
+        assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+    }
+}
+
+#[tokio::test]
+async fn another_instance_at_the_address_costs_one_attempt() {
+    let fleet = Fleet::start(PLAIN, &[Behaviour::OtherInstance, Behaviour::Answer]).await;
+
+    for _ in 0..3 {
+        let answer = call(fleet.address(), Method::GET, &path(PLAIN), KEY).await;
+
+        assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+    }
+}
+
+#[tokio::test]
+async fn a_replicas_failure_is_passed_on_with_its_signature() {
+    let fleet = Fleet::start(ONCE, &[Behaviour::Fail]).await;
+
+    let answer = call(fleet.address(), Method::POST, &path(ONCE), KEY).await.expect("an answer");
+
+    assert_eq!(answer.status, StatusCode::INTERNAL_SERVER_ERROR);
+    assert_eq!(answer.signature.as_deref(), Some("i-0"));
+}
+
+fn events(numbers: std::ops::RangeInclusive<u64>) -> String {
+    numbers.map(|number| format!("id: {number}\ndata: piece {number}\n\n")).collect()
+}
+
+#[tokio::test]
+async fn a_streams_events_arrive_whole_and_in_order() {
+    let stream = Behaviour::Stream { events: 20, pause: Duration::from_millis(5) };
+    let fleet = Fleet::start(STREAM, &[stream]).await;
+
+    let answer = call(fleet.address(), Method::POST, &path(STREAM), KEY).await.expect("an answer");
+
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(answer.body.as_deref(), Some(events(1..=20).as_bytes()));
+}
+
+#[tokio::test]
+async fn a_broken_stream_goes_on_at_another_replica_after_its_last_event() {
+    let cut = Behaviour::StreamCut { after: 4, resumed: 9 };
+    let fleet = Fleet::start(STREAM, &[cut.clone(), cut]).await;
+
+    let answer = call(fleet.address(), Method::POST, &path(STREAM), KEY).await.expect("an answer");
+
+    assert_eq!(answer.body.as_deref(), Some(events(1..=9).as_bytes()));
+    let resumed = fleet.replicas.iter().flat_map(|replica| replica.seen());
+    assert!(resumed.into_iter().any(|seen| seen.header("last-event-id") == Some("4")));
+}
+
+#[tokio::test]
+async fn a_stream_that_can_not_be_resumed_does_not_look_complete() {
+    let cut = Behaviour::StreamCut { after: 4, resumed: 0 };
+    let fleet = Fleet::start(STREAM, &[cut]).await;
+
+    let answer = call(fleet.address(), Method::POST, &path(STREAM), KEY).await.expect("a head");
+
+    assert_eq!(answer.body, None);
+}
+
+#[tokio::test]
+async fn work_ends_at_the_replica_when_the_caller_leaves() {
+    let fleet = Fleet::start(ONCE, &[Behaviour::Hang]).await;
+    let address = fleet.address();
+    let caller = tokio::spawn(async move { call(address, Method::POST, &path(ONCE), KEY).await });
+    wait_for("the request", async || fleet.arrivals() == 1).await;
+
+    caller.abort();
+
+    wait_for("the end of the work", async || fleet.replicas[0].closed_early() == 1).await;
+}
+
+#[tokio::test]
+async fn a_newer_configuration_is_in_force_and_an_older_one_never_again() {
+    let fleet = Fleet::start(PLAIN, &[Behaviour::Answer]).await;
+    let status = async |key: &str| {
+        let answer = call(fleet.address(), Method::GET, &path(PLAIN), key).await;
+        answer.expect("an answer").status
+    };
+
+    fleet.store.put("keyed.op", "config", &config(9, &["other-key"]));
+    wait_for("the new key", async || status("other-key").await == StatusCode::OK).await;
+    fleet.store.put("keyed.op", "config", &config(3, &[KEY]));
+    fleet.store.compact("keyed.op");
+    fleet.store.put("keyed.op", "config", &config(12, &["third-key"]));
+    wait_for("the third key", async || status("third-key").await == StatusCode::OK).await;
+
+    assert_eq!(status(KEY).await, StatusCode::UNAUTHORIZED);
+    assert_eq!(status("other-key").await, StatusCode::UNAUTHORIZED);
+}
+
+#[tokio::test]
+async fn an_entry_goes_on_with_what_it_knows_while_the_store_is_silent() {
+    let fleet = Fleet::start(PLAIN, &[Behaviour::Answer]).await;
+    fleet.store.set_mode(StoreMode::Silent);
+
+    for _ in 0..5 {
+        let answer = call(fleet.address(), Method::GET, &path(PLAIN), KEY).await;
+
+        assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+    }
+}
+
+#[tokio::test]
+async fn a_leaving_replica_gets_no_more_work() {
+    let fleet = Fleet::start(PLAIN, &[Behaviour::Answer, Behaviour::Answer]).await;
+    let leaving = &fleet.replicas[0];
+    fleet.store.put("keyed.servers", "i-0", &registration(leaving, PLAIN, "draining"));
+    let calls_before = fleet.store.calls();
+    wait_for("two reads", async || fleet.store.calls() >= calls_before + 4).await;
+    let seen_before = leaving.seen().len();
+
+    for _ in 0..6 {
+        call(fleet.address(), Method::GET, &path(PLAIN), KEY).await.expect("an answer");
+    }
+
+    assert_eq!(leaving.seen().len(), seen_before);
+}
+
+#[tokio::test]
+async fn a_process_that_leaves_finishes_its_streams_and_tells_that_it_is_not_ready() {
+    let stream = Behaviour::Stream { events: 30, pause: Duration::from_millis(50) };
+    let mut fleet = Fleet::start(STREAM, &[stream]).await;
+    let address = fleet.address();
+    let caller = tokio::spawn(async move { call(address, Method::POST, &path(STREAM), KEY).await });
+    wait_for("the stream", async || fleet.arrivals() == 1).await;
+
+    fleet.entry.signal(Signal::SIGTERM);
+
+    let readiness = (entry_ip(fleet.network, 0), READINESS_PORT).into();
+    wait_for("not ready", async || {
+        get(readiness, "/lynxmount/readyz").await == Some(StatusCode::SERVICE_UNAVAILABLE)
+    })
+    .await;
+    let answer = caller.await.expect("the caller").expect("an answer");
+    assert_eq!(answer.body.as_deref(), Some(events(1..=30).as_bytes()));
+    let ended = fleet.entry.child.wait().expect("the process ends");
+    assert!(ended.success(), "{ended}");
+}
+
+#[tokio::test]
+async fn a_request_is_not_held_past_its_routes_time() {
+    let fleet = Fleet::start(ONCE, &[Behaviour::Hang]).await;
+    let began = Instant::now();
+
+    let answer = call(fleet.address(), Method::POST, &path(ONCE), KEY).await.expect("an answer");
+
+    assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT);
+    assert!(began.elapsed() >= Duration::from_millis(2900), "{:?}", began.elapsed());
+}
+
+#[tokio::test]
+async fn wrong_settings_name_file_line_and_field() {
+    for (settings, expected) in [
+        ("NodeName=n\nIp=nowhere\n", "local.conf:2"),
+        ("NodeName=n\nIp=127.0.0.1\n", "Zone is missing"),
+        ("NodeName\n", "local.conf:1"),
+    ] {
+        let folder = tempfile::TempDir::new().expect("a folder");
+        let file = folder.path().join("local.conf");
+        std::fs::write(&file, settings).expect("settings are written");
+
+        let output = std::process::Command::new(env!("CARGO_BIN_EXE_lynxmount"))
+            .args(["platform-entry", "--settings"])
+            .arg(&file)
+            .output()
+            .expect("the process runs");
+
+        let told = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(output.status.code(), Some(2), "{told}");
+        assert!(told.contains(expected), "{told}");
+    }
+}
