--- /dev/null
+++ b/crates/balance/tests/group_plan.rs
@@ -0,0 +1,91 @@
+//! Maps for groups whose engines take whole maps.
+
+use lynxmount_balance::{PlanLimits, group_skew, plan_group};
+use proptest::prelude::*;
+
+const RANKS: usize = 16;
+const EXPERTS: usize = 64;
+const SETS: usize = 4;
+
+fn limits() -> PlanLimits {
+    PlanLimits {
+        slots_per_rank: 5,
+        fetches_per_set: 2,
+        fetches_per_rank: 2,
+        least_gain_per_fetch: 0.025,
+    }
+}
+
+fn first_map() -> Vec<Vec<Vec<usize>>> {
+    vec![(0..RANKS).map(|rank| (rank..EXPERTS).step_by(RANKS).collect()).collect(); SETS]
+}
+
+/// Popularity that falls with the rank of an expert, in an order of its own.
+fn zipf(offset: usize) -> Vec<f64> {
+    (0..EXPERTS).map(|e| 1.0 / (((e * 37 + offset) % EXPERTS) as f64 + 1.0)).collect()
+}
+
+fn demand(offset: usize) -> Vec<Vec<f64>> {
+    (0..SETS).map(|set| zipf(offset + set * 11)).collect()
+}
+
+#[test]
+fn one_change_after_a_shift_takes_most_of_the_skew_away() {
+    let plan = plan_group(&first_map(), &demand(3), limits()).expect("a plan");
+
+    assert!(plan.skew_before > 3.0, "{}", plan.skew_before);
+    assert!(plan.skew_after < 1.6, "{}", plan.skew_after);
+}
+
+#[test]
+fn a_few_changes_come_close_to_even() {
+    let mut maps = first_map();
+    let demand = demand(9);
+    for _ in 0..4 {
+        if let Some(plan) = plan_group(&maps, &demand, limits()) {
+            maps = plan.maps;
+        }
+    }
+
+    let skew = group_skew(&maps, &demand);
+
+    assert!(skew < 1.2, "{skew}");
+}
+
+#[test]
+fn an_even_demand_moves_nothing() {
+    let even = vec![vec![1.0; EXPERTS]; SETS];
+
+    assert_eq!(plan_group(&first_map(), &even, limits()), None);
+}
+
+proptest! {
+    #[test]
+    fn plans_keep_what_engines_demand(
+        offsets in proptest::collection::vec(0_usize..EXPERTS, 1..5),
+        fetches_per_rank in 1_usize..5,
+    ) {
+        let mut maps = first_map();
+        for offset in offsets {
+            let limits = PlanLimits { fetches_per_rank, ..limits() };
+            let Some(plan) = plan_group(&maps, &demand(offset), limits) else { continue };
+
+            prop_assert!(plan.skew_after <= plan.skew_before + 1e-9);
+            for rank in 0..RANKS {
+                let new_by_set: Vec<usize> = (0..SETS)
+                    .map(|set| {
+                        let old = &maps[set][rank];
+                        plan.maps[set][rank].iter().filter(|e| !old.contains(e)).count()
+                    })
+                    .collect();
+                prop_assert!(new_by_set.iter().all(|new| *new <= 2), "{new_by_set:?}");
+                prop_assert!(new_by_set.iter().sum::<usize>() <= fetches_per_rank);
+            }
+            for set in &plan.maps {
+                prop_assert!(set.iter().all(|held| held.len() <= 5));
+                prop_assert!((0..EXPERTS).all(|e| set.iter().any(|held| held.contains(&e))));
+            }
+            maps = plan.maps;
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/direct.rs
@@ -0,0 +1,198 @@
+//! Decisions of entries that call endpoints directly.
+
+use std::time::Duration;
+
+use lynxmount_core::{EndpointList, EndpointRecord, EndpointState};
+use lynxmount_policy::{
+    CallEnd, Health, Membership, OutageWatch, Placement, Seat, WindowBudget, WindowBudgetOptions,
+    place, return_time,
+};
+use proptest::prelude::*;
+
+fn at_ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn seat(own_running: u32, others_running: u32) -> Seat {
+    Seat { own_running, others_running, capacity: 12, own_capacity: 5, ..Seat::default() }
+}
+
+#[test]
+fn the_least_loaded_endpoint_is_taken() {
+    let seats = [seat(3, 0), seat(1, 1), seat(2, 4)];
+
+    assert_eq!(place(&seats), Placement::At(1));
+}
+
+#[test]
+fn among_equals_the_one_that_rested_longest_is_taken() {
+    let seats = [
+        Seat { last_chosen: 7, ..seat(1, 0) },
+        Seat { last_chosen: 2, ..seat(1, 0) },
+        Seat { last_chosen: 5, ..seat(1, 0) },
+    ];
+
+    assert_eq!(place(&seats), Placement::At(1));
+}
+
+#[test]
+fn a_full_service_is_told_apart_from_one_without_endpoints() {
+    assert_eq!(place(&[seat(5, 0), seat(4, 8)]), Placement::Full);
+    assert_eq!(place(&[]), Placement::Nowhere);
+}
+
+#[test]
+fn endpoints_that_were_tried_or_left_out_are_a_last_resort() {
+    let ejected = Seat { is_ejected: true, ..seat(0, 0) };
+    let tried = Seat { was_tried: true, ..seat(0, 0) };
+
+    assert_eq!(place(&[ejected, tried, seat(4, 0)]), Placement::At(2));
+    assert_eq!(place(&[ejected, tried]), Placement::At(1));
+    assert_eq!(place(&[ejected]), Placement::At(0));
+}
+
+#[test]
+fn an_endpoint_that_can_not_be_reached_is_left_out_for_longer_each_time() {
+    let mut health = Health::default();
+
+    assert!(health.note(CallEnd::Unreachable, at_ms(0)));
+
+    assert!(health.is_ejected(at_ms(499)));
+    assert!(!health.is_ejected(at_ms(500)));
+    health.note(CallEnd::Unreachable, at_ms(500));
+    assert!(health.is_ejected(at_ms(1499)));
+    assert!(!health.is_ejected(at_ms(1500)));
+}
+
+#[test]
+fn an_endpoint_that_fails_now_and_then_stays() {
+    let mut health = Health::default();
+    for call in 0..200 {
+        let end = if call % 7 == 0 { CallEnd::Failed } else { CallEnd::Answered };
+
+        assert!(!health.note(end, at_ms(call * 10)), "call {call}");
+    }
+}
+
+#[test]
+fn an_endpoint_that_fails_mostly_is_left_out_and_comes_back_by_trial() {
+    let mut health = Health::default();
+    let ejected_at = (0..10).find(|call| health.note(CallEnd::Failed, at_ms(call * 10)));
+    assert!(ejected_at.is_some_and(|call| call < 5), "{ejected_at:?}");
+
+    health.note(CallEnd::Answered, at_ms(2000));
+
+    assert!(!health.is_ejected(at_ms(2000)));
+}
+
+fn budget() -> WindowBudget {
+    let window = Duration::from_secs(10);
+    WindowBudget::new(WindowBudgetOptions { ratio: 0.2, slack: 88.0, window })
+}
+
+#[test]
+fn repeats_stay_within_half_of_the_share_and_come_back_with_the_window() {
+    let mut budget = budget();
+
+    let first = (0..100).filter(|_| budget.take(4, at_ms(0))).count();
+    let later = (0..100).filter(|_| budget.take(4, at_ms(10_600))).count();
+
+    assert_eq!((first, later), (11, 11));
+}
+
+proptest! {
+    #[test]
+    fn four_entries_never_exceed_the_bound_of_a_window(
+        events in proptest::collection::vec((0_u64..30_000, 0_usize..4, any::<bool>()), 1..400)
+    ) {
+        let mut events = events;
+        events.sort();
+        let mut budgets = vec![budget(); 4];
+        let mut calls = Vec::new();
+        let mut repeats = Vec::new();
+        for (ms, entry, is_call) in events {
+            match is_call {
+                true => {
+                    budgets[entry].note_call(at_ms(ms));
+                    calls.push(ms);
+                }
+                false if budgets[entry].take(4, at_ms(ms)) => repeats.push(ms),
+                false => {}
+            }
+        }
+
+        for start in (0..30_000).step_by(500) {
+            let within = |at: &&u64| (start..start + 10_000).contains(*at);
+            // Calls that paid may have come up to a window earlier.
+            let paid = |at: &&u64| (start.saturating_sub(10_000)..start + 10_000).contains(*at);
+            let bound = 0.2 * calls.iter().filter(paid).count() as f64 + 88.0;
+            prop_assert!(repeats.iter().filter(within).count() as f64 <= bound);
+        }
+    }
+}
+
+fn record(id: &str) -> EndpointRecord {
+    EndpointRecord {
+        id: id.into(),
+        service: "s".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        failure_domain: "z".into(),
+        slots: 1,
+        state: EndpointState::Ready,
+    }
+}
+
+fn list(read_to: u64, ids: &[&str]) -> EndpointList {
+    EndpointList { read_to, endpoints: ids.iter().map(|id| record(id)).collect() }
+}
+
+fn ids(membership: &Membership) -> Vec<String> {
+    membership.endpoints().iter().map(|endpoint| endpoint.id.to_string()).collect()
+}
+
+#[test]
+fn a_registration_that_is_removed_is_gone_at_once() {
+    let mut membership = Membership::default();
+    membership.take(&list(1, &["a", "b"]), at_ms(0));
+
+    membership.take(&list(2, &["a"]), at_ms(800));
+
+    assert_eq!(ids(&membership), ["a"]);
+}
+
+#[test]
+fn registrations_that_lapse_in_an_outage_have_time_to_come_back() {
+    let mut membership = Membership::default();
+    membership.take(&list(1, &["a", "b", "c"]), at_ms(0));
+
+    membership.take(&list(2, &["a"]), at_ms(6000));
+    assert_eq!(ids(&membership), ["a", "b", "c"]);
+
+    membership.take(&list(3, &["a", "b"]), at_ms(7000));
+    assert_eq!(ids(&membership), ["a", "b", "c"]);
+
+    membership.take(&list(4, &["a", "b"]), at_ms(8300));
+    assert_eq!(ids(&membership), ["a", "b"]);
+}
+
+#[test]
+fn two_refusals_in_a_row_pause_a_service_and_an_answer_ends_it() {
+    let mut outage = OutageWatch::default();
+
+    assert!(!outage.note_refusal(at_ms(0)));
+    assert!(outage.note_refusal(at_ms(10)));
+
+    assert!(outage.is_paused(at_ms(259)));
+    assert!(!outage.is_paused(at_ms(260)));
+    outage.note_answer();
+    assert!(!outage.note_refusal(at_ms(300)));
+}
+
+#[test]
+fn callers_come_back_within_a_third_of_their_time() {
+    for spread in [0.0, 0.5, 1.0, 7.0] {
+        let after = return_time(Duration::from_secs(8), spread);
+
+        assert!(after >= Duration::from_millis(1900) && after < Duration::from_millis(2667));
+    }
+}
