Share maps between orders, repeat none while under way, read silent ranks directly

Cause: on large groups the balancing process copied the whole map for each rank at each answer, which took it more than a second at a time, so that others took its duty; orders were repeated while their answers were on their way; and a frozen process kept its group held, as no report of its rank came.

Change: orders share one map and are compared without it; an order is repeated once it was answered or given up; engines of processes that are silent for a second are read and given orders directly. In the matrix coordinators now give an order up after 200 ms, as the processes do.

--- a/crates/core/src/experts.rs
+++ b/crates/core/src/experts.rs
@@ -1,5 +1,7 @@
 //! What engines in a lock-step group tell and take.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 /// A step of a group, counted by all ranks alike.
@@ -99,7 +101,7 @@
         /// The number that the map gets.
         version: MapVersion,
         /// The experts of each set and rank.
-        map: GroupMap,
+        map: Arc<GroupMap>,
     },
 }
 
--- a/crates/group/src/switch/mod.rs
+++ b/crates/group/src/switch/mod.rs
@@ -25,7 +25,7 @@
 mod options;
 mod rank;
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use lynxmount_core::experts::{
     Action, EngineOrder, EngineReport, GroupEpoch, GroupMap, GroupStep, MapVersion, OrderResult,
@@ -33,7 +33,7 @@
 
 pub use self::guards::{Guard, Guards};
 pub use self::options::{SwitchEnd, SwitchOptions};
-use self::rank::Rank;
+use self::rank::{Rank, Wanted};
 use crate::RankNumber;
 
 /// Numbers of maps go up in steps. Within a step the number is drawn, so that two
@@ -62,11 +62,11 @@
     epoch: GroupEpoch,
     started: Duration,
     /// The map to switch to; `None` if another's switch is undone.
-    goal: Option<GroupMap>,
+    goal: Option<Arc<GroupMap>>,
     /// The map to switch to, or the highest that may have to be undone.
     version: MapVersion,
     /// The map in use, which ranks prepare again as they are settled.
-    current: GroupMap,
+    current: Arc<GroupMap>,
     /// The number under which they do.
     settle_version: MapVersion,
     /// How often that number was raised.
@@ -120,7 +120,7 @@
         let nonce = start.nonce;
         let version = next_version(highest_version(&start.reports).max(min_version), nonce);
         let mut switch = Switch::new(start, version);
-        switch.goal = Some(goal);
+        switch.goal = Some(Arc::new(goal));
         switch
     }
 
@@ -149,7 +149,7 @@
             started: start.now,
             goal: None,
             version,
-            current: start.current,
+            current: Arc::new(start.current),
             settle_version: next_version(version, start.nonce),
             settle_raises: 0,
             nonce: start.nonce,
@@ -199,31 +199,32 @@
     }
 
     /// Takes the answer to an order; the rank's state after it is to be observed
-    /// first. An order without an answer may take effect yet, and is repeated.
+    /// first. An order that is given up without an answer may take effect yet, and
+    /// is repeated.
     pub fn answered(&mut self, rank: RankNumber, result: Option<OrderResult>) {
-        let refused = match result {
-            Some(OrderResult::Refused) => self.ranks[rank].note_refused(),
-            Some(OrderResult::Accepted) | None => None,
-        };
-        if let Some(action) = refused {
-            self.refused(rank, &action);
+        let wanted = self.ranks[rank].note_answered(result);
+        if let (Some(OrderResult::Refused), Some(wanted)) = (result, wanted) {
+            self.refused(rank, wanted);
         }
     }
 
-    fn refused(&mut self, rank: RankNumber, action: &Action) {
-        match (self.phase, action) {
+    fn refused(&mut self, rank: RankNumber, wanted: Wanted) {
+        match (self.phase, wanted) {
             (Phase::Preparing, _) if !self.has_prepared(rank) => {
                 self.phase = Phase::Over(SwitchEnd::NotPrepared);
             }
-            (Phase::Arming { .. }, Action::Arm { .. }) if !self.is_armed(rank) => {
+            (Phase::Arming { .. }, Wanted::Arm) if !self.is_armed(rank) => {
                 self.phase = Phase::Settling;
             }
-            (Phase::Holding { tries }, Action::Hold { .. }) if !self.is_held() => {
+            (Phase::Holding { tries }, Wanted::Hold(_)) if !self.is_held() => {
                 self.hold_refused(tries);
             }
-            // The rank has had that number, perhaps for a copy that has not ended.
-            (Phase::Settling, Action::Prepare { version, .. })
-                if *version == self.settle_version && !self.is_settled(rank) =>
+            // The rank has had that number, perhaps for a copy that has not ended. One
+            // that an order has armed late refuses any map, and is disarmed first.
+            (Phase::Settling, Wanted::Settle(version))
+                if version == self.settle_version
+                    && !self.is_settled(rank)
+                    && self.ranks[rank].report.armed.is_none() =>
             {
                 self.raise_settle_version();
             }
@@ -343,45 +344,52 @@
 
     /// The order that a rank needs, unless it was given just now.
     fn next_order(&mut self, rank: RankNumber, now: Duration) -> Option<RankOrder> {
-        let action = self.wanted(rank)?;
-        let repeat_after = self.options.repeat_after;
-        let order = self.ranks[rank].give(self.epoch, action, now, repeat_after)?;
-        Some(RankOrder { rank, order })
+        let wanted = self.wanted(rank)?;
+        let is_to_ask = self.ranks[rank].is_to_ask(wanted, now, self.options.repeat_after);
+        let action = is_to_ask.then(|| self.action(wanted))?;
+        Some(RankOrder { rank, order: EngineOrder { epoch: self.epoch, action } })
     }
 
-    fn wanted(&self, rank: RankNumber) -> Option<Action> {
-        match self.phase {
-            Phase::Preparing if !self.has_prepared(rank) => {
-                let map = self.goal.clone()?;
-                Some(Action::Prepare { version: self.version, map })
-            }
-            Phase::Holding { .. } if rank == self.guard => Some(Action::Hold { step: self.step }),
-            Phase::Arming { .. } if !self.is_armed(rank) => {
-                Some(Action::Arm { version: self.version, step: self.step })
+    fn action(&self, wanted: Wanted) -> Action {
+        match wanted {
+            Wanted::Arm => Action::Arm { version: self.version, step: self.step },
+            Wanted::Disarm(version) => Action::Disarm { version },
+            Wanted::Go(step) => Action::Go { step },
+            Wanted::Hold(step) => Action::Hold { step },
+            Wanted::Prepare => {
+                let map = Arc::clone(self.goal.as_ref().unwrap_or(&self.current));
+                Action::Prepare { version: self.version, map }
             }
-            Phase::Settling if !self.is_settled(rank) => self.settling_order(rank),
+            Wanted::Settle(version) => Action::Prepare { version, map: Arc::clone(&self.current) },
+        }
+    }
+
+    fn wanted(&self, rank: RankNumber) -> Option<Wanted> {
+        match self.phase {
+            Phase::Preparing if !self.has_prepared(rank) => Some(Wanted::Prepare),
+            Phase::Holding { .. } if rank == self.guard => Some(Wanted::Hold(self.step)),
+            Phase::Arming { .. } if !self.is_armed(rank) => Some(Wanted::Arm),
+            Phase::Settling if !self.is_settled(rank) => Some(self.settling_order(rank)),
             Phase::Releasing { .. } => self.release_order(rank),
             _ => None,
         }
     }
 
-    fn settling_order(&self, rank: RankNumber) -> Option<Action> {
+    fn settling_order(&self, rank: RankNumber) -> Wanted {
         match self.ranks[rank].report.armed {
-            Some((version, _)) => Some(Action::Disarm { version }),
-            None => {
-                Some(Action::Prepare { version: self.settle_version, map: self.current.clone() })
-            }
+            Some((version, _)) => Wanted::Disarm(version),
+            None => Wanted::Settle(self.settle_version),
         }
     }
 
     /// Others' holds go first, so that the own one guards to the last.
-    fn release_order(&self, rank: RankNumber) -> Option<Action> {
+    fn release_order(&self, rank: RankNumber) -> Option<Wanted> {
         let of_rank = self.others_held.iter().find(|held| held.0 == rank && self.stands(**held));
         let are_others_open = self.others_held.iter().all(|held| !self.stands(*held));
         match of_rank {
-            Some((_, step)) => Some(Action::Go { step: *step }),
+            Some((_, step)) => Some(Wanted::Go(*step)),
             None if rank == self.guard && are_others_open && self.is_held() => {
-                Some(Action::Go { step: self.step })
+                Some(Wanted::Go(self.step))
             }
             None => None,
         }
--- a/crates/group/src/switch/options.rs
+++ b/crates/group/src/switch/options.rs
@@ -13,7 +13,8 @@
     /// How long a group may be kept with some ranks armed. Orders are answered
     /// in a few milliseconds, and a held group serves nobody.
     pub arm_timeout: Duration,
-    /// How long an order without an answer is waited for before it is repeated.
+    /// How soon an order is repeated that was accepted and shows no effect. Copies
+    /// take up to half a second, and show no effect before their end.
     pub repeat_after: Duration,
     /// How many steps ahead the group is held. One is enough: the hold takes a
     /// millisecond and arming about ten, and passes take 20 ms or more.
@@ -28,7 +29,7 @@
         SwitchOptions {
             prepare_timeout: Duration::from_secs(3),
             arm_timeout: Duration::from_millis(400),
-            repeat_after: Duration::from_millis(350),
+            repeat_after: Duration::from_millis(600),
             lead_steps: 1,
             max_holds: 6,
         }
--- a/crates/group/src/switch/rank.rs
+++ b/crates/group/src/switch/rank.rs
@@ -2,20 +2,43 @@
 
 use std::time::Duration;
 
-use lynxmount_core::experts::{
-    Action, EngineOrder, EngineReport, GroupEpoch, GroupStep, MapVersion,
-};
+use lynxmount_core::experts::{EngineReport, GroupStep, MapVersion, OrderResult};
 
-/// How soon an order is repeated that was refused, though it still seems to fit:
-/// the report may be older than the refusal.
-const REPEAT_REFUSED_AFTER: Duration = Duration::from_millis(25);
+/// How soon an order is repeated that nothing is known of, or that was refused
+/// though it still seems to fit: the report may be older than the refusal.
+const REPEAT_SOON: Duration = Duration::from_millis(25);
+
+/// How long an order is taken to be on its way. Whoever gives it is to say so when
+/// it has given up; this is for what was forgotten.
+const UNDER_WAY: Duration = Duration::from_millis(1500);
+
+/// What has become of an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Fate {
+    Accepted,
+    /// Nothing is known of it.
+    GivenUp,
+    Refused,
+    UnderWay,
+}
+
+/// What a rank is to be asked for: an action without the map that it may carry.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Wanted {
+    Arm,
+    Disarm(MapVersion),
+    Go(GroupStep),
+    Hold(GroupStep),
+    Prepare,
+    Settle(MapVersion),
+}
 
 /// An order that was given.
 #[derive(Clone, Debug)]
 struct Sent {
-    action: Action,
+    wanted: Wanted,
     at: Duration,
-    is_refused: bool,
+    fate: Fate,
 }
 
 /// What a switch knows of one rank.
@@ -40,30 +63,35 @@
         self.report.armed.is_none() && self.report.prepared == Some(version)
     }
 
-    /// Notes that the last order was refused, and returns it.
-    pub(super) fn note_refused(&mut self) -> Option<Action> {
+    /// Notes what has become of the last order, and returns it.
+    pub(super) fn note_answered(&mut self, result: Option<OrderResult>) -> Option<Wanted> {
         let sent = self.sent.as_mut()?;
-        sent.is_refused = true;
-        Some(sent.action.clone())
+        sent.fate = match result {
+            Some(OrderResult::Accepted) => Fate::Accepted,
+            Some(OrderResult::Refused) => Fate::Refused,
+            None => Fate::GivenUp,
+        };
+        Some(sent.wanted)
     }
 
-    /// Makes an order, unless the same was given just now.
-    pub(super) fn give(
+    /// Says whether to ask for something now, and notes that it is asked for: not
+    /// if it was asked for just now.
+    pub(super) fn is_to_ask(
         &mut self,
-        epoch: GroupEpoch,
-        action: Action,
+        wanted: Wanted,
         now: Duration,
         repeat_after: Duration,
-    ) -> Option<EngineOrder> {
-        let same = self.sent.as_ref().filter(|sent| sent.action == action);
-        let pause = same.map_or(Duration::ZERO, |sent| match sent.is_refused {
-            true => REPEAT_REFUSED_AFTER,
-            false => repeat_after,
+    ) -> bool {
+        let same = self.sent.as_ref().filter(|sent| sent.wanted == wanted);
+        let pause = same.map_or(Duration::ZERO, |sent| match sent.fate {
+            Fate::Accepted => repeat_after,
+            Fate::GivenUp | Fate::Refused => REPEAT_SOON,
+            Fate::UnderWay => UNDER_WAY,
         });
         if same.is_some_and(|sent| now < sent.at + pause) {
-            return None;
+            return false;
         }
-        self.sent = Some(Sent { action: action.clone(), at: now, is_refused: false });
-        Some(EngineOrder { epoch, action })
+        self.sent = Some(Sent { wanted, at: now, fate: Fate::UnderWay });
+        true
     }
 }
--- a/crates/group/tests/switch_world/mod.rs
+++ b/crates/group/tests/switch_world/mod.rs
@@ -43,9 +43,11 @@
 /// An order on its way.
 struct InFlight {
     to: usize,
-    order: EngineOrder,
+    /// `None` once whoever has given it gives it up.
+    order: Option<EngineOrder>,
     from: usize,
     life: u64,
+    sent_at: Duration,
     not_before: Duration,
 }
 
@@ -89,6 +91,9 @@
 /// Lines that are kept of what happened.
 const STORY_LINES: usize = 60;
 
+/// How long a coordinator waits for the answer to an order.
+const GIVE_UP_AFTER_MS: u64 = 200;
+
 /// How much longer each further coordinator waits, so that one goes first.
 const TURN: Duration = Duration::from_millis(700);
 
@@ -296,7 +301,25 @@
         };
         let not_before = self.now + Duration::from_millis(delay_ms);
         let life = self.coordinators[from].life;
-        self.orders.push(InFlight { to, order, from, life, not_before });
+        self.orders.push(InFlight {
+            to,
+            order: Some(order),
+            from,
+            life,
+            sent_at: self.now,
+            not_before,
+        });
+        if delay_ms > GIVE_UP_AFTER_MS {
+            let not_before = self.now + Duration::from_millis(GIVE_UP_AFTER_MS);
+            self.orders.push(InFlight {
+                to,
+                order: None,
+                from,
+                life,
+                sent_at: self.now,
+                not_before,
+            });
+        }
     }
 
     fn deliver(&mut self) {
@@ -304,9 +327,15 @@
             .into_iter()
             .partition(|order| order.not_before <= self.now);
         self.orders = later;
-        for InFlight { to, order, from, life, not_before } in due {
+        for InFlight { to, order, from, life, sent_at, .. } in due {
+            let Some(order) = order else {
+                let coordinator = &mut self.coordinators[from];
+                let switch = coordinator.switch.as_mut().filter(|_| coordinator.life == life);
+                switch.into_iter().for_each(|switch| switch.answered(to, None));
+                continue;
+            };
             let result = self.engines[to].take(&order, self.step);
-            let is_late = self.now >= not_before + Duration::from_millis(500);
+            let is_late = sent_at + Duration::from_millis(GIVE_UP_AFTER_MS) < self.now;
             let is_lost = is_late || self.rng.random_bool(self.faults.lost_answers);
             let report = self.engines[to].report.clone();
             self.tell(format!(
@@ -318,11 +347,16 @@
                 report.prepared,
             ));
             let coordinator = &mut self.coordinators[from];
-            if let (false, true, Some(switch)) =
-                (is_lost, coordinator.life == life, &mut coordinator.switch)
-            {
-                switch.observe(to, report);
-                switch.answered(to, Some(result));
+            match &mut coordinator.switch {
+                Some(switch) if coordinator.life == life && is_lost && !is_late => {
+                    switch.answered(to, None);
+                }
+                Some(_) if is_lost => {}
+                Some(switch) if coordinator.life == life => {
+                    switch.observe(to, report);
+                    switch.answered(to, Some(result));
+                }
+                _ => {}
             }
         }
     }
@@ -386,7 +420,7 @@
                 if fits {
                     self.had = *version;
                     self.report.prepared = Some(*version);
-                    self.prepared = map.clone();
+                    self.prepared = GroupMap::clone(map);
                 }
                 fits
             }
--- a/crates/rank/src/beliefs.rs
+++ b/crates/rank/src/beliefs.rs
@@ -16,7 +16,10 @@
 /// A state and when it came.
 struct Heard {
     state: RankState,
+    /// When the state was read.
     at: Instant,
+    /// When the process beside the engine told it.
+    told_at: Instant,
 }
 
 /// The last state of each rank, by its engine's address.
@@ -36,7 +39,8 @@
 impl Beliefs {
     pub(crate) fn hear(&mut self, state: RankState) {
         self.demand.take(&state);
-        self.heard.insert(state.engine, Heard { state, at: Instant::now() });
+        let now = Instant::now();
+        self.heard.insert(state.engine, Heard { state, at: now, told_at: now });
     }
 
     /// Demand by set and expert; `None` before anything was seen.
@@ -51,9 +55,18 @@
         }
     }
 
-    /// When an engine's process was heard last.
-    pub(crate) fn heard_ago(&self, engine: SocketAddr) -> Option<Duration> {
-        self.heard.get(&engine).map(|heard| heard.at.elapsed())
+    /// Takes what was read from an engine whose process is silent. Its map is the
+    /// one that it held before, if it still has that one.
+    pub(crate) fn note_reading(&mut self, engine: SocketAddr, report: EngineReport) {
+        if let Some(heard) = self.heard.get_mut(&engine) {
+            heard.state.report = report;
+            heard.at = Instant::now();
+        }
+    }
+
+    /// When an engine's process told its state last.
+    pub(crate) fn told_ago(&self, engine: SocketAddr) -> Option<Duration> {
+        self.heard.get(&engine).map(|heard| heard.told_at.elapsed())
     }
 
     /// What an engine told last.
--- a/crates/rank/src/coordinator.rs
+++ b/crates/rank/src/coordinator.rs
@@ -92,6 +92,15 @@
 /// The map in use, which other processes know, if they have prepared it.
 type Base<'a> = Option<(MapVersion, &'a GroupMap)>;
 
+/// How long a process must be silent before its engine is read and given orders
+/// directly: three reports of the ranks that report least often. A frozen process
+/// kept its group held for 4 s before.
+const DIRECT_AFTER: Duration = Duration::from_millis(1000);
+
+/// How often an engine is read directly. Each reading from afar is priced as a
+/// probe.
+const DIRECT_PERIOD: Duration = Duration::from_millis(250);
+
 /// What the balancing process remembers from one change to the next.
 #[derive(Default)]
 struct Memory {
@@ -101,6 +110,7 @@
     was_leading: bool,
     answer_lost_at: Option<Instant>,
     guards: Guards,
+    read_directly_at: Option<Instant>,
 }
 
 impl Memory {
@@ -150,12 +160,13 @@
         };
         let beliefs = self.beliefs.lock();
         let is_silent =
-            |engine: &SocketAddr| beliefs.heard_ago(*engine).is_none_or(|ago| ago > SILENCE);
+            |engine: &SocketAddr| beliefs.told_ago(*engine).is_none_or(|ago| ago > SILENCE);
         let has_listened = place == 0 || self.started.elapsed() > LISTEN_FIRST;
         has_listened && listeners[..place].iter().all(is_silent)
     }
 
     async fn balance(&self, memory: &mut Memory) {
+        self.read_silent(memory);
         let Some(group) = self.beliefs.lock().group_of(self.own) else { return };
         let Some(spec) = self.experts(memory).await else { return };
         let is_left_behind = left_behind(&group.reports()).is_some();
@@ -173,6 +184,31 @@
         }
     }
 
+    /// Begins to read the engines whose processes are silent. Nothing waits for
+    /// them: an engine that can't be reached would hold up all others.
+    fn read_silent(&self, memory: &mut Memory) {
+        if memory.read_directly_at.is_some_and(|at| at.elapsed() < DIRECT_PERIOD) {
+            return;
+        }
+        memory.read_directly_at = Some(Instant::now());
+        for engine in self.roster.engines().into_iter().filter(|engine| self.is_silent(*engine)) {
+            let (client, beliefs) = ((self.make_engine)(engine), Arc::clone(&self.beliefs));
+            self.metrics.count("engines.read_directly");
+            tokio::spawn(async move {
+                match client.report().await {
+                    Ok(report) => beliefs.lock().note_reading(engine, report),
+                    Err(error) => log::debug!("{error}"),
+                }
+            });
+        }
+    }
+
+    /// Says whether the process beside an engine has told nothing for long.
+    fn is_silent(&self, engine: SocketAddr) -> bool {
+        let told_ago = self.beliefs.lock().told_ago(engine);
+        engine != self.own && told_ago.is_some_and(|ago| ago > DIRECT_AFTER)
+    }
+
     async fn experts(&self, memory: &mut Memory) -> Option<ExpertSpec> {
         if memory.experts.is_none() {
             let read = self.source.config_after(None, Duration::ZERO).await;
@@ -277,7 +313,10 @@
                     self.note_report(engines[rank], &answered);
                     take_answer(&mut switch, rank, answered);
                 }
-                () = tokio::time::sleep(SWITCH_TICK) => self.observe(&mut switch, engines),
+                () = tokio::time::sleep(SWITCH_TICK) => {
+                    self.read_silent(memory);
+                    self.observe(&mut switch, engines);
+                }
             }
         }
     }
@@ -310,6 +349,10 @@
         if engine == self.own {
             return give(&*self.engine, order).await;
         }
+        if self.is_silent(engine) {
+            self.metrics.count("orders.direct");
+            return give(&(self.make_engine)(engine), order).await;
+        }
         let peer = SocketAddr::new(engine.ip(), self.port);
         match self.outbox.give(peer, order, base).await {
             Ok(answer) => Ok(answer),
@@ -376,6 +419,9 @@
             switch.observe(rank, report);
             switch.answered(rank, result);
         }
-        Err(error) => log::info!(rank, error:% = error; "nothing is known of an order"),
+        Err(error) => {
+            log::info!(rank, error:% = error; "nothing is known of an order");
+            switch.answered(rank, None);
+        }
     }
 }
--- a/crates/rank/src/message.rs
+++ b/crates/rank/src/message.rs
@@ -1,6 +1,6 @@
 //! What endpoint processes tell each other, in datagrams.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc};
 
 use lynxmount_core::{
     Result, Step,
@@ -147,7 +147,7 @@
             ActionMessage::Go { step } => Action::Go { step },
             ActionMessage::Hold { step } => Action::Hold { step },
             ActionMessage::Prepare { version, map } => {
-                Action::Prepare { version, map: map.map(known)? }
+                Action::Prepare { version, map: Arc::new(map.map(known)?) }
             }
         };
         Some(EngineOrder { epoch: self.epoch, action })
--- a/crates/rank/src/orders.rs
+++ b/crates/rank/src/orders.rs
@@ -146,7 +146,7 @@
 #[derive(Default)]
 struct KnownMaps {
     epoch: GroupEpoch,
-    by_version: BTreeMap<MapVersion, GroupMap>,
+    by_version: BTreeMap<MapVersion, Arc<GroupMap>>,
 }
 
 impl KnownMaps {
@@ -155,14 +155,15 @@
         if self.epoch != order.epoch {
             *self = KnownMaps { epoch: order.epoch, ..KnownMaps::default() };
         }
-        self.by_version.insert(*version, map.clone());
+        self.by_version.insert(*version, Arc::clone(map));
         while self.by_version.len() > MAX_MAPS {
             self.by_version.pop_first();
         }
     }
 
     fn get(&self, epoch: GroupEpoch, version: MapVersion) -> Option<GroupMap> {
-        self.by_version.get(&version).filter(|_| self.epoch == epoch).cloned()
+        let known = self.by_version.get(&version).filter(|_| self.epoch == epoch);
+        known.map(|map| GroupMap::clone(map))
     }
 }
 
--- a/crates/rank/src/roster.rs
+++ b/crates/rank/src/roster.rs
@@ -28,6 +28,11 @@
         self.engines.lock().iter().take(LISTENERS).copied().collect()
     }
 
+    /// All engines of the service.
+    pub(crate) fn engines(&self) -> Vec<SocketAddr> {
+        self.engines.lock().clone()
+    }
+
     /// The place of an engine in the order.
     pub(crate) fn place(&self, engine: SocketAddr) -> Option<usize> {
         self.engines.lock().iter().position(|known| *known == engine)
