Tell the end of a switch at once; read registrations by the drain bound

Cause: ranks that report every 0.3 s showed a switch late, so that the next one of a large group began 0.6 s after it; entries read the store more often than the bound of a site asks for.

Change: a process that was told to arm watches its engine and tells the switch; the periods follow the site's bounds.

--- a/crates/balance/tests/group_plan.rs
+++ b/crates/balance/tests/group_plan.rs
@@ -72,10 +72,10 @@
 
             prop_assert!(plan.skew_after <= plan.skew_before + 1e-9);
             for rank in 0..RANKS {
-                let new_by_set: Vec<usize> = (0..SETS)
-                    .map(|set| {
-                        let old = &maps[set][rank];
-                        plan.maps[set][rank].iter().filter(|e| !old.contains(e)).count()
+                let pairs = plan.maps.iter().zip(&maps);
+                let new_by_set: Vec<usize> = pairs
+                    .map(|(new, old)| {
+                        new[rank].iter().filter(|expert| !old[rank].contains(expert)).count()
                     })
                     .collect();
                 prop_assert!(new_by_set.iter().all(|new| *new <= 2), "{new_by_set:?}");
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -82,6 +82,7 @@
         peers,
         metrics: Arc::clone(&metrics),
         clock,
+        bounds: settings.bounds,
         last_read,
         membership: Mutex::default(),
     });
--- a/crates/direct/src/watch.rs
+++ b/crates/direct/src/watch.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use lynxmount_core::{EndpointList, FleetConfig, Offset, edge::FleetSource};
+use lynxmount_core::{EndpointList, FleetConfig, Offset, SiteBounds, edge::FleetSource};
 use lynxmount_policy::Membership;
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
@@ -17,13 +17,9 @@
     places::{Clock, Places},
 };
 
-/// How long a read waits for a new configuration: a connection that has gone
-/// silent is noticed within this and the client's timeout.
-const CONFIG_WAIT: Duration = Duration::from_millis(2000);
-
-/// How often registrations are read. A leaving endpoint must get no more work
-/// within 2 s in the reference deployments; this leaves time for one lost read.
-const ENDPOINTS_PERIOD: Duration = Duration::from_millis(850);
+/// The part of the time within which a leaving endpoint must get no more work
+/// after which registrations are read again: it leaves time for one lost read.
+const ENDPOINTS_PART: f64 = 0.425;
 
 /// How soon a failed read is tried again.
 const RETRY_PERIOD: Duration = Duration::from_millis(300);
@@ -39,6 +35,7 @@
     pub(crate) peers: Arc<Peers>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) clock: Clock,
+    pub(crate) bounds: SiteBounds,
     /// When the platform was last read.
     pub(crate) last_read: Arc<Mutex<Option<Instant>>>,
     pub(crate) membership: Mutex<Membership>,
@@ -76,7 +73,9 @@
         let mut reachability = Reachability::new("configuration");
         loop {
             let after = self.fleet.config().map(|view| view.offset);
-            match self.source.config_after(after, CONFIG_WAIT).await {
+            // A connection that has gone silent is noticed within this wait and the
+            // client's timeout.
+            match self.source.config_after(after, self.bounds.config_apply).await {
                 Ok(found) => {
                     reachability.regained();
                     self.note_read();
@@ -115,7 +114,7 @@
                     reachability.regained();
                     self.note_read();
                     self.take_endpoints(list);
-                    tokio::time::sleep(ENDPOINTS_PERIOD).await;
+                    tokio::time::sleep(self.bounds.drain.mul_f64(ENDPOINTS_PART)).await;
                 }
                 Err(error) => {
                     self.metrics.count("platform.endpoints_read_failed");
--- a/crates/rank/src/orders.rs
+++ b/crates/rank/src/orders.rs
@@ -25,7 +25,7 @@
 
 use crate::{
     message::{AnswerMessage, Datagram, OrderAnswer, OrderId, OrderMessage, OrderOutcome},
-    reporter::Reporter,
+    reporter::{Awaited, Reporter},
 };
 
 /// How often an order without an answer is given, in all. What it asks for holds
@@ -208,8 +208,12 @@
         self.maps.lock().note(&order);
         match give(&*self.reporter.engine, &order).await {
             Ok(answer) => {
-                if let Action::Prepare { version, .. } = order.action {
-                    self.reporter.note_copying(version);
+                match order.action {
+                    Action::Prepare { version, .. } => {
+                        self.reporter.await_end(Awaited::Copy(version));
+                    }
+                    Action::Arm { .. } => self.reporter.await_end(Awaited::Switch),
+                    Action::Disarm { .. } | Action::Go { .. } | Action::Hold { .. } => {}
                 }
                 OrderOutcome::Given(Box::new(answer))
             }
--- a/crates/rank/src/process.rs
+++ b/crates/rank/src/process.rs
@@ -67,7 +67,7 @@
         socket: Arc::clone(&socket),
         port,
         metrics: Arc::clone(&metrics),
-        copying: Mutex::default(),
+        awaited: Mutex::default(),
         first_map: Mutex::default(),
         wake: Notify::new(),
     });
--- a/crates/rank/src/reporter.rs
+++ b/crates/rank/src/reporter.rs
@@ -28,19 +28,30 @@
 /// 6 kB, and a small machine's link carries 1 MB/s.
 const COUNTING_RANKS: usize = 16;
 
-/// How often it is read while it copies experts. Nothing is told meanwhile: four
-/// times the datagrams kept the balancing process busy for 0.2 s at a time.
-const COPYING_PERIOD: Duration = Duration::from_millis(25);
-
-/// How long after an order to prepare the engine is taken to copy at most.
-const COPYING_TIME: Duration = Duration::from_secs(3);
-
-/// A copy of experts that was ordered.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Copying {
-    version: MapVersion,
-    /// Until when it is waited for.
-    until: Instant,
+/// How often it is read while it copies experts or is to switch. Nothing is told
+/// meanwhile: four times the datagrams kept the balancing process busy for 0.2 s
+/// at a time.
+const AWAITED_PERIOD: Duration = Duration::from_millis(25);
+
+/// How long after an order its end is waited for at most.
+const AWAITED_TIME: Duration = Duration::from_secs(3);
+
+/// What an engine was ordered and shows only later.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Awaited {
+    /// A copy of experts for a map.
+    Copy(MapVersion),
+    /// A switch to another map.
+    Switch,
+}
+
+impl Awaited {
+    fn is_done(self, report: &EngineReport) -> bool {
+        match self {
+            Awaited::Copy(version) => report.prepared == Some(version),
+            Awaited::Switch => report.armed.is_none(),
+        }
+    }
 }
 
 /// Reads one engine.
@@ -52,17 +63,17 @@
     /// The port of peers' sockets.
     pub(crate) port: u16,
     pub(crate) metrics: Arc<Metrics>,
-    /// The copy that was ordered last, until it has ended.
-    pub(crate) copying: Mutex<Option<Copying>>,
+    /// What was ordered last, and until when it is waited for.
+    pub(crate) awaited: Mutex<Option<(Awaited, Instant)>>,
     pub(crate) wake: Notify,
     /// The first map of the group's life.
     pub(crate) first_map: Mutex<Option<(GroupEpoch, GroupMap)>>,
 }
 
 impl<E: Engine> Reporter<E> {
-    /// Notes that the engine was told to copy experts.
-    pub(crate) fn note_copying(&self, version: MapVersion) {
-        *self.copying.lock() = Some(Copying { version, until: Instant::now() + COPYING_TIME });
+    /// Notes what the engine was ordered, so that its end is told at once.
+    pub(crate) fn await_end(&self, awaited: Awaited) {
+        *self.awaited.lock() = Some((awaited, Instant::now() + AWAITED_TIME));
         self.wake.notify_one();
     }
 
@@ -91,7 +102,7 @@
             }
             tokio::select! {
                 () = tokio::time::sleep(period) => {}
-                () = self.copied() => {}
+                () = self.awaited() => {}
             }
         }
     }
@@ -132,19 +143,19 @@
         known.as_ref().filter(|(of, _)| *of == epoch).map(|(_, map)| map.clone())
     }
 
-    /// Waits until a copy that was ordered has ended: a switch waits for the last
-    /// of all ranks.
-    async fn copied(&self) {
+    /// Waits until what was ordered has come to its end: a balancing process waits
+    /// for the last of all ranks.
+    async fn awaited(&self) {
         loop {
-            let copying = *self.copying.lock();
-            let Some(copying) = copying.filter(|copying| copying.until > Instant::now()) else {
+            let awaited = *self.awaited.lock();
+            let Some((awaited, _)) = awaited.filter(|(_, until)| *until > Instant::now()) else {
                 self.wake.notified().await;
                 continue;
             };
-            tokio::time::sleep(COPYING_PERIOD).await;
+            tokio::time::sleep(AWAITED_PERIOD).await;
             let report = self.engine.report().await;
-            if report.is_ok_and(|report| report.prepared == Some(copying.version)) {
-                *self.copying.lock() = None;
+            if report.is_ok_and(|report| awaited.is_done(&report)) {
+                self.awaited.lock().take_if(|(still, _)| *still == awaited);
                 return;
             }
         }
