Hold what a model service runs where its streams' pauses stay on time

Change: policy::PaceLimit cuts what runs when pauses come near the objective, and gives up where that helps nobody; whoever finds no place may come back after a quarter of its time.

--- a/crates/direct/src/handler.rs
+++ b/crates/direct/src/handler.rs
@@ -30,9 +30,6 @@
     stream::StreamRelay,
 };
 
-/// The shortest time to stay away from a service that is full.
-const FULL_RETRY_AFTER: Duration = Duration::from_millis(400);
-
 /// The time that a caller is taken to have if it does not say.
 const DEFAULT_TIME: Duration = Duration::from_secs(8);
 
@@ -74,6 +71,8 @@
     route: RouteId,
     max_attempts: u32,
     goal: Duration,
+    /// The longest pause between events that is on time.
+    pub(crate) gap_goal: Option<Duration>,
     team: Option<TeamId>,
     priority: u8,
     attempts: AtomicU32,
@@ -157,6 +156,7 @@
             route: RouteId::clone(&route.id),
             max_attempts: route.max_attempts,
             goal: route.goal,
+            gap_goal: route.gap_goal,
             team,
             priority,
             attempts: AtomicU32::new(0),
@@ -212,11 +212,10 @@
     fn no_place(&self, no_place: NoPlace, may_have_run: bool) -> Refusal {
         match no_place {
             _ if may_have_run => Refusal::MayHaveRun,
-            NoPlace::Full { .. } if self.service.is_paused() => {
-                Refusal::NotRun { retry_after: return_after(left(self.deadline)) }
-            }
+            // It would be late in any case; what matters is that there is a place then.
             NoPlace::Full { retry_after } => {
-                Refusal::NotRun { retry_after: retry_after.max(FULL_RETRY_AFTER) }
+                let retry_after = retry_after.max(return_after(left(self.deadline)));
+                Refusal::NotRun { retry_after }
             }
             NoPlace::Nowhere => Refusal::NotRun { retry_after: return_after(left(self.deadline)) },
         }
--- a/crates/direct/src/places.rs
+++ b/crates/direct/src/places.rs
@@ -11,7 +11,7 @@
     edge::ReportedLoad,
 };
 use lynxmount_policy::{
-    CallEnd, Health, Offer, OutageWatch, Placement, Seat, ServiceQueue, Ticket, Waiter,
+    CallEnd, Health, Offer, OutageWatch, PaceLimit, Placement, Seat, ServiceQueue, Ticket, Waiter,
     WindowBudget, WindowBudgetOptions, place,
 };
 use parking_lot::Mutex;
@@ -26,6 +26,10 @@
 /// its even share: callers are spread unevenly over entries.
 const UNEVEN_SHARE: f64 = 1.6;
 
+/// By how much one entry may exceed its even share of what a service may run, for
+/// the same reason.
+const UNEVEN_LIMIT: f64 = 1.15;
+
 /// An endpoint that takes calls.
 pub(crate) struct Endpoint {
     pub(crate) record: EndpointRecord,
@@ -50,6 +54,7 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
+        self.service.inner.lock().running -= 1;
         self.endpoint.load.lock().own_running -= 1;
         self.service.wake();
     }
@@ -84,6 +89,9 @@
     waiting: HashMap<Ticket, oneshot::Sender<Place>>,
     budget: WindowBudget,
     outage: OutageWatch,
+    pace: PaceLimit,
+    /// Calls of this entry in progress.
+    running: u32,
     choices: u64,
     /// Requests that one endpoint runs at once.
     slots: Option<u32>,
@@ -150,6 +158,8 @@
             waiting: HashMap::new(),
             budget: WindowBudget::new(options),
             outage: OutageWatch::default(),
+            pace: PaceLimit::default(),
+            running: 0,
             choices: 0,
             slots: None,
             entries: 1,
@@ -176,14 +186,16 @@
         self.wake();
     }
 
-    /// Says whether nothing is sent for now because endpoints have refused.
-    pub(crate) fn is_paused(&self) -> bool {
-        self.inner.lock().outage.is_paused(self.clock.now())
-    }
-
-    /// Notes that a stream of the service had an event.
-    pub(crate) fn note_event(&self) {
+    /// Notes that a stream of the service had an event, how long after the one
+    /// before, and the longest pause that is on time.
+    pub(crate) fn note_event(&self, pause: Option<Duration>, goal: Option<Duration>) {
         *self.last_event_at.lock() = Some(Instant::now());
+        if let (Some(pause), Some(goal)) = (pause, goal) {
+            let mut inner = self.inner.lock();
+            let share = inner.share().unwrap_or(f64::INFINITY);
+            let taken = f64::from(inner.running) / share.max(1.0);
+            inner.pace.note_pause(pause, goal, taken, self.clock.now());
+        }
     }
 
     /// How long ago the last event of any of the service's streams was.
@@ -298,7 +310,7 @@
 
 impl Inner {
     fn choose(&self, tried: &[EndpointId], now: Duration) -> Placement {
-        if self.outage.is_paused(now) {
+        if self.outage.is_paused(now) || self.is_at_pace_limit() {
             return Placement::Full;
         }
         let seats: Vec<Seat> =
@@ -322,8 +334,20 @@
         }
     }
 
+    /// This entry's share of what the service may run, for a model service.
+    fn share(&self) -> Option<f64> {
+        let slots = f64::from(self.slots?) * self.endpoints.len() as f64;
+        Some(slots / self.entries as f64)
+    }
+
+    fn is_at_pace_limit(&self) -> bool {
+        let limit = self.share().map(|share| share * self.pace.fraction() * UNEVEN_LIMIT);
+        limit.is_some_and(|limit| f64::from(self.running) >= limit)
+    }
+
     fn take(&mut self, index: usize, service: &Arc<Service>) -> Place {
         self.choices += 1;
+        self.running += 1;
         let endpoint = Arc::clone(&self.endpoints[index]);
         let mut load = endpoint.load.lock();
         load.own_running += 1;
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -42,6 +42,8 @@
     body: Incoming,
     events: NumberedEvents,
     last_event_at: Instant,
+    /// Whether this run has had events, so that the pause before the next counts.
+    has_events: bool,
     is_over: bool,
 }
 
@@ -63,6 +65,7 @@
             body: opened.body,
             events,
             last_event_at: Instant::now(),
+            has_events: false,
             is_over: false,
         }
     }
@@ -151,8 +154,7 @@
                     let Ok(data) = frame.into_data() else { continue };
                     match self.events.take(&data) {
                         Numbered::Whole(events) => {
-                            self.last_event_at = Instant::now();
-                            self.call.service.note_event();
+                            self.note_events();
                             return Next::Events(events);
                         }
                         Numbered::Nothing => {}
@@ -169,6 +171,13 @@
         }
     }
 
+    fn note_events(&mut self) {
+        let pause = self.has_events.then(|| self.last_event_at.elapsed());
+        self.call.service.note_event(pause, self.call.gap_goal);
+        self.last_event_at = Instant::now();
+        self.has_events = true;
+    }
+
     /// Says whether this stream is silent while others of the service are not.
     fn is_silent_alone(&self) -> bool {
         self.last_event_at.elapsed() >= SILENCE_LIMIT
@@ -190,6 +199,7 @@
         self.connection = Some(opened.connection);
         self.body = opened.body;
         self.last_event_at = Instant::now();
+        self.has_events = false;
         true
     }
 }
