--- a/crates/direct/src/handler.rs
+++ b/crates/direct/src/handler.rs
@@ -10,10 +10,9 @@
 
 use bytes::Bytes;
 use http::{Method, Request, Response, header, request::Parts};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use lynxmount_core::{
-    CallKind, EndpointId, Route, RouteId, Target, TeamId,
+    CallKind, EndpointId, RouteId, TeamId,
     edge::{CallHead, Dialect, Forward},
 };
 use lynxmount_policy::{Waiter, return_time};
@@ -22,6 +21,7 @@
 use rand::Rng;
 
 use crate::{
+    admission::{authenticate, draw_target, host, read_body},
     attempt::{Ended, Opened, Outgoing, WholeAnswer, left, open},
     drain::Drain,
     fleet::{ConfigView, Fleet},
@@ -361,43 +361,3 @@
         Ended::Unreachable => "attempts.unreachable",
     }
 }
-
-fn host(parts: &Parts) -> Option<&str> {
-    let named = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
-    parts.uri.host().or(named)
-}
-
-fn authenticate(
-    config: &ConfigView,
-    route: &Route,
-    head: &CallHead,
-) -> Result<(Option<TeamId>, u8), Refusal> {
-    if route.is_public || config.config.teams.is_empty() {
-        return Ok((None, route.priority));
-    }
-    let key = head.key.as_deref().ok_or(Refusal::UnknownKey)?;
-    let caller = config.caller(key).ok_or(Refusal::UnknownKey)?;
-    Ok((Some(TeamId::clone(caller.team)), caller.priority.unwrap_or(route.priority)))
-}
-
-/// Draws one of a route's targets by weight.
-fn draw_target(targets: &[Target]) -> Option<&Target> {
-    let total: u32 = targets.iter().map(|target| target.weight).sum();
-    if total == 0 {
-        return targets.first();
-    }
-    let mut drawn = rand::rng().random_range(0..total);
-    targets.iter().find(|target| {
-        let is_it = drawn < target.weight;
-        drawn = drawn.saturating_sub(target.weight);
-        is_it
-    })
-}
-
-async fn read_body(body: Incoming, limit: usize, timeout: Duration) -> Result<Bytes, Refusal> {
-    match tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
-        Ok(Err(_)) | Err(_) => Err(Refusal::BadRequest),
-    }
-}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -6,6 +6,7 @@
 
 #![forbid(unsafe_code)]
 
+mod admission;
 mod attempt;
 mod callers_port;
 mod drain;
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -7,10 +7,9 @@
     SiteSettings,
     edge::{Dialect, FleetSource},
 };
-use lynxmount_link::{bind, serve};
+use lynxmount_link::{bind, serve, wait_for_end};
 use lynxmount_telemetry::{Metrics, MetricsPort};
 use parking_lot::Mutex;
-use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{
     callers_port,
@@ -96,18 +95,3 @@
     drain.run(settings.bounds.grace).await;
     Ok(())
 }
-
-/// Waits for the signal to leave. Settings that change meanwhile hold from the
-/// next start on.
-async fn wait_for_end() -> anyhow::Result<()> {
-    let mut terminate = signal(SignalKind::terminate()).context("SIGTERM can't be watched")?;
-    let mut interrupt = signal(SignalKind::interrupt()).context("SIGINT can't be watched")?;
-    let mut hangup = signal(SignalKind::hangup()).context("SIGHUP can't be watched")?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hangup.recv() => log::info!("settings are read at the next start"),
-        }
-    }
-}
--- a/crates/group/src/switch/guards.rs
+++ b/crates/group/src/switch/guards.rs
@@ -9,7 +9,7 @@
 
 use lynxmount_core::experts::{EngineReport, GroupEpoch, GroupStep};
 
-use super::{VERSION_STEP, highest_version, left_behind};
+use super::reports::{VERSION_STEP, highest_version, left_behind};
 use crate::RankNumber;
 
 /// A rank to hold a group through, and from which step on.
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -7,8 +7,10 @@
 mod connection;
 mod fleet_exchange;
 mod server;
+mod signals;
 
 pub use client::{Answer, HttpClient};
 pub use connection::Connection;
 pub use fleet_exchange::{KnownFleet, ask_fleet, asked_fleet};
 pub use server::{Handle, bind, serve};
+pub use signals::wait_for_end;
--- a/crates/rank/src/coordinator.rs
+++ b/crates/rank/src/coordinator.rs
@@ -7,7 +7,7 @@
 };
 
 use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
-use lynxmount_balance::{GroupPlan, PlanLimits, group_skew, plan_group};
+use lynxmount_balance::GroupPlan;
 use lynxmount_core::{
     ExpertSpec, Result,
     edge::{Engine, FleetSource},
@@ -24,6 +24,7 @@
     beliefs::{Beliefs, Group},
     message::OrderAnswer,
     orders::{Outbox, give},
+    planning::plan,
     roster::Roster,
 };
 
@@ -43,27 +44,6 @@
 /// a group for 20 ms as a rule, and undoes it after 400 ms.
 const LEFT_BEHIND_AFTER: Duration = Duration::from_millis(900);
 
-/// The smallest gain in skew that a change is made for.
-const MIN_GAIN: f64 = 0.07;
-
-/// By how much the skew of a set must fall for each expert that is fetched, in a
-/// group of [`REFERENCE_RANKS`].
-const LEAST_GAIN_PER_FETCH: f64 = 0.025;
-
-/// The size of the groups that the gain was measured on.
-const REFERENCE_RANKS: f64 = 16.0;
-
-/// The skew from which on a change may take longer: after a shift, a few experts
-/// are not enough to spread those that are in demand now.
-const HIGH_SKEW: f64 = 1.6;
-
-/// How long the copies of a change take after a shift. All ranks' passes are
-/// longer meanwhile.
-const LONG_COPY: Duration = Duration::from_millis(220);
-
-/// How long they take otherwise.
-const SHORT_COPY: Duration = Duration::from_millis(110);
-
 /// How many steps ahead a group is held while answers to orders are lost, or if
 /// it is large. Arming then takes 50 to 100 ms, which the group works through
 /// instead of standing still.
@@ -233,10 +213,7 @@
         }
         let demand = self.beliefs.lock().demand(spec.experts);
         let (Some(current), Some(demand)) = (group.map(), demand) else { return };
-        let planned = plan(&current, &demand, spec);
-        let Some(plan) = planned.filter(|p| p.skew_before - p.skew_after >= MIN_GAIN) else {
-            return;
-        };
+        let Some(plan) = plan(&current, &demand, spec) else { return };
         let Some(start) = self.start(memory, &group, current.clone()) else { return };
         let base = Some((group.map_version(), &current));
         let switch = Switch::start(start, plan.maps.clone(), memory.min_version);
@@ -365,40 +342,6 @@
     }
 }
 
-/// Plans a change that is quick, or a larger one if much is out of balance.
-fn plan(current: &GroupMap, demand: &[Vec<f64>], spec: &ExpertSpec) -> Option<GroupPlan> {
-    let skew = group_skew(current, demand);
-    if skew < 1.0 + MIN_GAIN {
-        return None;
-    }
-    let limits = PlanLimits {
-        slots_per_rank: spec.places_per_rank,
-        fetches_per_set: spec.spare_per_set,
-        fetches_per_rank: fetches_per_rank(skew, spec),
-        least_gain_per_fetch: least_gain_per_fetch(current),
-    };
-    plan_group(current, demand, limits)
-}
-
-/// How many experts a rank fetches, by how much is out of balance. Smaller experts
-/// are copied sooner.
-fn fetches_per_rank(skew: f64, spec: &ExpertSpec) -> usize {
-    let in_time = |time: Duration| {
-        (time.as_secs_f64() / spec.copy_time.as_secs_f64().max(f64::MIN_POSITIVE)).round() as usize
-    };
-    match skew >= HIGH_SKEW {
-        true => in_time(LONG_COPY).max(1),
-        false => in_time(SHORT_COPY).max(1),
-    }
-}
-
-/// By how much the skew of a set must fall for each expert that is fetched: one
-/// replica relieves a set of more ranks less.
-fn least_gain_per_fetch(current: &GroupMap) -> f64 {
-    let ranks = current.first().map_or(0, Vec::len);
-    LEAST_GAIN_PER_FETCH * REFERENCE_RANKS / ranks.max(1) as f64
-}
-
 /// Says whether a rank is this process's to hold the group through: its own, and
 /// of those that no process balances beside its share.
 fn is_own_guard(
--- a/crates/rank/src/lib.rs
+++ b/crates/rank/src/lib.rs
@@ -11,6 +11,7 @@
 mod demand;
 mod message;
 mod orders;
+mod planning;
 mod process;
 mod reporter;
 mod roster;
--- /dev/null
+++ b/crates/rank/src/planning.rs
@@ -0,0 +1,66 @@
+//! Whether a change of map pays, and how large it is to be.
+
+use std::time::Duration;
+
+use lynxmount_balance::{GroupPlan, PlanLimits, group_skew, plan_group};
+use lynxmount_core::{ExpertSpec, experts::GroupMap};
+
+/// The smallest gain in skew that a change is made for.
+const MIN_GAIN: f64 = 0.07;
+
+/// By how much the skew of a set must fall for each expert that is fetched, in a
+/// group of [`REFERENCE_RANKS`].
+const LEAST_GAIN_PER_FETCH: f64 = 0.025;
+
+/// The size of the groups that the gain was measured on.
+const REFERENCE_RANKS: f64 = 16.0;
+
+/// The skew from which on a change may take longer: after a shift, a few experts
+/// are not enough to spread those that are in demand now.
+const HIGH_SKEW: f64 = 1.6;
+
+/// How long the copies of a change take after a shift. All ranks' passes are
+/// longer meanwhile.
+const LONG_COPY: Duration = Duration::from_millis(220);
+
+/// How long they take otherwise.
+const SHORT_COPY: Duration = Duration::from_millis(110);
+
+/// Plans a change that is quick, or a larger one if much is out of balance; `None`
+/// if none gains enough.
+pub(crate) fn plan(
+    current: &GroupMap,
+    demand: &[Vec<f64>],
+    spec: &ExpertSpec,
+) -> Option<GroupPlan> {
+    let skew = group_skew(current, demand);
+    if skew < 1.0 + MIN_GAIN {
+        return None;
+    }
+    let limits = PlanLimits {
+        slots_per_rank: spec.places_per_rank,
+        fetches_per_set: spec.spare_per_set,
+        fetches_per_rank: fetches_per_rank(skew, spec),
+        least_gain_per_fetch: least_gain_per_fetch(current),
+    };
+    plan_group(current, demand, limits).filter(|p| p.skew_before - p.skew_after >= MIN_GAIN)
+}
+
+/// How many experts a rank fetches, by how much is out of balance. Smaller experts
+/// are copied sooner.
+fn fetches_per_rank(skew: f64, spec: &ExpertSpec) -> usize {
+    let in_time = |time: Duration| {
+        (time.as_secs_f64() / spec.copy_time.as_secs_f64().max(f64::MIN_POSITIVE)).round() as usize
+    };
+    match skew >= HIGH_SKEW {
+        true => in_time(LONG_COPY).max(1),
+        false => in_time(SHORT_COPY).max(1),
+    }
+}
+
+/// By how much the skew of a set must fall for each expert that is fetched: one
+/// replica relieves a set of more ranks less.
+fn least_gain_per_fetch(current: &GroupMap) -> f64 {
+    let ranks = current.first().map_or(0, Vec::len);
+    LEAST_GAIN_PER_FETCH * REFERENCE_RANKS / ranks.max(1) as f64
+}
--- a/crates/rank/src/process.rs
+++ b/crates/rank/src/process.rs
@@ -7,14 +7,10 @@
     SiteSettings,
     edge::{Engine, FleetSource},
 };
-use lynxmount_link::{bind, serve};
+use lynxmount_link::{bind, serve, wait_for_end};
 use lynxmount_telemetry::{Metrics, MetricsPort};
 use parking_lot::Mutex;
-use tokio::{
-    net::UdpSocket,
-    signal::unix::{SignalKind, signal},
-    sync::Notify,
-};
+use tokio::{net::UdpSocket, sync::Notify};
 
 use crate::{
     beliefs::Beliefs,
@@ -149,16 +145,3 @@
         }
     }
 }
-
-async fn wait_for_end() -> anyhow::Result<()> {
-    let mut terminate = signal(SignalKind::terminate()).context("SIGTERM can't be watched")?;
-    let mut interrupt = signal(SignalKind::interrupt()).context("SIGINT can't be watched")?;
-    let mut hangup = signal(SignalKind::hangup()).context("SIGHUP can't be watched")?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hangup.recv() => log::info!("settings are read at the next start"),
-        }
-    }
-}
