Wait in a test until the other entry reaches the endpoint that has the key

Ruled out: waiting until each entry has reached all endpoints by lookups; an entry asks endpoints of its own failure domain first and never gets to the others.

Change: the test asks until the entry has reached the endpoint, and allows no other answer meanwhile; what it asserts afterwards is as before.

--- a/crates/lynxmount/tests/callers.rs
+++ b/crates/lynxmount/tests/callers.rs
@@ -206,6 +206,14 @@
     let path = "/bookings/orders";
 
     let first = fleet.caller(0).call(Method::POST, path, &key, "{}").await.unwrap();
+    // An entry that serves may not have reached each endpoint yet; until then it
+    // tells that the key's fate is not known.
+    eventually("the other entry reaches the endpoint that has the key", async || {
+        let asked = fleet.caller(1).call(Method::POST, path, &key, "{}").await.unwrap();
+        assert!(asked.status == 200 || asked.body.contains("lost-attempt"), "{}", asked.body);
+        asked.status == 200
+    })
+    .await;
     let again = fleet.caller(1).call(Method::POST, path, &key, "{}").await.unwrap();
     let other = fleet.caller(1).call(Method::POST, path, &key, "{\"seats\": 2}").await.unwrap();
 
