Deliver an endpoint's failure when its repeat comes to nothing

Cause: a lookup's failure that an endpoint had answered was dropped as soon as a repeat was decided; if that repeat was lost or got no place, the caller got a 502 or 503 of the entry's own in place of the ready answer. Found by reading. Also: a stream that failed before its first event logged 'finished' with 'caller went away', as its relay was dropped, though the call went on. Ruled out: keeping the answer in the attempt's error, which is copied for counters. Change: the call keeps the failure and delivers it if no later attempt has an answer; a stream that has not begun is not noted as finished. Before: both new tests fail (502 in place of 500; four lines in place of two). After: 23 of 23 tests of platform_entry pass.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -10,7 +10,7 @@
 use lynxmount_link::Connection;
 use lynxmount_policy::CallEnd;
 
-use crate::places::Place;
+use crate::{places::Place, reply::ReplyBody};
 
 /// What is sent to an endpoint, whatever endpoint it is.
 pub(crate) struct Outgoing<'a> {
@@ -40,6 +40,16 @@
     pub(crate) body: Bytes,
 }
 
+/// What an attempt has come to.
+pub(crate) enum Attempted {
+    /// The caller's answer.
+    Answered(Response<ReplyBody>),
+    /// No answer.
+    Ended(Ended),
+    /// The endpoint's own failure of a call that may be tried elsewhere.
+    Failed(WholeAnswer),
+}
+
 /// How an attempt ended without an answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Ended {
--- a/crates/direct/src/handler.rs
+++ b/crates/direct/src/handler.rs
@@ -22,7 +22,7 @@
 
 use crate::{
     admission::{authenticate, draw_target, host, read_body},
-    attempt::{Ended, Opened, Outgoing, WholeAnswer, left, open},
+    attempt::{Attempted, Ended, Opened, Outgoing, WholeAnswer, left, open},
     drain::Drain,
     fleet::{ConfigView, Fleet},
     places::{Clock, NoPlace, Place, Places, Service, Want},
@@ -165,36 +165,69 @@
     }
 }
 
+/// What the attempts of a call have come to so far.
+#[derive(Default)]
+struct Tries {
+    may_have_run: bool,
+    unreachable: u32,
+    /// An endpoint's own failure. It is delivered if no later attempt has an
+    /// answer: it tells the caller more than that nothing is known.
+    failure: Option<WholeAnswer>,
+}
+
+impl Tries {
+    fn note(&mut self, ended: Ended) {
+        self.may_have_run |= matches!(ended, Ended::Lost | Ended::TimedOut);
+        self.unreachable += u32::from(ended == Ended::Unreachable);
+    }
+}
+
 impl<D: Dialect> Call<D> {
     /// Tries until there is an answer or nothing more may be tried.
     async fn run(self: &Arc<Call<D>>) -> Result<Response<ReplyBody>, Refusal> {
-        let mut may_have_run = false;
-        let mut unreachable = 0;
+        let mut tries = Tries::default();
         loop {
             let place = match self.place(self.wait_time()).await {
                 Ok(place) => place,
-                Err(no_place) => return Err(self.no_place(no_place, may_have_run)),
+                Err(no_place) => {
+                    let refusal = self.no_place(no_place, tries.may_have_run);
+                    return self.settle(tries, refusal);
+                }
             };
             let ended = match self.attempt(place).await {
-                Ok(response) => return Ok(response),
-                Err(ended) => ended,
+                Attempted::Answered(response) => return Ok(response),
+                Attempted::Failed(answer) => {
+                    tries.failure = Some(answer);
+                    Ended::Lost
+                }
+                Attempted::Ended(ended) => ended,
             };
             self.metrics.count(attempt_counter(ended));
-            may_have_run |= matches!(ended, Ended::Lost | Ended::TimedOut);
-            unreachable += u32::from(ended == Ended::Unreachable);
-            let is_out_of_time = left(self.deadline).is_zero();
-            let may_send = !may_have_run || self.kind.may_repeat();
-            let may_retry = match ended {
-                Ended::Unreachable => unreachable <= MAX_UNREACHABLE,
-                _ => self.has_attempts_left() && self.service.take_repeat(),
-            };
-            if is_out_of_time || !may_send || !may_retry {
-                return Err(self.give_up(may_have_run, is_out_of_time));
+            tries.note(ended);
+            if !self.may_retry(&tries, ended) {
+                let refusal = self.give_up(tries.may_have_run);
+                return self.settle(tries, refusal);
             }
             self.metrics.count("attempts.retried");
         }
     }
 
+    /// Says whether another attempt may follow one that has ended, and takes it
+    /// from the service's budget.
+    fn may_retry(&self, tries: &Tries, ended: Ended) -> bool {
+        let may_send = !tries.may_have_run || self.kind.may_repeat();
+        match ended {
+            _ if left(self.deadline).is_zero() || !may_send => false,
+            Ended::Unreachable => tries.unreachable <= MAX_UNREACHABLE,
+            _ => self.has_attempts_left() && self.service.take_repeat(),
+        }
+    }
+
+    /// Answers a call that gets no further attempt.
+    fn settle(&self, tries: Tries, refusal: Refusal) -> Result<Response<ReplyBody>, Refusal> {
+        tries.failure.map(|answer| self.deliver(answer)).ok_or(refusal)
+    }
+
     async fn place(&self, wait: Duration) -> Result<Place, NoPlace> {
         let tried = self.tried.lock().clone();
         let team = self.team.clone().unwrap_or_else(|| PUBLIC_TEAM.into());
@@ -221,30 +254,42 @@
         }
     }
 
-    fn give_up(&self, may_have_run: bool, is_out_of_time: bool) -> Refusal {
+    fn give_up(&self, may_have_run: bool) -> Refusal {
         match may_have_run {
-            true if is_out_of_time => Refusal::TimedOut,
+            true if left(self.deadline).is_zero() => Refusal::TimedOut,
             true => Refusal::MayHaveRun,
             false => Refusal::NotRun { retry_after: return_after(left(self.deadline)) },
         }
     }
 
-    async fn attempt(self: &Arc<Call<D>>, place: Place) -> Result<Response<ReplyBody>, Ended> {
-        let opened = self.open(place, self.head.last_event).await?;
+    async fn attempt(self: &Arc<Call<D>>, place: Place) -> Attempted {
+        let opened = match self.open(place, self.head.last_event).await {
+            Ok(opened) => opened,
+            Err(ended) => return Attempted::Ended(ended),
+        };
         if self.kind.is_stream() && opened.status.is_success() {
-            return self.start_stream(opened).await;
+            let started = self.start_stream(opened).await;
+            return started.map_or_else(Attempted::Ended, Attempted::Answered);
         }
         let endpoint = EndpointId::clone(&opened.place.endpoint.record.id);
-        let answer = opened.whole(self.attempt_end()).await?;
+        let answer = match opened.whole(self.attempt_end()).await {
+            Ok(answer) => answer,
+            Err(ended) => return Attempted::Ended(ended),
+        };
         let is_failure = answer.status.is_server_error();
         if is_failure && self.kind == CallKind::Idempotent && self.may_try_again() {
             log::info!(request = self.head.id.as_deref(), endpoint = &*endpoint,
                 status = answer.status.as_u16(); "the endpoint failed; another is tried");
-            return Err(Ended::Lost);
+            return Attempted::Failed(answer);
         }
+        Attempted::Answered(self.deliver(answer))
+    }
+
+    /// Passes an endpoint's whole answer on.
+    fn deliver(&self, answer: WholeAnswer) -> Response<ReplyBody> {
         self.metrics.latency("requests.answered", self.arrived.elapsed());
         self.finished(answer.status.as_str(), None);
-        Ok(self.whole_response(answer))
+        self.whole_response(answer)
     }
 
     /// Sends the call to an endpoint, after the last event that the caller has.
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -75,7 +75,10 @@
     ///
     /// Fails if the stream breaks, or ends with no event.
     pub(crate) async fn first_events(&mut self) -> Result<Bytes, Ended> {
-        match self.read().await {
+        let first = self.read().await;
+        // A stream that has not begun has no end of its own to be noted.
+        self.is_over = !matches!(first, Next::Events(_));
+        match first {
             Next::Events(events) => {
                 self.note_started();
                 Ok(events)
--- a/crates/lynxmount/tests/platform_common/mod.rs
+++ b/crates/lynxmount/tests/platform_common/mod.rs
@@ -23,6 +23,8 @@
 
 const BINARY: &str = env!("CARGO_BIN_EXE_lynxmount");
 
+const LOG_FILE: &str = "log.jsonl";
+
 pub const CALLERS_PORT: u16 = 8101;
 pub const READINESS_PORT: u16 = 8102;
 pub const CONTROL_PORT: u16 = 8103;
@@ -55,7 +57,7 @@
 /// A process that is killed when the test ends.
 pub struct Process {
     pub child: Child,
-    _settings: TempDir,
+    folder: TempDir,
 }
 
 impl Process {
@@ -63,14 +65,22 @@
         let folder = TempDir::new().expect("a folder");
         let path = folder.path().join("local.conf");
         fs::write(&path, settings).expect("settings are written");
+        let log = fs::File::create(folder.path().join(LOG_FILE)).expect("a file for the log");
         let child = Command::new(BINARY)
             .arg(command)
             .arg("--settings")
             .arg(&path)
-            .stdout(Stdio::null())
+            .stdout(Stdio::from(log))
             .spawn()
             .expect("the process starts");
-        Process { child, _settings: folder }
+        Process { child, folder }
+    }
+
+    /// The lines that the process has logged with this message.
+    pub fn logged(&self, message: &str) -> Vec<serde_json::Value> {
+        let log = fs::read_to_string(self.folder.path().join(LOG_FILE)).expect("a log");
+        let lines = log.lines().filter_map(|line| serde_json::from_str(line).ok());
+        lines.filter(|line: &serde_json::Value| line["message"] == message).collect()
     }
 
     pub fn signal(&self, signal: Signal) {
--- a/crates/lynxmount/tests/platform_entry.rs
+++ b/crates/lynxmount/tests/platform_entry.rs
@@ -122,6 +122,41 @@
     assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
 }
 
+#[tokio::test]
+async fn a_failure_that_is_there_is_delivered_when_its_repeat_is_lost() {
+    let fleet = Fleet::start(PLAIN, &[Behaviour::Fail, Behaviour::Reset]).await;
+
+    // The replicas take turns in being asked first.
+    for _ in 0..2 {
+        let answer = call(fleet.address(), Method::GET, &path(PLAIN), KEY).await;
+
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status, StatusCode::INTERNAL_SERVER_ERROR);
+        assert_eq!(answer.signature.as_deref(), Some("i-0"));
+    }
+}
+
+#[tokio::test]
+async fn a_stream_that_fails_before_its_first_event_is_finished_once() {
+    let cut = Behaviour::StreamCut { after: 0, resumed: 0 };
+    let stream = Behaviour::Stream { events: 3, pause: Duration::from_millis(5) };
+    let fleet = Fleet::start(STREAM, &[cut, stream]).await;
+
+    // The replicas take turns in being asked first.
+    for _ in 0..2 {
+        let answer = call(fleet.address(), Method::POST, &path(STREAM), KEY).await;
+
+        assert_eq!(answer.expect("an answer").body.as_deref(), Some(events(1..=3).as_bytes()));
+    }
+    wait_for("both lines", async || fleet.entry.logged("finished").len() >= 2).await;
+    let outcomes = fleet
+        .entry
+        .logged("finished")
+        .into_iter()
+        .map(|line| line["attributes"]["outcome"].clone());
+    assert_eq!(outcomes.collect::<Vec<_>>(), ["complete", "complete"]);
+}
+
 #[tokio::test]
 async fn a_second_answer_belongs_to_no_other_request() {
     let fleet = Fleet::start(PLAIN, &[Behaviour::AnswerTwice]).await;
