Move the fixtures of the users' platform beside its stand-ins

Cause: a soak needs the settings, configurations and caller that the process tests had to themselves; wire names stay in platform/.

--- a/crates/lynxmount/tests/platform_common/mod.rs
+++ b/crates/lynxmount/tests/platform_common/mod.rs
@@ -11,10 +11,11 @@
 };
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
-use lynxmount_link::Connection;
-use lynxmount_platform_standin::{Behaviour, ReplicaStandin, StoreStandin};
+use http::{Method, StatusCode};
+use lynxmount_platform_standin::{
+    Behaviour, Call, CallerStandin, ReplicaStandin, StoreStandin, Told,
+    fixture::{EntryPorts, config_text, entry_settings_text, registration_text, service_of},
+};
 use nix::{
     sys::signal::{Signal, kill},
     unistd::Pid,
@@ -32,12 +33,7 @@
 pub const REPLICA_PORT: u16 = 8110;
 pub const STORE_PORT: u16 = 8120;
 
-pub const HOST: &str = "desk.example";
 pub const KEY: &str = "key-of-claims";
-pub const TEAM: &str = "claims";
-pub const PLAIN: &str = "lookup";
-pub const ONCE: &str = "booking";
-pub const STREAM: &str = "draft";
 
 /// Far longer than anything waits; reaching it fails the test.
 pub const GIVE_UP_AFTER: Duration = Duration::from_secs(20);
@@ -95,57 +91,25 @@
     }
 }
 
-/// Settings of a process; `more` are further lines.
-pub fn settings(own: IpAddr, store: SocketAddr, more: &str) -> String {
-    format!(
-        "NodeName=node-{own}\nIp={own}\nZone=z\nInternalPorts={INTERNAL_PORT},8105\n\
-         Seeds=\nHeartbeatMs=1200\nBounds.ConfigApplyMs=2000\nBounds.DrainMs=2000\n\
-         Bounds.GraceS=8\nBounds.RetryRatio=0.2\nBounds.RetrySlack=88\nBounds.RetryWindowS=10\n\
-         Bounds.stall_ms=1500\nPlatform.Address={store}\n{more}"
-    )
-}
-
+/// Settings of an entry.
 pub fn entry_settings(own: IpAddr, store: SocketAddr, seeds: &[IpAddr]) -> String {
-    let seeds: Vec<String> = seeds.iter().map(|ip| format!("{ip}:{CONTROL_PORT}")).collect();
-    let more = format!(
-        "Listen.FrontendAddr={own}:{CALLERS_PORT}\nListen.ReadinessAddr={own}:{READINESS_PORT}\n\
-         Listen.ControlAddr={own}:{CONTROL_PORT}\nSeeds={}\n",
-        seeds.join(",")
-    );
-    settings(own, store, &more).replacen("Seeds=\n", "", 1)
+    let seeds: Vec<SocketAddr> = seeds.iter().map(|ip| (*ip, CONTROL_PORT).into()).collect();
+    let ports = EntryPorts {
+        callers: CALLERS_PORT,
+        readiness: READINESS_PORT,
+        control: CONTROL_PORT,
+        internal: INTERNAL_PORT,
+    };
+    entry_settings_text(own, ports, store, &seeds)
 }
 
 /// A configuration with one route of each kind; `keys` are those of the team.
 pub fn config(version: u64, keys: &[&str]) -> String {
-    let route = |name: &str, kind: &str, attempts: u32, more: &str| {
-        format!(
-            r#"{{"Name":"r-{name}","Hostname":"{HOST}","PathPrefix":"/{name}/","RouteKind":"{kind}",
-            "TimeoutMs":4000,"GoalMs":500,"Priority":1,"Service":"{name}-service",
-            "MaxAttempts":{attempts},"Public":false{more}}}"#
-        )
-    };
-    let service = |name: &str| format!(r#"{{"Name":"{name}-service","MaxConns":100}}"#);
-    let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
-    format!(
-        r#"{{"Version":{version},"Routes":[{},{},{}],"Services":[{},{},{}],
-        "Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":1000,"HeaderTimeoutMs":3000,
-        "IdleTimeoutMs":15000}},"Tenants":[{{"Name":"{TEAM}","ApiKeys":[{}],"Priority":1}}]}}"#,
-        route(PLAIN, "idempotent", 2, ""),
-        route(ONCE, "non_idempotent", 1, ""),
-        route(STREAM, "streaming", 2, r#","Resumable":true,"GapGoalMs":120"#),
-        service(PLAIN),
-        service(ONCE),
-        service(STREAM),
-        keys.join(",")
-    )
+    config_text(version, keys, None)
 }
 
-pub fn registration(replica: &ReplicaStandin, service: &str, state: &str) -> String {
-    format!(
-        r#"{{"Service":"{service}-service","Address":"{}","Zone":"z","Version":"v1","Slots":8,
-        "State":"{state}","ColdLeftMs":0,"SeqNo":1}}"#,
-        replica.address
-    )
+pub fn registration(replica: &ReplicaStandin, route: &str, state: &str) -> String {
+    registration_text(replica.address, &service_of(route), state)
 }
 
 /// A store, two replicas of a service, and an entry.
@@ -228,31 +192,24 @@
 /// Calls as a caller does, on a connection of its own. `None` if there is no head
 /// of an answer.
 pub async fn call(address: SocketAddr, method: Method, path: &str, key: &str) -> Option<Answer> {
-    let request = Request::builder()
-        .method(method)
-        .uri(path)
-        .header("host", HOST)
-        .header("x-attempt-id", "attempt-1")
-        .header("x-credential", key)
-        .header("x-tenant", "forged")
-        .header("x-deadline-ms", "3000")
-        .body(Full::new(Bytes::from_static(b"{}")))
-        .expect("a request");
-    send(address, request).await
-}
-
-async fn send(address: SocketAddr, request: Request<Full<Bytes>>) -> Option<Answer> {
-    let mut connection = Connection::open(address, GIVE_UP_AFTER).await.ok()?;
-    let response = connection.send(request).await.ok()?;
-    let status = response.status();
-    let text = |name: &str| Some(response.headers().get(name)?.to_str().ok()?.to_owned());
-    let retry_after = text("retry-after").and_then(|after| after.parse().ok());
-    let signature = text("x-server-stamp");
-    let body = response.into_body().collect().await.ok().map(|body| body.to_bytes());
-    Some(Answer { status, retry_after, signature, body })
+    let call = Call {
+        id: "attempt-1".to_owned(),
+        method,
+        path: path.to_owned(),
+        key: key.to_owned(),
+        time_left: Duration::from_millis(3000),
+    };
+    match CallerStandin::new(address).call(&call).await {
+        Told::Answer(answer) => Some(Answer {
+            status: answer.status,
+            retry_after: answer.retry_after_s,
+            signature: answer.signature,
+            body: answer.is_whole.then_some(answer.received),
+        }),
+        Told::NoAnswer | Told::NoConnection => None,
+    }
 }
 
 pub async fn get(address: SocketAddr, path: &str) -> Option<StatusCode> {
-    let request = Request::get(path).header("host", HOST).body(Full::default()).ok()?;
-    send(address, request).await.map(|answer| answer.status)
+    call(address, Method::GET, path, KEY).await.map(|answer| answer.status)
 }
--- a/crates/lynxmount/tests/platform_endpoint.rs
+++ b/crates/lynxmount/tests/platform_endpoint.rs
@@ -4,9 +4,12 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use lynxmount_platform_standin::{GroupStandin, StoreStandin};
+use lynxmount_platform_standin::{
+    GroupStandin, StoreStandin,
+    fixture::{GroupText, config_text, endpoint_settings_text, registration_text, service_of},
+};
 use nix::sys::signal::Signal;
-use platform_common::{Process, STORE_PORT, STREAM, ip, network, settings, wait_for};
+use platform_common::{INTERNAL_PORT, Process, STORE_PORT, ip, network, wait_for};
 
 const RANKS: u8 = 4;
 const EXPERTS: usize = 8;
@@ -19,34 +22,20 @@
     settings: Vec<String>,
 }
 
-/// A configuration whose service has a group of engines.
-fn config() -> String {
-    format!(
-        r#"{{"Version":1,"Routes":[],"Services":[{{"Name":"{STREAM}-service","MaxConns":100,
-        "Engine":{{"Slots":4,"KvCapacity":1000,"Stride":1,"step_ms":1.0,"per_seq_ms":0.1,
-        "read_per_s":1000.0,"usual":{{"prompt":10,"answer":10}},"Sets":1,"Experts":{EXPERTS},
-        "Placements":3,"Spare":1,"ExpertMb":1.0,"LinkMbps":1000.0,"form_ms":100.0}}}}],
-        "Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":1000,"HeaderTimeoutMs":3000,
-        "IdleTimeoutMs":15000}}}}"#
-    )
-}
-
 async fn start() -> World {
     let network = network() + 100;
     let store = StoreStandin::start((ip(network, 250), STORE_PORT).into()).await.expect("a store");
-    store.put("keyed.op", "config", &config());
+    let service = service_of("model");
+    let group = GroupText { service: &service, experts: EXPERTS };
+    store.put("keyed.op", "config", &config_text(1, &[], Some(group)));
     let engines: Vec<SocketAddr> =
         (0..RANKS).map(|rank| (ip(network, 10 + rank), ENGINE_PORT).into()).collect();
     let group = GroupStandin::start(&engines, EXPERTS, PASS).await.expect("a group");
     for (rank, engine) in engines.iter().enumerate() {
-        let registration = format!(
-            r#"{{"Service":"{STREAM}-service","Address":"{engine}","Zone":"z","Slots":4,
-            "State":"ready"}}"#
-        );
+        let registration = registration_text(*engine, &service, "ready");
         store.put("keyed.servers", &format!("i-{rank}"), &registration);
     }
-    let own =
-        |engine: &SocketAddr| settings(engine.ip(), store.address(), &format!("app={engine}\n"));
+    let own = |engine: &SocketAddr| endpoint_settings_text(*engine, INTERNAL_PORT, store.address());
     let settings: Vec<String> = engines.iter().map(own).collect();
     let processes = settings.iter().map(|text| Process::start("platform-endpoint", text)).collect();
     World { group, processes, settings }
--- a/crates/lynxmount/tests/platform_entry.rs
+++ b/crates/lynxmount/tests/platform_entry.rs
@@ -5,11 +5,14 @@
 use std::time::{Duration, Instant};
 
 use http::{Method, StatusCode};
-use lynxmount_platform_standin::{Behaviour, StoreMode};
+use lynxmount_platform_standin::{
+    Behaviour, StoreMode,
+    fixture::{ONCE, PLAIN, STREAM, TEAM},
+};
 use nix::sys::signal::Signal;
 use platform_common::{
-    Fleet, KEY, ONCE, PLAIN, Process, READINESS_PORT, STREAM, TEAM, call, config, entry_ip,
-    entry_settings, get, registration, wait_for,
+    Fleet, KEY, Process, READINESS_PORT, call, config, entry_ip, entry_settings, get, registration,
+    wait_for,
 };
 
 fn path(service: &str) -> String {
