Add a fault soak of the real processes

What: lynxmount-soak starts entries and endpoint processes against the platform's stand-ins, with a proxy on each link, and injects faults from a seed: links delayed, cut, silenced and reset; processes killed, paused, asked to leave, hung up; the store busy, silent or compacted; endpoints that answer badly or leave; orders without an answer; configurations and demand that change. It judges by twelve promises. Tests: each promise is seen to be broken by a history that breaks it; plans are a function of the seed; the proxy harms what it is told to.

--- /dev/null
+++ b/crates/soak/src/faults.rs
@@ -0,0 +1,202 @@
+//! Faults as they are done to the fleet.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use lynxmount_platform_standin::{Behaviour, StoreMode, fixture::GRACE};
+use nix::sys::signal::Signal;
+use tokio::task::JoinSet;
+
+use crate::{
+    history::{Disturbed, LeaveRecord},
+    plan::{EndpointFault, Fault, FaultKind, LinkFault, LinkId, ProcessId},
+    process::wait_for_end,
+    world::{EXPERTS, World, name},
+};
+
+/// How long a process may take to serve again after its start; all that time
+/// counts as disturbed.
+const START_TIME: Duration = Duration::from_millis(1000);
+
+/// How much longer than its grace time a process may take to end on a busy
+/// machine.
+const END_SLACK: Duration = Duration::from_millis(2500);
+
+/// How often each pass chooses the expert in demand, and all others.
+const IN_DEMAND: u64 = 4000;
+const NOT_IN_DEMAND: u64 = 100;
+
+/// Does faults; those that last run beside each other.
+pub(crate) struct Injector {
+    world: Arc<World>,
+    version: AtomicU64,
+    demand: AtomicU64,
+}
+
+impl Injector {
+    pub(crate) fn new(world: Arc<World>) -> Injector {
+        Injector { world, version: AtomicU64::new(1), demand: AtomicU64::new(0) }
+    }
+
+    /// Does all faults, and returns when the last is over.
+    ///
+    /// Fails if a process can't be signalled or started.
+    pub(crate) async fn run(self: Arc<Injector>, faults: &[Fault]) -> anyhow::Result<()> {
+        let mut under_way = JoinSet::new();
+        let began = self.world.now();
+        for fault in faults.iter().copied() {
+            let due = began + fault.at;
+            tokio::time::sleep(due.saturating_sub(self.world.now())).await;
+            let injector = Arc::clone(&self);
+            under_way.spawn(async move { injector.inject(fault).await });
+        }
+        while let Some(done) = under_way.join_next().await {
+            done??;
+        }
+        Ok(())
+    }
+
+    async fn inject(&self, fault: Fault) -> anyhow::Result<()> {
+        let world = &self.world;
+        match fault.kind {
+            FaultKind::ChangeConfig => {
+                world.put_config(self.version.fetch_add(1, Ordering::Relaxed) + 1);
+            }
+            FaultKind::ChangeDemand => self.change_demand(),
+            FaultKind::CompactStore => {
+                world.store.compact("keyed.op");
+                world.store.compact("keyed.servers");
+            }
+            FaultKind::Leave(endpoint) => self.leave(endpoint, fault.length).await,
+            FaultKind::Link(link, harm) => self.harm(link, harm, fault.length).await,
+            FaultKind::LoseOrders(one_of) => {
+                world.group.lose_answers(one_of);
+                tokio::time::sleep(fault.length).await;
+                world.group.lose_answers(0);
+            }
+            FaultKind::Misbehave(endpoint, harm) => {
+                let begun = world.note_begin(Disturbed::Endpoint(endpoint));
+                world.endpoints[endpoint].set(behaviour(harm));
+                tokio::time::sleep(fault.length).await;
+                world.mend(endpoint);
+                world.note_end(begun);
+            }
+            FaultKind::Kill(process) => self.kill(process).await?,
+            FaultKind::Pause(process) => self.pause(process, fault.length).await?,
+            FaultKind::StoreBusy => self.stop_store(StoreMode::Busy, fault.length).await,
+            FaultKind::StoreSilent => self.stop_store(StoreMode::Silent, fault.length).await,
+            FaultKind::Terminate(process) => self.terminate(process).await?,
+            FaultKind::Hangup(process) => {
+                world.process(process).lock().signal(Signal::SIGHUP)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn change_demand(&self) {
+        let favourite = self.demand.fetch_add(5, Ordering::Relaxed) as usize % EXPERTS;
+        let demand = |expert| if expert == favourite { IN_DEMAND } else { NOT_IN_DEMAND };
+        self.world.group.set_demand((0..EXPERTS).map(demand).collect());
+    }
+
+    async fn leave(&self, endpoint: usize, length: Duration) {
+        let world = &self.world;
+        world.register(endpoint, "draining");
+        let from = world.now();
+        // Long enough that work after the bound would be seen.
+        tokio::time::sleep(length + Duration::from_secs(3)).await;
+        let to = world.now();
+        world.register(endpoint, "ready");
+        world.history.lock().leaves.push(LeaveRecord { endpoint, from, to });
+    }
+
+    async fn harm(&self, link: LinkId, harm: LinkFault, length: Duration) {
+        let begun = self.world.note_begin(Disturbed::Link(link));
+        self.world.link(link).set(Some(harm));
+        let length = if harm == LinkFault::Reset { Duration::ZERO } else { length };
+        tokio::time::sleep(length).await;
+        self.world.link(link).set(None);
+        self.world.note_end(begun);
+    }
+
+    async fn stop_store(&self, mode: StoreMode, length: Duration) {
+        let begun = self.world.note_begin(Disturbed::Store);
+        self.world.store.set_mode(mode);
+        tokio::time::sleep(length).await;
+        self.world.store.set_mode(StoreMode::Up);
+        self.world.note_end(begun);
+    }
+
+    async fn pause(&self, process: ProcessId, length: Duration) -> anyhow::Result<()> {
+        let begun = self.world.note_begin(Disturbed::Process(process));
+        self.world.process(process).lock().signal(Signal::SIGSTOP)?;
+        tokio::time::sleep(length).await;
+        self.world.process(process).lock().signal(Signal::SIGCONT)?;
+        self.world.note_end(begun);
+        Ok(())
+    }
+
+    async fn kill(&self, process: ProcessId) -> anyhow::Result<()> {
+        let begun = self.world.note_begin(Disturbed::Process(process));
+        self.world.process(process).lock().signal(Signal::SIGKILL)?;
+        self.start_again(process, begun).await
+    }
+
+    async fn terminate(&self, process: ProcessId) -> anyhow::Result<()> {
+        let world = &self.world;
+        let leaving = world.note_begin(Disturbed::Leaving(process));
+        let life = world.process(process).lock().life();
+        world.process(process).lock().signal(Signal::SIGTERM)?;
+        let asked = world.now();
+        let ended = || world.process(process).lock().ended();
+        let ended = wait_for_end(ended, GRACE + END_SLACK).await?;
+        world.note_end(leaving);
+        let was_harmed = world
+            .history
+            .lock()
+            .is_disturbed(asked, world.now(), |what| what == Disturbed::Process(process));
+        let is_same_life = world.process(process).lock().life() == life;
+        match ended {
+            Some(status) if status.success() => {}
+            _ if was_harmed || !is_same_life => {}
+            other => {
+                let seen = format!("{} was asked to leave and ended with {other:?}", name(process));
+                world.history.lock().ends.push(seen);
+                world.process(process).lock().signal(Signal::SIGKILL)?;
+            }
+        }
+        let begun = world.note_begin(Disturbed::Process(process));
+        self.start_again(process, begun).await
+    }
+
+    /// Starts a process that has ended, unless another fault has done so.
+    async fn start_again(&self, process: ProcessId, begun: usize) -> anyhow::Result<()> {
+        let cell = self.world.process(process);
+        wait_for_end(|| cell.lock().ended(), END_SLACK).await?;
+        {
+            let mut process = cell.lock();
+            if process.ended()?.is_some() {
+                process.start_again()?;
+            }
+        }
+        tokio::time::sleep(START_TIME).await;
+        self.world.note_end(begun);
+        Ok(())
+    }
+}
+
+fn behaviour(fault: EndpointFault) -> Behaviour {
+    match fault {
+        EndpointFault::AnswerTwice => Behaviour::AnswerTwice,
+        EndpointFault::Fail => Behaviour::Fail,
+        EndpointFault::Hang => Behaviour::Hang,
+        EndpointFault::Reset => Behaviour::Reset,
+        EndpointFault::Shed => Behaviour::Shed,
+        EndpointFault::Truncate => Behaviour::Truncate,
+    }
+}
--- /dev/null
+++ b/crates/soak/src/plan.rs
@@ -0,0 +1,205 @@
+//! Which faults strike when: a function of the seed and the fleet's size.
+
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
+use serde::Serialize;
+use serde_with::{DurationMilliSeconds, serde_as};
+
+/// The mean pause between two faults: shorter than most faults last, so that
+/// they overlap.
+const MEAN_PAUSE_MS: u64 = 350;
+
+/// How long a fault lasts, in milliseconds: beyond the timeouts of connections and
+/// reads at the long end.
+const LENGTH_MS: std::ops::Range<u64> = 200..3500;
+
+/// How far apart the steps of a series are, in milliseconds.
+const SERIES_STEP_MS: std::ops::Range<u64> = 60..400;
+
+/// Of so many faults one begins a series of the same kind.
+const SERIES_ONE_OF: u32 = 5;
+
+/// How many processes and back ends there are.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct Size {
+    /// Entries.
+    pub entries: usize,
+    /// Ranks of the group, each with an endpoint process.
+    pub ranks: usize,
+    /// Endpoints of each route's service.
+    pub endpoints: usize,
+}
+
+/// A process, as an index among those of its kind.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub enum ProcessId {
+    /// The process beside a rank.
+    Endpoint(usize),
+    /// An entry.
+    Entry(usize),
+}
+
+/// A link with a proxy on it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub enum LinkId {
+    /// From callers to an entry.
+    Callers(usize),
+    /// From all entries to an endpoint, counted over all services.
+    Endpoint(usize),
+    /// From a process to the store.
+    Store(ProcessId),
+}
+
+/// What a link does wrong.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub enum LinkFault {
+    /// Bytes towards the listening side are lost.
+    CutForth,
+    /// Bytes back to the connecting side are lost.
+    CutBack,
+    /// Bytes are delayed by some milliseconds.
+    Delay(u64),
+    /// Connections are reset at once.
+    Reset,
+    /// Nothing passes, and connections stay.
+    Silence,
+}
+
+/// What an endpoint does wrong.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub enum EndpointFault {
+    /// A second answer follows each.
+    AnswerTwice,
+    /// It fails.
+    Fail,
+    /// It never answers.
+    Hang,
+    /// It closes the connection without an answer.
+    Reset,
+    /// It runs nothing, and says so.
+    Shed,
+    /// Its answers break off.
+    Truncate,
+}
+
+/// What happens.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub enum FaultKind {
+    /// A newer configuration withdraws a key and adds another.
+    ChangeConfig,
+    /// Other experts are in demand.
+    ChangeDemand,
+    /// The store drops all but the newest records.
+    CompactStore,
+    /// An endpoint tells that it leaves, and comes back later.
+    Leave(usize),
+    /// A link harms what passes.
+    Link(LinkId, LinkFault),
+    /// One of so many orders to engines takes effect without an answer.
+    LoseOrders(u64),
+    /// An endpoint answers badly.
+    Misbehave(usize, EndpointFault),
+    /// A process is killed and started again.
+    Kill(ProcessId),
+    /// A process is stopped by a signal, and goes on later.
+    Pause(ProcessId),
+    /// The store answers 503.
+    StoreBusy,
+    /// The store does not answer.
+    StoreSilent,
+    /// A process is asked to leave and is started again.
+    Terminate(ProcessId),
+    /// A process is told that its settings have changed.
+    Hangup(ProcessId),
+}
+
+/// A fault with its time.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct Fault {
+    /// When it begins, from the start of traffic.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub at: Duration,
+    /// How long it lasts, for what lasts.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub length: Duration,
+    /// What happens.
+    pub kind: FaultKind,
+}
+
+/// Draws all faults of a run, in the order of their beginnings.
+pub fn draw(seed: u64, size: Size, time: Duration) -> Vec<Fault> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut faults = Vec::new();
+    let mut at = Duration::from_millis(500);
+    while at < time {
+        let kind = draw_kind(&mut rng, size);
+        let is_series = rng.random_ratio(1, SERIES_ONE_OF);
+        let count = if is_series { rng.random_range(2..5) } else { 1 };
+        let mut begin = at;
+        for _ in 0..count {
+            let length = Duration::from_millis(rng.random_range(LENGTH_MS));
+            faults.push(Fault { at: begin, length, kind });
+            begin += Duration::from_millis(rng.random_range(SERIES_STEP_MS));
+        }
+        at += Duration::from_millis(rng.random_range(0..2 * MEAN_PAUSE_MS));
+    }
+    faults.retain(|fault| fault.at < time);
+    faults.sort_by_key(|fault| fault.at);
+    faults
+}
+
+fn draw_kind(rng: &mut SmallRng, size: Size) -> FaultKind {
+    let endpoint = rng.random_range(0..3 * size.endpoints);
+    match rng.random_range(0..13) {
+        0 => FaultKind::ChangeConfig,
+        1 => FaultKind::ChangeDemand,
+        2 => FaultKind::CompactStore,
+        3 => FaultKind::Leave(endpoint),
+        4 | 5 => FaultKind::Link(draw_link(rng, size), draw_link_fault(rng)),
+        6 => FaultKind::LoseOrders(rng.random_range(2..5)),
+        7 => FaultKind::Misbehave(endpoint, draw_endpoint_fault(rng)),
+        8 => FaultKind::Kill(draw_process(rng, size)),
+        9 => FaultKind::Pause(draw_process(rng, size)),
+        10 => *[FaultKind::StoreBusy, FaultKind::StoreSilent].choose(rng).expect("not empty"),
+        11 => FaultKind::Terminate(draw_process(rng, size)),
+        _ => FaultKind::Hangup(draw_process(rng, size)),
+    }
+}
+
+fn draw_process(rng: &mut SmallRng, size: Size) -> ProcessId {
+    match rng.random_bool(0.5) {
+        true => ProcessId::Entry(rng.random_range(0..size.entries)),
+        false => ProcessId::Endpoint(rng.random_range(0..size.ranks)),
+    }
+}
+
+fn draw_link(rng: &mut SmallRng, size: Size) -> LinkId {
+    match rng.random_range(0..3) {
+        0 => LinkId::Callers(rng.random_range(0..size.entries)),
+        1 => LinkId::Endpoint(rng.random_range(0..3 * size.endpoints)),
+        _ => LinkId::Store(draw_process(rng, size)),
+    }
+}
+
+fn draw_link_fault(rng: &mut SmallRng) -> LinkFault {
+    match rng.random_range(0..5) {
+        0 => LinkFault::CutForth,
+        1 => LinkFault::CutBack,
+        2 => LinkFault::Delay(rng.random_range(5..400)),
+        3 => LinkFault::Reset,
+        _ => LinkFault::Silence,
+    }
+}
+
+fn draw_endpoint_fault(rng: &mut SmallRng) -> EndpointFault {
+    match rng.random_range(0..6) {
+        0 => EndpointFault::AnswerTwice,
+        1 => EndpointFault::Fail,
+        2 => EndpointFault::Hang,
+        3 => EndpointFault::Reset,
+        4 => EndpointFault::Shed,
+        _ => EndpointFault::Truncate,
+    }
+}
--- /dev/null
+++ b/crates/soak/src/report.rs
@@ -0,0 +1,67 @@
+//! What a run has come to.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use crate::{
+    history::{History, Outcome},
+    plan::{Fault, Size},
+    promises::{Violation, judge},
+};
+
+/// The report of one run, as JSON.
+#[derive(Debug, Serialize)]
+pub struct Report {
+    /// The seed.
+    pub seed: u64,
+    /// The fleet.
+    pub size: Size,
+    /// Faults that were done.
+    pub faults: usize,
+    /// Calls, by what became of them.
+    pub calls: BTreeMap<String, usize>,
+    /// Questions which configuration was in force.
+    pub probes: usize,
+    /// Switches of the group's map.
+    pub last_map_version: u64,
+    /// Broken promises.
+    pub violations: Vec<Violation>,
+    /// The folder with logs, if it was kept.
+    pub logs: Option<String>,
+}
+
+impl Report {
+    pub(crate) fn new(
+        seed: u64,
+        size: Size,
+        faults: &[Fault],
+        history: &History,
+        last_map_version: u64,
+    ) -> Report {
+        let mut calls = BTreeMap::new();
+        for call in &history.calls {
+            *calls.entry(label(&call.outcome)).or_default() += 1;
+        }
+        Report {
+            seed,
+            size,
+            faults: faults.len(),
+            calls,
+            probes: history.probes.len(),
+            last_map_version,
+            violations: judge(history),
+            logs: None,
+        }
+    }
+}
+
+fn label(outcome: &Outcome) -> String {
+    match outcome {
+        Outcome::Answered { status, .. } => status.to_string(),
+        Outcome::Cut { status, .. } => format!("{status} cut"),
+        Outcome::NoAnswer => "no answer".to_owned(),
+        Outcome::NoConnection => "no connection".to_owned(),
+        Outcome::Unanswered => "unanswered".to_owned(),
+    }
+}
