Tell apart windows of demand that differ by 0.14, not 0.22

Cause: what is chosen moves from one demand to the next as streams end and others begin. In a large group neighbouring windows differ by less than 0.22 all the while, so that up to 16 of them, 1.6 s, counted together, and maps were planned for what was. Change: the distance; the windows move to the balance crate, with an injected time.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 
 mod adaptive;
+mod demand_windows;
 mod expert_map;
 mod forecast;
 mod generate;
@@ -18,6 +19,7 @@
 mod search;
 mod trace;
 
+pub use demand_windows::DemandWindows;
 pub use expert_map::{Expert, ExpertMap, Shape};
 pub use generate::{GeneratedTrace, TraceKind, generate};
 pub use group_change::plan_change;
--- a/crates/rank/src/beliefs.rs
+++ b/crates/rank/src/beliefs.rs
@@ -38,8 +38,8 @@
 
 impl Beliefs {
     pub(crate) fn hear(&mut self, state: RankState) {
-        self.demand.take(&state);
         let now = Instant::now();
+        self.demand.take(&state, now);
         self.heard.insert(state.engine, Heard { state, at: now, told_at: now });
     }
 
