--- a/crates/group/src/switch/mod.rs
+++ b/crates/group/src/switch/mod.rs
@@ -77,6 +77,7 @@
     /// Holds that stood at the beginning, to be let go at the end.
     others_held: Vec<(RankNumber, GroupStep)>,
     phase: Phase,
+    armed_in: Option<Duration>,
     ranks: Vec<Rank>,
 }
 
@@ -157,6 +158,7 @@
             min_step: start.min_step,
             others_held: Vec::new(),
             phase: Phase::Preparing,
+            armed_in: None,
             ranks: start.reports.into_iter().map(Rank::new).collect(),
         }
     }
@@ -169,6 +171,12 @@
         }
     }
 
+    /// How long all ranks took to be armed, once they are. A group stands still for
+    /// the part of it that is longer than its lead.
+    pub fn armed_in(&self) -> Option<Duration> {
+        self.armed_in
+    }
+
     /// The number of the map that is switched to, or the highest that is undone.
     pub fn version(&self) -> MapVersion {
         self.version
@@ -280,7 +288,8 @@
             Phase::Holding { .. } if !self.is_held() => None,
             Phase::Holding { .. } if self.goal.is_some() => Some(Phase::Arming { since: now }),
             Phase::Holding { .. } => Some(Phase::Settling),
-            Phase::Arming { .. } if self.all(Switch::is_armed) => {
+            Phase::Arming { since } if self.all(Switch::is_armed) => {
+                self.armed_in = Some(now.saturating_sub(since));
                 Some(Phase::Releasing { end: SwitchEnd::Switched })
             }
             Phase::Arming { since } if now >= since + self.options.arm_timeout => {
--- a/crates/rank/src/coordinator.rs
+++ b/crates/rank/src/coordinator.rs
@@ -224,12 +224,12 @@
         let Some(plan) = plan_change(&current, &demand, spec) else { return };
         let Some(start) = self.start(memory, &group, current.clone()) else { return };
         let base = Some((group.map_version(), &current));
-        let switch = Switch::start(start, plan.maps.clone(), memory.min_version);
+        let mut switch = Switch::start(start, plan.maps.clone(), memory.min_version);
         memory.min_version = switch.version();
         self.metrics.count("maps.started");
         let began = Instant::now();
-        let end = self.drive(memory, switch, &group.engines, base).await;
-        self.note(&plan, memory.min_version, end, began.elapsed());
+        let end = self.drive(memory, &mut switch, &group.engines, base).await;
+        self.note(&plan, &switch, end, began.elapsed());
     }
 
     fn start(&self, memory: &Memory, group: &Group, current: GroupMap) -> Option<SwitchStart> {
@@ -250,11 +250,13 @@
         })
     }
 
-    fn note(&self, plan: &GroupPlan, version: MapVersion, end: SwitchEnd, took: Duration) {
+    fn note(&self, plan: &GroupPlan, switch: &Switch, end: SwitchEnd, took: Duration) {
+        let version = switch.version();
+        let armed_ms = switch.armed_in().map(|time| time.as_millis() as u64);
         let (before, after, fetches) = (plan.skew_before, plan.skew_after, plan.fetches);
         let took_ms = took.as_millis() as u64;
-        log::info!(version, skew_before = before, skew_after = after, fetches, took_ms,
-            end:? = end; "change of map");
+        log::info!(version, skew_before = before, skew_after = after, fetches, armed_ms,
+            took_ms, end:? = end; "change of map");
         self.metrics.latency("maps.change", took);
         if end == SwitchEnd::Switched {
             self.metrics.count("maps.switched");
@@ -264,10 +266,10 @@
     async fn undo(&self, memory: &mut Memory, group: Group) {
         let Some(current) = group.map() else { return };
         let Some(start) = self.start(memory, &group, current) else { return };
-        let Some(switch) = Switch::undo(start) else { return };
+        let Some(mut switch) = Switch::undo(start) else { return };
         log::warn!(epoch = group.epoch; "a change of map was left behind; it is undone");
         memory.min_version = memory.min_version.max(switch.version());
-        let end = self.drive(memory, switch, &group.engines, None).await;
+        let end = self.drive(memory, &mut switch, &group.engines, None).await;
         log::info!(end:? = end; "a change of map that was left behind is over");
         self.metrics.count("maps.undone");
     }
@@ -276,7 +278,7 @@
     async fn drive(
         &self,
         memory: &mut Memory,
-        mut switch: Switch,
+        switch: &mut Switch,
         engines: &[SocketAddr],
         base: Base<'_>,
     ) -> SwitchEnd {
@@ -296,11 +298,11 @@
                 Some((rank, answered)) = under_way.next(), if !under_way.is_empty() => {
                     memory.note_loss(&answered);
                     self.note_report(engines[rank], &answered);
-                    take_answer(&mut switch, rank, answered);
+                    take_answer(switch, rank, answered);
                 }
                 () = tokio::time::sleep(SWITCH_TICK) => {
                     self.read_silent(memory);
-                    self.observe(&mut switch, engines);
+                    self.observe(switch, engines);
                 }
             }
         }
