Hold every group one pass ahead for a switch, two while answers are lost

Cause: arming 72 ranks takes 20 to 41 ms with processor time counted, less than a pass; each further pass of lead delays the answer to a shift of demand by 85 ms.

--- a/crates/group/src/switch/options.rs
+++ b/crates/group/src/switch/options.rs
@@ -17,7 +17,9 @@
     /// take up to half a second, and show no effect before their end.
     pub repeat_after: Duration,
     /// How many steps ahead the group is held. One is enough: the hold takes a
-    /// millisecond and arming about ten, and passes take 20 ms or more.
+    /// millisecond; 16 ranks are armed in about 10 ms, of passes of 40 to 70, and 72 in
+    /// 20 to 41 ms, of passes of 85. Two for 72 ranks gave a mean worth of 0.46, 0.77 and
+    /// 0.64 on three heavy days, one 0.55, 0.75 and 0.67 (three seeds each).
     pub lead_steps: GroupStep,
     /// How often a hold that came too late is tried at a later step.
     pub max_holds: u32,
--- a/crates/rank/src/coordinator.rs
+++ b/crates/rank/src/coordinator.rs
@@ -45,17 +45,9 @@
 
 /// How many steps ahead a group is held while answers to orders are lost. Arming
 /// then takes 50 to 100 ms, which the group works through instead of standing
-/// still.
-const LOSSY_LEAD_STEPS: GroupStep = 4;
-
-/// How many steps ahead a large group is held: its ranks are armed in 50 to 80 ms,
-/// and its passes take 85 ms. With four, each answer to a shift of demand came two
-/// passes later: a mean worth of 0.53 and 0.37 on the heaviest days, against 0.61
-/// and 0.42 (three seeds each).
-const LARGE_LEAD_STEPS: GroupStep = 2;
-
-/// Ranks that are armed in about 10 ms.
-const MANY_RANKS: usize = 24;
+/// still. With four, the mean worth of the small sites' heaviest days was 0.73 and
+/// 0.70, with two 0.76 and 0.70, with one 0.72 and 0.68 (four seeds each).
+const LOSSY_LEAD_STEPS: GroupStep = 2;
 
 /// How long after a lost answer others are expected to be lost.
 const LOSS_TIME: Duration = Duration::from_secs(3);
@@ -105,15 +97,12 @@
         }
     }
 
-    fn switch_options(&self, ranks: usize) -> SwitchOptions {
+    fn switch_options(&self) -> SwitchOptions {
         let options = SwitchOptions::default();
         let is_lossy = self.answer_lost_at.is_some_and(|at| at.elapsed() < LOSS_TIME);
-        match ranks {
-            _ if is_lossy => SwitchOptions { lead_steps: LOSSY_LEAD_STEPS, ..options },
-            ranks if ranks > MANY_RANKS => {
-                SwitchOptions { lead_steps: LARGE_LEAD_STEPS, ..options }
-            }
-            _ => options,
+        match is_lossy {
+            true => SwitchOptions { lead_steps: LOSSY_LEAD_STEPS, ..options },
+            false => options,
         }
     }
 }
@@ -239,7 +228,7 @@
         let is_own = |rank: usize| is_own_guard(&group.engines, &listeners, place, rank);
         let guard = memory.guards.choose(group.epoch, &reports, is_own)?;
         Some(SwitchStart {
-            options: memory.switch_options(group.engines.len()),
+            options: memory.switch_options(),
             guard: guard.rank,
             min_step: guard.min_step,
             epoch: group.epoch,
