--- a/crates/direct/src/handler.rs
+++ b/crates/direct/src/handler.rs
@@ -187,7 +187,7 @@
     async fn run(self: &Arc<Call<D>>) -> Result<Response<ReplyBody>, Refusal> {
         let mut tries = Tries::default();
         loop {
-            let place = match self.first_place().await {
+            let place = match self.place(self.wait_time()).await {
                 Ok(place) => place,
                 Err(no_place) => {
                     let refusal = self.no_place(no_place, tries.may_have_run);
@@ -228,16 +228,6 @@
         tries.failure.map(|answer| self.deliver(answer)).ok_or(refusal)
     }
 
-    /// A place for an attempt of which the caller has nothing yet. Nothing waits for
-    /// a service that stands still.
-    async fn first_place(&self) -> Result<Place, NoPlace> {
-        if self.kind.is_stream() && self.service.is_stalled() {
-            self.metrics.count("requests.stalled");
-            return Err(NoPlace::Nowhere);
-        }
-        self.place(self.wait_time()).await
-    }
-
     async fn place(&self, wait: Duration) -> Result<Place, NoPlace> {
         let tried = self.tried.lock().clone();
         let team = self.team.clone().unwrap_or_else(|| PUBLIC_TEAM.into());
--- a/crates/direct/src/places.rs
+++ b/crates/direct/src/places.rs
@@ -11,8 +11,8 @@
     edge::ReportedLoad,
 };
 use lynxmount_policy::{
-    CallEnd, Health, Offer, OutageWatch, PaceLimit, Placement, Seat, ServiceQueue, StallWatch,
-    Ticket, Waiter, WindowBudget, WindowBudgetOptions, place,
+    CallEnd, Health, Offer, OutageWatch, PaceLimit, Placement, Seat, ServiceQueue, Ticket, Waiter,
+    WindowBudget, WindowBudgetOptions, place,
 };
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
@@ -54,11 +54,7 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        {
-            let mut inner = self.service.inner.lock();
-            let running = inner.running - 1;
-            inner.set_running(running, self.service.clock.now());
-        }
+        self.service.inner.lock().running -= 1;
         self.endpoint.load.lock().own_running -= 1;
         self.service.wake();
     }
@@ -82,6 +78,8 @@
 /// The endpoints of one service.
 pub(crate) struct Service {
     clock: Clock,
+    /// When any stream of the service had an event.
+    last_event_at: Mutex<Option<Instant>>,
     inner: Mutex<Inner>,
 }
 
@@ -92,7 +90,6 @@
     budget: WindowBudget,
     outage: OutageWatch,
     pace: PaceLimit,
-    stall: StallWatch,
     /// Calls of this entry in progress.
     running: u32,
     choices: u64,
@@ -162,13 +159,12 @@
             budget: WindowBudget::new(options),
             outage: OutageWatch::default(),
             pace: PaceLimit::default(),
-            stall: StallWatch::default(),
             running: 0,
             choices: 0,
             slots: None,
             entries: 1,
         };
-        Service { clock, inner: Mutex::new(inner) }
+        Service { clock, last_event_at: Mutex::default(), inner: Mutex::new(inner) }
     }
 
     fn update<'a>(
@@ -193,24 +189,18 @@
     /// Notes that a stream of the service had an event, how long after the one
     /// before, and the longest pause that is on time.
     pub(crate) fn note_event(&self, pause: Option<Duration>, goal: Option<Duration>) {
-        let now = self.clock.now();
-        let mut inner = self.inner.lock();
-        inner.stall.note_event(now);
+        *self.last_event_at.lock() = Some(Instant::now());
         if let (Some(pause), Some(goal)) = (pause, goal) {
+            let mut inner = self.inner.lock();
             let share = inner.share().unwrap_or(f64::INFINITY);
             let taken = f64::from(inner.running) / share.max(1.0);
-            inner.pace.note_pause(pause, goal, taken, now);
+            inner.pace.note_pause(pause, goal, taken, self.clock.now());
         }
     }
 
     /// How long ago the last event of any of the service's streams was.
     pub(crate) fn last_event_age(&self) -> Option<Duration> {
-        self.inner.lock().stall.event_age(self.clock.now())
-    }
-
-    /// Says whether the service's streams stand still.
-    pub(crate) fn is_stalled(&self) -> bool {
-        self.inner.lock().stall.is_stalled(self.clock.now())
+        self.last_event_at.lock().map(|at| at.elapsed())
     }
 
     /// Counts the first arrival of a call.
@@ -355,14 +345,9 @@
         limit.is_some_and(|limit| f64::from(self.running) >= limit)
     }
 
-    fn set_running(&mut self, running: u32, now: Duration) {
-        self.running = running;
-        self.stall.note_running(running, now);
-    }
-
     fn take(&mut self, index: usize, service: &Arc<Service>) -> Place {
         self.choices += 1;
-        self.set_running(self.running + 1, service.clock.now());
+        self.running += 1;
         let endpoint = Arc::clone(&self.endpoints[index]);
         let mut load = endpoint.load.lock();
         load.own_running += 1;
