--- a/crates/lynxmount/tests/platform_common/mod.rs
+++ b/crates/lynxmount/tests/platform_common/mod.rs
@@ -14,7 +14,10 @@
 use http::{Method, StatusCode};
 use lynxmount_platform_standin::{
     Behaviour, Call, CallerStandin, ReplicaStandin, StoreStandin, Told,
-    fixture::{EntryPorts, config_text, entry_settings_text, registration_text, service_of},
+    fixture::{
+        CONFIG_KEY, EntryPorts, OPERATOR_TOPIC, REGISTRATIONS_TOPIC, config_text,
+        entry_settings_text, registration_text, service_of,
+    },
 };
 use nix::{
     sys::signal::{Signal, kill},
@@ -132,14 +135,14 @@
         let network = network();
         let store =
             StoreStandin::start((ip(network, 250), STORE_PORT).into()).await.expect("a store");
-        store.put("keyed.op", "config", &config(1, &[KEY]));
+        store.put(OPERATOR_TOPIC, CONFIG_KEY, &config(1, &[KEY]));
         let mut replicas = Vec::new();
         for (index, behaviour) in behaviours.iter().enumerate() {
             let address = (ip(network, 100 + index as u8), REPLICA_PORT).into();
             let id = format!("i-{index}");
             let replica =
                 ReplicaStandin::start(&id, address, behaviour.clone()).await.expect("a replica");
-            store.put("keyed.servers", &id, &registration(&replica, service, "ready"));
+            store.put(REGISTRATIONS_TOPIC, &id, &registration(&replica, service, "ready"));
             replicas.push(replica);
         }
         let own = entry_ip(network, 0);
--- a/crates/lynxmount/tests/platform_endpoint.rs
+++ b/crates/lynxmount/tests/platform_endpoint.rs
@@ -6,7 +6,10 @@
 
 use lynxmount_platform_standin::{
     GroupStandin, StoreStandin,
-    fixture::{GroupText, config_text, endpoint_settings_text, registration_text, service_of},
+    fixture::{
+        CONFIG_KEY, GroupText, OPERATOR_TOPIC, REGISTRATIONS_TOPIC, config_text,
+        endpoint_settings_text, registration_text, service_of,
+    },
 };
 use nix::sys::signal::Signal;
 use platform_common::{INTERNAL_PORT, Process, STORE_PORT, ip, network, wait_for};
@@ -27,13 +30,13 @@
     let store = StoreStandin::start((ip(network, 250), STORE_PORT).into()).await.expect("a store");
     let service = service_of("model");
     let group = GroupText { service: &service, experts: EXPERTS };
-    store.put("keyed.op", "config", &config_text(1, &[], Some(group)));
+    store.put(OPERATOR_TOPIC, CONFIG_KEY, &config_text(1, &[], Some(group)));
     let engines: Vec<SocketAddr> =
         (0..RANKS).map(|rank| (ip(network, 10 + rank), ENGINE_PORT).into()).collect();
     let group = GroupStandin::start(&engines, EXPERTS, PASS).await.expect("a group");
     for (rank, engine) in engines.iter().enumerate() {
         let registration = registration_text(*engine, &service, "ready");
-        store.put("keyed.servers", &format!("i-{rank}"), &registration);
+        store.put(REGISTRATIONS_TOPIC, &format!("i-{rank}"), &registration);
     }
     let own = |engine: &SocketAddr| endpoint_settings_text(*engine, INTERNAL_PORT, store.address());
     let settings: Vec<String> = engines.iter().map(own).collect();
--- a/crates/lynxmount/tests/platform_entry.rs
+++ b/crates/lynxmount/tests/platform_entry.rs
@@ -7,7 +7,7 @@
 use http::{Method, StatusCode};
 use lynxmount_platform_standin::{
     Behaviour, StoreMode,
-    fixture::{ONCE, PLAIN, STREAM, TEAM},
+    fixture::{CONFIG_KEY, ONCE, OPERATOR_TOPIC, PLAIN, REGISTRATIONS_TOPIC, STREAM, TEAM},
 };
 use nix::sys::signal::Signal;
 use platform_common::{
@@ -249,11 +249,11 @@
         answer.expect("an answer").status
     };
 
-    fleet.store.put("keyed.op", "config", &config(9, &["other-key"]));
+    fleet.store.put(OPERATOR_TOPIC, CONFIG_KEY, &config(9, &["other-key"]));
     wait_for("the new key", async || status("other-key").await == StatusCode::OK).await;
-    fleet.store.put("keyed.op", "config", &config(3, &[KEY]));
-    fleet.store.compact("keyed.op");
-    fleet.store.put("keyed.op", "config", &config(12, &["third-key"]));
+    fleet.store.put(OPERATOR_TOPIC, CONFIG_KEY, &config(3, &[KEY]));
+    fleet.store.compact(OPERATOR_TOPIC);
+    fleet.store.put(OPERATOR_TOPIC, CONFIG_KEY, &config(12, &["third-key"]));
     wait_for("the third key", async || status("third-key").await == StatusCode::OK).await;
 
     assert_eq!(status(KEY).await, StatusCode::UNAUTHORIZED);
@@ -276,7 +276,7 @@
 async fn a_leaving_replica_gets_no_more_work() {
     let fleet = Fleet::start(PLAIN, &[Behaviour::Answer, Behaviour::Answer]).await;
     let leaving = &fleet.replicas[0];
-    fleet.store.put("keyed.servers", "i-0", &registration(leaving, PLAIN, "draining"));
+    fleet.store.put(REGISTRATIONS_TOPIC, "i-0", &registration(leaving, PLAIN, "draining"));
     let calls_before = fleet.store.calls();
     wait_for("two reads", async || fleet.store.calls() >= calls_before + 4).await;
     let seen_before = leaving.seen().len();
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -8,7 +8,10 @@
     time::Duration,
 };
 
-use lynxmount_platform_standin::{Behaviour, StoreMode, fixture::GRACE};
+use lynxmount_platform_standin::{
+    Behaviour, StoreMode,
+    fixture::{GRACE, OPERATOR_TOPIC, REGISTRATIONS_TOPIC},
+};
 use nix::sys::signal::Signal;
 use tokio::task::JoinSet;
 
@@ -69,8 +72,8 @@
             }
             FaultKind::ChangeDemand => self.change_demand(),
             FaultKind::CompactStore => {
-                world.store.compact("keyed.op");
-                world.store.compact("keyed.servers");
+                world.store.compact(OPERATOR_TOPIC);
+                world.store.compact(REGISTRATIONS_TOPIC);
             }
             FaultKind::Leave(endpoint) => self.leave(endpoint, fault.length).await,
             FaultKind::Link(link, harm) => self.harm(link, harm, fault.length).await,
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -23,7 +23,7 @@
     pub calls: BTreeMap<String, usize>,
     /// Questions which configuration was in force.
     pub probes: usize,
-    /// Switches of the group's map.
+    /// The number of the group's map at the end; 0 if it never changed.
     pub last_map_version: u64,
     /// Broken promises.
     pub violations: Vec<Violation>,
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -10,8 +10,9 @@
 use lynxmount_platform_standin::{
     Behaviour, GroupStandin, ReplicaStandin, StoreStandin,
     fixture::{
-        EntryPorts, GroupText, ONCE, PLAIN, STREAM, config_text, endpoint_settings_text,
-        entry_settings_text, registration_text, service_of,
+        CONFIG_KEY, EntryPorts, GroupText, ONCE, OPERATOR_TOPIC, PLAIN, REGISTRATIONS_TOPIC,
+        STREAM, config_text, endpoint_settings_text, entry_settings_text, registration_text,
+        service_of,
     },
 };
 use parking_lot::Mutex;
@@ -90,7 +91,7 @@
         world.start_entries(binary, folder, number).await?;
         for (rank, engine) in engines.iter().enumerate() {
             let registration = registration_text(*engine, &service_of("model"), "ready");
-            world.store.put("keyed.servers", &format!("rank-{rank}"), &registration);
+            world.store.put(REGISTRATIONS_TOPIC, &format!("rank-{rank}"), &registration);
             let id = ProcessId::Endpoint(rank);
             let link = world.start_store_link(id, engine.ip()).await?;
             let settings = endpoint_settings_text(*engine, INTERNAL_PORT, link);
@@ -180,7 +181,7 @@
         let service = service_of("model");
         let group = GroupText { service: &service, experts: EXPERTS };
         let text = config_text(version, &[LASTING_KEY, &version_key(version)], Some(group));
-        self.store.put("keyed.op", "config", &text);
+        self.store.put(OPERATOR_TOPIC, CONFIG_KEY, &text);
         self.history.lock().configs.push(ConfigRecord { version, at: self.now() });
     }
 
@@ -189,7 +190,7 @@
         let route = route_of(endpoint, self.size);
         let address = self.endpoint_links[endpoint].address();
         let registration = registration_text(address, &service_of(route), state);
-        self.store.put("keyed.servers", &self.endpoints[endpoint].id, &registration);
+        self.store.put(REGISTRATIONS_TOPIC, &self.endpoints[endpoint].id, &registration);
     }
 
     /// Lets an endpoint answer well.
