Split the call from the handler, and a switch's orders from its phases

Change: call.rs has the attempts of an admitted call, handler.rs what comes before; switch/orders.rs says which order a rank needs. Code is moved, not changed; fields of Call are visible in their crate, as the handler makes it.

--- a/crates/direct/src/handler.rs
+++ b/crates/direct/src/handler.rs
@@ -1,51 +1,32 @@
-//! The way of a request, from its headers to its answer.
+//! The way of a request to its call: what is checked before an endpoint is chosen.
 
 use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicU32, Ordering},
-    },
+    sync::{Arc, atomic::AtomicU32},
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
-use http::{Method, Request, Response, header, request::Parts};
+use http::{Request, Response, header, request::Parts};
 use hyper::body::Incoming;
 use lynxmount_core::{
-    CallKind, EndpointId, RouteId, TeamId,
-    edge::{CallHead, Dialect, Forward},
+    RouteId,
+    edge::{CallHead, Dialect},
 };
-use lynxmount_policy::{Waiter, return_time};
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
-use rand::Rng;
 
 use crate::{
     admission::{authenticate, draw_target, host, read_body},
-    attempt::{Attempted, Ended, Opened, Outgoing, WholeAnswer, left, open},
+    call::{Call, return_after},
     drain::Drain,
     fleet::{ConfigView, Fleet},
-    places::{Clock, NoPlace, Place, Places, Service, Want},
-    reply::{Refusal, ReplyBody, whole_body},
-    stream::StreamRelay,
+    places::{Clock, Places},
+    reply::{Refusal, ReplyBody},
 };
 
 /// The time that a caller is taken to have if it does not say.
 const DEFAULT_TIME: Duration = Duration::from_secs(8);
 
-/// The part of the latency objective that a call may wait for a place.
-const WAIT_PART: f64 = 0.5;
-
-/// The part of the time that is left which one of several attempts may take,
-/// so that there is time for another.
-const ATTEMPT_PART: f64 = 0.45;
-
-/// Connections that may fail to open for one call; nothing is sent on these.
-const MAX_UNREACHABLE: u32 = 3;
-
-/// The team of calls that need no key.
-const PUBLIC_TEAM: &str = "public";
-
 /// What requests share.
 pub(crate) struct Handler<D: Dialect> {
     pub(crate) dialect: Arc<D>,
@@ -56,29 +37,6 @@
     pub(crate) clock: Clock,
 }
 
-/// An admitted request.
-pub(crate) struct Call<D: Dialect> {
-    dialect: Arc<D>,
-    metrics: Arc<Metrics>,
-    clock: Clock,
-    parts: Parts,
-    body: Bytes,
-    pub(crate) head: CallHead,
-    pub(crate) kind: CallKind,
-    pub(crate) service: Arc<Service>,
-    pub(crate) deadline: Instant,
-    arrived: Instant,
-    route: RouteId,
-    max_attempts: u32,
-    goal: Duration,
-    /// The longest pause between events that is on time.
-    pub(crate) gap_goal: Option<Duration>,
-    team: Option<TeamId>,
-    priority: u8,
-    attempts: AtomicU32,
-    tried: Mutex<Vec<EndpointId>>,
-}
-
 impl<D: Dialect> Handler<D> {
     /// Answers a request; whatever happens, there is an answer.
     pub(crate) async fn handle(&self, request: Request<Incoming>) -> Response<ReplyBody> {
@@ -164,245 +122,3 @@
         })
     }
 }
-
-/// What the attempts of a call have come to so far.
-#[derive(Default)]
-struct Tries {
-    may_have_run: bool,
-    unreachable: u32,
-    /// An endpoint's own failure. It is delivered if no later attempt has an
-    /// answer: it tells the caller more than that nothing is known.
-    failure: Option<WholeAnswer>,
-}
-
-impl Tries {
-    fn note(&mut self, ended: Ended) {
-        self.may_have_run |= matches!(ended, Ended::Lost | Ended::TimedOut);
-        self.unreachable += u32::from(ended == Ended::Unreachable);
-    }
-}
-
-impl<D: Dialect> Call<D> {
-    /// Tries until there is an answer or nothing more may be tried.
-    async fn run(self: &Arc<Call<D>>) -> Result<Response<ReplyBody>, Refusal> {
-        let mut tries = Tries::default();
-        loop {
-            let place = match self.place(self.wait_time()).await {
-                Ok(place) => place,
-                Err(no_place) => {
-                    let refusal = self.no_place(no_place, tries.may_have_run);
-                    return self.settle(tries, refusal);
-                }
-            };
-            let ended = match self.attempt(place).await {
-                Attempted::Answered(response) => return Ok(response),
-                Attempted::Failed(answer) => {
-                    tries.failure = Some(answer);
-                    Ended::Lost
-                }
-                Attempted::Ended(ended) => ended,
-            };
-            self.metrics.count(attempt_counter(ended));
-            tries.note(ended);
-            if !self.may_retry(&tries, ended) {
-                let refusal = self.give_up(tries.may_have_run);
-                return self.settle(tries, refusal);
-            }
-            self.metrics.count("attempts.retried");
-        }
-    }
-
-    /// Says whether another attempt may follow one that has ended, and takes it
-    /// from the service's budget.
-    fn may_retry(&self, tries: &Tries, ended: Ended) -> bool {
-        let may_send = !tries.may_have_run || self.kind.may_repeat();
-        match ended {
-            _ if left(self.deadline).is_zero() || !may_send => false,
-            Ended::Unreachable => tries.unreachable <= MAX_UNREACHABLE,
-            _ => self.has_attempts_left() && self.service.take_repeat(),
-        }
-    }
-
-    /// Answers a call that gets no further attempt.
-    fn settle(&self, tries: Tries, refusal: Refusal) -> Result<Response<ReplyBody>, Refusal> {
-        tries.failure.map(|answer| self.deliver(answer)).ok_or(refusal)
-    }
-
-    async fn place(&self, wait: Duration) -> Result<Place, NoPlace> {
-        let tried = self.tried.lock().clone();
-        let team = self.team.clone().unwrap_or_else(|| PUBLIC_TEAM.into());
-        let wait_until = self.clock.now() + wait.min(left(self.deadline));
-        let waiter = Waiter { team, priority: self.priority, wait_until };
-        self.service.place(Want { waiter, tried: &tried }).await
-    }
-
-    /// How long the call may wait for a place: what is left of its part of the
-    /// objective.
-    fn wait_time(&self) -> Duration {
-        self.goal.mul_f64(WAIT_PART).saturating_sub(self.arrived.elapsed())
-    }
-
-    fn no_place(&self, no_place: NoPlace, may_have_run: bool) -> Refusal {
-        match no_place {
-            _ if may_have_run => Refusal::MayHaveRun,
-            // It would be late in any case; what matters is that there is a place then.
-            NoPlace::Full { retry_after } => {
-                let retry_after = retry_after.max(return_after(left(self.deadline)));
-                Refusal::NotRun { retry_after }
-            }
-            NoPlace::Nowhere => Refusal::NotRun { retry_after: return_after(left(self.deadline)) },
-        }
-    }
-
-    fn give_up(&self, may_have_run: bool) -> Refusal {
-        match may_have_run {
-            true if left(self.deadline).is_zero() => Refusal::TimedOut,
-            true => Refusal::MayHaveRun,
-            false => Refusal::NotRun { retry_after: return_after(left(self.deadline)) },
-        }
-    }
-
-    async fn attempt(self: &Arc<Call<D>>, place: Place) -> Attempted {
-        let opened = match self.open(place, self.head.last_event).await {
-            Ok(opened) => opened,
-            Err(ended) => return Attempted::Ended(ended),
-        };
-        if self.kind.is_stream() && opened.status.is_success() {
-            let started = self.start_stream(opened).await;
-            return started.map_or_else(Attempted::Ended, Attempted::Answered);
-        }
-        let endpoint = EndpointId::clone(&opened.place.endpoint.record.id);
-        let answer = match opened.whole(self.attempt_end()).await {
-            Ok(answer) => answer,
-            Err(ended) => return Attempted::Ended(ended),
-        };
-        let is_failure = answer.status.is_server_error();
-        if is_failure && self.kind == CallKind::Idempotent && self.may_try_again() {
-            log::info!(request = self.head.id.as_deref(), endpoint = &*endpoint,
-                status = answer.status.as_u16(); "the endpoint failed; another is tried");
-            return Attempted::Failed(answer);
-        }
-        Attempted::Answered(self.deliver(answer))
-    }
-
-    /// Passes an endpoint's whole answer on.
-    fn deliver(&self, answer: WholeAnswer) -> Response<ReplyBody> {
-        self.metrics.latency("requests.answered", self.arrived.elapsed());
-        self.finished(answer.status.as_str(), None);
-        self.whole_response(answer)
-    }
-
-    /// Sends the call to an endpoint, after the last event that the caller has.
-    async fn open(&self, place: Place, last_event: Option<u64>) -> Result<Opened, Ended> {
-        let endpoint = EndpointId::clone(&place.endpoint.record.id);
-        log::info!(request = self.head.id.as_deref(), route = &*self.route, endpoint = &*endpoint,
-            running = place.endpoint.own_running(), left_ms = left(self.deadline).as_millis() as u64,
-            after_event = last_event; "attempt");
-        let outgoing = Outgoing {
-            method: &self.parts.method,
-            uri: &self.parts.uri,
-            headers: &self.parts.headers,
-            body: &self.body,
-            id: self.head.id.as_deref(),
-            may_repeat: self.kind.may_repeat(),
-        };
-        let forward = Forward {
-            endpoint: &endpoint,
-            team: self.team.as_ref(),
-            time_left: left(self.deadline),
-            last_event,
-            priority: None,
-        };
-        self.tried.lock().push(EndpointId::clone(&endpoint));
-        let opened = open(&*self.dialect, place, &outgoing, forward, self.attempt_end()).await;
-        // A request of which nothing was sent is no attempt.
-        if !matches!(opened, Err(Ended::Unreachable)) {
-            self.attempts.fetch_add(1, Ordering::Relaxed);
-        }
-        opened
-    }
-
-    async fn start_stream(
-        self: &Arc<Call<D>>,
-        opened: Opened,
-    ) -> Result<Response<ReplyBody>, Ended> {
-        let mut response = Response::new(());
-        *response.status_mut() = opened.status;
-        *response.headers_mut() = self.dialect.write_answer(&opened.headers);
-        response.headers_mut().remove(header::CONTENT_LENGTH);
-        let mut relay = StreamRelay::new(Arc::clone(self), opened);
-        let first = relay.first_events().await?;
-        self.metrics.latency("requests.first_event", self.arrived.elapsed());
-        Ok(response.map(|()| relay.into_body(first)))
-    }
-
-    /// Sends a broken stream's call to another endpoint.
-    pub(crate) async fn resume(&self, last_event: Option<u64>, why: &str) -> Option<Opened> {
-        let is_allowed = self.service.take_repeat();
-        log::info!(request = self.head.id.as_deref(), why, last_event, is_allowed;
-            "stream broke");
-        if !is_allowed {
-            return None;
-        }
-        let place = self.place(self.goal.mul_f64(WAIT_PART)).await.ok()?;
-        let opened = self.open(place, last_event).await.ok()?;
-        if !opened.status.is_success() {
-            return None;
-        }
-        self.metrics.count("streams.resumed");
-        Some(opened)
-    }
-
-    pub(crate) fn has_attempts_left(&self) -> bool {
-        self.attempts.load(Ordering::Relaxed) < self.max_attempts
-    }
-
-    fn may_try_again(&self) -> bool {
-        self.has_attempts_left() && !left(self.deadline).is_zero()
-    }
-
-    /// Until when the next attempt may take: not all of the time that is left if
-    /// another may follow it.
-    fn attempt_end(&self) -> Instant {
-        let may_follow = self.attempts.load(Ordering::Relaxed) + 1 < self.max_attempts;
-        match self.kind {
-            CallKind::Idempotent if may_follow => {
-                Instant::now() + left(self.deadline).mul_f64(ATTEMPT_PART)
-            }
-            _ => self.deadline,
-        }
-    }
-
-    fn whole_response(&self, answer: WholeAnswer) -> Response<ReplyBody> {
-        let mut response = Response::new(whole_body(answer.body));
-        *response.status_mut() = answer.status;
-        *response.headers_mut() = self.dialect.write_answer(&answer.headers);
-        if self.parts.method != Method::HEAD {
-            response.headers_mut().remove(header::CONTENT_LENGTH);
-        }
-        response
-    }
-
-    /// Notes how the call has ended.
-    pub(crate) fn finished(&self, outcome: &str, last_event: Option<u64>) {
-        let took_ms = self.arrived.elapsed().as_millis() as u64;
-        let attempts = self.attempts.load(Ordering::Relaxed);
-        log::info!(request = self.head.id.as_deref(), outcome, attempts, took_ms, last_event;
-            "finished");
-    }
-}
-
-/// When a caller may come back that has met an outage.
-fn return_after(time_left: Duration) -> Duration {
-    return_time(time_left, rand::rng().random())
-}
-
-fn attempt_counter(ended: Ended) -> &'static str {
-    match ended {
-        Ended::Lost => "attempts.lost",
-        Ended::NotRun => "attempts.not_run",
-        Ended::OtherEndpoint => "attempts.other_endpoint",
-        Ended::TimedOut => "attempts.timed_out",
-        Ended::Unreachable => "attempts.unreachable",
-    }
-}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod admission;
 mod attempt;
+mod call;
 mod callers_port;
 mod drain;
 mod fleet;
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     attempt::{Ended, Opened, left},
-    handler::Call,
+    call::Call,
     places::Place,
     reply::ReplyBody,
 };
--- /dev/null
+++ b/crates/group/src/switch/orders.rs
@@ -0,0 +1,63 @@
+//! Which order each rank needs in each phase of a switch.
+
+use std::{sync::Arc, time::Duration};
+
+use lynxmount_core::experts::{Action, EngineOrder};
+
+use super::{Phase, RankOrder, Switch, rank::Wanted};
+use crate::RankNumber;
+
+impl Switch {
+    /// The order that a rank needs, unless it was given just now.
+    pub(super) fn next_order(&mut self, rank: RankNumber, now: Duration) -> Option<RankOrder> {
+        let wanted = self.wanted(rank)?;
+        let is_to_ask = self.ranks[rank].is_to_ask(wanted, now, self.options.repeat_after);
+        let action = is_to_ask.then(|| self.action(wanted))?;
+        Some(RankOrder { rank, order: EngineOrder { epoch: self.epoch, action } })
+    }
+
+    fn action(&self, wanted: Wanted) -> Action {
+        match wanted {
+            Wanted::Arm => Action::Arm { version: self.version, step: self.step },
+            Wanted::Disarm(version) => Action::Disarm { version },
+            Wanted::Go(step) => Action::Go { step },
+            Wanted::Hold(step) => Action::Hold { step },
+            Wanted::Prepare => {
+                let map = Arc::clone(self.goal.as_ref().unwrap_or(&self.current));
+                Action::Prepare { version: self.version, map }
+            }
+            Wanted::Settle(version) => Action::Prepare { version, map: Arc::clone(&self.current) },
+        }
+    }
+
+    fn wanted(&self, rank: RankNumber) -> Option<Wanted> {
+        match self.phase {
+            Phase::Preparing if !self.has_prepared(rank) => Some(Wanted::Prepare),
+            Phase::Holding { .. } if rank == self.guard => Some(Wanted::Hold(self.step)),
+            Phase::Arming { .. } if !self.is_armed(rank) => Some(Wanted::Arm),
+            Phase::Settling if !self.is_settled(rank) => Some(self.settling_order(rank)),
+            Phase::Releasing { .. } => self.release_order(rank),
+            _ => None,
+        }
+    }
+
+    fn settling_order(&self, rank: RankNumber) -> Wanted {
+        match self.ranks[rank].report.armed {
+            Some((version, _)) => Wanted::Disarm(version),
+            None => Wanted::Settle(self.settle_version),
+        }
+    }
+
+    /// Others' holds go first, so that the own one guards to the last.
+    fn release_order(&self, rank: RankNumber) -> Option<Wanted> {
+        let of_rank = self.others_held.iter().find(|held| held.0 == rank && self.stands(**held));
+        let are_others_open = self.others_held.iter().all(|held| !self.stands(*held));
+        match of_rank {
+            Some((_, step)) => Some(Wanted::Go(*step)),
+            None if rank == self.guard && are_others_open && self.is_held() => {
+                Some(Wanted::Go(self.step))
+            }
+            None => None,
+        }
+    }
+}
