Look at a leaving process's calls once, and at one place for the time of copies

Cause: in the last reading: the soak's check of leaving processes went through all runs for every call, answered ones too; the time of copies had the same expression twice. Change: only calls without a whole answer are looked up; the time is chosen first.

--- a/crates/balance/src/group_change.rs
+++ b/crates/balance/src/group_change.rs
@@ -53,13 +53,9 @@
 /// How many experts a rank fetches, by how much is out of balance. Smaller experts
 /// are copied sooner.
 fn fetches_per_rank(skew: f64, spec: &ExpertSpec) -> usize {
-    let in_time = |time: Duration| {
-        (time.as_secs_f64() / spec.copy_time.as_secs_f64().max(f64::MIN_POSITIVE)).round() as usize
-    };
-    match skew >= HIGH_SKEW {
-        true => in_time(LONG_COPY).max(1),
-        false => in_time(SHORT_COPY).max(1),
-    }
+    let time = if skew >= HIGH_SKEW { LONG_COPY } else { SHORT_COPY };
+    let copies = time.as_secs_f64() / spec.copy_time.as_secs_f64().max(f64::MIN_POSITIVE);
+    (copies.round() as usize).max(1)
 }
 
 /// By how much the skew of a set must fall for each expert that is fetched: one
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -159,19 +159,18 @@
 /// A call that a process has taken before or soon after it was asked to leave is
 /// answered, unless something else has harmed it.
 fn judge_leaving_processes(history: &History, found: &mut Vec<Violation>) {
-    for call in &history.calls {
-        let endpoints: Vec<usize> =
-            history.runs.iter().filter(|run| run.id == call.id).map(|run| run.endpoint).collect();
+    let is_unanswered = |call: &&CallRecord| {
+        matches!(call.outcome, Outcome::NoAnswer | Outcome::Cut { status: 200, .. })
+    };
+    for call in history.calls.iter().filter(is_unanswered) {
+        let runs = history.runs.iter().filter(|run| run.id == call.id);
+        let endpoints: Vec<usize> = runs.map(|run| run.endpoint).collect();
         // A call that crosses the end of an idle connection was not taken.
-        let is_unfinished = match call.outcome {
-            Outcome::Cut { status: 200, .. } => true,
-            Outcome::NoAnswer => !endpoints.is_empty(),
-            _ => false,
-        };
+        let is_taken = call.outcome != Outcome::NoAnswer || !endpoints.is_empty();
         let entry = ProcessId::Entry(call.entry);
         let is_leaving = history.disturbances.iter().any(|d| {
-            let is_taken = call.sent <= d.from + TAKEN_WHILE_LEAVING;
-            d.what == Disturbed::Leaving(entry) && is_taken && call.ended >= d.from
+            let is_in_time = call.sent <= d.from + TAKEN_WHILE_LEAVING;
+            d.what == Disturbed::Leaving(entry) && is_in_time && call.ended >= d.from
         });
         let from = call.sent.saturating_sub(STABLE);
         let is_harmed = history.is_disturbed(from, call.ended, |what| match what {
@@ -180,7 +179,7 @@
             }
             _ => false,
         });
-        if is_unfinished && is_leaving && !is_harmed && !is_entry_disturbed(history, call) {
+        if is_taken && is_leaving && !is_harmed && !is_entry_disturbed(history, call) {
             broken(found, Promise::LeavesGracefully, format!("{call:?}"));
         }
     }
