Balance each group by itself: ranks find their own group through a directory

Cause: the first endpoint process of the service balanced, and saw its own group only. Change: a process announces its rank to two processes that hashing names from the group's name, and learns the others from their answers (group::members, no I/O; rank::members sends). It tells reports to the first three ranks of its own group only. Demand counts the own group's life only. The configuration's experts are those of the own service.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,4 +26,4 @@
 pub use outcome::Outcome;
 pub use problem::{Problem, Reason};
 pub use site::{SiteBounds, SiteSettings};
-pub use time::{duration_ms, wall_time_ms};
+pub use time::{Clock, duration_ms, wall_time_ms};
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -1,6 +1,6 @@
 //! Conversions between the standard types for time and milliseconds.
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Converts a duration to whole milliseconds, at most `u64::MAX`.
 pub fn duration_ms(duration: Duration) -> u64 {
@@ -11,3 +11,19 @@
 pub fn wall_time_ms(time: SystemTime) -> u64 {
     duration_ms(time.duration_since(UNIX_EPOCH).unwrap_or_default())
 }
+
+/// Time since the process's start, which decisions count in.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock(Instant);
+
+impl Clock {
+    /// Begins to count.
+    pub fn start() -> Clock {
+        Clock(Instant::now())
+    }
+
+    /// The time that has passed.
+    pub fn now(self) -> Duration {
+        self.0.elapsed()
+    }
+}
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use http::{Method, Response, header, request::Parts};
 use lynxmount_core::{
-    CallKind, EndpointId, RouteId, TeamId,
+    CallKind, Clock, EndpointId, RouteId, TeamId,
     edge::{CallHead, Dialect, Forward},
 };
 use lynxmount_policy::{Waiter, return_time};
@@ -21,7 +21,7 @@
 
 use crate::{
     attempt::{Attempted, Ended, Opened, Outgoing, WholeAnswer, left, open},
-    places::{Clock, NoPlace, Place, Service, Want},
+    places::{NoPlace, Place, Service, Want},
     reply::{Refusal, ReplyBody, whole_body},
     stream::StreamRelay,
 };
--- a/crates/direct/src/handler.rs
+++ b/crates/direct/src/handler.rs
@@ -9,7 +9,7 @@
 use http::{Request, Response, header, request::Parts};
 use hyper::body::Incoming;
 use lynxmount_core::{
-    RouteId,
+    Clock, RouteId,
     edge::{CallHead, Dialect},
 };
 use lynxmount_telemetry::Metrics;
@@ -20,7 +20,7 @@
     call::{Call, return_after},
     drain::Drain,
     fleet::{ConfigView, Fleet},
-    places::{Clock, Places},
+    places::Places,
     reply::{Refusal, ReplyBody},
 };
 
--- a/crates/direct/src/places.rs
+++ b/crates/direct/src/places.rs
@@ -7,7 +7,7 @@
 };
 
 use lynxmount_core::{
-    EndpointId, EndpointList, EndpointRecord, EndpointState, ServiceId, SiteBounds,
+    Clock, EndpointId, EndpointList, EndpointRecord, EndpointState, ServiceId, SiteBounds,
     edge::ReportedLoad,
 };
 use lynxmount_policy::{
@@ -98,20 +98,6 @@
     entries: usize,
 }
 
-/// Time since the process's start.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Clock(Instant);
-
-impl Clock {
-    pub(crate) fn start() -> Clock {
-        Clock(Instant::now())
-    }
-
-    pub(crate) fn now(self) -> Duration {
-        self.0.elapsed()
-    }
-}
-
 /// The endpoints of all services.
 pub(crate) struct Places {
     clock: Clock,
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context;
 use lynxmount_core::{
-    SiteSettings,
+    Clock, SiteSettings,
     edge::{Dialect, FleetSource},
 };
 use lynxmount_link::{bind, serve, wait_for_end};
@@ -17,7 +17,7 @@
     fleet::Fleet,
     handler::Handler,
     peers::{PeerPort, Peers},
-    places::{Clock, Places},
+    places::Places,
     readiness::ReadinessPort,
     watch::Watch,
 };
--- a/crates/direct/src/watch.rs
+++ b/crates/direct/src/watch.rs
@@ -6,16 +6,12 @@
     time::{Duration, Instant},
 };
 
-use lynxmount_core::{EndpointList, FleetConfig, Offset, SiteBounds, edge::FleetSource};
+use lynxmount_core::{Clock, EndpointList, FleetConfig, Offset, SiteBounds, edge::FleetSource};
 use lynxmount_policy::Membership;
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
 
-use crate::{
-    fleet::Fleet,
-    peers::Peers,
-    places::{Clock, Places},
-};
+use crate::{fleet::Fleet, peers::Peers, places::Places};
 
 /// The part of the time within which a leaving endpoint must get no more work
 /// after which registrations are read again: it leaves time for one lost read.
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -10,12 +10,14 @@
 
 mod balancer;
 mod lease;
+mod members;
 mod message;
 mod rank_gate;
 mod switch;
 
 pub use balancer::{Balancer, BalancerAction, BalancerOptions, ChangeEnd};
 pub use lease::{LEASE_MARGIN, Lease, LeaseRecord, LeaseTable};
+pub use members::{Announcement, GroupDirectory, GroupMembers, OwnGroup};
 pub use message::{ChangeNumber, FencingNumber, MapNumber, Order, OrderAnswer, RankNumber, Step};
 pub use rank_gate::{Armed, EngineState, GateAction, RankGate};
 pub use switch::{
--- /dev/null
+++ b/crates/group/src/members.rs
@@ -0,0 +1,144 @@
+//! Who the ranks of a group are.
+//!
+//! Registrations name the endpoints of a service and say nothing of groups; only
+//! an engine knows its own rank. So each process announces it to a directory, one
+//! or two processes that hashing names from the group's name, and is told the
+//! others. It then tells the state of its rank to the first ones of its own group
+//! and to nobody else.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::RankNumber;
+
+/// How often a process announces itself when it knows all ranks: an announcement
+/// and its answer take 60 and 400 bytes for 32 ranks, 0.2 kB/s.
+const KNOWN_PERIOD: Duration = Duration::from_secs(2);
+
+/// How often it does as long as some rank is not known. Balancing waits for this
+/// after a start, and processes start within 0.3 s of each other.
+const UNKNOWN_PERIOD: Duration = Duration::from_millis(150);
+
+/// How long a rank may be unknown until the pace of announcements falls: a group
+/// that lacks a rank for so long has lost it.
+const SEARCH_TIME: Duration = Duration::from_secs(10);
+
+/// How long a directory remembers a group that announces nothing: far longer than
+/// a group needs to form again.
+const GROUP_LIFE: Duration = Duration::from_secs(60);
+
+/// What a process says of its own rank.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Announcement {
+    /// The group's name.
+    pub group: String,
+    /// The rank.
+    pub rank: RankNumber,
+    /// How many ranks the group has.
+    pub ranks: usize,
+    /// The engine's address, which names the rank's process.
+    pub engine: SocketAddr,
+}
+
+/// The engines of a group's ranks, as a directory knows them.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct GroupMembers {
+    /// The group's name.
+    pub group: String,
+    /// By rank; `None` for a rank that has announced nothing.
+    pub engines: Vec<Option<SocketAddr>>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    engines: Vec<Option<SocketAddr>>,
+    announced_at: Duration,
+}
+
+/// What a process knows of groups for which it is a directory.
+#[derive(Debug, Default)]
+pub struct GroupDirectory {
+    groups: BTreeMap<String, Entry>,
+}
+
+impl GroupDirectory {
+    /// Takes an announcement and answers with all ranks that are known. Of two
+    /// engines that are the same rank the later one holds: engines that are gone
+    /// can't be read, so that nobody announces them.
+    pub fn take(&mut self, announcement: Announcement, now: Duration) -> GroupMembers {
+        self.groups.retain(|_, entry| now < entry.announced_at + GROUP_LIFE);
+        let Announcement { group, rank, ranks, engine } = announcement;
+        let entry = self
+            .groups
+            .entry(group.clone())
+            .or_insert_with(|| Entry { engines: Vec::new(), announced_at: now });
+        entry.announced_at = now;
+        entry.engines.resize(ranks, None);
+        // An engine is one rank only.
+        entry.engines.iter_mut().for_each(|known| {
+            known.take_if(|address| *address == engine);
+        });
+        if let Some(place) = entry.engines.get_mut(rank) {
+            *place = Some(engine);
+        }
+        GroupMembers { group, engines: entry.engines.clone() }
+    }
+}
+
+/// What a process knows of its own group.
+#[derive(Debug, Default)]
+pub struct OwnGroup {
+    own: Option<Announcement>,
+    engines: Vec<Option<SocketAddr>>,
+    /// Since when the own engine is this rank of this group.
+    since: Duration,
+    announced_at: Option<Duration>,
+}
+
+impl OwnGroup {
+    /// Takes what the own engine tells of its rank. Returns whether that is to be
+    /// announced now.
+    pub fn note_own(&mut self, own: Announcement, now: Duration) -> bool {
+        if self.own.as_ref() != Some(&own) {
+            let mut engines = vec![None; own.ranks];
+            if let Some(place) = engines.get_mut(own.rank) {
+                *place = Some(own.engine);
+            }
+            *self = OwnGroup { own: Some(own), engines, since: now, announced_at: None };
+        }
+        let is_due = self.announced_at.is_none_or(|at| now >= at + self.period(now));
+        if is_due {
+            self.announced_at = Some(now);
+        }
+        is_due
+    }
+
+    /// Takes what a directory knows; ranks that it does not know stay.
+    pub fn take(&mut self, members: GroupMembers) {
+        let Some(own) = &self.own else { return };
+        if members.group != own.group || members.engines.len() != self.engines.len() {
+            return;
+        }
+        let told = self.engines.iter_mut().zip(members.engines).enumerate();
+        for (_, (known, engine)) in told.filter(|(rank, _)| *rank != own.rank) {
+            *known = engine.or(*known);
+        }
+    }
+
+    /// The engines of the ranks that are known, in the order of ranks.
+    pub fn engines(&self) -> Vec<SocketAddr> {
+        self.engines.iter().flatten().copied().collect()
+    }
+
+    /// Since when the own engine is the rank that it is.
+    pub fn since(&self) -> Duration {
+        self.since
+    }
+
+    fn period(&self, now: Duration) -> Duration {
+        let is_searching =
+            self.engines.contains(&None) && now < self.since.saturating_add(SEARCH_TIME);
+        if is_searching { UNKNOWN_PERIOD } else { KNOWN_PERIOD }
+    }
+}
--- /dev/null
+++ b/crates/group/tests/members.rs
@@ -0,0 +1,133 @@
+//! Finding the ranks of groups that stand in no list.
+
+use std::{net::SocketAddr, time::Duration};
+
+use lynxmount_group::{Announcement, GroupDirectory, GroupMembers, OwnGroup};
+
+const MOMENT: Duration = Duration::from_millis(100);
+
+fn engine(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 8000))
+}
+
+fn announcement(group: &str, rank: usize, number: u8) -> Announcement {
+    Announcement { group: group.to_owned(), rank, ranks: 3, engine: engine(number) }
+}
+
+/// Lets each engine announce itself and take the answer, some rounds long.
+fn exchange(directory: &mut GroupDirectory, ranks: &mut [(Announcement, OwnGroup)]) {
+    for round in 0..30 {
+        let now = MOMENT * round;
+        for (own, known) in ranks.iter_mut() {
+            if known.note_own(own.clone(), now) {
+                known.take(directory.take(own.clone(), now));
+            }
+        }
+    }
+}
+
+fn processes(announcements: &[Announcement]) -> Vec<(Announcement, OwnGroup)> {
+    announcements.iter().map(|own| (own.clone(), OwnGroup::default())).collect()
+}
+
+#[test]
+fn each_process_learns_the_ranks_of_its_own_group_only() {
+    let mut directory = GroupDirectory::default();
+    let mut ranks = processes(&[
+        announcement("a", 0, 5),
+        announcement("b", 0, 2),
+        announcement("a", 2, 1),
+        announcement("b", 1, 3),
+        announcement("a", 1, 4),
+        announcement("b", 2, 6),
+    ]);
+
+    exchange(&mut directory, &mut ranks);
+
+    for (own, known) in &ranks {
+        let expected = match own.group.as_str() {
+            "a" => vec![engine(5), engine(4), engine(1)],
+            _ => vec![engine(2), engine(3), engine(6)],
+        };
+        assert_eq!(known.engines(), expected);
+    }
+}
+
+#[test]
+fn a_rank_at_an_address_that_another_group_had_is_found() {
+    let mut directory = GroupDirectory::default();
+    directory.take(announcement("b", 1, 3), MOMENT);
+    directory.take(announcement("a", 1, 4), MOMENT);
+
+    let members = directory.take(announcement("a", 1, 3), 2 * MOMENT);
+
+    let expected = GroupMembers { group: "a".into(), engines: vec![None, Some(engine(3)), None] };
+    assert_eq!(members, expected);
+}
+
+#[test]
+fn an_engine_that_is_another_rank_now_is_that_one_alone() {
+    let mut directory = GroupDirectory::default();
+    directory.take(announcement("a", 1, 4), MOMENT);
+
+    let members = directory.take(announcement("a", 2, 4), 2 * MOMENT);
+
+    assert_eq!(members.engines, [None, None, Some(engine(4))]);
+}
+
+#[test]
+fn a_directory_that_has_forgotten_takes_no_rank_away() {
+    let mut known = OwnGroup::default();
+    known.note_own(announcement("a", 0, 1), MOMENT);
+    known.take(GroupMembers {
+        group: "a".into(),
+        engines: vec![Some(engine(1)), Some(engine(2)), Some(engine(3))],
+    });
+
+    known.take(GroupMembers {
+        group: "a".into(),
+        engines: vec![Some(engine(1)), None, Some(engine(9))],
+    });
+
+    assert_eq!(known.engines(), [engine(1), engine(2), engine(9)]);
+}
+
+#[test]
+fn an_answer_for_another_group_is_not_taken() {
+    let mut known = OwnGroup::default();
+    known.note_own(announcement("a", 0, 1), MOMENT);
+
+    known.take(GroupMembers { group: "b".into(), engines: vec![Some(engine(7)); 3] });
+
+    assert_eq!(known.engines(), [engine(1)]);
+}
+
+#[test]
+fn a_process_whose_engine_moves_to_another_group_forgets_the_first() {
+    let mut known = OwnGroup::default();
+    known.note_own(announcement("a", 0, 1), MOMENT);
+    known.take(GroupMembers { group: "a".into(), engines: vec![Some(engine(1)); 3] });
+
+    let is_due = known.note_own(announcement("b", 2, 1), 2 * MOMENT);
+
+    assert!(is_due);
+    assert_eq!(known.engines(), [engine(1)]);
+    assert_eq!(known.since(), 2 * MOMENT);
+}
+
+#[test]
+fn announcements_are_frequent_only_as_long_as_ranks_are_missing() {
+    let count = |known: &mut OwnGroup, from_s: u64| {
+        let moments = (0..100).map(|tick| Duration::from_secs(from_s) + MOMENT * tick);
+        moments.filter(|now| known.note_own(announcement("a", 0, 1), *now)).count()
+    };
+    let mut searching = OwnGroup::default();
+    let mut complete = OwnGroup::default();
+    complete.note_own(announcement("a", 0, 1), Duration::ZERO);
+    let engines = vec![Some(engine(1)), Some(engine(2)), Some(engine(3))];
+    complete.take(GroupMembers { group: "a".into(), engines });
+
+    assert_eq!(count(&mut searching, 0), 50);
+    assert_eq!(count(&mut searching, 20), 5);
+    assert_eq!(count(&mut complete, 1), 5);
+}
--- a/crates/lynxmount/tests/platform_endpoint.rs
+++ b/crates/lynxmount/tests/platform_endpoint.rs
@@ -25,6 +25,61 @@
     settings: Vec<String>,
 }
 
+/// A service whose engines form several groups.
+struct GroupsWorld {
+    /// Lives as long as the test.
+    _store: StoreStandin,
+    groups: Vec<GroupStandin>,
+    processes: Vec<Process>,
+}
+
+/// Starts groups of one service whose ranks' addresses alternate.
+async fn start_groups(names: &[&str]) -> GroupsWorld {
+    let network = network() + 100;
+    let store = StoreStandin::start((ip(network, 250), STORE_PORT).into()).await.expect("a store");
+    let service = service_of("model");
+    let text = GroupText { service: &service, experts: EXPERTS };
+    store.put(OPERATOR_TOPIC, CONFIG_KEY, &config_text(1, &[], Some(text)));
+    let (mut groups, mut processes) = (Vec::new(), Vec::new());
+    for (index, name) in names.iter().enumerate() {
+        let host = |rank: u8| 10 + rank * names.len() as u8 + index as u8;
+        let engines: Vec<SocketAddr> =
+            (0..RANKS).map(|rank| (ip(network, host(rank)), ENGINE_PORT).into()).collect();
+        let started = GroupStandin::start(name, &engines, EXPERTS, PASS).await.expect("a group");
+        groups.push(started);
+        for engine in engines {
+            let registration = registration_text(engine, &service, "ready");
+            store.put(REGISTRATIONS_TOPIC, &format!("i-{engine}"), &registration);
+            let text = endpoint_settings_text(engine, INTERNAL_PORT, store.address());
+            processes.push(Process::start("platform-endpoint", &text));
+        }
+    }
+    GroupsWorld { _store: store, groups, processes }
+}
+
+fn replicas_in(group: &GroupStandin, expert: usize) -> usize {
+    let (_, map, _) = group.map();
+    map[0].iter().filter(|held| held.contains(&expert)).count()
+}
+
+fn assert_no_split(groups: &[GroupStandin]) {
+    for group in groups {
+        let (_, _, split) = group.map();
+        assert_eq!(split, None, "ranks had different maps in a pass");
+    }
+}
+
+/// How many processes balance, by their own logs.
+fn leaders(processes: &[Process]) -> usize {
+    let leads = |process: &&Process| {
+        process
+            .logged("balancing duty")
+            .last()
+            .is_some_and(|line| line["attributes"]["is_leading"].to_string().contains("true"))
+    };
+    processes.iter().filter(leads).count()
+}
+
 async fn start() -> World {
     let network = network() + 100;
     let store = StoreStandin::start((ip(network, 250), STORE_PORT).into()).await.expect("a store");
@@ -33,7 +88,7 @@
     store.put(OPERATOR_TOPIC, CONFIG_KEY, &config_text(1, &[], Some(group)));
     let engines: Vec<SocketAddr> =
         (0..RANKS).map(|rank| (ip(network, 10 + rank), ENGINE_PORT).into()).collect();
-    let group = GroupStandin::start(&engines, EXPERTS, PASS).await.expect("a group");
+    let group = GroupStandin::start("group", &engines, EXPERTS, PASS).await.expect("a group");
     for (rank, engine) in engines.iter().enumerate() {
         let registration = registration_text(*engine, &service, "ready");
         store.put(REGISTRATIONS_TOPIC, &format!("i-{rank}"), &registration);
@@ -113,3 +168,50 @@
 
     assert_one_map(&world);
 }
+
+#[tokio::test]
+async fn each_group_of_a_service_follows_its_own_demand() {
+    let world = start_groups(&["a", "b", "c"]).await;
+
+    for round in 0..2 {
+        for (index, group) in world.groups.iter().enumerate() {
+            group.set_demand(demand_for(round * world.groups.len() + index));
+        }
+
+        for (index, group) in world.groups.iter().enumerate() {
+            let expert = round * world.groups.len() + index;
+            wait_for("replicas", async || replicas_in(group, expert) >= 3).await;
+        }
+    }
+    assert_no_split(&world.groups);
+}
+
+#[tokio::test]
+async fn one_process_of_each_group_balances() {
+    let world = start_groups(&["a", "b"]).await;
+    for (index, group) in world.groups.iter().enumerate() {
+        group.set_demand(demand_for(index));
+        wait_for("replicas", async || replicas_in(group, index) >= 3).await;
+    }
+
+    let (first, second) = world.processes.split_at(usize::from(RANKS));
+    wait_for("one leader each", async || (leaders(first), leaders(second)) == (1, 1)).await;
+}
+
+#[tokio::test]
+async fn a_group_whose_balancing_process_is_gone_leaves_the_other_as_it_is() {
+    let mut world = start_groups(&["a", "b"]).await;
+    for group in &world.groups {
+        group.set_demand(demand_for(2));
+        wait_for("replicas", async || replicas_in(group, 2) >= 3).await;
+    }
+
+    // The first rank's process of the first group balances it.
+    world.processes[0].signal(Signal::SIGKILL);
+    world.groups[1].set_demand(demand_for(5));
+
+    wait_for("replicas", async || replicas_in(&world.groups[1], 5) >= 3).await;
+    world.groups[0].set_demand(demand_for(6));
+    wait_for("replicas", async || replicas_in(&world.groups[0], 6) >= 3).await;
+    assert_no_split(&world.groups);
+}
--- a/crates/rank/src/beliefs.rs
+++ b/crates/rank/src/beliefs.rs
@@ -23,8 +23,9 @@
 }
 
 /// The last state of each rank, by its engine's address.
-#[derive(Default)]
 pub(crate) struct Beliefs {
+    /// The own engine, whose group counts.
+    own: SocketAddr,
     heard: BTreeMap<SocketAddr, Heard>,
     demand: Demand,
 }
@@ -37,9 +38,19 @@
 }
 
 impl Beliefs {
+    pub(crate) fn new(own: SocketAddr) -> Beliefs {
+        Beliefs { own, heard: BTreeMap::new(), demand: Demand::default() }
+    }
+
+    /// Takes what a process has told. What other groups are asked for is not what
+    /// the own one is.
     pub(crate) fn hear(&mut self, state: RankState) {
         let now = Instant::now();
-        self.demand.take(&state, now);
+        let life = state.report.membership.as_ref().map(|m| (m.group.clone(), m.epoch));
+        if let (true, Some(life)) = (state.engine == self.own, &life) {
+            self.demand.begin(life);
+        }
+        self.demand.take(&state, life.as_ref(), now);
         self.heard.insert(state.engine, Heard { state, at: now, told_at: now });
     }
 
--- a/crates/rank/src/coordinator.rs
+++ b/crates/rank/src/coordinator.rs
@@ -9,7 +9,7 @@
 use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use lynxmount_balance::{GroupPlan, plan_change};
 use lynxmount_core::{
-    ExpertSpec, Result,
+    Clock, ExpertSpec, Result,
     edge::{Engine, FleetSource},
     experts::{EngineOrder, GroupMap, GroupStep, MapVersion},
 };
@@ -22,6 +22,7 @@
 
 use crate::{
     beliefs::{Beliefs, Group},
+    members::Members,
     message::OrderAnswer,
     orders::{Outbox, give},
     roster::Roster,
@@ -36,7 +37,7 @@
 /// How long a process must be silent before the next one balances.
 const SILENCE: Duration = Duration::from_millis(1200);
 
-/// How long after its start a process listens for those before it.
+/// How long a process that has come to its group listens for those before it.
 const LISTEN_FIRST: Duration = Duration::from_millis(1500);
 
 /// How long a hold may stand before it is taken for left behind: a switch holds
@@ -60,10 +61,11 @@
     pub(crate) own: SocketAddr,
     pub(crate) port: u16,
     pub(crate) roster: Arc<Roster>,
+    pub(crate) members: Arc<Members>,
     pub(crate) beliefs: Arc<Mutex<Beliefs>>,
     pub(crate) outbox: Arc<Outbox>,
     pub(crate) metrics: Arc<Metrics>,
-    pub(crate) started: Instant,
+    pub(crate) clock: Clock,
 }
 
 /// The map in use, which other processes know, if they have prepared it.
@@ -131,14 +133,14 @@
 
     /// Says whether all processes before this one are silent.
     fn is_leading(&self) -> bool {
-        let listeners = self.roster.listeners();
+        let listeners = self.members.listeners();
         let Some(place) = listeners.iter().position(|engine| *engine == self.own) else {
             return false;
         };
         let beliefs = self.beliefs.lock();
         let is_silent =
             |engine: &SocketAddr| beliefs.told_ago(*engine).is_none_or(|ago| ago > SILENCE);
-        let has_listened = place == 0 || self.started.elapsed() > LISTEN_FIRST;
+        let has_listened = place == 0 || self.members.own_age() > LISTEN_FIRST;
         has_listened && listeners[..place].iter().all(is_silent)
     }
 
@@ -168,7 +170,7 @@
             return;
         }
         memory.read_directly_at = Some(Instant::now());
-        for engine in self.roster.engines().into_iter().filter(|engine| self.is_silent(*engine)) {
+        for engine in self.members.engines().into_iter().filter(|engine| self.is_silent(*engine)) {
             let (client, beliefs) = ((self.make_engine)(engine), Arc::clone(&self.beliefs));
             self.metrics.count("engines.read_directly");
             tokio::spawn(async move {
@@ -196,9 +198,10 @@
                     None
                 }
             };
+            let own = self.roster.service();
             let services = config.into_iter().flat_map(|config| config.services);
-            let mut engines = services.filter_map(|service| service.engine);
-            memory.experts = engines.find_map(|engine| engine.experts);
+            let mut own = services.filter(|service| Some(&service.id) == own.as_ref());
+            memory.experts = own.find_map(|service| service.engine?.experts);
         }
         memory.experts
     }
@@ -223,7 +226,7 @@
 
     fn start(&self, memory: &Memory, group: &Group, current: GroupMap) -> Option<SwitchStart> {
         let reports = group.reports();
-        let listeners = self.roster.listeners();
+        let listeners = self.members.listeners();
         let place = listeners.iter().position(|engine| *engine == self.own)?;
         let is_own = |rank: usize| is_own_guard(&group.engines, &listeners, place, rank);
         let guard = memory.guards.choose(group.epoch, &reports, is_own)?;
@@ -235,7 +238,7 @@
             reports,
             current,
             nonce: rand::rng().random(),
-            now: self.started.elapsed(),
+            now: self.clock.now(),
         })
     }
 
@@ -274,7 +277,7 @@
         let mut under_way: FuturesUnordered<BoxFuture<'_, (usize, Result<OrderAnswer>)>> =
             FuturesUnordered::new();
         loop {
-            for RankOrder { rank, order } in switch.tick(self.started.elapsed()) {
+            for RankOrder { rank, order } in switch.tick(self.clock.now()) {
                 let engine = engines[rank];
                 under_way
                     .push(Box::pin(async move { (rank, self.give(engine, &order, base).await) }));
--- a/crates/rank/src/demand.rs
+++ b/crates/rank/src/demand.rs
@@ -7,21 +7,30 @@
 
 use crate::message::RankState;
 
+/// A life of a group, by the group's name.
+pub(crate) type GroupLife = (String, GroupEpoch);
+
 /// Demand by set and expert, as it is since the last shift.
 #[derive(Default)]
 pub(crate) struct Demand {
     last: BTreeMap<SocketAddr, Counts>,
-    epoch: GroupEpoch,
+    /// The group whose demand it is, and the group's life.
+    life: Option<GroupLife>,
     windows: DemandWindows,
 }
 
 impl Demand {
-    /// Takes the counts of a rank.
-    pub(crate) fn take(&mut self, state: &RankState, now: Instant) {
-        let Some(counts) = &state.counts else { return };
-        if self.epoch != counts.epoch {
-            *self = Demand { epoch: counts.epoch, ..Demand::default() };
+    /// Begins anew if the group is another one or has formed anew.
+    pub(crate) fn begin(&mut self, life: &GroupLife) {
+        if self.life.as_ref() != Some(life) {
+            *self = Demand { life: Some(life.clone()), ..Demand::default() };
         }
+    }
+
+    /// Takes the counts of a rank in a life of its group.
+    pub(crate) fn take(&mut self, state: &RankState, life: Option<&GroupLife>, now: Instant) {
+        let is_of_life = life.is_some() && life == self.life.as_ref();
+        let Some(counts) = state.counts.as_ref().filter(|_| is_of_life) else { return };
         let before = self.last.insert(state.engine, counts.clone());
         let Some(before) = before.filter(|before| before.step < counts.step) else { return };
         let pairs = counts.by_set_and_expert.iter().zip(&before.by_set_and_expert);
--- a/crates/rank/src/lib.rs
+++ b/crates/rank/src/lib.rs
@@ -9,6 +9,7 @@
 mod beliefs;
 mod coordinator;
 mod demand;
+mod members;
 mod message;
 mod orders;
 mod process;
--- /dev/null
+++ b/crates/rank/src/members.rs
@@ -0,0 +1,108 @@
+//! Finding the processes of the own group, and helping others to find theirs.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use lynxmount_core::{Clock, experts::Membership};
+use lynxmount_group::{Announcement, GroupDirectory, GroupMembers, OwnGroup};
+use parking_lot::Mutex;
+use tokio::net::UdpSocket;
+
+use crate::{message::Datagram, roster::Roster};
+
+/// How many processes hear of each rank: one balances, the next ones take over.
+const LISTENERS: usize = 3;
+
+/// What a process knows of groups.
+pub(crate) struct Members {
+    /// The own engine.
+    own: SocketAddr,
+    /// The port of peers' sockets.
+    port: u16,
+    clock: Clock,
+    roster: Arc<Roster>,
+    socket: Arc<UdpSocket>,
+    own_group: Mutex<OwnGroup>,
+    directory: Mutex<GroupDirectory>,
+}
+
+impl Members {
+    pub(crate) fn new(
+        own: SocketAddr,
+        port: u16,
+        clock: Clock,
+        roster: Arc<Roster>,
+        socket: Arc<UdpSocket>,
+    ) -> Members {
+        let (own_group, directory) = Default::default();
+        Members { own, port, clock, roster, socket, own_group, directory }
+    }
+
+    /// The engines beside which processes listen to reports of the own group,
+    /// first ones first.
+    pub(crate) fn listeners(&self) -> Vec<SocketAddr> {
+        let mut engines = self.own_group.lock().engines();
+        engines.truncate(LISTENERS);
+        engines
+    }
+
+    /// The engines of all ranks of the own group that are known.
+    pub(crate) fn engines(&self) -> Vec<SocketAddr> {
+        self.own_group.lock().engines()
+    }
+
+    /// For how long the own engine has been in its group.
+    pub(crate) fn own_age(&self) -> Duration {
+        self.clock.now().saturating_sub(self.own_group.lock().since())
+    }
+
+    /// Takes what the own engine tells of its rank, and announces it from time to
+    /// time.
+    pub(crate) async fn note_own(&self, membership: &Membership) {
+        let own = Announcement {
+            group: membership.group.clone(),
+            rank: membership.rank,
+            ranks: membership.ranks,
+            engine: self.own,
+        };
+        let directories = self.roster.directories(&own.group);
+        if directories.is_empty() || !self.own_group.lock().note_own(own.clone(), self.clock.now())
+        {
+            return;
+        }
+        for directory in directories {
+            match directory == self.own {
+                true => self.answer_own(own.clone()),
+                false => {
+                    let peer = SocketAddr::new(directory.ip(), self.port);
+                    self.send(peer, Datagram::Announcement(own.clone())).await;
+                }
+            }
+        }
+    }
+
+    /// Answers an announcement of another process.
+    pub(crate) async fn announced(&self, peer: SocketAddr, announcement: Announcement) {
+        let members = self.directory.lock().take(announcement, self.clock.now());
+        self.send(peer, Datagram::Members(members)).await;
+    }
+
+    /// Takes a directory's answer.
+    pub(crate) fn told(&self, members: GroupMembers) {
+        self.own_group.lock().take(members);
+    }
+
+    fn answer_own(&self, own: Announcement) {
+        let members = self.directory.lock().take(own, self.clock.now());
+        self.told(members);
+    }
+
+    async fn send(&self, peer: SocketAddr, datagram: Datagram) {
+        let sent = match datagram.encode() {
+            Ok(bytes) => self.socket.send_to(&bytes, peer).await.map(|_| ()),
+            Err(error) => Err(std::io::Error::other(error)),
+        };
+        if let Err(error) = sent {
+            log::debug!(peer:% = peer, error:% = error; "who is in which group was not sent");
+        }
+    }
+}
--- a/crates/rank/src/message.rs
+++ b/crates/rank/src/message.rs
@@ -10,6 +10,7 @@
     },
     invalid,
 };
+use lynxmount_group::{Announcement, GroupMembers};
 use serde::{Deserialize, Serialize};
 
 /// Names an order and its answer.
@@ -18,8 +19,12 @@
 /// One datagram.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) enum Datagram {
+    /// The rank of the sender's engine, told to a directory of its group.
+    Announcement(Announcement),
     /// What has become of an order.
     Answer(AnswerMessage),
+    /// A directory's answer: the ranks of the receiver's group.
+    Members(GroupMembers),
     /// An order to the engine beside the receiver.
     Order(OrderMessage),
     /// The state of the sender's rank.
--- a/crates/rank/src/process.rs
+++ b/crates/rank/src/process.rs
@@ -1,10 +1,10 @@
 //! Setting the process up.
 
-use std::{net::SocketAddr, sync::Arc, time::Instant};
+use std::{net::SocketAddr, sync::Arc};
 
 use anyhow::Context;
 use lynxmount_core::{
-    SiteSettings,
+    Clock, SiteSettings,
     edge::{Engine, FleetSource},
 };
 use lynxmount_link::{bind, serve, wait_for_end};
@@ -15,6 +15,7 @@
 use crate::{
     beliefs::Beliefs,
     coordinator::Coordinator,
+    members::Members,
     message::Datagram,
     orders::{Inbox, Outbox},
     reporter::Reporter,
@@ -50,16 +51,19 @@
     let port = settings.internal_ports.0;
     let address = SocketAddr::new(settings.ip, port);
     let metrics = Arc::new(Metrics::default());
+    let clock = Clock::start();
     let roster = Arc::new(Roster::default());
-    let beliefs = Arc::new(Mutex::new(Beliefs::default()));
+    let beliefs = Arc::new(Mutex::new(Beliefs::new(own)));
     let engine = Arc::new(make_engine(own));
     let source = Arc::new(source);
     let socket = UdpSocket::bind(address).await.with_context(|| format!("bind {address}"))?;
     let socket = Arc::new(socket);
+    let members =
+        Arc::new(Members::new(own, port, clock, Arc::clone(&roster), Arc::clone(&socket)));
     let reporter = Arc::new(Reporter {
         engine: Arc::clone(&engine),
         address: own,
-        roster: Arc::clone(&roster),
+        members: Arc::clone(&members),
         socket: Arc::clone(&socket),
         port,
         metrics: Arc::clone(&metrics),
@@ -76,6 +80,7 @@
     let port_state = Port {
         socket,
         beliefs: Arc::clone(&beliefs),
+        members: Arc::clone(&members),
         inbox,
         outbox: Arc::clone(&outbox),
         metrics: Arc::clone(&metrics),
@@ -91,10 +96,11 @@
         own,
         port,
         roster,
+        members,
         beliefs,
         outbox,
         metrics,
-        started: Instant::now(),
+        clock,
     };
     tokio::spawn(coordinator.run());
     log::info!(process = &*settings.process, engine:% = own; "started");
@@ -107,6 +113,7 @@
 struct Port<E> {
     socket: Arc<UdpSocket>,
     beliefs: Arc<Mutex<Beliefs>>,
+    members: Arc<Members>,
     inbox: Arc<Inbox<E>>,
     outbox: Arc<Outbox>,
     metrics: Arc<Metrics>,
@@ -137,7 +144,12 @@
 
     fn take(&self, peer: SocketAddr, datagram: Datagram) {
         match datagram {
+            Datagram::Announcement(announcement) => {
+                let members = Arc::clone(&self.members);
+                tokio::spawn(async move { members.announced(peer, announcement).await });
+            }
             Datagram::Answer(answer) => self.outbox.answered(answer),
+            Datagram::Members(members) => self.members.told(members),
             Datagram::Order(order) => {
                 tokio::spawn(Arc::clone(&self.inbox).take(peer, order));
             }
--- a/crates/rank/src/reporter.rs
+++ b/crates/rank/src/reporter.rs
@@ -16,8 +16,8 @@
 use tokio::{net::UdpSocket, sync::Notify};
 
 use crate::{
+    members::Members,
     message::{Datagram, RankState},
-    roster::Roster,
 };
 
 /// How often the engine is read. Reading it on its own machine is free, and
@@ -58,7 +58,7 @@
 pub(crate) struct Reporter<E> {
     pub(crate) engine: Arc<E>,
     pub(crate) address: SocketAddr,
-    pub(crate) roster: Arc<Roster>,
+    pub(crate) members: Arc<Members>,
     pub(crate) socket: Arc<UdpSocket>,
     /// The port of peers' sockets.
     pub(crate) port: u16,
@@ -90,6 +90,9 @@
                         log::info!("the engine answers again");
                     }
                     is_lost = false;
+                    if let Some(membership) = &state.report.membership {
+                        self.members.note_own(membership).await;
+                    }
                     self.tell(&state).await;
                 }
                 Err(error) => {
@@ -169,7 +172,7 @@
                 return;
             }
         };
-        for listener in self.roster.listeners() {
+        for listener in self.members.listeners() {
             let peer = SocketAddr::new(listener.ip(), self.port);
             if let Err(error) = self.socket.send_to(&datagram, peer).await {
                 log::debug!(peer:% = peer, error:% = error; "a report was not sent");
--- a/crates/rank/src/roster.rs
+++ b/crates/rank/src/roster.rs
@@ -1,41 +1,56 @@
-//! Which endpoint processes there are.
+//! Which endpoint processes there are: those of the own service, and of them
+//! those of the own group.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use lynxmount_core::{EndpointList, Offset, Result, edge::FleetSource};
+use lynxmount_core::{EndpointList, Offset, Result, ServiceId, edge::FleetSource};
 use lynxmount_link::ask_fleet;
+use lynxmount_policy::rendezvous;
 use parking_lot::Mutex;
 
 /// How often the registrations are read. Only a replaced machine changes who the
-/// first ones are, so that this may lag.
+/// directories of a group are, so that this may lag.
 const READ_PERIOD: Duration = Duration::from_secs(12);
 
 /// How often they are read as long as the own engine is not among them.
 const FIRST_READ_PERIOD: Duration = Duration::from_millis(700);
 
-/// How many processes hear of each rank: one balances, the next ones take over.
-const LISTENERS: usize = 3;
+/// How many processes know the ranks of a group: one more than is needed.
+const DIRECTORIES: usize = 2;
 
-/// The engines of the own service, in the order of their addresses.
+/// An engine, with its address as text for hashing.
+struct Listed {
+    address: SocketAddr,
+    name: String,
+}
+
+#[derive(Default)]
+struct OfService {
+    service: Option<ServiceId>,
+    engines: Vec<Listed>,
+}
+
+/// The engines of the own service.
 #[derive(Default)]
 pub(crate) struct Roster {
-    engines: Mutex<Vec<SocketAddr>>,
+    known: Mutex<OfService>,
 }
 
 impl Roster {
-    /// The engines beside which processes listen to reports, first ones first.
-    pub(crate) fn listeners(&self) -> Vec<SocketAddr> {
-        self.engines.lock().iter().take(LISTENERS).copied().collect()
+    /// The own service, once it is known.
+    pub(crate) fn service(&self) -> Option<ServiceId> {
+        self.known.lock().service.clone()
     }
 
-    /// All engines of the service.
-    pub(crate) fn engines(&self) -> Vec<SocketAddr> {
-        self.engines.lock().clone()
+    /// The engines beside whose processes the ranks of a group are known.
+    pub(crate) fn directories(&self, group: &str) -> Vec<SocketAddr> {
+        let known = self.known.lock();
+        let named = rendezvous(group, &known.engines, |listed| &listed.name, DIRECTORIES);
+        named.into_iter().map(|listed| listed.address).collect()
     }
 
-    /// The place of an engine in the order.
-    pub(crate) fn place(&self, engine: SocketAddr) -> Option<usize> {
-        self.engines.lock().iter().position(|known| *known == engine)
+    fn is_listed(&self, engine: SocketAddr) -> bool {
+        self.known.lock().engines.iter().any(|listed| listed.address == engine)
     }
 
     /// Takes over registrations.
@@ -43,10 +58,12 @@
         let service = list.endpoints.iter().find(|e| e.address == own).map(|e| e.service.clone());
         let Some(service) = service else { return };
         let of_service = list.endpoints.iter().filter(|endpoint| endpoint.service == service);
-        let mut engines: Vec<SocketAddr> = of_service.map(|endpoint| endpoint.address).collect();
-        engines.sort();
-        engines.dedup();
-        *self.engines.lock() = engines;
+        let mut addresses: Vec<SocketAddr> = of_service.map(|endpoint| endpoint.address).collect();
+        addresses.sort();
+        addresses.dedup();
+        let listed = |address: SocketAddr| Listed { address, name: address.to_string() };
+        let engines = addresses.into_iter().map(listed).collect();
+        *self.known.lock() = OfService { service: Some(service), engines };
     }
 
     /// Follows the registrations until the task is dropped.
@@ -65,8 +82,8 @@
                 }
                 Err(error) => log::warn!(error:% = error; "registrations can't be read"),
             }
-            let is_listed = self.place(own).is_some();
-            tokio::time::sleep(if is_listed { READ_PERIOD } else { FIRST_READ_PERIOD }).await;
+            let period = if self.is_listed(own) { READ_PERIOD } else { FIRST_READ_PERIOD };
+            tokio::time::sleep(period).await;
         }
     }
 }
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -73,7 +73,7 @@
         let store = StoreStandin::start((ip(number, 0, 1), STORE_PORT).into()).await?;
         let engines: Vec<SocketAddr> =
             (0..size.ranks).map(|rank| (ip(number, 2, rank), ENGINE_PORT).into()).collect();
-        let group = GroupStandin::start(&engines, EXPERTS, PASS).await?;
+        let group = GroupStandin::start("group", &engines, EXPERTS, PASS).await?;
         let mut world = World {
             size,
             started: Instant::now(),
