--- a/crates/lynxmount/tests/platform_endpoint.rs
+++ b/crates/lynxmount/tests/platform_endpoint.rs
@@ -200,7 +200,7 @@
 
 #[tokio::test]
 async fn a_group_whose_balancing_process_is_gone_leaves_the_other_as_it_is() {
-    let mut world = start_groups(&["a", "b"]).await;
+    let world = start_groups(&["a", "b"]).await;
     for group in &world.groups {
         group.set_demand(demand_for(2));
         wait_for("replicas", async || replicas_in(group, 2) >= 3).await;
