--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -10,7 +10,7 @@
 use lynxmount_link::Connection;
 use lynxmount_policy::CallEnd;
 
-use crate::{places::Place, reply::ReplyBody};
+use crate::{endpoint::Place, reply::ReplyBody};
 
 /// What is sent to an endpoint, whatever endpoint it is.
 pub(crate) struct Outgoing<'a> {
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -21,14 +21,20 @@
 
 use crate::{
     attempt::{Attempted, Ended, Opened, Outgoing, WholeAnswer, left, open},
-    places::{NoPlace, Place, Service, Want},
+    endpoint::Place,
     reply::{Refusal, ReplyBody, whole_body},
+    service::{NoPlace, Service, Want},
     stream::StreamRelay,
 };
 
 /// The part of the latency objective that a call may wait for a place.
 const WAIT_PART: f64 = 0.5;
 
+/// The part of the time that is left for which a call may wait until a group opens:
+/// streams of the reference deployments take a third of their callers' time at most,
+/// and longer while a group's first map is in use.
+const HOLD_PART: f64 = 0.5;
+
 /// The part of the time that is left which one of several attempts may take,
 /// so that there is time for another.
 const ATTEMPT_PART: f64 = 0.45;
@@ -128,9 +134,11 @@
     async fn place(&self, wait: Duration) -> Result<Place, NoPlace> {
         let tried = self.tried.lock().clone();
         let team = self.team.clone().unwrap_or_else(|| PUBLIC_TEAM.into());
-        let wait_until = self.clock.now() + wait.min(left(self.deadline));
+        let (now, left) = (self.clock.now(), left(self.deadline));
+        let wait_until = now + wait.min(left);
         let waiter = Waiter { team, priority: self.priority, wait_until };
-        self.service.place(Want { waiter, tried: &tried }).await
+        let hold_until = now + left.mul_f64(HOLD_PART);
+        self.service.place(Want { waiter, hold_until, tried: &tried }).await
     }
 
     /// How long the call may wait for a place: what is left of its part of the
--- /dev/null
+++ b/crates/direct/src/endpoint.rs
@@ -0,0 +1,142 @@
+//! One endpoint as an entry sees it, and places at it.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use lynxmount_core::{EndpointId, EndpointRecord, edge::ReportedLoad};
+use lynxmount_policy::{CallEnd, GroupWatch, Health, Seat};
+use parking_lot::Mutex;
+
+use crate::{pool::Pool, service::Service};
+
+/// How long the load that an endpoint has told counts.
+const LOAD_LIFE: Duration = Duration::from_millis(600);
+
+/// An endpoint that takes calls.
+pub(crate) struct Endpoint {
+    pub(crate) record: EndpointRecord,
+    pub(crate) pool: Pool,
+    load: Mutex<Load>,
+}
+
+#[derive(Default)]
+struct Load {
+    own_running: u32,
+    others_running: u32,
+    told_at: Option<Instant>,
+    health: Health,
+    last_chosen: u64,
+    group: Option<Arc<str>>,
+}
+
+/// What an endpoint can take.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Room {
+    /// Calls of all entries.
+    pub(crate) capacity: u32,
+    /// Calls of this entry.
+    pub(crate) own_capacity: u32,
+    /// The time.
+    pub(crate) now: Duration,
+}
+
+/// A place at an endpoint; it is given back when it is dropped.
+pub(crate) struct Place {
+    pub(crate) endpoint: Arc<Endpoint>,
+    /// The endpoint's group when the place was given.
+    group: Arc<str>,
+    service: Arc<Service>,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.endpoint.load.lock().own_running -= 1;
+        self.service.give_back();
+    }
+}
+
+impl Endpoint {
+    pub(crate) fn new(record: EndpointRecord) -> Endpoint {
+        Endpoint { record, pool: Pool::default(), load: Mutex::default() }
+    }
+
+    /// Takes the load that the endpoint has told.
+    pub(crate) fn note_load(&self, told: ReportedLoad) {
+        let mut load = self.load.lock();
+        load.others_running = (told.running + told.waiting).saturating_sub(load.own_running);
+        load.told_at = Some(Instant::now());
+    }
+
+    /// Takes which group the endpoint is a rank of.
+    pub(crate) fn note_group(&self, group: &Arc<str>) {
+        self.load.lock().group = Some(Arc::clone(group));
+    }
+
+    pub(crate) fn own_running(&self) -> u32 {
+        self.load.lock().own_running
+    }
+
+    /// The endpoint's group; without name if it is not known.
+    pub(crate) fn group(&self) -> Arc<str> {
+        self.load.lock().group.clone().unwrap_or_default()
+    }
+
+    /// Says whether the group of the endpoint is known.
+    pub(crate) fn has_group(&self) -> bool {
+        self.load.lock().group.is_some()
+    }
+
+    /// What it offers a call, of which this entry's share of its slots is given.
+    pub(crate) fn seat(&self, room: Room, tried: &[EndpointId], groups: &GroupWatch) -> Seat {
+        let load = self.load.lock();
+        let is_told = load.told_at.is_some_and(|at| at.elapsed() < LOAD_LIFE);
+        let group = load.group.as_deref().unwrap_or_default();
+        Seat {
+            own_running: load.own_running,
+            others_running: if is_told { load.others_running } else { 0 },
+            capacity: room.capacity,
+            own_capacity: room.own_capacity,
+            is_closed: !groups.may_send(group, room.now),
+            is_ejected: load.health.is_ejected(room.now),
+            was_tried: tried.contains(&self.record.id),
+            last_chosen: load.last_chosen,
+        }
+    }
+
+    /// Counts a call that is given a place here.
+    pub(crate) fn note_chosen(&self, choice: u64) {
+        let mut load = self.load.lock();
+        load.own_running += 1;
+        load.last_chosen = choice;
+    }
+}
+
+impl Place {
+    pub(crate) fn new(endpoint: Arc<Endpoint>, service: Arc<Service>) -> Place {
+        let group = endpoint.group();
+        Place { endpoint, group, service }
+    }
+
+    pub(crate) fn group(&self) -> &str {
+        &self.group
+    }
+
+    /// Takes that the endpoint has refused because it runs nothing.
+    pub(crate) fn note_refusal(&self) {
+        self.service.note_refusal(&self.group);
+    }
+
+    /// Takes how the call has ended at the endpoint.
+    pub(crate) fn note_end(&self, end: CallEnd) {
+        if end == CallEnd::Answered {
+            self.service.note_answer(&self.group);
+        }
+        let is_ejected = self.endpoint.load.lock().health.note(end, self.service.now());
+        if is_ejected {
+            let endpoint = &*self.endpoint.record.id;
+            log::warn!(endpoint, end:? = end; "endpoint is left out for a while");
+        }
+    }
+}
--- /dev/null
+++ b/crates/direct/src/groups.rs
@@ -0,0 +1,79 @@
+//! Hearing from the groups of the endpoints that this entry uses.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use lynxmount_link::{ASK_PERIOD, GROUP_PORT_OFFSET, GroupMessage};
+use tokio::net::UdpSocket;
+
+use crate::places::Places;
+
+/// How often processes are asked as long as the group of an endpoint is not known.
+const FIRST_ASK_PERIOD: Duration = Duration::from_millis(300);
+
+/// The largest notice, in bytes: 7 for each rank, and the group's name.
+const MAX_NOTICE_BYTES: usize = 16_384;
+
+/// Asks and listens.
+pub(crate) struct GroupListener {
+    socket: UdpSocket,
+    /// The port of the processes beside engines.
+    port: u16,
+    places: Arc<Places>,
+}
+
+impl GroupListener {
+    /// Binds the port for this exchange.
+    ///
+    /// Fails if it is taken.
+    pub(crate) async fn bind(
+        own: std::net::IpAddr,
+        internal_port: u16,
+        places: Arc<Places>,
+    ) -> std::io::Result<GroupListener> {
+        let port = internal_port + GROUP_PORT_OFFSET;
+        let socket = UdpSocket::bind(SocketAddr::new(own, port)).await?;
+        Ok(GroupListener { socket, port, places })
+    }
+
+    /// Asks the processes beside all engines until the task is dropped.
+    pub(crate) async fn ask(self: Arc<GroupListener>) {
+        let asking = match GroupMessage::Ask.encode() {
+            Ok(asking) => asking,
+            Err(error) => {
+                log::error!(error:% = error; "groups can't be asked for");
+                return;
+            }
+        };
+        loop {
+            let ranks = self.places.ranks();
+            for rank in &ranks {
+                let peer = SocketAddr::new(rank.record.address.ip(), self.port);
+                if let Err(error) = self.socket.send_to(&asking, peer).await {
+                    log::debug!(peer:% = peer, error:% = error; "a group was not asked for");
+                }
+            }
+            let is_complete = ranks.iter().all(|rank| rank.has_group());
+            tokio::time::sleep(if is_complete { ASK_PERIOD } else { FIRST_ASK_PERIOD }).await;
+        }
+    }
+
+    /// Takes notices until the task is dropped.
+    pub(crate) async fn listen(self: Arc<GroupListener>) {
+        let mut bytes = vec![0; MAX_NOTICE_BYTES];
+        loop {
+            let (length, peer) = match self.socket.recv_from(&mut bytes).await {
+                Ok(received) => received,
+                Err(error) => {
+                    // An earlier asking may have come back as undeliverable.
+                    log::debug!("nothing received: {error}");
+                    continue;
+                }
+            };
+            match GroupMessage::decode(peer, &bytes[..length]) {
+                Ok(GroupMessage::Notice(notice)) => self.places.note_notice(&notice),
+                Ok(GroupMessage::Ask) => {}
+                Err(error) => log::warn!(error:% = error; "a datagram can't be read"),
+            }
+        }
+    }
+}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -11,7 +11,9 @@
 mod call;
 mod callers_port;
 mod drain;
+mod endpoint;
 mod fleet;
+mod groups;
 mod handler;
 mod peers;
 mod places;
@@ -19,6 +21,7 @@
 mod process;
 mod readiness;
 mod reply;
+mod service;
 mod stream;
 mod watch;
 
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -15,6 +15,7 @@
     callers_port,
     drain::Drain,
     fleet::Fleet,
+    groups::GroupListener,
     handler::Handler,
     peers::{PeerPort, Peers},
     places::Places,
@@ -58,6 +59,11 @@
     let places = Arc::new(Places::new(clock, settings.bounds));
     let peers = Arc::new(Peers::new(peer_address, settings.seeds.clone()));
     let last_read = Arc::new(Mutex::default());
+    let groups =
+        GroupListener::bind(settings.ip, settings.internal_ports.0, Arc::clone(&places)).await;
+    let groups = Arc::new(groups.context("the port for notices of groups can't be bound")?);
+    tokio::spawn(Arc::clone(&groups).ask());
+    tokio::spawn(groups.listen());
 
     let peer_port = PeerPort { fleet: Arc::clone(&fleet), last_read: Arc::clone(&last_read) };
     tokio::spawn(serve(bind(peer_address).await?, Arc::new(peer_port)));
--- /dev/null
+++ b/crates/direct/src/service.rs
@@ -0,0 +1,362 @@
+//! One service: who gets a place now, who waits, who is refused.
+
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use lynxmount_core::{Clock, EndpointId, EndpointRecord, EngineSpec, SiteBounds};
+use lynxmount_link::GroupNotice;
+use lynxmount_policy::{
+    GroupWatch, Offer, PaceLimit, Placement, Seat, ServiceQueue, Ticket, Waiter, WindowBudget,
+    WindowBudgetOptions, place,
+};
+use parking_lot::Mutex;
+use tokio::sync::oneshot;
+
+use crate::endpoint::{Endpoint, Place, Room};
+
+/// The part of an endpoint's slots that one of several entries may take beyond
+/// its even share: callers are spread unevenly over entries.
+const UNEVEN_SHARE: f64 = 1.6;
+
+/// By how much one entry may exceed its even share of what a service may run, for
+/// the same reason.
+const UNEVEN_LIMIT: f64 = 1.15;
+
+/// What a call wants of a place.
+pub(crate) struct Want<'a> {
+    pub(crate) waiter: Waiter,
+    /// Until when it may wait for a group to open: it is late then, and must still
+    /// come to its end.
+    pub(crate) hold_until: Duration,
+    pub(crate) tried: &'a [EndpointId],
+}
+
+/// Why there is no place.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum NoPlace {
+    /// All are taken for longer than the call may wait.
+    Full { retry_after: Duration },
+    /// No endpoint takes calls.
+    Nowhere,
+}
+
+/// The endpoints of one service.
+pub(crate) struct Service {
+    clock: Clock,
+    /// How long a group stalls when it has lost a rank.
+    group_stall: Duration,
+    /// When any stream of the service had an event.
+    last_event_at: Mutex<Option<Instant>>,
+    inner: Mutex<Inner>,
+}
+
+struct Inner {
+    endpoints: Vec<Arc<Endpoint>>,
+    groups: GroupWatch,
+    queue: ServiceQueue,
+    waiting: HashMap<Ticket, oneshot::Sender<Place>>,
+    budget: WindowBudget,
+    pace: PaceLimit,
+    /// Calls of this entry in progress.
+    running: u32,
+    choices: u64,
+    /// Requests that one endpoint runs at once.
+    slots: Option<u32>,
+    entries: usize,
+}
+
+impl Service {
+    pub(crate) fn new(clock: Clock, bounds: &SiteBounds) -> Service {
+        let options = WindowBudgetOptions {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack,
+            window: bounds.retry_window,
+        };
+        let inner = Inner {
+            endpoints: Vec::new(),
+            groups: GroupWatch::default(),
+            queue: ServiceQueue::default(),
+            waiting: HashMap::new(),
+            budget: WindowBudget::new(options),
+            pace: PaceLimit::default(),
+            running: 0,
+            choices: 0,
+            slots: None,
+            entries: 1,
+        };
+        Service {
+            clock,
+            group_stall: bounds.group_stall,
+            last_event_at: Mutex::default(),
+            inner: Mutex::new(inner),
+        }
+    }
+
+    pub(crate) fn update<'a>(
+        self: &Arc<Service>,
+        ready: impl Iterator<Item = &'a EndpointRecord>,
+        engine: Option<&EngineSpec>,
+        entries: usize,
+    ) {
+        let mut inner = self.inner.lock();
+        let known = std::mem::take(&mut inner.endpoints);
+        let endpoints = ready.map(|record| {
+            let kept = known.iter().find(|endpoint| endpoint.record == *record);
+            kept.cloned().unwrap_or_else(|| Arc::new(Endpoint::new(record.clone())))
+        });
+        inner.endpoints = endpoints.collect();
+        let experts = engine.and_then(|engine| engine.experts);
+        inner.groups.set_usual_outage(experts.map(|spec| self.group_stall + spec.form_time));
+        inner.slots = engine.map(|engine| engine.slots);
+        inner.entries = entries.max(1);
+        drop(inner);
+        self.wake();
+    }
+
+    /// The time since the process's start.
+    pub(crate) fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// The endpoints whose engines form groups, with whether their group is known.
+    pub(crate) fn ranks(&self) -> Vec<Arc<Endpoint>> {
+        let inner = self.inner.lock();
+        if inner.slots.is_none() { Vec::new() } else { inner.endpoints.clone() }
+    }
+
+    /// Takes what a group's process tells, if the group is of this service.
+    pub(crate) fn note_notice(self: &Arc<Service>, notice: &GroupNotice) {
+        let group: Arc<str> = notice.group.as_str().into();
+        let mut inner = self.inner.lock();
+        let ranks = inner.endpoints.iter();
+        let own: Vec<&Arc<Endpoint>> =
+            ranks.filter(|endpoint| notice.engines.contains(&endpoint.record.address)).collect();
+        if own.is_empty() {
+            return;
+        }
+        own.iter().for_each(|endpoint| endpoint.note_group(&group));
+        let now = self.now();
+        if inner.groups.note_told(&group, notice.is_open, now) {
+            inner.queue.resume(now);
+            drop(inner);
+            log::info!(group = &*group; "the group is open again");
+            self.wake();
+        }
+    }
+
+    /// Notes that a stream of the service had an event, how long after the one
+    /// before, and the longest pause that is on time.
+    pub(crate) fn note_event(&self, pause: Option<Duration>, goal: Option<Duration>) {
+        *self.last_event_at.lock() = Some(Instant::now());
+        if let (Some(pause), Some(goal)) = (pause, goal) {
+            let mut inner = self.inner.lock();
+            let share = inner.share().unwrap_or(f64::INFINITY);
+            let taken = f64::from(inner.running) / share.max(1.0);
+            inner.pace.note_pause(pause, goal, taken, self.now());
+        }
+    }
+
+    /// How long ago the last event of any of the service's streams was.
+    pub(crate) fn last_event_age(&self) -> Option<Duration> {
+        self.last_event_at.lock().map(|at| at.elapsed())
+    }
+
+    /// Counts the first arrival of a call.
+    pub(crate) fn note_call(&self) {
+        self.inner.lock().budget.note_call(self.now());
+    }
+
+    /// Takes a repeat from the service's budget, if there is one.
+    pub(crate) fn take_repeat(&self) -> bool {
+        let mut inner = self.inner.lock();
+        let entries = inner.entries;
+        inner.budget.take(entries, self.now())
+    }
+
+    /// Waits for a place until the call may not wait any more.
+    ///
+    /// Fails at once if the wait would be too long or nothing takes calls.
+    pub(crate) async fn place(self: &Arc<Service>, want: Want<'_>) -> Result<Place, NoPlace> {
+        let (wait_until, ticket, receiver) = match self.offer(want)? {
+            Offered::Place(place) => return Ok(place),
+            Offered::Wait { until, ticket, receiver } => (until, ticket, receiver),
+        };
+        let _guard = WaitGuard { service: self, ticket };
+        let limit = wait_until.saturating_sub(self.now());
+        match tokio::time::timeout(limit, receiver).await {
+            Ok(Ok(place)) => Ok(place),
+            _ => Err(NoPlace::Full { retry_after: self.inner.lock().queue.drain_time() }),
+        }
+    }
+
+    fn offer(self: &Arc<Service>, want: Want<'_>) -> Result<Offered, NoPlace> {
+        let now = self.now();
+        let mut inner = self.inner.lock();
+        let free = match inner.choose(want.tried, now) {
+            Placement::Nowhere => return Err(NoPlace::Nowhere),
+            Placement::Closed => return inner.hold(want, now),
+            Placement::Full => None,
+            Placement::At(index) => Some(index),
+        };
+        let until = want.waiter.wait_until;
+        match (inner.queue.offer(want.waiter, free.is_some(), now), free) {
+            (Offer::Start, Some(index)) => Ok(Offered::Place(inner.take(index, self))),
+            (Offer::Wait(ticket), _) => Ok(inner.wait(ticket, until)),
+            (Offer::Refuse { retry_after }, _) => Err(NoPlace::Full { retry_after }),
+            (Offer::Start, None) => Err(NoPlace::Full { retry_after: Duration::ZERO }),
+        }
+    }
+
+    /// Notes that an endpoint of a group has refused because it runs nothing.
+    pub(crate) fn note_refusal(self: &Arc<Service>, group: &str) {
+        let begins = self.inner.lock().groups.note_refusal(group, self.now());
+        if let Some(probe_at) = begins {
+            log::info!(group; "the group runs nothing for now");
+            self.wake_at(probe_at);
+        }
+    }
+
+    /// Notes that an endpoint of a group has answered.
+    pub(crate) fn note_answer(self: &Arc<Service>, group: &str) {
+        let mut inner = self.inner.lock();
+        if inner.groups.note_answer(group) {
+            inner.queue.resume(self.now());
+            drop(inner);
+            log::info!(group; "the group runs again");
+            self.wake();
+        }
+    }
+
+    /// Takes a place back.
+    pub(crate) fn give_back(self: &Arc<Service>) {
+        self.inner.lock().running -= 1;
+        self.wake();
+    }
+
+    /// Hands free places out at a later time.
+    fn wake_at(self: &Arc<Service>, at: Duration) {
+        let service = Arc::clone(self);
+        let wait = at.saturating_sub(self.now());
+        tokio::spawn(async move {
+            tokio::time::sleep(wait).await;
+            service.wake();
+        });
+    }
+
+    /// Hands free places to waiting calls.
+    fn wake(self: &Arc<Service>) {
+        let unwanted = self.hand_out();
+        // Places whose call has just gone are given back without the lock.
+        drop(unwanted);
+    }
+
+    fn hand_out(self: &Arc<Service>) -> Vec<Place> {
+        let now = self.now();
+        let mut unwanted = Vec::new();
+        let mut inner = self.inner.lock();
+        while !inner.queue.is_empty() {
+            let Placement::At(index) = inner.choose(&[], now) else { break };
+            let Some(ticket) = inner.queue.start_next(now) else { break };
+            let Some(sender) = inner.waiting.remove(&ticket) else { continue };
+            let place = inner.take(index, self);
+            unwanted.extend(sender.send(place).err());
+        }
+        unwanted
+    }
+}
+
+enum Offered {
+    Place(Place),
+    Wait { until: Duration, ticket: Ticket, receiver: oneshot::Receiver<Place> },
+}
+
+/// Takes a ticket out of the queue if its call stops waiting.
+struct WaitGuard<'a> {
+    service: &'a Service,
+    ticket: Ticket,
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        let mut inner = self.service.inner.lock();
+        inner.queue.remove(self.ticket, self.service.now());
+        inner.waiting.remove(&self.ticket);
+    }
+}
+
+impl Inner {
+    fn choose(&self, tried: &[EndpointId], now: Duration) -> Placement {
+        let seats: Vec<Seat> = self
+            .endpoints
+            .iter()
+            .map(|endpoint| endpoint.seat(self.room(endpoint, now), tried, &self.groups))
+            .collect();
+        match place(&seats) {
+            Placement::At(_) if self.is_at_pace_limit() => Placement::Full,
+            placement => placement,
+        }
+    }
+
+    fn room(&self, endpoint: &Endpoint, now: Duration) -> Room {
+        let capacity = self.slots.unwrap_or(endpoint.record.slots).max(1);
+        let share = f64::from(capacity) / self.entries as f64 * UNEVEN_SHARE;
+        let own_capacity = (share.ceil() as u32).clamp(1, capacity);
+        Room { capacity, own_capacity, now }
+    }
+
+    /// Lets a call wait for a group to open, all of which are closed: it is late in
+    /// any case, and sent away it would spend its last try on coming back. As many
+    /// wait as can start at once then.
+    ///
+    /// Fails at once if no group is expected to open in time for the call.
+    fn hold(&mut self, want: Want<'_>, now: Duration) -> Result<Offered, NoPlace> {
+        let groups: Vec<Arc<str>> =
+            self.endpoints.iter().map(|endpoint| endpoint.group()).collect();
+        let opening_by = self.groups.opening_by(groups.iter().map(|group| &**group), now);
+        let until = opening_by.filter(|by| *by <= want.hold_until);
+        let Some(until) = until.filter(|_| self.queue.len() < self.places()) else {
+            let retry_after = opening_by.map_or(Duration::ZERO, |by| by.saturating_sub(now));
+            return Err(NoPlace::Full { retry_after });
+        };
+        let ticket = self.queue.hold(Waiter { wait_until: until, ..want.waiter }, now);
+        Ok(self.wait(ticket, until))
+    }
+
+    fn wait(&mut self, ticket: Ticket, until: Duration) -> Offered {
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.insert(ticket, sender);
+        Offered::Wait { until, ticket, receiver }
+    }
+
+    /// Calls of this entry that may be in progress at all endpoints.
+    fn places(&self) -> usize {
+        let rooms = self.endpoints.iter().map(|endpoint| self.room(endpoint, Duration::ZERO));
+        rooms.map(|room| room.own_capacity as usize).sum()
+    }
+
+    /// This entry's share of what the service may run, for a model service.
+    fn share(&self) -> Option<f64> {
+        let slots = f64::from(self.slots?) * self.endpoints.len() as f64;
+        Some(slots / self.entries as f64)
+    }
+
+    fn is_at_pace_limit(&self) -> bool {
+        let limit = self.share().map(|share| share * self.pace.fraction() * UNEVEN_LIMIT);
+        limit.is_some_and(|limit| f64::from(self.running) >= limit)
+    }
+
+    fn take(&mut self, index: usize, service: &Arc<Service>) -> Place {
+        self.choices += 1;
+        self.running += 1;
+        let endpoint = Arc::clone(&self.endpoints[index]);
+        endpoint.note_chosen(self.choices);
+        let place = Place::new(endpoint, Arc::clone(service));
+        if let Some(probe_at) = self.groups.note_sent(place.group(), service.now()) {
+            service.wake_at(probe_at);
+        }
+        place
+    }
+}
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -17,7 +17,7 @@
 use crate::{
     attempt::{Ended, Opened, left},
     call::Call,
-    places::Place,
+    endpoint::Place,
     reply::ReplyBody,
 };
 
--- /dev/null
+++ b/crates/link/src/group_notice.rs
@@ -0,0 +1,55 @@
+//! What processes beside engines tell entries of their groups.
+//!
+//! An entry asks the process beside each engine that it uses, again and again; of
+//! those the one that balances the group tells the state of the group. So nobody
+//! has to know all entries, and an entry hears of the groups that it uses.
+
+use std::{net::SocketAddr, time::Duration};
+
+use lynxmount_core::{Result, Step, invalid};
+use serde::{Deserialize, Serialize};
+
+/// How far the port of this exchange is from the first of the internal ports.
+pub const GROUP_PORT_OFFSET: u16 = 2;
+
+/// How often an entry asks to be told. An asking takes 2 bytes.
+pub const ASK_PERIOD: Duration = Duration::from_secs(2);
+
+/// For how long it is told then: one asking may be lost.
+pub const ASKED_FOR: Duration = Duration::from_secs(5);
+
+/// A datagram of this exchange.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum GroupMessage {
+    /// An entry asks to be told of the receiver's group.
+    Ask,
+    /// The state of the sender's group.
+    Notice(GroupNotice),
+}
+
+/// The state of a group.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct GroupNotice {
+    /// The group's name.
+    pub group: String,
+    /// Whether it takes work.
+    pub is_open: bool,
+    /// The engines of its ranks, as far as they are known.
+    pub engines: Vec<SocketAddr>,
+}
+
+impl GroupMessage {
+    /// Writes a datagram.
+    ///
+    /// Fails if it can't be written.
+    pub fn encode(&self) -> Result<Vec<u8>> {
+        postcard::to_stdvec(self).map_err(|e| invalid(Step::Order, "group notice", e))
+    }
+
+    /// Reads a datagram.
+    ///
+    /// Fails if it is none.
+    pub fn decode(peer: SocketAddr, bytes: &[u8]) -> Result<GroupMessage> {
+        postcard::from_bytes(bytes).map_err(|e| invalid(Step::Order, peer, e))
+    }
+}
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -6,11 +6,13 @@
 mod client;
 mod connection;
 mod fleet_exchange;
+mod group_notice;
 mod server;
 mod signals;
 
 pub use client::{Answer, HttpClient};
 pub use connection::Connection;
 pub use fleet_exchange::{KnownFleet, ask_fleet, asked_fleet};
+pub use group_notice::{ASK_PERIOD, ASKED_FOR, GROUP_PORT_OFFSET, GroupMessage, GroupNotice};
 pub use server::{Handle, bind, serve};
 pub use signals::wait_for_end;
--- /dev/null
+++ b/crates/policy/src/group_watch.rs
@@ -0,0 +1,133 @@
+//! Whether the groups of a service take work, from what their processes tell and
+//! from what their endpoints answer.
+//!
+//! A group is a failure domain: all ranks of it work or none does. One that is
+//! closed takes no calls, and the others go on.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::OutageWatch;
+
+/// How long what a group's process has told counts: five of its periods.
+const TOLD_LIFE: Duration = Duration::from_secs(1);
+
+/// How much longer than usual a group may take to open again before calls stop
+/// waiting for it: it stalls, is found broken and forms, and is told to be open
+/// 0.1 to 0.3 s later.
+const LATE_OPENING: Duration = Duration::from_millis(500);
+
+/// A group's name. Endpoints whose group is not known are one group without name.
+pub type GroupName = String;
+
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    is_open: bool,
+    at: Duration,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Watched {
+    outage: OutageWatch,
+    told: Option<Told>,
+    closed_since: Option<Duration>,
+}
+
+impl Watched {
+    fn told_open(&self, now: Duration) -> Option<bool> {
+        let told = self.told.filter(|told| now < told.at + TOLD_LIFE);
+        told.map(|told| told.is_open)
+    }
+
+    fn may_send(&self, now: Duration) -> bool {
+        match self.told_open(now) {
+            Some(false) => false,
+            Some(true) | None => self.outage.may_send(now),
+        }
+    }
+
+    fn out_since(&self, now: Duration) -> Option<Duration> {
+        match self.told_open(now) {
+            Some(false) => self.closed_since,
+            Some(true) | None => self.outage.since(),
+        }
+    }
+}
+
+/// What is known of a service's groups.
+#[derive(Clone, Debug, Default)]
+pub struct GroupWatch {
+    groups: BTreeMap<GroupName, Watched>,
+    /// How long a group usually is closed; `None` for a service without groups.
+    usual_outage: Option<Duration>,
+}
+
+impl GroupWatch {
+    /// Sets how long a group that has lost a rank usually is closed.
+    pub fn set_usual_outage(&mut self, usual: Option<Duration>) {
+        self.usual_outage = usual;
+    }
+
+    /// Takes what a group's process has told. Returns whether the group has opened
+    /// with it.
+    pub fn note_told(&mut self, group: &str, is_open: bool, now: Duration) -> bool {
+        let watched = self.watched(group);
+        watched.told = Some(Told { is_open, at: now });
+        match is_open {
+            true => {
+                let opens = watched.closed_since.take().is_some();
+                if opens {
+                    watched.outage.note_answer();
+                }
+                opens
+            }
+            false => {
+                watched.closed_since = watched.closed_since.or(Some(now));
+                false
+            }
+        }
+    }
+
+    /// Takes that an endpoint of a group has refused because it runs nothing.
+    /// Returns when a call may be sent there again if an outage begins with it.
+    pub fn note_refusal(&mut self, group: &str, now: Duration) -> Option<Duration> {
+        let outage = &mut self.watched(group).outage;
+        outage.note_refusal(now).then(|| outage.probe_at())
+    }
+
+    /// Takes that an endpoint of a group has answered. Returns whether an outage
+    /// ends with it.
+    pub fn note_answer(&mut self, group: &str) -> bool {
+        let outage = &mut self.watched(group).outage;
+        let was_out = outage.since().is_some();
+        outage.note_answer();
+        was_out
+    }
+
+    /// Takes that a call is sent to a group. Returns when the next one may be, in
+    /// an outage.
+    pub fn note_sent(&mut self, group: &str, now: Duration) -> Option<Duration> {
+        self.watched(group).outage.note_sent(now)
+    }
+
+    /// Says whether a call may be sent to a group.
+    pub fn may_send(&self, group: &str, now: Duration) -> bool {
+        self.groups.get(group).is_none_or(|watched| watched.may_send(now))
+    }
+
+    /// Until when a call may wait for one of these groups to open, all of which
+    /// are closed; `None` if none of them is expected to, or is late already.
+    pub fn opening_by<'a>(
+        &self,
+        groups: impl Iterator<Item = &'a str>,
+        now: Duration,
+    ) -> Option<Duration> {
+        let usual = self.usual_outage? + LATE_OPENING;
+        let out_since = |group| self.groups.get(group)?.out_since(now);
+        let first = groups.filter_map(out_since).map(|since| since + usual);
+        first.filter(|by| *by > now).min()
+    }
+
+    fn watched(&mut self, group: &str) -> &mut Watched {
+        self.groups.entry(group.to_owned()).or_default()
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod bucket;
 mod choice;
+mod group_watch;
 mod health;
 mod membership;
 mod outage;
@@ -22,6 +23,7 @@
 
 pub use bucket::TokenBucket;
 pub use choice::{Candidate, Choice, ChoiceOptions, choose};
+pub use group_watch::{GroupName, GroupWatch};
 pub use health::{CallEnd, Health};
 pub use membership::Membership;
 pub use outage::{OutageWatch, return_time};
--- a/crates/policy/src/outage.rs
+++ b/crates/policy/src/outage.rs
@@ -1,4 +1,4 @@
-//! A service that runs nothing for a while, and when callers may come back.
+//! A group that runs nothing for a while, and when callers may come back.
 //!
 //! The ranks of a group refuse work together until the group has formed anew. A
 //! request that has met an outage is late in any case, so that coming back soon
@@ -6,9 +6,10 @@
 
 use std::time::Duration;
 
-/// How long nothing is sent after endpoints have refused: long enough to spare
-/// most requests a refusal, short enough to lose little once the service runs.
-const PAUSE: Duration = Duration::from_millis(250);
+/// How long after a call that was sent in an outage the next one may be: short
+/// enough to lose little once the group runs, long enough that an entry spends six
+/// of its repeats on an outage of 1.5 s, of about 27 in ten seconds.
+const PROBE_PERIOD: Duration = Duration::from_millis(250);
 
 /// Endpoints that must have refused in a row. One alone may be full.
 const REFUSALS_IN_A_ROW: u32 = 2;
@@ -21,21 +22,23 @@
 /// The further part over which returns are spread.
 const SPREAD_PART: f64 = 0.08;
 
-/// Whether a service runs anything.
+/// Whether a group runs anything, by what its endpoints answer.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct OutageWatch {
     refusals: u32,
-    paused_until: Duration,
+    since: Option<Duration>,
+    probe_at: Duration,
 }
 
 impl OutageWatch {
     /// Notes that an endpoint has refused because it runs nothing. Returns
-    /// whether a pause begins with it.
+    /// whether an outage begins with it.
     pub fn note_refusal(&mut self, now: Duration) -> bool {
         self.refusals += 1;
-        let begins = self.refusals >= REFUSALS_IN_A_ROW && now >= self.paused_until;
+        let begins = self.refusals >= REFUSALS_IN_A_ROW && self.since.is_none();
         if begins {
-            self.paused_until = now + PAUSE;
+            self.since = Some(now);
+            self.probe_at = now + PROBE_PERIOD;
         }
         begins
     }
@@ -45,14 +48,27 @@
         *self = OutageWatch::default();
     }
 
-    /// Says whether nothing is sent now.
-    pub fn is_paused(&self, now: Duration) -> bool {
-        now < self.paused_until
+    /// Says whether a call may be sent: in an outage one at a time, to see
+    /// whether it is over.
+    pub fn may_send(&self, now: Duration) -> bool {
+        self.since.is_none() || now >= self.probe_at
     }
 
-    /// When the pause ends.
-    pub fn paused_until(&self) -> Duration {
-        self.paused_until
+    /// Notes that a call is sent. Returns when the next one may be, in an outage.
+    pub fn note_sent(&mut self, now: Duration) -> Option<Duration> {
+        self.since?;
+        self.probe_at = now + PROBE_PERIOD;
+        Some(self.probe_at)
+    }
+
+    /// Since when there is an outage.
+    pub fn since(&self) -> Option<Duration> {
+        self.since
+    }
+
+    /// When the next call may be sent in an outage.
+    pub fn probe_at(&self) -> Duration {
+        self.probe_at
     }
 }
 
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -15,6 +15,8 @@
     pub capacity: u32,
     /// Calls of this entry that may be in progress there.
     pub own_capacity: u32,
+    /// Of a group that takes no calls.
+    pub is_closed: bool,
     /// Left out because of failures, as long as others are not.
     pub is_ejected: bool,
     /// Tried by the same call before.
@@ -41,6 +43,8 @@
 pub enum Placement {
     /// This endpoint, as an index.
     At(usize),
+    /// All are of groups that take no calls now.
+    Closed,
     /// All that could take the call are full.
     Full,
     /// There is no endpoint.
@@ -51,9 +55,10 @@
 /// there are no others: an ejection never empties a service.
 pub fn place(seats: &[Seat]) -> Placement {
     let best_class = |seat: &&(usize, &Seat)| (seat.1.is_ejected, seat.1.was_tried);
-    let indexed: Vec<(usize, &Seat)> = seats.iter().enumerate().collect();
+    let indexed: Vec<(usize, &Seat)> =
+        seats.iter().enumerate().filter(|(_, seat)| !seat.is_closed).collect();
     let Some(class) = indexed.iter().map(|seat| best_class(&seat)).min() else {
-        return Placement::Nowhere;
+        return if seats.is_empty() { Placement::Nowhere } else { Placement::Closed };
     };
     indexed
         .iter()
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -131,6 +131,19 @@
         Offer::Wait(self.enqueue(Waiting { waiter, since: now, expected }))
     }
 
+    /// Lets a request wait until the service runs again, which it does not now, so
+    /// that the queue does not drain.
+    pub fn hold(&mut self, waiter: Waiter, now: Duration) -> Ticket {
+        let expected = waiter.wait_until.saturating_sub(now);
+        self.enqueue(Waiting { waiter, since: now, expected })
+    }
+
+    /// Takes that the service runs again: the time without departures says nothing
+    /// of how fast the queue drains.
+    pub fn resume(&mut self, now: Duration) {
+        self.departed_at = Some(now);
+    }
+
     /// Takes the request that goes next, if one waits.
     ///
     /// Call it when there is a place; it measures how fast the queue drains.
--- a/crates/rank/src/beliefs.rs
+++ b/crates/rank/src/beliefs.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use lynxmount_core::experts::{EngineReport, GroupEpoch, GroupMap, MapVersion};
+use lynxmount_core::experts::{EngineReport, GroupEpoch, GroupMap, MapVersion, Membership};
 
 use crate::{demand::Demand, message::RankState};
 
@@ -54,6 +54,11 @@
         self.heard.insert(state.engine, Heard { state, at: now, told_at: now });
     }
 
+    /// Which rank of which group the own engine is, as it has told last.
+    pub(crate) fn own_membership(&self) -> Option<Membership> {
+        self.heard.get(&self.own)?.state.report.membership.clone()
+    }
+
     /// Demand by set and expert; `None` before anything was seen.
     pub(crate) fn demand(&self, experts: usize) -> Option<Vec<Vec<f64>>> {
         self.demand.by_set(experts)
--- a/crates/rank/src/coordinator.rs
+++ b/crates/rank/src/coordinator.rs
@@ -22,6 +22,7 @@
 
 use crate::{
     beliefs::{Beliefs, Group},
+    duty::Duty,
     members::Members,
     message::OrderAnswer,
     orders::{Outbox, give},
@@ -34,12 +35,6 @@
 /// How often a switch under way is looked after if nothing is answered.
 const SWITCH_TICK: Duration = Duration::from_millis(20);
 
-/// How long a process must be silent before the next one balances.
-const SILENCE: Duration = Duration::from_millis(1200);
-
-/// How long a process that has come to its group listens for those before it.
-const LISTEN_FIRST: Duration = Duration::from_millis(1500);
-
 /// How long a hold may stand before it is taken for left behind: a switch holds
 /// a group for 20 ms as a rule, and undoes it after 400 ms.
 const LEFT_BEHIND_AFTER: Duration = Duration::from_millis(900);
@@ -62,6 +57,7 @@
     pub(crate) port: u16,
     pub(crate) roster: Arc<Roster>,
     pub(crate) members: Arc<Members>,
+    pub(crate) duty: Arc<Duty>,
     pub(crate) beliefs: Arc<Mutex<Beliefs>>,
     pub(crate) outbox: Arc<Outbox>,
     pub(crate) metrics: Arc<Metrics>,
@@ -120,7 +116,7 @@
         let mut memory = Memory::default();
         loop {
             tokio::time::sleep(PERIOD).await;
-            let is_leading = self.is_leading();
+            let is_leading = self.duty.is_leading();
             if is_leading != memory.was_leading {
                 log::info!(is_leading; "balancing duty");
                 memory.was_leading = is_leading;
@@ -131,19 +127,6 @@
         }
     }
 
-    /// Says whether all processes before this one are silent.
-    fn is_leading(&self) -> bool {
-        let listeners = self.members.listeners();
-        let Some(place) = listeners.iter().position(|engine| *engine == self.own) else {
-            return false;
-        };
-        let beliefs = self.beliefs.lock();
-        let is_silent =
-            |engine: &SocketAddr| beliefs.told_ago(*engine).is_none_or(|ago| ago > SILENCE);
-        let has_listened = place == 0 || self.members.own_age() > LISTEN_FIRST;
-        has_listened && listeners[..place].iter().all(is_silent)
-    }
-
     async fn balance(&self, memory: &mut Memory) {
         self.read_silent(memory);
         let Some(group) = self.beliefs.lock().group_of(self.own) else { return };
--- a/crates/rank/src/lib.rs
+++ b/crates/rank/src/lib.rs
@@ -9,8 +9,10 @@
 mod beliefs;
 mod coordinator;
 mod demand;
+mod duty;
 mod members;
 mod message;
+mod notifier;
 mod orders;
 mod process;
 mod reporter;
--- a/crates/rank/src/process.rs
+++ b/crates/rank/src/process.rs
@@ -7,7 +7,7 @@
     Clock, SiteSettings,
     edge::{Engine, FleetSource},
 };
-use lynxmount_link::{bind, serve, wait_for_end};
+use lynxmount_link::{GROUP_PORT_OFFSET, bind, serve, wait_for_end};
 use lynxmount_telemetry::{Metrics, MetricsPort};
 use parking_lot::Mutex;
 use tokio::{net::UdpSocket, sync::Notify};
@@ -15,8 +15,10 @@
 use crate::{
     beliefs::Beliefs,
     coordinator::Coordinator,
+    duty::Duty,
     members::Members,
     message::Datagram,
+    notifier::Notifier,
     orders::{Inbox, Outbox},
     reporter::Reporter,
     roster::Roster,
@@ -89,6 +91,17 @@
     tokio::spawn(Arc::clone(&roster).follow(Arc::clone(&source), seeds, own));
     tokio::spawn(port_state.listen());
     tokio::spawn(reporter.run());
+    let duty = Arc::new(Duty { own, members: Arc::clone(&members), beliefs: Arc::clone(&beliefs) });
+    let notices = SocketAddr::new(settings.ip, port + GROUP_PORT_OFFSET);
+    let notifier = Arc::new(Notifier {
+        socket: UdpSocket::bind(notices).await.with_context(|| format!("bind {notices}"))?,
+        duty: Arc::clone(&duty),
+        members: Arc::clone(&members),
+        beliefs: Arc::clone(&beliefs),
+        asked: Mutex::default(),
+    });
+    tokio::spawn(Arc::clone(&notifier).listen());
+    tokio::spawn(notifier.run());
     let coordinator = Coordinator {
         engine,
         make_engine,
@@ -97,6 +110,7 @@
         port,
         roster,
         members,
+        duty,
         beliefs,
         outbox,
         metrics,
