--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -196,7 +196,8 @@
 /// An endpoint's registration.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct EndpointRecord {
-    /// One life of the endpoint: a restarted one has another id.
+    /// The endpoint's id. One that restarts has another, or keeps it and tells a
+    /// later start.
     pub id: EndpointId,
     /// The service that it serves.
     pub service: ServiceId,
@@ -208,6 +209,11 @@
     pub slots: u32,
     /// Whether it takes work.
     pub state: EndpointState,
+    /// When this life of it began, in milliseconds since the Unix epoch, if it
+    /// tells that.
+    pub started_ms: Option<u64>,
+    /// Where in the platform's log its registration was first seen.
+    pub listed_at: Offset,
 }
 
 /// All registrations up to a position of the platform's log.
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -39,7 +39,8 @@
 /// so that there is time for another.
 const ATTEMPT_PART: f64 = 0.45;
 
-/// Connections that may fail to open for one call; nothing is sent on these.
+/// How often one call may miss its endpoint: a connection does not open, or
+/// another endpoint has the address. It is not run then.
 const MAX_UNREACHABLE: u32 = 3;
 
 /// The team of calls that need no key.
@@ -81,7 +82,7 @@
 impl Tries {
     fn note(&mut self, ended: Ended) {
         self.may_have_run |= matches!(ended, Ended::Lost | Ended::TimedOut);
-        self.unreachable += u32::from(ended == Ended::Unreachable);
+        self.unreachable += u32::from(matches!(ended, Ended::Unreachable | Ended::OtherEndpoint));
     }
 }
 
@@ -122,6 +123,9 @@
         match ended {
             _ if left(self.deadline).is_zero() || !may_send => false,
             Ended::Unreachable => tries.unreachable <= MAX_UNREACHABLE,
+            Ended::OtherEndpoint => {
+                tries.unreachable <= MAX_UNREACHABLE && self.service.take_repeat()
+            }
             _ => self.has_attempts_left() && self.service.take_repeat(),
         }
     }
@@ -220,8 +224,8 @@
         };
         self.tried.lock().push(EndpointId::clone(&endpoint));
         let opened = open(&*self.dialect, place, &outgoing, forward, self.attempt_end()).await;
-        // A request of which nothing was sent is no attempt.
-        if !matches!(opened, Err(Ended::Unreachable)) {
+        // One that did not reach the endpoint that is meant is no attempt.
+        if !matches!(opened, Err(Ended::Unreachable | Ended::OtherEndpoint)) {
             self.attempts.fetch_add(1, Ordering::Relaxed);
         }
         opened
--- a/crates/direct/src/groups.rs
+++ b/crates/direct/src/groups.rs
@@ -52,7 +52,7 @@
                     log::debug!(peer:% = peer, error:% = error; "a group was not asked for");
                 }
             }
-            let is_complete = ranks.iter().all(|rank| rank.has_group());
+            let is_complete = !ranks.is_empty() && ranks.iter().all(|rank| rank.has_group());
             tokio::time::sleep(if is_complete { ASK_PERIOD } else { FIRST_ASK_PERIOD }).await;
         }
     }
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -3,10 +3,15 @@
 //! Registrations lapse while the platform's store can't be written. Those of
 //! live endpoints are back about two seconds after the store is; one that is
 //! missing after that is gone.
+//!
+//! An endpoint that restarts at its address under another id leaves its former
+//! registration behind for three heartbeats. Two that name one address are two
+//! lives of it, of which the later one holds: half of the calls that were sent after
+//! a loss of power went to ids that were gone.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use lynxmount_core::{EndpointId, EndpointList, EndpointRecord};
+use lynxmount_core::{EndpointId, EndpointList, EndpointRecord, Offset};
 
 /// How long after the store is back a missing registration may still appear.
 const RETURN_TIME: Duration = Duration::from_millis(2200);
@@ -15,9 +20,21 @@
 /// less than three heartbeats of the reference deployments.
 const SHORT_OUTAGE: Duration = Duration::from_millis(1500);
 
+/// How long after its last registration an id is remembered: a registration that
+/// was on its way when its endpoint ended may be seen much later.
+const ID_LIFE: Duration = Duration::from_secs(60);
+
+/// Since when an id has been known.
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    listed_at: Offset,
+    last_listed: Duration,
+}
+
 /// What is believed of the endpoints.
 #[derive(Debug, Default)]
 pub struct Membership {
+    known: BTreeMap<EndpointId, Known>,
     listed: BTreeMap<EndpointId, EndpointRecord>,
     /// Missing since an outage, and until when they may come back.
     missing: BTreeMap<EndpointId, EndpointRecord>,
@@ -42,10 +59,40 @@
             false => self.missing.clear(),
         }
         self.missing.retain(|id, _| !self.listed.contains_key(id));
+        self.remember(now);
     }
 
-    /// The endpoints that may live.
+    /// The endpoints that may live, the latest life of each address.
     pub fn endpoints(&self) -> Vec<EndpointRecord> {
-        self.listed.values().chain(self.missing.values()).cloned().collect()
+        let mut latest: BTreeMap<SocketAddr, &EndpointRecord> = BTreeMap::new();
+        for record in self.missing.values().chain(self.listed.values()) {
+            let known = latest.entry(record.address).or_insert(record);
+            if self.begins_later(record, known) {
+                *known = record;
+            }
+        }
+        let is_latest = |record: &&EndpointRecord| latest[&record.address].id == record.id;
+        let may_live = self.listed.values().chain(self.missing.values());
+        may_live.filter(is_latest).cloned().collect()
+    }
+
+    fn remember(&mut self, now: Duration) {
+        for (id, record) in &self.listed {
+            let new = Known { listed_at: record.listed_at, last_listed: now };
+            self.known.entry(EndpointId::clone(id)).or_insert(new).last_listed = now;
+        }
+        self.known.retain(|_, known| now < known.last_listed + ID_LIFE);
+    }
+
+    /// Says whether a life of an endpoint began after another: by what both tell, or
+    /// else by which one was listed first.
+    fn begins_later(&self, record: &EndpointRecord, other: &EndpointRecord) -> bool {
+        let listed_at = |record: &EndpointRecord| {
+            self.known.get(&record.id).map_or(record.listed_at, |known| known.listed_at)
+        };
+        match (record.started_ms, other.started_ms) {
+            (Some(started), Some(other)) if started != other => started > other,
+            _ => listed_at(record) > listed_at(other),
+        }
     }
 }
