--- a/crates/direct/src/service.rs
+++ b/crates/direct/src/service.rs
@@ -140,7 +140,7 @@
         own.iter().for_each(|endpoint| endpoint.note_group(&group));
         let now = self.now();
         if inner.groups.note_told(&group, notice.is_open, now) {
-            inner.queue.resume(now);
+            inner.note_opening(now);
             drop(inner);
             log::info!(group = &*group; "the group is open again");
             self.wake();
@@ -223,7 +223,7 @@
     pub(crate) fn note_answer(self: &Arc<Service>, group: &str) {
         let mut inner = self.inner.lock();
         if inner.groups.note_answer(group) {
-            inner.queue.resume(self.now());
+            inner.note_opening(self.now());
             drop(inner);
             log::info!(group; "the group runs again");
             self.wake();
@@ -331,6 +331,11 @@
         Offered::Wait { until, ticket, receiver }
     }
 
+    fn note_opening(&mut self, now: Duration) {
+        self.queue.resume(now);
+        self.pace.note_opening(now);
+    }
+
     /// Calls of this entry that may be in progress at all endpoints.
     fn places(&self) -> usize {
         let rooms = self.endpoints.iter().map(|endpoint| self.room(endpoint, Duration::ZERO));
--- a/crates/policy/src/pace_limit.rs
+++ b/crates/policy/src/pace_limit.rs
@@ -35,6 +35,12 @@
 /// The least part of its slots that a service runs.
 const FLOOR: f64 = 0.35;
 
+/// How long after a group has opened pauses say nothing of load: it runs its first
+/// map, under which the most loaded rank has three times the mean, until maps have
+/// followed demand. Whoever was cut off or waited is late in any case, and is served
+/// sooner with all slots taken.
+const FIRST_MAPS: Duration = Duration::from_millis(1500);
+
 /// How long pauses may be too long at the floor before the limit is given up.
 const HOPELESS_AFTER: Duration = Duration::from_millis(900);
 
@@ -72,6 +78,11 @@
         self.fraction
     }
 
+    /// Takes that a group has opened.
+    pub fn note_opening(&mut self, now: Duration) {
+        *self = PaceLimit { given_up_until: now + FIRST_MAPS, set_at: now, ..PaceLimit::default() };
+    }
+
     /// Takes the pause before an event of a stream, with the longest that is on
     /// time and the part of the service's slots that is taken.
     pub fn note_pause(&mut self, pause: Duration, goal: Duration, taken: f64, now: Duration) {
