--- a/crates/balance/tests/shifting_demand.rs
+++ b/crates/balance/tests/shifting_demand.rs
@@ -22,6 +22,9 @@
 const SHIFTED_PART: f64 = 0.58;
 const PLAYED_S: f64 = 30.0;
 
+/// Passes take as long as pauses may at most.
+const NO_ROOM: f64 = 1.0;
+
 type Demand = Vec<Vec<f64>>;
 
 /// The group of a reference deployment.
@@ -124,7 +127,7 @@
             map = switched;
         } else if next.is_none() {
             let seen = windows.by_set(spec.experts).expect("counts");
-            next = plan_change(&map, &seen, spec).map(|plan| {
+            next = plan_change(&map, &seen, spec, NO_ROOM).map(|plan| {
                 let copies = copies(&map, &plan.maps);
                 let copy_s = copies as f64 * spec.copy_time.as_secs_f64();
                 let lead_s = f64::from(*lead_steps) * PASS_S;
--- a/crates/rank/src/coordinator.rs
+++ b/crates/rank/src/coordinator.rs
@@ -7,9 +7,9 @@
 };
 
 use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
-use lynxmount_balance::{GroupPlan, plan_change};
+use lynxmount_balance::{GroupPlan, PassTime, plan_change};
 use lynxmount_core::{
-    Clock, ExpertSpec, Result,
+    Clock, ExpertSpec, FleetConfig, Result, Route, ServiceId,
     edge::{Engine, FleetSource},
     experts::{EngineOrder, GroupMap, GroupStep, MapVersion},
 };
@@ -76,10 +76,19 @@
 /// probe.
 const DIRECT_PERIOD: Duration = Duration::from_millis(250);
 
+/// What the configuration says of the own service.
+#[derive(Clone, Copy, Debug)]
+struct Spec {
+    experts: ExpertSpec,
+    /// The longest pause between events that is on time on all routes.
+    pause_goal: Option<Duration>,
+}
+
 /// What the balancing process remembers from one change to the next.
 #[derive(Default)]
 struct Memory {
-    experts: Option<ExpertSpec>,
+    spec: Option<Spec>,
+    pass_time: PassTime,
     min_version: MapVersion,
     left_behind_since: Option<Instant>,
     was_leading: bool,
@@ -130,7 +139,7 @@
     async fn balance(&self, memory: &mut Memory) {
         self.read_silent(memory);
         let Some(group) = self.beliefs.lock().group_of(self.own) else { return };
-        let Some(spec) = self.experts(memory).await else { return };
+        let Some(spec) = self.spec(memory).await else { return };
         let is_left_behind = left_behind(&group.reports()).is_some();
         match (is_left_behind, memory.left_behind_since) {
             (false, _) => {
@@ -171,8 +180,8 @@
         engine != self.own && told_ago.is_some_and(|ago| ago > DIRECT_AFTER)
     }
 
-    async fn experts(&self, memory: &mut Memory) -> Option<ExpertSpec> {
-        if memory.experts.is_none() {
+    async fn spec(&self, memory: &mut Memory) -> Option<Spec> {
+        if memory.spec.is_none() {
             let read = self.source.config_after(None, Duration::ZERO).await;
             let config = match read {
                 Ok(config) => config.map(|(_, config)| config),
@@ -181,22 +190,33 @@
                     None
                 }
             };
-            let own = self.roster.service();
-            let services = config.into_iter().flat_map(|config| config.services);
-            let mut own = services.filter(|service| Some(&service.id) == own.as_ref());
-            memory.experts = own.find_map(|service| service.engine?.experts);
+            memory.spec = spec_of(&config?, &self.roster.service()?);
         }
-        memory.experts
+        memory.spec
+    }
+
+    /// The time between passes as a part of the longest pause that is on time; 1
+    /// as long as either is not known.
+    fn pressure(&self, memory: &mut Memory, spec: &Spec, group: &Group) -> f64 {
+        let reports = group.states.iter().map(|state| &state.report);
+        let is_working = reports.clone().any(|report| report.running > 0);
+        let step = reports.map(|report| report.step).max().unwrap_or_default();
+        memory.pass_time.note(group.epoch, step, is_working, self.clock.now());
+        let (Some(pass), Some(goal)) = (memory.pass_time.mean(), spec.pause_goal) else {
+            return 1.0;
+        };
+        pass.as_secs_f64() / goal.as_secs_f64().max(f64::MIN_POSITIVE)
     }
 
-    async fn change(&self, memory: &mut Memory, spec: &ExpertSpec, group: Group) {
+    async fn change(&self, memory: &mut Memory, spec: &Spec, group: Group) {
+        let pressure = self.pressure(memory, spec, &group);
         // A map that is armed comes into use with the next pass of the group.
         if group.states.iter().any(|state| state.report.armed.is_some()) {
             return;
         }
-        let demand = self.beliefs.lock().demand(spec.experts);
+        let demand = self.beliefs.lock().demand(spec.experts.experts);
         let (Some(current), Some(demand)) = (group.map(), demand) else { return };
-        let Some(plan) = plan_change(&current, &demand, spec) else { return };
+        let Some(plan) = plan_change(&current, &demand, &spec.experts, pressure) else { return };
         let Some(start) = self.start(memory, &group, current.clone()) else { return };
         let base = Some((group.map_version(), &current));
         let mut switch = Switch::start(start, plan.maps.clone(), memory.min_version);
@@ -204,7 +224,7 @@
         self.metrics.count("maps.started");
         let began = Instant::now();
         let end = self.drive(memory, &mut switch, &group.engines, base).await;
-        self.note(&plan, &switch, end, began.elapsed());
+        self.note(&plan, &switch, pressure, end, began.elapsed());
     }
 
     fn start(&self, memory: &Memory, group: &Group, current: GroupMap) -> Option<SwitchStart> {
@@ -225,12 +245,19 @@
         })
     }
 
-    fn note(&self, plan: &GroupPlan, switch: &Switch, end: SwitchEnd, took: Duration) {
+    fn note(
+        &self,
+        plan: &GroupPlan,
+        switch: &Switch,
+        pressure: f64,
+        end: SwitchEnd,
+        took: Duration,
+    ) {
         let version = switch.version();
         let armed_ms = switch.armed_in().map(|time| time.as_millis() as u64);
         let (before, after, fetches) = (plan.skew_before, plan.skew_after, plan.fetches);
         let took_ms = took.as_millis() as u64;
-        log::info!(version, skew_before = before, skew_after = after, fetches, armed_ms,
+        log::info!(version, skew_before = before, skew_after = after, fetches, pressure, armed_ms,
             took_ms, end:? = end; "change of map");
         self.metrics.latency("maps.change", took);
         if end == SwitchEnd::Switched {
@@ -327,6 +354,15 @@
     }
 }
 
+/// What a configuration says of a service whose engines share experts.
+fn spec_of(config: &FleetConfig, service: &ServiceId) -> Option<Spec> {
+    let own = config.services.iter().find(|spec| spec.id == *service)?;
+    let leads_here = |route: &&Route| route.targets.iter().any(|t| t.service == *service);
+    let routes = config.routes.iter().filter(leads_here);
+    let pause_goal = routes.filter_map(|route| route.gap_goal).min();
+    Some(Spec { experts: own.engine.as_ref()?.experts?, pause_goal })
+}
+
 /// Says whether a rank is this process's to hold the group through: its own, and
 /// of those that no process balances beside its share.
 fn is_own_guard(
