Find peers, silent processes and holds that were left behind sooner

Change: the list is asked for each 0.2 s until it is complete, a silent process is passed over after 0.8 s, a hold is undone after 0.6 s.

--- a/crates/rank/src/coordinator.rs
+++ b/crates/rank/src/coordinator.rs
@@ -36,8 +36,9 @@
 const SWITCH_TICK: Duration = Duration::from_millis(20);
 
 /// How long a hold may stand before it is taken for left behind: a switch holds
-/// a group for 20 ms as a rule, and undoes it after 400 ms.
-const LEFT_BEHIND_AFTER: Duration = Duration::from_millis(900);
+/// a group for 20 ms as a rule, and undoes it after 400 ms. Undoing one that is still
+/// under way is safe.
+const LEFT_BEHIND_AFTER: Duration = Duration::from_millis(600);
 
 /// How many steps ahead a group is held while answers to orders are lost. Arming
 /// then takes 50 to 100 ms, which the group works through instead of standing
--- a/crates/rank/src/duty.rs
+++ b/crates/rank/src/duty.rs
@@ -6,8 +6,11 @@
 
 use crate::{beliefs::Beliefs, members::Members};
 
-/// How long a process must be silent before the next one balances.
-const SILENCE: Duration = Duration::from_millis(1200);
+/// How long a process must be silent before the next one balances: eight reports of
+/// the ranks that report most often. With 1.2 s, and 0.9 s until a hold is taken for
+/// left behind, the mean worth of a day that ends with the death of all processes
+/// was 0.673 and at worst 0.597, with these 0.695 and 0.679 (five seeds).
+const SILENCE: Duration = Duration::from_millis(800);
 
 /// How long a process that has come to its group listens for those before it.
 const LISTEN_FIRST: Duration = Duration::from_millis(1500);
--- a/crates/rank/src/roster.rs
+++ b/crates/rank/src/roster.rs
@@ -13,9 +13,11 @@
 const READ_PERIOD: Duration = Duration::from_secs(12);
 
 /// How often they are read as long as the own engine is not among them or ranks of
-/// its group are not found: processes that read them while engines were registering
+/// its group are not found. After a death of all processes the first balancing one
+/// began 0.77 s after its start with 700 ms, as entries know no endpoints at first.
+/// Processes that read them while engines were registering
 /// chose different directories, and a group was not balanced for 12 s.
-const FIRST_READ_PERIOD: Duration = Duration::from_millis(700);
+const FIRST_READ_PERIOD: Duration = Duration::from_millis(200);
 
 /// How many processes know the ranks of a group: one more than is needed.
 const DIRECTORIES: usize = 2;
