--- a/crates/balance/src/pass_time.rs
+++ b/crates/balance/src/pass_time.rs
@@ -23,6 +23,9 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PassTime {
     from: Option<Seen>,
+    /// The last pass that was seen to begin, while the group works.
+    latest: Option<Seen>,
+    newest: Option<Duration>,
     peak: Option<Duration>,
 }
 
@@ -31,6 +34,10 @@
     /// it ran nothing says nothing.
     pub fn note(&mut self, epoch: GroupEpoch, step: GroupStep, is_working: bool, now: Duration) {
         let seen = Seen { epoch, step, at: now };
+        let is_same = |latest: &Seen| (latest.epoch, latest.step) == (epoch, step);
+        if !is_working || !self.latest.as_ref().is_some_and(is_same) {
+            self.latest = is_working.then_some(seen);
+        }
         let Some(from) = self.from.filter(|from| is_working && from.epoch == epoch) else {
             self.from = is_working.then_some(seen);
             return;
@@ -44,10 +51,18 @@
         let faded = self
             .peak
             .map(|peak| peak.mul_f64(0.5_f64.powf(span.as_secs_f64() / HALF_LIFE.as_secs_f64())));
+        self.newest = Some(newest);
         self.peak = Some(faded.map_or(newest, |faded| faded.max(newest)));
         self.from = Some(seen);
     }
 
+    /// The time between the newest passes, or since the last one if that is longer;
+    /// `None` while the group is idle.
+    pub fn current(&self, now: Duration) -> Option<Duration> {
+        let since_last = now.saturating_sub(self.latest?.at);
+        Some(self.newest.unwrap_or_default().max(since_last))
+    }
+
     /// The longest of late; `None` before any was seen.
     pub fn peak(&self) -> Option<Duration> {
         self.peak
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -38,6 +38,8 @@
     pub(crate) capacity: u32,
     /// Calls of this entry.
     pub(crate) own_capacity: u32,
+    /// What this entry may run in the endpoint's group, for a model service.
+    pub(crate) group_share: Option<f64>,
     /// The time.
     pub(crate) now: Duration,
 }
@@ -53,7 +55,7 @@
 impl Drop for Place {
     fn drop(&mut self) {
         self.endpoint.load.lock().own_running -= 1;
-        self.service.give_back();
+        self.service.give_back(&self.group);
     }
 }
 
@@ -99,6 +101,8 @@
             capacity: room.capacity,
             own_capacity: room.own_capacity,
             is_closed: !groups.may_send(group, room.now),
+            pace: groups.pace(group, room.now),
+            is_limited: room.group_share.is_some_and(|share| groups.is_at_limit(group, share)),
             is_ejected: load.health.is_ejected(room.now),
             was_tried: tried.contains(&self.record.id),
             last_chosen: load.last_chosen,
@@ -123,6 +127,22 @@
         &self.group
     }
 
+    /// Takes an event of the call's stream, how long after the one before, and the
+    /// longest pause that is on time.
+    pub(crate) fn note_event(&self, pause: Option<Duration>, goal: Option<Duration>) {
+        self.service.note_event(&self.group, pause, goal);
+    }
+
+    /// How long ago the last event of any stream in the group was.
+    pub(crate) fn group_silent_for(&self) -> Option<Duration> {
+        self.service.group_silent_for(&self.group)
+    }
+
+    /// Says whether the group is late and another is not.
+    pub(crate) fn is_better_elsewhere(&self) -> bool {
+        self.service.is_better_elsewhere(&self.group)
+    }
+
     /// Takes that the endpoint has refused because it runs nothing.
     pub(crate) fn note_refusal(&self) {
         self.service.note_refusal(&self.group);
--- a/crates/direct/src/service.rs
+++ b/crates/direct/src/service.rs
@@ -1,15 +1,11 @@
 //! One service: who gets a place now, who waits, who is refused.
 
-use std::{
-    collections::HashMap,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use lynxmount_core::{Clock, EndpointId, EndpointRecord, EngineSpec, SiteBounds};
 use lynxmount_link::GroupNotice;
 use lynxmount_policy::{
-    GroupWatch, Offer, PaceLimit, Placement, Seat, ServiceQueue, Ticket, Waiter, WindowBudget,
+    GroupWatch, Offer, Placement, Seat, ServiceQueue, StreamEvent, Ticket, Waiter, WindowBudget,
     WindowBudgetOptions, place,
 };
 use parking_lot::Mutex;
@@ -48,8 +44,6 @@
     clock: Clock,
     /// How long a group stalls when it has lost a rank.
     group_stall: Duration,
-    /// When any stream of the service had an event.
-    last_event_at: Mutex<Option<Instant>>,
     inner: Mutex<Inner>,
 }
 
@@ -59,9 +53,6 @@
     queue: ServiceQueue,
     waiting: HashMap<Ticket, oneshot::Sender<Place>>,
     budget: WindowBudget,
-    pace: PaceLimit,
-    /// Calls of this entry in progress.
-    running: u32,
     choices: u64,
     /// Requests that one endpoint runs at once.
     slots: Option<u32>,
@@ -81,18 +72,11 @@
             queue: ServiceQueue::default(),
             waiting: HashMap::new(),
             budget: WindowBudget::new(options),
-            pace: PaceLimit::default(),
-            running: 0,
             choices: 0,
             slots: None,
             entries: 1,
         };
-        Service {
-            clock,
-            group_stall: bounds.group_stall,
-            last_event_at: Mutex::default(),
-            inner: Mutex::new(inner),
-        }
+        Service { clock, group_stall: bounds.group_stall, inner: Mutex::new(inner) }
     }
 
     pub(crate) fn update<'a>(
@@ -139,29 +123,31 @@
         }
         own.iter().for_each(|endpoint| endpoint.note_group(&group));
         let now = self.now();
+        inner.groups.note_pass(&group, notice.pass, now);
         if inner.groups.note_told(&group, notice.is_open, now) {
-            inner.note_opening(now);
+            inner.queue.resume(now);
             drop(inner);
             log::info!(group = &*group; "the group is open again");
             self.wake();
         }
     }
 
-    /// Notes that a stream of the service had an event, how long after the one
-    /// before, and the longest pause that is on time.
-    pub(crate) fn note_event(&self, pause: Option<Duration>, goal: Option<Duration>) {
-        *self.last_event_at.lock() = Some(Instant::now());
-        if let (Some(pause), Some(goal)) = (pause, goal) {
-            let mut inner = self.inner.lock();
-            let share = inner.share().unwrap_or(f64::INFINITY);
-            let taken = f64::from(inner.running) / share.max(1.0);
-            inner.pace.note_pause(pause, goal, taken, self.now());
-        }
+    /// Takes an event of a stream in a group, how long after the one before, and the
+    /// longest pause that is on time.
+    pub(crate) fn note_event(&self, group: &str, pause: Option<Duration>, goal: Option<Duration>) {
+        let mut inner = self.inner.lock();
+        let share = inner.group_share(group).unwrap_or(f64::INFINITY);
+        inner.groups.note_event(group, StreamEvent { pause, goal, share }, self.now());
+    }
+
+    /// How long ago the last event of any stream in a group was.
+    pub(crate) fn group_silent_for(&self, group: &str) -> Option<Duration> {
+        self.inner.lock().groups.silent_for(group, self.now())
     }
 
-    /// How long ago the last event of any of the service's streams was.
-    pub(crate) fn last_event_age(&self) -> Option<Duration> {
-        self.last_event_at.lock().map(|at| at.elapsed())
+    /// Says whether a group is late and another is not.
+    pub(crate) fn is_better_elsewhere(&self, group: &str) -> bool {
+        self.inner.lock().groups.is_better_elsewhere(group, self.now())
     }
 
     /// Counts the first arrival of a call.
@@ -222,8 +208,9 @@
     /// Notes that an endpoint of a group has answered.
     pub(crate) fn note_answer(self: &Arc<Service>, group: &str) {
         let mut inner = self.inner.lock();
-        if inner.groups.note_answer(group) {
-            inner.note_opening(self.now());
+        let now = self.now();
+        if inner.groups.note_answer(group, now) {
+            inner.queue.resume(now);
             drop(inner);
             log::info!(group; "the group runs again");
             self.wake();
@@ -231,8 +218,8 @@
     }
 
     /// Takes a place back.
-    pub(crate) fn give_back(self: &Arc<Service>) {
-        self.inner.lock().running -= 1;
+    pub(crate) fn give_back(self: &Arc<Service>, group: &str) {
+        self.inner.lock().groups.note_ended(group);
         self.wake();
     }
 
@@ -289,22 +276,26 @@
 
 impl Inner {
     fn choose(&self, tried: &[EndpointId], now: Duration) -> Placement {
+        let mut shares: HashMap<Arc<str>, Option<f64>> = HashMap::new();
         let seats: Vec<Seat> = self
             .endpoints
             .iter()
-            .map(|endpoint| endpoint.seat(self.room(endpoint, now), tried, &self.groups))
+            .map(|endpoint| {
+                let group = endpoint.group();
+                let share = *shares.entry(group).or_insert_with_key(|group| {
+                    self.group_share(group).map(|share| share * UNEVEN_LIMIT)
+                });
+                endpoint.seat(self.room(endpoint, share, now), tried, &self.groups)
+            })
             .collect();
-        match place(&seats) {
-            Placement::At(_) if self.is_at_pace_limit() => Placement::Full,
-            placement => placement,
-        }
+        place(&seats)
     }
 
-    fn room(&self, endpoint: &Endpoint, now: Duration) -> Room {
+    fn room(&self, endpoint: &Endpoint, group_share: Option<f64>, now: Duration) -> Room {
         let capacity = self.slots.unwrap_or(endpoint.record.slots).max(1);
         let share = f64::from(capacity) / self.entries as f64 * UNEVEN_SHARE;
         let own_capacity = (share.ceil() as u32).clamp(1, capacity);
-        Room { capacity, own_capacity, now }
+        Room { capacity, own_capacity, group_share, now }
     }
 
     /// Lets a call wait for a group to open, all of which are closed: it is late in
@@ -331,31 +322,20 @@
         Offered::Wait { until, ticket, receiver }
     }
 
-    fn note_opening(&mut self, now: Duration) {
-        self.queue.resume(now);
-        self.pace.note_opening(now);
-    }
-
     /// Calls of this entry that may be in progress at all endpoints.
     fn places(&self) -> usize {
-        let rooms = self.endpoints.iter().map(|endpoint| self.room(endpoint, Duration::ZERO));
+        let rooms = self.endpoints.iter().map(|endpoint| self.room(endpoint, None, Duration::ZERO));
         rooms.map(|room| room.own_capacity as usize).sum()
     }
 
-    /// This entry's share of what the service may run, for a model service.
-    fn share(&self) -> Option<f64> {
-        let slots = f64::from(self.slots?) * self.endpoints.len() as f64;
-        Some(slots / self.entries as f64)
-    }
-
-    fn is_at_pace_limit(&self) -> bool {
-        let limit = self.share().map(|share| share * self.pace.fraction() * UNEVEN_LIMIT);
-        limit.is_some_and(|limit| f64::from(self.running) >= limit)
+    /// This entry's share of what a group may run, for a model service.
+    fn group_share(&self, group: &str) -> Option<f64> {
+        let ranks = self.endpoints.iter().filter(|endpoint| *endpoint.group() == *group).count();
+        Some(f64::from(self.slots?) * ranks as f64 / self.entries as f64)
     }
 
     fn take(&mut self, index: usize, service: &Arc<Service>) -> Place {
         self.choices += 1;
-        self.running += 1;
         let endpoint = Arc::clone(&self.endpoints[index]);
         endpoint.note_chosen(self.choices);
         let place = Place::new(endpoint, Arc::clone(service));
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -27,6 +27,11 @@
 /// deployments take 30 to 120 ms. Callers give up after 2 s.
 const SILENCE_LIMIT: Duration = Duration::from_millis(900);
 
+/// How long a whole group may be silent before its streams go on in another: longer
+/// than a hold that its coordinator has left behind stands, and sooner than callers
+/// give up.
+const GROUP_SILENCE_LIMIT: Duration = Duration::from_millis(1500);
+
 /// How often a silent stream is compared with the others.
 const SILENCE_CHECK: Duration = Duration::from_millis(300);
 
@@ -188,15 +193,23 @@
 
     fn note_events(&mut self) {
         let pause = self.has_events.then(|| self.last_event_at.elapsed());
-        self.call.service.note_event(pause, self.call.gap_goal);
+        if let Some(place) = &self.place {
+            place.note_event(pause, self.call.gap_goal);
+        }
         self.last_event_at = Instant::now();
         self.has_events = true;
     }
 
-    /// Says whether this stream is silent while others of the service are not.
+    /// Says whether this stream is silent while others of its group are not, or
+    /// while its whole group is and another is on time.
     fn is_silent_alone(&self) -> bool {
-        self.last_event_at.elapsed() >= SILENCE_LIMIT
-            && self.call.service.last_event_age().is_some_and(|age| age <= OTHERS_FRESH)
+        let Some(place) = &self.place else { return false };
+        let silence = self.last_event_at.elapsed();
+        let others_go_on = place.group_silent_for().is_some_and(|age| age <= OTHERS_FRESH);
+        match others_go_on {
+            true => silence >= SILENCE_LIMIT,
+            false => silence >= GROUP_SILENCE_LIMIT && place.is_better_elsewhere(),
+        }
     }
 
     /// Goes on at another endpoint after the last event. Returns whether it does.
--- a/crates/link/src/group_notice.rs
+++ b/crates/link/src/group_notice.rs
@@ -8,6 +8,7 @@
 
 use lynxmount_core::{Result, Step, invalid};
 use serde::{Deserialize, Serialize};
+use serde_with::{DurationMicroSeconds, serde_as};
 
 /// How far the port of this exchange is from the first of the internal ports.
 pub const GROUP_PORT_OFFSET: u16 = 2;
@@ -28,12 +29,16 @@
 }
 
 /// The state of a group.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct GroupNotice {
     /// The group's name.
     pub group: String,
     /// Whether it takes work.
     pub is_open: bool,
+    /// The time between its passes lately; `None` while it is idle.
+    #[serde_as(as = "Option<DurationMicroSeconds<u64>>")]
+    pub pass: Option<Duration>,
     /// The engines of its ranks, as far as they are known.
     pub engines: Vec<SocketAddr>,
 }
--- a/crates/policy/src/group_watch.rs
+++ b/crates/policy/src/group_watch.rs
@@ -1,12 +1,13 @@
 //! Whether the groups of a service take work, from what their processes tell and
 //! from what their endpoints answer.
 //!
-//! A group is a failure domain: all ranks of it work or none does. One that is
-//! closed takes no calls, and the others go on.
+//! A group is a failure domain: all ranks of it work or none does, and all are as
+//! slow as the slowest. One that is closed takes no calls, one that is late is
+//! taken last, and the others go on.
 
 use std::{collections::BTreeMap, time::Duration};
 
-use crate::OutageWatch;
+use crate::{OutageWatch, Pace, PaceClass, PaceLimit};
 
 /// How long what a group's process has told counts: five of its periods.
 const TOLD_LIFE: Duration = Duration::from_secs(1);
@@ -30,6 +31,21 @@
     outage: OutageWatch,
     told: Option<Told>,
     closed_since: Option<Duration>,
+    pace: Pace,
+    limit: PaceLimit,
+    /// Calls of this entry in progress.
+    running: u32,
+}
+
+/// An event of a stream.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamEvent {
+    /// The pause before it; `None` for the first one of a run.
+    pub pause: Option<Duration>,
+    /// The longest pause that is on time, if the route says so.
+    pub goal: Option<Duration>,
+    /// This entry's share of what the group may run.
+    pub share: f64,
 }
 
 impl Watched {
@@ -45,6 +61,11 @@
         }
     }
 
+    fn note_opening(&mut self, now: Duration) {
+        self.outage.note_answer();
+        self.limit.note_opening(now);
+    }
+
     fn out_since(&self, now: Duration) -> Option<Duration> {
         match self.told_open(now) {
             Some(false) => self.closed_since,
@@ -59,6 +80,8 @@
     groups: BTreeMap<GroupName, Watched>,
     /// How long a group usually is closed; `None` for a service without groups.
     usual_outage: Option<Duration>,
+    /// The longest pause that is on time, as the last event's route says.
+    goal: Option<Duration>,
 }
 
 impl GroupWatch {
@@ -76,7 +99,7 @@
             true => {
                 let opens = watched.closed_since.take().is_some();
                 if opens {
-                    watched.outage.note_answer();
+                    watched.note_opening(now);
                 }
                 opens
             }
@@ -96,17 +119,73 @@
 
     /// Takes that an endpoint of a group has answered. Returns whether an outage
     /// ends with it.
-    pub fn note_answer(&mut self, group: &str) -> bool {
-        let outage = &mut self.watched(group).outage;
-        let was_out = outage.since().is_some();
-        outage.note_answer();
+    pub fn note_answer(&mut self, group: &str, now: Duration) -> bool {
+        let watched = self.watched(group);
+        let was_out = watched.outage.since().is_some();
+        match was_out {
+            true => watched.note_opening(now),
+            false => watched.outage.note_answer(),
+        }
         was_out
     }
 
     /// Takes that a call is sent to a group. Returns when the next one may be, in
     /// an outage.
     pub fn note_sent(&mut self, group: &str, now: Duration) -> Option<Duration> {
-        self.watched(group).outage.note_sent(now)
+        let watched = self.watched(group);
+        watched.running += 1;
+        watched.outage.note_sent(now)
+    }
+
+    /// Takes that a call that was sent to a group has ended.
+    pub fn note_ended(&mut self, group: &str) {
+        let watched = self.watched(group);
+        watched.running = watched.running.saturating_sub(1);
+    }
+
+    /// Takes an event of a stream in a group.
+    pub fn note_event(&mut self, group: &str, event: StreamEvent, now: Duration) {
+        self.goal = event.goal.or(self.goal);
+        let watched = self.watched(group);
+        watched.pace.note_event(event.pause, now);
+        if let (Some(pause), Some(goal)) = (event.pause, event.goal) {
+            let taken = f64::from(watched.running) / event.share.max(1.0);
+            watched.limit.note_pause(pause, goal, taken, now);
+        }
+    }
+
+    /// Takes the time between passes that a group's process tells.
+    pub fn note_pass(&mut self, group: &str, pass: Option<Duration>, now: Duration) {
+        self.watched(group).pace.note_told(pass, now);
+    }
+
+    /// What a stream may expect of a group.
+    pub fn pace(&self, group: &str, now: Duration) -> PaceClass {
+        let (Some(watched), Some(goal)) = (self.groups.get(group), self.goal) else {
+            return PaceClass::OnTime;
+        };
+        watched.pace.class(goal, watched.running > 0, now)
+    }
+
+    /// How long ago the last event of any stream in a group was.
+    pub fn silent_for(&self, group: &str, now: Duration) -> Option<Duration> {
+        self.groups.get(group)?.pace.silent_for(now)
+    }
+
+    /// Says whether streams of a group are late and would be on time in another.
+    pub fn is_better_elsewhere(&self, group: &str, now: Duration) -> bool {
+        let others = self.groups.keys().filter(|other| *other != group);
+        let takes = |other: &String| {
+            self.may_send(other, now) && self.pace(other, now) == PaceClass::OnTime
+        };
+        self.pace(group, now) > PaceClass::OnTime && others.into_iter().any(takes)
+    }
+
+    /// Says whether this entry runs as much in a group as the pauses there allow, of
+    /// its share of what the group may run.
+    pub fn is_at_limit(&self, group: &str, share: f64) -> bool {
+        let Some(watched) = self.groups.get(group) else { return false };
+        f64::from(watched.running) >= share * watched.limit.fraction()
     }
 
     /// Says whether a call may be sent to a group.
--- /dev/null
+++ b/crates/policy/src/pace.rs
@@ -0,0 +1,88 @@
+//! How long the pauses of a group's streams are now.
+//!
+//! All ranks of a group wait for its slowest, so that one slow, frozen or held
+//! rank makes all its streams late at once. An entry sees that in its own streams
+//! within a pass or two; a group that it has no streams in tells its pace.
+
+use std::time::Duration;
+
+/// The time over which pauses are averaged: one or two passes.
+const SPAN: Duration = Duration::from_millis(150);
+
+/// How long a mean or a told pace counts: a group that is slow now may not be so
+/// for long.
+const LIFE: Duration = Duration::from_secs(1);
+
+/// From how many times the longest pause on time on a stream can't come to its end:
+/// with 26 events and three times 120 ms it takes 9.4 s, more than callers have.
+const STALLED_FACTOR: f64 = 3.0;
+
+/// What a stream may expect of a group.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub enum PaceClass {
+    /// Pauses are on time, or nothing is known of them.
+    #[default]
+    OnTime,
+    /// Streams come to their end, and late.
+    Late,
+    /// Streams stand still, or nearly so.
+    Stalled,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Measured {
+    pause: Duration,
+    at: Duration,
+}
+
+impl Measured {
+    fn fresh(measured: Option<Measured>, now: Duration) -> Option<Duration> {
+        measured.filter(|measured| now < measured.at + LIFE).map(|measured| measured.pause)
+    }
+}
+
+/// The pace of one group.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pace {
+    sum: Duration,
+    count: u32,
+    span_began: Duration,
+    mean: Option<Measured>,
+    told: Option<Measured>,
+    last_event_at: Option<Duration>,
+}
+
+impl Pace {
+    /// Takes an event of a stream, and the pause before it if it was not the first.
+    pub fn note_event(&mut self, pause: Option<Duration>, now: Duration) {
+        self.last_event_at = Some(now);
+        let Some(pause) = pause else { return };
+        self.sum += pause;
+        self.count += 1;
+        if now >= self.span_began + SPAN {
+            self.mean = Some(Measured { pause: self.sum / self.count, at: now });
+            (self.sum, self.count, self.span_began) = (Duration::ZERO, 0, now);
+        }
+    }
+
+    /// Takes the time between passes that the group's process tells.
+    pub fn note_told(&mut self, pass: Option<Duration>, now: Duration) {
+        self.told = pass.map(|pause| Measured { pause, at: now });
+    }
+
+    /// How long ago the last event of any stream was.
+    pub fn silent_for(&self, now: Duration) -> Option<Duration> {
+        self.last_event_at.map(|at| now.saturating_sub(at))
+    }
+
+    /// What a stream may expect, with the longest pause that is on time.
+    pub fn class(&self, goal: Duration, has_streams: bool, now: Duration) -> PaceClass {
+        let silence = self.silent_for(now).filter(|_| has_streams).unwrap_or_default();
+        let known = Measured::fresh(self.mean, now).or(Measured::fresh(self.told, now));
+        match known.unwrap_or_default().max(silence) {
+            pause if pause > goal.mul_f64(STALLED_FACTOR) => PaceClass::Stalled,
+            pause if pause > goal => PaceClass::Late,
+            _ => PaceClass::OnTime,
+        }
+    }
+}
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -1,9 +1,14 @@
 //! Where a call goes when endpoints are called directly.
 //!
+//! The group goes first: one whose streams are on time, or a late one if those have
+//! no room, and one that stands still only if all do.
+//!
 //! An entry knows its own calls exactly and those of others from late reports.
 //! With few endpoints the least loaded one is taken; among equals, the one that
 //! was chosen longest ago, so that entries which start alike don't stay alike.
 
+use crate::PaceClass;
+
 /// What an entry knows of an endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Seat {
@@ -17,6 +22,10 @@
     pub own_capacity: u32,
     /// Of a group that takes no calls.
     pub is_closed: bool,
+    /// What a stream may expect of its group.
+    pub pace: PaceClass,
+    /// Of a group of which this entry runs as much as pauses allow.
+    pub is_limited: bool,
     /// Left out because of failures, as long as others are not.
     pub is_ejected: bool,
     /// Tried by the same call before.
@@ -27,7 +36,8 @@
 
 impl Seat {
     fn has_room(&self) -> bool {
-        self.own_running < self.own_capacity
+        !self.is_limited
+            && self.own_running < self.own_capacity
             && self.own_running + self.others_running < self.capacity
     }
 
@@ -54,15 +64,29 @@
 /// Chooses an endpoint. Those that were tried or are ejected are taken only if
 /// there are no others: an ejection never empties a service.
 pub fn place(seats: &[Seat]) -> Placement {
-    let best_class = |seat: &&(usize, &Seat)| (seat.1.is_ejected, seat.1.was_tried);
-    let indexed: Vec<(usize, &Seat)> =
+    let open: Vec<(usize, &Seat)> =
         seats.iter().enumerate().filter(|(_, seat)| !seat.is_closed).collect();
-    let Some(class) = indexed.iter().map(|seat| best_class(&seat)).min() else {
+    let Some(best) = open.iter().map(|(_, seat)| seat.pace).min() else {
         return if seats.is_empty() { Placement::Nowhere } else { Placement::Closed };
     };
-    indexed
-        .iter()
-        .filter(|seat| best_class(seat) == class && seat.1.has_room())
-        .min_by_key(|(_, seat)| (seat.load(), seat.last_chosen))
-        .map_or(Placement::Full, |(index, _)| Placement::At(*index))
+    let worst = match best {
+        PaceClass::OnTime | PaceClass::Late => PaceClass::Late,
+        PaceClass::Stalled => PaceClass::Stalled,
+    };
+    let paces = [PaceClass::OnTime, PaceClass::Late, PaceClass::Stalled];
+    let mut chosen = paces.into_iter().filter(|pace| *pace <= worst).filter_map(|pace| {
+        let of_pace: Vec<(usize, &Seat)> =
+            open.iter().filter(|(_, seat)| seat.pace == pace).copied().collect();
+        least_loaded(&of_pace)
+    });
+    chosen.next().map_or(Placement::Full, Placement::At)
+}
+
+/// The least loaded one with room of those that were neither tried nor ejected, as
+/// far as there are such.
+fn least_loaded(seats: &[(usize, &Seat)]) -> Option<usize> {
+    let class = |seat: &Seat| (seat.is_ejected, seat.was_tried);
+    let best = seats.iter().map(|(_, seat)| class(seat)).min()?;
+    let with_room = seats.iter().filter(|(_, seat)| class(seat) == best && seat.has_room());
+    with_room.min_by_key(|(_, seat)| (seat.load(), seat.last_chosen)).map(|(index, _)| *index)
 }
--- a/crates/rank/src/beliefs.rs
+++ b/crates/rank/src/beliefs.rs
@@ -6,7 +6,9 @@
     time::{Duration, Instant},
 };
 
-use lynxmount_core::experts::{EngineReport, GroupEpoch, GroupMap, MapVersion, Membership};
+use lynxmount_core::experts::{
+    EngineReport, GroupEpoch, GroupMap, GroupStep, MapVersion, Membership,
+};
 
 use crate::{demand::Demand, message::RankState};
 
@@ -30,6 +32,14 @@
     demand: Demand,
 }
 
+/// How far a group has come.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Progress {
+    pub(crate) epoch: GroupEpoch,
+    pub(crate) step: GroupStep,
+    pub(crate) is_working: bool,
+}
+
 /// All ranks of a group in one life, in order.
 pub(crate) struct Group {
     pub(crate) epoch: GroupEpoch,
@@ -59,6 +69,19 @@
         self.heard.get(&self.own)?.state.report.membership.clone()
     }
 
+    /// The last pass that the own engine has begun, and whether any rank of its group
+    /// runs something.
+    pub(crate) fn progress(&self) -> Option<Progress> {
+        let own = &self.heard.get(&self.own)?.state.report;
+        let group = own.membership.as_ref()?;
+        let is_of_group = |report: &&EngineReport| {
+            report.membership.as_ref().is_some_and(|m| m.group == group.group)
+        };
+        let mut reports = self.heard.values().map(|heard| &heard.state.report).filter(is_of_group);
+        let is_working = reports.any(|report| report.running > 0);
+        Some(Progress { epoch: group.epoch, step: own.step, is_working })
+    }
+
     /// Demand by set and expert; `None` before anything was seen.
     pub(crate) fn demand(&self, experts: usize) -> Option<Vec<Vec<f64>>> {
         self.demand.by_set(experts)
--- a/crates/rank/src/notifier.rs
+++ b/crates/rank/src/notifier.rs
@@ -7,6 +7,8 @@
     time::{Duration, Instant},
 };
 
+use lynxmount_balance::PassTime;
+use lynxmount_core::Clock;
 use lynxmount_link::{ASKED_FOR, GroupMessage, GroupNotice};
 use parking_lot::Mutex;
 use tokio::net::UdpSocket;
@@ -29,6 +31,7 @@
     pub(crate) duty: Arc<Duty>,
     pub(crate) members: Arc<Members>,
     pub(crate) beliefs: Arc<Mutex<Beliefs>>,
+    pub(crate) clock: Clock,
     /// Entries that have asked, and when.
     pub(crate) asked: Mutex<BTreeMap<SocketAddr, Instant>>,
 }
@@ -59,9 +62,10 @@
     /// Tells until the task is dropped.
     pub(crate) async fn run(self: Arc<Notifier>) {
         let mut told: Option<(GroupNotice, Instant)> = None;
+        let mut pass_time = PassTime::default();
         loop {
             tokio::time::sleep(PERIOD).await;
-            let Some(notice) = self.notice() else {
+            let Some(notice) = self.notice(&mut pass_time) else {
                 told = None;
                 continue;
             };
@@ -76,13 +80,22 @@
     }
 
     /// The state of the own group, if this process is to tell it.
-    fn notice(&self) -> Option<GroupNotice> {
+    fn notice(&self, pass_time: &mut PassTime) -> Option<GroupNotice> {
         if !self.duty.is_leading() {
             return None;
         }
-        let membership = self.beliefs.lock().own_membership()?;
-        let engines = self.members.engines();
-        Some(GroupNotice { group: membership.group, is_open: membership.is_open, engines })
+        let now = self.clock.now();
+        let (membership, progress) = {
+            let beliefs = self.beliefs.lock();
+            (beliefs.own_membership()?, beliefs.progress()?)
+        };
+        pass_time.note(progress.epoch, progress.step, progress.is_working, now);
+        Some(GroupNotice {
+            group: membership.group,
+            is_open: membership.is_open,
+            pass: pass_time.current(now),
+            engines: self.members.engines(),
+        })
     }
 
     async fn tell(&self, notice: &GroupNotice) {
--- a/crates/rank/src/process.rs
+++ b/crates/rank/src/process.rs
@@ -102,6 +102,7 @@
         duty: Arc::clone(&duty),
         members: Arc::clone(&members),
         beliefs: Arc::clone(&beliefs),
+        clock,
         asked: Mutex::default(),
     });
     tokio::spawn(Arc::clone(&notifier).listen());
