--- a/crates/balance/src/demand_windows.rs
+++ b/crates/balance/src/demand_windows.rs
@@ -33,12 +33,26 @@
 }
 
 /// Counts by set and expert in the newest windows.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct DemandWindows {
     windows: VecDeque<Window>,
+    /// Whether windows of another demand are left out.
+    detects_shifts: bool,
+}
+
+impl Default for DemandWindows {
+    /// Starts empty, and detects shifts.
+    fn default() -> DemandWindows {
+        DemandWindows::new(true)
+    }
 }
 
 impl DemandWindows {
+    /// Starts empty.
+    pub fn new(detects_shifts: bool) -> DemandWindows {
+        DemandWindows { windows: VecDeque::new(), detects_shifts }
+    }
+
     /// Adds how often each expert was chosen since the last counts of a rank.
     pub fn add(&mut self, chosen: &[u64], now: Instant) {
         let window = self.window(chosen.len(), now);
@@ -50,7 +64,8 @@
         let mut newest_first = self.windows.iter().rev().map(|window| &window.counts);
         let mut demand = newest_first.next()?.clone();
         for (index, window) in newest_first.enumerate() {
-            if index + 1 >= NEWEST_WINDOWS && distance(window, &demand) > SHIFT_DISTANCE {
+            let is_old = self.detects_shifts && index + 1 >= NEWEST_WINDOWS;
+            if is_old && distance(window, &demand) > SHIFT_DISTANCE {
                 break;
             }
             demand.iter_mut().zip(window).for_each(|(sum, count)| *sum += count);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod experts;
 mod fleet;
 mod ids;
+mod mechanism;
 mod outcome;
 mod problem;
 mod site;
@@ -23,6 +24,7 @@
     AttemptNumber, ChangeId, EndpointId, FailureDomainId, Incarnation, Offset, ProcessId, RegionId,
     RequestId, ServiceId, TeamId, new_incarnation, new_request_id,
 };
+pub use mechanism::{Mechanism, Mechanisms};
 pub use outcome::Outcome;
 pub use problem::{Problem, Reason};
 pub use site::{SiteBounds, SiteSettings};
--- /dev/null
+++ b/crates/core/src/mechanism.rs
@@ -0,0 +1,92 @@
+//! Mechanisms that can be switched off, to see what each is worth.
+
+use std::{collections::BTreeSet, str::FromStr};
+
+/// A mechanism of an entry or of an endpoint process on the users' platform.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Mechanism {
+    /// Streams that have ended give their connections back.
+    ConnectionReuse,
+    /// A silent process's engine is read and ordered directly.
+    DirectReads,
+    /// Calls go to groups that are on time first.
+    GroupChoice,
+    /// Groups' processes tell entries whether a group is open, and its pace.
+    GroupNotices,
+    /// Endpoints that fail are left out for a while.
+    Health,
+    /// Calls wait for a group that is expected to open in time.
+    Holds,
+    /// Of two registrations at one address the later life holds.
+    LaterLives,
+    /// A group is held further ahead while answers to orders are lost.
+    LossyLead,
+    /// A group that refuses is sent one call at a time.
+    OutageWatch,
+    /// What runs is limited so that pauses are on time.
+    PaceLimit,
+    /// Calls are repeated where that is allowed.
+    Repeats,
+    /// Endpoints' reports of their load count when one is chosen.
+    ReportedLoad,
+    /// Refused callers are told to come back after a part of their time.
+    ReturnTimes,
+    /// A change of map has to gain more while pauses have room.
+    RoomForGains,
+    /// Demand is taken from those windows only that are alike.
+    ShiftDetection,
+    /// A change of map copies few experts.
+    ShortCopies,
+    /// Calls that would wait for too long are refused on arrival.
+    WaitEstimate,
+}
+
+impl Mechanism {
+    /// All mechanisms, with the names that operators use.
+    pub const ALL: [(Mechanism, &'static str); 17] = [
+        (Mechanism::ConnectionReuse, "connection-reuse"),
+        (Mechanism::DirectReads, "direct-reads"),
+        (Mechanism::GroupChoice, "group-choice"),
+        (Mechanism::GroupNotices, "group-notices"),
+        (Mechanism::Health, "health"),
+        (Mechanism::Holds, "holds"),
+        (Mechanism::LaterLives, "later-lives"),
+        (Mechanism::LossyLead, "lossy-lead"),
+        (Mechanism::OutageWatch, "outage-watch"),
+        (Mechanism::PaceLimit, "pace-limit"),
+        (Mechanism::Repeats, "repeats"),
+        (Mechanism::ReportedLoad, "reported-load"),
+        (Mechanism::ReturnTimes, "return-times"),
+        (Mechanism::RoomForGains, "room-for-gains"),
+        (Mechanism::ShiftDetection, "shift-detection"),
+        (Mechanism::ShortCopies, "short-copies"),
+        (Mechanism::WaitEstimate, "wait-estimate"),
+    ];
+}
+
+impl FromStr for Mechanism {
+    type Err = String;
+
+    fn from_str(name: &str) -> Result<Mechanism, String> {
+        let named = Mechanism::ALL.into_iter().find(|(_, known)| *known == name);
+        named.map(|(mechanism, _)| mechanism).ok_or_else(|| format!("no mechanism \"{name}\""))
+    }
+}
+
+/// Which mechanisms are in use: all but those that are switched off.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Mechanisms {
+    off: BTreeSet<Mechanism>,
+}
+
+impl Mechanisms {
+    /// All but some.
+    pub fn without(off: impl IntoIterator<Item = Mechanism>) -> Mechanisms {
+        Mechanisms { off: off.into_iter().collect() }
+    }
+
+    /// Says whether a mechanism is in use.
+    pub fn has(&self, mechanism: Mechanism) -> bool {
+        !self.off.contains(&mechanism)
+    }
+}
--- a/crates/core/src/site.rs
+++ b/crates/core/src/site.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use crate::{FailureDomainId, ProcessId};
+use crate::{FailureDomainId, Mechanisms, ProcessId};
 
 /// Bounds that operators set, which limits and timeouts are derived from.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -53,4 +53,6 @@
     pub engine_address: Option<SocketAddr>,
     /// Bounds.
     pub bounds: SiteBounds,
+    /// What is in use of what can be switched off.
+    pub mechanisms: Mechanisms,
 }
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use http::{Method, Response, header, request::Parts};
 use lynxmount_core::{
-    CallKind, Clock, EndpointId, RouteId, TeamId,
+    CallKind, Clock, EndpointId, Mechanism, Mechanisms, RouteId, TeamId,
     edge::{CallHead, Dialect, Forward},
 };
 use lynxmount_policy::{Waiter, return_time};
@@ -43,6 +43,9 @@
 /// another endpoint has the address. It is not run then.
 const MAX_UNREACHABLE: u32 = 3;
 
+/// When callers come back if return times are switched off.
+const SOON_RETURN: Duration = Duration::from_millis(300);
+
 /// The team of calls that need no key.
 const PUBLIC_TEAM: &str = "public";
 
@@ -156,18 +159,22 @@
             _ if may_have_run => Refusal::MayHaveRun,
             // It would be late in any case; what matters is that there is a place then.
             NoPlace::Full { retry_after } => {
-                let retry_after = retry_after.max(return_after(left(self.deadline)));
+                let retry_after = retry_after.max(self.return_after());
                 Refusal::NotRun { retry_after }
             }
-            NoPlace::Nowhere => Refusal::NotRun { retry_after: return_after(left(self.deadline)) },
+            NoPlace::Nowhere => Refusal::NotRun { retry_after: self.return_after() },
         }
     }
 
+    fn return_after(&self) -> Duration {
+        return_after(&self.service.mechanisms, left(self.deadline))
+    }
+
     fn give_up(&self, may_have_run: bool) -> Refusal {
         match may_have_run {
             true if left(self.deadline).is_zero() => Refusal::TimedOut,
             true => Refusal::MayHaveRun,
-            false => Refusal::NotRun { retry_after: return_after(left(self.deadline)) },
+            false => Refusal::NotRun { retry_after: self.return_after() },
         }
     }
 
@@ -302,8 +309,11 @@
 }
 
 /// When a caller may come back that has met an outage.
-pub(crate) fn return_after(time_left: Duration) -> Duration {
-    return_time(time_left, rand::rng().random())
+pub(crate) fn return_after(mechanisms: &Mechanisms, time_left: Duration) -> Duration {
+    match mechanisms.has(Mechanism::ReturnTimes) {
+        true => return_time(time_left, rand::rng().random()),
+        false => SOON_RETURN,
+    }
 }
 
 fn attempt_counter(ended: Ended) -> &'static str {
--- a/crates/direct/src/handler.rs
+++ b/crates/direct/src/handler.rs
@@ -9,7 +9,7 @@
 use http::{Request, Response, header, request::Parts};
 use hyper::body::Incoming;
 use lynxmount_core::{
-    Clock, RouteId,
+    Clock, Mechanisms, RouteId,
     edge::{CallHead, Dialect},
 };
 use lynxmount_telemetry::Metrics;
@@ -35,6 +35,7 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) drain: Arc<Drain>,
     pub(crate) clock: Clock,
+    pub(crate) mechanisms: Arc<Mechanisms>,
 }
 
 impl<D: Dialect> Handler<D> {
@@ -67,7 +68,7 @@
     ) -> Result<Response<ReplyBody>, Refusal> {
         self.metrics.count("requests.received");
         let time_left = head.time_left.unwrap_or(DEFAULT_TIME);
-        let not_ready = Refusal::NotRun { retry_after: return_after(time_left) };
+        let not_ready = Refusal::NotRun { retry_after: return_after(&self.mechanisms, time_left) };
         let config = self.fleet.config().ok_or(not_ready)?;
         if self.drain.refuses_new() {
             return Err(not_ready);
@@ -98,7 +99,7 @@
         let (team, priority) = authenticate(config, route, &head)?;
         let target = draw_target(&route.targets).ok_or(Refusal::NoRoute)?;
         let time = head.time_left.map_or(route.timeout, |left| left.min(route.timeout));
-        let nowhere = Refusal::NotRun { retry_after: return_after(time) };
+        let nowhere = Refusal::NotRun { retry_after: return_after(&self.mechanisms, time) };
         let service = self.places.service(&target.service).ok_or(nowhere)?;
         Ok(Call {
             dialect: Arc::clone(&self.dialect),
--- a/crates/direct/src/places.rs
+++ b/crates/direct/src/places.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use lynxmount_core::{Clock, EndpointList, EndpointState, ServiceId, SiteBounds};
+use lynxmount_core::{Clock, EndpointList, EndpointState, Mechanisms, ServiceId, SiteBounds};
 use lynxmount_link::GroupNotice;
 use parking_lot::Mutex;
 
@@ -12,18 +12,24 @@
 pub(crate) struct Places {
     clock: Clock,
     bounds: SiteBounds,
+    mechanisms: Arc<Mechanisms>,
     services: Mutex<HashMap<ServiceId, Arc<Service>>>,
 }
 
 impl Places {
-    pub(crate) fn new(clock: Clock, bounds: SiteBounds) -> Places {
-        Places { clock, bounds, services: Mutex::default() }
+    pub(crate) fn new(clock: Clock, bounds: SiteBounds, mechanisms: Arc<Mechanisms>) -> Places {
+        Places { clock, bounds, mechanisms, services: Mutex::default() }
     }
 
     pub(crate) fn service(&self, id: &str) -> Option<Arc<Service>> {
         self.services.lock().get(id).cloned()
     }
 
+    fn new_service(&self) -> Arc<Service> {
+        let mechanisms = Arc::clone(&self.mechanisms);
+        Arc::new(Service::new(self.clock, &self.bounds, mechanisms))
+    }
+
     /// The endpoints whose engines may be ranks of groups.
     pub(crate) fn ranks(&self) -> Vec<Arc<Endpoint>> {
         self.services.lock().values().flat_map(|service| service.ranks()).collect()
@@ -40,9 +46,8 @@
         let mut services = self.services.lock();
         services.retain(|id, _| config.service(id).is_some());
         for spec in &config.config.services {
-            let service = services
-                .entry(ServiceId::clone(&spec.id))
-                .or_insert_with(|| Arc::new(Service::new(self.clock, &self.bounds)));
+            let service =
+                services.entry(ServiceId::clone(&spec.id)).or_insert_with(|| self.new_service());
             let ready = list.endpoints.iter().filter(|endpoint| {
                 endpoint.service == spec.id && endpoint.state == EndpointState::Ready
             });
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -4,10 +4,11 @@
 
 use anyhow::Context;
 use lynxmount_core::{
-    Clock, SiteSettings,
+    Clock, Mechanism, SiteSettings,
     edge::{Dialect, FleetSource},
 };
 use lynxmount_link::{bind, serve, wait_for_end};
+use lynxmount_policy::Membership;
 use lynxmount_telemetry::{Metrics, MetricsPort};
 use parking_lot::Mutex;
 
@@ -52,11 +53,12 @@
     let internal = SocketAddr::new(settings.ip, settings.internal_ports.0);
     let peer_address = settings.control_address.unwrap_or(internal);
     let clock = Clock::start();
+    let mechanisms = Arc::new(settings.mechanisms.clone());
     let dialect = Arc::new(dialect);
     let fleet = Arc::new(Fleet::default());
     let drain = Arc::new(Drain::default());
     let metrics = Arc::new(Metrics::default());
-    let places = Arc::new(Places::new(clock, settings.bounds));
+    let places = Arc::new(Places::new(clock, settings.bounds, Arc::clone(&mechanisms)));
     let peers = Arc::new(Peers::new(peer_address, settings.seeds.clone()));
     let last_read = Arc::new(Mutex::default());
     let groups =
@@ -89,12 +91,14 @@
         clock,
         bounds: settings.bounds,
         last_read,
-        membership: Mutex::default(),
+        membership: Mutex::new(Membership::new(mechanisms.has(Mechanism::LaterLives))),
     });
     tokio::spawn(Arc::clone(&watch).follow_config());
     tokio::spawn(Arc::clone(&watch).follow_endpoints());
     tokio::spawn(watch.follow_peers(settings.process.to_string(), peer_address));
-    let handler = Handler { dialect, fleet, places, metrics, drain: Arc::clone(&drain), clock };
+    let drain_of_handler = Arc::clone(&drain);
+    let handler =
+        Handler { dialect, fleet, places, metrics, drain: drain_of_handler, clock, mechanisms };
     tokio::spawn(callers_port::serve(bind(callers).await?, Arc::new(handler)));
     log::info!(process = &*settings.process, callers:% = callers, peers:% = peer_address; "started");
     wait_for_end().await?;
--- a/crates/direct/src/service.rs
+++ b/crates/direct/src/service.rs
@@ -2,11 +2,13 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use lynxmount_core::{Clock, EndpointId, EndpointRecord, EngineSpec, SiteBounds};
+use lynxmount_core::{
+    Clock, EndpointId, EndpointRecord, EngineSpec, Mechanism, Mechanisms, SiteBounds,
+};
 use lynxmount_link::GroupNotice;
 use lynxmount_policy::{
-    GroupWatch, Offer, Placement, Seat, ServiceQueue, StreamEvent, Ticket, Waiter, WindowBudget,
-    WindowBudgetOptions, place,
+    GroupWatch, Offer, PaceClass, Placement, Seat, ServiceQueue, StreamEvent, Ticket, Waiter,
+    WindowBudget, WindowBudgetOptions, place,
 };
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
@@ -44,6 +46,7 @@
     clock: Clock,
     /// How long a group stalls when it has lost a rank.
     group_stall: Duration,
+    pub(crate) mechanisms: Arc<Mechanisms>,
     inner: Mutex<Inner>,
 }
 
@@ -57,10 +60,11 @@
     /// Requests that one endpoint runs at once.
     slots: Option<u32>,
     entries: usize,
+    mechanisms: Arc<Mechanisms>,
 }
 
 impl Service {
-    pub(crate) fn new(clock: Clock, bounds: &SiteBounds) -> Service {
+    pub(crate) fn new(clock: Clock, bounds: &SiteBounds, mechanisms: Arc<Mechanisms>) -> Service {
         let options = WindowBudgetOptions {
             ratio: bounds.retry_ratio,
             slack: bounds.retry_slack,
@@ -75,8 +79,9 @@
             choices: 0,
             slots: None,
             entries: 1,
+            mechanisms: Arc::clone(&mechanisms),
         };
-        Service { clock, group_stall: bounds.group_stall, inner: Mutex::new(inner) }
+        Service { clock, group_stall: bounds.group_stall, mechanisms, inner: Mutex::new(inner) }
     }
 
     pub(crate) fn update<'a>(
@@ -118,7 +123,7 @@
         let ranks = inner.endpoints.iter();
         let own: Vec<&Arc<Endpoint>> =
             ranks.filter(|endpoint| notice.engines.contains(&endpoint.record.address)).collect();
-        if own.is_empty() {
+        if own.is_empty() || !self.mechanisms.has(Mechanism::GroupNotices) {
             return;
         }
         own.iter().for_each(|endpoint| endpoint.note_group(&group));
@@ -147,7 +152,8 @@
 
     /// Says whether a group is late and another is not.
     pub(crate) fn is_better_elsewhere(&self, group: &str) -> bool {
-        self.inner.lock().groups.is_better_elsewhere(group, self.now())
+        self.mechanisms.has(Mechanism::GroupChoice)
+            && self.inner.lock().groups.is_better_elsewhere(group, self.now())
     }
 
     /// Counts the first arrival of a call.
@@ -159,7 +165,7 @@
     pub(crate) fn take_repeat(&self) -> bool {
         let mut inner = self.inner.lock();
         let entries = inner.entries;
-        inner.budget.take(entries, self.now())
+        self.mechanisms.has(Mechanism::Repeats) && inner.budget.take(entries, self.now())
     }
 
     /// Waits for a place until the call may not wait any more.
@@ -188,6 +194,10 @@
             Placement::At(index) => Some(index),
         };
         let until = want.waiter.wait_until;
+        if free.is_none() && !self.mechanisms.has(Mechanism::WaitEstimate) {
+            let ticket = inner.queue.hold(want.waiter, now);
+            return Ok(inner.wait(ticket, until));
+        }
         match (inner.queue.offer(want.waiter, free.is_some(), now), free) {
             (Offer::Start, Some(index)) => Ok(Offered::Place(inner.take(index, self))),
             (Offer::Wait(ticket), _) => Ok(inner.wait(ticket, until)),
@@ -198,6 +208,9 @@
 
     /// Notes that an endpoint of a group has refused because it runs nothing.
     pub(crate) fn note_refusal(self: &Arc<Service>, group: &str) {
+        if !self.mechanisms.has(Mechanism::OutageWatch) {
+            return;
+        }
         let begins = self.inner.lock().groups.note_refusal(group, self.now());
         if let Some(probe_at) = begins {
             log::info!(group; "the group runs nothing for now");
@@ -287,10 +300,23 @@
                 });
                 endpoint.seat(self.room(endpoint, share, now), tried, &self.groups)
             })
+            .map(|seat| self.as_used(seat))
             .collect();
         place(&seats)
     }
 
+    /// Leaves out of a seat what is switched off.
+    fn as_used(&self, seat: Seat) -> Seat {
+        let has = |mechanism| self.mechanisms.has(mechanism);
+        Seat {
+            others_running: if has(Mechanism::ReportedLoad) { seat.others_running } else { 0 },
+            pace: if has(Mechanism::GroupChoice) { seat.pace } else { PaceClass::OnTime },
+            is_limited: seat.is_limited && has(Mechanism::PaceLimit),
+            is_ejected: seat.is_ejected && has(Mechanism::Health),
+            ..seat
+        }
+    }
+
     fn room(&self, endpoint: &Endpoint, group_share: Option<f64>, now: Duration) -> Room {
         let capacity = self.slots.unwrap_or(endpoint.record.slots).max(1);
         let share = f64::from(capacity) / self.entries as f64 * UNEVEN_SHARE;
@@ -307,7 +333,9 @@
         let groups: Vec<Arc<str>> =
             self.endpoints.iter().map(|endpoint| endpoint.group()).collect();
         let opening_by = self.groups.opening_by(groups.iter().map(|group| &**group), now);
-        let until = opening_by.filter(|by| *by <= want.hold_until);
+        let is_in_time =
+            |by: &Duration| *by <= want.hold_until && self.mechanisms.has(Mechanism::Holds);
+        let until = opening_by.filter(is_in_time);
         let Some(until) = until.filter(|_| self.queue.len() < self.places()) else {
             let retry_after = opening_by.map_or(Duration::ZERO, |by| by.saturating_sub(now));
             return Err(NoPlace::Full { retry_after });
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -9,7 +9,7 @@
 use futures::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use lynxmount_core::edge::Dialect;
+use lynxmount_core::{Mechanism, edge::Dialect};
 use lynxmount_link::Connection;
 use lynxmount_policy::CallEnd;
 use lynxmount_wire::{Numbered, NumberedEvents};
@@ -150,6 +150,9 @@
     /// Lets another call use the connection of a stream that has come to its end:
     /// without that each stream opened one, 3,900 in 44 s for 3,800 calls.
     fn keep_connection(&mut self) {
+        if !self.call.service.mechanisms.has(Mechanism::ConnectionReuse) {
+            return;
+        }
         if let (Some(place), Some(connection)) = (&self.place, self.connection.take()) {
             place.endpoint.pool.give_back(connection, self.keep_alive);
         }
--- a/crates/lynxmount/src/cli.rs
+++ b/crates/lynxmount/src/cli.rs
@@ -2,6 +2,7 @@
 
 use clap::{Arg, ArgAction, Command, crate_version, value_parser};
 use clap_complete::Shell;
+use lynxmount_core::Mechanism;
 use uuid::Uuid;
 
 /// Name of the argument for the form of output.
@@ -12,6 +13,8 @@
 pub(crate) const SETTINGS: &str = "settings";
 /// Name of the argument for the port that shows metrics.
 pub(crate) const METRICS_PORT: &str = "metrics-port";
+/// A mechanism that is switched off.
+pub(crate) const WITHOUT: &str = "without";
 /// Name of the argument for a file.
 pub(crate) const FILE: &str = "file";
 /// Name of the argument for the kind of a file.
@@ -123,6 +126,15 @@
                 .value_parser(value_parser!(u16))
                 .help("The port on the process's own address that shows counters and latencies"),
         )
+        .arg(
+            Arg::new(WITHOUT)
+                .long(WITHOUT)
+                .value_name("MECHANISM")
+                .action(ArgAction::Append)
+                .value_delimiter(',')
+                .value_parser(Mechanism::ALL.map(|(_, name)| name))
+                .help("Switch a mechanism off, to see what it is worth (docs/SETTINGS.md)"),
+        )
 }
 
 fn config() -> Command {
--- a/crates/lynxmount/src/commands/platform.rs
+++ b/crates/lynxmount/src/commands/platform.rs
@@ -8,12 +8,12 @@
 use lynxmount_adapter::{
     PlatformDialect, PlatformEngine, SETTINGS_PATH_VARIABLE, Store, parse_settings,
 };
-use lynxmount_core::SiteSettings;
+use lynxmount_core::{Mechanism, Mechanisms, SiteSettings};
 use lynxmount_telemetry::init_json_logging;
 
 use crate::{
     Exit,
-    cli::{METRICS_PORT, SETTINGS},
+    cli::{METRICS_PORT, SETTINGS, WITHOUT},
 };
 
 /// Runs an entry process until it has drained.
@@ -45,14 +45,20 @@
         })?,
     };
     let text = fs::read_to_string(&path).with_context(|| format!("{path} can't be read"))?;
-    let (settings, unknown) = match parse_settings(&path, &text) {
+    let (mut settings, unknown) = match parse_settings(&path, &text) {
         Ok(parsed) => parsed,
         Err(error) => {
             eprintln!("{error}");
             return Ok(None);
         }
     };
+    let without = matches.get_many::<String>(WITHOUT).into_iter().flatten();
+    let off: Result<Vec<Mechanism>, String> = without.map(|name| name.parse()).collect();
+    settings.mechanisms = Mechanisms::without(off.map_err(anyhow::Error::msg)?);
     init_json_logging()?;
+    if settings.mechanisms != Mechanisms::default() {
+        log::warn!(mechanisms:? = settings.mechanisms; "mechanisms are switched off");
+    }
     if !unknown.is_empty() {
         log::info!(fields:? = unknown; "settings that are unknown are ignored");
     }
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -32,8 +32,10 @@
 }
 
 /// What is believed of the endpoints.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Membership {
+    /// Whether of two lives at one address the later one holds.
+    tells_lives_apart: bool,
     known: BTreeMap<EndpointId, Known>,
     listed: BTreeMap<EndpointId, EndpointRecord>,
     /// Missing since an outage, and until when they may come back.
@@ -42,7 +44,26 @@
     doubted_until: Duration,
 }
 
+impl Default for Membership {
+    /// Starts with no endpoint, and tells lives apart.
+    fn default() -> Membership {
+        Membership::new(true)
+    }
+}
+
 impl Membership {
+    /// Starts with no endpoint.
+    pub fn new(tells_lives_apart: bool) -> Membership {
+        Membership {
+            tells_lives_apart,
+            known: BTreeMap::new(),
+            listed: BTreeMap::new(),
+            missing: BTreeMap::new(),
+            last_read: None,
+            doubted_until: Duration::ZERO,
+        }
+    }
+
     /// Takes a list that was just read from the store.
     pub fn take(&mut self, list: &EndpointList, now: Duration) {
         let was_out = self.last_read.is_some_and(|read| now.saturating_sub(read) > SHORT_OUTAGE);
@@ -71,7 +92,9 @@
                 *known = record;
             }
         }
-        let is_latest = |record: &&EndpointRecord| latest[&record.address].id == record.id;
+        let is_latest = |record: &&EndpointRecord| {
+            !self.tells_lives_apart || latest[&record.address].id == record.id
+        };
         let may_live = self.listed.values().chain(self.missing.values());
         may_live.filter(is_latest).cloned().collect()
     }
--- a/crates/rank/src/beliefs.rs
+++ b/crates/rank/src/beliefs.rs
@@ -48,8 +48,8 @@
 }
 
 impl Beliefs {
-    pub(crate) fn new(own: SocketAddr) -> Beliefs {
-        Beliefs { own, heard: BTreeMap::new(), demand: Demand::default() }
+    pub(crate) fn new(own: SocketAddr, demand: Demand) -> Beliefs {
+        Beliefs { own, heard: BTreeMap::new(), demand }
     }
 
     /// Takes what a process has told. What other groups are asked for is not what
--- a/crates/rank/src/coordinator.rs
+++ b/crates/rank/src/coordinator.rs
@@ -9,7 +9,7 @@
 use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use lynxmount_balance::{GroupPlan, PassTime, plan_change};
 use lynxmount_core::{
-    Clock, ExpertSpec, FleetConfig, Result, Route, ServiceId,
+    Clock, ExpertSpec, FleetConfig, Mechanism, Mechanisms, Result, Route, ServiceId,
     edge::{Engine, FleetSource},
     experts::{EngineOrder, GroupMap, GroupStep, MapVersion},
 };
@@ -63,6 +63,7 @@
     pub(crate) outbox: Arc<Outbox>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) clock: Clock,
+    pub(crate) mechanisms: Mechanisms,
 }
 
 /// The map in use, which other processes know, if they have prepared it.
@@ -105,9 +106,10 @@
         }
     }
 
-    fn switch_options(&self) -> SwitchOptions {
+    fn switch_options(&self, has_lossy_lead: bool) -> SwitchOptions {
         let options = SwitchOptions::default();
-        let is_lossy = self.answer_lost_at.is_some_and(|at| at.elapsed() < LOSS_TIME);
+        let is_lossy =
+            has_lossy_lead && self.answer_lost_at.is_some_and(|at| at.elapsed() < LOSS_TIME);
         match is_lossy {
             true => SwitchOptions { lead_steps: LOSSY_LEAD_STEPS, ..options },
             false => options,
@@ -159,6 +161,9 @@
     /// Begins to read the engines whose processes are silent. Nothing waits for
     /// them: an engine that can't be reached would hold up all others.
     fn read_silent(&self, memory: &mut Memory) {
+        if !self.mechanisms.has(Mechanism::DirectReads) {
+            return;
+        }
         if memory.read_directly_at.is_some_and(|at| at.elapsed() < DIRECT_PERIOD) {
             return;
         }
@@ -192,6 +197,10 @@
                 }
             };
             memory.spec = spec_of(&config?, &self.roster.service()?);
+            if !self.mechanisms.has(Mechanism::ShortCopies) {
+                // Experts that are copied at once are copied in any number.
+                memory.spec.iter_mut().for_each(|spec| spec.experts.copy_time = Duration::ZERO);
+            }
         }
         memory.spec
     }
@@ -203,6 +212,9 @@
         let is_working = reports.clone().any(|report| report.running > 0);
         let step = reports.map(|report| report.step).max().unwrap_or_default();
         memory.pass_time.note(group.epoch, step, is_working, self.clock.now());
+        if !self.mechanisms.has(Mechanism::RoomForGains) {
+            return 1.0;
+        }
         let (Some(pass), Some(goal)) = (memory.pass_time.peak(), spec.pause_goal) else {
             return 1.0;
         };
@@ -235,7 +247,7 @@
         let is_own = |rank: usize| is_own_guard(&group.engines, &listeners, place, rank);
         let guard = memory.guards.choose(group.epoch, &reports, is_own)?;
         Some(SwitchStart {
-            options: memory.switch_options(),
+            options: memory.switch_options(self.mechanisms.has(Mechanism::LossyLead)),
             guard: guard.rank,
             min_step: guard.min_step,
             epoch: group.epoch,
--- a/crates/rank/src/demand.rs
+++ b/crates/rank/src/demand.rs
@@ -11,19 +11,28 @@
 pub(crate) type GroupLife = (String, GroupEpoch);
 
 /// Demand by set and expert, as it is since the last shift.
-#[derive(Default)]
 pub(crate) struct Demand {
     last: BTreeMap<SocketAddr, Counts>,
     /// The group whose demand it is, and the group's life.
     life: Option<GroupLife>,
     windows: DemandWindows,
+    detects_shifts: bool,
 }
 
 impl Demand {
+    pub(crate) fn new(detects_shifts: bool) -> Demand {
+        Demand {
+            last: BTreeMap::new(),
+            life: None,
+            windows: DemandWindows::new(detects_shifts),
+            detects_shifts,
+        }
+    }
+
     /// Begins anew if the group is another one or has formed anew.
     pub(crate) fn begin(&mut self, life: &GroupLife) {
         if self.life.as_ref() != Some(life) {
-            *self = Demand { life: Some(life.clone()), ..Demand::default() };
+            *self = Demand { life: Some(life.clone()), ..Demand::new(self.detects_shifts) };
         }
     }
 
--- a/crates/rank/src/process.rs
+++ b/crates/rank/src/process.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context;
 use lynxmount_core::{
-    Clock, SiteSettings,
+    Clock, Mechanism, SiteSettings,
     edge::{Engine, FleetSource},
 };
 use lynxmount_link::{GROUP_PORT_OFFSET, bind, serve, wait_for_end};
@@ -15,6 +15,7 @@
 use crate::{
     beliefs::Beliefs,
     coordinator::Coordinator,
+    demand::Demand,
     duty::Duty,
     members::Members,
     message::Datagram,
@@ -55,7 +56,8 @@
     let metrics = Arc::new(Metrics::default());
     let clock = Clock::start();
     let roster = Arc::new(Roster::default());
-    let beliefs = Arc::new(Mutex::new(Beliefs::new(own)));
+    let demand = Demand::new(settings.mechanisms.has(Mechanism::ShiftDetection));
+    let beliefs = Arc::new(Mutex::new(Beliefs::new(own, demand)));
     let engine = Arc::new(make_engine(own));
     let source = Arc::new(source);
     let socket = UdpSocket::bind(address).await.with_context(|| format!("bind {address}"))?;
@@ -120,6 +122,7 @@
         outbox,
         metrics,
         clock,
+        mechanisms: settings.mechanisms.clone(),
     };
     tokio::spawn(coordinator.run());
     log::info!(process = &*settings.process, engine:% = own; "started");
