Test groups as failure domains, later lives, entries of other writers, and calls that wait

The former test of OutageWatch keeps its times under the new name of the question, and one more says that a single call at a time is sent: before, all were after the pause. A group that closes is logged as one that opens.

--- a/crates/direct/src/service.rs
+++ b/crates/direct/src/service.rs
@@ -7,8 +7,8 @@
 };
 use lynxmount_link::GroupNotice;
 use lynxmount_policy::{
-    GroupWatch, Offer, PaceClass, Placement, Seat, ServiceQueue, StreamEvent, Ticket, Waiter,
-    WindowBudget, WindowBudgetOptions, place,
+    GroupChange, GroupWatch, Offer, PaceClass, Placement, Seat, ServiceQueue, StreamEvent, Ticket,
+    Waiter, WindowBudget, WindowBudgetOptions, place,
 };
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
@@ -129,10 +129,13 @@
         own.iter().for_each(|endpoint| endpoint.note_group(&group));
         let now = self.now();
         inner.groups.note_pass(&group, notice.pass, now);
-        if inner.groups.note_told(&group, notice.is_open, now) {
+        let change = inner.groups.note_told(&group, notice.is_open, now);
+        if let Some(change) = change {
+            log::info!(group = &*group, change:? = change; "a group has told its state");
+        }
+        if change == Some(GroupChange::Opened) {
             inner.queue.resume(now);
             drop(inner);
-            log::info!(group = &*group; "the group is open again");
             self.wake();
         }
     }
--- a/crates/lynxmount/tests/platform_common/mod.rs
+++ b/crates/lynxmount/tests/platform_common/mod.rs
@@ -77,9 +77,20 @@
 
     /// The lines that the process has logged with this message.
     pub fn logged(&self, message: &str) -> Vec<serde_json::Value> {
+        self.lines(|logged| logged == message)
+    }
+
+    /// The lines that the process has logged with a message that begins so.
+    pub fn logged_beginning(&self, start: &str) -> Vec<serde_json::Value> {
+        self.lines(|logged| logged.starts_with(start))
+    }
+
+    fn lines(&self, is_meant: impl Fn(&str) -> bool) -> Vec<serde_json::Value> {
         let log = fs::read_to_string(self.folder.path().join(LOG_FILE)).expect("a log");
         let lines = log.lines().filter_map(|line| serde_json::from_str(line).ok());
-        lines.filter(|line: &serde_json::Value| line["message"] == message).collect()
+        lines
+            .filter(|line: &serde_json::Value| line["message"].as_str().is_some_and(&is_meant))
+            .collect()
     }
 
     pub fn signal(&self, signal: Signal) {
--- a/crates/lynxmount/tests/platform_entry.rs
+++ b/crates/lynxmount/tests/platform_entry.rs
@@ -2,18 +2,30 @@
 
 mod platform_common;
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
 
 use http::{Method, StatusCode};
+use lynxmount_link::{GROUP_PORT_OFFSET, GroupMessage, GroupNotice};
 use lynxmount_platform_standin::{
-    Behaviour, StoreMode,
-    fixture::{CONFIG_KEY, ONCE, OPERATOR_TOPIC, PLAIN, REGISTRATIONS_TOPIC, STREAM, TEAM},
+    Behaviour, Call, CallerStandin, StoreMode, Told,
+    fixture::{
+        CONFIG_KEY, GroupText, ONCE, OPERATOR_TOPIC, PLAIN, REGISTRATIONS_TOPIC, STREAM, TEAM,
+        config_text, service_of,
+    },
 };
 use nix::sys::signal::Signal;
 use platform_common::{
-    Fleet, KEY, Process, READINESS_PORT, call, config, entry_ip, entry_settings, get, registration,
-    wait_for,
+    Fleet, INTERNAL_PORT, KEY, Process, READINESS_PORT, call, config, entry_ip, entry_settings,
+    get, ip, registration, wait_for,
 };
+use tokio::{net::UdpSocket, task::JoinHandle};
 
 fn path(service: &str) -> String {
     format!("/{service}/7")
@@ -342,3 +354,122 @@
         assert!(told.contains(expected), "{told}");
     }
 }
+
+/// Tells an entry the state of the group of a fleet's replicas, again and again.
+fn tell_group(fleet: &Fleet, is_open: &Arc<AtomicBool>) -> JoinHandle<()> {
+    let (network, is_open) = (fleet.network, Arc::clone(is_open));
+    let engines = fleet.replicas.iter().map(|replica| replica.address).collect::<Vec<_>>();
+    let entry = SocketAddr::new(entry_ip(network, 0), INTERNAL_PORT + GROUP_PORT_OFFSET);
+    tokio::spawn(async move {
+        let socket = UdpSocket::bind((ip(network, 200), 0)).await.expect("a socket");
+        loop {
+            let notice = GroupNotice {
+                group: "g".to_owned(),
+                is_open: is_open.load(Ordering::Relaxed),
+                pass: None,
+                engines: engines.clone(),
+            };
+            let datagram = GroupMessage::Notice(notice).encode().expect("a datagram");
+            socket.send_to(&datagram, entry).await.expect("a notice is sent");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    })
+}
+
+/// A fleet whose replicas are ranks of a group that is told to be closed.
+async fn start_closed_group(is_open: &Arc<AtomicBool>) -> Fleet {
+    let replica = Behaviour::Stream { events: 3, pause: Duration::ZERO };
+    let replicas = [replica.clone(), replica];
+    let fleet = Fleet::start(STREAM, &replicas).await;
+    let service = service_of(STREAM);
+    let group = GroupText { service: &service, experts: 8 };
+    fleet.store.put(OPERATOR_TOPIC, CONFIG_KEY, &config_text(2, &[KEY], Some(group)));
+    wait_for("the configuration", async || fleet.entry.logged("configuration in force").len() >= 2)
+        .await;
+    tell_group(&fleet, is_open);
+    wait_for("the group's state", async || {
+        !fleet.entry.logged("a group has told its state").is_empty()
+    })
+    .await;
+    fleet
+}
+
+fn stream_call(time_left: Duration) -> Call {
+    Call {
+        id: "attempt-1".to_owned(),
+        method: Method::POST,
+        path: path(STREAM),
+        key: KEY.to_owned(),
+        time_left,
+    }
+}
+
+#[tokio::test]
+async fn a_call_waits_for_a_group_that_opens_in_time_and_is_sent_once() {
+    let is_open = Arc::new(AtomicBool::new(false));
+    let fleet = start_closed_group(&is_open).await;
+    // What is left of the usual time until then is less than half of the call's.
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let mut caller = CallerStandin::new(fleet.address());
+    let calling =
+        tokio::spawn(async move { caller.call(&stream_call(Duration::from_secs(8))).await });
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let before = fleet.arrivals();
+
+    is_open.store(true, Ordering::Relaxed);
+
+    let Told::Answer(answer) = calling.await.expect("the call ends") else { panic!("no answer") };
+    assert_eq!((before, answer.status), (0, StatusCode::OK));
+    assert_eq!(fleet.arrivals(), 1);
+}
+
+#[tokio::test]
+async fn a_call_that_can_not_wait_for_a_group_is_refused_at_once() {
+    let is_open = Arc::new(AtomicBool::new(false));
+    let fleet = start_closed_group(&is_open).await;
+    let mut caller = CallerStandin::new(fleet.address());
+
+    let told = caller.call(&stream_call(Duration::from_millis(1500))).await;
+
+    let Told::Answer(answer) = told else { panic!("no answer") };
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.retry_after_s.is_some_and(|after| after > 0.0));
+    assert_eq!(fleet.arrivals(), 0);
+    let refused = fleet.entry.logged("refused");
+    assert_eq!(refused.len(), 1);
+}
+
+#[tokio::test]
+async fn an_entry_of_another_writer_names_no_replica_and_the_others_hold() {
+    let fleet = Fleet::start(PLAIN, &[Behaviour::Answer]).await;
+    let text = r#"{"Service":"lookup-service","Address":"127.0.0.1:1","Zone":"z","Slots":"all"}"#;
+    fleet.store.put(REGISTRATIONS_TOPIC, "i-other", text);
+    fleet.store.put(REGISTRATIONS_TOPIC, "i-unread", "\u{0}\u{1}[");
+    wait_for("both entries", async || {
+        fleet.entry.logged_beginning("unreadable registration").len() >= 2
+    })
+    .await;
+
+    for _ in 0..4 {
+        let answer = call(fleet.address(), Method::GET, &path(PLAIN), KEY).await;
+        assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+    }
+}
+
+#[tokio::test]
+async fn a_replica_that_starts_again_under_its_id_is_called_there() {
+    let fleet = Fleet::start(PLAIN, &[Behaviour::Answer]).await;
+    let again = registration(&fleet.replicas[0], PLAIN, "ready").replacen(
+        '{',
+        r#"{"born":1780000000000,"#,
+        1,
+    );
+
+    fleet.store.put(REGISTRATIONS_TOPIC, "i-0", &again);
+
+    for _ in 0..4 {
+        let answer = call(fleet.address(), Method::GET, &path(PLAIN), KEY).await;
+        assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+    }
+    assert_eq!(fleet.arrivals(), 4);
+}
--- a/crates/policy/src/group_watch.rs
+++ b/crates/policy/src/group_watch.rs
@@ -20,6 +20,15 @@
 /// A group's name. Endpoints whose group is not known are one group without name.
 pub type GroupName = String;
 
+/// What has become of a group.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum GroupChange {
+    /// It takes no calls any more.
+    Closed,
+    /// It takes calls again.
+    Opened,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Told {
     is_open: bool,
@@ -92,23 +101,21 @@
         self.usual_outage = usual;
     }
 
-    /// Takes what a group's process has told. Returns whether the group has opened
-    /// with it.
-    pub fn note_told(&mut self, group: &str, is_open: bool, now: Duration) -> bool {
+    /// Takes what a group's process has told, and returns what has changed with it.
+    pub fn note_told(&mut self, group: &str, is_open: bool, now: Duration) -> Option<GroupChange> {
         let watched = self.watched(group);
         watched.told = Some(Told { is_open, at: now });
-        match is_open {
-            true => {
-                let opens = watched.closed_since.take().is_some();
-                if opens {
-                    watched.note_opening(now);
-                }
-                opens
+        match (is_open, watched.closed_since) {
+            (true, Some(_)) => {
+                watched.closed_since = None;
+                watched.note_opening(now);
+                Some(GroupChange::Opened)
             }
-            false => {
-                watched.closed_since = watched.closed_since.or(Some(now));
-                false
+            (false, None) => {
+                watched.closed_since = Some(now);
+                Some(GroupChange::Closed)
             }
+            (true, None) | (false, Some(_)) => None,
         }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,7 +24,7 @@
 
 pub use bucket::TokenBucket;
 pub use choice::{Candidate, Choice, ChoiceOptions, choose};
-pub use group_watch::{GroupName, GroupWatch, StreamEvent};
+pub use group_watch::{GroupChange, GroupName, GroupWatch, StreamEvent};
 pub use health::{CallEnd, Health};
 pub use membership::Membership;
 pub use outage::{OutageWatch, return_time};
--- a/crates/policy/tests/direct.rs
+++ b/crates/policy/tests/direct.rs
@@ -135,13 +135,27 @@
     EndpointRecord {
         id: id.into(),
         service: "s".into(),
-        address: ([127, 0, 0, 1], 1).into(),
+        // Each id of these tests is one letter.
+        address: ([127, 0, 0, id.as_bytes()[0]], 1).into(),
         failure_domain: "z".into(),
         slots: 1,
         state: EndpointState::Ready,
+        started_ms: None,
+        listed_at: 0,
     }
 }
 
+/// A life of the endpoint at one and the same address, listed at an offset.
+fn life(id: &str, listed_at: u64, started_ms: Option<u64>) -> EndpointRecord {
+    EndpointRecord { listed_at, started_ms, ..record(id) }
+}
+
+fn lives(lives: &[EndpointRecord]) -> EndpointList {
+    let address = ([127, 0, 0, 9], 1).into();
+    let endpoints = lives.iter().map(|life| EndpointRecord { address, ..life.clone() }).collect();
+    EndpointList { read_to: 1, endpoints }
+}
+
 fn list(read_to: u64, ids: &[&str]) -> EndpointList {
     EndpointList { read_to, endpoints: ids.iter().map(|id| record(id)).collect() }
 }
@@ -182,12 +196,67 @@
     assert!(!outage.note_refusal(at_ms(0)));
     assert!(outage.note_refusal(at_ms(10)));
 
-    assert!(outage.is_paused(at_ms(259)));
-    assert!(!outage.is_paused(at_ms(260)));
+    assert!(!outage.may_send(at_ms(259)));
+    assert!(outage.may_send(at_ms(260)));
     outage.note_answer();
     assert!(!outage.note_refusal(at_ms(300)));
 }
 
+#[test]
+fn in_an_outage_one_call_at_a_time_is_sent() {
+    let mut outage = OutageWatch::default();
+    outage.note_refusal(at_ms(0));
+    outage.note_refusal(at_ms(10));
+
+    assert_eq!(outage.note_sent(at_ms(260)), Some(at_ms(510)));
+    assert!(!outage.may_send(at_ms(261)));
+    assert!(!outage.note_refusal(at_ms(262)), "the outage has begun before");
+    assert!(!outage.may_send(at_ms(509)));
+    assert!(outage.may_send(at_ms(510)));
+
+    outage.note_answer();
+    assert_eq!(outage.note_sent(at_ms(520)), None);
+    assert!(outage.may_send(at_ms(521)));
+}
+
+#[test]
+fn of_two_registrations_at_one_address_the_later_listed_one_holds() {
+    let mut membership = Membership::default();
+
+    membership.take(&lives(&[life("a", 9, None), life("b", 7, None)]), at_ms(0));
+
+    assert_eq!(ids(&membership), ["a"]);
+}
+
+#[test]
+fn a_late_registration_of_a_life_that_is_over_changes_nothing() {
+    let mut membership = Membership::default();
+    membership.take(&lives(&[life("a", 3, None), life("b", 7, None)]), at_ms(0));
+    membership.take(&lives(&[life("b", 7, None)]), at_ms(4000));
+
+    membership.take(&lives(&[life("a", 12, None), life("b", 7, None)]), at_ms(5000));
+
+    assert_eq!(ids(&membership), ["b"]);
+}
+
+#[test]
+fn the_life_that_tells_the_later_start_holds_whenever_it_was_listed() {
+    let mut membership = Membership::default();
+
+    membership.take(&lives(&[life("a", 3, Some(2000)), life("b", 7, Some(1000))]), at_ms(0));
+
+    assert_eq!(ids(&membership), ["a"]);
+}
+
+#[test]
+fn lives_at_different_addresses_are_different_endpoints() {
+    let mut membership = Membership::default();
+
+    membership.take(&list(1, &["a", "b"]), at_ms(0));
+
+    assert_eq!(ids(&membership), ["a", "b"]);
+}
+
 #[test]
 fn callers_come_back_within_a_third_of_their_time() {
     for spread in [0.0, 0.5, 1.0, 7.0] {
--- /dev/null
+++ b/crates/policy/tests/groups.rs
@@ -0,0 +1,259 @@
+//! Groups as failure domains: which of them a call goes to, and when it may wait
+//! for one to open.
+
+use std::time::Duration;
+
+use lynxmount_policy::{
+    GroupChange, GroupWatch, Pace, PaceClass, Placement, Seat, StreamEvent, place,
+};
+
+/// The longest pause that is on time.
+const GOAL: Duration = Duration::from_millis(120);
+/// How long a group usually is closed.
+const OUTAGE: Duration = Duration::from_millis(2100);
+/// What an entry may run in a group.
+const SHARE: f64 = 20.0;
+
+fn at_ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn watch() -> GroupWatch {
+    let mut groups = GroupWatch::default();
+    groups.set_usual_outage(Some(OUTAGE));
+    groups
+}
+
+/// Lets a stream of a group have events with a pause before each.
+fn play(groups: &mut GroupWatch, group: &str, pause: Duration, from_ms: u64, to_ms: u64) {
+    groups.note_sent(group, at_ms(from_ms));
+    let event = StreamEvent { pause: Some(pause), goal: Some(GOAL), share: SHARE };
+    for now in (from_ms..to_ms).step_by(pause.as_millis() as usize) {
+        groups.note_event(group, event, at_ms(now));
+    }
+}
+
+fn seat(pace: PaceClass, own_running: u32) -> Seat {
+    Seat { pace, own_running, capacity: 12, own_capacity: 4, ..Seat::default() }
+}
+
+#[test]
+fn a_group_that_is_told_to_be_closed_takes_no_calls_and_the_other_does() {
+    let mut groups = watch();
+
+    groups.note_told("a", false, at_ms(100));
+    groups.note_told("b", true, at_ms(100));
+
+    assert!(!groups.may_send("a", at_ms(200)));
+    assert!(groups.may_send("b", at_ms(200)));
+}
+
+#[test]
+fn what_was_told_long_ago_does_not_count() {
+    let mut groups = watch();
+
+    groups.note_told("a", false, at_ms(100));
+
+    assert!(groups.may_send("a", at_ms(1100)));
+}
+
+#[test]
+fn refusals_of_one_group_do_not_close_the_other() {
+    let mut groups = watch();
+
+    groups.note_refusal("a", at_ms(0));
+    groups.note_refusal("a", at_ms(5));
+
+    assert!(!groups.may_send("a", at_ms(10)));
+    assert!(groups.may_send("b", at_ms(10)));
+}
+
+#[test]
+fn calls_may_wait_for_the_group_that_opens_first() {
+    let mut groups = watch();
+    groups.note_told("a", false, at_ms(1000));
+    groups.note_told("b", false, at_ms(1400));
+
+    let by = groups.opening_by(["a", "b"].into_iter(), at_ms(1500));
+
+    assert_eq!(by, Some(at_ms(1000) + OUTAGE + at_ms(500)));
+}
+
+#[test]
+fn calls_do_not_wait_for_a_group_that_is_closed_for_longer_than_usual() {
+    let mut groups = watch();
+    (1000..9000).step_by(200).for_each(|now| {
+        groups.note_told("a", false, at_ms(now));
+    });
+
+    assert_eq!(groups.opening_by(["a"].into_iter(), at_ms(9000)), None);
+}
+
+#[test]
+fn a_service_without_groups_holds_nobody() {
+    let mut groups = GroupWatch::default();
+    groups.note_refusal("", at_ms(0));
+    groups.note_refusal("", at_ms(5));
+
+    assert_eq!(groups.opening_by([""].into_iter(), at_ms(10)), None);
+}
+
+#[test]
+fn a_group_that_opens_is_told_once_and_ends_what_was_seen_before() {
+    let mut groups = watch();
+    groups.note_refusal("a", at_ms(0));
+    groups.note_refusal("a", at_ms(5));
+    assert_eq!(groups.note_told("a", false, at_ms(10)), Some(GroupChange::Closed));
+
+    assert_eq!(groups.note_told("a", true, at_ms(300)), Some(GroupChange::Opened));
+    assert_eq!(groups.note_told("a", true, at_ms(400)), None);
+    assert!(groups.may_send("a", at_ms(301)));
+}
+
+#[test]
+fn a_group_of_long_pauses_is_late_and_of_very_long_ones_stands_still() {
+    for (pause_ms, expected) in
+        [(60, PaceClass::OnTime), (200, PaceClass::Late), (500, PaceClass::Stalled)]
+    {
+        let mut groups = watch();
+
+        play(&mut groups, "a", at_ms(pause_ms), 1000, 4000);
+
+        assert_eq!(groups.pace("a", at_ms(4000)), expected, "{pause_ms}");
+    }
+}
+
+#[test]
+fn a_group_that_falls_silent_is_seen_before_any_event_comes() {
+    let mut groups = watch();
+    play(&mut groups, "a", at_ms(60), 1000, 2000);
+
+    assert_eq!(groups.pace("a", at_ms(2050)), PaceClass::OnTime);
+    assert_eq!(groups.pace("a", at_ms(2200)), PaceClass::Late);
+    assert_eq!(groups.pace("a", at_ms(2800)), PaceClass::Stalled);
+}
+
+#[test]
+fn a_group_without_streams_is_not_silent() {
+    let mut groups = watch();
+    play(&mut groups, "a", at_ms(60), 1000, 2000);
+
+    groups.note_ended("a");
+
+    assert_eq!(groups.pace("a", at_ms(9000)), PaceClass::OnTime);
+}
+
+#[test]
+fn a_group_tells_its_pace_to_entries_that_have_no_streams_there() {
+    let mut groups = watch();
+    play(&mut groups, "b", at_ms(60), 1000, 2000);
+
+    groups.note_pass("a", Some(at_ms(700)), at_ms(2000));
+
+    assert_eq!(groups.pace("a", at_ms(2100)), PaceClass::Stalled);
+}
+
+#[test]
+fn a_group_on_its_first_maps_is_late_and_does_not_stand_still() {
+    let mut groups = watch();
+    groups.note_told("a", false, at_ms(500));
+    groups.note_told("a", true, at_ms(1000));
+
+    play(&mut groups, "a", at_ms(500), 1000, 2400);
+
+    assert_eq!(groups.pace("a", at_ms(2400)), PaceClass::Late);
+}
+
+#[test]
+fn streams_leave_a_late_group_only_for_one_that_is_on_time() {
+    let mut groups = watch();
+    play(&mut groups, "a", at_ms(500), 1000, 3000);
+    play(&mut groups, "b", at_ms(500), 1000, 3000);
+    assert!(!groups.is_better_elsewhere("a", at_ms(3000)));
+
+    play(&mut groups, "b", at_ms(60), 3000, 3600);
+
+    assert!(groups.is_better_elsewhere("a", at_ms(3600)));
+    assert!(!groups.is_better_elsewhere("b", at_ms(3600)));
+}
+
+#[test]
+fn long_pauses_of_one_group_do_not_limit_what_the_other_runs() {
+    let mut groups = watch();
+    (0..19).for_each(|_| {
+        groups.note_sent("a", at_ms(1000));
+        groups.note_sent("b", at_ms(1000));
+    });
+
+    play(&mut groups, "a", at_ms(110), 1000, 2600);
+    play(&mut groups, "b", at_ms(60), 1000, 2600);
+
+    assert!(groups.is_at_limit("a", SHARE * 1.15));
+    assert!(!groups.is_at_limit("b", SHARE * 1.15));
+}
+
+#[test]
+fn pauses_of_the_first_maps_set_no_limit() {
+    let mut groups = watch();
+    groups.note_told("a", false, at_ms(500));
+    groups.note_told("a", true, at_ms(1000));
+    (0..19).for_each(|_| {
+        groups.note_sent("a", at_ms(1000));
+    });
+
+    play(&mut groups, "a", at_ms(160), 1000, 2400);
+
+    assert!(!groups.is_at_limit("a", SHARE * 1.15));
+}
+
+#[test]
+fn the_group_on_time_goes_first_though_it_has_more_to_do() {
+    let seats = [seat(PaceClass::Late, 0), seat(PaceClass::OnTime, 3), seat(PaceClass::Stalled, 0)];
+
+    assert_eq!(place(&seats), Placement::At(1));
+}
+
+#[test]
+fn a_late_group_is_used_when_those_on_time_have_no_room() {
+    let seats = [seat(PaceClass::Late, 0), seat(PaceClass::OnTime, 4)];
+
+    assert_eq!(place(&seats), Placement::At(0));
+}
+
+#[test]
+fn a_group_that_stands_still_is_not_used_while_another_goes_on() {
+    let seats = [seat(PaceClass::Stalled, 0), seat(PaceClass::OnTime, 4)];
+
+    assert_eq!(place(&seats), Placement::Full);
+}
+
+#[test]
+fn groups_that_all_stand_still_are_used() {
+    let seats = [seat(PaceClass::Stalled, 2), seat(PaceClass::Stalled, 1)];
+
+    assert_eq!(place(&seats), Placement::At(1));
+}
+
+#[test]
+fn when_all_groups_are_closed_a_call_is_told_so() {
+    let closed = Seat { is_closed: true, ..seat(PaceClass::OnTime, 0) };
+
+    assert_eq!(place(&[closed, closed]), Placement::Closed);
+    assert_eq!(place(&[]), Placement::Nowhere);
+}
+
+#[test]
+fn a_group_at_its_limit_has_no_room() {
+    let limited = Seat { is_limited: true, ..seat(PaceClass::OnTime, 0) };
+
+    assert_eq!(place(&[limited]), Placement::Full);
+}
+
+#[test]
+fn a_mean_of_pauses_is_forgotten_after_a_second() {
+    let mut pace = Pace::default();
+    (0..10).for_each(|n| pace.note_event(Some(at_ms(500)), at_ms(1000 + 100 * n)));
+
+    assert_eq!(pace.class(GOAL, true, at_ms(1950)), PaceClass::Stalled);
+    assert_eq!(pace.class(GOAL, false, at_ms(3000)), PaceClass::OnTime);
+}
