Split the coordinator by job, and take datagrams in one place

Three loops that take datagrams were alike; link::receive is the one that is left. Code only moved; tests of platform_entry and platform_endpoint pass.

--- a/crates/direct/src/groups.rs
+++ b/crates/direct/src/groups.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use lynxmount_link::{ASK_PERIOD, GROUP_PORT_OFFSET, GroupMessage};
+use lynxmount_link::{ASK_PERIOD, GROUP_PORT_OFFSET, GroupMessage, receive};
 use tokio::net::UdpSocket;
 
 use crate::places::Places;
@@ -59,21 +59,10 @@
 
     /// Takes notices until the task is dropped.
     pub(crate) async fn listen(self: Arc<GroupListener>) {
-        let mut bytes = vec![0; MAX_NOTICE_BYTES];
-        loop {
-            let (length, peer) = match self.socket.recv_from(&mut bytes).await {
-                Ok(received) => received,
-                Err(error) => {
-                    // An earlier asking may have come back as undeliverable.
-                    log::debug!("nothing received: {error}");
-                    continue;
-                }
-            };
-            match GroupMessage::decode(peer, &bytes[..length]) {
-                Ok(GroupMessage::Notice(notice)) => self.places.note_notice(&notice),
-                Ok(GroupMessage::Ask) => {}
-                Err(error) => log::warn!(error:% = error; "a datagram can't be read"),
-            }
-        }
+        receive(&self.socket, MAX_NOTICE_BYTES, GroupMessage::decode, |_, message| match message {
+            Ok(GroupMessage::Notice(notice)) => self.places.note_notice(&notice),
+            Ok(GroupMessage::Ask) | Err(_) => {}
+        })
+        .await;
     }
 }
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod client;
 mod connection;
+mod datagrams;
 mod fleet_exchange;
 mod group_notice;
 mod server;
@@ -12,6 +13,7 @@
 
 pub use client::{Answer, HttpClient};
 pub use connection::Connection;
+pub use datagrams::receive;
 pub use fleet_exchange::{KnownFleet, ask_fleet, asked_fleet};
 pub use group_notice::{ASK_PERIOD, ASKED_FOR, GROUP_PORT_OFFSET, GroupMessage, GroupNotice};
 pub use server::{Handle, bind, serve};
--- a/crates/rank/src/coordinator.rs
+++ b/crates/rank/src/coordinator.rs
@@ -7,15 +7,13 @@
 };
 
 use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
-use lynxmount_balance::{GroupPlan, PassTime, plan_change};
+use lynxmount_balance::{GroupPlan, plan_change};
 use lynxmount_core::{
-    Clock, ExpertSpec, FleetConfig, Mechanism, Mechanisms, Result, Route, ServiceId,
+    Clock, Mechanism, Mechanisms, Result,
     edge::{Engine, FleetSource},
-    experts::{EngineOrder, GroupMap, GroupStep, MapVersion},
-};
-use lynxmount_group::{
-    Guards, RankNumber, RankOrder, Switch, SwitchEnd, SwitchOptions, SwitchStart, left_behind,
+    experts::{EngineOrder, GroupMap, MapVersion},
 };
+use lynxmount_group::{RankNumber, RankOrder, Switch, SwitchEnd, SwitchStart, left_behind};
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
 use rand::Rng;
@@ -24,9 +22,11 @@
     beliefs::{Beliefs, Group},
     duty::Duty,
     members::Members,
+    memory::Memory,
     message::OrderAnswer,
     orders::{Outbox, give},
     roster::Roster,
+    spec::Spec,
 };
 
 /// How often a change is weighed.
@@ -40,15 +40,6 @@
 /// under way is safe.
 const LEFT_BEHIND_AFTER: Duration = Duration::from_millis(600);
 
-/// How many steps ahead a group is held while answers to orders are lost. Arming
-/// then takes 50 to 100 ms, which the group works through instead of standing
-/// still. With four, the mean worth of the small sites' heaviest days was 0.73 and
-/// 0.70, with two 0.76 and 0.70, with one 0.72 and 0.68 (four seeds each).
-const LOSSY_LEAD_STEPS: GroupStep = 2;
-
-/// How long after a lost answer others are expected to be lost.
-const LOSS_TIME: Duration = Duration::from_secs(3);
-
 /// Balances one group as long as this process is the first live one.
 pub(crate) struct Coordinator<E, S, F> {
     pub(crate) engine: Arc<E>,
@@ -78,45 +69,6 @@
 /// probe.
 const DIRECT_PERIOD: Duration = Duration::from_millis(250);
 
-/// What the configuration says of the own service.
-#[derive(Clone, Copy, Debug)]
-struct Spec {
-    experts: ExpertSpec,
-    /// The longest pause between events that is on time on all routes.
-    pause_goal: Option<Duration>,
-}
-
-/// What the balancing process remembers from one change to the next.
-#[derive(Default)]
-struct Memory {
-    spec: Option<Spec>,
-    pass_time: PassTime,
-    min_version: MapVersion,
-    left_behind_since: Option<Instant>,
-    was_leading: bool,
-    answer_lost_at: Option<Instant>,
-    guards: Guards,
-    read_directly_at: Option<Instant>,
-}
-
-impl Memory {
-    fn note_loss(&mut self, answered: &Result<OrderAnswer>) {
-        if answered.as_ref().is_ok_and(|answer| answer.tries > 1) {
-            self.answer_lost_at = Some(Instant::now());
-        }
-    }
-
-    fn switch_options(&self, has_lossy_lead: bool) -> SwitchOptions {
-        let options = SwitchOptions::default();
-        let is_lossy =
-            has_lossy_lead && self.answer_lost_at.is_some_and(|at| at.elapsed() < LOSS_TIME);
-        match is_lossy {
-            true => SwitchOptions { lead_steps: LOSSY_LEAD_STEPS, ..options },
-            false => options,
-        }
-    }
-}
-
 impl<E, S, F> Coordinator<E, S, F>
 where
     E: Engine,
@@ -196,7 +148,7 @@
                     None
                 }
             };
-            memory.spec = spec_of(&config?, &self.roster.service()?);
+            memory.spec = Spec::of(&config?, &self.roster.service()?);
             if !self.mechanisms.has(Mechanism::ShortCopies) {
                 // Experts that are copied at once are copied in any number.
                 memory.spec.iter_mut().for_each(|spec| spec.experts.copy_time = Duration::ZERO);
@@ -367,15 +319,6 @@
     }
 }
 
-/// What a configuration says of a service whose engines share experts.
-fn spec_of(config: &FleetConfig, service: &ServiceId) -> Option<Spec> {
-    let own = config.services.iter().find(|spec| spec.id == *service)?;
-    let leads_here = |route: &&Route| route.targets.iter().any(|t| t.service == *service);
-    let routes = config.routes.iter().filter(leads_here);
-    let pause_goal = routes.filter_map(|route| route.gap_goal).min();
-    Some(Spec { experts: own.engine.as_ref()?.experts?, pause_goal })
-}
-
 /// Says whether a rank is this process's to hold the group through: its own, and
 /// of those that no process balances beside its share.
 fn is_own_guard(
--- a/crates/rank/src/lib.rs
+++ b/crates/rank/src/lib.rs
@@ -11,11 +11,13 @@
 mod demand;
 mod duty;
 mod members;
+mod memory;
 mod message;
 mod notifier;
 mod orders;
 mod process;
 mod reporter;
 mod roster;
+mod spec;
 
 pub use process::run;
--- a/crates/rank/src/notifier.rs
+++ b/crates/rank/src/notifier.rs
@@ -9,7 +9,7 @@
 
 use lynxmount_balance::PassTime;
 use lynxmount_core::Clock;
-use lynxmount_link::{ASKED_FOR, GroupMessage, GroupNotice};
+use lynxmount_link::{ASKED_FOR, GroupMessage, GroupNotice, receive};
 use parking_lot::Mutex;
 use tokio::net::UdpSocket;
 
@@ -39,24 +39,12 @@
 impl Notifier {
     /// Takes askings until the task is dropped.
     pub(crate) async fn listen(self: Arc<Notifier>) {
-        let mut bytes = [0; MAX_ASKING_BYTES];
-        loop {
-            let (length, peer) = match self.socket.recv_from(&mut bytes).await {
-                Ok(received) => received,
-                Err(error) => {
-                    // An earlier datagram may have come back as undeliverable.
-                    log::debug!("nothing received: {error}");
-                    continue;
-                }
-            };
-            match GroupMessage::decode(peer, &bytes[..length]) {
-                Ok(GroupMessage::Ask) => {
-                    self.asked.lock().insert(peer, Instant::now());
-                }
-                Ok(GroupMessage::Notice(_)) => {}
-                Err(error) => log::warn!(error:% = error; "a datagram can't be read"),
+        receive(&self.socket, MAX_ASKING_BYTES, GroupMessage::decode, |peer, message| {
+            if let Ok(GroupMessage::Ask) = message {
+                self.asked.lock().insert(peer, Instant::now());
             }
-        }
+        })
+        .await;
     }
 
     /// Tells until the task is dropped.
--- a/crates/rank/src/process.rs
+++ b/crates/rank/src/process.rs
@@ -7,7 +7,7 @@
     Clock, Mechanism, SiteSettings,
     edge::{Engine, FleetSource},
 };
-use lynxmount_link::{GROUP_PORT_OFFSET, bind, serve, wait_for_end};
+use lynxmount_link::{GROUP_PORT_OFFSET, bind, receive, serve, wait_for_end};
 use lynxmount_telemetry::{Metrics, MetricsPort};
 use parking_lot::Mutex;
 use tokio::{net::UdpSocket, sync::Notify};
@@ -144,24 +144,16 @@
 impl<E: Engine> Port<E> {
     /// Takes datagrams until the task is dropped.
     async fn listen(self) {
-        let mut bytes = vec![0; MAX_DATAGRAM_BYTES];
-        loop {
-            let (length, peer) = match self.socket.recv_from(&mut bytes).await {
-                Ok(received) => received,
-                Err(error) => {
-                    // An earlier datagram may have come back as undeliverable.
-                    log::debug!("nothing received: {error}");
-                    continue;
-                }
-            };
-            match Datagram::decode(peer, &bytes[..length]) {
+        receive(
+            &self.socket,
+            MAX_DATAGRAM_BYTES,
+            Datagram::decode,
+            |peer, datagram| match datagram {
                 Ok(datagram) => self.take(peer, datagram),
-                Err(error) => {
-                    self.metrics.count("datagrams.unreadable");
-                    log::warn!(error:% = error; "a datagram can't be read");
-                }
-            }
-        }
+                Err(_) => self.metrics.count("datagrams.unreadable"),
+            },
+        )
+        .await;
     }
 
     fn take(&self, peer: SocketAddr, datagram: Datagram) {
