--- a/crates/lynxmount/tests/commands.rs
+++ b/crates/lynxmount/tests/commands.rs
@@ -28,6 +28,14 @@
     assert!(text(&run(&["completions", "bash"]).stdout).contains("complete"));
 }
 
+#[test]
+fn a_mechanism_that_is_not_known_exits_2_and_names_those_that_are() {
+    let output = run(&["platform-entry", "--without", "luck"]);
+
+    assert_eq!(output.status.code(), Some(2));
+    assert!(text(&output.stderr).contains("pace-limit"));
+}
+
 #[test]
 fn an_invalid_file_exits_2_and_tells_all_that_is_wrong() {
     let directory = tempfile::TempDir::new().unwrap();
--- a/crates/policy/src/group_watch.rs
+++ b/crates/policy/src/group_watch.rs
@@ -65,10 +65,8 @@
     }
 
     fn may_send(&self, now: Duration) -> bool {
-        match self.told_open(now) {
-            Some(false) => false,
-            Some(true) | None => self.outage.may_send(now),
-        }
+        // Endpoints of a group that is told to be open refuse because they are full.
+        self.told_open(now).unwrap_or_else(|| self.outage.may_send(now))
     }
 
     fn note_opening(&mut self, now: Duration) {
@@ -80,7 +78,8 @@
     fn out_since(&self, now: Duration) -> Option<Duration> {
         match self.told_open(now) {
             Some(false) => self.closed_since,
-            Some(true) | None => self.outage.since(),
+            Some(true) => None,
+            None => self.outage.since(),
         }
     }
 }
--- a/crates/policy/tests/groups.rs
+++ b/crates/policy/tests/groups.rs
@@ -68,6 +68,18 @@
     assert!(groups.may_send("b", at_ms(10)));
 }
 
+#[test]
+fn refusals_of_a_group_that_is_told_to_be_open_do_not_close_it() {
+    let mut groups = watch();
+    groups.note_told("a", true, at_ms(0));
+
+    groups.note_refusal("a", at_ms(900));
+    groups.note_refusal("a", at_ms(950));
+
+    assert!(groups.may_send("a", at_ms(960)));
+    assert!(!groups.may_send("a", at_ms(1001)), "nothing is told any more");
+}
+
 #[test]
 fn calls_may_wait_for_the_group_that_opens_first() {
     let mut groups = watch();
