--- a/crates/direct/src/service.rs
+++ b/crates/direct/src/service.rs
@@ -110,7 +110,7 @@
         self.clock.now()
     }
 
-    /// The endpoints whose engines form groups, with whether their group is known.
+    /// The endpoints whose engines may be ranks of groups.
     pub(crate) fn ranks(&self) -> Vec<Arc<Endpoint>> {
         let inner = self.inner.lock();
         if inner.slots.is_none() { Vec::new() } else { inner.endpoints.clone() }
