Don't cut a stream for its silence that may not be resumed

Cause, found by reading: a stream that was silent for 0.9 s while others went on was given up also where it may not be resumed, or has no attempt left, and its caller got 502 or a cut stream though its replica was still at work. Change: only a stream that may go on elsewhere is left; the same for a call without a head. Test: a_stream_that_may_not_be_resumed_is_not_cut_for_its_silence (502 before, whole now).

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -27,6 +27,9 @@
     pub(crate) id: Option<&'a str>,
     pub(crate) may_repeat: bool,
     pub(crate) is_stream: bool,
+    /// Whether another attempt may follow this one. Silence is no reason to end one
+    /// that none may follow.
+    pub(crate) may_follow: bool,
 }
 
 /// The head of an answer, with the connection that the body comes on.
@@ -88,7 +91,8 @@
         Ended::Unreachable
     })?;
     let request = request(dialect, outgoing, &forward);
-    let answered = answer(&place, &mut connection, request, outgoing.is_stream, until).await;
+    let may_leave = outgoing.is_stream && outgoing.may_repeat && outgoing.may_follow;
+    let answered = answer(&place, &mut connection, request, may_leave, until).await;
     let response = match answered {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
@@ -113,7 +117,7 @@
     place: &Place,
     connection: &mut Connection,
     request: Request<Full<Bytes>>,
-    is_stream: bool,
+    may_leave: bool,
     until: Instant,
 ) -> Result<Result<Response<Incoming>, hyper::Error>, Elapsed> {
     let sent_at = Instant::now();
@@ -123,7 +127,7 @@
         match tokio::time::timeout(limit, &mut sending).await {
             Ok(answered) => return Ok(answered),
             Err(elapsed) if left(until).is_zero() => return Err(elapsed),
-            Err(elapsed) if is_stream && is_left(place, sent_at) => return Err(elapsed),
+            Err(elapsed) if may_leave && is_left(place, sent_at) => return Err(elapsed),
             Err(_) => {}
         }
     }
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -222,6 +222,7 @@
             id: self.head.id.as_deref(),
             may_repeat: self.kind.may_repeat(),
             is_stream: self.kind.is_stream(),
+            may_follow: self.may_follow(),
         };
         let forward = Forward {
             endpoint: &endpoint,
@@ -278,12 +279,16 @@
         self.has_attempts_left() && !left(self.deadline).is_zero()
     }
 
+    /// Says whether another attempt may follow the next one.
+    fn may_follow(&self) -> bool {
+        self.attempts.load(Ordering::Relaxed) + 1 < self.max_attempts
+    }
+
     /// Until when the next attempt may take: not all of the time that is left if
     /// another may follow it.
     fn attempt_end(&self) -> Instant {
-        let may_follow = self.attempts.load(Ordering::Relaxed) + 1 < self.max_attempts;
         match self.kind {
-            CallKind::Idempotent if may_follow => {
+            CallKind::Idempotent if self.may_follow() => {
                 Instant::now() + left(self.deadline).mul_f64(ATTEMPT_PART)
             }
             _ => self.deadline,
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -208,6 +208,9 @@
     /// while its whole group is and another is on time.
     fn is_silent_alone(&self) -> bool {
         let Some(place) = &self.place else { return false };
+        if !self.may_go_on_elsewhere() {
+            return false;
+        }
         let silence = self.last_event_at.elapsed();
         let others_go_on = place.group_silent_for().is_some_and(|age| age <= OTHERS_FRESH);
         match others_go_on {
@@ -216,9 +219,15 @@
         }
     }
 
+    /// Says whether the stream may be resumed. Silence is no reason to cut one that
+    /// may not.
+    fn may_go_on_elsewhere(&self) -> bool {
+        self.call.kind.may_repeat() && self.call.has_attempts_left()
+    }
+
     /// Goes on at another endpoint after the last event. Returns whether it does.
     async fn resume(&mut self, why: &'static str) -> bool {
-        if !self.call.kind.may_repeat() || !self.call.has_attempts_left() {
+        if !self.may_go_on_elsewhere() {
             return false;
         }
         // The old connection is closed first, so that no two runs go on at once.
--- a/crates/lynxmount/tests/platform_entry.rs
+++ b/crates/lynxmount/tests/platform_entry.rs
@@ -487,3 +487,25 @@
 
     assert_eq!(fleet.replicas[0].connections(), 3);
 }
+
+#[tokio::test]
+async fn a_stream_that_may_not_be_resumed_is_not_cut_for_its_silence() {
+    let steady = Behaviour::Stream { events: 45, pause: Duration::from_millis(60) };
+    let halting = Behaviour::Stream { events: 2, pause: Duration::from_millis(1300) };
+    let fleet = Fleet::start(STREAM, &[steady, halting]).await;
+    let text = config(2, &[KEY]).replace(r#""Resumable":true"#, r#""Resumable":false"#);
+    fleet.store.put(OPERATOR_TOPIC, CONFIG_KEY, &text);
+    wait_for("the configuration", async || fleet.entry.logged("configuration in force").len() >= 2)
+        .await;
+
+    let path = path(STREAM);
+    let calls = [(); 2].map(|()| call(fleet.address(), Method::POST, &path, KEY));
+    let answers = futures::future::join_all(calls).await;
+
+    for answer in answers {
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status, StatusCode::OK);
+        assert!(answer.body.is_some(), "the stream was cut");
+    }
+    assert!(fleet.replicas.iter().all(|replica| replica.seen().len() == 1));
+}
