--- a/crates/lynxmount/tests/platform_endpoint.rs
+++ b/crates/lynxmount/tests/platform_endpoint.rs
@@ -246,3 +246,20 @@
     wait_for("replicas", async || replicas_in(&group, 3) >= 3).await;
     assert_no_split(&[group]);
 }
+
+#[tokio::test]
+async fn a_rank_whose_process_is_gone_is_balanced_with_its_group_again_and_again() {
+    let world = start_groups(&["a"]).await;
+    let group = &world.groups[0];
+    group.set_demand(demand_for(1));
+    wait_for("replicas", async || replicas_in(group, 1) >= 3).await;
+
+    // The last rank's process does not balance, and nobody tells what the rank holds.
+    world.processes[usize::from(RANKS) - 1].signal(Signal::SIGKILL);
+
+    for expert in [4, 7, 2] {
+        group.set_demand(demand_for(expert));
+        wait_for("replicas", async || replicas_in(group, expert) >= 3).await;
+    }
+    assert_no_split(&world.groups);
+}
