--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -17,6 +17,7 @@
 mod policy;
 mod replan;
 mod replay;
+mod sample_pace;
 mod search;
 mod trace;
 
@@ -29,4 +30,5 @@
 pub use pass_time::PassTime;
 pub use policy::{BalanceOptions, Planner, PolicyKind};
 pub use replay::{MapInForce, Replay, ReplaySummary};
+pub use sample_pace::sample_period;
 pub use trace::{StepCounts, TraceError, TraceReader};
--- /dev/null
+++ b/crates/balance/src/sample_pace.rs
@@ -0,0 +1,24 @@
+//! How often ranks tell what was chosen at them.
+
+use std::time::Duration;
+
+/// The part of a listening process's link that samples of demand may take up, from all
+/// ranks together. Reports, orders and maps need the rest: with counts in full, 16 ranks
+/// of 3,840 experts filled a link of 6 Mbit/s twice, reports came late, and no map was
+/// changed in a whole day.
+const LINK_PART: f64 = 0.15;
+
+/// The shortest period: demand is looked at in windows of this length.
+const LEAST_PERIOD: Duration = Duration::from_millis(100);
+
+/// The longest period: demand stays for some seconds, so that a map for what was asked
+/// for longer ago comes too late.
+const MOST_PERIOD: Duration = Duration::from_millis(1000);
+
+/// How often each of so many ranks tells a sample of so many bytes.
+pub fn sample_period(sample_bytes: usize, ranks: usize, link_bytes_per_s: f64) -> Duration {
+    let budget = (link_bytes_per_s * LINK_PART).max(f64::MIN_POSITIVE);
+    let period_s = (sample_bytes * ranks) as f64 / budget;
+    let longest_s = MOST_PERIOD.as_secs_f64();
+    Duration::from_secs_f64(period_s.clamp(LEAST_PERIOD.as_secs_f64(), longest_s))
+}
--- /dev/null
+++ b/crates/balance/tests/sample_pace.rs
@@ -0,0 +1,31 @@
+//! How often ranks tell samples of demand.
+
+use std::time::Duration;
+
+use lynxmount_balance::sample_period;
+
+/// Links of 6 and 20 Mbit/s.
+const LINKS_BYTES_PER_S: [f64; 2] = [750_000.0, 2_500_000.0];
+
+#[test]
+fn samples_of_all_ranks_fill_a_sixth_of_a_link_at_most() {
+    for link_bytes_per_s in LINKS_BYTES_PER_S {
+        for (sample_bytes, ranks) in [(300, 16), (1_500, 16), (4_000, 16), (1_500, 40)] {
+            let period = sample_period(sample_bytes, ranks, link_bytes_per_s);
+
+            let rate = (sample_bytes * ranks) as f64 / period.as_secs_f64();
+            assert!(rate <= link_bytes_per_s / 6.0, "{rate} bytes a second");
+        }
+    }
+}
+
+#[test]
+fn small_samples_are_told_as_often_as_they_are_looked_at() {
+    assert_eq!(sample_period(400, 16, LINKS_BYTES_PER_S[1]), Duration::from_millis(100));
+    assert_eq!(sample_period(400, 16, f64::INFINITY), Duration::from_millis(100));
+}
+
+#[test]
+fn samples_are_told_each_second_at_least() {
+    assert_eq!(sample_period(60_000, 500, LINKS_BYTES_PER_S[0]), Duration::from_secs(1));
+}
--- a/crates/core/src/site.rs
+++ b/crates/core/src/site.rs
@@ -7,6 +7,9 @@
 
 use crate::{FailureDomainId, Mechanisms, ProcessId};
 
+/// Bytes of a megabit.
+const BYTES_PER_MBIT: f64 = 125_000.0;
+
 /// Bounds that operators set, which limits and timeouts are derived from.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SiteBounds {
@@ -51,8 +54,17 @@
     pub store_address: SocketAddr,
     /// The engine beside the process, if it is an endpoint process.
     pub engine_address: Option<SocketAddr>,
+    /// What the machine's link carries, in megabits a second, if the settings tell it.
+    pub link_mbit_per_s: Option<f64>,
     /// Bounds.
     pub bounds: SiteBounds,
     /// What is in use of what can be switched off.
     pub mechanisms: Mechanisms,
 }
+
+impl SiteSettings {
+    /// What the machine's link carries, in bytes a second; endless if it is not known.
+    pub fn link_bytes_per_s(&self) -> f64 {
+        self.link_mbit_per_s.map_or(f64::INFINITY, |rate| rate * BYTES_PER_MBIT)
+    }
+}
--- a/crates/direct/src/groups.rs
+++ b/crates/direct/src/groups.rs
@@ -1,8 +1,12 @@
 //! Hearing from the groups of the endpoints that this entry uses.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
-use lynxmount_link::{ASK_PERIOD, GROUP_PORT_OFFSET, GroupMessage, receive};
+use lynxmount_link::{ASK_PERIOD, GROUP_PORT_OFFSET, GroupMessage, MembersFingerprint, receive};
 use tokio::net::UdpSocket;
 
 use crate::places::Places;
@@ -26,7 +30,7 @@
     ///
     /// Fails if it is taken.
     pub(crate) async fn bind(
-        own: std::net::IpAddr,
+        own: IpAddr,
         internal_port: u16,
         places: Arc<Places>,
     ) -> std::io::Result<GroupListener> {
@@ -37,31 +41,34 @@
 
     /// Asks the processes beside all engines until the task is dropped.
     pub(crate) async fn ask(self: Arc<GroupListener>) {
-        let asking = match GroupMessage::Ask.encode() {
-            Ok(asking) => asking,
-            Err(error) => {
-                log::error!(error:% = error; "groups can't be asked for");
-                return;
-            }
-        };
         loop {
             let ranks = self.places.ranks();
             for rank in &ranks {
-                let peer = SocketAddr::new(rank.record.address.ip(), self.port);
-                if let Err(error) = self.socket.send_to(&asking, peer).await {
-                    log::debug!(peer:% = peer, error:% = error; "a group was not asked for");
-                }
+                let members = self.places.known_members(&rank.group());
+                self.ask_one(rank.record.address.ip(), members).await;
             }
             let is_complete = !ranks.is_empty() && ranks.iter().all(|rank| rank.has_group());
             tokio::time::sleep(if is_complete { ASK_PERIOD } else { FIRST_ASK_PERIOD }).await;
         }
     }
 
+    async fn ask_one(&self, ip: IpAddr, members: MembersFingerprint) {
+        let peer = SocketAddr::new(ip, self.port);
+        let sent = match (GroupMessage::Ask { members }).encode() {
+            Ok(asking) => self.socket.send_to(&asking, peer).await.map(|_| ()),
+            Err(error) => Err(std::io::Error::other(error)),
+        };
+        if let Err(error) = sent {
+            log::debug!(peer:% = peer, error:% = error; "a group was not asked for");
+        }
+    }
+
     /// Takes notices until the task is dropped.
     pub(crate) async fn listen(self: Arc<GroupListener>) {
         receive(&self.socket, MAX_NOTICE_BYTES, GroupMessage::decode, |_, message| match message {
             Ok(GroupMessage::Notice(notice)) => self.places.note_notice(&notice),
-            Ok(GroupMessage::Ask) | Err(_) => {}
+            Ok(GroupMessage::Members(members)) => self.places.note_members(&members),
+            Ok(GroupMessage::Ask { .. }) | Err(_) => {}
         })
         .await;
     }
--- a/crates/direct/src/places.rs
+++ b/crates/direct/src/places.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, sync::Arc};
 
 use lynxmount_core::{Clock, EndpointList, EndpointState, Mechanisms, ServiceId, SiteBounds};
-use lynxmount_link::GroupNotice;
+use lynxmount_link::{GroupMembersNotice, GroupNotice, MembersFingerprint};
 use parking_lot::Mutex;
 
 use crate::{endpoint::Endpoint, fleet::ConfigView, service::Service};
@@ -35,6 +35,18 @@
         self.services.lock().values().flat_map(|service| service.ranks()).collect()
     }
 
+    /// Which members of a group are known; 0 for none.
+    pub(crate) fn known_members(&self, group: &str) -> MembersFingerprint {
+        let services = self.services.lock();
+        services.values().find_map(|service| service.known_members(group)).unwrap_or_default()
+    }
+
+    /// Takes who the ranks of a group are.
+    pub(crate) fn note_members(&self, members: &GroupMembersNotice) {
+        let services: Vec<Arc<Service>> = self.services.lock().values().cloned().collect();
+        services.iter().for_each(|service| service.note_members(members));
+    }
+
     /// Takes what a group's process tells.
     pub(crate) fn note_notice(&self, notice: &GroupNotice) {
         let services: Vec<Arc<Service>> = self.services.lock().values().cloned().collect();
--- a/crates/direct/src/service.rs
+++ b/crates/direct/src/service.rs
@@ -1,11 +1,16 @@
 //! One service: who gets a place now, who waits, who is refused.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use lynxmount_core::{
     Clock, EndpointId, EndpointRecord, EngineSpec, Mechanism, Mechanisms, SiteBounds,
 };
-use lynxmount_link::GroupNotice;
+use lynxmount_link::{GroupMembersNotice, GroupNotice, MembersFingerprint};
 use lynxmount_policy::{
     GroupChange, GroupWatch, Offer, PaceClass, Placement, Seat, ServiceQueue, StreamEvent, Ticket,
     Waiter, WindowBudget, WindowBudgetOptions, place,
@@ -50,8 +55,15 @@
     inner: Mutex<Inner>,
 }
 
+/// Who the ranks of a group are, as its process has told.
+struct Members {
+    fingerprint: MembersFingerprint,
+    engines: HashSet<SocketAddr>,
+}
+
 struct Inner {
     endpoints: Vec<Arc<Endpoint>>,
+    members: HashMap<Arc<str>, Members>,
     groups: GroupWatch,
     queue: ServiceQueue,
     waiting: HashMap<Ticket, oneshot::Sender<Place>>,
@@ -72,6 +84,7 @@
         };
         let inner = Inner {
             endpoints: Vec::new(),
+            members: HashMap::new(),
             groups: GroupWatch::default(),
             queue: ServiceQueue::default(),
             waiting: HashMap::new(),
@@ -97,6 +110,7 @@
             kept.cloned().unwrap_or_else(|| Arc::new(Endpoint::new(record.clone())))
         });
         inner.endpoints = endpoints.collect();
+        inner.note_groups();
         let experts = engine.and_then(|engine| engine.experts);
         inner.groups.set_usual_outage(experts.map(|spec| self.group_stall + spec.form_time));
         inner.slots = engine.map(|engine| engine.slots);
@@ -116,17 +130,32 @@
         if inner.slots.is_none() { Vec::new() } else { inner.endpoints.clone() }
     }
 
+    /// Which members of a group are known, if it is of this service.
+    pub(crate) fn known_members(&self, group: &str) -> Option<MembersFingerprint> {
+        self.inner.lock().members.get(group).map(|members| members.fingerprint)
+    }
+
+    /// Takes who the ranks of a group are, if they are endpoints of this service.
+    pub(crate) fn note_members(&self, told: &GroupMembersNotice) {
+        let mut inner = self.inner.lock();
+        let is_own = |endpoint: &Arc<Endpoint>| told.engines.contains(&endpoint.record.address);
+        if !inner.endpoints.iter().any(is_own) || !self.mechanisms.has(Mechanism::GroupNotices) {
+            return;
+        }
+        let engines = told.engines.iter().copied().collect();
+        let members = Members { fingerprint: told.fingerprint(), engines };
+        inner.members.insert(told.group.as_str().into(), members);
+        inner.note_groups();
+    }
+
     /// Takes what a group's process tells, if the group is of this service.
     pub(crate) fn note_notice(self: &Arc<Service>, notice: &GroupNotice) {
         let group: Arc<str> = notice.group.as_str().into();
         let mut inner = self.inner.lock();
-        let ranks = inner.endpoints.iter();
-        let own: Vec<&Arc<Endpoint>> =
-            ranks.filter(|endpoint| notice.engines.contains(&endpoint.record.address)).collect();
-        if own.is_empty() || !self.mechanisms.has(Mechanism::GroupNotices) {
+        let is_own = inner.endpoints.iter().any(|endpoint| endpoint.group() == group);
+        if !is_own || !self.mechanisms.has(Mechanism::GroupNotices) {
             return;
         }
-        own.iter().for_each(|endpoint| endpoint.note_group(&group));
         let now = self.now();
         inner.groups.note_pass(&group, notice.pass, now);
         let change = inner.groups.note_told(&group, notice.is_open, now);
@@ -291,6 +320,18 @@
 }
 
 impl Inner {
+    /// Gives all endpoints their groups, and forgets groups without endpoints.
+    fn note_groups(&mut self) {
+        let Inner { endpoints, members, .. } = self;
+        members.retain(|group, members| {
+            let own = endpoints.iter().filter(|e| members.engines.contains(&e.record.address));
+            own.fold(false, |_, endpoint| {
+                endpoint.note_group(group);
+                true
+            })
+        });
+    }
+
     fn choose(&self, tried: &[EndpointId], now: Duration) -> Placement {
         let mut shares: HashMap<Arc<str>, Option<f64>> = HashMap::new();
         let seats: Vec<Seat> = self
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -9,17 +9,21 @@
 #![forbid(unsafe_code)]
 
 mod balancer;
+mod known_maps;
 mod lease;
 mod members;
 mod message;
 mod rank_gate;
+mod relay;
 mod switch;
 
 pub use balancer::{Balancer, BalancerAction, BalancerOptions, ChangeEnd};
+pub use known_maps::KnownMaps;
 pub use lease::{LEASE_MARGIN, Lease, LeaseRecord, LeaseTable};
 pub use members::{Announcement, GroupDirectory, GroupMembers, OwnGroup};
 pub use message::{ChangeNumber, FencingNumber, MapNumber, Order, OrderAnswer, RankNumber, Step};
 pub use rank_gate::{Armed, EngineState, GateAction, RankGate};
+pub use relay::{Relay, RelayTarget, relays, relays_pay};
 pub use switch::{
     Guard, Guards, RankOrder, Switch, SwitchEnd, SwitchOptions, SwitchStart, left_behind,
 };
--- a/crates/group/src/members.rs
+++ b/crates/group/src/members.rs
@@ -12,8 +12,14 @@
 
 use crate::RankNumber;
 
-/// How often a process announces itself when it knows all ranks: an announcement
-/// and its answer take 60 and 400 bytes for 32 ranks, 0.2 kB/s.
+/// How many ranks listen to the reports of all: one balances, the next ones take over.
+/// Only they are told all ranks. When each of 192 was told all, the answers were 1.7 kB
+/// and a directory sent 0.16 MB/s of them, and 2 MB/s while the group was being found,
+/// where its link carries 0.75.
+const LISTENERS: usize = 3;
+
+/// How often a process announces itself when it knows whom it needs: an announcement
+/// and its answer take 60 and 90 bytes.
 const KNOWN_PERIOD: Duration = Duration::from_secs(2);
 
 /// How often it does as long as some rank is not known. Balancing waits for this
@@ -41,12 +47,13 @@
     pub engine: SocketAddr,
 }
 
-/// The engines of a group's ranks, as a directory knows them.
+/// The engines of a group's ranks, as a directory knows them: for those that listen all
+/// of them, for others those of the first ranks, as far as these include the listeners.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct GroupMembers {
     /// The group's name.
     pub group: String,
-    /// By rank; `None` for a rank that has announced nothing.
+    /// By rank, from the first one on; `None` for a rank that has announced nothing.
     pub engines: Vec<Option<SocketAddr>>,
 }
 
@@ -63,7 +70,7 @@
 }
 
 impl GroupDirectory {
-    /// Takes an announcement and answers with all ranks that are known. Of two
+    /// Takes an announcement and answers with the ranks that its sender needs. Of two
     /// engines that are the same rank the later one holds: engines that are gone
     /// can't be read, so that nobody announces them.
     pub fn take(&mut self, announcement: Announcement, now: Duration) -> GroupMembers {
@@ -82,7 +89,18 @@
         if let Some(place) = entry.engines.get_mut(rank) {
             *place = Some(engine);
         }
-        GroupMembers { group, engines: entry.engines.clone() }
+        GroupMembers { group, engines: needed_by(engine, &entry.engines).to_vec() }
+    }
+}
+
+/// What a process needs to know of its group's ranks.
+fn needed_by(engine: SocketAddr, engines: &[Option<SocketAddr>]) -> &[Option<SocketAddr>] {
+    let is_known = |(_, known): &(usize, &Option<SocketAddr>)| known.is_some();
+    let last_listener = engines.iter().enumerate().filter(is_known).nth(LISTENERS - 1);
+    let first_ranks = last_listener.map_or(engines, |(rank, _)| &engines[..=rank]);
+    match first_ranks.contains(&Some(engine)) {
+        true => engines,
+        false => first_ranks,
     }
 }
 
@@ -117,7 +135,7 @@
     /// Takes what a directory knows; ranks that it does not know stay.
     pub fn take(&mut self, members: GroupMembers) {
         let Some(own) = &self.own else { return };
-        if members.group != own.group || members.engines.len() != self.engines.len() {
+        if members.group != own.group || members.engines.len() > self.engines.len() {
             return;
         }
         let told = self.engines.iter_mut().zip(members.engines).enumerate();
@@ -126,6 +144,11 @@
         }
     }
 
+    /// The engines of the first ranks that are known, whose processes listen.
+    pub fn listeners(&self) -> Vec<SocketAddr> {
+        self.engines.iter().flatten().take(LISTENERS).copied().collect()
+    }
+
     /// The engines of the ranks that are known, in the order of ranks.
     pub fn engines(&self) -> Vec<SocketAddr> {
         self.engines.iter().flatten().copied().collect()
@@ -140,8 +163,13 @@
     /// that believe in different lists of endpoints have different directories, so
     /// that the list is to be read again meanwhile.
     pub fn is_searching(&self, now: Duration) -> bool {
-        let is_complete = self.own.is_some() && !self.engines.contains(&None);
-        !is_complete && now < self.since.saturating_add(SEARCH_TIME)
+        !self.is_complete() && now < self.since.saturating_add(SEARCH_TIME)
+    }
+
+    /// Says whether all ranks are known that the own process needs.
+    fn is_complete(&self) -> bool {
+        let needed = |own: &Announcement| needed_by(own.engine, &self.engines);
+        self.own.as_ref().is_some_and(|own| !needed(own).contains(&None))
     }
 
     fn period(&self, now: Duration) -> Duration {
--- /dev/null
+++ b/crates/group/tests/known_maps.rs
@@ -0,0 +1,53 @@
+//! Which maps a process knows by their number.
+
+use std::sync::Arc;
+
+use lynxmount_core::experts::{Action, EngineOrder, GroupMap};
+use lynxmount_group::KnownMaps;
+
+const EPOCH: u64 = 3;
+
+fn map(expert: usize) -> Arc<GroupMap> {
+    Arc::new(vec![vec![vec![expert], vec![0]]])
+}
+
+fn prepare(version: u64, expert: usize) -> EngineOrder {
+    EngineOrder { epoch: EPOCH, action: Action::Prepare { version, map: map(expert) } }
+}
+
+#[test]
+fn the_map_in_use_is_known_however_many_are_tried_in_vain() {
+    let mut maps = KnownMaps::default();
+    maps.note_in_use(EPOCH, 0);
+    maps.note_order(&prepare(1, 7));
+    maps.note_in_use(EPOCH, 1);
+
+    (2..40).for_each(|version| maps.note_order(&prepare(version, 9)));
+
+    assert_eq!(maps.get(EPOCH, 1), Some(map(7)));
+}
+
+#[test]
+fn the_newest_maps_are_kept_and_no_more() {
+    let mut maps = KnownMaps::default();
+    maps.note_in_use(EPOCH, 0);
+
+    (1..=10).for_each(|version| maps.note_order(&prepare(version, 9)));
+
+    let known: Vec<u64> = (1..=10).filter(|version| maps.get(EPOCH, *version).is_some()).collect();
+    assert_eq!(known, [8, 9, 10]);
+}
+
+#[test]
+fn maps_of_another_life_are_forgotten_and_not_taken() {
+    let mut maps = KnownMaps::default();
+    maps.note_in_use(EPOCH, 0);
+    maps.note_order(&prepare(1, 7));
+
+    maps.note_in_use(EPOCH + 1, 0);
+    maps.note_order(&prepare(2, 8));
+
+    assert_eq!(maps.get(EPOCH, 1), None);
+    assert_eq!(maps.get(EPOCH + 1, 1), None);
+    assert_eq!(maps.get(EPOCH + 1, 2), None);
+}
--- a/crates/group/tests/members.rs
+++ b/crates/group/tests/members.rs
@@ -145,3 +145,51 @@
     known.take(GroupMembers { group: "a".into(), engines });
     assert!(!known.is_searching(2 * MOMENT));
 }
+
+/// A large group whose ranks announce themselves in order.
+fn large_group(ranks: usize) -> (GroupDirectory, Vec<(Announcement, OwnGroup)>) {
+    let engine =
+        |rank: usize| SocketAddr::from(([10, 0, (rank / 250) as u8, (rank % 250) as u8], 8000));
+    let own = |rank| Announcement { group: "a".to_owned(), rank, ranks, engine: engine(rank) };
+    let announcements: Vec<Announcement> = (0..ranks).map(own).collect();
+    (GroupDirectory::default(), processes(&announcements))
+}
+
+#[test]
+fn the_first_ranks_are_told_all_and_the_others_whom_to_tell() {
+    let (mut directory, mut ranks) = large_group(192);
+
+    exchange(&mut directory, &mut ranks);
+
+    let first: Vec<SocketAddr> = ranks[..3].iter().map(|(own, _)| own.engine).collect();
+    for (own, known) in &ranks {
+        assert_eq!(known.listeners(), first);
+        assert!(!known.is_searching(30 * MOMENT), "rank {} searches", own.rank);
+        assert_eq!(known.engines().len() == 192, own.rank < 3, "rank {}", own.rank);
+    }
+}
+
+#[test]
+fn what_a_directory_answers_does_not_grow_with_the_group() {
+    let answered_ranks = |ranks: usize| {
+        let (mut directory, mut group) = large_group(ranks);
+        exchange(&mut directory, &mut group);
+        let last = group[ranks - 1].0.clone();
+        directory.take(last, 40 * MOMENT).engines.len()
+    };
+
+    assert_eq!(answered_ranks(480), answered_ranks(8));
+}
+
+#[test]
+fn a_rank_becomes_a_listener_and_learns_all_when_one_before_it_is_not_there() {
+    let (mut directory, mut ranks) = large_group(12);
+    ranks.remove(1);
+
+    exchange(&mut directory, &mut ranks);
+
+    let (fourth, known) = &ranks[2];
+    assert_eq!(fourth.rank, 3);
+    assert!(known.listeners().contains(&fourth.engine));
+    assert_eq!(known.engines().len(), 11);
+}
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -15,6 +15,9 @@
 pub use connection::Connection;
 pub use datagrams::receive;
 pub use fleet_exchange::{KnownFleet, ask_fleet, asked_fleet};
-pub use group_notice::{ASK_PERIOD, ASKED_FOR, GROUP_PORT_OFFSET, GroupMessage, GroupNotice};
+pub use group_notice::{
+    ASK_PERIOD, ASKED_FOR, GROUP_PORT_OFFSET, GroupMembersNotice, GroupMessage, GroupNotice,
+    MembersFingerprint,
+};
 pub use server::{Handle, bind, serve};
 pub use signals::wait_for_end;
--- a/crates/lynxmount/tests/platform_endpoint.rs
+++ b/crates/lynxmount/tests/platform_endpoint.rs
@@ -263,3 +263,22 @@
     }
     assert_no_split(&world.groups);
 }
+
+#[tokio::test]
+async fn a_process_that_starts_anew_learns_the_map_in_use_and_reads_a_rank_that_never_told() {
+    let mut world = start_groups(&["a"]).await;
+    world.groups[0].set_demand(demand_for(1));
+    wait_for("replicas", async || replicas_in(&world.groups[0], 1) >= 3).await;
+
+    // The first process has not seen how the map came about, and hears nothing of the
+    // last rank.
+    world.processes[usize::from(RANKS) - 1].signal(Signal::SIGKILL);
+    world.processes.remove(0);
+    let first = SocketAddr::from((ip(world.network, 10), ENGINE_PORT));
+    let text = endpoint_settings_text(first, INTERNAL_PORT, world.store.address());
+    world.processes.insert(0, Process::start("platform-endpoint", &text));
+    world.groups[0].set_demand(demand_for(6));
+
+    wait_for("replicas", async || replicas_in(&world.groups[0], 6) >= 3).await;
+    assert_no_split(&world.groups);
+}
--- a/crates/lynxmount/tests/platform_entry.rs
+++ b/crates/lynxmount/tests/platform_entry.rs
@@ -12,7 +12,7 @@
 };
 
 use http::{Method, StatusCode};
-use lynxmount_link::{GROUP_PORT_OFFSET, GroupMessage, GroupNotice};
+use lynxmount_link::{GROUP_PORT_OFFSET, GroupMembersNotice, GroupMessage, GroupNotice};
 use lynxmount_platform_standin::{
     Behaviour, Call, CallerStandin, StoreMode, Told,
     fixture::{
@@ -363,14 +363,16 @@
     tokio::spawn(async move {
         let socket = UdpSocket::bind((ip(network, 200), 0)).await.expect("a socket");
         loop {
+            let members = GroupMembersNotice { group: "g".to_owned(), engines: engines.clone() };
             let notice = GroupNotice {
                 group: "g".to_owned(),
                 is_open: is_open.load(Ordering::Relaxed),
                 pass: None,
-                engines: engines.clone(),
             };
-            let datagram = GroupMessage::Notice(notice).encode().expect("a datagram");
-            socket.send_to(&datagram, entry).await.expect("a notice is sent");
+            for message in [GroupMessage::Members(members), GroupMessage::Notice(notice)] {
+                let datagram = message.encode().expect("a datagram");
+                socket.send_to(&datagram, entry).await.expect("a notice is sent");
+            }
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
     })
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![forbid(unsafe_code)]
 
+mod answer_time;
 mod bucket;
 mod choice;
 mod group_watch;
@@ -22,6 +23,7 @@
 mod team_limits;
 mod window_budget;
 
+pub use answer_time::AnswerTime;
 pub use bucket::TokenBucket;
 pub use choice::{Candidate, Choice, ChoiceOptions, choose};
 pub use group_watch::{GroupChange, GroupName, GroupWatch, StreamEvent};
--- a/crates/rank/src/coordinator.rs
+++ b/crates/rank/src/coordinator.rs
@@ -1,6 +1,7 @@
 //! Balancing a group: when to change its map, and seeing the change through.
 
 use std::{
+    collections::HashMap,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -11,20 +12,22 @@
 use lynxmount_core::{
     Clock, Mechanism, Mechanisms, Result,
     edge::{Engine, FleetSource},
-    experts::{EngineOrder, GroupMap, MapVersion},
+    experts::{Action, EngineOrder, GroupMap},
+};
+use lynxmount_group::{
+    KnownMaps, RankNumber, RankOrder, RelayTarget, Switch, SwitchEnd, SwitchStart, left_behind,
 };
-use lynxmount_group::{RankNumber, RankOrder, Switch, SwitchEnd, SwitchStart, left_behind};
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
-use rand::Rng;
+use rand::{Rng, seq::IndexedRandom};
 
 use crate::{
     beliefs::{Beliefs, Group},
     duty::Duty,
     members::Members,
     memory::Memory,
-    message::OrderAnswer,
-    orders::{Outbox, give},
+    message::{Datagram, OrderAnswer},
+    orders::{Awaiting, Base, Outbox, give},
     roster::Roster,
     spec::Spec,
 };
@@ -52,19 +55,20 @@
     pub(crate) duty: Arc<Duty>,
     pub(crate) beliefs: Arc<Mutex<Beliefs>>,
     pub(crate) outbox: Arc<Outbox>,
+    pub(crate) maps: Arc<Mutex<KnownMaps>>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) clock: Clock,
     pub(crate) mechanisms: Mechanisms,
 }
 
-/// The map in use, which other processes know, if they have prepared it.
-type Base<'a> = Option<(MapVersion, &'a GroupMap)>;
-
 /// How long a process must be silent before its engine is read and given orders
 /// directly: three reports of the ranks that report least often. A frozen process
 /// kept its group held for 4 s before.
 const DIRECT_AFTER: Duration = Duration::from_millis(1000);
 
+/// How often a map that this process lacks is asked for.
+const ASK_MAP_PERIOD: Duration = Duration::from_millis(200);
+
 /// How often an engine is read directly. Each reading from afar is priced as a
 /// probe.
 const DIRECT_PERIOD: Duration = Duration::from_millis(250);
@@ -95,7 +99,7 @@
         self.read_silent(memory);
         let Some(group) = self.beliefs.lock().group_of(self.own) else { return };
         let Some(spec) = self.spec(memory).await else { return };
-        let is_left_behind = left_behind(&group.reports()).is_some();
+        let is_left_behind = left_behind(&group.reports).is_some();
         match (is_left_behind, memory.left_behind_since) {
             (false, _) => {
                 memory.left_behind_since = None;
@@ -135,7 +139,25 @@
     /// Says whether the process beside an engine has told nothing for long.
     fn is_silent(&self, engine: SocketAddr) -> bool {
         let told_ago = self.beliefs.lock().told_ago(engine);
-        engine != self.own && told_ago.is_some_and(|ago| ago > DIRECT_AFTER)
+        let silent_for = told_ago.unwrap_or_else(|| self.members.own_age());
+        engine != self.own && silent_for > DIRECT_AFTER
+    }
+
+    /// The map that all ranks have in use. One that this process was not given, as it
+    /// was not there then, it asks one of them for.
+    async fn current_map(&self, memory: &mut Memory, group: &Group) -> Option<Arc<GroupMap>> {
+        let version = group.map_version()?;
+        let known = self.maps.lock().get(group.epoch, version);
+        let is_asked = memory.map_asked_at.is_some_and(|at| at.elapsed() < ASK_MAP_PERIOD);
+        if known.is_none() && !is_asked {
+            memory.map_asked_at = Some(Instant::now());
+            let others: Vec<SocketAddr> =
+                group.engines.iter().copied().filter(|engine| *engine != self.own).collect();
+            let asked = others.choose(&mut rand::rng())?;
+            let asking = Datagram::MapAsked { epoch: group.epoch, version };
+            self.members.send(self.peer(*asked), asking).await;
+        }
+        known
     }
 
     async fn spec(&self, memory: &mut Memory) -> Option<Spec> {
@@ -160,9 +182,8 @@
     /// The time between passes as a part of the longest pause that is on time; 1
     /// as long as either is not known.
     fn pressure(&self, memory: &mut Memory, spec: &Spec, group: &Group) -> f64 {
-        let reports = group.states.iter().map(|state| &state.report);
-        let is_working = reports.clone().any(|report| report.running > 0);
-        let step = reports.map(|report| report.step).max().unwrap_or_default();
+        let is_working = group.reports.iter().any(|report| report.running > 0);
+        let step = group.reports.iter().map(|report| report.step).max().unwrap_or_default();
         memory.pass_time.note(group.epoch, step, is_working, self.clock.now());
         if !self.mechanisms.has(Mechanism::RoomForGains) {
             return 1.0;
@@ -176,14 +197,14 @@
     async fn change(&self, memory: &mut Memory, spec: &Spec, group: Group) {
         let pressure = self.pressure(memory, spec, &group);
         // A map that is armed comes into use with the next pass of the group.
-        if group.states.iter().any(|state| state.report.armed.is_some()) {
+        if group.reports.iter().any(|report| report.armed.is_some()) {
             return;
         }
-        let demand = self.beliefs.lock().demand(spec.experts.experts);
-        let (Some(current), Some(demand)) = (group.map(), demand) else { return };
+        let Some(current) = self.current_map(memory, &group).await else { return };
+        let Some(demand) = self.beliefs.lock().demand(spec.experts.experts) else { return };
         let Some(plan) = plan_change(&current, &demand, &spec.experts, pressure) else { return };
-        let Some(start) = self.start(memory, &group, current.clone()) else { return };
-        let base = Some((group.map_version(), &current));
+        let Some(start) = self.start(memory, &group, &current) else { return };
+        let base = group.map_version().map(|version| (version, &*current));
         let mut switch = Switch::start(start, plan.maps.clone(), memory.min_version);
         memory.min_version = switch.version();
         self.metrics.count("maps.started");
@@ -192,8 +213,8 @@
         self.note(&plan, &switch, pressure, end, began.elapsed());
     }
 
-    fn start(&self, memory: &Memory, group: &Group, current: GroupMap) -> Option<SwitchStart> {
-        let reports = group.reports();
+    fn start(&self, memory: &Memory, group: &Group, current: &GroupMap) -> Option<SwitchStart> {
+        let reports = group.reports.clone();
         let listeners = self.members.listeners();
         let place = listeners.iter().position(|engine| *engine == self.own)?;
         let is_own = |rank: usize| is_own_guard(&group.engines, &listeners, place, rank);
@@ -204,7 +225,7 @@
             min_step: guard.min_step,
             epoch: group.epoch,
             reports,
-            current,
+            current: current.clone(),
             nonce: rand::rng().random(),
             now: self.clock.now(),
         })
@@ -231,8 +252,8 @@
     }
 
     async fn undo(&self, memory: &mut Memory, group: Group) {
-        let Some(current) = group.map() else { return };
-        let Some(start) = self.start(memory, &group, current) else { return };
+        let Some(current) = self.current_map(memory, &group).await else { return };
+        let Some(start) = self.start(memory, &group, &current) else { return };
         let Some(mut switch) = Switch::undo(start) else { return };
         log::warn!(epoch = group.epoch; "a change of map was left behind; it is undone");
         memory.min_version = memory.min_version.max(switch.version());
@@ -252,10 +273,14 @@
         let mut under_way: FuturesUnordered<BoxFuture<'_, (usize, Result<OrderAnswer>)>> =
             FuturesUnordered::new();
         loop {
-            for RankOrder { rank, order } in switch.tick(self.clock.now()) {
+            let orders = switch.tick(self.clock.now());
+            let mut relayed = self.relay(&orders, engines, base).await;
+            for RankOrder { rank, order } in orders {
                 let engine = engines[rank];
-                under_way
-                    .push(Box::pin(async move { (rank, self.give(engine, &order, base).await) }));
+                let awaiting = relayed.remove(&self.peer(engine));
+                under_way.push(Box::pin(async move {
+                    (rank, self.give(engine, &order, base, awaiting).await)
+                }));
             }
             memory.guards.note(switch.epoch(), switch.guard(), switch.step());
             if let Some(end) = switch.end() {
@@ -275,6 +300,42 @@
         }
     }
 
+    /// Sends a map through relays to all ranks that are to be given it, if that is
+    /// sooner there. Returns what is then awaited, by the process that answers.
+    async fn relay(
+        &self,
+        orders: &[RankOrder],
+        engines: &[SocketAddr],
+        base: Base<'_>,
+    ) -> HashMap<SocketAddr, Awaiting> {
+        let is_map = |order: &&RankOrder| matches!(order.order.action, Action::Prepare { .. });
+        let maps: Vec<&RankOrder> = orders.iter().filter(is_map).collect();
+        let Some(first) = maps.first() else { return HashMap::new() };
+        self.maps.lock().note_order(&first.order);
+        let engines = maps.iter().map(|order| engines[order.rank]);
+        let spoken = engines.filter(|engine| *engine != self.own && !self.is_silent(*engine));
+        let targets: Vec<RelayTarget> = spoken.map(|engine| self.relay_target(engine)).collect();
+        match self.outbox.relay(&targets, &first.order, base).await {
+            Ok(awaited) => awaited,
+            Err(error) => {
+                log::error!(error:% = error; "a map can't be written");
+                HashMap::new()
+            }
+        }
+    }
+
+    /// The process beside an engine.
+    fn peer(&self, engine: SocketAddr) -> SocketAddr {
+        SocketAddr::new(engine.ip(), self.port)
+    }
+
+    fn relay_target(&self, engine: SocketAddr) -> RelayTarget {
+        RelayTarget {
+            failure_domain: self.roster.failure_domain(engine),
+            address: self.peer(engine),
+        }
+    }
+
     /// Keeps what an answer tells, so that an older report does not follow it.
     fn note_report(&self, engine: SocketAddr, answered: &Result<OrderAnswer>) {
         if let Ok(answer) = answered {
@@ -299,6 +360,7 @@
         engine: SocketAddr,
         order: &EngineOrder,
         base: Base<'_>,
+        awaiting: Option<Awaiting>,
     ) -> Result<OrderAnswer> {
         if engine == self.own {
             return give(&*self.engine, order).await;
@@ -307,8 +369,8 @@
             self.metrics.count("orders.direct");
             return give(&(self.make_engine)(engine), order).await;
         }
-        let peer = SocketAddr::new(engine.ip(), self.port);
-        match self.outbox.give(peer, order, base).await {
+        let peer = self.peer(engine);
+        match self.outbox.give(peer, order, base, awaiting).await {
             Ok(answer) => Ok(answer),
             Err(error) => {
                 log::info!(error:% = error; "order given to the engine directly");
--- a/crates/rank/src/demand.rs
+++ b/crates/rank/src/demand.rs
@@ -1,18 +1,17 @@
-//! Which experts are in demand, from the counts of all ranks.
+//! Which experts are in demand, from what ranks of the own group tell.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Instant};
+use std::time::Instant;
 
 use lynxmount_balance::DemandWindows;
 use lynxmount_core::experts::{Counts, GroupEpoch};
 
-use crate::message::RankState;
+use crate::message::DemandSample;
 
 /// A life of a group, by the group's name.
 pub(crate) type GroupLife = (String, GroupEpoch);
 
 /// Demand by set and expert, as it is since the last shift.
 pub(crate) struct Demand {
-    last: BTreeMap<SocketAddr, Counts>,
     /// The group whose demand it is, and the group's life.
     life: Option<GroupLife>,
     windows: DemandWindows,
@@ -21,12 +20,7 @@
 
 impl Demand {
     pub(crate) fn new(detects_shifts: bool) -> Demand {
-        Demand {
-            last: BTreeMap::new(),
-            life: None,
-            windows: DemandWindows::new(detects_shifts),
-            detects_shifts,
-        }
+        Demand { life: None, windows: DemandWindows::new(detects_shifts), detects_shifts }
     }
 
     /// Begins anew if the group is another one or has formed anew.
@@ -36,15 +30,11 @@
         }
     }
 
-    /// Takes the counts of a rank in a life of its group.
-    pub(crate) fn take(&mut self, state: &RankState, life: Option<&GroupLife>, now: Instant) {
-        let is_of_life = life.is_some() && life == self.life.as_ref();
-        let Some(counts) = state.counts.as_ref().filter(|_| is_of_life) else { return };
-        let before = self.last.insert(state.engine, counts.clone());
-        let Some(before) = before.filter(|before| before.step < counts.step) else { return };
-        let pairs = counts.by_set_and_expert.iter().zip(&before.by_set_and_expert);
-        let chosen: Vec<u64> = pairs.map(|(now, then)| now.saturating_sub(*then)).collect();
-        self.windows.add(&chosen, now);
+    /// Takes a sample; one of another life of the group is left out.
+    pub(crate) fn take(&mut self, sample: &DemandSample, now: Instant) {
+        if self.life.as_ref() == Some(&sample.life) {
+            self.windows.add(&sample.chosen, now);
+        }
     }
 
     /// Demand by set and expert; `None` before anything was seen.
@@ -52,3 +42,23 @@
         self.windows.by_set(experts)
     }
 }
+
+/// The counts of the own engine since they were read last.
+#[derive(Default)]
+pub(crate) struct CountReader {
+    last: Option<Counts>,
+}
+
+impl CountReader {
+    /// What was chosen since the last reading; `None` at the first one in a life of the
+    /// group, and if no pass was made meanwhile.
+    pub(crate) fn chosen(&mut self, counts: Counts) -> Option<Vec<u64>> {
+        let before = self.last.take().filter(|before| before.epoch == counts.epoch);
+        let chosen = before.filter(|before| before.step < counts.step).map(|before| {
+            let pairs = counts.by_set_and_expert.iter().zip(&before.by_set_and_expert);
+            pairs.map(|(now, then)| now.saturating_sub(*then)).collect()
+        });
+        self.last = Some(counts);
+        chosen
+    }
+}
--- a/crates/rank/src/members.rs
+++ b/crates/rank/src/members.rs
@@ -9,9 +9,6 @@
 
 use crate::{message::Datagram, roster::Roster};
 
-/// How many processes hear of each rank: one balances, the next ones take over.
-const LISTENERS: usize = 3;
-
 /// What a process knows of groups.
 pub(crate) struct Members {
     /// The own engine.
@@ -40,12 +37,11 @@
     /// The engines beside which processes listen to reports of the own group,
     /// first ones first.
     pub(crate) fn listeners(&self) -> Vec<SocketAddr> {
-        let mut engines = self.own_group.lock().engines();
-        engines.truncate(LISTENERS);
-        engines
+        self.own_group.lock().listeners()
     }
 
-    /// The engines of all ranks of the own group that are known.
+    /// The engines of all ranks of the own group that are known: to a process that
+    /// does not listen, a few of them.
     pub(crate) fn engines(&self) -> Vec<SocketAddr> {
         self.own_group.lock().engines()
     }
@@ -102,13 +98,13 @@
         self.told(members);
     }
 
-    async fn send(&self, peer: SocketAddr, datagram: Datagram) {
+    pub(crate) async fn send(&self, peer: SocketAddr, datagram: Datagram) {
         let sent = match datagram.encode() {
             Ok(bytes) => self.socket.send_to(&bytes, peer).await.map(|_| ()),
             Err(error) => Err(std::io::Error::other(error)),
         };
         if let Err(error) = sent {
-            log::debug!(peer:% = peer, error:% = error; "who is in which group was not sent");
+            log::debug!(peer:% = peer, error:% = error; "a datagram was not sent");
         }
     }
 }
--- a/crates/rank/src/memory.rs
+++ b/crates/rank/src/memory.rs
@@ -31,6 +31,7 @@
     pub(crate) answer_lost_at: Option<Instant>,
     pub(crate) guards: Guards,
     pub(crate) read_directly_at: Option<Instant>,
+    pub(crate) map_asked_at: Option<Instant>,
 }
 
 impl Memory {
--- a/crates/rank/src/message.rs
+++ b/crates/rank/src/message.rs
@@ -1,18 +1,36 @@
 //! What endpoint processes tell each other, in datagrams.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{fmt::Display, net::SocketAddr, sync::Arc};
 
 use lynxmount_core::{
     Result, Step,
     experts::{
-        Action, Counts, EngineOrder, EngineReport, GroupEpoch, GroupMap, GroupStep, MapVersion,
-        OrderResult, RankMap,
+        Action, EngineOrder, EngineReport, GroupEpoch, GroupMap, GroupStep, MapVersion, OrderResult,
     },
     invalid,
 };
 use lynxmount_group::{Announcement, GroupMembers};
+use miniz_oxide::{deflate::compress_to_vec, inflate::decompress_to_vec_with_limit};
 use serde::{Deserialize, Serialize};
 
+use crate::demand::GroupLife;
+
+/// The first byte of a datagram whose body is as it is.
+const PLAIN: u8 = 0;
+
+/// The first byte of a datagram whose body is compressed (deflate, RFC 1951).
+const COMPRESSED: u8 = 1;
+
+/// The size from which on a datagram is compressed: counts and maps, and no reports or
+/// small orders, which would gain nothing.
+const COMPRESS_FROM_BYTES: usize = 300;
+
+/// The fastest level: higher ones save a few parts in a hundred of small numbers.
+const COMPRESSION_LEVEL: u8 = 1;
+
+/// The largest body that is taken: far above a whole map of 500 ranks.
+const MAX_PLAIN_BYTES: usize = 1 << 20;
+
 /// Names an order and its answer.
 pub(crate) type OrderId = u64;
 
@@ -23,14 +41,51 @@
     Announcement(Announcement),
     /// What has become of an order.
     Answer(AnswerMessage),
+    /// What was chosen lately in one life of a group.
+    Demand(DemandSample),
+    /// A map that the receiver has asked for.
+    Map(MapCopy),
+    /// The sender lacks a map.
+    MapAsked { epoch: GroupEpoch, version: MapVersion },
     /// A directory's answer: the ranks of the receiver's group.
     Members(GroupMembers),
     /// An order to the engine beside the receiver.
     Order(OrderMessage),
+    /// An order that goes through others.
+    Relayed(RelayedOrder),
     /// The state of the sender's rank.
     Report(Box<RankState>),
 }
 
+/// An order to the engine beside the receiver and to those beside others, which is
+/// answered to whoever gave it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct RelayedOrder {
+    pub(crate) order: OrderMessage,
+    /// Who has given the order.
+    pub(crate) answer_to: SocketAddr,
+    /// The processes that the receiver passes it on to.
+    pub(crate) to: Vec<SocketAddr>,
+}
+
+/// How often each expert was chosen by one rank's requests since its last sample, one
+/// set after the other. Differences take a byte each where counts since the start take
+/// three, and one that is lost is only a smaller sample.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct DemandSample {
+    /// The group's name and life.
+    pub(crate) life: GroupLife,
+    pub(crate) chosen: Vec<u64>,
+}
+
+/// A map, for a process that lacks it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct MapCopy {
+    pub(crate) epoch: GroupEpoch,
+    pub(crate) version: MapVersion,
+    pub(crate) map: Arc<GroupMap>,
+}
+
 /// The state of one rank.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct RankState {
@@ -38,10 +93,6 @@
     pub(crate) engine: SocketAddr,
     /// What the engine reports.
     pub(crate) report: EngineReport,
-    /// The experts that the rank holds.
-    pub(crate) held: RankMap,
-    /// Counts since the engine's start, from some of the ranks.
-    pub(crate) counts: Option<Counts>,
 }
 
 /// An order to an engine. Whoever gets it twice gives it twice, which changes
@@ -64,8 +115,7 @@
     Prepare { version: MapVersion, map: MapMessage },
 }
 
-/// A map, as a whole or by what differs: a whole one of 72 ranks takes 4 kB, and
-/// 72 of them half a second of a small machine's link.
+/// A map, as a whole or by what differs: a whole one of 192 ranks takes 11 kB.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) enum MapMessage {
     /// Rows that differ from another map.
@@ -74,11 +124,11 @@
     Full(GroupMap),
 }
 
-/// The experts of one rank in one set.
+/// The experts of one rank in one set that differ.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct MapRow {
-    pub(crate) set: usize,
-    pub(crate) rank: usize,
+    /// Rows since the one before that are the same, in the order of sets and ranks.
+    pub(crate) skipped: usize,
     pub(crate) experts: Vec<usize>,
 }
 
@@ -112,12 +162,31 @@
 }
 
 impl Datagram {
+    /// Writes a datagram; a long one is compressed.
     pub(crate) fn encode(&self) -> Result<Vec<u8>> {
-        postcard::to_stdvec(self).map_err(|e| invalid(Step::Order, "datagram", e))
+        let mut plain = vec![PLAIN];
+        plain =
+            postcard::to_extend(self, plain).map_err(|e| invalid(Step::Order, "datagram", e))?;
+        if plain.len() < COMPRESS_FROM_BYTES {
+            return Ok(plain);
+        }
+        let mut compressed = vec![COMPRESSED];
+        compressed.extend(compress_to_vec(&plain[1..], COMPRESSION_LEVEL));
+        Ok(compressed)
     }
 
     pub(crate) fn decode(peer: SocketAddr, bytes: &[u8]) -> Result<Datagram> {
-        postcard::from_bytes(bytes).map_err(|e| invalid(Step::Order, peer, e))
+        let unreadable = |error: &dyn Display| invalid(Step::Order, peer, error);
+        let parse = |bytes: &[u8]| postcard::from_bytes(bytes).map_err(|e| unreadable(&e));
+        match bytes.split_first() {
+            Some((&PLAIN, body)) => parse(body),
+            Some((&COMPRESSED, body)) => {
+                let plain = decompress_to_vec_with_limit(body, MAX_PLAIN_BYTES)
+                    .map_err(|e| unreadable(&e))?;
+                parse(&plain)
+            }
+            _ => Err(unreadable(&"it is of no known form")),
+        }
     }
 }
 
@@ -144,7 +213,7 @@
     /// The order; `None` if it builds on a map that is not known.
     pub(crate) fn order(
         self,
-        known: impl FnOnce(MapVersion) -> Option<GroupMap>,
+        known: impl FnOnce(MapVersion) -> Option<Arc<GroupMap>>,
     ) -> Option<EngineOrder> {
         let action = match self.action {
             ActionMessage::Arm { version, step } => Action::Arm { version, step },
@@ -152,7 +221,7 @@
             ActionMessage::Go { step } => Action::Go { step },
             ActionMessage::Hold { step } => Action::Hold { step },
             ActionMessage::Prepare { version, map } => {
-                Action::Prepare { version, map: Arc::new(map.map(known)?) }
+                Action::Prepare { version, map: map.map(known)? }
             }
         };
         Some(EngineOrder { epoch: self.epoch, action })
@@ -162,29 +231,27 @@
 impl MapMessage {
     fn new(map: &GroupMap, base: Option<(MapVersion, &GroupMap)>) -> MapMessage {
         let Some((base, from)) = base else { return MapMessage::Full(map.clone()) };
-        let mut rows = Vec::new();
-        for (set, (new, old)) in map.iter().zip(from).enumerate() {
-            let pairs = new.iter().zip(old).enumerate();
-            rows.extend(
-                pairs.filter(|(_, (new, old))| new != old).map(|(rank, (experts, _))| MapRow {
-                    set,
-                    rank,
-                    experts: experts.clone(),
-                }),
-            );
-        }
-        MapMessage::Changed { base, rows }
+        let pairs = map.iter().flatten().zip(from.iter().flatten()).enumerate();
+        let changed = pairs.filter(|(_, (new, old))| new != old);
+        let mut next = 0;
+        let rows = changed.map(|(index, (experts, _))| {
+            let skipped = index - next;
+            next = index + 1;
+            MapRow { skipped, experts: experts.clone() }
+        });
+        MapMessage::Changed { base, rows: rows.collect() }
     }
 
-    fn map(self, known: impl FnOnce(MapVersion) -> Option<GroupMap>) -> Option<GroupMap> {
+    fn map(self, known: impl FnOnce(MapVersion) -> Option<Arc<GroupMap>>) -> Option<Arc<GroupMap>> {
         match self {
-            MapMessage::Full(map) => Some(map),
+            MapMessage::Full(map) => Some(Arc::new(map)),
             MapMessage::Changed { base, rows } => {
-                let mut map = known(base)?;
-                for MapRow { set, rank, experts } in rows {
-                    *map.get_mut(set)?.get_mut(rank)? = experts;
+                let mut map = GroupMap::clone(&*known(base)?);
+                let mut places = map.iter_mut().flatten();
+                for MapRow { skipped, experts } in rows {
+                    *places.nth(skipped)? = experts;
                 }
-                Some(map)
+                Some(Arc::new(map))
             }
         }
     }
--- a/crates/rank/src/notifier.rs
+++ b/crates/rank/src/notifier.rs
@@ -9,7 +9,9 @@
 
 use lynxmount_balance::PassTime;
 use lynxmount_core::Clock;
-use lynxmount_link::{ASKED_FOR, GroupMessage, GroupNotice, receive};
+use lynxmount_link::{
+    ASKED_FOR, GroupMembersNotice, GroupMessage, GroupNotice, MembersFingerprint, receive,
+};
 use parking_lot::Mutex;
 use tokio::net::UdpSocket;
 
@@ -32,16 +34,24 @@
     pub(crate) members: Arc<Members>,
     pub(crate) beliefs: Arc<Mutex<Beliefs>>,
     pub(crate) clock: Clock,
-    /// Entries that have asked, and when.
-    pub(crate) asked: Mutex<BTreeMap<SocketAddr, Instant>>,
+    /// Entries that have asked.
+    pub(crate) asked: Mutex<BTreeMap<SocketAddr, Asking>>,
+}
+
+/// What an entry has asked.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Asking {
+    at: Instant,
+    /// Which members of the group it knew, or has been told since.
+    members: MembersFingerprint,
 }
 
 impl Notifier {
     /// Takes askings until the task is dropped.
     pub(crate) async fn listen(self: Arc<Notifier>) {
         receive(&self.socket, MAX_ASKING_BYTES, GroupMessage::decode, |peer, message| {
-            if let Ok(GroupMessage::Ask) = message {
-                self.asked.lock().insert(peer, Instant::now());
+            if let Ok(GroupMessage::Ask { members }) = message {
+                self.asked.lock().insert(peer, Asking { at: Instant::now(), members });
             }
         })
         .await;
@@ -60,8 +70,9 @@
             let is_told = told.as_ref().is_some_and(|(last, at)| {
                 last.is_open == notice.is_open && at.elapsed() < REPEAT_PERIOD
             });
+            self.tell_members(&notice.group).await;
             if !is_told {
-                self.tell(&notice).await;
+                self.tell(&GroupMessage::Notice(notice.clone()), &self.entries()).await;
                 told = Some((notice, Instant::now()));
             }
         }
@@ -82,28 +93,46 @@
             group: membership.group,
             is_open: membership.is_open,
             pass: pass_time.current(now),
-            engines: self.members.engines(),
         })
     }
 
-    async fn tell(&self, notice: &GroupNotice) {
-        let datagram = match GroupMessage::Notice(notice.clone()).encode() {
+    /// Tells who the ranks are to entries that know others. One that does not get it
+    /// asks again.
+    async fn tell_members(&self, group: &str) {
+        let engines = self.members.engines();
+        let members = GroupMembersNotice { group: group.to_owned(), engines };
+        let fingerprint = members.fingerprint();
+        let lacking: Vec<SocketAddr> = {
+            let mut asked = self.asked.lock();
+            let lacking = asked.iter_mut().filter(|(_, asking)| asking.members != fingerprint);
+            lacking
+                .map(|(entry, asking)| {
+                    asking.members = fingerprint;
+                    *entry
+                })
+                .collect()
+        };
+        self.tell(&GroupMessage::Members(members), &lacking).await;
+    }
+
+    async fn tell(&self, message: &GroupMessage, entries: &[SocketAddr]) {
+        let datagram = match message.encode() {
             Ok(datagram) => datagram,
             Err(error) => {
                 log::error!(error:% = error; "a notice can't be written");
                 return;
             }
         };
-        for entry in self.entries() {
-            if let Err(error) = self.socket.send_to(&datagram, entry).await {
-                log::debug!(peer:% = entry, error:% = error; "a notice was not sent");
+        for entry in entries {
+            if let Err(error) = self.socket.send_to(&datagram, *entry).await {
+                log::debug!(peer:% = *entry, error:% = error; "a notice was not sent");
             }
         }
     }
 
     fn entries(&self) -> Vec<SocketAddr> {
         let mut asked = self.asked.lock();
-        asked.retain(|_, at| at.elapsed() < ASKED_FOR);
+        asked.retain(|_, asking| asking.at.elapsed() < ASKED_FOR);
         asked.keys().copied().collect()
     }
 }
--- a/crates/rank/src/orders.rs
+++ b/crates/rank/src/orders.rs
@@ -2,21 +2,23 @@
 //! the processes beside them.
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use lynxmount_core::{
     Result, Step,
     edge::Engine,
-    experts::{Action, EngineOrder, GroupEpoch, GroupMap, MapVersion},
+    experts::{Action, EngineOrder, GroupMap, MapVersion},
     timed_out, unreachable,
 };
+use lynxmount_group::{KnownMaps, Relay, RelayTarget, relays, relays_pay};
+use lynxmount_policy::AnswerTime;
 use parking_lot::Mutex;
 use tokio::{
     net::UdpSocket,
@@ -24,7 +26,9 @@
 };
 
 use crate::{
-    message::{AnswerMessage, Datagram, OrderAnswer, OrderId, OrderMessage, OrderOutcome},
+    message::{
+        AnswerMessage, Datagram, OrderAnswer, OrderId, OrderMessage, OrderOutcome, RelayedOrder,
+    },
     reporter::{Awaited, Reporter},
 };
 
@@ -32,21 +36,30 @@
 /// after the first time, so that it may be given again.
 const MAX_TRIES: u32 = 4;
 
-/// How long a process is waited for before the order is sent to it again: a busy
+/// How long a process is waited for before a small order is sent to it again: a busy
 /// one takes about 10 ms, and one that balances 72 ranks takes up answers 50 ms
 /// later.
 const RESEND_AFTER: Duration = Duration::from_millis(90);
 
-/// Maps that are on their way at the same time: a few kilobytes each, on a link
-/// that carries 1 MB/s and drops what waits for long.
+/// How long a process is waited for before a map is sent to it again, before any answer
+/// has shown how long that takes: a link of 6 Mbit/s carries 190 kB meanwhile, a map of
+/// 192 ranks to all of them through relays takes a third of that.
+const MAP_RESEND_FIRST: Duration = Duration::from_millis(250);
+
+/// The longest time: the switch that waits for the maps is given up after 3 s, and by
+/// then an order must have been sent four times.
+const MAP_RESEND_MOST: Duration = Duration::from_millis(600);
+
+/// Maps that are on their way directly at the same time: a few kilobytes each, on a
+/// link that carries 1 MB/s and drops what waits for long.
 const MAX_MAPS_UNDER_WAY: usize = 12;
 
 /// How often an order is sent to a process. It is longer on the way altogether
 /// than a process tries its engine.
 const MAX_SENDS: u32 = 4;
 
-/// Maps that a process remembers, so that orders can build on them.
-const MAX_MAPS: usize = 4;
+/// The map in use, which other processes know, if they have prepared it.
+pub(crate) type Base<'a> = Option<(MapVersion, &'a GroupMap)>;
 
 /// Gives an order, and reads the engine's state after it.
 ///
@@ -65,49 +78,101 @@
     Ok(OrderAnswer { result, tries, report })
 }
 
+/// Who waits for the answer of a process to an order.
+type Waiting = Arc<Mutex<HashMap<(SocketAddr, OrderId), oneshot::Sender<OrderOutcome>>>>;
+
+/// An order to one process, and the answer that is waited for.
+pub(crate) struct Awaiting {
+    id: OrderId,
+    peer: SocketAddr,
+    since: Instant,
+    receiver: oneshot::Receiver<OrderOutcome>,
+    /// Whether it is on its way through relays.
+    is_relayed: bool,
+    waiting: Waiting,
+}
+
+impl Drop for Awaiting {
+    fn drop(&mut self) {
+        self.waiting.lock().remove(&(self.peer, self.id));
+    }
+}
+
 /// Orders on their way to other processes.
 pub(crate) struct Outbox {
     socket: Arc<UdpSocket>,
+    /// Where others send their answers.
+    own: SocketAddr,
+    link_bytes_per_s: f64,
     next_id: AtomicU64,
-    waiting: Mutex<HashMap<OrderId, oneshot::Sender<OrderOutcome>>>,
+    waiting: Waiting,
+    map_answers: Mutex<AnswerTime>,
     maps_under_way: Semaphore,
 }
 
 impl Outbox {
-    pub(crate) fn new(socket: Arc<UdpSocket>) -> Outbox {
+    pub(crate) fn new(socket: Arc<UdpSocket>, own: SocketAddr, link_bytes_per_s: f64) -> Outbox {
+        let map_answers = AnswerTime::new(MAP_RESEND_FIRST, RESEND_AFTER, MAP_RESEND_MOST);
         Outbox {
             socket,
+            own,
+            link_bytes_per_s,
             next_id: AtomicU64::new(1),
-            waiting: Mutex::default(),
+            waiting: Waiting::default(),
+            map_answers: Mutex::new(map_answers),
             maps_under_way: Semaphore::new(MAX_MAPS_UNDER_WAY),
         }
     }
 
     /// Takes an answer.
-    pub(crate) fn answered(&self, answer: AnswerMessage) {
-        if let Some(sender) = self.waiting.lock().remove(&answer.id) {
+    pub(crate) fn answered(&self, peer: SocketAddr, answer: AnswerMessage) {
+        let waiting = self.waiting.lock().remove(&(peer, answer.id));
+        if let Some(sender) = waiting {
             // Whoever waited may have given up just now.
             let _ = sender.send(answer.outcome);
         }
     }
 
-    /// Asks the process beside an engine to give an order.
+    /// Sends an order to many processes through some of them, if the own link would be
+    /// taken up for long otherwise. What is returned is to be waited for by
+    /// [`Outbox::give`].
+    ///
+    /// Fails if the order can't be written.
+    pub(crate) async fn relay(
+        &self,
+        targets: &[RelayTarget],
+        order: &EngineOrder,
+        base: Base<'_>,
+    ) -> Result<HashMap<SocketAddr, Awaiting>> {
+        let id = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let message = OrderMessage::new(id, order, base);
+        let message_bytes = Datagram::Order(message.clone()).encode()?.len();
+        if !relays_pay(message_bytes, targets.len(), self.link_bytes_per_s) {
+            return Ok(HashMap::new());
+        }
+        let peers = targets.iter().map(|target| target.address);
+        let awaited = peers.map(|peer| (peer, self.expect(peer, id, true))).collect();
+        for Relay { through, to } in relays(targets, id) {
+            let relayed = RelayedOrder { order: message.clone(), answer_to: self.own, to };
+            self.send(through, &Datagram::Relayed(relayed).encode()?).await;
+        }
+        Ok(awaited)
+    }
+
+    /// Asks the process beside an engine to give an order, which may be on its way
+    /// already.
     ///
     /// Fails if that process or its engine does not answer.
     pub(crate) async fn give(
         &self,
         peer: SocketAddr,
         order: &EngineOrder,
-        base: Option<(MapVersion, &GroupMap)>,
+        base: Base<'_>,
+        awaiting: Option<Awaiting>,
     ) -> Result<OrderAnswer> {
-        let is_map = matches!(order.action, Action::Prepare { .. });
-        let _permit = match is_map {
-            true => self.maps_under_way.acquire().await.ok(),
-            false => None,
-        };
-        match self.ask(peer, order, base).await? {
+        match self.ask(peer, order, base, awaiting).await? {
             OrderOutcome::Given(answer) => Ok(*answer),
-            OrderOutcome::MapUnknown => match self.ask(peer, order, None).await? {
+            OrderOutcome::MapUnknown => match self.ask(peer, order, None, None).await? {
                 OrderOutcome::Given(answer) => Ok(*answer),
                 _ => Err(unreachable(Step::Order, peer, "the engine can't be read")),
             },
@@ -117,53 +182,70 @@
         }
     }
 
+    fn expect(&self, peer: SocketAddr, id: OrderId, is_relayed: bool) -> Awaiting {
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.lock().insert((peer, id), sender);
+        let waiting = Arc::clone(&self.waiting);
+        Awaiting { id, peer, since: Instant::now(), receiver, is_relayed, waiting }
+    }
+
     async fn ask(
         &self,
         peer: SocketAddr,
         order: &EngineOrder,
-        base: Option<(MapVersion, &GroupMap)>,
+        base: Base<'_>,
+        awaiting: Option<Awaiting>,
     ) -> Result<OrderOutcome> {
-        let id = self.next_id.fetch_add(1, Ordering::Relaxed);
-        let datagram = Datagram::Order(OrderMessage::new(id, order, base)).encode()?;
-        let (sender, mut receiver) = oneshot::channel();
-        self.waiting.lock().insert(id, sender);
-        for _ in 0..MAX_SENDS {
-            if let Err(error) = self.socket.send_to(&datagram, peer).await {
-                log::debug!(peer:% = peer, error:% = error; "an order was not sent");
+        let is_map = matches!(order.action, Action::Prepare { .. });
+        let mut awaiting = awaiting.unwrap_or_else(|| {
+            let id = self.next_id.fetch_add(1, Ordering::Relaxed);
+            self.expect(peer, id, false)
+        });
+        let outcome = self.send_until_answered(&mut awaiting, order, base, is_map).await;
+        if is_map && outcome.is_ok() {
+            self.map_answers.lock().note(awaiting.since.elapsed());
+        }
+        outcome
+    }
+
+    async fn send_until_answered(
+        &self,
+        awaiting: &mut Awaiting,
+        order: &EngineOrder,
+        base: Base<'_>,
+        is_map: bool,
+    ) -> Result<OrderOutcome> {
+        let peer = awaiting.peer;
+        for send in 0..MAX_SENDS {
+            let is_on_its_way = send == 0 && awaiting.is_relayed;
+            let _permit = match is_map && !is_on_its_way {
+                true => self.maps_under_way.acquire().await.ok(),
+                false => None,
+            };
+            if !is_on_its_way {
+                let message = OrderMessage::new(awaiting.id, order, base);
+                self.send(peer, &Datagram::Order(message).encode()?).await;
             }
-            match tokio::time::timeout(RESEND_AFTER, &mut receiver).await {
+            match tokio::time::timeout(self.resend_after(is_map), &mut awaiting.receiver).await {
                 Ok(Ok(outcome)) => return Ok(outcome),
                 Ok(Err(_)) => break,
                 Err(_) => {}
             }
         }
-        self.waiting.lock().remove(&id);
         Err(timed_out(Step::Order, peer, "no answer from the process beside the engine"))
     }
-}
 
-/// Maps that were prepared lately, in one life of the group.
-#[derive(Default)]
-struct KnownMaps {
-    epoch: GroupEpoch,
-    by_version: BTreeMap<MapVersion, Arc<GroupMap>>,
-}
-
-impl KnownMaps {
-    fn note(&mut self, order: &EngineOrder) {
-        let Action::Prepare { version, map } = &order.action else { return };
-        if self.epoch != order.epoch {
-            *self = KnownMaps { epoch: order.epoch, ..KnownMaps::default() };
-        }
-        self.by_version.insert(*version, Arc::clone(map));
-        while self.by_version.len() > MAX_MAPS {
-            self.by_version.pop_first();
+    fn resend_after(&self, is_map: bool) -> Duration {
+        match is_map {
+            true => self.map_answers.lock().timeout(),
+            false => RESEND_AFTER,
         }
     }
 
-    fn get(&self, epoch: GroupEpoch, version: MapVersion) -> Option<GroupMap> {
-        let known = self.by_version.get(&version).filter(|_| self.epoch == epoch);
-        known.map(|map| GroupMap::clone(map))
+    async fn send(&self, peer: SocketAddr, datagram: &[u8]) {
+        if let Err(error) = self.socket.send_to(datagram, peer).await {
+            log::debug!(peer:% = peer, error:% = error; "an order was not sent");
+        }
     }
 }
 
@@ -171,41 +253,59 @@
 pub(crate) struct Inbox<E> {
     pub(crate) reporter: Arc<Reporter<E>>,
     pub(crate) socket: Arc<UdpSocket>,
-    under_way: Mutex<HashSet<(SocketAddr, OrderId)>>,
-    maps: Mutex<KnownMaps>,
+    pub(crate) maps: Arc<Mutex<KnownMaps>>,
+    pub(crate) under_way: Mutex<HashSet<(SocketAddr, OrderId)>>,
 }
 
 impl<E: Engine> Inbox<E> {
-    pub(crate) fn new(reporter: Arc<Reporter<E>>, socket: Arc<UdpSocket>) -> Inbox<E> {
-        Inbox { reporter, socket, under_way: Mutex::default(), maps: Mutex::default() }
+    /// Passes an order on and gives it to the own engine.
+    pub(crate) async fn take_relayed(self: Arc<Inbox<E>>, relayed: RelayedOrder) {
+        let RelayedOrder { order, answer_to, to } = relayed;
+        if !to.is_empty() {
+            self.pass_on(RelayedOrder { order: order.clone(), answer_to, to: Vec::new() }, &to)
+                .await;
+        }
+        self.take(answer_to, order).await;
     }
 
-    /// Gives an order to the own engine and answers whoever sent it.
-    pub(crate) async fn take(self: Arc<Inbox<E>>, peer: SocketAddr, message: OrderMessage) {
+    async fn pass_on(&self, relayed: RelayedOrder, to: &[SocketAddr]) {
+        let datagram = match Datagram::Relayed(relayed).encode() {
+            Ok(datagram) => datagram,
+            Err(error) => {
+                log::error!(error:% = error; "an order can't be passed on");
+                return;
+            }
+        };
+        for peer in to {
+            if let Err(error) = self.socket.send_to(&datagram, peer).await {
+                log::debug!(peer:% = peer, error:% = error; "an order was not passed on");
+            }
+        }
+    }
+
+    /// Gives an order to the own engine and answers whoever gave it.
+    pub(crate) async fn take(self: Arc<Inbox<E>>, answer_to: SocketAddr, message: OrderMessage) {
         let id = message.id;
-        if !self.under_way.lock().insert((peer, id)) {
+        if !self.under_way.lock().insert((answer_to, id)) {
             return;
         }
         let outcome = self.give(message).await;
-        self.under_way.lock().remove(&(peer, id));
+        self.under_way.lock().remove(&(answer_to, id));
         let answer = Datagram::Answer(AnswerMessage { id, outcome });
         let sent = match answer.encode() {
-            Ok(datagram) => self.socket.send_to(&datagram, peer).await.map(|_| ()),
+            Ok(datagram) => self.socket.send_to(&datagram, answer_to).await.map(|_| ()),
             Err(error) => Err(std::io::Error::other(error)),
         };
         if let Err(error) = sent {
-            log::info!(peer:% = peer, error:% = error; "an answer was not sent");
+            log::info!(peer:% = answer_to, error:% = error; "an answer was not sent");
         }
     }
 
     async fn give(&self, message: OrderMessage) -> OrderOutcome {
         let epoch = message.epoch;
-        let known = |version| match version {
-            0 => self.reporter.first_map(epoch),
-            _ => self.maps.lock().get(epoch, version),
-        };
+        let known = |version| self.maps.lock().get(epoch, version);
         let Some(order) = message.order(known) else { return OrderOutcome::MapUnknown };
-        self.maps.lock().note(&order);
+        self.maps.lock().note_order(&order);
         match give(&*self.reporter.engine, &order).await {
             Ok(answer) => {
                 match order.action {
--- a/crates/rank/src/process.rs
+++ b/crates/rank/src/process.rs
@@ -6,7 +6,9 @@
 use lynxmount_core::{
     Clock, Mechanism, SiteSettings,
     edge::{Engine, FleetSource},
+    experts::{GroupEpoch, MapVersion},
 };
+use lynxmount_group::KnownMaps;
 use lynxmount_link::{GROUP_PORT_OFFSET, bind, receive, serve, wait_for_end};
 use lynxmount_telemetry::{Metrics, MetricsPort};
 use parking_lot::Mutex;
@@ -18,7 +20,7 @@
     demand::Demand,
     duty::Duty,
     members::Members,
-    message::Datagram,
+    message::{Datagram, MapCopy},
     notifier::Notifier,
     orders::{Inbox, Outbox},
     reporter::Reporter,
@@ -58,6 +60,8 @@
     let roster = Arc::new(Roster::default());
     let demand = Demand::new(settings.mechanisms.has(Mechanism::ShiftDetection));
     let beliefs = Arc::new(Mutex::new(Beliefs::new(own, demand)));
+    let maps: Arc<Mutex<KnownMaps>> = Arc::default();
+    let link_bytes_per_s = settings.link_bytes_per_s();
     let engine = Arc::new(make_engine(own));
     let source = Arc::new(source);
     let socket = UdpSocket::bind(address).await.with_context(|| format!("bind {address}"))?;
@@ -72,21 +76,28 @@
         port,
         metrics: Arc::clone(&metrics),
         awaited: Mutex::default(),
-        first_map: Mutex::default(),
+        link_bytes_per_s,
+        maps: Arc::clone(&maps),
         wake: Notify::new(),
     });
     if let Some(port) = metrics_port {
         let shown = MetricsPort(Arc::clone(&metrics));
         tokio::spawn(serve(bind(SocketAddr::new(settings.ip, port)).await?, Arc::new(shown)));
     }
-    let outbox = Arc::new(Outbox::new(Arc::clone(&socket)));
-    let inbox = Arc::new(Inbox::new(Arc::clone(&reporter), Arc::clone(&socket)));
+    let outbox = Arc::new(Outbox::new(Arc::clone(&socket), address, link_bytes_per_s));
+    let inbox = Arc::new(Inbox {
+        reporter: Arc::clone(&reporter),
+        socket: Arc::clone(&socket),
+        maps: Arc::clone(&maps),
+        under_way: Mutex::default(),
+    });
     let port_state = Port {
         socket,
         beliefs: Arc::clone(&beliefs),
         members: Arc::clone(&members),
         inbox,
         outbox: Arc::clone(&outbox),
+        maps: Arc::clone(&maps),
         metrics: Arc::clone(&metrics),
     };
     let seeds = settings.seeds.clone();
@@ -120,6 +131,7 @@
         duty,
         beliefs,
         outbox,
+        maps,
         metrics,
         clock,
         mechanisms: settings.mechanisms.clone(),
@@ -138,6 +150,7 @@
     members: Arc<Members>,
     inbox: Arc<Inbox<E>>,
     outbox: Arc<Outbox>,
+    maps: Arc<Mutex<KnownMaps>>,
     metrics: Arc<Metrics>,
 }
 
@@ -162,12 +175,29 @@
                 let members = Arc::clone(&self.members);
                 tokio::spawn(async move { members.announced(peer, announcement).await });
             }
-            Datagram::Answer(answer) => self.outbox.answered(answer),
+            Datagram::Answer(answer) => self.outbox.answered(peer, answer),
+            Datagram::Demand(sample) => self.beliefs.lock().hear_demand(&sample),
+            Datagram::Map(MapCopy { epoch, version, map }) => {
+                self.maps.lock().note(epoch, version, map);
+            }
+            Datagram::MapAsked { epoch, version } => self.send_map(peer, epoch, version),
             Datagram::Members(members) => self.members.told(members),
             Datagram::Order(order) => {
                 tokio::spawn(Arc::clone(&self.inbox).take(peer, order));
             }
+            Datagram::Relayed(order) => {
+                tokio::spawn(Arc::clone(&self.inbox).take_relayed(order));
+            }
             Datagram::Report(state) => self.beliefs.lock().hear(*state),
         }
     }
+
+    /// Sends a map to a process that lacks it, if it is known here.
+    fn send_map(&self, peer: SocketAddr, epoch: GroupEpoch, version: MapVersion) {
+        let Some(map) = self.maps.lock().get(epoch, version) else { return };
+        let members = Arc::clone(&self.members);
+        tokio::spawn(async move {
+            members.send(peer, Datagram::Map(MapCopy { epoch, version, map })).await;
+        });
+    }
 }
--- a/crates/rank/src/reporter.rs
+++ b/crates/rank/src/reporter.rs
@@ -6,27 +6,29 @@
     time::{Duration, Instant},
 };
 
+use lynxmount_balance::sample_period;
 use lynxmount_core::{
     Result,
     edge::Engine,
-    experts::{Counts, EngineReport, GroupEpoch, GroupMap, MapVersion, RankMap},
+    experts::{Counts, EngineReport, GroupMap, MapVersion, Membership, RankMap},
 };
+use lynxmount_group::KnownMaps;
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
 use tokio::{net::UdpSocket, sync::Notify};
 
 use crate::{
+    demand::CountReader,
     members::Members,
-    message::{Datagram, RankState},
+    message::{Datagram, DemandSample, RankState},
 };
 
 /// How often the engine is read. Reading it on its own machine is free, and
 /// demand shifts within seconds.
 const PERIOD: Duration = Duration::from_millis(100);
 
-/// How many ranks of a group tell their counts. Each report of them takes 1 to
-/// 6 kB, and a small machine's link carries 1 MB/s.
-const COUNTING_RANKS: usize = 16;
+/// How many ranks of a group tell what is chosen at them.
+const SAMPLED_RANKS: usize = 16;
 
 /// How often it is read while it copies experts or is to switch. Nothing is told
 /// meanwhile: four times the datagrams kept the balancing process busy for 0.2 s
@@ -66,8 +68,17 @@
     /// What was ordered last, and until when it is waited for.
     pub(crate) awaited: Mutex<Option<(Awaited, Instant)>>,
     pub(crate) wake: Notify,
-    /// The first map of the group's life.
-    pub(crate) first_map: Mutex<Option<(GroupEpoch, GroupMap)>>,
+    /// What the machine's link carries.
+    pub(crate) link_bytes_per_s: f64,
+    pub(crate) maps: Arc<Mutex<KnownMaps>>,
+}
+
+/// What is kept from one sample of demand to the next.
+#[derive(Default)]
+struct Sampling {
+    counts: CountReader,
+    /// When the next one is told; `None` before the first.
+    next_at: Option<Instant>,
 }
 
 impl<E: Engine> Reporter<E> {
@@ -79,21 +90,17 @@
 
     /// Reads and tells until the task is dropped.
     pub(crate) async fn run(self: Arc<Reporter<E>>) {
-        let mut held = RankMap::default();
+        let mut sampling = Sampling::default();
         let mut is_lost = false;
         let mut period = PERIOD;
         loop {
-            match self.read(&mut held).await {
-                Ok(state) => {
-                    period = report_period(&state.report);
+            match self.read_and_tell(&mut sampling).await {
+                Ok(next) => {
+                    period = next;
                     if is_lost {
                         log::info!("the engine answers again");
                     }
                     is_lost = false;
-                    if let Some(membership) = &state.report.membership {
-                        self.members.note_own(membership).await;
-                    }
-                    self.tell(&state).await;
                 }
                 Err(error) => {
                     self.metrics.count("engine.read_failed");
@@ -110,40 +117,54 @@
         }
     }
 
-    async fn read(&self, held: &mut RankMap) -> Result<RankState> {
+    /// Returns how soon to read again.
+    async fn read_and_tell(&self, sampling: &mut Sampling) -> Result<Duration> {
         let report: EngineReport = self.engine.report().await?;
-        if held.experts.is_empty() || held.version != report.map || report.map == 0 {
-            *held = self.engine.rank_map().await?;
-        }
-        let is_first_map = report.map == 0;
-        let counts = match counts_are_wanted(&report) || is_first_map {
-            true => Some(self.engine.counts().await?),
-            false => None,
+        let Some(membership) = report.membership.clone() else {
+            self.tell_report(report).await;
+            return Ok(PERIOD);
         };
-        if let (true, Some(counts)) = (is_first_map, &counts) {
-            self.note_first_map(&report, held, counts);
+        self.maps.lock().note_in_use(membership.epoch, report.map);
+        if report.map == 0 && self.maps.lock().get(membership.epoch, 0).is_none() {
+            self.note_first_map(&membership).await?;
+        }
+        self.members.note_own(&membership).await;
+        self.tell_report(report).await;
+        let is_due = sampling.next_at.is_none_or(|at| at <= Instant::now());
+        if is_due && is_sampled(&membership) {
+            self.tell_sample(&membership, sampling).await?;
         }
-        let counts = counts.filter(|_| counts_are_wanted(&report));
-        Ok(RankState { engine: self.address, report, held: held.clone(), counts })
+        Ok(report_period(&membership))
     }
 
     /// Works out what all ranks hold at first: experts are dealt in turn. It is
     /// believed if the own rank holds what it should by that.
-    fn note_first_map(&self, report: &EngineReport, held: &RankMap, counts: &Counts) {
-        let Some(membership) = &report.membership else { return };
+    async fn note_first_map(&self, membership: &Membership) -> Result<()> {
+        let held: RankMap = self.engine.rank_map().await?;
+        let counts: Counts = self.engine.counts().await?;
         let sets = held.experts.len();
         let experts = counts.by_set_and_expert.len() / sets.max(1);
         let of_rank = |rank: usize| (rank..experts).step_by(membership.ranks.max(1)).collect();
         let of_set: Vec<Vec<usize>> = (0..membership.ranks).map(of_rank).collect();
-        let is_so = held.experts.iter().all(|own| Some(own) == of_set.get(membership.rank));
-        let map = (membership.epoch, vec![of_set; sets]);
-        *self.first_map.lock() = is_so.then_some(map);
+        if held.version == 0
+            && held.experts.iter().all(|own| Some(own) == of_set.get(membership.rank))
+        {
+            let map: GroupMap = vec![of_set; sets];
+            self.maps.lock().note(membership.epoch, 0, Arc::new(map));
+        }
+        Ok(())
     }
 
-    /// The first map in a life of the group, if it is known.
-    pub(crate) fn first_map(&self, epoch: GroupEpoch) -> Option<GroupMap> {
-        let known = self.first_map.lock();
-        known.as_ref().filter(|(of, _)| *of == epoch).map(|(_, map)| map.clone())
+    /// Tells what was chosen since the last time, and when to tell again.
+    async fn tell_sample(&self, membership: &Membership, sampling: &mut Sampling) -> Result<()> {
+        let counts = self.engine.counts().await?;
+        let Some(chosen) = sampling.counts.chosen(counts) else { return Ok(()) };
+        let life = (membership.group.clone(), membership.epoch);
+        let sent_bytes = self.tell(&Datagram::Demand(DemandSample { life, chosen })).await;
+        let tellers = membership.ranks.min(SAMPLED_RANKS);
+        let pause = sample_period(sent_bytes, tellers, self.link_bytes_per_s);
+        sampling.next_at = Some(Instant::now() + pause);
+        Ok(())
     }
 
     /// Waits until what was ordered has come to its end: a balancing process waits
@@ -164,12 +185,18 @@
         }
     }
 
-    async fn tell(&self, state: &RankState) {
-        let datagram = match Datagram::Report(Box::new(state.clone())).encode() {
+    async fn tell_report(&self, report: EngineReport) {
+        let state = RankState { engine: self.address, report };
+        self.tell(&Datagram::Report(Box::new(state))).await;
+    }
+
+    /// Tells the processes that listen; returns the size of the datagram.
+    async fn tell(&self, datagram: &Datagram) -> usize {
+        let datagram = match datagram.encode() {
             Ok(datagram) => datagram,
             Err(error) => {
                 log::error!(error:% = error; "a report can't be written");
-                return;
+                return 0;
             }
         };
         for listener in self.members.listeners() {
@@ -178,22 +205,21 @@
                 log::debug!(peer:% = peer, error:% = error; "a report was not sent");
             }
         }
+        datagram.len()
     }
 }
 
-/// Says whether a rank tells its counts. Each rank's requests are a sample of the
-/// same demand, so that a part of a large group's ranks shows it.
-fn counts_are_wanted(report: &EngineReport) -> bool {
-    let Some(membership) = &report.membership else { return false };
-    let stride = membership.ranks.div_ceil(COUNTING_RANKS).max(1);
+/// Says whether a rank tells what is chosen at it. Each rank's requests are a sample of
+/// the same demand, so that a part of a large group's ranks shows it.
+fn is_sampled(membership: &Membership) -> bool {
+    let stride = membership.ranks.div_ceil(SAMPLED_RANKS).max(1);
     membership.rank.is_multiple_of(stride)
 }
 
 /// How often a rank of a group is read: less often in a large one, as all ranks
 /// tell the same few processes.
-fn report_period(report: &EngineReport) -> Duration {
-    let ranks = report.membership.as_ref().map_or(0, |membership| membership.ranks);
-    match ranks > COUNTING_RANKS && !counts_are_wanted(report) {
+fn report_period(membership: &Membership) -> Duration {
+    match membership.ranks > SAMPLED_RANKS && !is_sampled(membership) {
         true => PERIOD * 3,
         false => PERIOD,
     }
--- a/crates/rank/src/roster.rs
+++ b/crates/rank/src/roster.rs
@@ -3,7 +3,9 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use lynxmount_core::{EndpointList, Offset, Result, ServiceId, edge::FleetSource};
+use lynxmount_core::{
+    EndpointList, EndpointRecord, FailureDomainId, Offset, Result, ServiceId, edge::FleetSource,
+};
 use lynxmount_link::ask_fleet;
 use lynxmount_policy::rendezvous;
 use parking_lot::Mutex;
@@ -25,6 +27,7 @@
 /// An engine, with its address as text for hashing.
 struct Listed {
     address: SocketAddr,
+    failure_domain: FailureDomainId,
     name: String,
 }
 
@@ -53,6 +56,13 @@
         named.into_iter().map(|listed| listed.address).collect()
     }
 
+    /// Where an engine stands, if it is listed.
+    pub(crate) fn failure_domain(&self, engine: SocketAddr) -> Option<FailureDomainId> {
+        let known = self.known.lock();
+        let place = known.engines.binary_search_by_key(&engine, |listed| listed.address).ok()?;
+        Some(known.engines[place].failure_domain.clone())
+    }
+
     fn is_listed(&self, engine: SocketAddr) -> bool {
         self.known.lock().engines.iter().any(|listed| listed.address == engine)
     }
@@ -62,11 +72,14 @@
         let service = list.endpoints.iter().find(|e| e.address == own).map(|e| e.service.clone());
         let Some(service) = service else { return };
         let of_service = list.endpoints.iter().filter(|endpoint| endpoint.service == service);
-        let mut addresses: Vec<SocketAddr> = of_service.map(|endpoint| endpoint.address).collect();
-        addresses.sort();
-        addresses.dedup();
-        let listed = |address: SocketAddr| Listed { address, name: address.to_string() };
-        let engines = addresses.into_iter().map(listed).collect();
+        let listed = |endpoint: &EndpointRecord| Listed {
+            address: endpoint.address,
+            failure_domain: endpoint.failure_domain.clone(),
+            name: endpoint.address.to_string(),
+        };
+        let mut engines: Vec<Listed> = of_service.map(listed).collect();
+        engines.sort_by_key(|listed| listed.address);
+        engines.dedup_by_key(|listed| listed.address);
         *self.known.lock() = OfService { service: Some(service), engines };
     }
 
