Give slots of engines an owner, which takes them before others' slots

Cause: 35 entries before 192 engines of six slots know of each other what an engine told with its last answer, which is 14 s old on the mean. They took the least loaded, and of equals the one chosen longest ago; at first that is the first of the list, for all entries alike.

Ruled out: passes (53 ms each in the first 1.4 s), places in the queue.

Change: each slot has one owner among the entries, by rendezvous hashing of endpoint, slot and entry; an entry takes its own free slots first, then others' as before, and equals that it never chose in an order of its own.

--- a/crates/core/src/mechanism.rs
+++ b/crates/core/src/mechanism.rs
@@ -23,6 +23,8 @@
     LossyLead,
     /// A group that refuses is sent one call at a time.
     OutageWatch,
+    /// An entry takes the slots of engines first at which it goes before others.
+    OwnSlots,
     /// What runs is limited so that pauses are on time.
     PaceLimit,
     /// Calls are repeated where that is allowed.
@@ -43,7 +45,7 @@
 
 impl Mechanism {
     /// All mechanisms, with the names that operators use.
-    pub const ALL: [(Mechanism, &'static str); 17] = [
+    pub const ALL: [(Mechanism, &'static str); 18] = [
         (Mechanism::ConnectionReuse, "connection-reuse"),
         (Mechanism::DirectReads, "direct-reads"),
         (Mechanism::GroupChoice, "group-choice"),
@@ -53,6 +55,7 @@
         (Mechanism::LaterLives, "later-lives"),
         (Mechanism::LossyLead, "lossy-lead"),
         (Mechanism::OutageWatch, "outage-watch"),
+        (Mechanism::OwnSlots, "own-slots"),
         (Mechanism::PaceLimit, "pace-limit"),
         (Mechanism::Repeats, "repeats"),
         (Mechanism::ReportedLoad, "reported-load"),
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -6,7 +6,7 @@
 };
 
 use lynxmount_core::{EndpointId, EndpointRecord, edge::ReportedLoad};
-use lynxmount_policy::{CallEnd, GroupWatch, Health, Seat};
+use lynxmount_policy::{CallEnd, GroupWatch, Health, OwnSlots, Seat};
 use parking_lot::Mutex;
 
 use crate::{pool::Pool, service::Service};
@@ -36,6 +36,7 @@
     health: Health,
     last_chosen: u64,
     group: Option<Arc<str>>,
+    own_slots: Option<OwnSlots>,
 }
 
 /// What an endpoint can take.
@@ -93,6 +94,15 @@
         self.load.lock().group = Some(Arc::clone(group));
     }
 
+    /// Takes what this entry has of the endpoint's slots.
+    pub(crate) fn note_own_slots(&self, own: OwnSlots) {
+        self.load.lock().own_slots = Some(own);
+    }
+
+    pub(crate) fn has_own_slots(&self) -> bool {
+        self.load.lock().own_slots.is_some()
+    }
+
     pub(crate) fn own_running(&self) -> u32 {
         self.load.lock().own_running
     }
@@ -117,6 +127,8 @@
             others_running: if is_told { load.others_running } else { 0 },
             capacity: room.capacity,
             own_capacity: room.own_capacity,
+            own_slots: load.own_slots.map_or(0, |own| own.count),
+            own_order: load.own_slots.map_or(0, |own| own.order),
             is_closed: !groups.may_send(group, room.now),
             pace: groups.pace(group, room.now),
             is_limited: room.group_share.is_some_and(|share| groups.is_at_limit(group, share)),
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use lynxmount_core::{Offset, Result};
 use lynxmount_link::{Handle, KnownFleet, ask_fleet, asked_fleet};
+use lynxmount_policy::SlotOwners;
 use parking_lot::Mutex;
 use rand::seq::SliceRandom;
 
@@ -33,10 +34,13 @@
         *self.registered.lock() = addresses.into_iter().collect();
     }
 
-    /// How many entries there are, this one included.
-    pub(crate) fn count(&self) -> usize {
-        let others = self.registered.lock().iter().filter(|a| **a != self.own).count();
-        others.max(self.seeds.iter().filter(|a| **a != self.own).count()) + 1
+    /// All entries: those that are registered, or the seeds as long as these are more.
+    pub(crate) fn owners(&self) -> SlotOwners {
+        let registered: BTreeSet<SocketAddr> = self.registered.lock().clone();
+        let seeds: BTreeSet<SocketAddr> = self.seeds.iter().copied().collect();
+        let entries = if registered.len() >= seeds.len() { registered } else { seeds };
+        let names: Vec<String> = entries.iter().map(SocketAddr::to_string).collect();
+        SlotOwners::new(&self.own.to_string(), names.iter().map(String::as_str))
     }
 
     fn others(&self) -> Vec<SocketAddr> {
--- a/crates/direct/src/places.rs
+++ b/crates/direct/src/places.rs
@@ -4,6 +4,7 @@
 
 use lynxmount_core::{Clock, EndpointList, EndpointState, Mechanisms, ServiceId, SiteBounds};
 use lynxmount_link::{GroupMembersNotice, GroupNotice, MembersFingerprint};
+use lynxmount_policy::SlotOwners;
 use parking_lot::Mutex;
 
 use crate::{endpoint::Endpoint, fleet::ConfigView, service::Service};
@@ -54,7 +55,7 @@
     }
 
     /// Takes over services and endpoints.
-    pub(crate) fn update(&self, config: &ConfigView, list: &EndpointList, entries: usize) {
+    pub(crate) fn update(&self, config: &ConfigView, list: &EndpointList, owners: &SlotOwners) {
         let mut services = self.services.lock();
         services.retain(|id, _| config.service(id).is_some());
         for spec in &config.config.services {
@@ -63,7 +64,7 @@
             let ready = list.endpoints.iter().filter(|endpoint| {
                 endpoint.service == spec.id && endpoint.state == EndpointState::Ready
             });
-            service.update(ready, spec.engine.as_ref(), entries);
+            service.update(ready, spec.engine.as_ref(), owners);
         }
     }
 }
--- a/crates/direct/src/service.rs
+++ b/crates/direct/src/service.rs
@@ -12,8 +12,8 @@
 };
 use lynxmount_link::{GroupMembersNotice, GroupNotice, MembersFingerprint};
 use lynxmount_policy::{
-    GroupChange, GroupWatch, Offer, PaceClass, Placement, Seat, ServiceQueue, StreamEvent, Ticket,
-    Waiter, WindowBudget, WindowBudgetOptions, place,
+    GroupChange, GroupWatch, Offer, PaceClass, Placement, Seat, ServiceQueue, SlotOwners,
+    StreamEvent, Ticket, Waiter, WindowBudget, WindowBudgetOptions, place,
 };
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
@@ -72,6 +72,8 @@
     /// Requests that one endpoint runs at once.
     slots: Option<u32>,
     entries: usize,
+    /// The entries that the endpoints' slots were divided among last.
+    owners: Option<SlotOwners>,
     mechanisms: Arc<Mechanisms>,
 }
 
@@ -92,6 +94,7 @@
             choices: 0,
             slots: None,
             entries: 1,
+            owners: None,
             mechanisms: Arc::clone(&mechanisms),
         };
         Service { clock, group_stall: bounds.group_stall, mechanisms, inner: Mutex::new(inner) }
@@ -101,7 +104,7 @@
         self: &Arc<Service>,
         ready: impl Iterator<Item = &'a EndpointRecord>,
         engine: Option<&EngineSpec>,
-        entries: usize,
+        owners: &SlotOwners,
     ) {
         let mut inner = self.inner.lock();
         let known = std::mem::take(&mut inner.endpoints);
@@ -114,7 +117,8 @@
         let experts = engine.and_then(|engine| engine.experts);
         inner.groups.set_usual_outage(experts.map(|spec| self.group_stall + spec.form_time));
         inner.slots = engine.map(|engine| engine.slots);
-        inner.entries = entries.max(1);
+        inner.entries = owners.entries();
+        inner.note_owners(owners);
         drop(inner);
         self.wake();
     }
@@ -320,6 +324,19 @@
 }
 
 impl Inner {
+    /// Gives the endpoints of a model service what this entry has of their slots. Calls
+    /// of other services end before a slot's owner matters.
+    fn note_owners(&mut self, owners: &SlotOwners) {
+        let Some(slots) = self.slots.filter(|_| self.mechanisms.has(Mechanism::OwnSlots)) else {
+            return;
+        };
+        let are_same = self.owners.as_ref() == Some(owners);
+        for endpoint in self.endpoints.iter().filter(|e| !are_same || !e.has_own_slots()) {
+            endpoint.note_own_slots(owners.own_slots(&endpoint.record.id, slots));
+        }
+        self.owners = Some(owners.clone());
+    }
+
     /// Gives all endpoints their groups, and forgets groups without endpoints.
     fn note_groups(&mut self) {
         let Inner { endpoints, members, .. } = self;
--- a/crates/direct/src/watch.rs
+++ b/crates/direct/src/watch.rs
@@ -164,7 +164,7 @@
             endpoints = known.map(|list| list.endpoints.clone()).unwrap_or_default();
         }
         let list = EndpointList { read_to, endpoints };
-        self.places.update(&config, &list, self.peers.count());
+        self.places.update(&config, &list, &self.peers.owners());
     }
 
     fn note_read(&self) {
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -3,9 +3,11 @@
 //! The group goes first: one whose streams are on time, or a late one if those have
 //! no room, and one that stands still only if all do.
 //!
-//! An entry knows its own calls exactly and those of others from late reports.
-//! With few endpoints the least loaded one is taken; among equals, the one that
-//! was chosen longest ago, so that entries which start alike don't stay alike.
+//! An entry knows its own calls exactly and those of others from late reports. It
+//! takes slots at which it goes first before those of others, see
+//! [`crate::SlotOwners`]. With few endpoints the least loaded one is taken; among
+//! equals, the one that was chosen longest ago, and of those that never were the first
+//! in the entry's own order, so that entries which start alike don't stay alike.
 
 use crate::PaceClass;
 
@@ -20,6 +22,10 @@
     pub capacity: u32,
     /// Calls of this entry that may be in progress there.
     pub own_capacity: u32,
+    /// Slots there at which this entry goes before others.
+    pub own_slots: u32,
+    /// Where it stands in this entry's own order of endpoints.
+    pub own_order: u64,
     /// Of a group that takes no calls.
     pub is_closed: bool,
     /// What a stream may expect of its group.
@@ -37,10 +43,15 @@
 impl Seat {
     fn has_room(&self) -> bool {
         !self.is_limited
-            && self.own_running < self.own_capacity
+            && self.own_running < self.own_capacity.max(self.own_slots)
             && self.own_running + self.others_running < self.capacity
     }
 
+    /// Says whether this entry would take a slot at which another goes first.
+    fn is_of_others(&self) -> bool {
+        self.own_running >= self.own_slots
+    }
+
     /// Orders by load in parts of the capacity, without rounding.
     fn load(&self) -> u64 {
         let running = u64::from(self.own_running + self.others_running);
@@ -88,5 +99,6 @@
     let class = |seat: &Seat| (seat.is_ejected, seat.was_tried);
     let best = seats.iter().map(|(_, seat)| class(seat)).min()?;
     let with_room = seats.iter().filter(|(_, seat)| class(seat) == best && seat.has_room());
-    with_room.min_by_key(|(_, seat)| (seat.load(), seat.last_chosen)).map(|(index, _)| *index)
+    let order = |seat: &Seat| (seat.is_of_others(), seat.load(), seat.last_chosen, seat.own_order);
+    with_room.min_by_key(|(_, seat)| order(seat)).map(|(index, _)| *index)
 }
