Let an entry that the store turns away learn from peers which endpoints leave

So an entry in an outage of its own kept to what it had read last, however long that lasted.

Ruled out: a slow store (reads took 4 ms before), late peers (they knew in time).

Change: a peer's newer list is taken like a read of the own; peers are asked as soon as a read takes 300 ms, not only once it has failed (0.9 s). Relays pass an order's bytes on as they came.

Both new tests of platform_entry gave up after 20 s on the code before and pass.

--- a/crates/direct/src/watch.rs
+++ b/crates/direct/src/watch.rs
@@ -2,11 +2,14 @@
 
 use std::{
     net::SocketAddr,
+    pin::pin,
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use lynxmount_core::{Clock, EndpointList, FleetConfig, Offset, SiteBounds, edge::FleetSource};
+use lynxmount_core::{
+    Clock, EndpointList, FleetConfig, Offset, Result, SiteBounds, edge::FleetSource,
+};
 use lynxmount_policy::Membership;
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
@@ -20,6 +23,12 @@
 /// How soon a failed read is tried again.
 const RETRY_PERIOD: Duration = Duration::from_millis(300);
 
+/// How long a read of the store may take until peers are asked too. The store answers in
+/// 4 ms, and in 240 ms while it is slow. What an entry knows is then at most as old as
+/// its period, this time and a peer's period: 3.7 s where endpoints that leave must get
+/// no more work after 4 s. Without peers it was as old as the outage.
+const SLOW_READ: Duration = Duration::from_millis(300);
+
 /// How often the addresses of peers are read.
 const PEERS_PERIOD: Duration = Duration::from_secs(8);
 
@@ -105,7 +114,7 @@
         let mut reachability = Reachability::new("endpoints");
         loop {
             let known = self.fleet.endpoints().map(|list| (*list).clone()).unwrap_or_default();
-            match self.source.refresh_endpoints(&known).await {
+            match self.read_endpoints(&known).await {
                 Ok(list) => {
                     reachability.regained();
                     self.note_read();
@@ -122,6 +131,15 @@
         }
     }
 
+    /// Reads registrations from the platform, and asks peers too if that takes long.
+    async fn read_endpoints(&self, known: &EndpointList) -> Result<EndpointList> {
+        let mut reading = pin!(self.source.refresh_endpoints(known));
+        match tokio::time::timeout(SLOW_READ, &mut reading).await {
+            Ok(read) => read,
+            Err(_) => tokio::join!(reading, self.learn_from_peers()).0,
+        }
+    }
+
     fn take_endpoints(&self, list: EndpointList) {
         self.membership.lock().take(&list, self.clock.now());
         self.fleet.offer_endpoints(list);
@@ -151,18 +169,16 @@
 
     async fn learn_from_peers(&self) {
         self.peers.learn(&self.fleet).await;
+        if let Some(list) = self.fleet.endpoints() {
+            self.membership.lock().take_from_peer(&list, self.clock.now());
+        }
         self.update_places();
     }
 
     fn update_places(&self) {
         let Some(config) = self.fleet.config() else { return };
-        let known = self.fleet.endpoints();
-        let read_to = known.as_ref().map_or(0, |list| list.read_to);
-        let mut endpoints = self.membership.lock().endpoints();
-        if endpoints.is_empty() {
-            // Nothing was read from the platform yet; peers may have told some.
-            endpoints = known.map(|list| list.endpoints.clone()).unwrap_or_default();
-        }
+        let read_to = self.fleet.endpoints().map_or(0, |list| list.read_to);
+        let endpoints = self.membership.lock().endpoints();
         let list = EndpointList { read_to, endpoints };
         self.places.update(&config, &list, &self.peers.owners());
     }
--- a/crates/lynxmount/tests/platform_entry.rs
+++ b/crates/lynxmount/tests/platform_entry.rs
@@ -14,7 +14,7 @@
 use http::{Method, StatusCode};
 use lynxmount_link::{GROUP_PORT_OFFSET, GroupMembersNotice, GroupMessage, GroupNotice};
 use lynxmount_platform_standin::{
-    Behaviour, Call, CallerStandin, StoreMode, Told,
+    Behaviour, Call, CallerStandin, StoreMode, StoreStandin, Told,
     fixture::{
         CONFIG_KEY, GroupText, ONCE, OPERATOR_TOPIC, PLAIN, REGISTRATIONS_TOPIC, STREAM, TEAM,
         config_text, service_of,
@@ -22,8 +22,8 @@
 };
 use nix::sys::signal::Signal;
 use platform_common::{
-    Fleet, INTERNAL_PORT, KEY, Process, READINESS_PORT, call, config, entry_ip, entry_settings,
-    get, ip, registration, wait_for,
+    Fleet, INTERNAL_PORT, KEY, Process, READINESS_PORT, STORE_PORT, call, config, entry_ip,
+    entry_settings, get, ip, registration, wait_for,
 };
 use tokio::{net::UdpSocket, task::JoinHandle};
 
@@ -300,6 +300,47 @@
     assert_eq!(leaving.seen().len(), seen_before);
 }
 
+/// A store of its own stands for one that turns some entries away: both have the same
+/// log up to the moment at which one of them falls silent.
+async fn an_entry_cut_from_the_store(mode: StoreMode) {
+    let fleet = Fleet::start(PLAIN, &[Behaviour::Answer, Behaviour::Answer]).await;
+    let address = (ip(fleet.network, 251), STORE_PORT).into();
+    let other_store = StoreStandin::start(address).await.expect("a store");
+    other_store.put(OPERATOR_TOPIC, CONFIG_KEY, &config(1, &[KEY]));
+    for (index, replica) in fleet.replicas.iter().enumerate() {
+        let text = registration(replica, PLAIN, "ready");
+        other_store.put(REGISTRATIONS_TOPIC, &format!("i-{index}"), &text);
+    }
+    let own = entry_ip(fleet.network, 1);
+    let settings = entry_settings(own, other_store.address(), &[entry_ip(fleet.network, 0)]);
+    let _cut = Process::start("platform-entry", &settings);
+    fleet.wait_until_ready(own).await;
+
+    other_store.set_mode(mode);
+    let leaving = &fleet.replicas[0];
+    fleet.store.put(REGISTRATIONS_TOPIC, "i-0", &registration(leaving, PLAIN, "draining"));
+
+    let address = (own, platform_common::CALLERS_PORT).into();
+    wait_for("calls that pass the leaving replica by", async || {
+        let before = leaving.seen().len();
+        for _ in 0..6 {
+            call(address, Method::GET, &path(PLAIN), KEY).await.expect("an answer");
+        }
+        leaving.seen().len() == before
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn an_entry_that_the_store_turns_away_learns_from_peers_which_replicas_leave() {
+    an_entry_cut_from_the_store(StoreMode::Busy).await;
+}
+
+#[tokio::test]
+async fn an_entry_that_the_store_does_not_answer_learns_from_peers_which_replicas_leave() {
+    an_entry_cut_from_the_store(StoreMode::Silent).await;
+}
+
 #[tokio::test]
 async fn a_process_that_leaves_finishes_its_streams_and_tells_that_it_is_not_ready() {
     let stream = Behaviour::Stream { events: 30, pause: Duration::from_millis(50) };
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -41,6 +41,8 @@
     /// Missing since an outage, and until when they may come back.
     missing: BTreeMap<EndpointId, EndpointRecord>,
     last_read: Option<Duration>,
+    /// Up to which position of the store's log the list was read.
+    read_to: Offset,
     doubted_until: Duration,
 }
 
@@ -60,6 +62,7 @@
             listed: BTreeMap::new(),
             missing: BTreeMap::new(),
             last_read: None,
+            read_to: 0,
             doubted_until: Duration::ZERO,
         }
     }
@@ -71,6 +74,7 @@
             self.doubted_until = now + RETURN_TIME;
         }
         self.last_read = Some(now);
+        self.read_to = list.read_to;
         let before = std::mem::take(&mut self.listed);
         let listed = list.endpoints.iter();
         self.listed = listed.map(|e| (EndpointId::clone(&e.id), e.clone())).collect();
@@ -83,6 +87,14 @@
         self.remember(now);
     }
 
+    /// Takes a list that another process has read from the store, if it is newer. Whoever
+    /// the store turns away would otherwise go on sending to endpoints that leave.
+    pub fn take_from_peer(&mut self, list: &EndpointList, now: Duration) {
+        if list.read_to > self.read_to {
+            self.take(list, now);
+        }
+    }
+
     /// The endpoints that may live, the latest life of each address.
     pub fn endpoints(&self) -> Vec<EndpointRecord> {
         let mut latest: BTreeMap<SocketAddr, &EndpointRecord> = BTreeMap::new();
--- a/crates/rank/src/demand.rs
+++ b/crates/rank/src/demand.rs
@@ -8,7 +8,7 @@
 use crate::message::DemandSample;
 
 /// A life of a group, by the group's name.
-pub(crate) type GroupLife = (String, GroupEpoch);
+pub type GroupLife = (String, GroupEpoch);
 
 /// Demand by set and expert, as it is since the last shift.
 pub(crate) struct Demand {
--- a/crates/rank/src/lib.rs
+++ b/crates/rank/src/lib.rs
@@ -12,7 +12,7 @@
 mod duty;
 mod members;
 mod memory;
-mod message;
+pub mod message;
 mod notifier;
 mod orders;
 mod process;
@@ -20,4 +20,5 @@
 mod roster;
 mod spec;
 
+pub use demand::GroupLife;
 pub use process::run;
--- a/crates/rank/src/message.rs
+++ b/crates/rank/src/message.rs
@@ -32,11 +32,11 @@
 const MAX_PLAIN_BYTES: usize = 1 << 20;
 
 /// Names an order and its answer.
-pub(crate) type OrderId = u64;
+pub type OrderId = u64;
 
 /// One datagram.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub(crate) enum Datagram {
+pub enum Datagram {
     /// The rank of the sender's engine, told to a directory of its group.
     Announcement(Announcement),
     /// What has become of an order.
@@ -46,7 +46,12 @@
     /// A map that the receiver has asked for.
     Map(MapCopy),
     /// The sender lacks a map.
-    MapAsked { epoch: GroupEpoch, version: MapVersion },
+    MapAsked {
+        /// The group's life.
+        epoch: GroupEpoch,
+        /// The map.
+        version: MapVersion,
+    },
     /// A directory's answer: the ranks of the receiver's group.
     Members(GroupMembers),
     /// An order to the engine beside the receiver.
@@ -58,90 +63,130 @@
 }
 
 /// An order to the engine beside the receiver and to those beside others, which is
-/// answered to whoever gave it.
+/// answered to whoever gave it. Relays pass the bytes on as they came: writing a map
+/// anew for each receiver took the balancing process 16 times as long.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub(crate) struct RelayedOrder {
-    pub(crate) order: OrderMessage,
+pub struct RelayedOrder {
+    /// A datagram with the order.
+    pub order: Arc<[u8]>,
     /// Who has given the order.
-    pub(crate) answer_to: SocketAddr,
+    pub answer_to: SocketAddr,
     /// The processes that the receiver passes it on to.
-    pub(crate) to: Vec<SocketAddr>,
+    pub to: Vec<SocketAddr>,
 }
 
 /// How often each expert was chosen by one rank's requests since its last sample, one
 /// set after the other. Differences take a byte each where counts since the start take
 /// three, and one that is lost is only a smaller sample.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub(crate) struct DemandSample {
+pub struct DemandSample {
     /// The group's name and life.
-    pub(crate) life: GroupLife,
-    pub(crate) chosen: Vec<u64>,
+    pub life: GroupLife,
+    /// The counts.
+    pub chosen: Vec<u64>,
 }
 
 /// A map, for a process that lacks it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub(crate) struct MapCopy {
-    pub(crate) epoch: GroupEpoch,
-    pub(crate) version: MapVersion,
-    pub(crate) map: Arc<GroupMap>,
+pub struct MapCopy {
+    /// The group's life.
+    pub epoch: GroupEpoch,
+    /// The map's number.
+    pub version: MapVersion,
+    /// The map.
+    pub map: Arc<GroupMap>,
 }
 
 /// The state of one rank.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub(crate) struct RankState {
+pub struct RankState {
     /// The engine's address, which names the rank's process.
-    pub(crate) engine: SocketAddr,
+    pub engine: SocketAddr,
     /// What the engine reports.
-    pub(crate) report: EngineReport,
+    pub report: EngineReport,
 }
 
 /// An order to an engine. Whoever gets it twice gives it twice, which changes
 /// nothing.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub(crate) struct OrderMessage {
-    pub(crate) id: OrderId,
+pub struct OrderMessage {
+    /// Names the order.
+    pub id: OrderId,
     /// The group's life.
-    pub(crate) epoch: GroupEpoch,
-    pub(crate) action: ActionMessage,
+    pub epoch: GroupEpoch,
+    /// What to do.
+    pub action: ActionMessage,
 }
 
 /// What an engine is asked to do; see [`Action`].
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub(crate) enum ActionMessage {
-    Arm { version: MapVersion, step: GroupStep },
-    Disarm { version: MapVersion },
-    Go { step: GroupStep },
-    Hold { step: GroupStep },
-    Prepare { version: MapVersion, map: MapMessage },
+pub enum ActionMessage {
+    /// Switch to a prepared map as a step begins.
+    Arm {
+        /// The map.
+        version: MapVersion,
+        /// The step.
+        step: GroupStep,
+    },
+    /// Take back that the rank switches.
+    Disarm {
+        /// The map that it would have switched to.
+        version: MapVersion,
+    },
+    /// Let the group begin a step that it was held at.
+    Go {
+        /// The step.
+        step: GroupStep,
+    },
+    /// Keep the group from beginning a step until it is let go.
+    Hold {
+        /// The step.
+        step: GroupStep,
+    },
+    /// Fetch the experts that a map needs.
+    Prepare {
+        /// The number that the map gets.
+        version: MapVersion,
+        /// The map.
+        map: MapMessage,
+    },
 }
 
 /// A map, as a whole or by what differs: a whole one of 192 ranks takes 11 kB.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub(crate) enum MapMessage {
+pub enum MapMessage {
     /// Rows that differ from another map.
-    Changed { base: MapVersion, rows: Vec<MapRow> },
+    Changed {
+        /// The other map.
+        base: MapVersion,
+        /// The rows.
+        rows: Vec<MapRow>,
+    },
     /// All experts of each set and rank.
     Full(GroupMap),
 }
 
 /// The experts of one rank in one set that differ.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub(crate) struct MapRow {
+pub struct MapRow {
     /// Rows since the one before that are the same, in the order of sets and ranks.
-    pub(crate) skipped: usize,
-    pub(crate) experts: Vec<usize>,
+    pub skipped: usize,
+    /// The experts.
+    pub experts: Vec<usize>,
 }
 
 /// What has become of an order.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub(crate) struct AnswerMessage {
-    pub(crate) id: OrderId,
-    pub(crate) outcome: OrderOutcome,
+pub struct AnswerMessage {
+    /// Names the order.
+    pub id: OrderId,
+    /// What has become of it.
+    pub outcome: OrderOutcome,
 }
 
 /// What has become of an order.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub(crate) enum OrderOutcome {
+pub enum OrderOutcome {
     /// The engine was given it.
     Given(Box<OrderAnswer>),
     /// The process does not know the map that the order builds on.
@@ -152,22 +197,25 @@
 
 /// An engine's answer to an order.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub(crate) struct OrderAnswer {
+pub struct OrderAnswer {
     /// The engine's answer; `None` if it gave none in time.
-    pub(crate) result: Option<OrderResult>,
+    pub result: Option<OrderResult>,
     /// How often it was given until there was an answer.
-    pub(crate) tries: u32,
+    pub tries: u32,
     /// The engine's state after that.
-    pub(crate) report: EngineReport,
+    pub report: EngineReport,
 }
 
 impl Datagram {
     /// Writes a datagram; a long one is compressed.
-    pub(crate) fn encode(&self) -> Result<Vec<u8>> {
+    ///
+    /// Fails if it can't be written.
+    pub fn encode(&self) -> Result<Vec<u8>> {
         let mut plain = vec![PLAIN];
         plain =
             postcard::to_extend(self, plain).map_err(|e| invalid(Step::Order, "datagram", e))?;
-        if plain.len() < COMPRESS_FROM_BYTES {
+        let is_compressed_inside = matches!(self, Datagram::Relayed(_));
+        if plain.len() < COMPRESS_FROM_BYTES || is_compressed_inside {
             return Ok(plain);
         }
         let mut compressed = vec![COMPRESSED];
@@ -175,7 +223,10 @@
         Ok(compressed)
     }
 
-    pub(crate) fn decode(peer: SocketAddr, bytes: &[u8]) -> Result<Datagram> {
+    /// Reads a datagram.
+    ///
+    /// Fails if it is none.
+    pub fn decode(peer: SocketAddr, bytes: &[u8]) -> Result<Datagram> {
         let unreadable = |error: &dyn Display| invalid(Step::Order, peer, error);
         let parse = |bytes: &[u8]| postcard::from_bytes(bytes).map_err(|e| unreadable(&e));
         match bytes.split_first() {
@@ -193,7 +244,7 @@
 impl OrderMessage {
     /// Makes a message of an order; a map goes by what differs from a map that
     /// the receiver is expected to know.
-    pub(crate) fn new(
+    pub fn new(
         id: OrderId,
         order: &EngineOrder,
         base: Option<(MapVersion, &GroupMap)>,
@@ -211,7 +262,7 @@
     }
 
     /// The order; `None` if it builds on a map that is not known.
-    pub(crate) fn order(
+    pub fn order(
         self,
         known: impl FnOnce(MapVersion) -> Option<Arc<GroupMap>>,
     ) -> Option<EngineOrder> {
--- a/crates/rank/src/orders.rs
+++ b/crates/rank/src/orders.rs
@@ -146,14 +146,15 @@
     ) -> Result<HashMap<SocketAddr, Awaiting>> {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let message = OrderMessage::new(id, order, base);
-        let message_bytes = Datagram::Order(message.clone()).encode()?.len();
-        if !relays_pay(message_bytes, targets.len(), self.link_bytes_per_s) {
+        let order: Arc<[u8]> = Datagram::Order(message).encode()?.into();
+        if !relays_pay(order.len(), targets.len(), self.link_bytes_per_s) {
             return Ok(HashMap::new());
         }
         let peers = targets.iter().map(|target| target.address);
         let awaited = peers.map(|peer| (peer, self.expect(peer, id, true))).collect();
         for Relay { through, to } in relays(targets, id) {
-            let relayed = RelayedOrder { order: message.clone(), answer_to: self.own, to };
+            let order = Arc::clone(&order);
+            let relayed = RelayedOrder { order, answer_to: self.own, to };
             self.send(through, &Datagram::Relayed(relayed).encode()?).await;
         }
         Ok(awaited)
@@ -262,10 +263,14 @@
     pub(crate) async fn take_relayed(self: Arc<Inbox<E>>, relayed: RelayedOrder) {
         let RelayedOrder { order, answer_to, to } = relayed;
         if !to.is_empty() {
-            self.pass_on(RelayedOrder { order: order.clone(), answer_to, to: Vec::new() }, &to)
-                .await;
+            let passed = RelayedOrder { order: Arc::clone(&order), answer_to, to: Vec::new() };
+            self.pass_on(passed, &to).await;
+        }
+        match Datagram::decode(answer_to, &order) {
+            Ok(Datagram::Order(message)) => self.take(answer_to, message).await,
+            Ok(_) => log::warn!(peer:% = answer_to; "what was passed on is no order"),
+            Err(error) => log::warn!(error:% = error; "an order that was passed on can't be read"),
         }
-        self.take(answer_to, order).await;
     }
 
     async fn pass_on(&self, relayed: RelayedOrder, to: &[SocketAddr]) {
