Tell an outage of the store by the period of reads, so that what is removed is gone

Where endpoints that leave must get no more work after 4 s, registrations are read each 1.7 s: every read was one after an outage, and a registration that was removed without a word of draining was kept as long as the process lived. Seen in the entries' logs of each read: 197 endpoints before 17.0 s, 196 from 18.55 s on, calls to the removed one up to 21.3 s.

Ruled out: entries that the store turns away.

Change: a read is late 650 ms after its period, which is 1.5 s on the small sites as before.

The new test is red with the limit that does not follow the period.

--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -21,7 +21,7 @@
     peers::{PeerPort, Peers},
     places::Places,
     readiness::ReadinessPort,
-    watch::Watch,
+    watch::{Watch, endpoints_period},
 };
 
 /// Runs an entry process until it has drained.
@@ -91,7 +91,10 @@
         clock,
         bounds: settings.bounds,
         last_read,
-        membership: Mutex::new(Membership::new(mechanisms.has(Mechanism::LaterLives))),
+        membership: Mutex::new(Membership::new(
+            mechanisms.has(Mechanism::LaterLives),
+            endpoints_period(&settings.bounds),
+        )),
     });
     tokio::spawn(Arc::clone(&watch).follow_config());
     tokio::spawn(Arc::clone(&watch).follow_endpoints());
--- a/crates/direct/src/watch.rs
+++ b/crates/direct/src/watch.rs
@@ -32,6 +32,11 @@
 /// How often the addresses of peers are read.
 const PEERS_PERIOD: Duration = Duration::from_secs(8);
 
+/// How often registrations are read.
+pub(crate) fn endpoints_period(bounds: &SiteBounds) -> Duration {
+    bounds.drain.mul_f64(ENDPOINTS_PART)
+}
+
 /// What the watching tasks share.
 pub(crate) struct Watch<S> {
     pub(crate) source: Arc<S>,
@@ -119,7 +124,7 @@
                     reachability.regained();
                     self.note_read();
                     self.take_endpoints(list);
-                    tokio::time::sleep(self.bounds.drain.mul_f64(ENDPOINTS_PART)).await;
+                    tokio::time::sleep(endpoints_period(&self.bounds)).await;
                 }
                 Err(error) => {
                     self.metrics.count("platform.endpoints_read_failed");
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -16,9 +16,15 @@
 /// How long after the store is back a missing registration may still appear.
 const RETURN_TIME: Duration = Duration::from_millis(2200);
 
-/// How long the store must have been out of reach for registrations to lapse:
-/// less than three heartbeats of the reference deployments.
-const SHORT_OUTAGE: Duration = Duration::from_millis(1500);
+/// By how much longer than the usual period two reads must lie apart for the store to
+/// have been out of reach. Registrations lapse after three heartbeats, 3.6 s on the
+/// reference deployments, so that this and a period of 1.7 s are soon enough. A limit
+/// that does not follow the period took each read for one after an outage where the
+/// period was longer, and a registration that was removed was never believed to be.
+const LATE_READ: Duration = Duration::from_millis(650);
+
+/// The period of reads if nothing else is said.
+const USUAL_READ_PERIOD: Duration = Duration::from_millis(850);
 
 /// How long after its last registration an id is remembered: a registration that
 /// was on its way when its endpoint ended may be seen much later.
@@ -36,6 +42,8 @@
 pub struct Membership {
     /// Whether of two lives at one address the later one holds.
     tells_lives_apart: bool,
+    /// How often the list is read while the store answers.
+    read_period: Duration,
     known: BTreeMap<EndpointId, Known>,
     listed: BTreeMap<EndpointId, EndpointRecord>,
     /// Missing since an outage, and until when they may come back.
@@ -49,15 +57,17 @@
 impl Default for Membership {
     /// Starts with no endpoint, and tells lives apart.
     fn default() -> Membership {
-        Membership::new(true)
+        Membership::new(true, USUAL_READ_PERIOD)
     }
 }
 
 impl Membership {
-    /// Starts with no endpoint.
-    pub fn new(tells_lives_apart: bool) -> Membership {
+    /// Starts with no endpoint; the list is read with this period while the store
+    /// answers.
+    pub fn new(tells_lives_apart: bool, read_period: Duration) -> Membership {
         Membership {
             tells_lives_apart,
+            read_period,
             known: BTreeMap::new(),
             listed: BTreeMap::new(),
             missing: BTreeMap::new(),
@@ -69,7 +79,8 @@
 
     /// Takes a list that was just read from the store.
     pub fn take(&mut self, list: &EndpointList, now: Duration) {
-        let was_out = self.last_read.is_some_and(|read| now.saturating_sub(read) > SHORT_OUTAGE);
+        let late_after = self.read_period + LATE_READ;
+        let was_out = self.last_read.is_some_and(|read| now.saturating_sub(read) > late_after);
         if was_out {
             self.doubted_until = now + RETURN_TIME;
         }
--- a/crates/policy/tests/direct.rs
+++ b/crates/policy/tests/direct.rs
@@ -174,6 +174,32 @@
     assert_eq!(ids(&membership), ["a"]);
 }
 
+#[test]
+fn a_registration_that_is_removed_is_gone_at_once_however_rarely_the_list_is_read() {
+    for period_ms in [850, 1700, 5000] {
+        let mut membership = Membership::new(true, at_ms(period_ms));
+        for read in 0..4 {
+            membership.take(&list(1, &["a", "b"]), at_ms(read * period_ms));
+        }
+
+        membership.take(&list(2, &["a"]), at_ms(4 * period_ms + 20));
+
+        assert_eq!(ids(&membership), ["a"], "a period of {period_ms} ms");
+    }
+}
+
+#[test]
+fn a_list_of_a_peer_counts_if_it_is_newer() {
+    let mut membership = Membership::default();
+    membership.take(&list(5, &["a", "b"]), at_ms(0));
+
+    membership.take_from_peer(&list(5, &["a"]), at_ms(700));
+    assert_eq!(ids(&membership), ["a", "b"]);
+
+    membership.take_from_peer(&list(6, &["b"]), at_ms(800));
+    assert_eq!(ids(&membership), ["b"]);
+}
+
 #[test]
 fn registrations_that_lapse_in_an_outage_have_time_to_come_back() {
     let mut membership = Membership::default();
