--- a/crates/rank/src/demand.rs
+++ b/crates/rank/src/demand.rs
@@ -33,7 +33,7 @@
     /// Takes a sample; one of another life of the group is left out.
     pub(crate) fn take(&mut self, sample: &DemandSample, now: Instant) {
         if self.life.as_ref() == Some(&sample.life) {
-            self.windows.add(&sample.chosen, now);
+            self.windows.add(&sample.chosen(), now);
         }
     }
 
--- a/crates/rank/src/message.rs
+++ b/crates/rank/src/message.rs
@@ -76,14 +76,31 @@
 }
 
 /// How often each expert was chosen by one rank's requests since its last sample, one
-/// set after the other. Differences take a byte each where counts since the start take
-/// three, and one that is lost is only a smaller sample.
+/// set after the other. Differences rounded to 255 steps take a byte each where counts
+/// since the start take three, and one that is lost is only a smaller sample.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct DemandSample {
     /// The group's name and life.
     pub life: GroupLife,
-    /// The counts.
-    pub chosen: Vec<u64>,
+    /// How many choices one step of the counts stands for.
+    pub unit: u64,
+    /// The counts, in units.
+    pub units: Vec<u8>,
+}
+
+impl DemandSample {
+    /// Makes a sample of counts.
+    pub fn new(life: GroupLife, chosen: &[u64]) -> DemandSample {
+        let most = chosen.iter().copied().max().unwrap_or_default();
+        let unit = most.div_ceil(u64::from(u8::MAX)).max(1);
+        let in_units = |count: &u64| ((count + unit / 2) / unit).min(u64::from(u8::MAX)) as u8;
+        DemandSample { life, unit, units: chosen.iter().map(in_units).collect() }
+    }
+
+    /// The counts, up to rounding.
+    pub fn chosen(&self) -> Vec<u64> {
+        self.units.iter().map(|units| u64::from(*units) * self.unit).collect()
+    }
 }
 
 /// A map, for a process that lacks it.
--- a/crates/rank/src/reporter.rs
+++ b/crates/rank/src/reporter.rs
@@ -160,7 +160,8 @@
         let counts = self.engine.counts().await?;
         let Some(chosen) = sampling.counts.chosen(counts) else { return Ok(()) };
         let life = (membership.group.clone(), membership.epoch);
-        let sent_bytes = self.tell(&Datagram::Demand(DemandSample { life, chosen })).await;
+        let sample = DemandSample::new(life, &chosen);
+        let sent_bytes = self.tell(&Datagram::Demand(sample)).await;
         let tellers = membership.ranks.min(SAMPLED_RANKS);
         let pause = sample_period(sent_bytes, tellers, self.link_bytes_per_s);
         sampling.next_at = Some(Instant::now() + pause);
