Put a map that nobody knows together from what engines hold

Groups were not balanced any more until they formed anew.

Change: a process that lacks the map in use asks one other for it, and if that does not know it, all ranks for what their engines hold; silent ones' engines are read.

The new test of platform_endpoint gave up after 20 s on the code before.

Seen once, in the first of three runs of platform_endpoint, and traced by reading: a_process_that_starts_anew_learns_the_map_in_use_and_reads_a_rank_that_never_told gave up where both directories of the group were among the two ranks whose processes ended (which ones are directories follows from the test's network number, drawn in the order of tests): nobody then tells the new process of the rank that is gone.

--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -18,7 +18,7 @@
 mod switch;
 
 pub use balancer::{Balancer, BalancerAction, BalancerOptions, ChangeEnd};
-pub use known_maps::KnownMaps;
+pub use known_maps::{KnownMaps, RankRow};
 pub use lease::{LEASE_MARGIN, Lease, LeaseRecord, LeaseTable};
 pub use members::{Announcement, GroupDirectory, GroupMembers, OwnGroup};
 pub use message::{ChangeNumber, FencingNumber, MapNumber, Order, OrderAnswer, RankNumber, Step};
--- a/crates/group/tests/known_maps.rs
+++ b/crates/group/tests/known_maps.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use lynxmount_core::experts::{Action, EngineOrder, GroupMap};
-use lynxmount_group::KnownMaps;
+use lynxmount_group::{KnownMaps, RankRow};
 
 const EPOCH: u64 = 3;
 
@@ -51,3 +51,36 @@
     assert_eq!(maps.get(EPOCH + 1, 1), None);
     assert_eq!(maps.get(EPOCH + 1, 2), None);
 }
+
+fn row(version: u64, rank: usize) -> RankRow {
+    RankRow { epoch: EPOCH, version, rank, ranks: 3, experts: vec![vec![rank, 7], vec![9 + rank]] }
+}
+
+#[test]
+fn a_map_that_nobody_knows_is_put_together_from_what_all_ranks_hold() {
+    let mut maps = KnownMaps::default();
+    maps.note_in_use(EPOCH, 5);
+
+    [2, 0, 2].into_iter().for_each(|rank| maps.note_row(row(5, rank)));
+    assert_eq!(maps.get(EPOCH, 5), None);
+    maps.note_row(row(5, 1));
+
+    let expected =
+        vec![vec![vec![0, 7], vec![1, 7], vec![2, 7]], vec![vec![9], vec![10], vec![11]]];
+    assert_eq!(maps.get(EPOCH, 5).as_deref(), Some(&expected));
+}
+
+#[test]
+fn what_ranks_hold_of_different_maps_is_not_mixed() {
+    let mut maps = KnownMaps::default();
+    maps.note_in_use(EPOCH, 5);
+    maps.note_row(row(5, 0));
+    maps.note_row(row(5, 1));
+
+    maps.note_in_use(EPOCH, 6);
+    maps.note_row(row(5, 2));
+    maps.note_row(row(6, 2));
+
+    assert_eq!(maps.get(EPOCH, 5), None);
+    assert_eq!(maps.get(EPOCH, 6), None);
+}
--- a/crates/lynxmount/tests/platform_endpoint.rs
+++ b/crates/lynxmount/tests/platform_endpoint.rs
@@ -282,3 +282,21 @@
     wait_for("replicas", async || replicas_in(&world.groups[0], 6) >= 3).await;
     assert_no_split(&world.groups);
 }
+
+#[tokio::test]
+async fn a_group_whose_processes_all_start_anew_is_balanced_from_what_its_engines_hold() {
+    let mut world = start_groups(&["a"]).await;
+    world.groups[0].set_demand(demand_for(1));
+    wait_for("replicas", async || replicas_in(&world.groups[0], 1) >= 3).await;
+
+    world.processes.clear();
+    for rank in 0..RANKS {
+        let engine = SocketAddr::from((ip(world.network, 10 + rank), ENGINE_PORT));
+        let text = endpoint_settings_text(engine, INTERNAL_PORT, world.store.address());
+        world.processes.push(Process::start("platform-endpoint", &text));
+    }
+    world.groups[0].set_demand(demand_for(6));
+
+    wait_for("replicas", async || replicas_in(&world.groups[0], 6) >= 3).await;
+    assert_no_split(&world.groups);
+}
--- a/crates/rank/src/coordinator.rs
+++ b/crates/rank/src/coordinator.rs
@@ -12,7 +12,7 @@
 use lynxmount_core::{
     Clock, Mechanism, Mechanisms, Result,
     edge::{Engine, FleetSource},
-    experts::{Action, EngineOrder, GroupMap},
+    experts::{Action, EngineOrder, GroupEpoch, GroupMap, MapVersion},
 };
 use lynxmount_group::{
     KnownMaps, RankNumber, RankOrder, RelayTarget, Switch, SwitchEnd, SwitchStart, left_behind,
@@ -27,7 +27,7 @@
     members::Members,
     memory::Memory,
     message::{Datagram, OrderAnswer},
-    orders::{Awaiting, Base, Outbox, give},
+    orders::{Awaiting, Base, Outbox, give, read_row},
     roster::Roster,
     spec::Spec,
 };
@@ -144,20 +144,58 @@
     }
 
     /// The map that all ranks have in use. One that this process was not given, as it
-    /// was not there then, it asks one of them for.
+    /// was not there then, it asks one of them for, and after that all of them for what
+    /// their engines hold.
     async fn current_map(&self, memory: &mut Memory, group: &Group) -> Option<Arc<GroupMap>> {
         let version = group.map_version()?;
         let known = self.maps.lock().get(group.epoch, version);
-        let is_asked = memory.map_asked_at.is_some_and(|at| at.elapsed() < ASK_MAP_PERIOD);
-        if known.is_none() && !is_asked {
-            memory.map_asked_at = Some(Instant::now());
-            let others: Vec<SocketAddr> =
-                group.engines.iter().copied().filter(|engine| *engine != self.own).collect();
-            let asked = others.choose(&mut rand::rng())?;
+        if known.is_some() {
+            memory.map_asked = None;
+            return known;
+        }
+        match memory.map_asked.filter(|(asked, _)| *asked == version) {
+            Some((_, at)) if at.elapsed() < ASK_MAP_PERIOD => return None,
+            Some(_) => self.ask_rows(group, version).await,
+            None => self.ask_map(group, version).await,
+        }
+        memory.map_asked = Some((version, Instant::now()));
+        None
+    }
+
+    async fn ask_map(&self, group: &Group, version: MapVersion) {
+        let others: Vec<SocketAddr> =
+            group.engines.iter().copied().filter(|engine| *engine != self.own).collect();
+        let asked = others.choose(&mut rand::rng()).copied();
+        if let Some(asked) = asked {
             let asking = Datagram::MapAsked { epoch: group.epoch, version };
-            self.members.send(self.peer(*asked), asking).await;
+            self.members.send(self.peer(asked), asking).await;
+        }
+    }
+
+    /// Asks all ranks what they hold: 60 bytes each for ten sets of three places. What an
+    /// engine holds whose process is silent is read from it.
+    async fn ask_rows(&self, group: &Group, version: MapVersion) {
+        log::info!(version; "nobody knows the map in use; ranks are asked what they hold");
+        for engine in &group.engines {
+            match self.is_silent(*engine) {
+                true => self.read_row(*engine, group.epoch, version),
+                false => {
+                    let asking = Datagram::RowAsked { epoch: group.epoch, version };
+                    self.members.send(self.peer(*engine), asking).await;
+                }
+            }
         }
-        known
+    }
+
+    fn read_row(&self, engine: SocketAddr, epoch: GroupEpoch, version: MapVersion) {
+        let (client, maps) = ((self.make_engine)(engine), Arc::clone(&self.maps));
+        self.metrics.count("engines.read_directly");
+        tokio::spawn(async move {
+            match read_row(&client, epoch, version).await {
+                Ok(row) => row.into_iter().for_each(|row| maps.lock().note_row(row)),
+                Err(error) => log::debug!("{error}"),
+            }
+        });
     }
 
     async fn spec(&self, memory: &mut Memory) -> Option<Spec> {
--- a/crates/rank/src/memory.rs
+++ b/crates/rank/src/memory.rs
@@ -31,7 +31,8 @@
     pub(crate) answer_lost_at: Option<Instant>,
     pub(crate) guards: Guards,
     pub(crate) read_directly_at: Option<Instant>,
-    pub(crate) map_asked_at: Option<Instant>,
+    /// The map that others were asked for, and when.
+    pub(crate) map_asked: Option<(MapVersion, Instant)>,
 }
 
 impl Memory {
--- a/crates/rank/src/message.rs
+++ b/crates/rank/src/message.rs
@@ -9,7 +9,7 @@
     },
     invalid,
 };
-use lynxmount_group::{Announcement, GroupMembers};
+use lynxmount_group::{Announcement, GroupMembers, RankRow};
 use miniz_oxide::{deflate::compress_to_vec, inflate::decompress_to_vec_with_limit};
 use serde::{Deserialize, Serialize};
 
@@ -52,6 +52,15 @@
         /// The map.
         version: MapVersion,
     },
+    /// What the sender's engine holds of a map that the receiver has asked for.
+    Row(RankRow),
+    /// The sender asks what the receiver's engine holds of a map that nobody knows.
+    RowAsked {
+        /// The group's life.
+        epoch: GroupEpoch,
+        /// The map.
+        version: MapVersion,
+    },
     /// A directory's answer: the ranks of the receiver's group.
     Members(GroupMembers),
     /// An order to the engine beside the receiver.
--- a/crates/rank/src/orders.rs
+++ b/crates/rank/src/orders.rs
@@ -14,10 +14,10 @@
 use lynxmount_core::{
     Result, Step,
     edge::Engine,
-    experts::{Action, EngineOrder, GroupMap, MapVersion},
+    experts::{Action, EngineOrder, GroupEpoch, GroupMap, MapVersion, Membership},
     timed_out, unreachable,
 };
-use lynxmount_group::{KnownMaps, Relay, RelayTarget, relays, relays_pay};
+use lynxmount_group::{KnownMaps, RankRow, Relay, RelayTarget, relays, relays_pay};
 use lynxmount_policy::AnswerTime;
 use parking_lot::Mutex;
 use tokio::{
@@ -258,7 +258,42 @@
     pub(crate) under_way: Mutex<HashSet<(SocketAddr, OrderId)>>,
 }
 
+/// What an engine holds of a map; `None` if it uses another one.
+///
+/// Fails if it can't be read.
+pub(crate) async fn read_row(
+    engine: &impl Engine,
+    epoch: GroupEpoch,
+    version: MapVersion,
+) -> Result<Option<RankRow>> {
+    let held = engine.rank_map().await?;
+    let report = engine.report().await?;
+    let membership = report.membership.filter(|m| m.epoch == epoch);
+    let membership = membership.filter(|_| held.version == version && report.map == version);
+    Ok(membership.map(|Membership { rank, ranks, .. }| RankRow {
+        epoch,
+        version,
+        rank,
+        ranks,
+        experts: held.experts,
+    }))
+}
+
 impl<E: Engine> Inbox<E> {
+    /// Tells what the own engine holds of a map.
+    pub(crate) async fn tell_row(
+        self: Arc<Inbox<E>>,
+        peer: SocketAddr,
+        epoch: GroupEpoch,
+        version: MapVersion,
+    ) {
+        match read_row(&*self.reporter.engine, epoch, version).await {
+            Ok(Some(row)) => self.reporter.members.send(peer, Datagram::Row(row)).await,
+            Ok(None) => {}
+            Err(error) => log::info!(error:% = error; "what the engine holds can't be read"),
+        }
+    }
+
     /// Passes an order on and gives it to the own engine.
     pub(crate) async fn take_relayed(self: Arc<Inbox<E>>, relayed: RelayedOrder) {
         let RelayedOrder { order, answer_to, to } = relayed;
--- a/crates/rank/src/process.rs
+++ b/crates/rank/src/process.rs
@@ -185,6 +185,10 @@
             Datagram::Order(order) => {
                 tokio::spawn(Arc::clone(&self.inbox).take(peer, order));
             }
+            Datagram::Row(row) => self.maps.lock().note_row(row),
+            Datagram::RowAsked { epoch, version } => {
+                tokio::spawn(Arc::clone(&self.inbox).tell_row(peer, epoch, version));
+            }
             Datagram::Relayed(order) => {
                 tokio::spawn(Arc::clone(&self.inbox).take_relayed(order));
             }
