Let those that listen tell all ranks when the directories of a group have ended

While ranks are missing a process announces itself to the listeners it knows too, and whoever answers an announcement adds what it knows of its own group. Tests in crates/group/tests/members.rs.

--- a/crates/group/src/members.rs
+++ b/crates/group/src/members.rs
@@ -93,6 +93,24 @@
     }
 }
 
+impl GroupDirectory {
+    /// Takes what the own process knows of its group, for ranks that have announced
+    /// nothing here: where directories have ended, those that listen still know all.
+    pub fn fill(&mut self, own: &OwnGroup, now: Duration) {
+        let Some(announced) = &own.own else { return };
+        let entry = self
+            .groups
+            .entry(announced.group.clone())
+            .or_insert_with(|| Entry { engines: Vec::new(), announced_at: now });
+        entry.engines.resize(own.engines.len(), None);
+        for (rank, engine) in own.engines.iter().enumerate() {
+            if entry.engines[rank].is_none() && !entry.engines.contains(engine) {
+                entry.engines[rank] = *engine;
+            }
+        }
+    }
+}
+
 /// What a process needs to know of its group's ranks.
 fn needed_by(engine: SocketAddr, engines: &[Option<SocketAddr>]) -> &[Option<SocketAddr>] {
     let is_known = |(_, known): &(usize, &Option<SocketAddr>)| known.is_some();
--- a/crates/group/tests/members.rs
+++ b/crates/group/tests/members.rs
@@ -193,3 +193,34 @@
     assert!(known.listeners().contains(&fourth.engine));
     assert_eq!(known.engines().len(), 11);
 }
+
+#[test]
+fn a_process_that_listens_tells_all_ranks_when_directories_have_ended() {
+    let (mut directory, mut ranks) = large_group(12);
+    exchange(&mut directory, &mut ranks);
+    let (gone, fresh) = (ranks[11].0.engine, ranks[0].0.clone());
+    let mut of_listener = GroupDirectory::default();
+
+    of_listener.fill(&ranks[1].1, 40 * MOMENT);
+    let mut known = OwnGroup::default();
+    known.note_own(fresh.clone(), 40 * MOMENT);
+    known.take(of_listener.take(fresh, 40 * MOMENT));
+
+    assert_eq!(known.engines().len(), 12);
+    assert!(known.engines().contains(&gone));
+}
+
+#[test]
+fn what_a_listener_knows_replaces_no_announcement() {
+    let mut directory = GroupDirectory::default();
+    let mut known = OwnGroup::default();
+    known.note_own(announcement("a", 0, 1), MOMENT);
+    let engines = vec![Some(engine(1)), Some(engine(2)), Some(engine(3))];
+    known.take(GroupMembers { group: "a".into(), engines });
+    directory.take(announcement("a", 1, 9), MOMENT);
+
+    directory.fill(&known, 2 * MOMENT);
+
+    let members = directory.take(announcement("a", 0, 1), 3 * MOMENT);
+    assert_eq!(members.engines, [Some(engine(1)), Some(engine(9)), Some(engine(3))]);
+}
--- a/crates/rank/src/members.rs
+++ b/crates/rank/src/members.rs
@@ -71,7 +71,7 @@
         {
             return;
         }
-        for directory in directories {
+        for directory in self.asked(directories) {
             match directory == self.own {
                 true => self.answer_own(own.clone()),
                 false => {
@@ -82,9 +82,26 @@
         }
     }
 
+    /// Who is told of the own rank: the directories, and as long as ranks are missing
+    /// those that listen too, which know all of them when directories have ended.
+    fn asked(&self, directories: Vec<SocketAddr>) -> Vec<SocketAddr> {
+        let mut asked = directories;
+        if self.is_searching() {
+            asked.extend(self.listeners());
+        }
+        asked.sort();
+        asked.dedup();
+        asked
+    }
+
     /// Answers an announcement of another process.
     pub(crate) async fn announced(&self, peer: SocketAddr, announcement: Announcement) {
-        let members = self.directory.lock().take(announcement, self.clock.now());
+        let now = self.clock.now();
+        let members = {
+            let (own, mut directory) = (self.own_group.lock(), self.directory.lock());
+            directory.fill(&own, now);
+            directory.take(announcement, now)
+        };
         self.send(peer, Datagram::Members(members)).await;
     }
 
