Know ranks by their reports, before any directory tells of them

The others had the reports of the rank that was gone, and balanced with it, but no directory had told them of it, so that nobody could tell the process that began anew. Seen with its beliefs in the log: three of four ranks known after 8 s.

Change: those that listen take a rank's engine from its reports.

--- a/crates/group/src/members.rs
+++ b/crates/group/src/members.rs
@@ -8,6 +8,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
+use lynxmount_core::experts::Membership;
 use serde::{Deserialize, Serialize};
 
 use crate::RankNumber;
@@ -162,6 +163,16 @@
         }
     }
 
+    /// Takes which rank an engine says it is in a report to those that listen: they know
+    /// a rank by it before any directory has told them.
+    pub fn hear(&mut self, engine: SocketAddr, membership: &Membership) {
+        let Some(own) = &self.own else { return };
+        let is_other = membership.group == own.group && membership.rank != own.rank;
+        if let Some(known) = self.engines.get_mut(membership.rank).filter(|_| is_other) {
+            *known = Some(engine);
+        }
+    }
+
     /// The engines of the first ranks that are known, whose processes listen.
     pub fn listeners(&self) -> Vec<SocketAddr> {
         self.engines.iter().flatten().take(LISTENERS).copied().collect()
--- a/crates/group/tests/members.rs
+++ b/crates/group/tests/members.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use lynxmount_core::experts::Membership;
 use lynxmount_group::{Announcement, GroupDirectory, GroupMembers, OwnGroup};
 
 const MOMENT: Duration = Duration::from_millis(100);
@@ -224,3 +225,23 @@
     let members = directory.take(announcement("a", 0, 1), 3 * MOMENT);
     assert_eq!(members.engines, [Some(engine(1)), Some(engine(9)), Some(engine(3))]);
 }
+
+#[test]
+fn a_process_that_listens_knows_ranks_by_their_reports() {
+    let membership = |group: &str, rank| Membership {
+        group: group.to_owned(),
+        epoch: 1,
+        rank,
+        ranks: 3,
+        is_open: true,
+    };
+    let mut known = OwnGroup::default();
+    known.note_own(announcement("a", 0, 1), MOMENT);
+
+    known.hear(engine(3), &membership("a", 2));
+    known.hear(engine(7), &membership("b", 1));
+    known.hear(engine(8), &membership("a", 0));
+    known.hear(engine(9), &membership("a", 5));
+
+    assert_eq!(known.engines(), [engine(1), engine(3)]);
+}
--- a/crates/rank/src/members.rs
+++ b/crates/rank/src/members.rs
@@ -105,6 +105,11 @@
         self.send(peer, Datagram::Members(members)).await;
     }
 
+    /// Takes which rank an engine is, as the process beside it tells.
+    pub(crate) fn heard(&self, engine: SocketAddr, membership: &Membership) {
+        self.own_group.lock().hear(engine, membership);
+    }
+
     /// Takes a directory's answer.
     pub(crate) fn told(&self, members: GroupMembers) {
         self.own_group.lock().take(members);
--- a/crates/rank/src/process.rs
+++ b/crates/rank/src/process.rs
@@ -192,7 +192,12 @@
             Datagram::Relayed(order) => {
                 tokio::spawn(Arc::clone(&self.inbox).take_relayed(order));
             }
-            Datagram::Report(state) => self.beliefs.lock().hear(*state),
+            Datagram::Report(state) => {
+                if let Some(membership) = &state.report.membership {
+                    self.members.heard(state.engine, membership);
+                }
+                self.beliefs.lock().hear(*state);
+            }
         }
     }
 
