Split the balancing process by job, and send datagrams in one place

Change: coordinator/ (when to change, seeing it through, the map in use, silent engines), outbox, inbox and engine_calls in place of orders, a mailbox that all send through; an action without a map goes as it is; one answer to announcements, one entry of a directory; members are not written when no entry lacks them; platform_endpoint's fixture starts processes. Code is moved but for that. What differs: an answer to an order that was not sent is a debug line as all other datagrams are, and no longer an info line; the own directory learns what the own process knows when that announces itself, as it did when others announce themselves.

--- a/crates/group/src/members.rs
+++ b/crates/group/src/members.rs
@@ -77,12 +77,8 @@
     pub fn take(&mut self, announcement: Announcement, now: Duration) -> GroupMembers {
         self.groups.retain(|_, entry| now < entry.announced_at + GROUP_LIFE);
         let Announcement { group, rank, ranks, engine } = announcement;
-        let entry = self
-            .groups
-            .entry(group.clone())
-            .or_insert_with(|| Entry { engines: Vec::new(), announced_at: now });
+        let entry = self.entry(&group, ranks, now);
         entry.announced_at = now;
-        entry.engines.resize(ranks, None);
         // An engine is one rank only.
         entry.engines.iter_mut().for_each(|known| {
             known.take_if(|address| *address == engine);
@@ -92,24 +88,25 @@
         }
         GroupMembers { group, engines: needed_by(engine, &entry.engines).to_vec() }
     }
-}
 
-impl GroupDirectory {
     /// Takes what the own process knows of its group, for ranks that have announced
     /// nothing here: where directories have ended, those that listen still know all.
     pub fn fill(&mut self, own: &OwnGroup, now: Duration) {
         let Some(announced) = &own.own else { return };
-        let entry = self
-            .groups
-            .entry(announced.group.clone())
-            .or_insert_with(|| Entry { engines: Vec::new(), announced_at: now });
-        entry.engines.resize(own.engines.len(), None);
+        let entry = self.entry(&announced.group, own.engines.len(), now);
         for (rank, engine) in own.engines.iter().enumerate() {
             if entry.engines[rank].is_none() && !entry.engines.contains(engine) {
                 entry.engines[rank] = *engine;
             }
         }
     }
+
+    fn entry(&mut self, group: &str, ranks: usize, now: Duration) -> &mut Entry {
+        let new = || Entry { engines: Vec::new(), announced_at: now };
+        let entry = self.groups.entry(group.to_owned()).or_insert_with(new);
+        entry.engines.resize(ranks, None);
+        entry
+    }
 }
 
 /// What a process needs to know of its group's ranks.
--- a/crates/lynxmount/tests/platform_endpoint.rs
+++ b/crates/lynxmount/tests/platform_endpoint.rs
@@ -51,14 +51,24 @@
         world.groups.push(started);
         for engine in engines {
             world.register(engine);
-            let text = endpoint_settings_text(engine, INTERNAL_PORT, world.store.address());
-            world.processes.push(Process::start("platform-endpoint", &text));
+            world.processes.push(world.start_process(engine));
         }
     }
     world
 }
 
 impl GroupsWorld {
+    /// Starts the process beside an engine.
+    fn start_process(&self, engine: SocketAddr) -> Process {
+        let text = endpoint_settings_text(engine, INTERNAL_PORT, self.store.address());
+        Process::start("platform-endpoint", &text)
+    }
+
+    /// The engine of a rank, in a world of one group.
+    fn engine(&self, rank: u8) -> SocketAddr {
+        SocketAddr::from((ip(self.network, 10 + rank), ENGINE_PORT))
+    }
+
     fn register(&self, engine: SocketAddr) {
         let registration = registration_text(engine, &self.service, "ready");
         self.store.put(REGISTRATIONS_TOPIC, &format!("i-{engine}"), &registration);
@@ -231,11 +241,7 @@
     let engines: Vec<SocketAddr> =
         (0..RANKS).map(|rank| (ip(network, 10 + rank), ENGINE_PORT).into()).collect();
     let group = GroupStandin::start("a", &engines, EXPERTS, PASS).await.expect("a group");
-    let start = |engine: &SocketAddr| {
-        let text = endpoint_settings_text(*engine, INTERNAL_PORT, world.store.address());
-        Process::start("platform-endpoint", &text)
-    };
-    world.processes = engines.iter().map(start).collect();
+    world.processes = engines.iter().map(|engine| world.start_process(*engine)).collect();
 
     for engine in engines {
         world.register(engine);
@@ -274,9 +280,7 @@
     // last rank.
     world.processes[usize::from(RANKS) - 1].signal(Signal::SIGKILL);
     world.processes.remove(0);
-    let first = SocketAddr::from((ip(world.network, 10), ENGINE_PORT));
-    let text = endpoint_settings_text(first, INTERNAL_PORT, world.store.address());
-    world.processes.insert(0, Process::start("platform-endpoint", &text));
+    world.processes.insert(0, world.start_process(world.engine(0)));
     world.groups[0].set_demand(demand_for(6));
 
     wait_for("replicas", async || replicas_in(&world.groups[0], 6) >= 3).await;
@@ -290,11 +294,7 @@
     wait_for("replicas", async || replicas_in(&world.groups[0], 1) >= 3).await;
 
     world.processes.clear();
-    for rank in 0..RANKS {
-        let engine = SocketAddr::from((ip(world.network, 10 + rank), ENGINE_PORT));
-        let text = endpoint_settings_text(engine, INTERNAL_PORT, world.store.address());
-        world.processes.push(Process::start("platform-endpoint", &text));
-    }
+    world.processes = (0..RANKS).map(|rank| world.start_process(world.engine(rank))).collect();
     world.groups[0].set_demand(demand_for(6));
 
     wait_for("replicas", async || replicas_in(&world.groups[0], 6) >= 3).await;
--- /dev/null
+++ b/crates/rank/src/coordinator/drive.rs
@@ -0,0 +1,165 @@
+//! Seeing a change of map through: orders go out, answers and reports come in.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
+use lynxmount_core::{
+    Result,
+    edge::{Engine, FleetSource},
+    experts::{Action, EngineOrder},
+};
+use lynxmount_group::{RankOrder, RelayTarget, Switch, SwitchEnd};
+
+use super::Coordinator;
+use crate::{
+    engine_calls::give,
+    memory::Memory,
+    message::{Base, OrderAnswer},
+    outbox::Awaiting,
+};
+
+/// How often a switch under way is looked after if nothing is answered.
+const SWITCH_TICK: Duration = Duration::from_millis(20);
+
+impl<E, S, F> Coordinator<E, S, F>
+where
+    E: Engine,
+    S: FleetSource,
+    F: Fn(SocketAddr) -> E + Send + Sync + 'static,
+{
+    /// Sees a switch through.
+    pub(super) async fn drive(
+        &self,
+        memory: &mut Memory,
+        switch: &mut Switch,
+        engines: &[SocketAddr],
+        base: Base<'_>,
+    ) -> SwitchEnd {
+        let mut under_way: FuturesUnordered<BoxFuture<'_, (usize, Result<OrderAnswer>)>> =
+            FuturesUnordered::new();
+        loop {
+            let orders = switch.tick(self.clock.now());
+            self.note_maps(&orders);
+            let mut relayed = self.relay(&orders, engines, base).await;
+            for RankOrder { rank, order } in orders {
+                let engine = engines[rank];
+                let awaiting = relayed.remove(&self.mailbox.peer(engine));
+                under_way.push(Box::pin(async move {
+                    (rank, self.give(engine, &order, base, awaiting).await)
+                }));
+            }
+            memory.guards.note(switch.epoch(), switch.guard(), switch.step());
+            if let Some(end) = switch.end() {
+                return end;
+            }
+            tokio::select! {
+                Some((rank, answered)) = under_way.next(), if !under_way.is_empty() => {
+                    memory.note_loss(&answered);
+                    self.note_report(engines[rank], &answered);
+                    take_answer(switch, rank, answered);
+                }
+                () = tokio::time::sleep(SWITCH_TICK) => {
+                    self.read_silent(memory);
+                    self.observe(switch, engines);
+                }
+            }
+        }
+    }
+
+    /// Keeps the map that ranks are to prepare: the same one for all of them.
+    fn note_maps(&self, orders: &[RankOrder]) {
+        if let Some(RankOrder { order, .. }) = orders.iter().find(|order| is_map(order)) {
+            self.maps.lock().note_order(order);
+        }
+    }
+
+    /// Sends a map through relays to all ranks that are to be given it, if that is
+    /// sooner there. Returns what is then awaited, by the process that answers.
+    async fn relay(
+        &self,
+        orders: &[RankOrder],
+        engines: &[SocketAddr],
+        base: Base<'_>,
+    ) -> HashMap<SocketAddr, Awaiting> {
+        let maps: Vec<&RankOrder> = orders.iter().filter(|order| is_map(order)).collect();
+        let Some(first) = maps.first() else { return HashMap::new() };
+        let engines = maps.iter().map(|order| engines[order.rank]);
+        let spoken = engines.filter(|engine| *engine != self.own && !self.is_silent(*engine));
+        let targets: Vec<RelayTarget> = spoken.map(|engine| self.relay_target(engine)).collect();
+        match self.outbox.relay(&targets, &first.order, base).await {
+            Ok(awaited) => awaited,
+            Err(error) => {
+                log::error!(error:% = error; "a map can't be written");
+                HashMap::new()
+            }
+        }
+    }
+
+    fn relay_target(&self, engine: SocketAddr) -> RelayTarget {
+        RelayTarget {
+            failure_domain: self.roster.failure_domain(engine),
+            address: self.mailbox.peer(engine),
+        }
+    }
+
+    /// Keeps what an answer tells, so that an older report does not follow it.
+    fn note_report(&self, engine: SocketAddr, answered: &Result<OrderAnswer>) {
+        if let Ok(answer) = answered {
+            self.beliefs.lock().note_report(engine, answer.report.clone());
+        }
+    }
+
+    /// Takes what the ranks have told meanwhile.
+    fn observe(&self, switch: &mut Switch, engines: &[SocketAddr]) {
+        let beliefs = self.beliefs.lock();
+        for (rank, engine) in engines.iter().enumerate() {
+            if let Some(report) = beliefs.last_report(*engine) {
+                switch.observe(rank, report);
+            }
+        }
+    }
+
+    /// Gives an order through the process beside the engine, or straight to the
+    /// engine if that process does not answer.
+    async fn give(
+        &self,
+        engine: SocketAddr,
+        order: &EngineOrder,
+        base: Base<'_>,
+        awaiting: Option<Awaiting>,
+    ) -> Result<OrderAnswer> {
+        if engine == self.own {
+            return give(&*self.engine, order).await;
+        }
+        if self.is_silent(engine) {
+            self.metrics.count("orders.direct");
+            return give(&(self.make_engine)(engine), order).await;
+        }
+        let peer = self.mailbox.peer(engine);
+        match self.outbox.give(peer, order, base, awaiting).await {
+            Ok(answer) => Ok(answer),
+            Err(error) => {
+                log::info!(error:% = error; "order given to the engine directly");
+                self.metrics.count("orders.direct");
+                give(&(self.make_engine)(engine), order).await
+            }
+        }
+    }
+}
+
+fn is_map(order: &RankOrder) -> bool {
+    matches!(order.order.action, Action::Prepare { .. })
+}
+
+fn take_answer(switch: &mut Switch, rank: usize, answered: Result<OrderAnswer>) {
+    match answered {
+        Ok(OrderAnswer { result, report, .. }) => {
+            switch.observe(rank, report);
+            switch.answered(rank, result);
+        }
+        Err(error) => {
+            log::info!(rank, error:% = error; "nothing is known of an order");
+            switch.answered(rank, None);
+        }
+    }
+}
--- a/crates/rank/src/members.rs
+++ b/crates/rank/src/members.rs
@@ -5,19 +5,16 @@
 use lynxmount_core::{Clock, experts::Membership};
 use lynxmount_group::{Announcement, GroupDirectory, GroupMembers, OwnGroup};
 use parking_lot::Mutex;
-use tokio::net::UdpSocket;
 
-use crate::{message::Datagram, roster::Roster};
+use crate::{mailbox::Mailbox, message::Datagram, roster::Roster};
 
 /// What a process knows of groups.
 pub(crate) struct Members {
     /// The own engine.
     own: SocketAddr,
-    /// The port of peers' sockets.
-    port: u16,
     clock: Clock,
     roster: Arc<Roster>,
-    socket: Arc<UdpSocket>,
+    mailbox: Mailbox,
     own_group: Mutex<OwnGroup>,
     directory: Mutex<GroupDirectory>,
 }
@@ -25,13 +22,12 @@
 impl Members {
     pub(crate) fn new(
         own: SocketAddr,
-        port: u16,
         clock: Clock,
         roster: Arc<Roster>,
-        socket: Arc<UdpSocket>,
+        mailbox: Mailbox,
     ) -> Members {
         let (own_group, directory) = Default::default();
-        Members { own, port, clock, roster, socket, own_group, directory }
+        Members { own, clock, roster, mailbox, own_group, directory }
     }
 
     /// The engines beside which processes listen to reports of the own group,
@@ -73,10 +69,10 @@
         }
         for directory in self.asked(directories) {
             match directory == self.own {
-                true => self.answer_own(own.clone()),
+                true => self.told(self.answer(own.clone())),
                 false => {
-                    let peer = SocketAddr::new(directory.ip(), self.port);
-                    self.send(peer, Datagram::Announcement(own.clone())).await;
+                    let peer = self.mailbox.peer(directory);
+                    self.mailbox.send(peer, &Datagram::Announcement(own.clone())).await;
                 }
             }
         }
@@ -96,13 +92,15 @@
 
     /// Answers an announcement of another process.
     pub(crate) async fn announced(&self, peer: SocketAddr, announcement: Announcement) {
+        let members = self.answer(announcement);
+        self.mailbox.send(peer, &Datagram::Members(members)).await;
+    }
+
+    fn answer(&self, announcement: Announcement) -> GroupMembers {
         let now = self.clock.now();
-        let members = {
-            let (own, mut directory) = (self.own_group.lock(), self.directory.lock());
-            directory.fill(&own, now);
-            directory.take(announcement, now)
-        };
-        self.send(peer, Datagram::Members(members)).await;
+        let (own, mut directory) = (self.own_group.lock(), self.directory.lock());
+        directory.fill(&own, now);
+        directory.take(announcement, now)
     }
 
     /// Takes which rank an engine is, as the process beside it tells.
@@ -114,19 +112,4 @@
     pub(crate) fn told(&self, members: GroupMembers) {
         self.own_group.lock().take(members);
     }
-
-    fn answer_own(&self, own: Announcement) {
-        let members = self.directory.lock().take(own, self.clock.now());
-        self.told(members);
-    }
-
-    pub(crate) async fn send(&self, peer: SocketAddr, datagram: Datagram) {
-        let sent = match datagram.encode() {
-            Ok(bytes) => self.socket.send_to(&bytes, peer).await.map(|_| ()),
-            Err(error) => Err(std::io::Error::other(error)),
-        };
-        if let Err(error) = sent {
-            log::debug!(peer:% = peer, error:% = error; "a datagram was not sent");
-        }
-    }
 }
--- a/crates/rank/src/message.rs
+++ b/crates/rank/src/message.rs
@@ -4,9 +4,7 @@
 
 use lynxmount_core::{
     Result, Step,
-    experts::{
-        Action, EngineOrder, EngineReport, GroupEpoch, GroupMap, GroupStep, MapVersion, OrderResult,
-    },
+    experts::{Action, EngineOrder, EngineReport, GroupEpoch, GroupMap, MapVersion, OrderResult},
     invalid,
 };
 use lynxmount_group::{Announcement, GroupMembers, RankRow};
@@ -34,6 +32,9 @@
 /// Names an order and its answer.
 pub type OrderId = u64;
 
+/// The map in use, which other processes know, if they have prepared it.
+pub type Base<'a> = Option<(MapVersion, &'a GroupMap)>;
+
 /// One datagram.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Datagram {
@@ -144,31 +145,9 @@
     pub action: ActionMessage,
 }
 
-/// What an engine is asked to do; see [`Action`].
+/// What an engine is asked to do.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum ActionMessage {
-    /// Switch to a prepared map as a step begins.
-    Arm {
-        /// The map.
-        version: MapVersion,
-        /// The step.
-        step: GroupStep,
-    },
-    /// Take back that the rank switches.
-    Disarm {
-        /// The map that it would have switched to.
-        version: MapVersion,
-    },
-    /// Let the group begin a step that it was held at.
-    Go {
-        /// The step.
-        step: GroupStep,
-    },
-    /// Keep the group from beginning a step until it is let go.
-    Hold {
-        /// The step.
-        step: GroupStep,
-    },
     /// Fetch the experts that a map needs.
     Prepare {
         /// The number that the map gets.
@@ -176,6 +155,8 @@
         /// The map.
         map: MapMessage,
     },
+    /// An action without a map.
+    Small(Action),
 }
 
 /// A map, as a whole or by what differs: a whole one of 192 ranks takes 11 kB.
@@ -270,19 +251,12 @@
 impl OrderMessage {
     /// Makes a message of an order; a map goes by what differs from a map that
     /// the receiver is expected to know.
-    pub fn new(
-        id: OrderId,
-        order: &EngineOrder,
-        base: Option<(MapVersion, &GroupMap)>,
-    ) -> OrderMessage {
+    pub fn new(id: OrderId, order: &EngineOrder, base: Base<'_>) -> OrderMessage {
         let action = match &order.action {
-            Action::Arm { version, step } => ActionMessage::Arm { version: *version, step: *step },
-            Action::Disarm { version } => ActionMessage::Disarm { version: *version },
-            Action::Go { step } => ActionMessage::Go { step: *step },
-            Action::Hold { step } => ActionMessage::Hold { step: *step },
             Action::Prepare { version, map } => {
                 ActionMessage::Prepare { version: *version, map: MapMessage::new(map, base) }
             }
+            small => ActionMessage::Small(small.clone()),
         };
         OrderMessage { id, epoch: order.epoch, action }
     }
@@ -293,20 +267,17 @@
         known: impl FnOnce(MapVersion) -> Option<Arc<GroupMap>>,
     ) -> Option<EngineOrder> {
         let action = match self.action {
-            ActionMessage::Arm { version, step } => Action::Arm { version, step },
-            ActionMessage::Disarm { version } => Action::Disarm { version },
-            ActionMessage::Go { step } => Action::Go { step },
-            ActionMessage::Hold { step } => Action::Hold { step },
             ActionMessage::Prepare { version, map } => {
                 Action::Prepare { version, map: map.map(known)? }
             }
+            ActionMessage::Small(action) => action,
         };
         Some(EngineOrder { epoch: self.epoch, action })
     }
 }
 
 impl MapMessage {
-    fn new(map: &GroupMap, base: Option<(MapVersion, &GroupMap)>) -> MapMessage {
+    fn new(map: &GroupMap, base: Base<'_>) -> MapMessage {
         let Some((base, from)) = base else { return MapMessage::Full(map.clone()) };
         let pairs = map.iter().flatten().zip(from.iter().flatten()).enumerate();
         let changed = pairs.filter(|(_, (new, old))| new != old);
--- a/crates/rank/src/notifier.rs
+++ b/crates/rank/src/notifier.rs
@@ -112,7 +112,9 @@
                 })
                 .collect()
         };
-        self.tell(&GroupMessage::Members(members), &lacking).await;
+        if !lacking.is_empty() {
+            self.tell(&GroupMessage::Members(members), &lacking).await;
+        }
     }
 
     async fn tell(&self, message: &GroupMessage, entries: &[SocketAddr]) {
--- a/crates/rank/src/orders.rs
+++ b/crates/rank/src/outbox.rs
@@ -1,8 +1,7 @@
-//! Giving orders: to the own engine for others, and to others' engines through
-//! the processes beside them.
+//! Giving orders to others' engines through the processes beside them.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::HashMap,
     net::SocketAddr,
     sync::{
         Arc,
@@ -13,29 +12,22 @@
 
 use lynxmount_core::{
     Result, Step,
-    edge::Engine,
-    experts::{Action, EngineOrder, GroupEpoch, GroupMap, MapVersion, Membership},
+    experts::{Action, EngineOrder},
     timed_out, unreachable,
 };
-use lynxmount_group::{KnownMaps, RankRow, Relay, RelayTarget, relays, relays_pay};
+use lynxmount_group::{Relay, RelayTarget, relays, relays_pay};
 use lynxmount_policy::AnswerTime;
 use parking_lot::Mutex;
-use tokio::{
-    net::UdpSocket,
-    sync::{Semaphore, oneshot},
-};
+use tokio::sync::{Semaphore, oneshot};
 
 use crate::{
+    mailbox::Mailbox,
     message::{
-        AnswerMessage, Datagram, OrderAnswer, OrderId, OrderMessage, OrderOutcome, RelayedOrder,
+        AnswerMessage, Base, Datagram, OrderAnswer, OrderId, OrderMessage, OrderOutcome,
+        RelayedOrder,
     },
-    reporter::{Awaited, Reporter},
 };
 
-/// How often an order without an answer is given, in all. What it asks for holds
-/// after the first time, so that it may be given again.
-const MAX_TRIES: u32 = 4;
-
 /// How long a process is waited for before a small order is sent to it again: a busy
 /// one takes about 10 ms, and one that balances 72 ranks takes up answers 50 ms
 /// later.
@@ -58,26 +50,6 @@
 /// than a process tries its engine.
 const MAX_SENDS: u32 = 4;
 
-/// The map in use, which other processes know, if they have prepared it.
-pub(crate) type Base<'a> = Option<(MapVersion, &'a GroupMap)>;
-
-/// Gives an order, and reads the engine's state after it.
-///
-/// Fails if the state can't be read.
-pub(crate) async fn give(engine: &impl Engine, order: &EngineOrder) -> Result<OrderAnswer> {
-    let mut result = None;
-    let mut tries = 0;
-    while result.is_none() && tries < MAX_TRIES {
-        tries += 1;
-        match engine.order(order).await {
-            Ok(answered) => result = Some(answered),
-            Err(error) => log::info!(tries, error:% = error; "order without an answer"),
-        }
-    }
-    let report = engine.report().await?;
-    Ok(OrderAnswer { result, tries, report })
-}
-
 /// Who waits for the answer of a process to an order.
 type Waiting = Arc<Mutex<HashMap<(SocketAddr, OrderId), oneshot::Sender<OrderOutcome>>>>;
 
@@ -100,7 +72,7 @@
 
 /// Orders on their way to other processes.
 pub(crate) struct Outbox {
-    socket: Arc<UdpSocket>,
+    mailbox: Mailbox,
     /// Where others send their answers.
     own: SocketAddr,
     link_bytes_per_s: f64,
@@ -111,10 +83,10 @@
 }
 
 impl Outbox {
-    pub(crate) fn new(socket: Arc<UdpSocket>, own: SocketAddr, link_bytes_per_s: f64) -> Outbox {
+    pub(crate) fn new(mailbox: Mailbox, own: SocketAddr, link_bytes_per_s: f64) -> Outbox {
         let map_answers = AnswerTime::new(MAP_RESEND_FIRST, RESEND_AFTER, MAP_RESEND_MOST);
         Outbox {
-            socket,
+            mailbox,
             own,
             link_bytes_per_s,
             next_id: AtomicU64::new(1),
@@ -155,7 +127,7 @@
         for Relay { through, to } in relays(targets, id) {
             let order = Arc::clone(&order);
             let relayed = RelayedOrder { order, answer_to: self.own, to };
-            self.send(through, &Datagram::Relayed(relayed).encode()?).await;
+            self.mailbox.send_bytes(through, &Datagram::Relayed(relayed).encode()?).await;
         }
         Ok(awaited)
     }
@@ -225,7 +197,7 @@
             };
             if !is_on_its_way {
                 let message = OrderMessage::new(awaiting.id, order, base);
-                self.send(peer, &Datagram::Order(message).encode()?).await;
+                self.mailbox.send_bytes(peer, &Datagram::Order(message).encode()?).await;
             }
             match tokio::time::timeout(self.resend_after(is_map), &mut awaiting.receiver).await {
                 Ok(Ok(outcome)) => return Ok(outcome),
@@ -242,125 +214,4 @@
             false => RESEND_AFTER,
         }
     }
-
-    async fn send(&self, peer: SocketAddr, datagram: &[u8]) {
-        if let Err(error) = self.socket.send_to(datagram, peer).await {
-            log::debug!(peer:% = peer, error:% = error; "an order was not sent");
-        }
-    }
-}
-
-/// Orders of the process that balances.
-pub(crate) struct Inbox<E> {
-    pub(crate) reporter: Arc<Reporter<E>>,
-    pub(crate) socket: Arc<UdpSocket>,
-    pub(crate) maps: Arc<Mutex<KnownMaps>>,
-    pub(crate) under_way: Mutex<HashSet<(SocketAddr, OrderId)>>,
-}
-
-/// What an engine holds of a map; `None` if it uses another one.
-///
-/// Fails if it can't be read.
-pub(crate) async fn read_row(
-    engine: &impl Engine,
-    epoch: GroupEpoch,
-    version: MapVersion,
-) -> Result<Option<RankRow>> {
-    let held = engine.rank_map().await?;
-    let report = engine.report().await?;
-    let membership = report.membership.filter(|m| m.epoch == epoch);
-    let membership = membership.filter(|_| held.version == version && report.map == version);
-    Ok(membership.map(|Membership { rank, ranks, .. }| RankRow {
-        epoch,
-        version,
-        rank,
-        ranks,
-        experts: held.experts,
-    }))
-}
-
-impl<E: Engine> Inbox<E> {
-    /// Tells what the own engine holds of a map.
-    pub(crate) async fn tell_row(
-        self: Arc<Inbox<E>>,
-        peer: SocketAddr,
-        epoch: GroupEpoch,
-        version: MapVersion,
-    ) {
-        match read_row(&*self.reporter.engine, epoch, version).await {
-            Ok(Some(row)) => self.reporter.members.send(peer, Datagram::Row(row)).await,
-            Ok(None) => {}
-            Err(error) => log::info!(error:% = error; "what the engine holds can't be read"),
-        }
-    }
-
-    /// Passes an order on and gives it to the own engine.
-    pub(crate) async fn take_relayed(self: Arc<Inbox<E>>, relayed: RelayedOrder) {
-        let RelayedOrder { order, answer_to, to } = relayed;
-        if !to.is_empty() {
-            let passed = RelayedOrder { order: Arc::clone(&order), answer_to, to: Vec::new() };
-            self.pass_on(passed, &to).await;
-        }
-        match Datagram::decode(answer_to, &order) {
-            Ok(Datagram::Order(message)) => self.take(answer_to, message).await,
-            Ok(_) => log::warn!(peer:% = answer_to; "what was passed on is no order"),
-            Err(error) => log::warn!(error:% = error; "an order that was passed on can't be read"),
-        }
-    }
-
-    async fn pass_on(&self, relayed: RelayedOrder, to: &[SocketAddr]) {
-        let datagram = match Datagram::Relayed(relayed).encode() {
-            Ok(datagram) => datagram,
-            Err(error) => {
-                log::error!(error:% = error; "an order can't be passed on");
-                return;
-            }
-        };
-        for peer in to {
-            if let Err(error) = self.socket.send_to(&datagram, peer).await {
-                log::debug!(peer:% = peer, error:% = error; "an order was not passed on");
-            }
-        }
-    }
-
-    /// Gives an order to the own engine and answers whoever gave it.
-    pub(crate) async fn take(self: Arc<Inbox<E>>, answer_to: SocketAddr, message: OrderMessage) {
-        let id = message.id;
-        if !self.under_way.lock().insert((answer_to, id)) {
-            return;
-        }
-        let outcome = self.give(message).await;
-        self.under_way.lock().remove(&(answer_to, id));
-        let answer = Datagram::Answer(AnswerMessage { id, outcome });
-        let sent = match answer.encode() {
-            Ok(datagram) => self.socket.send_to(&datagram, answer_to).await.map(|_| ()),
-            Err(error) => Err(std::io::Error::other(error)),
-        };
-        if let Err(error) = sent {
-            log::info!(peer:% = answer_to, error:% = error; "an answer was not sent");
-        }
-    }
-
-    async fn give(&self, message: OrderMessage) -> OrderOutcome {
-        let epoch = message.epoch;
-        let known = |version| self.maps.lock().get(epoch, version);
-        let Some(order) = message.order(known) else { return OrderOutcome::MapUnknown };
-        self.maps.lock().note_order(&order);
-        match give(&*self.reporter.engine, &order).await {
-            Ok(answer) => {
-                match order.action {
-                    Action::Prepare { version, .. } => {
-                        self.reporter.await_end(Awaited::Copy(version));
-                    }
-                    Action::Arm { .. } => self.reporter.await_end(Awaited::Switch),
-                    Action::Disarm { .. } | Action::Go { .. } | Action::Hold { .. } => {}
-                }
-                OrderOutcome::Given(Box::new(answer))
-            }
-            Err(error) => {
-                log::info!(error:% = error; "an order was not passed on");
-                OrderOutcome::Unreachable
-            }
-        }
-    }
 }
--- a/crates/rank/src/process.rs
+++ b/crates/rank/src/process.rs
@@ -19,10 +19,12 @@
     coordinator::Coordinator,
     demand::Demand,
     duty::Duty,
+    inbox::Inbox,
+    mailbox::Mailbox,
     members::Members,
     message::{Datagram, MapCopy},
     notifier::Notifier,
-    orders::{Inbox, Outbox},
+    outbox::Outbox,
     reporter::Reporter,
     roster::Roster,
 };
@@ -66,14 +68,13 @@
     let source = Arc::new(source);
     let socket = UdpSocket::bind(address).await.with_context(|| format!("bind {address}"))?;
     let socket = Arc::new(socket);
-    let members =
-        Arc::new(Members::new(own, port, clock, Arc::clone(&roster), Arc::clone(&socket)));
+    let mailbox = Mailbox::new(Arc::clone(&socket), port);
+    let members = Arc::new(Members::new(own, clock, Arc::clone(&roster), mailbox.clone()));
     let reporter = Arc::new(Reporter {
         engine: Arc::clone(&engine),
         address: own,
         members: Arc::clone(&members),
-        socket: Arc::clone(&socket),
-        port,
+        mailbox: mailbox.clone(),
         metrics: Arc::clone(&metrics),
         awaited: Mutex::default(),
         link_bytes_per_s,
@@ -84,10 +85,10 @@
         let shown = MetricsPort(Arc::clone(&metrics));
         tokio::spawn(serve(bind(SocketAddr::new(settings.ip, port)).await?, Arc::new(shown)));
     }
-    let outbox = Arc::new(Outbox::new(Arc::clone(&socket), address, link_bytes_per_s));
+    let outbox = Arc::new(Outbox::new(mailbox.clone(), address, link_bytes_per_s));
     let inbox = Arc::new(Inbox {
         reporter: Arc::clone(&reporter),
-        socket: Arc::clone(&socket),
+        mailbox: mailbox.clone(),
         maps: Arc::clone(&maps),
         under_way: Mutex::default(),
     });
@@ -95,6 +96,7 @@
         socket,
         beliefs: Arc::clone(&beliefs),
         members: Arc::clone(&members),
+        mailbox: mailbox.clone(),
         inbox,
         outbox: Arc::clone(&outbox),
         maps: Arc::clone(&maps),
@@ -125,7 +127,7 @@
         make_engine,
         source,
         own,
-        port,
+        mailbox,
         roster,
         members,
         duty,
@@ -148,6 +150,7 @@
     socket: Arc<UdpSocket>,
     beliefs: Arc<Mutex<Beliefs>>,
     members: Arc<Members>,
+    mailbox: Mailbox,
     inbox: Arc<Inbox<E>>,
     outbox: Arc<Outbox>,
     maps: Arc<Mutex<KnownMaps>>,
@@ -204,9 +207,9 @@
     /// Sends a map to a process that lacks it, if it is known here.
     fn send_map(&self, peer: SocketAddr, epoch: GroupEpoch, version: MapVersion) {
         let Some(map) = self.maps.lock().get(epoch, version) else { return };
-        let members = Arc::clone(&self.members);
+        let mailbox = self.mailbox.clone();
         tokio::spawn(async move {
-            members.send(peer, Datagram::Map(MapCopy { epoch, version, map })).await;
+            mailbox.send(peer, &Datagram::Map(MapCopy { epoch, version, map })).await;
         });
     }
 }
--- a/crates/rank/src/reporter.rs
+++ b/crates/rank/src/reporter.rs
@@ -15,10 +15,11 @@
 use lynxmount_group::KnownMaps;
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
-use tokio::{net::UdpSocket, sync::Notify};
+use tokio::sync::Notify;
 
 use crate::{
     demand::CountReader,
+    mailbox::Mailbox,
     members::Members,
     message::{Datagram, DemandSample, RankState},
 };
@@ -61,9 +62,7 @@
     pub(crate) engine: Arc<E>,
     pub(crate) address: SocketAddr,
     pub(crate) members: Arc<Members>,
-    pub(crate) socket: Arc<UdpSocket>,
-    /// The port of peers' sockets.
-    pub(crate) port: u16,
+    pub(crate) mailbox: Mailbox,
     pub(crate) metrics: Arc<Metrics>,
     /// What was ordered last, and until when it is waited for.
     pub(crate) awaited: Mutex<Option<(Awaited, Instant)>>,
@@ -193,20 +192,9 @@
 
     /// Tells the processes that listen; returns the size of the datagram.
     async fn tell(&self, datagram: &Datagram) -> usize {
-        let datagram = match datagram.encode() {
-            Ok(datagram) => datagram,
-            Err(error) => {
-                log::error!(error:% = error; "a report can't be written");
-                return 0;
-            }
-        };
-        for listener in self.members.listeners() {
-            let peer = SocketAddr::new(listener.ip(), self.port);
-            if let Err(error) = self.socket.send_to(&datagram, peer).await {
-                log::debug!(peer:% = peer, error:% = error; "a report was not sent");
-            }
-        }
-        datagram.len()
+        let listeners = self.members.listeners().into_iter();
+        let peers = listeners.map(|listener| self.mailbox.peer(listener));
+        self.mailbox.send_to_all(peers, datagram).await
     }
 }
 
