Split a service's places by job, and count its groups' ranks once

Each event of each stream walked all endpoints of the service, with a lock each, to count the ranks of its group: 7,000 events a second before 192 endpoints on the large deployment. Each list of endpoints was compared with the one before, all with all. The number of entries stood beside the entries.

Change: service/ (places for calls, what groups tell, endpoints under the lock); the ranks of each group are counted when a list or who is in a group changes; endpoints that stay are found by their id; the number of entries is that of the slots' owners. Behaviour stays as it is.

--- /dev/null
+++ b/crates/direct/src/service/groups.rs
@@ -0,0 +1,94 @@
+//! What a service hears of the groups of its endpoints.
+
+use std::{sync::Arc, time::Duration};
+
+use lynxmount_core::Mechanism;
+use lynxmount_link::{GroupMembersNotice, GroupNotice, MembersFingerprint};
+use lynxmount_policy::{GroupChange, StreamEvent};
+
+use super::{Service, inner::Members};
+use crate::endpoint::Endpoint;
+
+impl Service {
+    /// Which members of a group are known, if it is of this service.
+    pub(crate) fn known_members(&self, group: &str) -> Option<MembersFingerprint> {
+        self.inner.lock().members.get(group).map(|members| members.fingerprint)
+    }
+
+    /// Takes who the ranks of a group are, if they are endpoints of this service.
+    pub(crate) fn note_members(&self, told: &GroupMembersNotice) {
+        let mut inner = self.inner.lock();
+        let is_own = |endpoint: &Arc<Endpoint>| told.engines.contains(&endpoint.record.address);
+        if !inner.endpoints.iter().any(is_own) || !self.mechanisms.has(Mechanism::GroupNotices) {
+            return;
+        }
+        let engines = told.engines.iter().copied().collect();
+        let members = Members { fingerprint: told.fingerprint(), engines };
+        inner.members.insert(told.group.as_str().into(), members);
+        inner.note_groups();
+    }
+
+    /// Takes what a group's process tells, if the group is of this service.
+    pub(crate) fn note_notice(self: &Arc<Service>, notice: &GroupNotice) {
+        let group: Arc<str> = notice.group.as_str().into();
+        let mut inner = self.inner.lock();
+        let is_own = inner.endpoints.iter().any(|endpoint| endpoint.group() == group);
+        if !is_own || !self.mechanisms.has(Mechanism::GroupNotices) {
+            return;
+        }
+        let now = self.now();
+        inner.groups.note_pass(&group, notice.pass, now);
+        let change = inner.groups.note_told(&group, notice.is_open, now);
+        if let Some(change) = change {
+            log::info!(group = &*group, change:? = change; "a group has told its state");
+        }
+        if change == Some(GroupChange::Opened) {
+            inner.queue.resume(now);
+            drop(inner);
+            self.wake();
+        }
+    }
+
+    /// Takes an event of a stream in a group, how long after the one before, and the
+    /// longest pause that is on time.
+    pub(crate) fn note_event(&self, group: &str, pause: Option<Duration>, goal: Option<Duration>) {
+        let mut inner = self.inner.lock();
+        let share = inner.group_share(group).unwrap_or(f64::INFINITY);
+        inner.groups.note_event(group, StreamEvent { pause, goal, share }, self.now());
+    }
+
+    /// How long ago the last event of any stream in a group was.
+    pub(crate) fn group_silent_for(&self, group: &str) -> Option<Duration> {
+        self.inner.lock().groups.silent_for(group, self.now())
+    }
+
+    /// Says whether a group is late and another is not.
+    pub(crate) fn is_better_elsewhere(&self, group: &str) -> bool {
+        self.mechanisms.has(Mechanism::GroupChoice)
+            && self.inner.lock().groups.is_better_elsewhere(group, self.now())
+    }
+
+    /// Notes that an endpoint of a group has refused because it runs nothing.
+    pub(crate) fn note_refusal(self: &Arc<Service>, group: &str) {
+        if !self.mechanisms.has(Mechanism::OutageWatch) {
+            return;
+        }
+        let begins = self.inner.lock().groups.note_refusal(group, self.now());
+        if let Some(probe_at) = begins {
+            log::info!(group; "the group runs nothing for now");
+            self.wake_at(probe_at);
+        }
+    }
+
+    /// Notes that an endpoint of a group has answered.
+    pub(crate) fn note_answer(self: &Arc<Service>, group: &str) {
+        let mut inner = self.inner.lock();
+        let now = self.now();
+        if inner.groups.note_answer(group, now) {
+            inner.queue.resume(now);
+            drop(inner);
+            log::info!(group; "the group runs again");
+            self.wake();
+        }
+    }
+}
--- /dev/null
+++ b/crates/direct/src/service/mod.rs
@@ -0,0 +1,188 @@
+//! One service: who gets a place now, who waits, who is refused.
+
+mod groups;
+mod inner;
+
+use std::{sync::Arc, time::Duration};
+
+use lynxmount_core::{
+    Clock, EndpointId, EndpointRecord, EngineSpec, Mechanism, Mechanisms, SiteBounds,
+};
+use lynxmount_policy::{
+    Offer, Placement, SlotOwners, Ticket, Waiter, WindowBudget, WindowBudgetOptions,
+};
+use parking_lot::Mutex;
+use tokio::sync::oneshot;
+
+use self::inner::Inner;
+use crate::endpoint::{Endpoint, Place};
+
+/// What a call wants of a place.
+pub(crate) struct Want<'a> {
+    pub(crate) waiter: Waiter,
+    /// Until when it may wait for a group to open: it is late then, and must still
+    /// come to its end.
+    pub(crate) hold_until: Duration,
+    pub(crate) tried: &'a [EndpointId],
+}
+
+/// Why there is no place.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum NoPlace {
+    /// All are taken for longer than the call may wait.
+    Full { retry_after: Duration },
+    /// No endpoint takes calls.
+    Nowhere,
+}
+
+/// The endpoints of one service.
+pub(crate) struct Service {
+    clock: Clock,
+    /// How long a group stalls when it has lost a rank.
+    group_stall: Duration,
+    pub(crate) mechanisms: Arc<Mechanisms>,
+    inner: Mutex<Inner>,
+}
+
+impl Service {
+    pub(crate) fn new(clock: Clock, bounds: &SiteBounds, mechanisms: Arc<Mechanisms>) -> Service {
+        let options = WindowBudgetOptions {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack,
+            window: bounds.retry_window,
+        };
+        let inner = Inner::new(WindowBudget::new(options), Arc::clone(&mechanisms));
+        Service { clock, group_stall: bounds.group_stall, mechanisms, inner: Mutex::new(inner) }
+    }
+
+    pub(crate) fn update<'a>(
+        self: &Arc<Service>,
+        ready: impl Iterator<Item = &'a EndpointRecord>,
+        engine: Option<&EngineSpec>,
+        owners: &SlotOwners,
+    ) {
+        let mut inner = self.inner.lock();
+        inner.update(ready, engine, owners);
+        let experts = engine.and_then(|engine| engine.experts);
+        inner.groups.set_usual_outage(experts.map(|spec| self.group_stall + spec.form_time));
+        drop(inner);
+        self.wake();
+    }
+
+    /// The time since the process's start.
+    pub(crate) fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// The endpoints whose engines may be ranks of groups.
+    pub(crate) fn ranks(&self) -> Vec<Arc<Endpoint>> {
+        let inner = self.inner.lock();
+        if inner.slots.is_none() { Vec::new() } else { inner.endpoints.clone() }
+    }
+
+    /// Counts the first arrival of a call.
+    pub(crate) fn note_call(&self) {
+        self.inner.lock().budget.note_call(self.now());
+    }
+
+    /// Takes a repeat from the service's budget, if there is one.
+    pub(crate) fn take_repeat(&self) -> bool {
+        let mut inner = self.inner.lock();
+        let entries = inner.entries();
+        self.mechanisms.has(Mechanism::Repeats) && inner.budget.take(entries, self.now())
+    }
+
+    /// Waits for a place until the call may not wait any more.
+    ///
+    /// Fails at once if the wait would be too long or nothing takes calls.
+    pub(crate) async fn place(self: &Arc<Service>, want: Want<'_>) -> Result<Place, NoPlace> {
+        let (wait_until, ticket, receiver) = match self.offer(want)? {
+            Offered::Place(place) => return Ok(place),
+            Offered::Wait { until, ticket, receiver } => (until, ticket, receiver),
+        };
+        let _guard = WaitGuard { service: self, ticket };
+        let limit = wait_until.saturating_sub(self.now());
+        match tokio::time::timeout(limit, receiver).await {
+            Ok(Ok(place)) => Ok(place),
+            _ => Err(NoPlace::Full { retry_after: self.inner.lock().queue.drain_time() }),
+        }
+    }
+
+    fn offer(self: &Arc<Service>, want: Want<'_>) -> Result<Offered, NoPlace> {
+        let now = self.now();
+        let mut inner = self.inner.lock();
+        let free = match inner.choose(want.tried, now) {
+            Placement::Nowhere => return Err(NoPlace::Nowhere),
+            Placement::Closed => return inner.hold(want, now),
+            Placement::Full => None,
+            Placement::At(index) => Some(index),
+        };
+        let until = want.waiter.wait_until;
+        if free.is_none() && !self.mechanisms.has(Mechanism::WaitEstimate) {
+            let ticket = inner.queue.hold(want.waiter, now);
+            return Ok(inner.wait(ticket, until));
+        }
+        match (inner.queue.offer(want.waiter, free.is_some(), now), free) {
+            (Offer::Start, Some(index)) => Ok(Offered::Place(inner.take(index, self))),
+            (Offer::Wait(ticket), _) => Ok(inner.wait(ticket, until)),
+            (Offer::Refuse { retry_after }, _) => Err(NoPlace::Full { retry_after }),
+            (Offer::Start, None) => Err(NoPlace::Full { retry_after: Duration::ZERO }),
+        }
+    }
+
+    /// Takes a place back.
+    pub(crate) fn give_back(self: &Arc<Service>, group: &str) {
+        self.inner.lock().groups.note_ended(group);
+        self.wake();
+    }
+
+    /// Hands free places out at a later time.
+    fn wake_at(self: &Arc<Service>, at: Duration) {
+        let service = Arc::clone(self);
+        let wait = at.saturating_sub(self.now());
+        tokio::spawn(async move {
+            tokio::time::sleep(wait).await;
+            service.wake();
+        });
+    }
+
+    /// Hands free places to waiting calls.
+    fn wake(self: &Arc<Service>) {
+        let unwanted = self.hand_out();
+        // Places whose call has just gone are given back without the lock.
+        drop(unwanted);
+    }
+
+    fn hand_out(self: &Arc<Service>) -> Vec<Place> {
+        let now = self.now();
+        let mut unwanted = Vec::new();
+        let mut inner = self.inner.lock();
+        while !inner.queue.is_empty() {
+            let Placement::At(index) = inner.choose(&[], now) else { break };
+            let Some(ticket) = inner.queue.start_next(now) else { break };
+            let Some(sender) = inner.waiting.remove(&ticket) else { continue };
+            let place = inner.take(index, self);
+            unwanted.extend(sender.send(place).err());
+        }
+        unwanted
+    }
+}
+
+enum Offered {
+    Place(Place),
+    Wait { until: Duration, ticket: Ticket, receiver: oneshot::Receiver<Place> },
+}
+
+/// Takes a ticket out of the queue if its call stops waiting.
+struct WaitGuard<'a> {
+    service: &'a Service,
+    ticket: Ticket,
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        let mut inner = self.service.inner.lock();
+        inner.queue.remove(self.ticket, self.service.now());
+        inner.waiting.remove(&self.ticket);
+    }
+}
