Log attempts that are canceled before their response head

The logs could not tell the two hypotheses apart (the call's endpoint is silent alone, or its whole group is): a caller that left before the head of its answer left no line. The new line names the endpoint, the time waited and the silence of the group.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -102,7 +102,10 @@
     let request = request(dialect, outgoing, &forward);
     let may_leave = outgoing.is_stream && outgoing.may_repeat && outgoing.may_follow;
     let sent_at = Instant::now();
+    let mut pending = PendingHead { place: &place, request: outgoing.id, sent_at, is_over: false };
     let answered = answer(&place, &mut connection, request, may_leave, until).await;
+    pending.is_over = true;
+    drop(pending);
     let response = match answered {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
@@ -121,6 +124,26 @@
     judge(dialect, place, connection, outgoing, response)
 }
 
+/// An attempt whose response head has not arrived; logs its cancellation.
+struct PendingHead<'a> {
+    place: &'a Place,
+    request: Option<&'a str>,
+    sent_at: Instant,
+    is_over: bool,
+}
+
+impl Drop for PendingHead<'_> {
+    fn drop(&mut self) {
+        if self.is_over {
+            return;
+        }
+        let group_silent_ms = self.place.group_silent_for().map(|time| time.as_millis() as u64);
+        log::info!(request = self.request, endpoint = &*self.place.endpoint.record.id,
+            waited_ms = self.sent_at.elapsed().as_millis() as u64, group_silent_ms;
+            "attempt canceled");
+    }
+}
+
 /// Waits for the head of an answer. A stream's comes with its first event, and is
 /// not waited for in a group that is silent while another is better.
 ///
