Reroute calls from endpoints that stall before their first event

Cause: silence of one endpoint meant nothing for calls that had not begun. They were rerouted only if the whole group was silent and another was better, and the endpoint got new calls for as long as it was registered.

Ruled out: a silent group; late orders; the frozen balancing process. A frozen machine accepts connections, so that opening a fresh one proves nothing.

Why this holds: ranks complete each pass together, so an endpoint that is silent under calls while its group has events has stalled. Stall and Liveness (crates/policy) decide that for waiting calls and streams in progress alike. After 0.9 s its calls go elsewhere, within attempts and retry budget, and it is ejected; after 0.4 s it gets no new ones. Calls that may run once stay where they are.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -11,14 +11,9 @@
     edge::{AnswerHead, AnswerKind, Dialect, Forward},
 };
 use lynxmount_link::Connection;
-use lynxmount_policy::CallEnd;
-use tokio::time::error::Elapsed;
+use lynxmount_policy::{CallEnd, Stall};
 
-use crate::{
-    endpoint::Place,
-    reply::ReplyBody,
-    stream::{GROUP_SILENCE_LIMIT, SILENCE_CHECK},
-};
+use crate::{endpoint::Place, reply::ReplyBody, stream::SILENCE_CHECK};
 
 /// What is sent to an endpoint, whatever endpoint it is.
 pub(crate) struct Outgoing<'a> {
@@ -77,6 +72,8 @@
     HeldBack,
     /// Another endpoint has the address.
     OtherEndpoint,
+    /// It was sent, and its endpoint or group stalled.
+    Stalled,
     /// It was sent, and there was no answer in time.
     TimedOut,
     /// Nothing was sent.
@@ -100,15 +97,15 @@
         Ended::Unreachable
     })?;
     let request = request(dialect, outgoing, &forward);
-    let may_leave = outgoing.is_stream && outgoing.may_repeat && outgoing.may_follow;
+    let may_reroute = outgoing.is_stream && outgoing.may_repeat && outgoing.may_follow;
     let sent_at = Instant::now();
     let mut pending = PendingHead { place: &place, request: outgoing.id, sent_at, is_over: false };
-    let answered = answer(&place, &mut connection, request, may_leave, until).await;
+    let answered = response_head(&place, &mut connection, request, may_reroute, until).await;
     pending.is_over = true;
     drop(pending);
     let response = match answered {
-        Ok(Ok(response)) => response,
-        Ok(Err(error)) => {
+        Ok(response) => response,
+        Err(NoHead::Broken(error)) => {
             let endpoint = &*place.endpoint.record.id;
             log::info!(request = outgoing.id, endpoint, error:% = error; "attempt lost");
             place.note_end(CallEnd::Unreachable);
@@ -116,7 +113,13 @@
             place.note_broken(outgoing.call, phase, sent_at);
             return Err(Ended::Lost);
         }
-        Err(_) => {
+        Err(NoHead::Stalled(stall)) => {
+            log::info!(request = outgoing.id, endpoint = &*place.endpoint.record.id, stall:? = stall,
+                waited_ms = sent_at.elapsed().as_millis() as u64; "attempt rerouted");
+            place.note_end(CallEnd::Unreachable);
+            return Err(Ended::Stalled);
+        }
+        Err(NoHead::TimedOut) => {
             place.note_end(CallEnd::Unreachable);
             return Err(Ended::TimedOut);
         }
@@ -144,36 +147,41 @@
     }
 }
 
-/// Waits for the head of an answer. A stream's comes with its first event, and is
-/// not waited for in a group that is silent while another is better.
+/// Why there is no response head.
+enum NoHead {
+    Broken(hyper::Error),
+    Stalled(Stall),
+    TimedOut,
+}
+
+/// Waits for the response head. A stream's comes with its first event.
 ///
-/// Fails if there is none in time.
-async fn answer(
+/// Fails if the connection breaks, the time is up, or a call that may be rerouted meets a stall.
+async fn response_head(
     place: &Place,
     connection: &mut Connection,
     request: Request<Full<Bytes>>,
-    may_leave: bool,
+    may_reroute: bool,
     until: Instant,
-) -> Result<Result<Response<Incoming>, hyper::Error>, Elapsed> {
+) -> Result<Response<Incoming>, NoHead> {
     let sent_at = Instant::now();
     let mut sending = std::pin::pin!(connection.send(request));
     loop {
         let limit = left(until).min(SILENCE_CHECK);
-        match tokio::time::timeout(limit, &mut sending).await {
-            Ok(answered) => return Ok(answered),
-            Err(elapsed) if left(until).is_zero() => return Err(elapsed),
-            Err(elapsed) if may_leave && is_left(place, sent_at) => return Err(elapsed),
-            Err(_) => {}
+        if let Ok(answered) = tokio::time::timeout(limit, &mut sending).await {
+            return answered.map_err(NoHead::Broken);
+        }
+        if left(until).is_zero() {
+            return Err(NoHead::TimedOut);
+        }
+        // A queued call of a live endpoint waits in silence, too.
+        let silence = sent_at.elapsed().min(place.silent_for());
+        if may_reroute && let Some(stall) = place.stall(silence) {
+            return Err(NoHead::Stalled(stall));
         }
     }
 }
 
-/// Says whether a call that was sent goes elsewhere.
-fn is_left(place: &Place, sent_at: Instant) -> bool {
-    let group_silence = place.group_silent_for().unwrap_or_default();
-    sent_at.elapsed().min(group_silence) >= GROUP_SILENCE_LIMIT && place.is_better_elsewhere()
-}
-
 fn request(
     dialect: &impl Dialect,
     outgoing: &Outgoing<'_>,
@@ -193,6 +201,7 @@
     outgoing: &Outgoing<'_>,
     response: Response<Incoming>,
 ) -> Result<Opened, Ended> {
+    place.on_heard();
     let (parts, body) = response.into_parts();
     let head = Response::from_parts(parts, ());
     let told = dialect.read_answer(outgoing.id, &head);
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -6,7 +6,7 @@
 };
 
 use lynxmount_core::{CallFingerprint, CallPhase, EndpointId, EndpointRecord, edge::ReportedLoad};
-use lynxmount_policy::{CallEnd, GroupWatch, Health, OwnSlots, Seat};
+use lynxmount_policy::{CallEnd, GroupWatch, Health, Liveness, OwnSlots, Seat, Stall};
 use parking_lot::Mutex;
 
 use crate::{pool::Pool, service::Service};
@@ -14,10 +14,8 @@
 /// How long the load that an endpoint has told counts.
 const LOAD_LIFE: Duration = Duration::from_millis(600);
 
-/// How long ago an endpoint must have sent something for a stream to go on a
-/// connection that is open: what is sent to a frozen machine lies there until the
-/// machine wakes, when its caller has long left. A fresh connection is not opened by
-/// one. Streams have an event each 60 to 100 ms.
+/// How long ago an endpoint must have sent something for a stream to reuse a connection: an
+/// engine reads a request from it before its process has to accept anything.
 const HEARD_LATELY: Duration = Duration::from_millis(250);
 
 /// An endpoint that takes calls.
@@ -34,6 +32,7 @@
     told_at: Option<Instant>,
     heard_at: Option<Instant>,
     health: Health,
+    liveness: Liveness,
     last_chosen: u64,
     group: Option<Arc<str>>,
     own_slots: Option<OwnSlots>,
@@ -62,7 +61,7 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.endpoint.load.lock().own_running -= 1;
+        self.endpoint.release();
         self.service.give_back(&self.group);
     }
 }
@@ -79,9 +78,19 @@
         load.told_at = Some(Instant::now());
     }
 
-    /// Notes that the endpoint has sent something.
-    fn note_heard(&self) {
-        self.load.lock().heard_at = Some(Instant::now());
+    /// Records that the endpoint has sent something.
+    fn on_heard(&self, now: Duration) {
+        let mut load = self.load.lock();
+        load.heard_at = Some(Instant::now());
+        load.liveness.on_heard(now);
+    }
+
+    fn release(&self) {
+        let mut load = self.load.lock();
+        load.own_running -= 1;
+        if load.own_running == 0 {
+            load.liveness.on_idle();
+        }
     }
 
     /// Says whether the endpoint has sent something lately.
@@ -122,6 +131,7 @@
         let load = self.load.lock();
         let is_told = load.told_at.is_some_and(|at| at.elapsed() < LOAD_LIFE);
         let group = load.group.as_deref().unwrap_or_default();
+        let is_suspect = load.liveness.is_suspect(groups.silent_for(group, room.now), room.now);
         Seat {
             own_running: load.own_running,
             others_running: if is_told { load.others_running } else { 0 },
@@ -132,16 +142,17 @@
             is_closed: !groups.may_send(group, room.now),
             pace: groups.pace(group, room.now),
             is_limited: room.group_share.is_some_and(|share| groups.is_at_limit(group, share)),
-            is_ejected: load.health.is_ejected(room.now),
+            is_ejected: load.health.is_ejected(room.now) || is_suspect,
             was_tried: tried.contains(&self.record.id),
             last_chosen: load.last_chosen,
         }
     }
 
     /// Counts a call that is given a place here.
-    pub(crate) fn note_chosen(&self, choice: u64) {
+    pub(crate) fn note_chosen(&self, choice: u64, now: Duration) {
         let mut load = self.load.lock();
         load.own_running += 1;
+        load.liveness.on_sent(now);
         load.last_chosen = choice;
     }
 }
@@ -159,7 +170,7 @@
     /// Takes an event of the call's stream, how long after the one before, and the
     /// longest pause that is on time.
     pub(crate) fn note_event(&self, pause: Option<Duration>, goal: Option<Duration>) {
-        self.endpoint.note_heard();
+        self.on_heard();
         self.service.note_event(&self.group, pause, goal);
     }
 
@@ -168,9 +179,21 @@
         self.service.group_silent_for(&self.group)
     }
 
-    /// Says whether the group is late and another is not.
-    pub(crate) fn is_better_elsewhere(&self) -> bool {
-        self.service.is_better_elsewhere(&self.group)
+    /// Records that the endpoint has sent something.
+    pub(crate) fn on_heard(&self) {
+        self.endpoint.on_heard(self.service.now());
+    }
+
+    /// How long the endpoint has sent nothing to any call of this entry.
+    pub(crate) fn silent_for(&self) -> Duration {
+        self.endpoint.load.lock().liveness.silent_for(self.service.now())
+    }
+
+    /// Says what has stalled under a call that has heard nothing for so long, if it should be
+    /// rerouted.
+    pub(crate) fn stall(&self, silence: Duration) -> Option<Stall> {
+        let is_better_elsewhere = self.service.is_better_elsewhere(&self.group);
+        Stall::detect(silence, self.group_silent_for(), is_better_elsewhere)
     }
 
     /// Takes that the endpoint has refused because it runs nothing.
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -11,7 +11,7 @@
 use hyper::body::{Frame, Incoming};
 use lynxmount_core::{CallPhase, Mechanism, edge::Dialect};
 use lynxmount_link::Connection;
-use lynxmount_policy::CallEnd;
+use lynxmount_policy::{CallEnd, Stall};
 use lynxmount_wire::{Numbered, NumberedEvents};
 
 use crate::{
@@ -21,24 +21,9 @@
     reply::ReplyBody,
 };
 
-/// How long a stream may be silent while other streams of the service go on,
-/// before its connection is taken for dead. Ranks of a group run in lock-step,
-/// so that a live stream has an event at each pass; passes of the reference
-/// deployments take 30 to 120 ms. Callers give up after 2 s.
-const SILENCE_LIMIT: Duration = Duration::from_millis(900);
-
-/// How long a whole group may be silent before its streams go on in another: longer
-/// than most holds that were left behind stand, and sooner than callers give up, who
-/// wait for 2 s. Runs at a frozen machine begin when it wakes: a call that has moved
-/// on by then has not left one behind for a caller that is gone.
-pub(crate) const GROUP_SILENCE_LIMIT: Duration = Duration::from_millis(1200);
-
-/// How often a silent stream is compared with the others.
+/// How often a silent call is checked for a stall.
 pub(crate) const SILENCE_CHECK: Duration = Duration::from_millis(300);
 
-/// How long before the comparison another stream must have had an event.
-const OTHERS_FRESH: Duration = Duration::from_millis(250);
-
 /// A stream on its way to the caller.
 pub(crate) struct StreamRelay<D: Dialect> {
     call: Arc<Call<D>>,
@@ -69,7 +54,7 @@
     Connection,
     CutEvent,
     Order,
-    Silence,
+    Stall(Stall),
 }
 
 impl Broken {
@@ -78,7 +63,8 @@
             Broken::Connection => "the connection broke",
             Broken::CutEvent => "an event is cut",
             Broken::Order => "events do not follow each other",
-            Broken::Silence => "the endpoint is silent",
+            Broken::Stall(Stall::Endpoint) => "the endpoint stalled",
+            Broken::Stall(Stall::Group) => "the group stalled",
         }
     }
 }
@@ -190,7 +176,10 @@
     }
 
     fn note_broken(&self, why: Broken) {
-        self.note_end(CallEnd::Failed);
+        self.note_end(match why {
+            Broken::Stall(Stall::Endpoint) => CallEnd::Unreachable,
+            _ => CallEnd::Failed,
+        });
         let is_closed = matches!(why, Broken::Connection | Broken::CutEvent);
         if let Some(place) = self.place.as_ref().filter(|_| is_closed) {
             let phase = if self.has_events { CallPhase::Running } else { CallPhase::Beginning };
@@ -223,8 +212,11 @@
                 Ok(None) if self.events.ends_early() => return Next::Broken(Broken::CutEvent),
                 Ok(None) => return Next::End,
                 Err(_) if left(self.call.deadline).is_zero() => return Next::TimedOut,
-                Err(_) if self.is_silent_alone() => return Next::Broken(Broken::Silence),
-                Err(_) => {}
+                Err(_) => {
+                    if let Some(stall) = self.stall() {
+                        return Next::Broken(Broken::Stall(stall));
+                    }
+                }
             }
         }
     }
@@ -238,19 +230,10 @@
         self.has_events = true;
     }
 
-    /// Says whether this stream is silent while others of its group are not, or
-    /// while its whole group is and another is on time.
-    fn is_silent_alone(&self) -> bool {
-        let Some(place) = &self.place else { return false };
-        if !self.may_go_on_elsewhere() {
-            return false;
-        }
-        let silence = self.last_event_at.elapsed();
-        let others_go_on = place.group_silent_for().is_some_and(|age| age <= OTHERS_FRESH);
-        match others_go_on {
-            true => silence >= SILENCE_LIMIT,
-            false => silence >= GROUP_SILENCE_LIMIT && place.is_better_elsewhere(),
-        }
+    /// Says what has stalled under the stream, if it may be resumed elsewhere.
+    fn stall(&self) -> Option<Stall> {
+        let place = self.place.as_ref().filter(|_| self.may_go_on_elsewhere())?;
+        place.stall(self.last_event_at.elapsed())
     }
 
     /// Says whether the stream may be resumed. Silence is no reason to cut one that
--- a/crates/direct/src/tries.rs
+++ b/crates/direct/src/tries.rs
@@ -14,7 +14,8 @@
 
 impl Tries {
     pub(crate) fn note(&mut self, ended: Ended) {
-        self.may_have_run |= matches!(ended, Ended::HeldBack | Ended::Lost | Ended::TimedOut);
+        self.may_have_run |=
+            matches!(ended, Ended::HeldBack | Ended::Lost | Ended::Stalled | Ended::TimedOut);
         self.unreachable += u32::from(matches!(ended, Ended::Unreachable | Ended::OtherEndpoint));
     }
 }
@@ -26,6 +27,7 @@
         Ended::Lost => "attempts.lost",
         Ended::NotRun => "attempts.not_run",
         Ended::OtherEndpoint => "attempts.other_endpoint",
+        Ended::Stalled => "attempts.stalled",
         Ended::TimedOut => "attempts.timed_out",
         Ended::Unreachable => "attempts.unreachable",
     }
--- a/crates/lynxmount/tests/platform_entry.rs
+++ b/crates/lynxmount/tests/platform_entry.rs
@@ -552,3 +552,43 @@
     }
     assert!(fleet.replicas.iter().all(|replica| replica.seen().len() == 1));
 }
+
+/// Guards against calls that wait at a frozen endpoint until their callers leave, and run there
+/// once it wakes.
+#[tokio::test]
+async fn a_stream_is_rerouted_from_an_endpoint_that_stalls_before_its_first_event() {
+    let steady = Behaviour::Stream { events: 40, pause: Duration::from_millis(60) };
+    let fleet = Fleet::start(STREAM, &[steady, Behaviour::Hang]).await;
+
+    let path = path(STREAM);
+    let calls = [(); 2].map(|()| call(fleet.address(), Method::POST, &path, KEY));
+    let answers = futures::future::join_all(calls).await;
+
+    for answer in answers {
+        assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+    }
+    assert_eq!(fleet.replicas[1].seen().len(), 1);
+    assert_eq!(fleet.entry.logged("attempt rerouted").len(), 1);
+}
+
+/// Guards against calls that are sent to a frozen endpoint for as long as it is registered.
+#[tokio::test]
+async fn a_stalled_endpoint_gets_no_new_streams_while_its_group_makes_progress() {
+    let steady = Behaviour::Stream { events: 40, pause: Duration::from_millis(60) };
+    let fleet = Fleet::start(STREAM, &[steady.clone(), steady, Behaviour::Hang]).await;
+    let path = path(STREAM);
+    let stream = || call(fleet.address(), Method::POST, &path, KEY);
+    let first = futures::future::join_all([(); 3].map(|()| stream()));
+    let later = async {
+        // Longer than the silence after which an endpoint is suspected.
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        futures::future::join_all([(); 4].map(|()| stream())).await
+    };
+
+    let (first, later) = futures::join!(first, later);
+
+    for answer in first.into_iter().chain(later) {
+        assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+    }
+    assert_eq!(fleet.replicas[2].seen().len(), 1);
+}
--- /dev/null
+++ b/crates/policy/tests/stall.rs
@@ -0,0 +1,59 @@
+//! Detection of endpoints that stall alone, and of groups that stall as a whole.
+
+use std::time::Duration;
+
+use lynxmount_policy::{Liveness, Stall};
+
+const PROGRESS: Option<Duration> = Some(Duration::from_millis(60));
+const SILENT: Option<Duration> = Some(Duration::from_millis(1200));
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[test]
+fn calls_leave_an_endpoint_that_is_silent_while_its_group_makes_progress() {
+    assert_eq!(Stall::detect(ms(899), PROGRESS, true), None);
+    assert_eq!(Stall::detect(ms(900), PROGRESS, false), Some(Stall::Endpoint));
+}
+
+#[test]
+fn calls_leave_a_silent_group_only_for_a_better_one() {
+    assert_eq!(Stall::detect(ms(1199), SILENT, true), None);
+    assert_eq!(Stall::detect(ms(5000), SILENT, false), None);
+    assert_eq!(Stall::detect(ms(1200), SILENT, true), Some(Stall::Group));
+}
+
+#[test]
+fn nothing_is_concluded_from_a_group_that_was_never_heard() {
+    let mut liveness = Liveness::default();
+    liveness.on_sent(ms(0));
+
+    assert!(!liveness.is_suspect(None, ms(5000)));
+    assert_eq!(Stall::detect(ms(5000), None, false), None);
+}
+
+#[test]
+fn silence_counts_from_the_first_call_that_was_not_answered() {
+    let mut liveness = Liveness::default();
+    liveness.on_sent(ms(100));
+    liveness.on_sent(ms(450));
+
+    assert_eq!(liveness.silent_for(ms(500)), ms(400));
+    assert!(!liveness.is_suspect(PROGRESS, ms(499)));
+    assert!(liveness.is_suspect(PROGRESS, ms(500)));
+    assert!(!liveness.is_suspect(SILENT, ms(500)));
+}
+
+#[test]
+fn an_endpoint_that_is_heard_or_idle_is_not_silent() {
+    let mut liveness = Liveness::default();
+    liveness.on_sent(ms(0));
+
+    liveness.on_heard(ms(600));
+    let after_event = liveness.silent_for(ms(700));
+    liveness.on_idle();
+
+    assert_eq!(after_event, ms(100));
+    assert_eq!(liveness.silent_for(ms(9000)), Duration::ZERO);
+}
