Break connections to endpoints whose data stays unacknowledged

Cause: a request on a dead connection waits as long as its caller does. The endpoint is heard on other connections, and a queued call at a live endpoint is silent as well, so silence decides nothing; the kernel repeats for minutes.

Why this holds: TCP_USER_TIMEOUT breaks a connection whose data is not acknowledged for 0.9 s. The kernel of a live endpoint acknowledges a call that waits in its queue, so that only dead connections and windows that stay shut break.

--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -26,6 +26,9 @@
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 const LOST_PROBES: u32 = 1;
 
+/// How long sent data may stay unacknowledged until a connection to an endpoint breaks.
+const UNACKED_TIMEOUT: Duration = Duration::from_millis(900);
+
 /// A connection; dropping it closes it, which ends what the peer does for it.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
@@ -75,13 +78,17 @@
 
     /// Opens a connection that is reset when it is dropped: what the peer has not read
     /// by then is lost. A machine that was frozen or cut off would otherwise read it
-    /// when it is back, and begin what its caller has long left.
+    /// when it is back, and begin what its caller has long left. It breaks if the peer's
+    /// kernel does not acknowledge a request in time.
     ///
     /// Fails as [`Connection::open`] does.
     pub async fn open_resettable(address: SocketAddr, timeout: Duration) -> Result<Connection> {
         let stream = connect(address, timeout).await?;
-        let linger = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
-        linger.map_err(|e| unreachable(Step::Connect, address, e))?;
+        let socket = SockRef::from(&stream);
+        socket
+            .set_linger(Some(Duration::ZERO))
+            .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT)))
+            .map_err(|e| unreachable(Step::Connect, address, e))?;
         Connection::shake_hands(address, stream).await
     }
 
