Judge a silent endpoint by the passes that it has missed

Maps are unbalanced then, passes are slow, and an endpoint that only reads prompts is silent for several of them.

Cause: the limits of the stall detector were times only. Now an endpoint must also have missed 4 passes of its group to be suspected, and 8 to lose its calls.

--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -131,7 +131,7 @@
         let load = self.load.lock();
         let is_told = load.told_at.is_some_and(|at| at.elapsed() < LOAD_LIFE);
         let group = load.group.as_deref().unwrap_or_default();
-        let is_suspect = load.liveness.is_suspect(groups.silent_for(group, room.now), room.now);
+        let is_suspect = load.liveness.is_suspect(groups.progress(group, room.now), room.now);
         Seat {
             own_running: load.own_running,
             others_running: if is_told { load.others_running } else { 0 },
@@ -193,7 +193,7 @@
     /// rerouted.
     pub(crate) fn stall(&self, silence: Duration) -> Option<Stall> {
         let is_better_elsewhere = self.service.is_better_elsewhere(&self.group);
-        Stall::detect(silence, self.group_silent_for(), is_better_elsewhere)
+        Stall::detect(silence, self.service.group_progress(&self.group), is_better_elsewhere)
     }
 
     /// Takes that the endpoint has refused because it runs nothing.
--- a/crates/direct/src/service/groups.rs
+++ b/crates/direct/src/service/groups.rs
@@ -4,7 +4,7 @@
 
 use lynxmount_core::Mechanism;
 use lynxmount_link::{GroupMembersNotice, GroupNotice, MembersFingerprint};
-use lynxmount_policy::{GroupChange, StreamEvent};
+use lynxmount_policy::{GroupChange, GroupProgress, StreamEvent};
 
 use super::{Service, inner::Members};
 use crate::endpoint::Endpoint;
@@ -62,6 +62,11 @@
         self.inner.lock().groups.silent_for(group, self.now())
     }
 
+    /// What is known of a group's progress.
+    pub(crate) fn group_progress(&self, group: &str) -> GroupProgress {
+        self.inner.lock().groups.progress(group, self.now())
+    }
+
     /// Says whether a group is late and another is not.
     pub(crate) fn is_better_elsewhere(&self, group: &str) -> bool {
         self.mechanisms.has(Mechanism::GroupChoice)
--- a/crates/policy/src/group_watch.rs
+++ b/crates/policy/src/group_watch.rs
@@ -7,7 +7,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use crate::{OutageWatch, Pace, PaceClass, PaceLimit, pace_limit::FIRST_MAPS};
+use crate::{GroupProgress, OutageWatch, Pace, PaceClass, PaceLimit, pace_limit::FIRST_MAPS};
 
 /// How long what a group's process has told counts: five of its periods.
 const TOLD_LIFE: Duration = Duration::from_secs(1);
@@ -185,6 +185,15 @@
         self.groups.get(group)?.pace.silent_for(now)
     }
 
+    /// What is known of a group's progress.
+    pub fn progress(&self, group: &str, now: Duration) -> GroupProgress {
+        let pace = self.groups.get(group).map(|watched| watched.pace).unwrap_or_default();
+        GroupProgress {
+            silent_for: pace.silent_for(now),
+            pause: pace.mean(now).unwrap_or_default(),
+        }
+    }
+
     /// Says whether streams of a group would be better off in another.
     pub fn is_better_elsewhere(&self, group: &str, now: Duration) -> bool {
         let own = self.pace(group, now);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -43,7 +43,7 @@
 pub use retry::{AttemptEnd, GiveUp, Next, Retry};
 pub use retry_budget::RetryBudget;
 pub use slot_owners::{OwnSlots, SlotOwners};
-pub use stall::{Liveness, Stall};
+pub use stall::{GroupProgress, Liveness, Stall};
 pub use subset::{rank, rendezvous};
 pub use team_limits::{OverLimit, TeamLimits, TeamRate};
 pub use window_budget::{WindowBudget, WindowBudgetOptions};
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -81,11 +81,15 @@
         self.last_event_at.map(|at| now.saturating_sub(at))
     }
 
+    /// The mean pause of late, by the own streams or as told; `None` if neither is fresh.
+    pub fn mean(&self, now: Duration) -> Option<Duration> {
+        Measured::fresh(self.mean, now).or(Measured::fresh(self.told, now))
+    }
+
     /// What a stream may expect, with the longest pause that is on time.
     pub fn class(&self, goal: Duration, has_streams: bool, now: Duration) -> PaceClass {
         let silence = self.silent_for(now).filter(|_| has_streams).unwrap_or_default();
-        let known = Measured::fresh(self.mean, now).or(Measured::fresh(self.told, now));
-        let pause = known.unwrap_or_default();
+        let pause = self.mean(now).unwrap_or_default();
         let is_stalled =
             pause > goal.mul_f64(STALLED_FACTOR) || silence > goal.mul_f64(SILENT_FACTOR);
         match pause.max(silence) {
--- a/crates/policy/src/stall.rs
+++ b/crates/policy/src/stall.rs
@@ -1,17 +1,23 @@
 //! Detects endpoints that stall while the rest of their lock-step group makes progress.
 //!
 //! All ranks of a group complete each pass together, so that a live rank has an event of each
-//! running stream whenever the others have one. Connections do not show a stall: the kernel of
-//! a frozen machine still accepts them.
+//! running stream whenever the others have one, and reads its next prompt within a few passes.
+//! Connections do not show a stall: the kernel of a frozen machine still accepts them.
 
 use std::time::Duration;
 
-/// Silence after which an endpoint gets no new calls.
+/// Least silence after which an endpoint gets no new calls.
 const SUSPECT_AFTER: Duration = Duration::from_millis(400);
 
-/// Silence after which calls are rerouted from an endpoint.
+/// Passes of the group that an endpoint must have missed for that.
+const SUSPECT_PASSES: u32 = 4;
+
+/// Least silence after which calls are rerouted from an endpoint.
 const REROUTE_AFTER: Duration = Duration::from_millis(900);
 
+/// Passes of the group that an endpoint must have missed for that.
+const REROUTE_PASSES: u32 = 8;
+
 /// Silence after which calls are rerouted from a whole group. Longer than most orphaned holds
 /// of a map switch, which end by themselves.
 const GROUP_REROUTE_AFTER: Duration = Duration::from_millis(1200);
@@ -19,6 +25,21 @@
 /// Age up to which an event shows that a group makes progress.
 const PROGRESS_LIFE: Duration = Duration::from_millis(250);
 
+/// What is known of the progress of a group.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct GroupProgress {
+    /// The age of the last event in the group; `None` before the first.
+    pub silent_for: Option<Duration>,
+    /// The mean pause between events of late; zero if it is not known.
+    pub pause: Duration,
+}
+
+impl GroupProgress {
+    fn is_live(&self) -> bool {
+        self.silent_for.is_some_and(|age| age <= PROGRESS_LIFE)
+    }
+}
+
 /// What has stalled.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Stall {
@@ -29,15 +50,16 @@
 }
 
 impl Stall {
-    /// Says what has stalled, if calls should be rerouted for it. Takes the silence that a call
-    /// meets, and the age of the last event in its endpoint's group.
+    /// Says what has stalled under a call that has met silence for so long, if it should be
+    /// rerouted.
     pub fn detect(
         silence: Duration,
-        group_silence: Option<Duration>,
+        group: GroupProgress,
         is_better_elsewhere: bool,
     ) -> Option<Stall> {
-        match makes_progress(group_silence) {
-            true if silence >= REROUTE_AFTER => Some(Stall::Endpoint),
+        let reroute_after = REROUTE_AFTER.max(group.pause * REROUTE_PASSES);
+        match group.is_live() {
+            true if silence >= reroute_after => Some(Stall::Endpoint),
             false if silence >= GROUP_REROUTE_AFTER && is_better_elsewhere => Some(Stall::Group),
             _ => None,
         }
@@ -71,12 +93,9 @@
         self.silent_since.map_or(Duration::ZERO, |since| now.saturating_sub(since))
     }
 
-    /// Says whether the endpoint seems to have stalled, by the age of the last event in its group.
-    pub fn is_suspect(&self, group_silence: Option<Duration>, now: Duration) -> bool {
-        makes_progress(group_silence) && self.silent_for(now) >= SUSPECT_AFTER
+    /// Says whether the endpoint seems to have stalled while its group makes progress.
+    pub fn is_suspect(&self, group: GroupProgress, now: Duration) -> bool {
+        let suspect_after = SUSPECT_AFTER.max(group.pause * SUSPECT_PASSES);
+        group.is_live() && self.silent_for(now) >= suspect_after
     }
 }
-
-fn makes_progress(group_silence: Option<Duration>) -> bool {
-    group_silence.is_some_and(|age| age <= PROGRESS_LIFE)
-}
