Suspect calls that were canceled just before their endpoint crashed

Cause: a crash is held against the calls whose connections broke with it. The request's caller had left 34 ms before the second crash, and its entry had dropped the call with all that was known of it.

Ruled out: rerouting.

Why this holds: canceled calls are remembered for 0.25 s by endpoint, whether the caller left, the call was rerouted or timed out, and are suspected by their phase if the endpoint crashes in that time. An engine sees a cancellation within milliseconds, so that a call that was canceled earlier can't have crashed it.

The test failed before: after three ends the call was still sent.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -99,7 +99,7 @@
     let request = request(dialect, outgoing, &forward);
     let may_reroute = outgoing.is_stream && outgoing.may_repeat && outgoing.may_follow;
     let sent_at = Instant::now();
-    let mut pending = PendingHead { place: &place, request: outgoing.id, sent_at, is_over: false };
+    let mut pending = PendingHead { place: &place, outgoing, sent_at, is_over: false };
     let answered = response_head(&place, &mut connection, request, may_reroute, until).await;
     pending.is_over = true;
     drop(pending);
@@ -109,17 +109,18 @@
             let endpoint = &*place.endpoint.record.id;
             log::info!(request = outgoing.id, endpoint, error:% = error; "attempt lost");
             place.note_end(CallEnd::Unreachable);
-            let phase = if outgoing.is_stream { CallPhase::Waiting } else { CallPhase::Beginning };
-            place.note_broken(outgoing.call, phase, sent_at);
+            place.note_broken(outgoing.call, outgoing.pending_phase(), sent_at);
             return Err(Ended::Lost);
         }
         Err(NoHead::Stalled(stall)) => {
             log::info!(request = outgoing.id, endpoint = &*place.endpoint.record.id, stall:? = stall,
                 waited_ms = sent_at.elapsed().as_millis() as u64; "attempt rerouted");
+            place.on_canceled(outgoing.call, outgoing.pending_phase());
             place.note_end(CallEnd::Unreachable);
             return Err(Ended::Stalled);
         }
         Err(NoHead::TimedOut) => {
+            place.on_canceled(outgoing.call, outgoing.pending_phase());
             place.note_end(CallEnd::Unreachable);
             return Err(Ended::TimedOut);
         }
@@ -127,10 +128,20 @@
     judge(dialect, place, connection, outgoing, response)
 }
 
-/// An attempt whose response head has not arrived; logs its cancellation.
+impl Outgoing<'_> {
+    /// The phase of an attempt whose response head has not arrived.
+    fn pending_phase(&self) -> CallPhase {
+        match self.is_stream {
+            true => CallPhase::Waiting,
+            false => CallPhase::Beginning,
+        }
+    }
+}
+
+/// An attempt whose response head has not arrived; records its cancellation.
 struct PendingHead<'a> {
     place: &'a Place,
-    request: Option<&'a str>,
+    outgoing: &'a Outgoing<'a>,
     sent_at: Instant,
     is_over: bool,
 }
@@ -140,8 +151,9 @@
         if self.is_over {
             return;
         }
+        self.place.on_canceled(self.outgoing.call, self.outgoing.pending_phase());
         let group_silent_ms = self.place.group_silent_for().map(|time| time.as_millis() as u64);
-        log::info!(request = self.request, endpoint = &*self.place.endpoint.record.id,
+        log::info!(request = self.outgoing.id, endpoint = &*self.place.endpoint.record.id,
             waited_ms = self.sent_at.elapsed().as_millis() as u64, group_silent_ms;
             "attempt canceled");
     }
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -207,6 +207,11 @@
         self.service.note_broken(&self.endpoint, &self.group, call, phase, heard_at);
     }
 
+    /// Records that the call was canceled before its end.
+    pub(crate) fn on_canceled(&self, call: CallFingerprint, phase: CallPhase) {
+        self.service.on_canceled(&self.endpoint.record.id, call, phase);
+    }
+
     /// Takes how the call has ended at the endpoint.
     pub(crate) fn note_end(&self, end: CallEnd) {
         if end == CallEnd::Answered {
--- a/crates/direct/src/ends.rs
+++ b/crates/direct/src/ends.rs
@@ -6,7 +6,7 @@
 //! silence. So the endpoint is connected to once more.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -37,16 +37,29 @@
 /// cut by the stall. Timers fire late, never early.
 const STALL_PART: f64 = 0.8;
 
+/// How long before a crash a call may have been canceled and still be suspected: its endpoint
+/// may have begun it before it saw the cancellation.
+const CANCELED_LIFE: Duration = Duration::from_millis(250);
+
 /// Watches for endpoints that end.
 pub(crate) struct EndpointEnds {
     metrics: Arc<Metrics>,
     suspects: Arc<Suspects>,
     /// Calls whose connections have broken, by endpoints that are about to be contacted.
     broken: Mutex<HashMap<EndpointId, Vec<(CallFingerprint, CallPhase)>>>,
+    /// Calls that were canceled within [`CANCELED_LIFE`], the oldest first.
+    canceled: Mutex<VecDeque<CanceledCall>>,
     /// Counts endpoints about which it was found out.
     found_out: watch::Sender<u64>,
 }
 
+struct CanceledCall {
+    endpoint: EndpointId,
+    call: CallFingerprint,
+    phase: CallPhase,
+    at: Instant,
+}
+
 /// What is known of a call whose connection has broken.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct BrokenCall {
@@ -80,6 +93,7 @@
             metrics,
             suspects,
             broken: Mutex::default(),
+            canceled: Mutex::default(),
             found_out: watch::Sender::new(0),
         }
     }
@@ -99,10 +113,33 @@
             calls.push((broken.call, broken.phase));
             return;
         }
-        gathering.insert(id, vec![(broken.call, broken.phase)]);
+        let mut calls = self.canceled_at(&id);
+        calls.push((broken.call, broken.phase));
+        gathering.insert(id, calls);
         tokio::spawn(Arc::clone(self).find_out(Arc::clone(endpoint)));
     }
 
+    /// Records that a call was canceled at an endpoint before its end.
+    pub(crate) fn on_canceled(
+        &self,
+        endpoint: &EndpointId,
+        call: CallFingerprint,
+        phase: CallPhase,
+    ) {
+        let endpoint = EndpointId::clone(endpoint);
+        let mut canceled = self.canceled.lock();
+        expire(&mut canceled);
+        canceled.push_back(CanceledCall { endpoint, call, phase, at: Instant::now() });
+    }
+
+    /// Calls that were canceled at an endpoint lately.
+    fn canceled_at(&self, endpoint: &EndpointId) -> Vec<(CallFingerprint, CallPhase)> {
+        let mut canceled = self.canceled.lock();
+        expire(&mut canceled);
+        let there = canceled.iter().filter(|call| call.endpoint == *endpoint);
+        there.map(|canceled| (canceled.call, canceled.phase)).collect()
+    }
+
     /// Waits until it is known whether an endpoint has ended whose connections have broken.
     /// A call that is repeated sooner ends another endpoint before the first end counts: an
     /// entry sent one on 4 ms after the end.
@@ -134,3 +171,9 @@
         self.found_out.send_modify(|count| *count += 1);
     }
 }
+
+fn expire(canceled: &mut VecDeque<CanceledCall>) {
+    while canceled.front().is_some_and(|call| call.at.elapsed() > CANCELED_LIFE) {
+        canceled.pop_front();
+    }
+}
--- a/crates/direct/src/service/mod.rs
+++ b/crates/direct/src/service/mod.rs
@@ -129,6 +129,16 @@
         self.ends.note_broken(endpoint, BrokenCall { call, phase, heard_at, group_silence, stall });
     }
 
+    /// Records that a call was canceled at an endpoint before its end.
+    pub(crate) fn on_canceled(
+        &self,
+        endpoint: &EndpointId,
+        call: CallFingerprint,
+        phase: CallPhase,
+    ) {
+        self.ends.on_canceled(endpoint, call, phase);
+    }
+
     /// Waits until it is known whether an endpoint has ended whose connections have broken.
     pub(crate) async fn until_end_known(&self, endpoint: &EndpointId) {
         self.ends.until_known(endpoint).await;
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -182,8 +182,14 @@
         });
         let is_closed = matches!(why, Broken::Connection | Broken::CutEvent);
         if let Some(place) = self.place.as_ref().filter(|_| is_closed) {
-            let phase = if self.has_events { CallPhase::Running } else { CallPhase::Beginning };
-            place.note_broken(self.call.fingerprint, phase, self.last_event_at);
+            place.note_broken(self.call.fingerprint, self.phase(), self.last_event_at);
+        }
+    }
+
+    fn phase(&self) -> CallPhase {
+        match self.has_events {
+            true => CallPhase::Running,
+            false => CallPhase::Beginning,
         }
     }
 
@@ -265,9 +271,13 @@
 
 impl<D: Dialect> Drop for StreamRelay<D> {
     fn drop(&mut self) {
-        if !self.is_over {
-            self.call.finished("caller went away", self.events.last());
+        if self.is_over {
+            return;
+        }
+        if let Some(place) = &self.place {
+            place.on_canceled(self.call.fingerprint, self.phase());
         }
+        self.call.finished("caller went away", self.events.last());
     }
 }
 
--- a/crates/lynxmount/tests/platform_endpoint_ends.rs
+++ b/crates/lynxmount/tests/platform_endpoint_ends.rs
@@ -21,7 +21,7 @@
 
 use http::{Method, StatusCode};
 use lynxmount_platform_standin::{
-    Behaviour, ReplicaStandin, StoreMode,
+    Behaviour, ReplicaStandin, Seen, StoreMode,
     fixture::{ONCE, PLAIN, REGISTRATIONS_TOPIC, STREAM},
 };
 use nix::sys::signal::Signal;
@@ -340,3 +340,37 @@
         assert!(answer.body.is_some(), "a stream was cut");
     }
 }
+
+/// Guards against a request whose callers leave just before its endpoint crashes: it was never
+/// suspected, and each repeat crashed another endpoint.
+#[tokio::test]
+async fn a_call_that_is_canceled_just_before_its_endpoint_ends_is_held_back() {
+    let otherwise = Box::new(Behaviour::Stream { events: 100, pause: Duration::from_millis(20) });
+    let ending = Behaviour::EndAfterCancel { path: ENDING.to_owned(), otherwise };
+    let fleet = Fleet::start(STREAM, &vec![ending; 6]).await;
+    let entry = entry_ip(fleet.network, 0);
+    for round in 1..=MAX_ENDS {
+        // Two at each endpoint, so that the entry sees a connection break there.
+        let streams: Vec<_> = (0..12)
+            .map(|number| {
+                let path = format!("/{STREAM}/{round}-{number}");
+                let address = callers_address(entry);
+                tokio::spawn(async move { call(address, Method::POST, &path, KEY).await })
+            })
+            .collect();
+        let is_other = |seen: &Seen| seen.line.contains(&format!("/{round}-"));
+        wait_for("the streams", async || {
+            let seen = fleet.replicas.iter().flat_map(|replica| replica.seen());
+            seen.filter(is_other).count() >= streams.len()
+        })
+        .await;
+        let ending = tokio::spawn(async move { call_ending(entry, STREAM).await });
+        wait_for("the call", async || arrivals(&fleet) == round).await;
+
+        ending.abort();
+        wait_for("the end", async || ended(&fleet) == round).await;
+        futures::future::join_all(streams).await;
+    }
+
+    assert!(is_held_back(entry, STREAM).await);
+}
