Write the last log lines before a process ends

What operators saw: no line 'drained' of any process that left, so that nobody could tell what was left over at its end. The users ask for a line at each stop.

Cause: lines go to a writing thread through a queue, and the process ended without waiting for it; flush did nothing.

The flush waits for 200 ms at most, as standard output may block.

--- a/crates/lynxmount/src/commands/platform.rs
+++ b/crates/lynxmount/src/commands/platform.rs
@@ -21,8 +21,9 @@
     let Some(settings) = read_settings(matches)? else { return Ok(Exit::Invalid) };
     let source = Store::new(settings.store_address);
     let metrics_port = matches.get_one::<u16>(METRICS_PORT).copied();
-    lynxmount_direct::run(settings, metrics_port, PlatformDialect, source)?;
-    Ok(Exit::Done)
+    let run = lynxmount_direct::run(settings, metrics_port, PlatformDialect, source);
+    log::logger().flush();
+    run.map(|()| Exit::Done)
 }
 
 /// Runs an endpoint process until it is told to leave.
@@ -30,8 +31,9 @@
     let Some(settings) = read_settings(matches)? else { return Ok(Exit::Invalid) };
     let source = Store::new(settings.store_address);
     let metrics_port = matches.get_one::<u16>(METRICS_PORT).copied();
-    lynxmount_rank::run(settings, metrics_port, source, PlatformEngine::new)?;
-    Ok(Exit::Done)
+    let run = lynxmount_rank::run(settings, metrics_port, source, PlatformEngine::new);
+    log::logger().flush();
+    run.map(|()| Exit::Done)
 }
 
 /// Reads the settings and starts logging; `None` if the file is wrong, after
--- a/crates/lynxmount/tests/platform_entry.rs
+++ b/crates/lynxmount/tests/platform_entry.rs
@@ -362,6 +362,18 @@
     assert!(ended.success(), "{ended}");
 }
 
+/// Guards against a log that ends before its last line, which tells what was left over.
+#[tokio::test]
+async fn a_process_that_leaves_logs_that_it_has_drained() {
+    let mut fleet = Fleet::start(PLAIN, &[Behaviour::Answer]).await;
+
+    fleet.entry.signal(Signal::SIGTERM);
+    let ended = fleet.entry.child.wait().expect("the process ends");
+
+    assert!(ended.success(), "{ended}");
+    assert_eq!(fleet.entry.logged("drained").len(), 1);
+}
+
 #[tokio::test]
 async fn a_request_is_not_held_past_its_routes_time() {
     let fleet = Fleet::start(ONCE, &[Behaviour::Hang]).await;
--- a/crates/telemetry/src/logging.rs
+++ b/crates/telemetry/src/logging.rs
@@ -29,14 +29,26 @@
 /// core, so this bounds logging to about a hundredth of one.
 const MAX_LINES_PER_S: u32 = 600;
 
+/// How long a flush waits for the thread that writes: standard output may block.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// The stack of the thread that writes; it calls nothing deep.
 const WRITER_STACK_BYTES: usize = 64 * 1024;
 
+/// What the thread that writes is sent.
+#[derive(Debug)]
+enum ToWriter {
+    /// A line to be written.
+    Line(Vec<u8>),
+    /// To be answered once all lines before it are written.
+    Flush(SyncSender<()>),
+}
+
 /// Hands encoded lines to the thread that writes them.
 #[derive(Debug)]
 struct BoundedAppender {
     encoder: JsonEncoder,
-    lines: SyncSender<Vec<u8>>,
+    lines: SyncSender<ToWriter>,
     second: Mutex<(Instant, u32)>,
     dropped: AtomicU64,
 }
@@ -52,13 +64,19 @@
                 return Ok(());
             }
         }
-        if self.lines.try_send(line).is_err() {
+        if self.lines.try_send(ToWriter::Line(line)).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
         Ok(())
     }
 
-    fn flush(&self) {}
+    fn flush(&self) {
+        let (written, is_written) = sync_channel(1);
+        if self.lines.try_send(ToWriter::Flush(written)).is_ok() {
+            // What is not written by then is lost, as the process must end.
+            let _ = is_written.recv_timeout(FLUSH_TIMEOUT);
+        }
+    }
 }
 
 impl BoundedAppender {
@@ -71,7 +89,7 @@
             if dropped > 0 {
                 let line = format!("{{\"level\":\"WARN\",\"dropped_lines\":{dropped}}}\n");
                 // If even this line does not fit, the count is told next time.
-                if self.lines.try_send(line.into_bytes()).is_err() {
+                if self.lines.try_send(ToWriter::Line(line.into_bytes())).is_err() {
                     self.dropped.fetch_add(dropped, Ordering::Relaxed);
                 }
             }
@@ -81,11 +99,14 @@
     }
 }
 
-fn write_lines(lines: &Receiver<Vec<u8>>) {
+fn write_lines(lines: &Receiver<ToWriter>) {
     let mut out = std::io::stdout();
-    while let Ok(line) = lines.recv() {
-        // Without standard output there is nobody to tell.
-        let _ = out.write_all(&line).and_then(|()| out.flush());
+    while let Ok(message) = lines.recv() {
+        // Without standard output, or anybody who waits, there is nobody to tell.
+        let _ = match message {
+            ToWriter::Line(line) => out.write_all(&line).and_then(|()| out.flush()).ok(),
+            ToWriter::Flush(written) => written.try_send(()).ok(),
+        };
     }
 }
 
