--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -223,7 +223,7 @@
     let endpoint = &*place.endpoint.record.id;
     match told.kind {
         AnswerKind::Foreign => {
-            log::warn!(request = outgoing.id, endpoint; "answer is not this request's");
+            log::warn!(request = outgoing.id, endpoint; "foreign answer discarded");
             place.note_end(CallEnd::Failed);
             Err(Ended::Lost)
         }
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -210,7 +210,7 @@
         let is_failure = answer.status.is_server_error();
         if is_failure && self.kind == CallKind::Idempotent && self.may_try_again() {
             log::info!(request = self.head.id.as_deref(), endpoint = &*endpoint,
-                status = answer.status.as_u16(); "the endpoint failed; another is tried");
+                status = answer.status.as_u16(); "endpoint failure retried");
             return Attempted::Failed(answer);
         }
         Attempted::Answered(self.deliver(answer))
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -220,7 +220,7 @@
         let is_ejected = self.endpoint.load.lock().health.note(end, self.service.now());
         if is_ejected {
             let endpoint = &*self.endpoint.record.id;
-            log::warn!(endpoint, end:? = end; "endpoint is left out for a while");
+            log::warn!(endpoint, end:? = end; "endpoint ejected");
         }
     }
 }
--- a/crates/direct/src/ends.rs
+++ b/crates/direct/src/ends.rs
@@ -162,11 +162,11 @@
             self.metrics.count("endpoints.ended");
             let names = calls.iter().map(|(call, phase)| format!("{call} {phase:?}"));
             log::warn!(endpoint = id, calls:? = names.collect::<Vec<_>>();
-                "an endpoint has ended under calls");
+                "endpoint crashed");
             self.suspects.note_end(endpoint.record.life(), &calls);
         } else {
             log::info!(endpoint = id, contact:? = contact, calls = calls.len();
-                "connections have broken, and the endpoint has not ended");
+                "endpoint survived its broken connections");
         }
         self.found_out.send_modify(|count| *count += 1);
     }
--- a/crates/direct/src/service/groups.rs
+++ b/crates/direct/src/service/groups.rs
@@ -40,7 +40,7 @@
         inner.groups.note_pass(&group, notice.pass, now);
         let change = inner.groups.note_told(&group, notice.is_open, now);
         if let Some(change) = change {
-            log::info!(group = &*group, change:? = change; "a group has told its state");
+            log::info!(group = &*group, change:? = change; "group state received");
         }
         if change == Some(GroupChange::Opened) {
             inner.queue.resume(now);
@@ -80,7 +80,7 @@
         }
         let begins = self.inner.lock().groups.note_refusal(group, self.now());
         if let Some(probe_at) = begins {
-            log::info!(group; "the group runs nothing for now");
+            log::info!(group; "group paused");
             self.wake_at(probe_at);
         }
     }
@@ -92,7 +92,7 @@
         if inner.groups.note_answer(group, now) {
             inner.queue.resume(now);
             drop(inner);
-            log::info!(group; "the group runs again");
+            log::info!(group; "group resumed");
             self.wake();
         }
     }
--- a/crates/lynxmount/tests/platform_endpoint_ends.rs
+++ b/crates/lynxmount/tests/platform_endpoint_ends.rs
@@ -157,7 +157,7 @@
     let before = arrivals(&fleet);
 
     let (fresh, process) = start_entry(&fleet, 1).await;
-    wait_for("the verdict", async || !process.logged_beginning("a call is held back").is_empty())
+    wait_for("the verdict", async || !process.logged_beginning("call quarantined").is_empty())
         .await;
 
     assert!(is_held_back(fresh, PLAIN).await);
@@ -178,8 +178,7 @@
     let settings = entry_settings(own, fleet.store.address(), &[]);
     let again = Process::start("platform-entry", &settings);
     fleet.wait_until_ready(own).await;
-    wait_for("the verdict", async || !again.logged_beginning("a call is held back").is_empty())
-        .await;
+    wait_for("the verdict", async || !again.logged_beginning("call quarantined").is_empty()).await;
 
     assert!(is_held_back(own, PLAIN).await);
     assert_eq!(arrivals(&fleet), before);
@@ -195,7 +194,7 @@
     call_until_an_entry_holds_back(entry_ip(fleet.network, seeing), PLAIN).await;
     let before = arrivals(&fleet);
     wait_for("the verdict at the other entry", async || {
-        !other_entry.logged_beginning("a call is held back").is_empty()
+        !other_entry.logged_beginning("call quarantined").is_empty()
     })
     .await;
 
@@ -309,7 +308,7 @@
     let before = arrivals(&fleet);
 
     process.signal(Signal::SIGCONT);
-    wait_for("the verdict", async || !process.logged_beginning("a call is held back").is_empty())
+    wait_for("the verdict", async || !process.logged_beginning("call quarantined").is_empty())
         .await;
 
     assert!(is_held_back(frozen, PLAIN).await);
--- a/crates/lynxmount/tests/platform_entry.rs
+++ b/crates/lynxmount/tests/platform_entry.rs
@@ -442,10 +442,8 @@
     wait_for("the configuration", async || fleet.entry.logged("configuration in force").len() >= 2)
         .await;
     tell_group(&fleet, is_open);
-    wait_for("the group's state", async || {
-        !fleet.entry.logged("a group has told its state").is_empty()
-    })
-    .await;
+    wait_for("the group's state", async || !fleet.entry.logged("group state received").is_empty())
+        .await;
     fleet
 }
 
--- a/crates/rank/src/coordinator/drive.rs
+++ b/crates/rank/src/coordinator/drive.rs
@@ -158,7 +158,7 @@
             switch.answered(rank, result);
         }
         Err(error) => {
-            log::info!(rank, error:% = error; "nothing is known of an order");
+            log::info!(rank, error:% = error; "order outcome unknown");
             switch.answered(rank, None);
         }
     }
--- a/crates/suspects/src/suspects.rs
+++ b/crates/suspects/src/suspects.rs
@@ -54,7 +54,7 @@
     /// Takes that a call has come to an end that its endpoint has outlived.
     pub fn note_answered(&self, call: CallFingerprint) {
         if self.quarantine.lock().note_answered(call) {
-            log::info!(call:% = call; "an endpoint has outlived a suspected call");
+            log::info!(call:% = call; "suspected call cleared");
             self.tell([call]);
         }
     }
@@ -91,7 +91,7 @@
         for call in calls {
             if let Some(rest) = self.held_back_for(call) {
                 let rest_s = rest.as_secs();
-                log::warn!(call:% = call, rest_s; "a call is held back: endpoints end under it");
+                log::warn!(call:% = call, rest_s; "call quarantined");
             }
         }
         if !calls.is_empty() {
