--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -32,7 +32,7 @@
 }
 
 /// The head of an answer, with the connection that the body comes on.
-pub(crate) struct Opened {
+pub(crate) struct ResponseHead {
     pub(crate) place: Place,
     pub(crate) connection: Connection,
     pub(crate) call: CallFingerprint,
@@ -52,18 +52,18 @@
 }
 
 /// What an attempt has come to.
-pub(crate) enum Attempted {
+pub(crate) enum AttemptResult {
     /// The caller's answer.
     Answered(Response<ReplyBody>),
     /// No answer.
-    Ended(Ended),
+    Error(AttemptError),
     /// The endpoint's own failure of a call that may be tried elsewhere.
     Failed(WholeAnswer),
 }
 
 /// How an attempt ended without an answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Ended {
+pub(crate) enum AttemptError {
     /// It was sent, and its answer is lost or not whole.
     Lost,
     /// The endpoint said that it did not run it.
@@ -87,14 +87,14 @@
     outgoing: &Outgoing<'_>,
     forward: Forward<'_>,
     until: Instant,
-) -> Result<Opened, Ended> {
+) -> Result<ResponseHead, AttemptError> {
     let address = place.endpoint.record.address;
     let may_reuse = outgoing.may_repeat && (!outgoing.is_stream || place.endpoint.is_heard());
     let connected = place.endpoint.pool.connect(address, may_reuse).await;
     let mut connection = connected.map_err(|error| {
         log::info!(request = outgoing.id, error:% = error; "attempt not sent");
         place.note_end(CallEnd::Unreachable);
-        Ended::Unreachable
+        AttemptError::Unreachable
     })?;
     let request = request(dialect, outgoing, &forward);
     let may_reroute = outgoing.is_stream && outgoing.may_repeat && outgoing.may_follow;
@@ -109,20 +109,20 @@
             let endpoint = &*place.endpoint.record.id;
             log::info!(request = outgoing.id, endpoint, error:% = error; "attempt lost");
             place.note_end(CallEnd::Unreachable);
-            place.note_broken(outgoing.call, outgoing.pending_phase(), sent_at);
-            return Err(Ended::Lost);
+            place.on_broken(outgoing.call, outgoing.pending_phase(), sent_at);
+            return Err(AttemptError::Lost);
         }
         Err(NoHead::Stalled(stall)) => {
             log::info!(request = outgoing.id, endpoint = &*place.endpoint.record.id, stall:? = stall,
                 waited_ms = sent_at.elapsed().as_millis() as u64; "attempt rerouted");
             place.on_canceled(outgoing.call, outgoing.pending_phase());
             place.note_end(CallEnd::Unreachable);
-            return Err(Ended::Stalled);
+            return Err(AttemptError::Stalled);
         }
         Err(NoHead::TimedOut) => {
             place.on_canceled(outgoing.call, outgoing.pending_phase());
             place.note_end(CallEnd::Unreachable);
-            return Err(Ended::TimedOut);
+            return Err(AttemptError::TimedOut);
         }
     };
     judge(dialect, place, connection, outgoing, response)
@@ -212,7 +212,7 @@
     connection: Connection,
     outgoing: &Outgoing<'_>,
     response: Response<Incoming>,
-) -> Result<Opened, Ended> {
+) -> Result<ResponseHead, AttemptError> {
     place.on_heard();
     let (parts, body) = response.into_parts();
     let head = Response::from_parts(parts, ());
@@ -225,19 +225,19 @@
         AnswerKind::Foreign => {
             log::warn!(request = outgoing.id, endpoint; "foreign answer discarded");
             place.note_end(CallEnd::Failed);
-            Err(Ended::Lost)
+            Err(AttemptError::Lost)
         }
         AnswerKind::NotRun => {
             place.note_refusal();
-            Err(Ended::NotRun)
+            Err(AttemptError::NotRun)
         }
         AnswerKind::OtherEndpoint => {
             place.note_end(CallEnd::Unreachable);
-            Err(Ended::OtherEndpoint)
+            Err(AttemptError::OtherEndpoint)
         }
         AnswerKind::Ran => {
             let (parts, ()) = head.into_parts();
-            Ok(Opened {
+            Ok(ResponseHead {
                 place,
                 connection,
                 call: outgoing.call,
@@ -251,12 +251,12 @@
     }
 }
 
-impl Opened {
+impl ResponseHead {
     /// Reads the whole body.
     ///
     /// Fails if it ends early or does not come in time.
-    pub(crate) async fn whole(self, until: Instant) -> Result<WholeAnswer, Ended> {
-        let Opened { place, connection, call, heard_at, told, status, headers, body } = self;
+    pub(crate) async fn whole(self, until: Instant) -> Result<WholeAnswer, AttemptError> {
+        let ResponseHead { place, connection, call, heard_at, told, status, headers, body } = self;
         let limit = until.saturating_duration_since(Instant::now());
         match tokio::time::timeout(limit, body.collect()).await {
             Ok(Ok(collected)) => {
@@ -267,12 +267,12 @@
             }
             Ok(Err(_)) => {
                 place.note_end(CallEnd::Failed);
-                place.note_broken(call, CallPhase::Beginning, heard_at);
-                Err(Ended::Lost)
+                place.on_broken(call, CallPhase::Beginning, heard_at);
+                Err(AttemptError::Lost)
             }
             Err(_) => {
                 place.note_end(CallEnd::Unreachable);
-                Err(Ended::TimedOut)
+                Err(AttemptError::TimedOut)
             }
         }
     }
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -21,12 +21,12 @@
 use rand::Rng;
 
 use crate::{
-    attempt::{Attempted, Ended, Opened, Outgoing, WholeAnswer, left, open},
+    attempt::{AttemptError, AttemptResult, Outgoing, ResponseHead, WholeAnswer, left, open},
+    attempt_history::{AttemptHistory, attempt_counter},
     endpoint::Place,
     reply::{Refusal, ReplyBody, whole_body},
     service::{NoPlace, Service, Want},
     stream::StreamRelay,
-    tries::{Tries, attempt_counter},
 };
 
 /// The part of the latency objective that a call may wait for a place.
@@ -77,33 +77,33 @@
 }
 
 impl<D: Dialect> Call<D> {
-    /// Tries until there is an answer or nothing more may be tried.
+    /// AttemptHistory until there is an answer or nothing more may be tried.
     pub(crate) async fn run(self: &Arc<Call<D>>) -> Result<Response<ReplyBody>, Refusal> {
-        let mut tries = Tries::default();
+        let mut history = AttemptHistory::default();
         loop {
             let place = match self.place(self.wait_time()).await {
                 Ok(place) => place,
                 Err(no_place) => {
-                    let refusal = self.no_place(no_place, tries.may_have_run);
-                    return self.settle(tries, refusal);
+                    let refusal = self.no_place(no_place, history.may_have_run);
+                    return self.settle(history, refusal);
                 }
             };
             let ended = match self.attempt(place).await {
-                Attempted::Answered(response) => return Ok(response),
-                Attempted::Failed(answer) => {
-                    tries.failure = Some(answer);
-                    Ended::Lost
+                AttemptResult::Answered(response) => return Ok(response),
+                AttemptResult::Failed(answer) => {
+                    history.failure = Some(answer);
+                    AttemptError::Lost
                 }
-                Attempted::Ended(ended) => ended,
+                AttemptResult::Error(ended) => ended,
             };
             self.metrics.count(attempt_counter(ended));
-            if ended == Ended::Lost {
-                self.until_end_known().await;
+            if ended == AttemptError::Lost {
+                self.wait_for_verdict().await;
             }
-            tries.note(ended);
-            if !self.may_retry(&tries, ended) {
-                let refusal = self.give_up(tries.may_have_run);
-                return self.settle(tries, refusal);
+            history.note(ended);
+            if !self.may_retry(&history, ended) {
+                let refusal = self.give_up(history.may_have_run);
+                return self.settle(history, refusal);
             }
             self.metrics.count("attempts.retried");
         }
@@ -111,22 +111,26 @@
 
     /// Says whether another attempt may follow one that has ended, and takes it
     /// from the service's budget.
-    fn may_retry(&self, tries: &Tries, ended: Ended) -> bool {
-        let may_send = !tries.may_have_run || self.kind.may_repeat();
+    fn may_retry(&self, history: &AttemptHistory, ended: AttemptError) -> bool {
+        let may_send = !history.may_have_run || self.kind.may_repeat();
         match ended {
             _ if left(self.deadline).is_zero() || !may_send => false,
-            Ended::HeldBack => false,
-            Ended::Unreachable => tries.unreachable <= MAX_UNREACHABLE,
-            Ended::OtherEndpoint => {
-                tries.unreachable <= MAX_UNREACHABLE && self.service.take_repeat()
+            AttemptError::HeldBack => false,
+            AttemptError::Unreachable => history.unreachable <= MAX_UNREACHABLE,
+            AttemptError::OtherEndpoint => {
+                history.unreachable <= MAX_UNREACHABLE && self.service.take_repeat()
             }
             _ => self.has_attempts_left() && self.service.take_repeat(),
         }
     }
 
     /// Answers a call that gets no further attempt.
-    fn settle(&self, tries: Tries, refusal: Refusal) -> Result<Response<ReplyBody>, Refusal> {
-        tries.failure.map(|answer| self.deliver(answer)).ok_or(refusal)
+    fn settle(
+        &self,
+        history: AttemptHistory,
+        refusal: Refusal,
+    ) -> Result<Response<ReplyBody>, Refusal> {
+        history.failure.map(|answer| self.deliver(answer)).ok_or(refusal)
     }
 
     async fn place(&self, wait: Duration) -> Result<Place, NoPlace> {
@@ -182,28 +186,28 @@
     /// Makes an attempt. A call that is held back meanwhile is taken back from the endpoint
     /// before it begins there: copies wait in a group that stands still, and each would stop it
     /// again.
-    async fn attempt(self: &Arc<Call<D>>, place: Place) -> Attempted {
+    async fn attempt(self: &Arc<Call<D>>, place: Place) -> AttemptResult {
         tokio::select! {
             attempted = self.attempt_at(place) => attempted,
             _ = self.suspects.until_held_back(&self.fingerprint) => {
-                Attempted::Ended(Ended::HeldBack)
+                AttemptResult::Error(AttemptError::HeldBack)
             }
         }
     }
 
-    async fn attempt_at(self: &Arc<Call<D>>, place: Place) -> Attempted {
+    async fn attempt_at(self: &Arc<Call<D>>, place: Place) -> AttemptResult {
         let opened = match self.open(place, self.head.last_event).await {
             Ok(opened) => opened,
-            Err(ended) => return Attempted::Ended(ended),
+            Err(ended) => return AttemptResult::Error(ended),
         };
         if self.kind.is_stream() && opened.status.is_success() {
             let started = self.start_stream(opened).await;
-            return started.map_or_else(Attempted::Ended, Attempted::Answered);
+            return started.map_or_else(AttemptResult::Error, AttemptResult::Answered);
         }
         let endpoint = EndpointId::clone(&opened.place.endpoint.record.id);
         let answer = match opened.whole(self.attempt_end()).await {
             Ok(answer) => answer,
-            Err(ended) => return Attempted::Ended(ended),
+            Err(ended) => return AttemptResult::Error(ended),
         };
         // Whatever the answer is, the endpoint has outlived the call.
         self.note_answered();
@@ -211,9 +215,9 @@
         if is_failure && self.kind == CallKind::Idempotent && self.may_try_again() {
             log::info!(request = self.head.id.as_deref(), endpoint = &*endpoint,
                 status = answer.status.as_u16(); "endpoint failure retried");
-            return Attempted::Failed(answer);
+            return AttemptResult::Failed(answer);
         }
-        Attempted::Answered(self.deliver(answer))
+        AttemptResult::Answered(self.deliver(answer))
     }
 
     /// Passes an endpoint's whole answer on.
@@ -224,7 +228,11 @@
     }
 
     /// Sends the call to an endpoint, after the last event that the caller has.
-    async fn open(&self, place: Place, last_event: Option<u64>) -> Result<Opened, Ended> {
+    async fn open(
+        &self,
+        place: Place,
+        last_event: Option<u64>,
+    ) -> Result<ResponseHead, AttemptError> {
         let endpoint = EndpointId::clone(&place.endpoint.record.id);
         log::info!(request = self.head.id.as_deref(), call:% = self.fingerprint,
             route = &*self.route, endpoint = &*endpoint,
@@ -251,7 +259,7 @@
         self.tried.lock().push(EndpointId::clone(&endpoint));
         let opened = open(&*self.dialect, place, &outgoing, forward, self.attempt_end()).await;
         // One that did not reach the endpoint that is meant is no attempt.
-        if !matches!(opened, Err(Ended::Unreachable | Ended::OtherEndpoint)) {
+        if !matches!(opened, Err(AttemptError::Unreachable | AttemptError::OtherEndpoint)) {
             self.attempts.fetch_add(1, Ordering::Relaxed);
         }
         opened
@@ -259,8 +267,8 @@
 
     async fn start_stream(
         self: &Arc<Call<D>>,
-        opened: Opened,
-    ) -> Result<Response<ReplyBody>, Ended> {
+        opened: ResponseHead,
+    ) -> Result<Response<ReplyBody>, AttemptError> {
         let mut response = Response::new(());
         *response.status_mut() = opened.status;
         *response.headers_mut() = self.dialect.write_answer(&opened.headers);
@@ -272,8 +280,8 @@
     }
 
     /// Sends a broken stream's call to another endpoint.
-    pub(crate) async fn resume(&self, last_event: Option<u64>, why: &str) -> Option<Opened> {
-        self.until_end_known().await;
+    pub(crate) async fn resume(&self, last_event: Option<u64>, why: &str) -> Option<ResponseHead> {
+        self.wait_for_verdict().await;
         let is_held_back = self.suspects.held_back_for(&self.fingerprint).is_some();
         let is_allowed = !is_held_back && self.service.take_repeat();
         log::info!(request = self.head.id.as_deref(), why, last_event, is_allowed, is_held_back;
@@ -287,7 +295,7 @@
         }
     }
 
-    async fn resume_elsewhere(&self, last_event: Option<u64>) -> Option<Opened> {
+    async fn resume_elsewhere(&self, last_event: Option<u64>) -> Option<ResponseHead> {
         let place = self.place(self.goal.mul_f64(WAIT_PART)).await.ok()?;
         let opened = self.open(place, last_event).await.ok()?;
         if !opened.status.is_success() {
@@ -331,11 +339,11 @@
         response
     }
 
-    /// Waits until it is known whether the endpoint of the last attempt has ended.
-    async fn until_end_known(&self) {
+    /// Waits until the endpoint of the last attempt is classified.
+    async fn wait_for_verdict(&self) {
         let last = self.tried.lock().last().cloned();
         if let Some(endpoint) = last {
-            self.service.until_end_known(&endpoint).await;
+            self.service.wait_for_verdict(&endpoint).await;
         }
     }
 
--- a/crates/direct/src/ends.rs
+++ b/crates/direct/src/crash_detector.rs
@@ -1,9 +1,7 @@
-//! Which endpoints have ended while calls were there.
+//! Detects endpoints that crash under calls.
 //!
-//! A connection that breaks does not tell whether its endpoint has ended: a machine, a
-//! link or a group that stalls breaks connections too. A process that has ended leaves a
-//! machine that refuses connections; one that is cut off or has lost power leaves
-//! silence. So the endpoint is connected to once more.
+//! A broken connection does not show a crash: partitions and stalled groups break connections,
+//! too. So the endpoint is probed; the machine of a crashed process refuses the probe.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -12,7 +10,7 @@
 };
 
 use lynxmount_core::{CallFingerprint, CallPhase, EndpointId};
-use lynxmount_link::{Contact, contact};
+use lynxmount_link::{ProbeResult, probe};
 use lynxmount_suspects::Suspects;
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
@@ -20,37 +18,32 @@
 
 use crate::endpoint::Endpoint;
 
-/// How long after the first connection has broken the endpoint is contacted: its other
-/// connections break within 2 ms (as seen with ten calls of three entries), and
-/// one contact serves all.
+/// How long connections that break after the first are gathered, so that one probe serves all.
 const GATHER_TIME: Duration = Duration::from_millis(5);
 
-/// How long a contact may take. Round trips take 2 ms; who is silent for longer has not
-/// ended by itself.
-const CONTACT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Timeout of the liveness probe. A host that stays silent is partitioned, not crashed.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// How long a call waits at most until it is known whether its endpoint has ended: 7 ms
-/// where the machine lives, and one that is silent has not been ended by a call.
-const KNOWN_LIMIT: Duration = Duration::from_millis(50);
+/// How long a call waits for the verdict on its endpoint before it is repeated.
+const VERDICT_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// The part of a group's stall after which a call that has heard nothing is taken to be
-/// cut by the stall. Timers fire late, never early.
+/// Fraction of a group's stall after which a silent call counts as cut by the stall.
 const STALL_PART: f64 = 0.8;
 
 /// How long before a crash a call may have been canceled and still be suspected: its endpoint
 /// may have begun it before it saw the cancellation.
 const CANCELED_LIFE: Duration = Duration::from_millis(250);
 
-/// Watches for endpoints that end.
-pub(crate) struct EndpointEnds {
+/// Detects crashes, and records which calls were at the crashed endpoints.
+pub(crate) struct CrashDetector {
     metrics: Arc<Metrics>,
     suspects: Arc<Suspects>,
-    /// Calls whose connections have broken, by endpoints that are about to be contacted.
+    /// Calls whose connections have broken, by endpoints that are about to be probed.
     broken: Mutex<HashMap<EndpointId, Vec<(CallFingerprint, CallPhase)>>>,
     /// Calls that were canceled within [`CANCELED_LIFE`], the oldest first.
     canceled: Mutex<VecDeque<CanceledCall>>,
-    /// Counts endpoints about which it was found out.
-    found_out: watch::Sender<u64>,
+    /// Counts the endpoints that were classified.
+    verdicts: watch::Sender<u64>,
 }
 
 struct CanceledCall {
@@ -74,10 +67,8 @@
 }
 
 impl BrokenCall {
-    /// Says whether a stall of the group has cut the call: streams end at all endpoints of the
-    /// group at once, 1.5 s after another endpoint's end, and nothing is heard meanwhile. That
-    /// saves a contact of each rank by each entry; a call that has not begun, as in a group
-    /// that is idle but for it, is worth the contact.
+    /// Says whether the call was cut by a stall of its group, which cuts streams at all ranks at
+    /// once. That saves a probe of each rank by each entry.
     fn is_stalled(&self) -> bool {
         let Some(stall) = self.stall else { return false };
         let is_long = |silence: Duration| silence >= stall.mul_f64(STALL_PART);
@@ -87,20 +78,20 @@
     }
 }
 
-impl EndpointEnds {
-    pub(crate) fn new(metrics: Arc<Metrics>, suspects: Arc<Suspects>) -> EndpointEnds {
-        EndpointEnds {
+impl CrashDetector {
+    pub(crate) fn new(metrics: Arc<Metrics>, suspects: Arc<Suspects>) -> CrashDetector {
+        CrashDetector {
             metrics,
             suspects,
             broken: Mutex::default(),
             canceled: Mutex::default(),
-            found_out: watch::Sender::new(0),
+            verdicts: watch::Sender::new(0),
         }
     }
 
-    /// Takes that the connection of a call has broken before the call's end.
-    pub(crate) fn note_broken(
-        self: &Arc<EndpointEnds>,
+    /// Records that the connection of a call broke before the call's end.
+    pub(crate) fn on_broken(
+        self: &Arc<CrashDetector>,
         endpoint: &Arc<Endpoint>,
         broken: BrokenCall,
     ) {
@@ -116,7 +107,7 @@
         let mut calls = self.canceled_at(&id);
         calls.push((broken.call, broken.phase));
         gathering.insert(id, calls);
-        tokio::spawn(Arc::clone(self).find_out(Arc::clone(endpoint)));
+        tokio::spawn(Arc::clone(self).classify(Arc::clone(endpoint)));
     }
 
     /// Records that a call was canceled at an endpoint before its end.
@@ -140,35 +131,34 @@
         there.map(|canceled| (canceled.call, canceled.phase)).collect()
     }
 
-    /// Waits until it is known whether an endpoint has ended whose connections have broken.
-    /// A call that is repeated sooner ends another endpoint before the first end counts: an
-    /// entry sent one on 4 ms after the end.
-    pub(crate) async fn until_known(&self, endpoint: &EndpointId) {
-        let mut found_out = self.found_out.subscribe();
+    /// Waits until an endpoint whose connections have broken is classified. A call that is
+    /// repeated sooner may crash another endpoint before the first crash is recorded.
+    pub(crate) async fn wait_for_verdict(&self, endpoint: &EndpointId) {
+        let mut verdicts = self.verdicts.subscribe();
         let is_known = |_: &u64| !self.broken.lock().contains_key(endpoint);
         // The sender lives as long as this, and who is silent has not ended.
-        let _ = tokio::time::timeout(KNOWN_LIMIT, found_out.wait_for(is_known)).await;
+        let _ = tokio::time::timeout(VERDICT_TIMEOUT, verdicts.wait_for(is_known)).await;
     }
 
-    /// Finds out whether an endpoint has ended.
-    async fn find_out(self: Arc<EndpointEnds>, endpoint: Arc<Endpoint>) {
+    /// Probes an endpoint, and records a crash.
+    async fn classify(self: Arc<CrashDetector>, endpoint: Arc<Endpoint>) {
         tokio::time::sleep(GATHER_TIME).await;
-        let contact = contact(endpoint.record.address, CONTACT_TIMEOUT).await;
+        let result = probe(endpoint.record.address, PROBE_TIMEOUT).await;
         let id = &*endpoint.record.id;
         let mut calls = self.broken.lock().remove(id).unwrap_or_default();
         calls.sort_unstable();
         calls.dedup();
-        if contact == Contact::Refused {
-            self.metrics.count("endpoints.ended");
+        if result == ProbeResult::Refused {
+            self.metrics.count("endpoints.crashed");
             let names = calls.iter().map(|(call, phase)| format!("{call} {phase:?}"));
             log::warn!(endpoint = id, calls:? = names.collect::<Vec<_>>();
                 "endpoint crashed");
             self.suspects.note_end(endpoint.record.life(), &calls);
         } else {
-            log::info!(endpoint = id, contact:? = contact, calls = calls.len();
+            log::info!(endpoint = id, probe:? = result, calls = calls.len();
                 "endpoint survived its broken connections");
         }
-        self.found_out.send_modify(|count| *count += 1);
+        self.verdicts.send_modify(|count| *count += 1);
     }
 }
 
--- a/crates/direct/src/telling.rs
+++ b/crates/direct/src/crash_gossip.rs
@@ -1,8 +1,7 @@
-//! Telling other entries of calls under which endpoints have ended, and hearing of them.
+//! Gossip of crash reports between entries.
 //!
-//! What is told goes through the platform, where an entry finds it that starts, was cut off
-//! or has lost power. An entry that the platform turns away tells three peers, which tell it
-//! on; and it asks peers, as for configurations.
+//! Reports are published through the platform, where entries read them that start later. An
+//! entry that the platform turns away sends them to three peers, which pass them on.
 
 use std::{
     collections::HashMap,
@@ -32,16 +31,16 @@
 const LAPSE_PERIOD: Duration = Duration::from_secs(60);
 
 /// What the tasks share.
-pub(crate) struct Telling<S> {
+pub(crate) struct CrashGossip<S> {
     pub(crate) process: ProcessId,
     pub(crate) source: Arc<S>,
     pub(crate) suspects: Arc<Suspects>,
     pub(crate) peers: Arc<Peers>,
 }
 
-impl<S: FleetSource> Telling<S> {
+impl<S: FleetSource> CrashGossip<S> {
     /// Tells others until the task is dropped.
-    pub(crate) async fn tell(self: Arc<Telling<S>>) {
+    pub(crate) async fn publish(self: Arc<CrashGossip<S>>) {
         let mut reachability = Reachability::new("telling of suspected calls");
         // Peers are told each thing once: they tell it on, and ask for the rest.
         let mut told_to_peers: HashMap<CallFingerprint, Suspicion> = HashMap::new();
@@ -59,7 +58,7 @@
                     let is_untold = |s: &Suspicion| told_to_peers.get(&s.call) != Some(s);
                     let untold: Vec<Suspicion> = news.into_iter().filter(is_untold).collect();
                     told_to_peers.extend(untold.iter().map(|s| (s.call, s.clone())));
-                    self.peers.tell(&untold).await;
+                    self.peers.publish(&untold).await;
                     tokio::time::sleep(RETRY_PERIOD).await;
                 }
             }
@@ -67,7 +66,7 @@
     }
 
     /// Hears what others tell until the task is dropped.
-    pub(crate) async fn hear(self: Arc<Telling<S>>) {
+    pub(crate) async fn subscribe(self: Arc<CrashGossip<S>>) {
         let mut reachability = Reachability::new("suspected calls");
         let mut from: Option<Offset> = None;
         // The first read after a failure tells at once whether the platform is back.
@@ -106,7 +105,7 @@
     }
 
     /// Forgets what no longer counts until the task is dropped.
-    pub(crate) async fn lapse(self: Arc<Telling<S>>) {
+    pub(crate) async fn lapse(self: Arc<CrashGossip<S>>) {
         loop {
             tokio::time::sleep(LAPSE_PERIOD).await;
             let lapsed = self.suspects.lapse();
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -203,8 +203,8 @@
 
     /// Takes that the call's connection has broken before the call's end, how far the call
     /// was, and when the endpoint was last heard on it, or the call was sent.
-    pub(crate) fn note_broken(&self, call: CallFingerprint, phase: CallPhase, heard_at: Instant) {
-        self.service.note_broken(&self.endpoint, &self.group, call, phase, heard_at);
+    pub(crate) fn on_broken(&self, call: CallFingerprint, phase: CallPhase, heard_at: Instant) {
+        self.service.on_broken(&self.endpoint, &self.group, call, phase, heard_at);
     }
 
     /// Records that the call was canceled before its end.
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -8,11 +8,13 @@
 
 mod admission;
 mod attempt;
+mod attempt_history;
 mod call;
 mod callers_port;
+mod crash_detector;
+mod crash_gossip;
 mod drain;
 mod endpoint;
-mod ends;
 mod fleet;
 mod groups;
 mod handler;
@@ -24,8 +26,6 @@
 mod reply;
 mod service;
 mod stream;
-mod telling;
-mod tries;
 mod watch;
 
 pub use process::run;
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -67,7 +67,7 @@
     }
 
     /// Tells some peers of calls under which endpoints have ended.
-    pub(crate) async fn tell(&self, suspicions: &[Suspicion]) {
+    pub(crate) async fn publish(&self, suspicions: &[Suspicion]) {
         if suspicions.is_empty() {
             return;
         }
--- a/crates/direct/src/places.rs
+++ b/crates/direct/src/places.rs
@@ -7,14 +7,16 @@
 use lynxmount_policy::SlotOwners;
 use parking_lot::Mutex;
 
-use crate::{endpoint::Endpoint, ends::EndpointEnds, fleet::ConfigView, service::Service};
+use crate::{
+    crash_detector::CrashDetector, endpoint::Endpoint, fleet::ConfigView, service::Service,
+};
 
 /// The endpoints of all services.
 pub(crate) struct Places {
     clock: Clock,
     bounds: SiteBounds,
     mechanisms: Arc<Mechanisms>,
-    ends: Arc<EndpointEnds>,
+    crashes: Arc<CrashDetector>,
     services: Mutex<HashMap<ServiceId, Arc<Service>>>,
 }
 
@@ -23,9 +25,9 @@
         clock: Clock,
         bounds: SiteBounds,
         mechanisms: Arc<Mechanisms>,
-        ends: Arc<EndpointEnds>,
+        crashes: Arc<CrashDetector>,
     ) -> Places {
-        Places { clock, bounds, mechanisms, ends, services: Mutex::default() }
+        Places { clock, bounds, mechanisms, crashes, services: Mutex::default() }
     }
 
     pub(crate) fn service(&self, id: &str) -> Option<Arc<Service>> {
@@ -34,8 +36,8 @@
 
     fn new_service(&self) -> Arc<Service> {
         let mechanisms = Arc::clone(&self.mechanisms);
-        let ends = Arc::clone(&self.ends);
-        Arc::new(Service::new(self.clock, &self.bounds, mechanisms, ends))
+        let crashes = Arc::clone(&self.crashes);
+        Arc::new(Service::new(self.clock, &self.bounds, mechanisms, crashes))
     }
 
     /// The endpoints whose engines may be ranks of groups.
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -15,15 +15,15 @@
 
 use crate::{
     callers_port,
+    crash_detector::CrashDetector,
+    crash_gossip::CrashGossip,
     drain::Drain,
-    ends::EndpointEnds,
     fleet::Fleet,
     groups::GroupListener,
     handler::Handler,
     peers::{PeerPort, Peers},
     places::Places,
     readiness::ReadinessPort,
-    telling::Telling,
     watch::{Watch, endpoints_period},
 };
 
@@ -62,7 +62,7 @@
     let drain = Arc::new(Drain::default());
     let metrics = Arc::new(Metrics::default());
     let suspects = Arc::new(Suspects::new(mechanisms.has(Mechanism::Quarantine)));
-    let ends = Arc::new(EndpointEnds::new(Arc::clone(&metrics), Arc::clone(&suspects)));
+    let ends = Arc::new(CrashDetector::new(Arc::clone(&metrics), Arc::clone(&suspects)));
     let places = Arc::new(Places::new(clock, settings.bounds, Arc::clone(&mechanisms), ends));
     let peers = Arc::new(Peers::new(peer_address, settings.seeds.clone()));
     let last_read = Arc::new(Mutex::default());
@@ -92,14 +92,14 @@
         tokio::spawn(serve(bind(address).await?, Arc::new(readiness)));
     }
     let source = Arc::new(source);
-    let telling = Arc::new(Telling {
+    let telling = Arc::new(CrashGossip {
         process: ProcessId::clone(&settings.process),
         source: Arc::clone(&source),
         suspects: Arc::clone(&suspects),
         peers: Arc::clone(&peers),
     });
-    tokio::spawn(Arc::clone(&telling).hear());
-    tokio::spawn(Arc::clone(&telling).tell());
+    tokio::spawn(Arc::clone(&telling).subscribe());
+    tokio::spawn(Arc::clone(&telling).publish());
     tokio::spawn(telling.lapse());
     let watch = Arc::new(Watch {
         source,
--- a/crates/direct/src/service/mod.rs
+++ b/crates/direct/src/service/mod.rs
@@ -20,8 +20,8 @@
 
 use self::inner::Inner;
 use crate::{
+    crash_detector::{BrokenCall, CrashDetector},
     endpoint::{Endpoint, Place},
-    ends::{BrokenCall, EndpointEnds},
 };
 
 /// What a call wants of a place.
@@ -50,7 +50,7 @@
     /// How long a group stalls when it has lost a rank.
     group_stall: Duration,
     pub(crate) mechanisms: Arc<Mechanisms>,
-    ends: Arc<EndpointEnds>,
+    crashes: Arc<CrashDetector>,
     inner: Mutex<Inner>,
 }
 
@@ -59,7 +59,7 @@
         clock: Clock,
         bounds: &SiteBounds,
         mechanisms: Arc<Mechanisms>,
-        ends: Arc<EndpointEnds>,
+        crashes: Arc<CrashDetector>,
     ) -> Service {
         let options = WindowBudgetOptions {
             ratio: bounds.retry_ratio,
@@ -68,7 +68,7 @@
         };
         let inner = Inner::new(WindowBudget::new(options), Arc::clone(&mechanisms));
         let inner = Mutex::new(inner);
-        Service { clock, group_stall: bounds.group_stall, mechanisms, ends, inner }
+        Service { clock, group_stall: bounds.group_stall, mechanisms, crashes, inner }
     }
 
     pub(crate) fn update<'a>(
@@ -110,7 +110,7 @@
 
     /// Takes that the connection of a call at one of the endpoints has broken before the
     /// call's end.
-    pub(crate) fn note_broken(
+    pub(crate) fn on_broken(
         &self,
         endpoint: &Arc<Endpoint>,
         group: &str,
@@ -126,7 +126,8 @@
         let group_silence = inner.groups.silent_for(group, self.now());
         let stall = inner.slots.map(|_| self.group_stall);
         drop(inner);
-        self.ends.note_broken(endpoint, BrokenCall { call, phase, heard_at, group_silence, stall });
+        self.crashes
+            .on_broken(endpoint, BrokenCall { call, phase, heard_at, group_silence, stall });
     }
 
     /// Records that a call was canceled at an endpoint before its end.
@@ -136,12 +137,12 @@
         call: CallFingerprint,
         phase: CallPhase,
     ) {
-        self.ends.on_canceled(endpoint, call, phase);
+        self.crashes.on_canceled(endpoint, call, phase);
     }
 
-    /// Waits until it is known whether an endpoint has ended whose connections have broken.
-    pub(crate) async fn until_end_known(&self, endpoint: &EndpointId) {
-        self.ends.until_known(endpoint).await;
+    /// Waits until an endpoint whose connections have broken is classified.
+    pub(crate) async fn wait_for_verdict(&self, endpoint: &EndpointId) {
+        self.crashes.wait_for_verdict(endpoint).await;
     }
 
     /// Waits for a place until the call may not wait any more.
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -15,7 +15,7 @@
 use lynxmount_wire::{Numbered, NumberedEvents};
 
 use crate::{
-    attempt::{Ended, Opened, left},
+    attempt::{AttemptError, ResponseHead, left},
     call::Call,
     endpoint::Place,
     reply::ReplyBody,
@@ -70,7 +70,7 @@
 }
 
 impl<D: Dialect> StreamRelay<D> {
-    pub(crate) fn new(call: Arc<Call<D>>, opened: Opened) -> StreamRelay<D> {
+    pub(crate) fn new(call: Arc<Call<D>>, opened: ResponseHead) -> StreamRelay<D> {
         let events = NumberedEvents::after(call.head.last_event);
         StreamRelay {
             call,
@@ -89,7 +89,7 @@
     /// still be asked.
     ///
     /// Fails if the stream breaks, or ends with no event.
-    pub(crate) async fn first_events(&mut self) -> Result<Bytes, Ended> {
+    pub(crate) async fn first_events(&mut self) -> Result<Bytes, AttemptError> {
         let first = self.read().await;
         // A stream that has not begun has no end of its own to be noted.
         self.is_over = !matches!(first, Next::Events(_));
@@ -100,15 +100,15 @@
             }
             Next::TimedOut => {
                 self.note_end(CallEnd::Unreachable);
-                Err(Ended::TimedOut)
+                Err(AttemptError::TimedOut)
             }
             Next::Broken(why) => {
-                self.note_broken(why);
-                Err(Ended::Lost)
+                self.on_broken(why);
+                Err(AttemptError::Lost)
             }
             Next::End => {
-                self.note_broken(Broken::Connection);
-                Err(Ended::Lost)
+                self.on_broken(Broken::Connection);
+                Err(AttemptError::Lost)
             }
         }
     }
@@ -144,7 +144,7 @@
                     return Some(Err(broken("the time is up")));
                 }
                 Next::Broken(why) => {
-                    self.note_broken(why);
+                    self.on_broken(why);
                     if !self.resume(why.as_str()).await {
                         self.finish("cut in mid-stream");
                         return Some(Err(broken(why.as_str())));
@@ -175,14 +175,14 @@
         self.note_end(CallEnd::Answered);
     }
 
-    fn note_broken(&self, why: Broken) {
+    fn on_broken(&self, why: Broken) {
         self.note_end(match why {
             Broken::Stall(Stall::Endpoint) => CallEnd::Unreachable,
             _ => CallEnd::Failed,
         });
         let is_closed = matches!(why, Broken::Connection | Broken::CutEvent);
         if let Some(place) = self.place.as_ref().filter(|_| is_closed) {
-            place.note_broken(self.call.fingerprint, self.phase(), self.last_event_at);
+            place.on_broken(self.call.fingerprint, self.phase(), self.last_event_at);
         }
     }
 
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -122,7 +122,7 @@
 
 /// What has come of connecting to an address.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Contact {
+pub enum ProbeResult {
     /// A process takes connections there.
     Accepted,
     /// The machine lives, and no process takes connections there.
@@ -132,11 +132,11 @@
 }
 
 /// Connects to an address to see whether a process is there, and closes the connection.
-pub async fn contact(address: SocketAddr, timeout: Duration) -> Contact {
+pub async fn probe(address: SocketAddr, timeout: Duration) -> ProbeResult {
     match tokio::time::timeout(timeout, TcpStream::connect(address)).await {
-        Ok(Ok(_)) => Contact::Accepted,
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Contact::Refused,
-        Ok(Err(_)) | Err(_) => Contact::Silent,
+        Ok(Ok(_)) => ProbeResult::Accepted,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => ProbeResult::Refused,
+        Ok(Err(_)) | Err(_) => ProbeResult::Silent,
     }
 }
 
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -13,7 +13,7 @@
 mod suspicion_exchange;
 
 pub use client::{Answer, HttpClient};
-pub use connection::{Connection, Contact, contact};
+pub use connection::{Connection, ProbeResult, probe};
 pub use datagrams::receive;
 pub use fleet_exchange::{AskedFleet, KnownFleet, ask_fleet, asked_fleet};
 pub use group_notice::{
