--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -13,7 +13,7 @@
 use lynxmount_link::Connection;
 use lynxmount_policy::{CallEnd, Stall};
 
-use crate::{endpoint::Place, reply::ReplyBody, stream::SILENCE_CHECK};
+use crate::{endpoint::Permit, reply::ReplyBody, stream::SILENCE_CHECK};
 
 /// What is sent to an endpoint, whatever endpoint it is.
 pub(crate) struct Outgoing<'a> {
@@ -33,7 +33,7 @@
 
 /// The head of an answer, with the connection that the body comes on.
 pub(crate) struct ResponseHead {
-    pub(crate) place: Place,
+    pub(crate) permit: Permit,
     pub(crate) connection: Connection,
     pub(crate) call: CallFingerprint,
     /// When the head came.
@@ -83,49 +83,49 @@
 /// Sends an attempt and waits for the head of its answer.
 pub(crate) async fn open(
     dialect: &impl Dialect,
-    place: Place,
+    permit: Permit,
     outgoing: &Outgoing<'_>,
     forward: Forward<'_>,
     until: Instant,
 ) -> Result<ResponseHead, AttemptError> {
-    let address = place.endpoint.record.address;
-    let may_reuse = outgoing.may_repeat && (!outgoing.is_stream || place.endpoint.is_heard());
-    let connected = place.endpoint.pool.connect(address, may_reuse).await;
+    let address = permit.endpoint.record.address;
+    let may_reuse = outgoing.may_repeat && (!outgoing.is_stream || permit.endpoint.is_heard());
+    let connected = permit.endpoint.pool.connect(address, may_reuse).await;
     let mut connection = connected.map_err(|error| {
         log::info!(request = outgoing.id, error:% = error; "attempt not sent");
-        place.note_end(CallEnd::Unreachable);
+        permit.note_end(CallEnd::Unreachable);
         AttemptError::Unreachable
     })?;
     let request = request(dialect, outgoing, &forward);
     let may_reroute = outgoing.is_stream && outgoing.may_repeat && outgoing.may_follow;
     let sent_at = Instant::now();
-    let mut pending = PendingHead { place: &place, outgoing, sent_at, is_over: false };
-    let answered = response_head(&place, &mut connection, request, may_reroute, until).await;
+    let mut pending = PendingHead { permit: &permit, outgoing, sent_at, is_over: false };
+    let answered = response_head(&permit, &mut connection, request, may_reroute, until).await;
     pending.is_over = true;
     drop(pending);
     let response = match answered {
         Ok(response) => response,
         Err(NoHead::Broken(error)) => {
-            let endpoint = &*place.endpoint.record.id;
+            let endpoint = &*permit.endpoint.record.id;
             log::info!(request = outgoing.id, endpoint, error:% = error; "attempt lost");
-            place.note_end(CallEnd::Unreachable);
-            place.on_broken(outgoing.call, outgoing.pending_phase(), sent_at);
+            permit.note_end(CallEnd::Unreachable);
+            permit.on_broken(outgoing.call, outgoing.pending_phase(), sent_at);
             return Err(AttemptError::Lost);
         }
         Err(NoHead::Stalled(stall)) => {
-            log::info!(request = outgoing.id, endpoint = &*place.endpoint.record.id, stall:? = stall,
+            log::info!(request = outgoing.id, endpoint = &*permit.endpoint.record.id, stall:? = stall,
                 waited_ms = sent_at.elapsed().as_millis() as u64; "attempt rerouted");
-            place.on_canceled(outgoing.call, outgoing.pending_phase());
-            place.note_end(CallEnd::Unreachable);
+            permit.on_canceled(outgoing.call, outgoing.pending_phase());
+            permit.note_end(CallEnd::Unreachable);
             return Err(AttemptError::Stalled);
         }
         Err(NoHead::TimedOut) => {
-            place.on_canceled(outgoing.call, outgoing.pending_phase());
-            place.note_end(CallEnd::Unreachable);
+            permit.on_canceled(outgoing.call, outgoing.pending_phase());
+            permit.note_end(CallEnd::Unreachable);
             return Err(AttemptError::TimedOut);
         }
     };
-    judge(dialect, place, connection, outgoing, response)
+    judge(dialect, permit, connection, outgoing, response)
 }
 
 impl Outgoing<'_> {
@@ -140,7 +140,7 @@
 
 /// An attempt whose response head has not arrived; records its cancellation.
 struct PendingHead<'a> {
-    place: &'a Place,
+    permit: &'a Permit,
     outgoing: &'a Outgoing<'a>,
     sent_at: Instant,
     is_over: bool,
@@ -151,9 +151,9 @@
         if self.is_over {
             return;
         }
-        self.place.on_canceled(self.outgoing.call, self.outgoing.pending_phase());
-        let group_silent_ms = self.place.group_silent_for().map(|time| time.as_millis() as u64);
-        log::info!(request = self.outgoing.id, endpoint = &*self.place.endpoint.record.id,
+        self.permit.on_canceled(self.outgoing.call, self.outgoing.pending_phase());
+        let group_silent_ms = self.permit.group_silent_for().map(|time| time.as_millis() as u64);
+        log::info!(request = self.outgoing.id, endpoint = &*self.permit.endpoint.record.id,
             waited_ms = self.sent_at.elapsed().as_millis() as u64, group_silent_ms;
             "attempt canceled");
     }
@@ -170,7 +170,7 @@
 ///
 /// Fails if the connection breaks, the time is up, or a call that may be rerouted meets a stall.
 async fn response_head(
-    place: &Place,
+    permit: &Permit,
     connection: &mut Connection,
     request: Request<Full<Bytes>>,
     may_reroute: bool,
@@ -187,8 +187,8 @@
             return Err(NoHead::TimedOut);
         }
         // A queued call of a live endpoint waits in silence, too.
-        let silence = sent_at.elapsed().min(place.silent_for());
-        if may_reroute && let Some(stall) = place.stall(silence) {
+        let silence = sent_at.elapsed().min(permit.silent_for());
+        if may_reroute && let Some(stall) = permit.stall(silence) {
             return Err(NoHead::Stalled(stall));
         }
     }
@@ -208,37 +208,37 @@
 
 fn judge(
     dialect: &impl Dialect,
-    place: Place,
+    permit: Permit,
     connection: Connection,
     outgoing: &Outgoing<'_>,
     response: Response<Incoming>,
 ) -> Result<ResponseHead, AttemptError> {
-    place.on_heard();
+    permit.on_heard();
     let (parts, body) = response.into_parts();
     let head = Response::from_parts(parts, ());
     let told = dialect.read_answer(outgoing.id, &head);
     if let Some(load) = told.load {
-        place.endpoint.note_load(load);
+        permit.endpoint.note_load(load);
     }
-    let endpoint = &*place.endpoint.record.id;
+    let endpoint = &*permit.endpoint.record.id;
     match told.kind {
         AnswerKind::Foreign => {
             log::warn!(request = outgoing.id, endpoint; "foreign answer discarded");
-            place.note_end(CallEnd::Failed);
+            permit.note_end(CallEnd::Failed);
             Err(AttemptError::Lost)
         }
         AnswerKind::NotRun => {
-            place.note_refusal();
+            permit.note_refusal();
             Err(AttemptError::NotRun)
         }
         AnswerKind::OtherEndpoint => {
-            place.note_end(CallEnd::Unreachable);
+            permit.note_end(CallEnd::Unreachable);
             Err(AttemptError::OtherEndpoint)
         }
         AnswerKind::Ran => {
             let (parts, ()) = head.into_parts();
             Ok(ResponseHead {
-                place,
+                permit,
                 connection,
                 call: outgoing.call,
                 heard_at: Instant::now(),
@@ -256,22 +256,22 @@
     ///
     /// Fails if it ends early or does not come in time.
     pub(crate) async fn whole(self, until: Instant) -> Result<WholeAnswer, AttemptError> {
-        let ResponseHead { place, connection, call, heard_at, told, status, headers, body } = self;
+        let ResponseHead { permit, connection, call, heard_at, told, status, headers, body } = self;
         let limit = until.saturating_duration_since(Instant::now());
         match tokio::time::timeout(limit, body.collect()).await {
             Ok(Ok(collected)) => {
                 let is_failure = status.is_server_error();
-                place.note_end(if is_failure { CallEnd::Failed } else { CallEnd::Answered });
-                place.endpoint.pool.give_back(connection, told.keep_alive);
+                permit.note_end(if is_failure { CallEnd::Failed } else { CallEnd::Answered });
+                permit.endpoint.pool.release(connection, told.keep_alive);
                 Ok(WholeAnswer { status, headers, body: collected.to_bytes() })
             }
             Ok(Err(_)) => {
-                place.note_end(CallEnd::Failed);
-                place.on_broken(call, CallPhase::Beginning, heard_at);
+                permit.note_end(CallEnd::Failed);
+                permit.on_broken(call, CallPhase::Beginning, heard_at);
                 Err(AttemptError::Lost)
             }
             Err(_) => {
-                place.note_end(CallEnd::Unreachable);
+                permit.note_end(CallEnd::Unreachable);
                 Err(AttemptError::TimedOut)
             }
         }
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -23,13 +23,13 @@
 use crate::{
     attempt::{AttemptError, AttemptResult, Outgoing, ResponseHead, WholeAnswer, left, open},
     attempt_history::{AttemptHistory, attempt_counter},
-    endpoint::Place,
+    endpoint::Permit,
     reply::{Refusal, ReplyBody, whole_body},
-    service::{NoPlace, Service, Want},
+    service::{Service, Unavailable, Want},
     stream::StreamRelay,
 };
 
-/// The part of the latency objective that a call may wait for a place.
+/// The part of the latency objective that a call may wait for a permit.
 const WAIT_PART: f64 = 0.5;
 
 /// The part of the time that is left for which a call may wait until a group opens:
@@ -81,14 +81,14 @@
     pub(crate) async fn run(self: &Arc<Call<D>>) -> Result<Response<ReplyBody>, Refusal> {
         let mut history = AttemptHistory::default();
         loop {
-            let place = match self.place(self.wait_time()).await {
-                Ok(place) => place,
-                Err(no_place) => {
-                    let refusal = self.no_place(no_place, history.may_have_run);
+            let permit = match self.place(self.wait_time()).await {
+                Ok(permit) => permit,
+                Err(unavailable) => {
+                    let refusal = self.unavailable(unavailable, history.may_have_run);
                     return self.settle(history, refusal);
                 }
             };
-            let ended = match self.attempt(place).await {
+            let ended = match self.attempt(permit).await {
                 AttemptResult::Answered(response) => return Ok(response),
                 AttemptResult::Failed(answer) => {
                     history.failure = Some(answer);
@@ -133,7 +133,7 @@
         history.failure.map(|answer| self.deliver(answer)).ok_or(refusal)
     }
 
-    async fn place(&self, wait: Duration) -> Result<Place, NoPlace> {
+    async fn place(&self, wait: Duration) -> Result<Permit, Unavailable> {
         let tried = self.tried.lock().clone();
         let team = self.team.clone().unwrap_or_else(|| PUBLIC_TEAM.into());
         let (now, left) = (self.clock.now(), left(self.deadline));
@@ -144,30 +144,30 @@
         tokio::select! {
             biased;
             retry_after = self.suspects.until_held_back(&self.fingerprint) => {
-                Err(NoPlace::HeldBack { retry_after })
+                Err(Unavailable::HeldBack { retry_after })
             }
             placed = self.service.place(want) => placed,
         }
     }
 
-    /// How long the call may wait for a place: what is left of its part of the
+    /// How long the call may wait for a permit: what is left of its part of the
     /// objective.
     fn wait_time(&self) -> Duration {
         self.goal.mul_f64(WAIT_PART).saturating_sub(self.arrived.elapsed())
     }
 
-    fn no_place(&self, no_place: NoPlace, may_have_run: bool) -> Refusal {
-        match no_place {
+    fn unavailable(&self, unavailable: Unavailable, may_have_run: bool) -> Refusal {
+        match unavailable {
             _ if may_have_run => Refusal::MayHaveRun,
-            // It would be late in any case; what matters is that there is a place then.
-            NoPlace::Full { retry_after } => {
+            // It would be late in any case; what matters is that there is a permit then.
+            Unavailable::Full { retry_after } => {
                 let retry_after = retry_after.max(self.return_after());
                 Refusal::NotRun { retry_after }
             }
             // When it may come again is true, so that a caller who is held back in error gets
             // through then.
-            NoPlace::HeldBack { retry_after } => Refusal::HeldBack { retry_after },
-            NoPlace::Nowhere => Refusal::NotRun { retry_after: self.return_after() },
+            Unavailable::HeldBack { retry_after } => Refusal::HeldBack { retry_after },
+            Unavailable::Nowhere => Refusal::NotRun { retry_after: self.return_after() },
         }
     }
 
@@ -186,17 +186,17 @@
     /// Makes an attempt. A call that is held back meanwhile is taken back from the endpoint
     /// before it begins there: copies wait in a group that stands still, and each would stop it
     /// again.
-    async fn attempt(self: &Arc<Call<D>>, place: Place) -> AttemptResult {
+    async fn attempt(self: &Arc<Call<D>>, permit: Permit) -> AttemptResult {
         tokio::select! {
-            attempted = self.attempt_at(place) => attempted,
+            attempted = self.attempt_at(permit) => attempted,
             _ = self.suspects.until_held_back(&self.fingerprint) => {
                 AttemptResult::Error(AttemptError::HeldBack)
             }
         }
     }
 
-    async fn attempt_at(self: &Arc<Call<D>>, place: Place) -> AttemptResult {
-        let opened = match self.open(place, self.head.last_event).await {
+    async fn attempt_at(self: &Arc<Call<D>>, permit: Permit) -> AttemptResult {
+        let opened = match self.open(permit, self.head.last_event).await {
             Ok(opened) => opened,
             Err(ended) => return AttemptResult::Error(ended),
         };
@@ -204,7 +204,7 @@
             let started = self.start_stream(opened).await;
             return started.map_or_else(AttemptResult::Error, AttemptResult::Answered);
         }
-        let endpoint = EndpointId::clone(&opened.place.endpoint.record.id);
+        let endpoint = EndpointId::clone(&opened.permit.endpoint.record.id);
         let answer = match opened.whole(self.attempt_end()).await {
             Ok(answer) => answer,
             Err(ended) => return AttemptResult::Error(ended),
@@ -230,13 +230,13 @@
     /// Sends the call to an endpoint, after the last event that the caller has.
     async fn open(
         &self,
-        place: Place,
+        permit: Permit,
         last_event: Option<u64>,
     ) -> Result<ResponseHead, AttemptError> {
-        let endpoint = EndpointId::clone(&place.endpoint.record.id);
+        let endpoint = EndpointId::clone(&permit.endpoint.record.id);
         log::info!(request = self.head.id.as_deref(), call:% = self.fingerprint,
             route = &*self.route, endpoint = &*endpoint,
-            running = place.endpoint.own_running(), left_ms = left(self.deadline).as_millis() as u64,
+            running = permit.endpoint.own_running(), left_ms = left(self.deadline).as_millis() as u64,
             after_event = last_event; "attempt");
         let outgoing = Outgoing {
             method: &self.parts.method,
@@ -257,7 +257,7 @@
             priority: None,
         };
         self.tried.lock().push(EndpointId::clone(&endpoint));
-        let opened = open(&*self.dialect, place, &outgoing, forward, self.attempt_end()).await;
+        let opened = open(&*self.dialect, permit, &outgoing, forward, self.attempt_end()).await;
         // One that did not reach the endpoint that is meant is no attempt.
         if !matches!(opened, Err(AttemptError::Unreachable | AttemptError::OtherEndpoint)) {
             self.attempts.fetch_add(1, Ordering::Relaxed);
@@ -296,8 +296,8 @@
     }
 
     async fn resume_elsewhere(&self, last_event: Option<u64>) -> Option<ResponseHead> {
-        let place = self.place(self.goal.mul_f64(WAIT_PART)).await.ok()?;
-        let opened = self.open(place, last_event).await.ok()?;
+        let permit = self.place(self.goal.mul_f64(WAIT_PART)).await.ok()?;
+        let opened = self.open(permit, last_event).await.ok()?;
         if !opened.status.is_success() {
             return None;
         }
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -1,4 +1,4 @@
-//! One endpoint as an entry sees it, and places at it.
+//! One endpoint as an entry sees it, and permits for its calls.
 
 use std::{
     sync::Arc,
@@ -40,7 +40,7 @@
 
 /// What an endpoint can take.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Room {
+pub(crate) struct Capacity {
     /// Calls of all entries.
     pub(crate) capacity: u32,
     /// Calls of this entry.
@@ -51,18 +51,18 @@
     pub(crate) now: Duration,
 }
 
-/// A place at an endpoint; it is given back when it is dropped.
-pub(crate) struct Place {
+/// The right to run a call at an endpoint; released when it is dropped.
+pub(crate) struct Permit {
     pub(crate) endpoint: Arc<Endpoint>,
-    /// The endpoint's group when the place was given.
+    /// The endpoint's group when the permit was granted.
     group: Arc<str>,
     service: Arc<Service>,
 }
 
-impl Drop for Place {
+impl Drop for Permit {
     fn drop(&mut self) {
         self.endpoint.release();
-        self.service.give_back(&self.group);
+        self.service.release(&self.group);
     }
 }
 
@@ -127,7 +127,7 @@
     }
 
     /// What it offers a call, of which this entry's share of its slots is given.
-    pub(crate) fn seat(&self, room: Room, tried: &[EndpointId], groups: &GroupWatch) -> Seat {
+    pub(crate) fn seat(&self, room: Capacity, tried: &[EndpointId], groups: &GroupWatch) -> Seat {
         let load = self.load.lock();
         let is_told = load.told_at.is_some_and(|at| at.elapsed() < LOAD_LIFE);
         let group = load.group.as_deref().unwrap_or_default();
@@ -148,7 +148,7 @@
         }
     }
 
-    /// Counts a call that is given a place here.
+    /// Counts a call that is granted a permit here.
     pub(crate) fn note_chosen(&self, choice: u64, now: Duration) {
         let mut load = self.load.lock();
         load.own_running += 1;
@@ -157,10 +157,10 @@
     }
 }
 
-impl Place {
-    pub(crate) fn new(endpoint: Arc<Endpoint>, service: Arc<Service>) -> Place {
+impl Permit {
+    pub(crate) fn new(endpoint: Arc<Endpoint>, service: Arc<Service>) -> Permit {
         let group = endpoint.group();
-        Place { endpoint, group, service }
+        Permit { endpoint, group, service }
     }
 
     pub(crate) fn group(&self) -> &str {
--- a/crates/direct/src/places.rs
+++ b/crates/direct/src/endpoint_set.rs
@@ -1,4 +1,4 @@
-//! Places at the endpoints of all services.
+//! The endpoints of all services.
 
 use std::{collections::HashMap, sync::Arc};
 
@@ -12,7 +12,7 @@
 };
 
 /// The endpoints of all services.
-pub(crate) struct Places {
+pub(crate) struct EndpointSet {
     clock: Clock,
     bounds: SiteBounds,
     mechanisms: Arc<Mechanisms>,
@@ -20,14 +20,14 @@
     services: Mutex<HashMap<ServiceId, Arc<Service>>>,
 }
 
-impl Places {
+impl EndpointSet {
     pub(crate) fn new(
         clock: Clock,
         bounds: SiteBounds,
         mechanisms: Arc<Mechanisms>,
         crashes: Arc<CrashDetector>,
-    ) -> Places {
-        Places { clock, bounds, mechanisms, crashes, services: Mutex::default() }
+    ) -> EndpointSet {
+        EndpointSet { clock, bounds, mechanisms, crashes, services: Mutex::default() }
     }
 
     pub(crate) fn service(&self, id: &str) -> Option<Arc<Service>> {
--- a/crates/direct/src/groups.rs
+++ b/crates/direct/src/groups.rs
@@ -9,7 +9,7 @@
 use lynxmount_link::{ASK_PERIOD, GROUP_PORT_OFFSET, GroupMessage, MembersFingerprint, receive};
 use tokio::net::UdpSocket;
 
-use crate::places::Places;
+use crate::endpoint_set::EndpointSet;
 
 /// How often processes are asked as long as the group of an endpoint is not known.
 const FIRST_ASK_PERIOD: Duration = Duration::from_millis(300);
@@ -22,7 +22,7 @@
     socket: UdpSocket,
     /// The port of the processes beside engines.
     port: u16,
-    places: Arc<Places>,
+    endpoint_set: Arc<EndpointSet>,
 }
 
 impl GroupListener {
@@ -32,19 +32,19 @@
     pub(crate) async fn bind(
         own: IpAddr,
         internal_port: u16,
-        places: Arc<Places>,
+        endpoint_set: Arc<EndpointSet>,
     ) -> std::io::Result<GroupListener> {
         let port = internal_port + GROUP_PORT_OFFSET;
         let socket = UdpSocket::bind(SocketAddr::new(own, port)).await?;
-        Ok(GroupListener { socket, port, places })
+        Ok(GroupListener { socket, port, endpoint_set })
     }
 
     /// Asks the processes beside all engines until the task is dropped.
     pub(crate) async fn ask(self: Arc<GroupListener>) {
         loop {
-            let ranks = self.places.ranks();
+            let ranks = self.endpoint_set.ranks();
             for rank in &ranks {
-                let members = self.places.known_members(&rank.group());
+                let members = self.endpoint_set.known_members(&rank.group());
                 self.ask_one(rank.record.address.ip(), members).await;
             }
             let is_complete = !ranks.is_empty() && ranks.iter().all(|rank| rank.has_group());
@@ -66,8 +66,8 @@
     /// Takes notices until the task is dropped.
     pub(crate) async fn listen(self: Arc<GroupListener>) {
         receive(&self.socket, MAX_NOTICE_BYTES, GroupMessage::decode, |_, message| match message {
-            Ok(GroupMessage::Notice(notice)) => self.places.note_notice(&notice),
-            Ok(GroupMessage::Members(members)) => self.places.note_members(&members),
+            Ok(GroupMessage::Notice(notice)) => self.endpoint_set.note_notice(&notice),
+            Ok(GroupMessage::Members(members)) => self.endpoint_set.note_members(&members),
             Ok(GroupMessage::Ask { .. }) | Err(_) => {}
         })
         .await;
--- a/crates/direct/src/handler.rs
+++ b/crates/direct/src/handler.rs
@@ -20,8 +20,8 @@
     admission::{authenticate, draw_target, host, host_name, read_body},
     call::{Call, return_after},
     drain::Drain,
+    endpoint_set::EndpointSet,
     fleet::{ConfigView, Fleet},
-    places::Places,
     reply::{Refusal, ReplyBody},
 };
 
@@ -32,7 +32,7 @@
 pub(crate) struct Handler<D: Dialect> {
     pub(crate) dialect: Arc<D>,
     pub(crate) fleet: Arc<Fleet>,
-    pub(crate) places: Arc<Places>,
+    pub(crate) endpoint_set: Arc<EndpointSet>,
     pub(crate) suspects: Arc<Suspects>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) drain: Arc<Drain>,
@@ -102,7 +102,7 @@
         let target = draw_target(&route.targets).ok_or(Refusal::NoRoute)?;
         let time = head.time_left.map_or(route.timeout, |left| left.min(route.timeout));
         let nowhere = Refusal::NotRun { retry_after: return_after(&self.mechanisms, time) };
-        let service = self.places.service(&target.service).ok_or(nowhere)?;
+        let service = self.endpoint_set.service(&target.service).ok_or(nowhere)?;
         let fingerprint = CallFingerprint::of(CallContent {
             team: team.as_ref(),
             method: parts.method.as_str(),
--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -50,7 +50,7 @@
     }
 
     /// Keeps a connection whose last answer was whole.
-    pub(crate) fn give_back(&self, connection: Connection, keep_alive: Option<Duration>) {
+    pub(crate) fn release(&self, connection: Connection, keep_alive: Option<Duration>) {
         let idle_time = keep_alive.map_or(DEFAULT_IDLE, |time| time.mul_f64(IDLE_PART));
         let mut idle = self.idle.lock();
         if connection.is_closed() || idle.len() >= MAX_IDLE || idle_time.is_zero() {
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -18,11 +18,11 @@
     crash_detector::CrashDetector,
     crash_gossip::CrashGossip,
     drain::Drain,
+    endpoint_set::EndpointSet,
     fleet::Fleet,
     groups::GroupListener,
     handler::Handler,
     peers::{PeerPort, Peers},
-    places::Places,
     readiness::ReadinessPort,
     watch::{Watch, endpoints_period},
 };
@@ -63,11 +63,13 @@
     let metrics = Arc::new(Metrics::default());
     let suspects = Arc::new(Suspects::new(mechanisms.has(Mechanism::Quarantine)));
     let ends = Arc::new(CrashDetector::new(Arc::clone(&metrics), Arc::clone(&suspects)));
-    let places = Arc::new(Places::new(clock, settings.bounds, Arc::clone(&mechanisms), ends));
+    let endpoint_set =
+        Arc::new(EndpointSet::new(clock, settings.bounds, Arc::clone(&mechanisms), ends));
     let peers = Arc::new(Peers::new(peer_address, settings.seeds.clone()));
     let last_read = Arc::new(Mutex::default());
     let groups =
-        GroupListener::bind(settings.ip, settings.internal_ports.0, Arc::clone(&places)).await;
+        GroupListener::bind(settings.ip, settings.internal_ports.0, Arc::clone(&endpoint_set))
+            .await;
     let groups = Arc::new(groups.context("the port for notices of groups can't be bound")?);
     tokio::spawn(Arc::clone(&groups).ask());
     tokio::spawn(groups.listen());
@@ -104,7 +106,7 @@
     let watch = Arc::new(Watch {
         source,
         fleet: Arc::clone(&fleet),
-        places: Arc::clone(&places),
+        endpoint_set: Arc::clone(&endpoint_set),
         suspects: Arc::clone(&suspects),
         peers,
         metrics: Arc::clone(&metrics),
@@ -123,7 +125,7 @@
     let handler = Handler {
         dialect,
         fleet,
-        places,
+        endpoint_set,
         suspects,
         metrics,
         drain: drain_of_handler,
--- a/crates/direct/src/service/inner.rs
+++ b/crates/direct/src/service/inner.rs
@@ -15,8 +15,8 @@
 };
 use tokio::sync::oneshot;
 
-use super::{NoPlace, Offered, Service, Want};
-use crate::endpoint::{Endpoint, Place, Room};
+use super::{Offered, Service, Unavailable, Want};
+use crate::endpoint::{Capacity, Endpoint, Permit};
 
 /// The part of an endpoint's slots that one of several entries may take beyond
 /// its even share: callers are spread unevenly over entries.
@@ -40,7 +40,7 @@
     pub(super) members: HashMap<Arc<str>, Members>,
     pub(super) groups: GroupWatch,
     pub(super) queue: ServiceQueue,
-    pub(super) waiting: HashMap<Ticket, oneshot::Sender<Place>>,
+    pub(super) waiting: HashMap<Ticket, oneshot::Sender<Permit>>,
     pub(super) budget: WindowBudget,
     choices: u64,
     /// Requests that one endpoint runs at once.
@@ -158,11 +158,11 @@
         }
     }
 
-    fn room(&self, endpoint: &Endpoint, group_share: Option<f64>, now: Duration) -> Room {
+    fn room(&self, endpoint: &Endpoint, group_share: Option<f64>, now: Duration) -> Capacity {
         let capacity = self.slots.unwrap_or(endpoint.record.slots).max(1);
         let share = f64::from(capacity) / self.entries() as f64 * UNEVEN_SHARE;
         let own_capacity = (share.ceil() as u32).clamp(1, capacity);
-        Room { capacity, own_capacity, group_share, now }
+        Capacity { capacity, own_capacity, group_share, now }
     }
 
     /// Lets a call wait for a group to open, all of which are closed: it is late in
@@ -170,7 +170,7 @@
     /// wait as can start at once then.
     ///
     /// Fails at once if no group is expected to open in time for the call.
-    pub(super) fn hold(&mut self, want: Want<'_>, now: Duration) -> Result<Offered, NoPlace> {
+    pub(super) fn hold(&mut self, want: Want<'_>, now: Duration) -> Result<Offered, Unavailable> {
         let groups: Vec<Arc<str>> =
             self.endpoints.iter().map(|endpoint| endpoint.group()).collect();
         let opening_by = self.groups.opening_by(groups.iter().map(|group| &**group), now);
@@ -179,7 +179,7 @@
         let until = opening_by.filter(is_in_time);
         let Some(until) = until.filter(|_| self.queue.len() < self.places()) else {
             let retry_after = opening_by.map_or(Duration::ZERO, |by| by.saturating_sub(now));
-            return Err(NoPlace::Full { retry_after });
+            return Err(Unavailable::Full { retry_after });
         };
         let ticket = self.queue.hold(Waiter { wait_until: until, ..want.waiter }, now);
         Ok(self.wait(ticket, until))
@@ -203,14 +203,14 @@
         Some(f64::from(self.slots?) * ranks as f64 / self.entries() as f64)
     }
 
-    pub(super) fn take(&mut self, index: usize, service: &Arc<Service>) -> Place {
+    pub(super) fn take(&mut self, index: usize, service: &Arc<Service>) -> Permit {
         self.choices += 1;
         let endpoint = Arc::clone(&self.endpoints[index]);
         endpoint.note_chosen(self.choices, service.now());
-        let place = Place::new(endpoint, Arc::clone(service));
-        if let Some(probe_at) = self.groups.note_sent(place.group(), service.now()) {
+        let permit = Permit::new(endpoint, Arc::clone(service));
+        if let Some(probe_at) = self.groups.note_sent(permit.group(), service.now()) {
             service.wake_at(probe_at);
         }
-        place
+        permit
     }
 }
--- a/crates/direct/src/service/mod.rs
+++ b/crates/direct/src/service/mod.rs
@@ -1,4 +1,4 @@
-//! One service: who gets a place now, who waits, who is refused.
+//! One service: who gets a permit now, who waits, who is refused.
 
 mod groups;
 mod inner;
@@ -21,10 +21,10 @@
 use self::inner::Inner;
 use crate::{
     crash_detector::{BrokenCall, CrashDetector},
-    endpoint::{Endpoint, Place},
+    endpoint::{Endpoint, Permit},
 };
 
-/// What a call wants of a place.
+/// What a call asks of a permit.
 pub(crate) struct Want<'a> {
     pub(crate) waiter: Waiter,
     /// Until when it may wait for a group to open: it is late then, and must still
@@ -33,9 +33,9 @@
     pub(crate) tried: &'a [EndpointId],
 }
 
-/// Why there is no place.
+/// Why there is no permit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum NoPlace {
+pub(crate) enum Unavailable {
     /// All are taken for longer than the call may wait.
     Full { retry_after: Duration },
     /// Endpoints end under the call.
@@ -145,27 +145,27 @@
         self.crashes.wait_for_verdict(endpoint).await;
     }
 
-    /// Waits for a place until the call may not wait any more.
+    /// Waits for a permit until the call may not wait any more.
     ///
     /// Fails at once if the wait would be too long or nothing takes calls.
-    pub(crate) async fn place(self: &Arc<Service>, want: Want<'_>) -> Result<Place, NoPlace> {
+    pub(crate) async fn place(self: &Arc<Service>, want: Want<'_>) -> Result<Permit, Unavailable> {
         let (wait_until, ticket, receiver) = match self.offer(want)? {
-            Offered::Place(place) => return Ok(place),
+            Offered::Permit(permit) => return Ok(permit),
             Offered::Wait { until, ticket, receiver } => (until, ticket, receiver),
         };
         let _guard = WaitGuard { service: self, ticket };
         let limit = wait_until.saturating_sub(self.now());
         match tokio::time::timeout(limit, receiver).await {
-            Ok(Ok(place)) => Ok(place),
-            _ => Err(NoPlace::Full { retry_after: self.inner.lock().queue.drain_time() }),
+            Ok(Ok(permit)) => Ok(permit),
+            _ => Err(Unavailable::Full { retry_after: self.inner.lock().queue.drain_time() }),
         }
     }
 
-    fn offer(self: &Arc<Service>, want: Want<'_>) -> Result<Offered, NoPlace> {
+    fn offer(self: &Arc<Service>, want: Want<'_>) -> Result<Offered, Unavailable> {
         let now = self.now();
         let mut inner = self.inner.lock();
         let free = match inner.choose(want.tried, now) {
-            Placement::Nowhere => return Err(NoPlace::Nowhere),
+            Placement::Nowhere => return Err(Unavailable::Nowhere),
             Placement::Closed => return inner.hold(want, now),
             Placement::Full => None,
             Placement::At(index) => Some(index),
@@ -176,20 +176,20 @@
             return Ok(inner.wait(ticket, until));
         }
         match (inner.queue.offer(want.waiter, free.is_some(), now), free) {
-            (Offer::Start, Some(index)) => Ok(Offered::Place(inner.take(index, self))),
+            (Offer::Start, Some(index)) => Ok(Offered::Permit(inner.take(index, self))),
             (Offer::Wait(ticket), _) => Ok(inner.wait(ticket, until)),
-            (Offer::Refuse { retry_after }, _) => Err(NoPlace::Full { retry_after }),
-            (Offer::Start, None) => Err(NoPlace::Full { retry_after: Duration::ZERO }),
+            (Offer::Refuse { retry_after }, _) => Err(Unavailable::Full { retry_after }),
+            (Offer::Start, None) => Err(Unavailable::Full { retry_after: Duration::ZERO }),
         }
     }
 
-    /// Takes a place back.
-    pub(crate) fn give_back(self: &Arc<Service>, group: &str) {
+    /// Releases a permit.
+    pub(crate) fn release(self: &Arc<Service>, group: &str) {
         self.inner.lock().groups.note_ended(group);
         self.wake();
     }
 
-    /// Hands free places out at a later time.
+    /// Grants free permits at a later time.
     fn wake_at(self: &Arc<Service>, at: Duration) {
         let service = Arc::clone(self);
         let wait = at.saturating_sub(self.now());
@@ -199,14 +199,14 @@
         });
     }
 
-    /// Hands free places to waiting calls.
+    /// Grants free permits to waiting calls.
     fn wake(self: &Arc<Service>) {
         let unwanted = self.hand_out();
-        // Places whose call has just gone are given back without the lock.
+        // Permits whose call has just gone are released without the lock.
         drop(unwanted);
     }
 
-    fn hand_out(self: &Arc<Service>) -> Vec<Place> {
+    fn hand_out(self: &Arc<Service>) -> Vec<Permit> {
         let now = self.now();
         let mut unwanted = Vec::new();
         let mut inner = self.inner.lock();
@@ -214,16 +214,16 @@
             let Placement::At(index) = inner.choose(&[], now) else { break };
             let Some(ticket) = inner.queue.start_next(now) else { break };
             let Some(sender) = inner.waiting.remove(&ticket) else { continue };
-            let place = inner.take(index, self);
-            unwanted.extend(sender.send(place).err());
+            let permit = inner.take(index, self);
+            unwanted.extend(sender.send(permit).err());
         }
         unwanted
     }
 }
 
 enum Offered {
-    Place(Place),
-    Wait { until: Duration, ticket: Ticket, receiver: oneshot::Receiver<Place> },
+    Permit(Permit),
+    Wait { until: Duration, ticket: Ticket, receiver: oneshot::Receiver<Permit> },
 }
 
 /// Takes a ticket out of the queue if its call stops waiting.
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -17,7 +17,7 @@
 use crate::{
     attempt::{AttemptError, ResponseHead, left},
     call::Call,
-    endpoint::Place,
+    endpoint::Permit,
     reply::ReplyBody,
 };
 
@@ -27,7 +27,7 @@
 /// A stream on its way to the caller.
 pub(crate) struct StreamRelay<D: Dialect> {
     call: Arc<Call<D>>,
-    place: Option<Place>,
+    permit: Option<Permit>,
     /// Closes the connection with the relay, unless its stream has come to its end.
     connection: Option<Connection>,
     /// How long the endpoint keeps the connection idle, if it says so.
@@ -74,7 +74,7 @@
         let events = NumberedEvents::after(call.head.last_event);
         StreamRelay {
             call,
-            place: Some(opened.place),
+            permit: Some(opened.permit),
             connection: Some(opened.connection),
             keep_alive: opened.told.keep_alive,
             body: opened.body,
@@ -165,8 +165,8 @@
         if !self.call.service.mechanisms.has(Mechanism::ConnectionReuse) {
             return;
         }
-        if let (Some(place), Some(connection)) = (&self.place, self.connection.take()) {
-            place.endpoint.pool.give_back(connection, self.keep_alive);
+        if let (Some(permit), Some(connection)) = (&self.permit, self.connection.take()) {
+            permit.endpoint.pool.release(connection, self.keep_alive);
         }
     }
 
@@ -181,8 +181,8 @@
             _ => CallEnd::Failed,
         });
         let is_closed = matches!(why, Broken::Connection | Broken::CutEvent);
-        if let Some(place) = self.place.as_ref().filter(|_| is_closed) {
-            place.on_broken(self.call.fingerprint, self.phase(), self.last_event_at);
+        if let Some(permit) = self.permit.as_ref().filter(|_| is_closed) {
+            permit.on_broken(self.call.fingerprint, self.phase(), self.last_event_at);
         }
     }
 
@@ -194,8 +194,8 @@
     }
 
     fn note_end(&self, end: CallEnd) {
-        if let Some(place) = &self.place {
-            place.note_end(end);
+        if let Some(permit) = &self.permit {
+            permit.note_end(end);
         }
     }
 
@@ -229,8 +229,8 @@
 
     fn note_events(&mut self) {
         let pause = self.has_events.then(|| self.last_event_at.elapsed());
-        if let Some(place) = &self.place {
-            place.note_event(pause, self.call.gap_goal);
+        if let Some(permit) = &self.permit {
+            permit.note_event(pause, self.call.gap_goal);
         }
         self.last_event_at = Instant::now();
         self.has_events = true;
@@ -238,8 +238,8 @@
 
     /// Says what has stalled under the stream, if it may be resumed elsewhere.
     fn stall(&self) -> Option<Stall> {
-        let place = self.place.as_ref().filter(|_| self.may_go_on_elsewhere())?;
-        place.stall(self.last_event_at.elapsed())
+        let permit = self.permit.as_ref().filter(|_| self.may_go_on_elsewhere())?;
+        permit.stall(self.last_event_at.elapsed())
     }
 
     /// Says whether the stream may be resumed. Silence is no reason to cut one that
@@ -255,11 +255,11 @@
         }
         // The old connection is closed first, so that no two runs go on at once.
         self.connection = None;
-        self.place = None;
+        self.permit = None;
         self.events.restart();
         let resumed = self.call.resume(self.events.last(), why).await;
         let Some(opened) = resumed else { return false };
-        self.place = Some(opened.place);
+        self.permit = Some(opened.permit);
         self.connection = Some(opened.connection);
         self.keep_alive = opened.told.keep_alive;
         self.body = opened.body;
@@ -274,8 +274,8 @@
         if self.is_over {
             return;
         }
-        if let Some(place) = &self.place {
-            place.on_canceled(self.call.fingerprint, self.phase());
+        if let Some(permit) = &self.permit {
+            permit.on_canceled(self.call.fingerprint, self.phase());
         }
         self.call.finished("caller went away", self.events.last());
     }
--- a/crates/direct/src/watch.rs
+++ b/crates/direct/src/watch.rs
@@ -15,7 +15,7 @@
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
 
-use crate::{fleet::Fleet, peers::Peers, places::Places};
+use crate::{endpoint_set::EndpointSet, fleet::Fleet, peers::Peers};
 
 /// The part of the time within which a leaving endpoint must get no more work
 /// after which registrations are read again: it leaves time for one lost read.
@@ -42,7 +42,7 @@
 pub(crate) struct Watch<S> {
     pub(crate) source: Arc<S>,
     pub(crate) fleet: Arc<Fleet>,
-    pub(crate) places: Arc<Places>,
+    pub(crate) endpoint_set: Arc<EndpointSet>,
     pub(crate) suspects: Arc<Suspects>,
     pub(crate) peers: Arc<Peers>,
     pub(crate) metrics: Arc<Metrics>,
@@ -187,7 +187,7 @@
         let read_to = self.fleet.endpoints().map_or(0, |list| list.read_to);
         let endpoints = self.membership.lock().endpoints();
         let list = EndpointList { read_to, endpoints };
-        self.places.update(&config, &list, &self.peers.owners());
+        self.endpoint_set.update(&config, &list, &self.peers.owners());
     }
 
     fn note_read(&self) {
