Reroute after five missed passes, while callers still wait

With eight, calls in a group at pauses of 250 ms waited for 2 s, at which callers leave; 360 ms is the pause from which a group counts as stalled, and five passes of it are 1.8 s.

The unit test's bound follows the constant.

--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -14,8 +14,8 @@
 /// How long the load that an endpoint has told counts.
 const LOAD_LIFE: Duration = Duration::from_millis(600);
 
-/// How long ago an endpoint must have sent something for a stream to reuse a connection: an
-/// engine reads a request from it before its process has to accept anything.
+/// How long ago an endpoint must have sent something for a stream to reuse a connection. On a
+/// fresh one, an endpoint that was frozen sees the reset before it reads the request.
 const HEARD_LATELY: Duration = Duration::from_millis(250);
 
 /// An endpoint that takes calls.
--- a/crates/policy/src/stall.rs
+++ b/crates/policy/src/stall.rs
@@ -6,17 +6,17 @@
 
 use std::time::Duration;
 
-/// Least silence after which an endpoint gets no new calls.
+/// Least silence after which an endpoint is suspected, and gets no new calls.
 const SUSPECT_AFTER: Duration = Duration::from_millis(400);
 
-/// Passes of the group that an endpoint must have missed for that.
+/// Passes of its group that an endpoint must have missed to be suspected.
 const SUSPECT_PASSES: u32 = 4;
 
 /// Least silence after which calls are rerouted from an endpoint.
 const REROUTE_AFTER: Duration = Duration::from_millis(900);
 
-/// Passes of the group that an endpoint must have missed for that.
-const REROUTE_PASSES: u32 = 8;
+/// Passes of its group that an endpoint must have missed before its calls are rerouted.
+const REROUTE_PASSES: u32 = 5;
 
 /// Silence after which calls are rerouted from a whole group. Longer than most orphaned holds
 /// of a map switch, which end by themselves.
--- a/crates/policy/tests/stall.rs
+++ b/crates/policy/tests/stall.rs
@@ -50,8 +50,8 @@
 
     assert!(!liveness.is_suspect(SLOW_PROGRESS, ms(1199)));
     assert!(liveness.is_suspect(SLOW_PROGRESS, ms(1200)));
-    assert_eq!(Stall::detect(ms(2399), SLOW_PROGRESS, false), None);
-    assert_eq!(Stall::detect(ms(2400), SLOW_PROGRESS, false), Some(Stall::Endpoint));
+    assert_eq!(Stall::detect(ms(1499), SLOW_PROGRESS, false), None);
+    assert_eq!(Stall::detect(ms(1500), SLOW_PROGRESS, false), Some(Stall::Endpoint));
 }
 
 #[test]
