--- a/crates/direct/src/attempt_history.rs
+++ b/crates/direct/src/attempt_history.rs
@@ -13,7 +13,7 @@
 }
 
 impl AttemptHistory {
-    pub(crate) fn note(&mut self, ended: AttemptError) {
+    pub(crate) fn record(&mut self, ended: AttemptError) {
         self.may_have_run |= matches!(
             ended,
             AttemptError::HeldBack
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -100,7 +100,7 @@
             if ended == AttemptError::Lost {
                 self.wait_for_verdict().await;
             }
-            history.note(ended);
+            history.record(ended);
             if !self.may_retry(&history, ended) {
                 let refusal = self.give_up(history.may_have_run);
                 return self.settle(history, refusal);
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -149,7 +149,7 @@
     }
 
     /// Counts a call that is granted a permit here.
-    pub(crate) fn note_chosen(&self, choice: u64, now: Duration) {
+    pub(crate) fn on_chosen(&self, choice: u64, now: Duration) {
         let mut load = self.load.lock();
         load.own_running += 1;
         load.liveness.on_sent(now);
--- a/crates/direct/src/service/inner.rs
+++ b/crates/direct/src/service/inner.rs
@@ -206,7 +206,7 @@
     pub(super) fn take(&mut self, index: usize, service: &Arc<Service>) -> Permit {
         self.choices += 1;
         let endpoint = Arc::clone(&self.endpoints[index]);
-        endpoint.note_chosen(self.choices, service.now());
+        endpoint.on_chosen(self.choices, service.now());
         let permit = Permit::new(endpoint, Arc::clone(service));
         if let Some(probe_at) = self.groups.note_sent(permit.group(), service.now()) {
             service.wake_at(probe_at);
