Leave out of a comment how the quarantine's points were chosen

What a reader saw: the constant told the figures of the plays that it was chosen by. A comment only, no behaviour; clippy and the crate's quarantine tests pass.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -17,10 +17,8 @@
 
 use crate::answered_calls::AnsweredCalls;
 
-/// From how many points on a call is held back: two ends, one of which found it beginning,
-/// or three. In plays of 200 minutes each with one such call among 3,600, three ends of any kind
-/// stopped a group 2.98 times for each such call, and two of any kind 2.00 times with 36 innocent
-/// calls held back; by points it is 2.00 times and 9 (`benches/quarantine.rs`).
+/// Points from which on a call is quarantined: two crashes, one of which found it beginning, or
+/// three.
 const VERDICT_POINTS: u32 = 3;
 
 /// How long a call is held back after the latest end: a caller that comes back for some
