Log and read the limits that endpoints name

The adapter reads the field into a type that tells absent and malformed apart, and a change is logged with its endpoint. Nothing is decided by it yet.

--- a/crates/core/src/edge.rs
+++ b/crates/core/src/edge.rs
@@ -65,6 +65,18 @@
     Foreign,
 }
 
+/// A field of an answer's head that an endpoint may set.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Field<T> {
+    /// It is not set.
+    #[default]
+    Absent,
+    /// It has a value that can't be read, or several.
+    Malformed,
+    /// Its value.
+    Value(T),
+}
+
 /// What is read from the head of an endpoint's answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AnswerHead {
@@ -74,6 +86,8 @@
     pub load: Option<ReportedLoad>,
     /// How long the endpoint keeps the connection idle, if it says so.
     pub keep_alive: Option<Duration>,
+    /// Requests a second that the endpoint takes from all entries together.
+    pub limit_per_s: Field<f64>,
 }
 
 /// Translates callers' requests and endpoints' answers.
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -220,6 +220,9 @@
     if let Some(load) = told.load {
         permit.endpoint.note_load(load);
     }
+    if matches!(told.kind, AnswerKind::Ran | AnswerKind::NotRun) {
+        permit.endpoint.on_limit(told.limit_per_s);
+    }
     let endpoint = &*permit.endpoint.record.id;
     match told.kind {
         AnswerKind::Foreign => {
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -5,7 +5,10 @@
     time::{Duration, Instant},
 };
 
-use lynxmount_core::{CallFingerprint, CallPhase, EndpointId, EndpointRecord, edge::ReportedLoad};
+use lynxmount_core::{
+    CallFingerprint, CallPhase, EndpointId, EndpointRecord,
+    edge::{Field, ReportedLoad},
+};
 use lynxmount_policy::{CallEnd, GroupWatch, Health, Liveness, OwnSlots, Seat, Stall};
 use parking_lot::Mutex;
 
@@ -36,6 +39,8 @@
     last_chosen: u64,
     group: Option<Arc<str>>,
     own_slots: Option<OwnSlots>,
+    /// The rate limit that the endpoint named with its last answer.
+    limit_per_s: Option<f64>,
 }
 
 /// What an endpoint can take.
@@ -78,6 +83,22 @@
         load.told_at = Some(Instant::now());
     }
 
+    /// Takes the rate limit that the endpoint names with an answer, or names no more.
+    pub(crate) fn on_limit(&self, named: Field<f64>) {
+        let limit_per_s = match named {
+            Field::Absent => None,
+            Field::Value(limit_per_s) => Some(limit_per_s),
+            Field::Malformed => {
+                log::warn!(endpoint = &*self.record.id, field = "limit"; "malformed advice ignored");
+                return;
+            }
+        };
+        let before = std::mem::replace(&mut self.load.lock().limit_per_s, limit_per_s);
+        if before != limit_per_s {
+            log::info!(endpoint = &*self.record.id, limit_per_s, before; "endpoint limit changed");
+        }
+    }
+
     /// Records that the endpoint has sent something.
     fn on_heard(&self, now: Duration) {
         let mut load = self.load.lock();
