--- /dev/null
+++ b/crates/lynxmount/tests/platform_advice.rs
@@ -0,0 +1,69 @@
+//! What endpoints on the users' platform ask of entries, as the endpoints see it.
+
+mod platform_common;
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use http::Method;
+use lynxmount_platform_standin::{
+    Advice, Behaviour, Call, CallerStandin, allowed_in_window, fixture::PLAIN, most_in_window,
+};
+use platform_common::{CALLERS_PORT, Fleet, KEY, Process, entry_ip, entry_settings};
+use tokio::task::JoinSet;
+
+/// How long callers call: the grace of a limit and some windows.
+const TRAFFIC: Duration = Duration::from_secs(9);
+
+/// The pause between the calls of one caller.
+const CALL_PAUSE: Duration = Duration::from_millis(40);
+
+/// Starts a second entry of a fleet.
+async fn second_entry(fleet: &Fleet) -> Process {
+    let (first, own) = (entry_ip(fleet.network, 0), entry_ip(fleet.network, 1));
+    let settings = entry_settings(own, fleet.store.address(), &[first, own]);
+    let entry = Process::start("platform-entry", &settings);
+    fleet.wait_until_ready(own).await;
+    entry
+}
+
+/// Sends one call after the other to an entry, each on a connection of its own.
+async fn call_steadily(entry: SocketAddr, number: usize) {
+    let until = Instant::now() + TRAFFIC;
+    for count in 0.. {
+        if Instant::now() >= until {
+            return;
+        }
+        let call = Call {
+            id: format!("attempt-{number}-{count}"),
+            method: Method::GET,
+            path: format!("/{PLAIN}/{number}-{count}"),
+            key: KEY.to_owned(),
+            time_left: Duration::from_millis(3000),
+        };
+        CallerStandin::new(entry).call(&call).await;
+        tokio::time::sleep(CALL_PAUSE).await;
+    }
+}
+
+#[tokio::test]
+async fn an_endpoint_that_names_a_limit_gets_no_more_than_it_allows_from_all_entries() {
+    let limit_per_s = 1.0;
+    let fleet = Fleet::start(PLAIN, &[Behaviour::Answer, Behaviour::Answer]).await;
+    let _second = second_entry(&fleet).await;
+    fleet.replicas[0].advise(Advice::limit(limit_per_s));
+    let named_at = Instant::now();
+
+    let entries = [0, 1].map(|index| (entry_ip(fleet.network, index), CALLERS_PORT).into());
+    let callers: JoinSet<()> = (0..4).map(|n| call_steadily(entries[n % 2], n)).collect();
+    callers.join_all().await;
+
+    let arrivals: Vec<Instant> = fleet.replicas[0].seen().iter().map(|seen| seen.at).collect();
+    let most = most_in_window(&arrivals, named_at);
+    let allowed = allowed_in_window(limit_per_s);
+    assert!(most <= allowed, "{most} requests in a window, {allowed} allowed");
+    assert!(most > 0, "the endpoint's limit is not used");
+    assert!(fleet.replicas[1].seen().len() > arrivals.len());
+}
