Hold to the rate limits that endpoints name, over all entries

What was seen: an endpoint that named a limit of 1.1 requests a second went on getting 2 to 4 a second, from four entries that each had heard of it.

Cause: the adapter dropped what an answer says of how its endpoint wants to be called, so that a limited endpoint looked idle and attracted calls. Evidence: the rate at the endpoint does not change as it names the limit; with the new log line entries hear it with the first answer.

Fix: a limit is shared without a coordinator. Rendezvous hashing picks floor(limit) + 3 entries that hold equal shares, each paced by GCRA without a burst; the others send a tenth of the limit together, which shows them its end. In 4 s that is 4 x limit + floor(limit) + 3 at most, where 6 x limit + 5 are allowed. An entry uses a third of its share until others know of it. An endpoint whose turn has not come is no candidate; if all of them pause, a call waits for its turn if that comes in half of its time, or is refused at once with a turn of its own. The limit is checked again right before a call is sent, belongs to the endpoint's life and not to its registration, and ends with an answer to a later request only.

Weighed: an equal share for every entry (the bursts of a dozen entries break the bound); a coordinator (nothing here may be one).

--- a/crates/core/src/mechanism.rs
+++ b/crates/core/src/mechanism.rs
@@ -9,6 +9,8 @@
     ConnectionReuse,
     /// A silent process's engine is read and ordered directly.
     DirectReads,
+    /// Limits that endpoints name are held to.
+    EndpointLimits,
     /// Calls go to groups that are on time first.
     GroupChoice,
     /// Groups' processes tell entries whether a group is open, and its pace.
@@ -47,9 +49,10 @@
 
 impl Mechanism {
     /// All mechanisms, with the names that operators use.
-    pub const ALL: [(Mechanism, &'static str); 19] = [
+    pub const ALL: [(Mechanism, &'static str); 20] = [
         (Mechanism::ConnectionReuse, "connection-reuse"),
         (Mechanism::DirectReads, "direct-reads"),
+        (Mechanism::EndpointLimits, "endpoint-limits"),
         (Mechanism::GroupChoice, "group-choice"),
         (Mechanism::GroupNotices, "group-notices"),
         (Mechanism::Health, "health"),
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -72,6 +72,8 @@
     HeldBack,
     /// Another endpoint has the address.
     OtherEndpoint,
+    /// Nothing was sent, as its endpoint has asked for a pause since it was chosen.
+    Paused,
     /// It was sent, and its endpoint or group stalled.
     Stalled,
     /// It was sent, and there was no answer in time.
@@ -83,7 +85,7 @@
 /// Sends an attempt and waits for the head of its answer.
 pub(crate) async fn open(
     dialect: &impl Dialect,
-    permit: Permit,
+    mut permit: Permit,
     outgoing: &Outgoing<'_>,
     forward: Forward<'_>,
     until: Instant,
@@ -96,6 +98,10 @@
         permit.note_end(CallEnd::Unreachable);
         AttemptError::Unreachable
     })?;
+    if !permit.use_turn() {
+        permit.endpoint.pool.release(connection, None);
+        return Err(AttemptError::Paused);
+    }
     let request = request(dialect, outgoing, &forward);
     let may_reroute = outgoing.is_stream && outgoing.may_repeat && outgoing.may_follow;
     let sent_at = Instant::now();
@@ -125,7 +131,7 @@
             return Err(AttemptError::TimedOut);
         }
     };
-    judge(dialect, permit, connection, outgoing, response)
+    judge(dialect, permit, connection, outgoing, response, sent_at)
 }
 
 impl Outgoing<'_> {
@@ -212,16 +218,14 @@
     connection: Connection,
     outgoing: &Outgoing<'_>,
     response: Response<Incoming>,
+    sent_at: Instant,
 ) -> Result<ResponseHead, AttemptError> {
     permit.on_heard();
     let (parts, body) = response.into_parts();
     let head = Response::from_parts(parts, ());
     let told = dialect.read_answer(outgoing.id, &head);
-    if let Some(load) = told.load {
-        permit.endpoint.note_load(load);
-    }
     if matches!(told.kind, AnswerKind::Ran | AnswerKind::NotRun) {
-        permit.endpoint.on_limit(told.limit_per_s);
+        permit.on_answer(&told, sent_at);
     }
     let endpoint = &*permit.endpoint.record.id;
     match told.kind {
--- a/crates/direct/src/attempt_history.rs
+++ b/crates/direct/src/attempt_history.rs
@@ -21,8 +21,10 @@
                 | AttemptError::Stalled
                 | AttemptError::TimedOut
         );
-        self.unreachable +=
-            u32::from(matches!(ended, AttemptError::Unreachable | AttemptError::OtherEndpoint));
+        self.unreachable += u32::from(matches!(
+            ended,
+            AttemptError::Unreachable | AttemptError::OtherEndpoint | AttemptError::Paused
+        ));
     }
 }
 
@@ -33,6 +35,7 @@
         AttemptError::Lost => "attempts.lost",
         AttemptError::NotRun => "attempts.not_run",
         AttemptError::OtherEndpoint => "attempts.other_endpoint",
+        AttemptError::Paused => "attempts.paused",
         AttemptError::Stalled => "attempts.stalled",
         AttemptError::TimedOut => "attempts.timed_out",
         AttemptError::Unreachable => "attempts.unreachable",
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -116,7 +116,9 @@
         match ended {
             _ if left(self.deadline).is_zero() || !may_send => false,
             AttemptError::HeldBack => false,
-            AttemptError::Unreachable => history.unreachable <= MAX_UNREACHABLE,
+            AttemptError::Paused | AttemptError::Unreachable => {
+                history.unreachable <= MAX_UNREACHABLE
+            }
             AttemptError::OtherEndpoint => {
                 history.unreachable <= MAX_UNREACHABLE && self.service.take_repeat()
             }
@@ -167,6 +169,7 @@
             // When it may come again is true, so that a caller who is held back in error gets
             // through then.
             Unavailable::HeldBack { retry_after } => Refusal::HeldBack { retry_after },
+            Unavailable::Paused { retry_after } => Refusal::NotRun { retry_after },
             Unavailable::Nowhere => Refusal::NotRun { retry_after: self.return_after() },
         }
     }
@@ -259,7 +262,11 @@
         self.tried.lock().push(EndpointId::clone(&endpoint));
         let opened = open(&*self.dialect, permit, &outgoing, forward, self.attempt_end()).await;
         // One that did not reach the endpoint that is meant is no attempt.
-        if !matches!(opened, Err(AttemptError::Unreachable | AttemptError::OtherEndpoint)) {
+        let is_missed = matches!(
+            opened,
+            Err(AttemptError::OtherEndpoint | AttemptError::Paused | AttemptError::Unreachable)
+        );
+        if !is_missed {
             self.attempts.fetch_add(1, Ordering::Relaxed);
         }
         opened
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -7,9 +7,11 @@
 
 use lynxmount_core::{
     CallFingerprint, CallPhase, EndpointId, EndpointRecord,
-    edge::{Field, ReportedLoad},
+    edge::{AnswerHead, ReportedLoad},
+};
+use lynxmount_policy::{
+    CallEnd, EndpointLimit, GroupWatch, Health, Liveness, OwnSlots, Seat, Stall,
 };
-use lynxmount_policy::{CallEnd, GroupWatch, Health, Liveness, OwnSlots, Seat, Stall};
 use parking_lot::Mutex;
 
 use crate::{pool::Pool, service::Service};
@@ -25,6 +27,8 @@
 pub(crate) struct Endpoint {
     pub(crate) record: EndpointRecord,
     pub(crate) pool: Pool,
+    /// The limit that this life of the endpoint names, whatever else its registration tells.
+    pub(crate) limit: Arc<Mutex<EndpointLimit>>,
     load: Mutex<Load>,
 }
 
@@ -39,8 +43,6 @@
     last_chosen: u64,
     group: Option<Arc<str>>,
     own_slots: Option<OwnSlots>,
-    /// The rate limit that the endpoint named with its last answer.
-    limit_per_s: Option<f64>,
 }
 
 /// What an endpoint can take.
@@ -62,18 +64,23 @@
     /// The endpoint's group when the permit was granted.
     group: Arc<str>,
     service: Arc<Service>,
+    /// Whether it has a turn under the endpoint's limit that is not used yet.
+    has_turn: bool,
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
+        if self.has_turn {
+            self.endpoint.limit.lock().put_back(self.service.now());
+        }
         self.endpoint.release();
         self.service.release(&self.group);
     }
 }
 
 impl Endpoint {
-    pub(crate) fn new(record: EndpointRecord) -> Endpoint {
-        Endpoint { record, pool: Pool::default(), load: Mutex::default() }
+    pub(crate) fn new(record: EndpointRecord, limit: Arc<Mutex<EndpointLimit>>) -> Endpoint {
+        Endpoint { record, pool: Pool::default(), limit, load: Mutex::default() }
     }
 
     /// Takes the load that the endpoint has told.
@@ -83,22 +90,6 @@
         load.told_at = Some(Instant::now());
     }
 
-    /// Takes the rate limit that the endpoint names with an answer, or names no more.
-    pub(crate) fn on_limit(&self, named: Field<f64>) {
-        let limit_per_s = match named {
-            Field::Absent => None,
-            Field::Value(limit_per_s) => Some(limit_per_s),
-            Field::Malformed => {
-                log::warn!(endpoint = &*self.record.id, field = "limit"; "malformed advice ignored");
-                return;
-            }
-        };
-        let before = std::mem::replace(&mut self.load.lock().limit_per_s, limit_per_s);
-        if before != limit_per_s {
-            log::info!(endpoint = &*self.record.id, limit_per_s, before; "endpoint limit changed");
-        }
-    }
-
     /// Records that the endpoint has sent something.
     fn on_heard(&self, now: Duration) {
         let mut load = self.load.lock();
@@ -166,6 +157,7 @@
             is_ejected: load.health.is_ejected(room.now) || is_suspect,
             was_tried: tried.contains(&self.record.id),
             last_chosen: load.last_chosen,
+            resumes_at: self.limit.lock().resumes_at(room.now),
         }
     }
 
@@ -181,7 +173,25 @@
 impl Permit {
     pub(crate) fn new(endpoint: Arc<Endpoint>, service: Arc<Service>) -> Permit {
         let group = endpoint.group();
-        Permit { endpoint, group, service }
+        let mut limit = endpoint.limit.lock();
+        let has_turn = limit.limit_per_s().is_some() && limit.take(service.now());
+        drop(limit);
+        Permit { endpoint, group, service, has_turn }
+    }
+
+    /// Uses the turn under the endpoint's limit, right before the call is sent. Returns whether
+    /// it may be: the limit may be newer than the permit.
+    pub(crate) fn use_turn(&mut self) -> bool {
+        std::mem::take(&mut self.has_turn) || self.endpoint.limit.lock().take(self.service.now())
+    }
+
+    /// Takes what the head of an answer tells of the endpoint, to a call that was sent at a time.
+    pub(crate) fn on_answer(&self, told: &AnswerHead, sent_at: Instant) {
+        if let Some(load) = told.load {
+            self.endpoint.note_load(load);
+        }
+        let sent_at = self.service.now().saturating_sub(sent_at.elapsed());
+        self.service.on_limit(&self.endpoint, told.limit_per_s, sent_at);
     }
 
     pub(crate) fn group(&self) -> &str {
--- a/crates/direct/src/endpoint_set.rs
+++ b/crates/direct/src/endpoint_set.rs
@@ -5,6 +5,7 @@
 use lynxmount_core::{Clock, EndpointList, EndpointState, Mechanisms, ServiceId, SiteBounds};
 use lynxmount_link::{GroupMembersNotice, GroupNotice, MembersFingerprint};
 use lynxmount_policy::SlotOwners;
+use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
 
 use crate::{
@@ -17,6 +18,7 @@
     bounds: SiteBounds,
     mechanisms: Arc<Mechanisms>,
     crashes: Arc<CrashDetector>,
+    metrics: Arc<Metrics>,
     services: Mutex<HashMap<ServiceId, Arc<Service>>>,
 }
 
@@ -26,8 +28,9 @@
         bounds: SiteBounds,
         mechanisms: Arc<Mechanisms>,
         crashes: Arc<CrashDetector>,
+        metrics: Arc<Metrics>,
     ) -> EndpointSet {
-        EndpointSet { clock, bounds, mechanisms, crashes, services: Mutex::default() }
+        EndpointSet { clock, bounds, mechanisms, crashes, metrics, services: Mutex::default() }
     }
 
     pub(crate) fn service(&self, id: &str) -> Option<Arc<Service>> {
@@ -37,7 +40,8 @@
     fn new_service(&self) -> Arc<Service> {
         let mechanisms = Arc::clone(&self.mechanisms);
         let crashes = Arc::clone(&self.crashes);
-        Arc::new(Service::new(self.clock, &self.bounds, mechanisms, crashes))
+        let metrics = Arc::clone(&self.metrics);
+        Arc::new(Service::new(self.clock, &self.bounds, mechanisms, crashes, metrics))
     }
 
     /// The endpoints whose engines may be ranks of groups.
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -63,8 +63,13 @@
     let metrics = Arc::new(Metrics::default());
     let suspects = Arc::new(Suspects::new(mechanisms.has(Mechanism::Quarantine)));
     let ends = Arc::new(CrashDetector::new(Arc::clone(&metrics), Arc::clone(&suspects)));
-    let endpoint_set =
-        Arc::new(EndpointSet::new(clock, settings.bounds, Arc::clone(&mechanisms), ends));
+    let endpoint_set = Arc::new(EndpointSet::new(
+        clock,
+        settings.bounds,
+        Arc::clone(&mechanisms),
+        ends,
+        Arc::clone(&metrics),
+    ));
     let peers = Arc::new(Peers::new(peer_address, settings.seeds.clone()));
     let last_read = Arc::new(Mutex::default());
     let groups =
--- /dev/null
+++ b/crates/direct/src/service/advice.rs
@@ -0,0 +1,118 @@
+//! What endpoints ask of their callers, and the calls that wait for endpoints to resume.
+
+use std::{sync::Arc, time::Duration};
+
+use lynxmount_core::{Mechanism, edge::Field};
+use lynxmount_policy::{LimitChange, LimitShare, Waiter};
+
+use super::{Offered, Service, Unavailable, Want, inner::Inner};
+use crate::endpoint::Endpoint;
+
+impl Service {
+    /// Takes the limit that an endpoint names with its answer to a request that was sent at a
+    /// time, or names no more.
+    pub(crate) fn on_limit(
+        self: &Arc<Service>,
+        endpoint: &Endpoint,
+        named: Field<f64>,
+        sent_at: Duration,
+    ) {
+        let limit_per_s = match named {
+            Field::Absent => None,
+            Field::Value(limit_per_s) => Some(limit_per_s),
+            Field::Malformed => {
+                self.metrics.count("advice.malformed");
+                log::warn!(endpoint = &*endpoint.record.id, field = "limit"; "malformed advice ignored");
+                return;
+            }
+        };
+        let before = endpoint.limit.lock().limit_per_s();
+        if limit_per_s.is_none() && before.is_none()
+            || !self.mechanisms.has(Mechanism::EndpointLimits)
+        {
+            return;
+        }
+        let inner = self.inner.lock();
+        let mut limit = endpoint.limit.lock();
+        let change = limit.on_answer(limit_per_s, sent_at, self.now(), |limit_per_s| {
+            inner.limit_share(endpoint, limit_per_s)
+        });
+        let interval_ms = limit.share().map(|share| share.interval.as_millis() as u64);
+        drop((limit, inner));
+        if let Some(change) = change {
+            self.metrics.count("endpoints.limit_changed");
+            log::info!(endpoint = &*endpoint.record.id, limit_per_s, before, interval_ms;
+                "endpoint limit changed");
+            if change == LimitChange::Ended {
+                self.wake();
+            }
+        }
+    }
+
+    /// Grants free permits once an endpoint takes calls again, if none else has to.
+    pub(super) fn wake_on_resume(
+        self: &Arc<Service>,
+        inner: &mut Inner,
+        resumes_at: Option<Duration>,
+    ) {
+        let is_first = |at: &Duration| inner.resume_timer.is_none_or(|armed| *at < armed);
+        let Some(at) = resumes_at.filter(is_first) else { return };
+        inner.resume_timer = Some(at);
+        let service = Arc::clone(self);
+        let wait = at.saturating_sub(self.now());
+        tokio::spawn(async move {
+            tokio::time::sleep(wait).await;
+            service.inner.lock().resume_timer = None;
+            service.wake();
+        });
+    }
+}
+
+impl Inner {
+    /// This entry's share of a limit that an endpoint names.
+    fn limit_share(&self, endpoint: &Endpoint, limit_per_s: f64) -> LimitShare {
+        let owners = self.owners.clone().unwrap_or_default();
+        LimitShare::new(&owners, &endpoint.record.id, limit_per_s)
+    }
+
+    /// Gives endpoints that name a limit this entry's share of it.
+    pub(super) fn set_limit_shares(&self, now: Duration) {
+        for endpoint in &self.endpoints {
+            let mut limit = endpoint.limit.lock();
+            if let Some(limit_per_s) = limit.limit_per_s() {
+                limit.set_share(self.limit_share(endpoint, limit_per_s), now);
+            }
+        }
+    }
+
+    /// Lets a call wait for its turn at the endpoints that have asked for a pause, if it comes in
+    /// time for the call.
+    ///
+    /// Fails at once if it does not, with a turn at which the caller may return.
+    pub(super) fn wait_for_turn(
+        &mut self,
+        want: Want<'_>,
+        resumes_at: Duration,
+        now: Duration,
+    ) -> Result<Offered, Unavailable> {
+        let interval = self.admission_interval();
+        let turn = resumes_at + interval.saturating_mul(self.queue.len() as u32);
+        if turn <= want.hold_until {
+            let until = want.hold_until;
+            let ticket = self.queue.hold(Waiter { wait_until: until, ..want.waiter }, now);
+            return Ok(self.wait(ticket, until));
+        }
+        let retry_after = self.returns.assign(turn, interval, now);
+        Err(Unavailable::Paused { retry_after })
+    }
+
+    /// The time between calls that this entry may send under the endpoints' limits.
+    fn admission_interval(&self) -> Duration {
+        let shares = self.endpoints.iter().filter_map(|endpoint| endpoint.limit.lock().share());
+        let rate_per_s: f64 = shares.map(|share| share.rate_per_s()).sum();
+        match rate_per_s > 0.0 {
+            true => Duration::from_secs_f64(rate_per_s.recip()),
+            false => self.queue.interval(),
+        }
+    }
+}
--- a/crates/direct/src/service/inner.rs
+++ b/crates/direct/src/service/inner.rs
@@ -7,12 +7,13 @@
     time::Duration,
 };
 
-use lynxmount_core::{EndpointId, EndpointRecord, EngineSpec, Mechanism, Mechanisms};
+use lynxmount_core::{EndpointId, EndpointLife, EndpointRecord, EngineSpec, Mechanism, Mechanisms};
 use lynxmount_link::MembersFingerprint;
 use lynxmount_policy::{
-    GroupWatch, PaceClass, Placement, Seat, ServiceQueue, SlotOwners, Ticket, Waiter, WindowBudget,
-    place,
+    EndpointLimit, GroupWatch, PaceClass, Placement, ReturnSchedule, Seat, ServiceQueue,
+    SlotOwners, Ticket, Waiter, WindowBudget, place, resumes_at,
 };
+use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
 use super::{Offered, Service, Unavailable, Want};
@@ -42,11 +43,17 @@
     pub(super) queue: ServiceQueue,
     pub(super) waiting: HashMap<Ticket, oneshot::Sender<Permit>>,
     pub(super) budget: WindowBudget,
+    /// Turns of callers that were refused while all endpoints paused.
+    pub(super) returns: ReturnSchedule,
+    /// When waiting calls are granted permits that endpoints take again.
+    pub(super) resume_timer: Option<Duration>,
+    /// Limits of all lives of endpoints, also of those that are not listed for a while.
+    limits: HashMap<EndpointLife, Arc<Mutex<EndpointLimit>>>,
     choices: u64,
     /// Requests that one endpoint runs at once.
     pub(super) slots: Option<u32>,
     /// All entries, once they are known.
-    owners: Option<SlotOwners>,
+    pub(super) owners: Option<SlotOwners>,
     mechanisms: Arc<Mechanisms>,
 }
 
@@ -60,6 +67,9 @@
             queue: ServiceQueue::default(),
             waiting: HashMap::new(),
             budget,
+            returns: ReturnSchedule::default(),
+            resume_timer: None,
+            limits: HashMap::new(),
             choices: 0,
             slots: None,
             owners: None,
@@ -73,6 +83,7 @@
         ready: impl Iterator<Item = &'a EndpointRecord>,
         engine: Option<&EngineSpec>,
         owners: &SlotOwners,
+        now: Duration,
     ) {
         let known: HashMap<EndpointId, Arc<Endpoint>> = std::mem::take(&mut self.endpoints)
             .into_iter()
@@ -80,12 +91,19 @@
             .collect();
         let endpoints = ready.map(|record| {
             let kept = known.get(&record.id).filter(|endpoint| endpoint.record == *record);
-            kept.cloned().unwrap_or_else(|| Arc::new(Endpoint::new(record.clone())))
+            kept.cloned().unwrap_or_else(|| {
+                let limit = self.limits.entry(record.life()).or_default();
+                Arc::new(Endpoint::new(record.clone(), Arc::clone(limit)))
+            })
         });
         self.endpoints = endpoints.collect();
+        drop(known);
+        let is_in_use = |limit: &Arc<_>| Arc::strong_count(limit) > 1;
+        self.limits.retain(|_, limit| is_in_use(limit) || limit.lock().is_recent(now));
         self.slots = engine.map(|engine| engine.slots);
         self.note_groups();
         self.note_owners(owners);
+        self.set_limit_shares(now);
     }
 
     /// Says whether this life of an endpoint takes calls, by the newest list. What else its
@@ -129,7 +147,12 @@
         }
     }
 
-    pub(super) fn choose(&self, tried: &[EndpointId], now: Duration) -> Placement {
+    /// Chooses an endpoint, and says when the next one resumes that has asked for a pause.
+    pub(super) fn choose(
+        &self,
+        tried: &[EndpointId],
+        now: Duration,
+    ) -> (Placement, Option<Duration>) {
         let mut shares: HashMap<Arc<str>, Option<f64>> = HashMap::new();
         let seats: Vec<Seat> = self
             .endpoints
@@ -143,7 +166,7 @@
             })
             .map(|seat| self.as_used(seat))
             .collect();
-        place(&seats)
+        (place(&seats), resumes_at(&seats))
     }
 
     /// Leaves out of a seat what is switched off.
--- a/crates/direct/src/service/mod.rs
+++ b/crates/direct/src/service/mod.rs
@@ -1,5 +1,6 @@
 //! One service: who gets a permit now, who waits, who is refused.
 
+mod advice;
 mod groups;
 mod inner;
 
@@ -15,6 +16,7 @@
 use lynxmount_policy::{
     Offer, Placement, SlotOwners, Ticket, Waiter, WindowBudget, WindowBudgetOptions,
 };
+use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
@@ -42,6 +44,8 @@
     HeldBack { retry_after: Duration },
     /// No endpoint takes calls.
     Nowhere,
+    /// All endpoints have asked for a pause.
+    Paused { retry_after: Duration },
 }
 
 /// The endpoints of one service.
@@ -51,6 +55,7 @@
     group_stall: Duration,
     pub(crate) mechanisms: Arc<Mechanisms>,
     crashes: Arc<CrashDetector>,
+    metrics: Arc<Metrics>,
     inner: Mutex<Inner>,
 }
 
@@ -60,6 +65,7 @@
         bounds: &SiteBounds,
         mechanisms: Arc<Mechanisms>,
         crashes: Arc<CrashDetector>,
+        metrics: Arc<Metrics>,
     ) -> Service {
         let options = WindowBudgetOptions {
             ratio: bounds.retry_ratio,
@@ -68,7 +74,7 @@
         };
         let inner = Inner::new(WindowBudget::new(options), Arc::clone(&mechanisms));
         let inner = Mutex::new(inner);
-        Service { clock, group_stall: bounds.group_stall, mechanisms, crashes, inner }
+        Service { clock, group_stall: bounds.group_stall, mechanisms, crashes, metrics, inner }
     }
 
     pub(crate) fn update<'a>(
@@ -78,7 +84,7 @@
         owners: &SlotOwners,
     ) {
         let mut inner = self.inner.lock();
-        inner.update(ready, engine, owners);
+        inner.update(ready, engine, owners, self.now());
         let experts = engine.and_then(|engine| engine.experts);
         inner.groups.set_usual_outage(experts.map(|spec| self.group_stall + spec.form_time));
         drop(inner);
@@ -164,12 +170,20 @@
     fn offer(self: &Arc<Service>, want: Want<'_>) -> Result<Offered, Unavailable> {
         let now = self.now();
         let mut inner = self.inner.lock();
-        let free = match inner.choose(want.tried, now) {
+        let (placement, resumes_at) = inner.choose(want.tried, now);
+        let free = match placement {
             Placement::Nowhere => return Err(Unavailable::Nowhere),
             Placement::Closed => return inner.hold(want, now),
+            Placement::Paused { until } => {
+                self.wake_on_resume(&mut inner, resumes_at);
+                return inner.wait_for_turn(want, until, now);
+            }
             Placement::Full => None,
             Placement::At(index) => Some(index),
         };
+        if free.is_none() {
+            self.wake_on_resume(&mut inner, resumes_at);
+        }
         let until = want.waiter.wait_until;
         if free.is_none() && !self.mechanisms.has(Mechanism::WaitEstimate) {
             let ticket = inner.queue.hold(want.waiter, now);
@@ -211,7 +225,11 @@
         let mut unwanted = Vec::new();
         let mut inner = self.inner.lock();
         while !inner.queue.is_empty() {
-            let Placement::At(index) = inner.choose(&[], now) else { break };
+            let (placement, resumes_at) = inner.choose(&[], now);
+            let Placement::At(index) = placement else {
+                self.wake_on_resume(&mut inner, resumes_at);
+                break;
+            };
             let Some(ticket) = inner.queue.start_next(now) else { break };
             let Some(sender) = inner.waiting.remove(&ticket) else { continue };
             let permit = inner.take(index, self);
--- a/crates/direct/src/watch.rs
+++ b/crates/direct/src/watch.rs
@@ -10,7 +10,7 @@
 use lynxmount_core::{
     Clock, EndpointList, FleetConfig, Offset, Result, SiteBounds, edge::FleetSource,
 };
-use lynxmount_policy::Membership;
+use lynxmount_policy::{Membership, SETTLE_TIME};
 use lynxmount_suspects::Suspects;
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
@@ -33,6 +33,9 @@
 /// How often the addresses of peers are read.
 const PEERS_PERIOD: Duration = Duration::from_secs(8);
 
+// Limits of endpoints are shared among entries that know each other by then.
+const _: () = assert!(PEERS_PERIOD.as_millis() < SETTLE_TIME.as_millis());
+
 /// How often registrations are read.
 pub(crate) fn endpoints_period(bounds: &SiteBounds) -> Duration {
     bounds.drain.mul_f64(ENDPOINTS_PART)
--- a/crates/lynxmount/tests/platform_advice.rs
+++ b/crates/lynxmount/tests/platform_advice.rs
@@ -7,11 +7,13 @@
     time::{Duration, Instant},
 };
 
-use http::Method;
+use http::{Method, StatusCode};
 use lynxmount_platform_standin::{
     Advice, Behaviour, Call, CallerStandin, allowed_in_window, fixture::PLAIN, most_in_window,
 };
-use platform_common::{CALLERS_PORT, Fleet, KEY, Process, entry_ip, entry_settings};
+use platform_common::{
+    CALLERS_PORT, Fleet, KEY, Process, call, entry_ip, entry_settings, get, wait_for,
+};
 use tokio::task::JoinSet;
 
 /// How long callers call: the grace of a limit and some windows.
@@ -67,3 +69,39 @@
     assert!(most > 0, "the endpoint's limit is not used");
     assert!(fleet.replicas[1].seen().len() > arrivals.len());
 }
+
+#[tokio::test]
+async fn a_call_is_refused_at_once_with_its_turn_when_all_endpoints_are_at_their_limits() {
+    let fleet = Fleet::start(PLAIN, &[Behaviour::Answer]).await;
+    fleet.replicas[0].advise(Advice::limit(0.1));
+    let path = format!("/{PLAIN}/7");
+    let first = call(fleet.address(), Method::GET, &path, KEY).await.expect("an answer");
+
+    let second = call(fleet.address(), Method::GET, &path, KEY).await.expect("an answer");
+    let third = call(fleet.address(), Method::GET, &path, KEY).await.expect("an answer");
+
+    assert_eq!(first.status, StatusCode::OK);
+    assert_eq!(second.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(third.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(fleet.arrivals(), 1);
+    let turns = [second, third].map(|answer| answer.retry_after.expect("a time to come back"));
+    assert!(turns[0] > 10.0 && turns[1] > turns[0] + 5.0, "{turns:?}");
+}
+
+#[tokio::test]
+async fn a_limit_ends_when_the_endpoint_names_it_no_more() {
+    let fleet = Fleet::start(PLAIN, &[Behaviour::Answer]).await;
+    let path = format!("/{PLAIN}/7");
+    fleet.replicas[0].advise(Advice::limit(1.0));
+    call(fleet.address(), Method::GET, &path, KEY).await.expect("an answer");
+    let limited = call(fleet.address(), Method::GET, &path, KEY).await.expect("an answer");
+    fleet.replicas[0].advise(Advice::default());
+
+    // The next one in turn hears that the limit has ended.
+    wait_for("a call in turn", async || get(fleet.address(), &path).await == Some(StatusCode::OK))
+        .await;
+    let after = call(fleet.address(), Method::GET, &path, KEY).await.expect("an answer");
+
+    assert_eq!(limited.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(after.status, StatusCode::OK);
+}
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -9,6 +9,8 @@
 //! equals, the one that was chosen longest ago, and of those that never were the first
 //! in the entry's own order, so that entries which start alike don't stay alike.
 
+use std::time::Duration;
+
 use crate::PaceClass;
 
 /// What an entry knows of an endpoint.
@@ -38,6 +40,8 @@
     pub was_tried: bool,
     /// When this entry last chose it, as a count of its choices; 0 for never.
     pub last_chosen: u64,
+    /// When it takes the next call of this entry, if it has asked for a pause until then.
+    pub resumes_at: Option<Duration>,
 }
 
 impl Seat {
@@ -70,15 +74,30 @@
     Full,
     /// There is no endpoint.
     Nowhere,
+    /// All of open groups have asked for a pause.
+    Paused {
+        /// When the first of them takes a call again.
+        until: Duration,
+    },
+}
+
+/// When the next endpoint of an open group takes a call again that has asked for a pause.
+pub fn resumes_at(seats: &[Seat]) -> Option<Duration> {
+    seats.iter().filter(|seat| !seat.is_closed).filter_map(|seat| seat.resumes_at).min()
 }
 
 /// Chooses an endpoint. Those that were tried or are ejected are taken only if
 /// there are no others: an ejection never empties a service.
 pub fn place(seats: &[Seat]) -> Placement {
+    let takes_calls = |seat: &Seat| !seat.is_closed && seat.resumes_at.is_none();
     let open: Vec<(usize, &Seat)> =
-        seats.iter().enumerate().filter(|(_, seat)| !seat.is_closed).collect();
+        seats.iter().enumerate().filter(|(_, seat)| takes_calls(seat)).collect();
     let Some(best) = open.iter().map(|(_, seat)| seat.pace).min() else {
-        return if seats.is_empty() { Placement::Nowhere } else { Placement::Closed };
+        return match resumes_at(seats) {
+            Some(until) => Placement::Paused { until },
+            None if seats.is_empty() => Placement::Nowhere,
+            None => Placement::Closed,
+        };
     };
     let worst = match best {
         PaceClass::OnTime | PaceClass::Late => PaceClass::Late,
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -188,6 +188,11 @@
         self.interval.saturating_mul(self.tickets.len() as u32)
     }
 
+    /// The time between departures, as measured lately.
+    pub fn interval(&self) -> Duration {
+        self.interval
+    }
+
     fn is_first(&self, priority: u8) -> bool {
         self.classes.range(..=priority).all(|(_, class)| class.waiting == 0)
     }
--- a/crates/policy/src/slot_owners.rs
+++ b/crates/policy/src/slot_owners.rs
@@ -10,8 +10,11 @@
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+/// Makes an entry's rank at an endpoint independent of its slots there.
+const RANK_SALT: [u8; 4] = *b"rank";
+
 /// The entries that slots are divided among.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct SlotOwners {
     own: u64,
     others: Vec<u64>,
@@ -41,6 +44,14 @@
         self.others.len() + 1
     }
 
+    /// How many entries go before the own one at an endpoint, where few entries call it.
+    pub fn rank(&self, endpoint: &str) -> usize {
+        let endpoint = xxh3_64(endpoint.as_bytes());
+        let weight = |entry: u64| xxh3_64_with_seed(&RANK_SALT, endpoint ^ entry.rotate_left(1));
+        let own = weight(self.own);
+        self.others.iter().filter(|other| weight(**other) > own).count()
+    }
+
     /// What the own entry has at an endpoint.
     pub fn own_slots(&self, endpoint: &str, slots: u32) -> OwnSlots {
         let endpoint = xxh3_64(endpoint.as_bytes());
--- a/crates/policy/tests/direct.rs
+++ b/crates/policy/tests/direct.rs
@@ -51,6 +51,20 @@
     assert_eq!(place(&[ejected]), Placement::At(0));
 }
 
+#[test]
+fn an_endpoint_that_has_asked_for_a_pause_gets_no_call_whatever_the_others_are_like() {
+    let paused = |until| Seat { resumes_at: Some(at_ms(until)), ..seat(0, 0) };
+    let tried = Seat { was_tried: true, ..seat(4, 0) };
+    let ejected = Seat { is_ejected: true, ..seat(0, 0) };
+    let closed = Seat { is_closed: true, ..paused(10) };
+
+    assert_eq!(place(&[paused(70), tried]), Placement::At(1));
+    assert_eq!(place(&[paused(70), ejected]), Placement::At(1));
+    assert_eq!(place(&[paused(70), seat(5, 0)]), Placement::Full);
+    assert_eq!(place(&[paused(70), paused(40), closed]), Placement::Paused { until: at_ms(40) });
+    assert_eq!(place(&[closed]), Placement::Closed);
+}
+
 #[test]
 fn an_endpoint_that_can_not_be_reached_is_left_out_for_longer_each_time() {
     let mut health = Health::default();
--- a/crates/policy/tests/many_entries.rs
+++ b/crates/policy/tests/many_entries.rs
@@ -57,7 +57,9 @@
         let seats: Vec<Seat> = (0..ENGINES).map(|engine| self.seat(engine, now_us)).collect();
         match place(&seats) {
             Placement::At(engine) => Some(engine),
-            Placement::Closed | Placement::Full | Placement::Nowhere => None,
+            Placement::Closed | Placement::Full | Placement::Nowhere | Placement::Paused { .. } => {
+                None
+            }
         }
     }
 }
