Tell peers when an endpoint's limit begins and ends

An entry without a share of a limit sends the endpoint next to nothing: with 35 entries and a limit of 1 request a second it would notice the end after 310 s, and leave the endpoint idle until then.

A report carries its age and counts as 0.5 s older than it says, so that it never overrides what an answer told later. An entry that knows a limit by gossip only holds to it as well.

The exchange of suspicions and this one were the same but for path and type; they are one now (link::gossip_exchange).

--- a/crates/direct/src/crash_gossip.rs
+++ b/crates/direct/src/crash_gossip.rs
@@ -12,6 +12,7 @@
 use lynxmount_core::{
     CallFingerprint, Offset, ProcessId, Suspicion, ToldSuspicion, edge::FleetSource,
 };
+use lynxmount_link::Topic;
 use lynxmount_suspects::Suspects;
 
 use crate::{peers::Peers, watch::Reachability};
@@ -58,7 +59,7 @@
                     let is_untold = |s: &Suspicion| told_to_peers.get(&s.call) != Some(s);
                     let untold: Vec<Suspicion> = news.into_iter().filter(is_untold).collect();
                     told_to_peers.extend(untold.iter().map(|s| (s.call, s.clone())));
-                    self.peers.publish(&untold).await;
+                    self.peers.publish(Topic::Suspicions, &untold).await;
                     tokio::time::sleep(RETRY_PERIOD).await;
                 }
             }
--- a/crates/direct/src/endpoint_set.rs
+++ b/crates/direct/src/endpoint_set.rs
@@ -9,7 +9,11 @@
 use parking_lot::Mutex;
 
 use crate::{
-    crash_detector::CrashDetector, endpoint::Endpoint, fleet::ConfigView, service::Service,
+    crash_detector::CrashDetector,
+    endpoint::Endpoint,
+    fleet::ConfigView,
+    limit_gossip::{LimitGossip, LimitReport},
+    service::Service,
 };
 
 /// The endpoints of all services.
@@ -19,6 +23,7 @@
     mechanisms: Arc<Mechanisms>,
     crashes: Arc<CrashDetector>,
     metrics: Arc<Metrics>,
+    limit_gossip: Arc<LimitGossip>,
     services: Mutex<HashMap<ServiceId, Arc<Service>>>,
 }
 
@@ -29,8 +34,17 @@
         mechanisms: Arc<Mechanisms>,
         crashes: Arc<CrashDetector>,
         metrics: Arc<Metrics>,
+        limit_gossip: Arc<LimitGossip>,
     ) -> EndpointSet {
-        EndpointSet { clock, bounds, mechanisms, crashes, metrics, services: Mutex::default() }
+        EndpointSet {
+            clock,
+            bounds,
+            mechanisms,
+            crashes,
+            metrics,
+            limit_gossip,
+            services: Mutex::default(),
+        }
     }
 
     pub(crate) fn service(&self, id: &str) -> Option<Arc<Service>> {
@@ -41,7 +55,8 @@
         let mechanisms = Arc::clone(&self.mechanisms);
         let crashes = Arc::clone(&self.crashes);
         let metrics = Arc::clone(&self.metrics);
-        Arc::new(Service::new(self.clock, &self.bounds, mechanisms, crashes, metrics))
+        let limit_gossip = Arc::clone(&self.limit_gossip);
+        Arc::new(Service::new(self.clock, &self.bounds, mechanisms, crashes, metrics, limit_gossip))
     }
 
     /// The endpoints whose engines may be ranks of groups.
@@ -61,6 +76,14 @@
         services.iter().for_each(|service| service.note_members(members));
     }
 
+    /// Takes what a peer has observed of endpoints' limits.
+    pub(crate) fn on_limit_reports(&self, reports: &[LimitReport]) {
+        let services: Vec<Arc<Service>> = self.services.lock().values().cloned().collect();
+        for report in reports {
+            services.iter().for_each(|service| service.on_limit_report(report));
+        }
+    }
+
     /// Takes what a group's process tells.
     pub(crate) fn note_notice(&self, notice: &GroupNotice) {
         let services: Vec<Arc<Service>> = self.services.lock().values().cloned().collect();
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -19,6 +19,7 @@
 mod fleet;
 mod groups;
 mod handler;
+mod limit_gossip;
 mod peers;
 mod pool;
 mod process;
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -8,15 +8,15 @@
 use hyper::body::Incoming;
 use lynxmount_core::{Result, Suspicion};
 use lynxmount_link::{
-    AskedFleet, Handle, KnownFleet, ask_fleet, asked_fleet, is_telling, tell_suspicions,
-    told_suspicions,
+    AskedFleet, Handle, KnownFleet, Topic, ask_fleet, asked_fleet, publish, published,
 };
 use lynxmount_policy::SlotOwners;
 use lynxmount_suspects::Suspects;
 use parking_lot::Mutex;
 use rand::seq::SliceRandom;
+use serde::Serialize;
 
-use crate::fleet::Fleet;
+use crate::{endpoint_set::EndpointSet, fleet::Fleet, limit_gossip::LimitReport};
 
 /// Peers that are asked for what they know at one time.
 const PEERS_ASKED: usize = 3;
@@ -66,17 +66,17 @@
         futures::future::join_all(asked).await;
     }
 
-    /// Tells some peers of calls under which endpoints have ended.
-    pub(crate) async fn publish(&self, suspicions: &[Suspicion]) {
-        if suspicions.is_empty() {
+    /// Publishes to some peers.
+    pub(crate) async fn publish<T: Serialize>(&self, topic: Topic, items: &[T]) {
+        if items.is_empty() {
             return;
         }
-        let told = self.some_others().into_iter().map(|peer| async move {
-            if let Err(error) = tell_suspicions(peer, suspicions).await {
-                log::info!(peer:% = peer, error:% = error; "a peer was not told of suspected calls");
+        let sent = self.some_others().into_iter().map(|peer| async move {
+            if let Err(error) = publish(peer, topic, items).await {
+                log::info!(peer:% = peer, topic:? = topic, error:% = error; "gossip not delivered");
             }
         });
-        futures::future::join_all(told).await;
+        futures::future::join_all(sent).await;
     }
 
     fn some_others(&self) -> Vec<SocketAddr> {
@@ -115,6 +115,7 @@
 
 /// Answers peers.
 pub(crate) struct PeerPort {
+    pub(crate) endpoint_set: Arc<EndpointSet>,
     pub(crate) fleet: Arc<Fleet>,
     pub(crate) suspects: Arc<Suspects>,
     pub(crate) last_read: Arc<Mutex<Option<Instant>>>,
@@ -122,8 +123,8 @@
 
 impl Handle for PeerPort {
     async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        if is_telling(&request) {
-            return self.take_told(request).await;
+        if let Some(topic) = Topic::of(&request) {
+            return self.take_gossip(topic, request).await;
         }
         let Some(asked) = asked_fleet(request.uri()) else {
             return status(StatusCode::NOT_FOUND);
@@ -140,14 +141,19 @@
 }
 
 impl PeerPort {
-    async fn take_told(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        match told_suspicions(request).await {
-            Ok(suspicions) => {
-                self.suspects.take_from_peer(&suspicions);
-                status(StatusCode::NO_CONTENT)
-            }
+    async fn take_gossip(&self, topic: Topic, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let taken = match topic {
+            Topic::EndpointLimits => published(request)
+                .await
+                .map(|reports: Vec<LimitReport>| self.endpoint_set.on_limit_reports(&reports)),
+            Topic::Suspicions => published(request)
+                .await
+                .map(|suspicions: Vec<Suspicion>| self.suspects.take_from_peer(&suspicions)),
+        };
+        match taken {
+            Ok(()) => status(StatusCode::NO_CONTENT),
             Err(error) => {
-                log::warn!(error:% = error; "what a peer tells can't be read");
+                log::warn!(topic:? = topic, error:% = error; "malformed gossip ignored");
                 status(StatusCode::BAD_REQUEST)
             }
         }
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -22,6 +22,7 @@
     fleet::Fleet,
     groups::GroupListener,
     handler::Handler,
+    limit_gossip::LimitGossip,
     peers::{PeerPort, Peers},
     readiness::ReadinessPort,
     watch::{Watch, endpoints_period},
@@ -63,14 +64,17 @@
     let metrics = Arc::new(Metrics::default());
     let suspects = Arc::new(Suspects::new(mechanisms.has(Mechanism::Quarantine)));
     let ends = Arc::new(CrashDetector::new(Arc::clone(&metrics), Arc::clone(&suspects)));
+    let limit_gossip = Arc::new(LimitGossip::default());
     let endpoint_set = Arc::new(EndpointSet::new(
         clock,
         settings.bounds,
         Arc::clone(&mechanisms),
         ends,
         Arc::clone(&metrics),
+        Arc::clone(&limit_gossip),
     ));
     let peers = Arc::new(Peers::new(peer_address, settings.seeds.clone()));
+    tokio::spawn(limit_gossip.publish(Arc::clone(&peers)));
     let last_read = Arc::new(Mutex::default());
     let groups =
         GroupListener::bind(settings.ip, settings.internal_ports.0, Arc::clone(&endpoint_set))
@@ -80,6 +84,7 @@
     tokio::spawn(groups.listen());
 
     let peer_port = PeerPort {
+        endpoint_set: Arc::clone(&endpoint_set),
         fleet: Arc::clone(&fleet),
         suspects: Arc::clone(&suspects),
         last_read: Arc::clone(&last_read),
--- a/crates/direct/src/service/advice.rs
+++ b/crates/direct/src/service/advice.rs
@@ -3,10 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use lynxmount_core::{Mechanism, edge::Field};
-use lynxmount_policy::{LimitChange, LimitShare, Waiter};
+use lynxmount_policy::{EndpointLimit, LimitChange, LimitShare, Waiter};
 
 use super::{Offered, Service, Unavailable, Want, inner::Inner};
-use crate::endpoint::Endpoint;
+use crate::{endpoint::Endpoint, limit_gossip::LimitReport};
 
 impl Service {
     /// Takes the limit that an endpoint names with its answer to a request that was sent at a
@@ -26,26 +26,61 @@
                 return;
             }
         };
-        let before = endpoint.limit.lock().limit_per_s();
-        if limit_per_s.is_none() && before.is_none()
-            || !self.mechanisms.has(Mechanism::EndpointLimits)
-        {
+        let is_limited = endpoint.limit.lock().limit_per_s().is_some();
+        if limit_per_s.is_none() && !is_limited {
             return;
         }
+        self.change_limit(endpoint, limit_per_s, |limit, now, share| {
+            limit.on_answer(limit_per_s, sent_at, now, share)
+        });
+    }
+
+    /// Takes what a peer has observed of an endpoint's limit, if the endpoint is of this service.
+    pub(crate) fn on_limit_report(self: &Arc<Service>, report: &LimitReport) {
         let inner = self.inner.lock();
-        let mut limit = endpoint.limit.lock();
-        let change = limit.on_answer(limit_per_s, sent_at, self.now(), |limit_per_s| {
-            inner.limit_share(endpoint, limit_per_s)
+        let is_meant = |endpoint: &&Arc<Endpoint>| {
+            endpoint.record.id == report.endpoint && endpoint.record.life() == report.life
+        };
+        let Some(endpoint) = inner.endpoints.iter().find(is_meant).cloned() else { return };
+        drop(inner);
+        let observed_at = self.now().saturating_sub(report.received_age());
+        self.change_limit(&endpoint, report.limit_per_s, |limit, now, share| {
+            limit.on_report(report.limit_per_s, observed_at, now, share)
         });
+    }
+
+    /// Changes an endpoint's limit, and has peers told if it is another then.
+    fn change_limit(
+        self: &Arc<Service>,
+        endpoint: &Endpoint,
+        limit_per_s: Option<f64>,
+        change: impl FnOnce(
+            &mut EndpointLimit,
+            Duration,
+            &dyn Fn(f64) -> LimitShare,
+        ) -> Option<LimitChange>,
+    ) {
+        if !self.mechanisms.has(Mechanism::EndpointLimits) {
+            return;
+        }
+        let now = self.now();
+        let inner = self.inner.lock();
+        let share = |limit_per_s: f64| inner.limit_share(endpoint, limit_per_s);
+        let mut limit = endpoint.limit.lock();
+        let before = limit.limit_per_s();
+        let changed = change(&mut limit, now, &share);
+        let age = limit.observed_at().map_or(Duration::ZERO, |at| now.saturating_sub(at));
         let interval_ms = limit.share().map(|share| share.interval.as_millis() as u64);
-        drop((limit, inner));
-        if let Some(change) = change {
-            self.metrics.count("endpoints.limit_changed");
-            log::info!(endpoint = &*endpoint.record.id, limit_per_s, before, interval_ms;
-                "endpoint limit changed");
-            if change == LimitChange::Ended {
-                self.wake();
-            }
+        drop(limit);
+        drop(inner);
+        let Some(changed) = changed else { return };
+        let record = &endpoint.record;
+        self.metrics.count("endpoints.limit_changed");
+        log::info!(endpoint = &*record.id, limit_per_s, before, interval_ms;
+            "endpoint limit changed");
+        self.limit_gossip.add(&record.id, record.life(), limit_per_s, age);
+        if changed == LimitChange::Ended {
+            self.wake();
         }
     }
 
--- a/crates/direct/src/service/mod.rs
+++ b/crates/direct/src/service/mod.rs
@@ -24,6 +24,7 @@
 use crate::{
     crash_detector::{BrokenCall, CrashDetector},
     endpoint::{Endpoint, Permit},
+    limit_gossip::LimitGossip,
 };
 
 /// What a call asks of a permit.
@@ -56,6 +57,7 @@
     pub(crate) mechanisms: Arc<Mechanisms>,
     crashes: Arc<CrashDetector>,
     metrics: Arc<Metrics>,
+    limit_gossip: Arc<LimitGossip>,
     inner: Mutex<Inner>,
 }
 
@@ -66,6 +68,7 @@
         mechanisms: Arc<Mechanisms>,
         crashes: Arc<CrashDetector>,
         metrics: Arc<Metrics>,
+        limit_gossip: Arc<LimitGossip>,
     ) -> Service {
         let options = WindowBudgetOptions {
             ratio: bounds.retry_ratio,
@@ -74,7 +77,8 @@
         };
         let inner = Inner::new(WindowBudget::new(options), Arc::clone(&mechanisms));
         let inner = Mutex::new(inner);
-        Service { clock, group_stall: bounds.group_stall, mechanisms, crashes, metrics, inner }
+        let group_stall = bounds.group_stall;
+        Service { clock, group_stall, mechanisms, crashes, metrics, limit_gossip, inner }
     }
 
     pub(crate) fn update<'a>(
--- /dev/null
+++ b/crates/link/src/gossip_exchange.rs
@@ -0,0 +1,66 @@
+//! Gossip from process to process.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use lynxmount_core::{Result, Step, invalid, refused};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::HttpClient;
+
+/// How long a peer may take to answer; most take a few milliseconds.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The longest message, in bytes: 64 calls with eight ends each take 50 kB.
+const MAX_MESSAGE_BYTES: usize = 128 * 1024;
+
+/// What gossip is about.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Topic {
+    /// Rate limits that endpoints name.
+    EndpointLimits,
+    /// Calls under which endpoints have crashed.
+    Suspicions,
+}
+
+impl Topic {
+    const ALL: [Topic; 2] = [Topic::EndpointLimits, Topic::Suspicions];
+
+    fn path(self) -> &'static str {
+        match self {
+            Topic::EndpointLimits => "/v1/endpoint-limits",
+            Topic::Suspicions => "/v1/suspicions",
+        }
+    }
+
+    /// The topic that a request publishes on, if it does.
+    pub fn of(request: &Request<Incoming>) -> Option<Topic> {
+        let is_named = |topic: &Topic| request.uri().path() == topic.path();
+        Topic::ALL.into_iter().find(is_named).filter(|_| request.method() == Method::POST)
+    }
+}
+
+/// Publishes to a process.
+///
+/// Fails if it can't be reached or does not take it.
+pub async fn publish<T: Serialize>(peer: SocketAddr, topic: Topic, items: &[T]) -> Result<()> {
+    let body = serde_json::to_vec(items).map_err(|e| invalid(Step::Order, peer, e))?;
+    let client = HttpClient::new(peer);
+    let sent = client.call(Step::Order, Method::POST, topic.path(), body.into(), ANSWER_TIMEOUT);
+    match sent.await?.status {
+        StatusCode::NO_CONTENT => Ok(()),
+        status => Err(refused(Step::Order, peer, status)),
+    }
+}
+
+/// Reads what a request publishes.
+///
+/// Fails if it does not come whole, is too long, or can't be read.
+pub async fn published<T: DeserializeOwned>(request: Request<Incoming>) -> Result<Vec<T>> {
+    let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES).collect().await;
+    let body: Bytes = body.map_err(|e| invalid(Step::Order, "a peer", e))?.to_bytes();
+    serde_json::from_slice(&body).map_err(|e| invalid(Step::Order, "a peer", e))
+}
--- a/crates/lynxmount/tests/platform_advice.rs
+++ b/crates/lynxmount/tests/platform_advice.rs
@@ -105,3 +105,26 @@
     assert_eq!(limited.status, StatusCode::SERVICE_UNAVAILABLE);
     assert_eq!(after.status, StatusCode::OK);
 }
+
+#[tokio::test]
+async fn an_entry_that_hears_of_a_limit_from_a_peer_only_holds_to_it_until_its_end() {
+    let fleet = Fleet::start(PLAIN, &[Behaviour::Answer]).await;
+    // The second entry knows the first from the beginning.
+    let second = second_entry(&fleet).await;
+    let path = format!("/{PLAIN}/7");
+    let second_address = (entry_ip(fleet.network, 1), CALLERS_PORT).into();
+    let changes = || fleet.entry.logged("endpoint limit changed").len();
+
+    fleet.replicas[0].advise(Advice::limit(1.0));
+    call(second_address, Method::GET, &path, KEY).await.expect("an answer");
+    wait_for("the limit at the first entry", async || changes() == 1).await;
+    let limited = get(fleet.address(), &path).await;
+    fleet.replicas[0].advise(Advice::default());
+    wait_for("a turn", async || get(second_address, &path).await == Some(StatusCode::OK)).await;
+    wait_for("the end of the limit at the first entry", async || changes() == 2).await;
+    let unlimited = get(fleet.address(), &path).await;
+
+    assert_eq!(limited, Some(StatusCode::SERVICE_UNAVAILABLE));
+    assert_eq!(unlimited, Some(StatusCode::OK));
+    assert_eq!(second.logged("endpoint limit changed").len(), 2);
+}
--- a/crates/policy/src/endpoint_limit.rs
+++ b/crates/policy/src/endpoint_limit.rs
@@ -2,7 +2,7 @@
 //!
 //! There is no coordinator: rendezvous hashing picks the few entries that share the rate, each
 //! paced by GCRA without a burst, as the bursts of all would add up. The others leave the
-//! endpoint alone but for rare requests, which show them when the limit has ended.
+//! endpoint alone but for rare requests; peers tell them when the limit has ended.
 
 use std::time::Duration;
 
@@ -88,8 +88,6 @@
 #[derive(Clone, Copy, Debug)]
 struct Named {
     limit_per_s: f64,
-    /// When an answer named it last.
-    named_at: Duration,
     share: LimitShare,
     /// When the next request may be sent.
     next_at: Duration,
@@ -99,9 +97,16 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct EndpointLimit {
     named: Option<Named>,
+    /// When an answer last told whether there is a limit.
+    observed_at: Option<Duration>,
 }
 
 impl EndpointLimit {
+    /// When an answer last told whether there is a limit.
+    pub fn observed_at(&self) -> Option<Duration> {
+        self.observed_at
+    }
+
     /// The limit, in requests a second.
     pub fn limit_per_s(&self) -> Option<f64> {
         self.named.map(|named| named.limit_per_s)
@@ -115,7 +120,7 @@
     /// Says whether the limit was named lately. It is kept that long for an endpoint that is not
     /// registered.
     pub fn is_recent(&self, now: Duration) -> bool {
-        self.named.is_some_and(|named| now < named.named_at + UNLISTED_LIFE)
+        self.named.is_some() && self.observed_at.is_some_and(|at| now < at + UNLISTED_LIFE)
     }
 
     /// Takes what an answer says to a request that was sent at a time.
@@ -128,23 +133,48 @@
         sent_at: Duration,
         now: Duration,
         share: impl FnOnce(f64) -> LimitShare,
+    ) -> Option<LimitChange> {
+        if limit_per_s.is_none() && self.observed_at.is_some_and(|at| sent_at < at) {
+            return None;
+        }
+        self.observed_at = Some(now);
+        self.set(limit_per_s, now, share)
+    }
+
+    /// Takes what a peer has observed at a time. What is older than the own observation changes
+    /// nothing.
+    pub fn on_report(
+        &mut self,
+        limit_per_s: Option<f64>,
+        observed_at: Duration,
+        now: Duration,
+        share: impl FnOnce(f64) -> LimitShare,
+    ) -> Option<LimitChange> {
+        if self.observed_at.is_some_and(|at| observed_at <= at) {
+            return None;
+        }
+        self.observed_at = Some(observed_at);
+        self.set(limit_per_s, now, share)
+    }
+
+    fn set(
+        &mut self,
+        limit_per_s: Option<f64>,
+        now: Duration,
+        share: impl FnOnce(f64) -> LimitShare,
     ) -> Option<LimitChange> {
         match (limit_per_s, &mut self.named) {
             (None, None) => None,
-            (None, Some(named)) if sent_at < named.named_at => None,
             (None, Some(_)) => {
                 self.named = None;
                 Some(LimitChange::Ended)
             }
-            (Some(limit_per_s), Some(named)) if named.limit_per_s == limit_per_s => {
-                named.named_at = now;
-                None
-            }
+            (Some(limit_per_s), Some(named)) if named.limit_per_s == limit_per_s => None,
             (Some(limit_per_s), named) => {
                 let share = share(limit_per_s);
                 let first_at = now + share.pause(now).mul_f64(share.phase);
                 let next_at = named.map_or(first_at, |before| before.next_at.min(first_at));
-                *named = Some(Named { limit_per_s, named_at: now, share, next_at });
+                *named = Some(Named { limit_per_s, share, next_at });
                 Some(LimitChange::Named)
             }
         }
--- a/crates/policy/tests/endpoint_limit.rs
+++ b/crates/policy/tests/endpoint_limit.rs
@@ -42,10 +42,21 @@
     members_read_at: Duration,
 }
 
+/// An observation on its way to a peer.
+struct Report {
+    to: usize,
+    limit_per_s: Option<f64>,
+    observed_at: Duration,
+    arrives_at: Duration,
+}
+
 /// Entries that send whenever they may, and what the endpoint gets of them.
 struct Fleet {
+    reports: Vec<Report>,
     entries: Vec<Entry>,
     limit_per_s: f64,
+    /// Whether the endpoint names its limit.
+    is_limited: bool,
     counted: Vec<Duration>,
     arrived: usize,
 }
@@ -61,7 +72,14 @@
             started_at: Duration::ZERO,
             members_read_at: Duration::ZERO,
         });
-        Fleet { entries: entries.collect(), limit_per_s, counted: Vec::new(), arrived: 0 }
+        Fleet {
+            reports: Vec::new(),
+            entries: entries.collect(),
+            limit_per_s,
+            is_limited: true,
+            counted: Vec::new(),
+            arrived: 0,
+        }
     }
 
     /// Lets all entries send what they may, each with a call in hand for part of the time.
@@ -78,10 +96,56 @@
                 self.counted.push(now);
             }
             let owners = owners(index, &entry.members);
-            entry.limit.on_answer(Some(self.limit_per_s), own_time, own_time, |limit_per_s| {
-                LimitShare::new(&owners, ENDPOINT, limit_per_s)
-            });
+            let named = self.is_limited.then_some(self.limit_per_s);
+            let share = |limit_per_s| LimitShare::new(&owners, ENDPOINT, limit_per_s);
+            let change = entry.limit.on_answer(named, own_time, own_time, share);
             entry.heard_at.get_or_insert(now);
+            if change.is_some() {
+                self.publish(named, now, now, rng);
+            }
+        }
+    }
+
+    /// Sends what was observed to three peers, twice; messages are late or lost.
+    fn publish(
+        &mut self,
+        limit_per_s: Option<f64>,
+        at: Duration,
+        now: Duration,
+        rng: &mut SmallRng,
+    ) {
+        for _ in 0..6 {
+            if rng.random_bool(0.1) {
+                continue;
+            }
+            let to = rng.random_range(0..self.entries.len());
+            let arrives_at = now + at_ms(rng.random_range(0..800));
+            self.reports.push(Report { to, limit_per_s, observed_at: at, arrives_at });
+        }
+    }
+
+    /// Delivers gossip that has arrived; what is new is passed on.
+    fn deliver(&mut self, now: Duration, rng: &mut SmallRng) {
+        let has_arrived = |report: &Report| report.arrives_at <= now;
+        let (arrived, under_way) =
+            std::mem::take(&mut self.reports).into_iter().partition(has_arrived);
+        self.reports = under_way;
+        let arrived: Vec<Report> = arrived;
+        for Report { to, limit_per_s, observed_at, .. } in arrived {
+            let entry = &mut self.entries[to];
+            if now < entry.started_at {
+                continue;
+            }
+            let own = |at: Duration| at.saturating_sub(entry.started_at);
+            let owners = owners(to, &entry.members);
+            let share = |limit_per_s| LimitShare::new(&owners, ENDPOINT, limit_per_s);
+            // Receivers take a report for older than it is.
+            let observed_for_sure = observed_at.saturating_sub(at_ms(500));
+            let (observed, received) = (own(observed_for_sure), own(now));
+            let change = entry.limit.on_report(limit_per_s, observed, received, share);
+            if change.is_some() {
+                self.publish(limit_per_s, observed_at, now, rng);
+            }
         }
     }
 
@@ -160,6 +224,7 @@
                 fleet.entries[frozen].frozen_until = now + at_ms(rng.random_range(0..2_000));
             }
             fleet.read_members(present, now);
+            fleet.deliver(now, &mut rng);
             fleet.step(now, demand, &mut rng);
         }
         let (most, allowed) = (fleet.most_in_window(), fleet.allowed());
@@ -195,6 +260,36 @@
     assert!(most <= allowed, "{most} requests in a window, {allowed} allowed");
 }
 
+#[test]
+fn nine_tenths_of_large_fleets_hear_of_a_limits_end_within_seconds() {
+    for size in [35, 200] {
+        let mut rng = SmallRng::seed_from_u64(5);
+        let mut fleet = Fleet::new(size, 1.0);
+        for step in 0..1_000 {
+            let now = STEP * step;
+            fleet.is_limited = step < 500;
+            fleet.deliver(now, &mut rng);
+            fleet.step(now, 0.3, &mut rng);
+        }
+
+        let limited = fleet.entries.iter().filter(|entry| entry.limit.limit_per_s().is_some());
+        let limited = limited.count();
+        assert!(limited * 10 <= size, "{limited} of {size} entries still hold to the limit");
+    }
+}
+
+#[test]
+fn what_a_peer_has_observed_before_the_own_observation_changes_nothing() {
+    let mut limit = EndpointLimit::default();
+    limit.on_answer(Some(1.0), at_ms(100), at_ms(120), |_| share(1_000));
+
+    let older = limit.on_report(None, at_ms(110), at_ms(500), |_| share(1_000));
+    let newer = limit.on_report(None, at_ms(130), at_ms(500), |_| share(1_000));
+
+    assert_eq!(older, None);
+    assert_eq!(newer, Some(LimitChange::Ended));
+}
+
 #[test]
 fn a_limit_ends_with_an_answer_to_a_later_request_only() {
     let mut limit = EndpointLimit::default();
