Soak: endpoints that name limits

Stand-in endpoints name a limit for 5 to 12 s on a schedule drawn apart from the faults, which stay as they were for each seed.

--- a/crates/lynxmount/tests/platform_advice.rs
+++ b/crates/lynxmount/tests/platform_advice.rs
@@ -62,8 +62,10 @@
     let callers: JoinSet<()> = (0..4).map(|n| call_steadily(entries[n % 2], n)).collect();
     callers.join_all().await;
 
-    let arrivals: Vec<Instant> = fleet.replicas[0].seen().iter().map(|seen| seen.at).collect();
-    let most = most_in_window(&arrivals, named_at);
+    let seen = fleet.replicas[0].seen();
+    let arrivals: Vec<Duration> =
+        seen.iter().map(|seen| seen.at.saturating_duration_since(named_at)).collect();
+    let most = most_in_window(&arrivals, Duration::ZERO);
     let allowed = allowed_in_window(limit_per_s);
     assert!(most <= allowed, "{most} requests in a window, {allowed} allowed");
     assert!(most > 0, "the endpoint's limit is not used");
--- /dev/null
+++ b/crates/soak/src/advice.rs
@@ -0,0 +1,78 @@
+//! Whether entries do what endpoints ask of them, judged by what came to the endpoints.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use lynxmount_platform_standin::{allowed_in_window, most_in_window};
+
+use crate::{
+    history::{Disturbed, History, LimitRecord, RunRecord},
+    plan::{LinkId, ProcessId},
+    promises::{Promise, Violation, broken},
+};
+
+/// How long after a request came its entry has passed the answer on.
+const HEARD_AFTER: Duration = Duration::from_secs(1);
+
+/// Judges what endpoints have asked for.
+pub(crate) fn judge_advice(history: &History, found: &mut Vec<Violation>) {
+    let entries: HashMap<&str, usize> =
+        history.calls.iter().map(|call| (&*call.id, call.entry)).collect();
+    for limit in &history.limits {
+        judge_limit(history, &entries, limit, found);
+    }
+}
+
+fn judge_limit(
+    history: &History,
+    entries: &HashMap<&str, usize>,
+    limit: &LimitRecord,
+    found: &mut Vec<Violation>,
+) {
+    let arrivals = arrivals(history, entries, limit.endpoint, limit.from, limit.to);
+    let mut counted: Vec<Duration> =
+        arrivals.into_values().flat_map(|at| after_heard(&at)).collect();
+    counted.sort_unstable();
+    let most = most_in_window(&counted, limit.from);
+    let allowed = allowed_in_window(limit.limit_per_s);
+    if most > allowed {
+        let seen = format!("{most} requests in a window, {allowed} allowed by {limit:?}");
+        broken(found, Promise::KeepsLimits, seen);
+    }
+}
+
+/// Those of an entry's requests that it sent after it had heard what the endpoint asks for.
+fn after_heard(arrivals: &[Duration]) -> Vec<Duration> {
+    let heard_at = arrivals.first().map(|at| *at + HEARD_AFTER);
+    arrivals.iter().copied().filter(|at| heard_at.is_some_and(|heard| *at > heard)).collect()
+}
+
+/// When requests came to an endpoint within a time, by entries that were not disturbed since its
+/// beginning; none if the endpoint or its link was.
+pub(crate) fn arrivals(
+    history: &History,
+    entries: &HashMap<&str, usize>,
+    endpoint: usize,
+    from: Duration,
+    to: Duration,
+) -> BTreeMap<usize, Vec<Duration>> {
+    let is_endpoint_disturbed = history.is_disturbed(from, to, |what| {
+        what == Disturbed::Endpoint(endpoint) || what == Disturbed::Link(LinkId::Endpoint(endpoint))
+    });
+    let mut by_entry: BTreeMap<usize, Vec<Duration>> = BTreeMap::new();
+    let is_meant = |run: &&RunRecord| run.endpoint == endpoint && run.at >= from && run.at < to;
+    for run in history.arrivals.iter().filter(is_meant).filter(|_| !is_endpoint_disturbed) {
+        if let Some(entry) = entries.get(&*run.id) {
+            by_entry.entry(*entry).or_default().push(run.at);
+        }
+    }
+    by_entry.retain(|entry, _| {
+        let process = ProcessId::Entry(*entry);
+        !history.is_disturbed(from, to, |what| {
+            what == Disturbed::Process(process) || what == Disturbed::Leaving(process)
+        })
+    });
+    by_entry
+}
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -9,15 +9,15 @@
 };
 
 use lynxmount_platform_standin::{
-    Behaviour, StoreMode,
+    Advice, Behaviour, StoreMode,
     fixture::{GRACE, OPERATOR_TOPIC, REGISTRATIONS_TOPIC},
 };
 use nix::sys::signal::Signal;
 use tokio::task::JoinSet;
 
 use crate::{
-    history::{Disturbed, LeaveRecord},
-    plan::{EndpointFault, Fault, FaultKind, LinkFault, LinkId, ProcessId},
+    history::{Disturbed, LeaveRecord, LimitRecord},
+    plan::{EndpointAdvice, EndpointFault, Fault, FaultKind, LinkFault, LinkId, ProcessId},
     process::wait_for_end,
     world::{EXPERTS, World, name},
 };
@@ -67,6 +67,9 @@
     async fn inject(&self, fault: Fault) -> anyhow::Result<()> {
         let world = &self.world;
         match fault.kind {
+            FaultKind::Advise(endpoint, EndpointAdvice::Limit(in_ten_s)) => {
+                self.limit(endpoint, f64::from(in_ten_s) / 10.0, fault.length).await;
+            }
             FaultKind::ChangeConfig => {
                 world.put_config(self.version.fetch_add(1, Ordering::Relaxed) + 1);
             }
@@ -107,6 +110,16 @@
         self.world.group.set_demand((0..EXPERTS).map(demand).collect());
     }
 
+    async fn limit(&self, endpoint: usize, limit_per_s: f64, length: Duration) {
+        let world = &self.world;
+        let from = world.now();
+        world.endpoints[endpoint].advise(Advice::limit(limit_per_s));
+        tokio::time::sleep(length).await;
+        let to = world.now();
+        world.endpoints[endpoint].advise(Advice::default());
+        world.history.lock().limits.push(LimitRecord { endpoint, limit_per_s, from, to });
+    }
+
     async fn leave(&self, endpoint: usize, length: Duration) {
         let world = &self.world;
         world.register(endpoint, "draining");
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -60,7 +60,7 @@
     pub outcome: Outcome,
 }
 
-/// A request that an endpoint ran, or began to.
+/// A request that came to an endpoint; among runs, one that it ran, or began to.
 #[derive(Clone, Debug)]
 pub struct RunRecord {
     /// The call's id.
@@ -108,6 +108,19 @@
     pub to: Duration,
 }
 
+/// A time during which an endpoint named a limit.
+#[derive(Clone, Copy, Debug)]
+pub struct LimitRecord {
+    /// The endpoint, counted over all services.
+    pub endpoint: usize,
+    /// Requests a second.
+    pub limit_per_s: f64,
+    /// When it began to name it.
+    pub from: Duration,
+    /// When it named it no more.
+    pub to: Duration,
+}
+
 /// What was disturbed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Disturbed {
@@ -141,6 +154,10 @@
     pub calls: Vec<CallRecord>,
     /// All runs.
     pub runs: Vec<RunRecord>,
+    /// All requests that came to endpoints, run or not.
+    pub arrivals: Vec<RunRecord>,
+    /// All limits of endpoints.
+    pub limits: Vec<LimitRecord>,
     /// All questions.
     pub probes: Vec<ProbeRecord>,
     /// All configurations.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,6 +7,7 @@
 
 #![forbid(unsafe_code)]
 
+mod advice;
 mod callers;
 mod faults;
 pub mod history;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -19,6 +19,7 @@
 const PROCESSES: &str = "processes";
 const PROGRAM: &str = "program";
 const NUMBER: &str = "number";
+const WITHOUT: &str = "without";
 const PLAN: &str = "plan";
 
 const EXIT_CODES: &str = "\
@@ -63,6 +64,13 @@
                 .value_parser(value_parser!(PathBuf))
                 .help("The program under test"),
         )
+        .arg(
+            Arg::new(WITHOUT)
+                .long(WITHOUT)
+                .value_name("MECHANISM")
+                .action(ArgAction::Append)
+                .help("Switch a mechanism of entries off, to see which promise it keeps"),
+        )
         .arg(
             Arg::new(PLAN)
                 .long(PLAN)
@@ -84,6 +92,7 @@
         time: Duration::from_secs(number(SECONDS)?),
         size: size(number(PROCESSES)?),
         binary: arguments.get_one::<PathBuf>(PROGRAM).cloned().context("has a default")?,
+        without: arguments.get_many::<String>(WITHOUT).into_iter().flatten().cloned().collect(),
         number: arguments.get_one::<u8>(NUMBER).copied().context("has a default")?,
     })
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -20,6 +20,18 @@
 /// Of so many faults one begins a series of the same kind.
 const SERIES_ONE_OF: u32 = 5;
 
+/// The mean pause between two endpoints that ask for something.
+const ADVICE_PAUSE_MS: u64 = 1500;
+
+/// The shortest pause before an endpoint asks for something else.
+const ADVICE_GAP: Duration = Duration::from_secs(1);
+
+/// How long an endpoint asks for something, in milliseconds: long enough for several windows.
+const ADVICE_LENGTH_MS: std::ops::Range<u64> = 5000..12_000;
+
+/// Limits of endpoints, in requests in ten seconds.
+const LIMIT_IN_TEN_S: std::ops::Range<u32> = 5..60;
+
 /// How many processes and back ends there are.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 pub struct Size {
@@ -83,9 +95,18 @@
     Truncate,
 }
 
+/// What an endpoint asks of entries.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub enum EndpointAdvice {
+    /// So many requests in ten seconds, from all entries together.
+    Limit(u32),
+}
+
 /// What happens.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 pub enum FaultKind {
+    /// An endpoint asks something of entries.
+    Advise(usize, EndpointAdvice),
     /// A newer configuration withdraws a key and adds another.
     ChangeConfig,
     /// Other experts are in demand.
@@ -145,11 +166,32 @@
         }
         at += Duration::from_millis(rng.random_range(0..2 * MEAN_PAUSE_MS));
     }
+    faults.extend(draw_advice(seed, size, time));
     faults.retain(|fault| fault.at < time);
     faults.sort_by_key(|fault| fault.at);
     faults
 }
 
+/// Draws what endpoints ask of entries, apart from the faults, which stay as they are then.
+fn draw_advice(seed: u64, size: Size, time: Duration) -> Vec<Fault> {
+    let mut rng = SmallRng::seed_from_u64(!seed);
+    let mut advice = Vec::new();
+    let mut over_at = vec![Duration::ZERO; 3 * size.endpoints];
+    let mut at = Duration::from_millis(rng.random_range(0..ADVICE_PAUSE_MS));
+    while at < time {
+        let endpoint = rng.random_range(0..3 * size.endpoints);
+        let asked = EndpointAdvice::Limit(rng.random_range(LIMIT_IN_TEN_S));
+        let length = Duration::from_millis(rng.random_range(ADVICE_LENGTH_MS));
+        // An endpoint asks for one thing at a time.
+        if over_at[endpoint] <= at {
+            over_at[endpoint] = at + length + ADVICE_GAP;
+            advice.push(Fault { at, length, kind: FaultKind::Advise(endpoint, asked) });
+        }
+        at += Duration::from_millis(rng.random_range(0..2 * ADVICE_PAUSE_MS));
+    }
+    advice
+}
+
 fn draw_kind(rng: &mut SmallRng, size: Size) -> FaultKind {
     let endpoint = rng.random_range(0..3 * size.endpoints);
     match rng.random_range(0..14) {
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -22,6 +22,8 @@
     pub(crate) binary: PathBuf,
     pub(crate) command: &'static str,
     pub(crate) settings: PathBuf,
+    /// Mechanisms that are switched off.
+    pub(crate) without: Vec<String>,
     pub(crate) log: PathBuf,
 }
 
@@ -46,7 +48,7 @@
         let path = folder.join(format!("{name}.conf"));
         fs::write(&path, settings).with_context(|| format!("write {}", path.display()))?;
         let log = folder.join(format!("{name}.log"));
-        Ok(Program { binary: binary.to_owned(), command, settings: path, log })
+        Ok(Program { binary: binary.to_owned(), command, settings: path, without: Vec::new(), log })
     }
 
     fn spawn(&self) -> anyhow::Result<Child> {
@@ -55,6 +57,7 @@
             .arg(self.command)
             .arg("--settings")
             .arg(&self.settings)
+            .args(self.without.iter().flat_map(|mechanism| ["--without", mechanism]))
             .stderr(Stdio::from(log.try_clone()?))
             .stdout(Stdio::from(log))
             .spawn()
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use crate::{
+    advice::judge_advice,
     history::{CallRecord, CallSort, Disturbed, History, Outcome, ProbeRecord},
     plan::{LinkId, ProcessId},
 };
@@ -28,7 +29,7 @@
 
 /// How long before a moment a disturbance still counts: a path through the store
 /// or a process has recovered by then.
-const STABLE: Duration = Duration::from_millis(3000);
+pub(crate) const STABLE: Duration = Duration::from_millis(3000);
 
 /// How long after the last fault calls are answered again.
 pub const RECOVERY: Duration = Duration::from_secs(12);
@@ -53,6 +54,8 @@
     ConfigNeverBack,
     /// Processes end only when they are asked to, and in time.
     Ends,
+    /// An endpoint that names a limit gets no more than it allows.
+    KeepsLimits,
     /// A process that leaves finishes what it has taken.
     LeavesGracefully,
     /// An endpoint that leaves gets no new work.
@@ -85,6 +88,7 @@
     judge_runs(history, &mut found);
     judge_leaving_processes(history, &mut found);
     judge_leaving_endpoints(history, &mut found);
+    judge_advice(history, &mut found);
     judge_configs(history, &mut found);
     judge_group(history, &mut found);
     judge_recovery(history, &mut found);
@@ -93,7 +97,7 @@
     found
 }
 
-fn broken(found: &mut Vec<Violation>, promise: Promise, seen: String) {
+pub(crate) fn broken(found: &mut Vec<Violation>, promise: Promise, seen: String) {
     found.push(Violation { promise, seen });
 }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -48,6 +48,8 @@
     pub size: Size,
     /// The program under test.
     pub binary: PathBuf,
+    /// Mechanisms of entries that are switched off, to see what they keep.
+    pub without: Vec<String>,
     /// Which addresses are used; runs at the same time need different ones.
     pub number: u8,
 }
@@ -58,7 +60,7 @@
 pub async fn run(options: &Options) -> anyhow::Result<Report> {
     let folder = TempDir::new().context("a folder for settings and logs")?;
     let faults = plan::draw(options.seed, options.size, options.time);
-    let world = World::start(&options.binary, folder.path(), options.number, options.size).await?;
+    let world = World::start(options, folder.path()).await?;
     let world = Arc::new(world);
     wait_until_served(&world).await?;
     let is_over = Arc::new(AtomicBool::new(false));
@@ -92,12 +94,14 @@
     let mut history = world.history.lock().clone();
     history.split_pass = split;
     for (endpoint, replica) in world.endpoints.iter().enumerate() {
-        let runs = replica.seen().into_iter().filter(|seen| seen.is_run).map(|seen| RunRecord {
-            id: id_in_line(&seen.line),
-            endpoint,
-            at: seen.at.saturating_duration_since(world.started),
-        });
-        history.runs.extend(runs);
+        for seen in replica.seen() {
+            let at = seen.at.saturating_duration_since(world.started);
+            let arrival = RunRecord { id: id_in_line(&seen.line), endpoint, at };
+            if seen.is_run {
+                history.runs.push(arrival.clone());
+            }
+            history.arrivals.push(arrival);
+        }
     }
     Report::new(options.seed, options.size, faults, &history, version)
 }
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -18,6 +18,7 @@
 use parking_lot::Mutex;
 
 use crate::{
+    Options,
     history::{ConfigRecord, Disturbance, Disturbed, History},
     plan::{LinkId, ProcessId, Size},
     process::{Process, Program},
@@ -64,12 +65,8 @@
 
 impl World {
     /// Starts everything. Runs with other numbers use other addresses.
-    pub(crate) async fn start(
-        binary: &Path,
-        folder: &Path,
-        number: u8,
-        size: Size,
-    ) -> anyhow::Result<World> {
+    pub(crate) async fn start(options: &Options, folder: &Path) -> anyhow::Result<World> {
+        let Options { number, size, .. } = *options;
         let store = StoreStandin::start((ip(number, 0, 1), STORE_PORT).into()).await?;
         let engines: Vec<SocketAddr> =
             (0..size.ranks).map(|rank| (ip(number, 2, rank), ENGINE_PORT).into()).collect();
@@ -88,14 +85,14 @@
         };
         world.put_config(1);
         world.start_endpoints(number).await?;
-        world.start_entries(binary, folder, number).await?;
+        world.start_entries(options, folder).await?;
         for (rank, engine) in engines.iter().enumerate() {
             let registration = registration_text(*engine, &service_of("model"), "ready");
             world.store.put(REGISTRATIONS_TOPIC, &format!("rank-{rank}"), &registration);
             let id = ProcessId::Endpoint(rank);
             let link = world.start_store_link(id, engine.ip()).await?;
             let settings = endpoint_settings_text(*engine, INTERNAL_PORT, link);
-            world.start_process(binary, folder, id, &settings)?;
+            world.start_process(options, folder, id, &settings)?;
         }
         Ok(world)
     }
@@ -114,12 +111,8 @@
         Ok(())
     }
 
-    async fn start_entries(
-        &mut self,
-        binary: &Path,
-        folder: &Path,
-        number: u8,
-    ) -> anyhow::Result<()> {
+    async fn start_entries(&mut self, options: &Options, folder: &Path) -> anyhow::Result<()> {
+        let number = options.number;
         let seeds: Vec<SocketAddr> = (0..self.size.entries.min(3))
             .map(|entry| (ip(number, 1, entry), ENTRY_PORTS.control).into())
             .collect();
@@ -128,7 +121,7 @@
             let id = ProcessId::Entry(entry);
             let store = self.start_store_link(id, own).await?;
             let settings = entry_settings_text(own, ENTRY_PORTS, store, &seeds);
-            self.start_process(binary, folder, id, &settings)?;
+            self.start_process(options, folder, id, &settings)?;
             let target = (own, ENTRY_PORTS.callers).into();
             let link = Proxy::start((own, CALLERS_PROXY_PORT).into(), target).await?;
             self.callers_links.push(link);
@@ -145,16 +138,17 @@
 
     fn start_process(
         &mut self,
-        binary: &Path,
+        options: &Options,
         folder: &Path,
         id: ProcessId,
         settings: &str,
     ) -> anyhow::Result<()> {
-        let command = match id {
-            ProcessId::Endpoint(_) => "platform-endpoint",
-            ProcessId::Entry(_) => "platform-entry",
+        let (command, without) = match id {
+            ProcessId::Endpoint(_) => ("platform-endpoint", &[][..]),
+            ProcessId::Entry(_) => ("platform-entry", &options.without[..]),
         };
-        let program = Program::new(binary, command, folder, &name(id), settings)?;
+        let mut program = Program::new(&options.binary, command, folder, &name(id), settings)?;
+        program.without = without.to_vec();
         self.processes.insert(name(id), Mutex::new(Process::start(program)?));
         Ok(())
     }
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -13,9 +13,9 @@
         ProcessId::Entry(entry) => entry < SIZE.entries,
     };
     match kind {
-        FaultKind::Leave(endpoint) | FaultKind::Misbehave(endpoint, _) => {
-            endpoint < 3 * SIZE.endpoints
-        }
+        FaultKind::Advise(endpoint, _)
+        | FaultKind::Leave(endpoint)
+        | FaultKind::Misbehave(endpoint, _) => endpoint < 3 * SIZE.endpoints,
         FaultKind::Link(LinkId::Endpoint(endpoint), _) => endpoint < 3 * SIZE.endpoints,
         FaultKind::Link(LinkId::Callers(entry), _) => entry < SIZE.entries,
         FaultKind::Link(LinkId::Store(process), _)
@@ -47,3 +47,16 @@
         assert!(overlaps.count() * 2 > faults.len(), "seed {seed}");
     }
 }
+
+#[test]
+fn an_endpoint_asks_for_one_thing_at_a_time() {
+    for seed in 0..40 {
+        let mut over_at = [Duration::ZERO; 3 * SIZE.endpoints];
+        for fault in draw(seed, SIZE, TIME) {
+            let FaultKind::Advise(endpoint, _) = fault.kind else { continue };
+
+            assert!(fault.at > over_at[endpoint], "seed {seed}: {fault:?}");
+            over_at[endpoint] = fault.at + fault.length;
+        }
+    }
+}
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -5,8 +5,8 @@
 use lynxmount_platform_standin::{echo_body, echo_events};
 use lynxmount_soak::{
     history::{
-        CallRecord, CallSort, ConfigRecord, Disturbance, Disturbed, History, LeaveRecord, Outcome,
-        ProbeRecord, RunRecord,
+        CallRecord, CallSort, ConfigRecord, Disturbance, Disturbed, History, LeaveRecord,
+        LimitRecord, Outcome, ProbeRecord, RunRecord,
     },
     plan::{LinkId, ProcessId},
     promises::{Promise, RECOVERY, STREAM_EVENTS, judge},
@@ -158,6 +158,27 @@
     assert_eq!(broken(&history), []);
 }
 
+#[test]
+fn requests_beyond_an_endpoints_limit_are_seen_unless_their_entry_was_disturbed() {
+    let limit =
+        LimitRecord { endpoint: 0, limit_per_s: 1.0, from: seconds(20.0), to: seconds(30.0) };
+    let mut history = History { limits: vec![limit], ..good() };
+    for number in 0..50 {
+        let (id, at_s) = (format!("l{number}"), 20.0 + 0.2 * f64::from(number));
+        history.calls.push(call(&id, CallSort::Lookup, at_s, answered(200, &echo_body(&id))));
+        history.arrivals.push(run(&id, 0, at_s));
+    }
+    let mut within = history.clone();
+    within.arrivals = within.arrivals.into_iter().step_by(5).collect();
+    let mut disturbed = history.clone();
+    let entry = Disturbed::Process(ProcessId::Entry(0));
+    disturbed.disturbances.push(disturbance(entry, 21.0, 22.0));
+
+    assert_eq!(broken(&history), [Promise::KeepsLimits]);
+    assert_eq!(broken(&within), []);
+    assert_eq!(broken(&disturbed), []);
+}
+
 #[test]
 fn a_configuration_that_is_late_or_goes_back_is_seen() {
     let mut late = good();
