Wait for a healthy endpoint that paused rather than call one that fails

With some endpoints at their limits calls went to ejected ones at once, as those were the only ones left.

--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -89,7 +89,11 @@
 /// Chooses an endpoint. Those that were tried or are ejected are taken only if
 /// there are no others: an ejection never empties a service.
 pub fn place(seats: &[Seat]) -> Placement {
-    let takes_calls = |seat: &Seat| !seat.is_closed && seat.resumes_at.is_none();
+    // A call that waits for a healthy endpoint is better off than at one that fails.
+    let is_paused = |seat: &Seat| !seat.is_closed && seat.resumes_at.is_some();
+    let may_wait = seats.iter().any(|seat| is_paused(seat) && !seat.is_ejected);
+    let is_left_out = |seat: &Seat| seat.is_closed || seat.is_ejected && may_wait;
+    let takes_calls = |seat: &Seat| !is_paused(seat) && !is_left_out(seat);
     let open: Vec<(usize, &Seat)> =
         seats.iter().enumerate().filter(|(_, seat)| takes_calls(seat)).collect();
     let Some(best) = open.iter().map(|(_, seat)| seat.pace).min() else {
