--- a/crates/core/src/edge.rs
+++ b/crates/core/src/edge.rs
@@ -88,6 +88,8 @@
     pub keep_alive: Option<Duration>,
     /// Requests a second that the endpoint takes from all entries together.
     pub limit_per_s: Field<f64>,
+    /// How long the endpoint wants no request from this entry, if it has turned one away.
+    pub rest: Field<Duration>,
 }
 
 /// Translates callers' requests and endpoints' answers.
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -192,6 +192,7 @@
         }
         let sent_at = self.service.now().saturating_sub(sent_at.elapsed());
         self.service.on_limit(&self.endpoint, told.limit_per_s, sent_at);
+        self.service.on_rest(&self.endpoint, told.rest);
     }
 
     pub(crate) fn group(&self) -> &str {
--- a/crates/direct/src/service/advice.rs
+++ b/crates/direct/src/service/advice.rs
@@ -20,11 +20,7 @@
         let limit_per_s = match named {
             Field::Absent => None,
             Field::Value(limit_per_s) => Some(limit_per_s),
-            Field::Malformed => {
-                self.metrics.count("advice.malformed");
-                log::warn!(endpoint = &*endpoint.record.id, field = "limit"; "malformed advice ignored");
-                return;
-            }
+            Field::Malformed => return self.on_malformed(endpoint, "limit"),
         };
         let is_limited = endpoint.limit.lock().limit_per_s().is_some();
         if limit_per_s.is_none() && !is_limited {
@@ -35,6 +31,24 @@
         });
     }
 
+    /// Takes how long an endpoint wants no request, as it says with a refusal.
+    pub(crate) fn on_rest(&self, endpoint: &Endpoint, asked: Field<Duration>) {
+        match asked {
+            Field::Absent => {}
+            Field::Malformed => self.on_malformed(endpoint, "rest"),
+            Field::Value(rest) => {
+                let rest_ms = rest.as_millis() as u64;
+                self.metrics.count("endpoints.rests_asked");
+                log::info!(endpoint = &*endpoint.record.id, rest_ms; "endpoint asked for rest");
+            }
+        }
+    }
+
+    fn on_malformed(&self, endpoint: &Endpoint, field: &str) {
+        self.metrics.count("advice.malformed");
+        log::warn!(endpoint = &*endpoint.record.id, field; "malformed advice ignored");
+    }
+
     /// Takes what a peer has observed of an endpoint's limit, if the endpoint is of this service.
     pub(crate) fn on_limit_report(self: &Arc<Service>, report: &LimitReport) {
         let inner = self.inner.lock();
