Failing test: an endpoint's rest is not taken into account

A stand-in replica can refuse and ask for rest. One entry sent it 58 calls between 0.5 s after a refusal and the end of its 3 s, where 2 are allowed.

--- a/crates/lynxmount/tests/platform_advice.rs
+++ b/crates/lynxmount/tests/platform_advice.rs
@@ -9,7 +9,8 @@
 
 use http::{Method, StatusCode};
 use lynxmount_platform_standin::{
-    Advice, Behaviour, Call, CallerStandin, allowed_in_window, fixture::PLAIN, most_in_window,
+    ALLOWED_IN_REST, Advice, Behaviour, Call, CallerStandin, allowed_in_window, fixture::PLAIN,
+    most_in_rest, most_in_window,
 };
 use platform_common::{
     CALLERS_PORT, Fleet, KEY, Process, call, entry_ip, entry_settings, get, wait_for,
@@ -130,3 +131,21 @@
     assert_eq!(unlimited, Some(StatusCode::OK));
     assert_eq!(second.logged("endpoint limit changed").len(), 2);
 }
+
+#[tokio::test]
+async fn an_endpoint_that_asks_for_rest_gets_no_calls_from_that_entry_meanwhile() {
+    let rest = Duration::from_secs(3);
+    let fleet = Fleet::start(PLAIN, &[Behaviour::Shed, Behaviour::Answer]).await;
+    fleet.replicas[0].advise(Advice::rest(rest));
+    let began_at = Instant::now();
+
+    let callers: JoinSet<()> = (0..2).map(|n| call_steadily(fleet.address(), n)).collect();
+    callers.join_all().await;
+
+    let seen = fleet.replicas[0].seen();
+    let arrivals: Vec<Duration> =
+        seen.iter().map(|seen| seen.at.saturating_duration_since(began_at)).collect();
+    let most = most_in_rest(&arrivals, rest);
+    assert!(most <= ALLOWED_IN_REST, "{most} requests in a time of rest");
+    assert!(!arrivals.is_empty());
+}
