Grant endpoints the rest that they ask for

What was seen: an endpoint that refused a call and asked for 3 s of rest got 7 to 10 further calls from the same entry in that time.

Cause: the adapter dropped the time, and a refusal counted for the group only. The endpoint was a candidate for the very next call, and the best one, as its load was low: ranks that refused got 3 to 10 requests a second, those that served 2 to 4. Two refusals in a row were taken for an outage of the group, which entries then noted as paused and resumed 42 times in 2 s. Ruled out by the timeline: that repeats make most of it; 10 requests in one rest are more than its share of repeats, and first attempts reached it, too.

Fix: a circuit breaker an endpoint and entry, whose open time the endpoint sets, up to 300 s. After it one call is sent; others follow its answer, or after 0.5 s. It belongs to the endpoint's life, and is looked at again right before a call is sent. Neither an ejection nor an outage of the group follows from it. While all rest, calls wait if the rest ends in half of their time, and are refused at once with its end otherwise.

--- a/crates/core/src/mechanism.rs
+++ b/crates/core/src/mechanism.rs
@@ -11,6 +11,8 @@
     DirectReads,
     /// Limits that endpoints name are held to.
     EndpointLimits,
+    /// Endpoints that ask for rest get no calls.
+    EndpointRests,
     /// Calls go to groups that are on time first.
     GroupChoice,
     /// Groups' processes tell entries whether a group is open, and its pace.
@@ -49,10 +51,11 @@
 
 impl Mechanism {
     /// All mechanisms, with the names that operators use.
-    pub const ALL: [(Mechanism, &'static str); 20] = [
+    pub const ALL: [(Mechanism, &'static str); 21] = [
         (Mechanism::ConnectionReuse, "connection-reuse"),
         (Mechanism::DirectReads, "direct-reads"),
         (Mechanism::EndpointLimits, "endpoint-limits"),
+        (Mechanism::EndpointRests, "endpoint-rests"),
         (Mechanism::GroupChoice, "group-choice"),
         (Mechanism::GroupNotices, "group-notices"),
         (Mechanism::Health, "health"),
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -10,7 +10,7 @@
     edge::{AnswerHead, ReportedLoad},
 };
 use lynxmount_policy::{
-    CallEnd, EndpointLimit, GroupWatch, Health, Liveness, OwnSlots, Seat, Stall,
+    CallEnd, EndpointAdvice, GroupWatch, Health, Liveness, OwnSlots, Seat, Stall,
 };
 use parking_lot::Mutex;
 
@@ -27,8 +27,8 @@
 pub(crate) struct Endpoint {
     pub(crate) record: EndpointRecord,
     pub(crate) pool: Pool,
-    /// The limit that this life of the endpoint names, whatever else its registration tells.
-    pub(crate) limit: Arc<Mutex<EndpointLimit>>,
+    /// What this life of the endpoint has asked for, whatever else its registration tells.
+    pub(crate) advice: Arc<Mutex<EndpointAdvice>>,
     load: Mutex<Load>,
 }
 
@@ -64,14 +64,14 @@
     /// The endpoint's group when the permit was granted.
     group: Arc<str>,
     service: Arc<Service>,
-    /// Whether it has a turn under the endpoint's limit that is not used yet.
+    /// Whether it has a turn under what the endpoint asks for that is not used yet.
     has_turn: bool,
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
         if self.has_turn {
-            self.endpoint.limit.lock().put_back(self.service.now());
+            self.endpoint.advice.lock().put_back(self.service.now());
         }
         self.endpoint.release();
         self.service.release(&self.group);
@@ -79,8 +79,8 @@
 }
 
 impl Endpoint {
-    pub(crate) fn new(record: EndpointRecord, limit: Arc<Mutex<EndpointLimit>>) -> Endpoint {
-        Endpoint { record, pool: Pool::default(), limit, load: Mutex::default() }
+    pub(crate) fn new(record: EndpointRecord, advice: Arc<Mutex<EndpointAdvice>>) -> Endpoint {
+        Endpoint { record, pool: Pool::default(), advice, load: Mutex::default() }
     }
 
     /// Takes the load that the endpoint has told.
@@ -157,7 +157,7 @@
             is_ejected: load.health.is_ejected(room.now) || is_suspect,
             was_tried: tried.contains(&self.record.id),
             last_chosen: load.last_chosen,
-            resumes_at: self.limit.lock().resumes_at(room.now),
+            resumes_at: self.advice.lock().resumes_at(room.now),
         }
     }
 
@@ -173,16 +173,21 @@
 impl Permit {
     pub(crate) fn new(endpoint: Arc<Endpoint>, service: Arc<Service>) -> Permit {
         let group = endpoint.group();
-        let mut limit = endpoint.limit.lock();
-        let has_turn = limit.limit_per_s().is_some() && limit.take(service.now());
-        drop(limit);
+        let mut advice = endpoint.advice.lock();
+        let has_turn = advice.is_active() && advice.take(service.now());
+        drop(advice);
         Permit { endpoint, group, service, has_turn }
     }
 
-    /// Uses the turn under the endpoint's limit, right before the call is sent. Returns whether
-    /// it may be: the limit may be newer than the permit.
+    /// Uses the turn, right before the call is sent. Returns whether it may be: what the endpoint
+    /// asks for may be newer than the permit.
     pub(crate) fn use_turn(&mut self) -> bool {
-        std::mem::take(&mut self.has_turn) || self.endpoint.limit.lock().take(self.service.now())
+        let now = self.service.now();
+        let mut advice = self.endpoint.advice.lock();
+        match std::mem::take(&mut self.has_turn) {
+            true => advice.may_send(now),
+            false => advice.take(now),
+        }
     }
 
     /// Takes what the head of an answer tells of the endpoint, to a call that was sent at a time.
@@ -228,9 +233,12 @@
         Stall::detect(silence, self.service.group_progress(&self.group), is_better_elsewhere)
     }
 
-    /// Takes that the endpoint has refused because it runs nothing.
+    /// Takes that the endpoint has refused because it runs nothing. One that rests says nothing
+    /// of its group.
     pub(crate) fn note_refusal(&self) {
-        self.service.note_refusal(&self.group);
+        if !self.endpoint.advice.lock().rest.is_open(self.service.now()) {
+            self.service.note_refusal(&self.group);
+        }
     }
 
     /// Takes that the call's connection has broken before the call's end, how far the call
--- a/crates/direct/src/service/advice.rs
+++ b/crates/direct/src/service/advice.rs
@@ -22,7 +22,7 @@
             Field::Value(limit_per_s) => Some(limit_per_s),
             Field::Malformed => return self.on_malformed(endpoint, "limit"),
         };
-        let is_limited = endpoint.limit.lock().limit_per_s().is_some();
+        let is_limited = endpoint.advice.lock().limit.limit_per_s().is_some();
         if limit_per_s.is_none() && !is_limited {
             return;
         }
@@ -32,15 +32,21 @@
     }
 
     /// Takes how long an endpoint wants no request, as it says with a refusal.
-    pub(crate) fn on_rest(&self, endpoint: &Endpoint, asked: Field<Duration>) {
-        match asked {
-            Field::Absent => {}
-            Field::Malformed => self.on_malformed(endpoint, "rest"),
-            Field::Value(rest) => {
-                let rest_ms = rest.as_millis() as u64;
-                self.metrics.count("endpoints.rests_asked");
-                log::info!(endpoint = &*endpoint.record.id, rest_ms; "endpoint asked for rest");
+    pub(crate) fn on_rest(self: &Arc<Service>, endpoint: &Endpoint, asked: Field<Duration>) {
+        if asked == Field::Malformed {
+            self.on_malformed(endpoint, "rest");
+        }
+        let Field::Value(rest) = asked else {
+            if endpoint.advice.lock().rest.on_answer() {
+                self.wake();
             }
+            return;
+        };
+        let rest_ms = rest.as_millis() as u64;
+        self.metrics.count("endpoints.rests_asked");
+        log::info!(endpoint = &*endpoint.record.id, rest_ms; "endpoint asked for rest");
+        if self.mechanisms.has(Mechanism::EndpointRests) {
+            endpoint.advice.lock().rest.on_refusal(rest, self.now());
         }
     }
 
@@ -80,12 +86,13 @@
         let now = self.now();
         let inner = self.inner.lock();
         let share = |limit_per_s: f64| inner.limit_share(endpoint, limit_per_s);
-        let mut limit = endpoint.limit.lock();
+        let mut advice = endpoint.advice.lock();
+        let limit = &mut advice.limit;
         let before = limit.limit_per_s();
-        let changed = change(&mut limit, now, &share);
+        let changed = change(limit, now, &share);
         let age = limit.observed_at().map_or(Duration::ZERO, |at| now.saturating_sub(at));
         let interval_ms = limit.share().map(|share| share.interval.as_millis() as u64);
-        drop(limit);
+        drop(advice);
         drop(inner);
         let Some(changed) = changed else { return };
         let record = &endpoint.record;
@@ -127,7 +134,7 @@
     /// Gives endpoints that name a limit this entry's share of it.
     pub(super) fn set_limit_shares(&self, now: Duration) {
         for endpoint in &self.endpoints {
-            let mut limit = endpoint.limit.lock();
+            let limit = &mut endpoint.advice.lock().limit;
             if let Some(limit_per_s) = limit.limit_per_s() {
                 limit.set_share(self.limit_share(endpoint, limit_per_s), now);
             }
@@ -157,7 +164,8 @@
 
     /// The time between calls that this entry may send under the endpoints' limits.
     fn admission_interval(&self) -> Duration {
-        let shares = self.endpoints.iter().filter_map(|endpoint| endpoint.limit.lock().share());
+        let shares =
+            self.endpoints.iter().filter_map(|endpoint| endpoint.advice.lock().limit.share());
         let rate_per_s: f64 = shares.map(|share| share.rate_per_s()).sum();
         match rate_per_s > 0.0 {
             true => Duration::from_secs_f64(rate_per_s.recip()),
--- a/crates/direct/src/service/inner.rs
+++ b/crates/direct/src/service/inner.rs
@@ -10,7 +10,7 @@
 use lynxmount_core::{EndpointId, EndpointLife, EndpointRecord, EngineSpec, Mechanism, Mechanisms};
 use lynxmount_link::MembersFingerprint;
 use lynxmount_policy::{
-    EndpointLimit, GroupWatch, PaceClass, Placement, ReturnSchedule, Seat, ServiceQueue,
+    EndpointAdvice, GroupWatch, PaceClass, Placement, ReturnSchedule, Seat, ServiceQueue,
     SlotOwners, Ticket, Waiter, WindowBudget, place, resumes_at,
 };
 use parking_lot::Mutex;
@@ -47,8 +47,8 @@
     pub(super) returns: ReturnSchedule,
     /// When waiting calls are granted permits that endpoints take again.
     pub(super) resume_timer: Option<Duration>,
-    /// Limits of all lives of endpoints, also of those that are not listed for a while.
-    limits: HashMap<EndpointLife, Arc<Mutex<EndpointLimit>>>,
+    /// What all lives of endpoints have asked for, also those that are not listed for a while.
+    advice: HashMap<EndpointLife, Arc<Mutex<EndpointAdvice>>>,
     choices: u64,
     /// Requests that one endpoint runs at once.
     pub(super) slots: Option<u32>,
@@ -69,7 +69,7 @@
             budget,
             returns: ReturnSchedule::default(),
             resume_timer: None,
-            limits: HashMap::new(),
+            advice: HashMap::new(),
             choices: 0,
             slots: None,
             owners: None,
@@ -92,14 +92,14 @@
         let endpoints = ready.map(|record| {
             let kept = known.get(&record.id).filter(|endpoint| endpoint.record == *record);
             kept.cloned().unwrap_or_else(|| {
-                let limit = self.limits.entry(record.life()).or_default();
-                Arc::new(Endpoint::new(record.clone(), Arc::clone(limit)))
+                let advice = self.advice.entry(record.life()).or_default();
+                Arc::new(Endpoint::new(record.clone(), Arc::clone(advice)))
             })
         });
         self.endpoints = endpoints.collect();
         drop(known);
-        let is_in_use = |limit: &Arc<_>| Arc::strong_count(limit) > 1;
-        self.limits.retain(|_, limit| is_in_use(limit) || limit.lock().is_recent(now));
+        let is_in_use = |advice: &Arc<_>| Arc::strong_count(advice) > 1;
+        self.advice.retain(|_, advice| is_in_use(advice) || advice.lock().is_recent(now));
         self.slots = engine.map(|engine| engine.slots);
         self.note_groups();
         self.note_owners(owners);
--- a/crates/lynxmount/tests/platform_advice.rs
+++ b/crates/lynxmount/tests/platform_advice.rs
@@ -149,3 +149,38 @@
     assert!(most <= ALLOWED_IN_REST, "{most} requests in a time of rest");
     assert!(!arrivals.is_empty());
 }
+
+#[tokio::test]
+async fn refusals_of_endpoints_that_rest_do_not_pause_their_group() {
+    let replicas = [Behaviour::Shed, Behaviour::Shed, Behaviour::Answer];
+    let fleet = Fleet::start(PLAIN, &replicas).await;
+    let resting = fleet.replicas[..2].iter();
+    resting.for_each(|replica| replica.advise(Advice::rest(Duration::from_secs(60))));
+    let path = format!("/{PLAIN}/7");
+    wait_for("both refusals", async || {
+        get(fleet.address(), &path).await;
+        fleet.entry.logged("endpoint asked for rest").len() == 2
+    })
+    .await;
+
+    let answer = call(fleet.address(), Method::GET, &path, KEY).await.expect("an answer");
+
+    assert_eq!(answer.status, StatusCode::OK);
+    assert!(fleet.entry.logged("group paused").is_empty());
+}
+
+#[tokio::test]
+async fn a_call_is_refused_at_once_with_the_end_of_the_rest_when_all_endpoints_rest() {
+    let fleet = Fleet::start(PLAIN, &[Behaviour::Shed, Behaviour::Shed]).await;
+    fleet.replicas.iter().for_each(|replica| replica.advise(Advice::rest(Duration::from_secs(60))));
+    let path = format!("/{PLAIN}/7");
+    call(fleet.address(), Method::GET, &path, KEY).await.expect("an answer");
+    let arrivals = fleet.arrivals();
+
+    let answer = call(fleet.address(), Method::GET, &path, KEY).await.expect("an answer");
+
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    let retry_after = answer.retry_after.expect("a time to come back");
+    assert!(retry_after > 30.0, "{retry_after}");
+    assert_eq!((arrivals, fleet.arrivals()), (2, 2));
+}
