Send nothing to endpoints that say with an answer that they leave

An endpoint that said so in its answers went on getting calls until its registration was read, up to 0.85 s later, or for as long as the store was out, or for good if it never registers that it leaves.

Cause: the adapter dropped the field. Fix: the endpoint counts as gone for its whole life once one of its answers says so, also right before a call is sent and if its registration changes.

an_endpoint_that_says_it_leaves_gets_no_further_calls failed before: 6 calls where 1 is allowed.

--- a/crates/core/src/edge.rs
+++ b/crates/core/src/edge.rs
@@ -90,6 +90,8 @@
     pub limit_per_s: Field<f64>,
     /// How long the endpoint wants no request from this entry, if it has turned one away.
     pub rest: Field<Duration>,
+    /// Whether the endpoint leaves.
+    pub leaving: Field<bool>,
 }
 
 /// Translates callers' requests and endpoints' answers.
--- a/crates/core/src/mechanism.rs
+++ b/crates/core/src/mechanism.rs
@@ -23,6 +23,8 @@
     Holds,
     /// Of two registrations at one address the later life holds.
     LaterLives,
+    /// Endpoints that say with an answer that they leave get no calls.
+    LeavingAnswers,
     /// A group is held further ahead while answers to orders are lost.
     LossyLead,
     /// A group that refuses is sent one call at a time.
@@ -51,7 +53,7 @@
 
 impl Mechanism {
     /// All mechanisms, with the names that operators use.
-    pub const ALL: [(Mechanism, &'static str); 21] = [
+    pub const ALL: [(Mechanism, &'static str); 22] = [
         (Mechanism::ConnectionReuse, "connection-reuse"),
         (Mechanism::DirectReads, "direct-reads"),
         (Mechanism::EndpointLimits, "endpoint-limits"),
@@ -61,6 +63,7 @@
         (Mechanism::Health, "health"),
         (Mechanism::Holds, "holds"),
         (Mechanism::LaterLives, "later-lives"),
+        (Mechanism::LeavingAnswers, "leaving-answers"),
         (Mechanism::LossyLead, "lossy-lead"),
         (Mechanism::OutageWatch, "outage-watch"),
         (Mechanism::OwnSlots, "own-slots"),
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -141,6 +141,7 @@
     /// What it offers a call, of which this entry's share of its slots is given.
     pub(crate) fn seat(&self, room: Capacity, tried: &[EndpointId], groups: &GroupWatch) -> Seat {
         let load = self.load.lock();
+        let advice = *self.advice.lock();
         let is_told = load.told_at.is_some_and(|at| at.elapsed() < LOAD_LIFE);
         let group = load.group.as_deref().unwrap_or_default();
         let is_suspect = load.liveness.is_suspect(groups.progress(group, room.now), room.now);
@@ -157,7 +158,8 @@
             is_ejected: load.health.is_ejected(room.now) || is_suspect,
             was_tried: tried.contains(&self.record.id),
             last_chosen: load.last_chosen,
-            resumes_at: self.advice.lock().resumes_at(room.now),
+            is_leaving: advice.is_leaving(),
+            resumes_at: advice.resumes_at(room.now),
         }
     }
 
@@ -198,6 +200,7 @@
         let sent_at = self.service.now().saturating_sub(sent_at.elapsed());
         self.service.on_limit(&self.endpoint, told.limit_per_s, sent_at);
         self.service.on_rest(&self.endpoint, told.rest);
+        self.service.on_leaving(&self.endpoint, told.leaving);
     }
 
     pub(crate) fn group(&self) -> &str {
--- a/crates/direct/src/service/advice.rs
+++ b/crates/direct/src/service/advice.rs
@@ -50,6 +50,21 @@
         }
     }
 
+    /// Takes whether an endpoint says that it leaves.
+    pub(crate) fn on_leaving(&self, endpoint: &Endpoint, said: Field<bool>) {
+        match said {
+            Field::Absent | Field::Value(false) => {}
+            Field::Malformed => self.on_malformed(endpoint, "leaving"),
+            Field::Value(true) if !self.mechanisms.has(Mechanism::LeavingAnswers) => {}
+            Field::Value(true) => {
+                if endpoint.advice.lock().on_leaving(self.now()) {
+                    self.metrics.count("endpoints.leaving");
+                    log::info!(endpoint = &*endpoint.record.id; "endpoint leaves");
+                }
+            }
+        }
+    }
+
     fn on_malformed(&self, endpoint: &Endpoint, field: &str) {
         self.metrics.count("advice.malformed");
         log::warn!(endpoint = &*endpoint.record.id, field; "malformed advice ignored");
--- a/crates/lynxmount/tests/platform_advice.rs
+++ b/crates/lynxmount/tests/platform_advice.rs
@@ -184,3 +184,21 @@
     assert!(retry_after > 30.0, "{retry_after}");
     assert_eq!((arrivals, fleet.arrivals()), (2, 2));
 }
+
+#[tokio::test]
+async fn an_endpoint_that_says_it_leaves_gets_no_further_calls() {
+    let fleet = Fleet::start(PLAIN, &[Behaviour::Answer, Behaviour::Answer]).await;
+    fleet.replicas[0].advise(Advice::leaving());
+    let path = format!("/{PLAIN}/7");
+    wait_for("its answer", async || {
+        get(fleet.address(), &path).await;
+        !fleet.replicas[0].seen().is_empty()
+    })
+    .await;
+
+    for _ in 0..10 {
+        assert_eq!(get(fleet.address(), &path).await, Some(StatusCode::OK));
+    }
+
+    assert_eq!(fleet.replicas[0].seen().len(), 1);
+}
--- a/crates/policy/src/endpoint_advice.rs
+++ b/crates/policy/src/endpoint_advice.rs
@@ -4,6 +4,9 @@
 
 use crate::{EndpointLimit, EndpointRest};
 
+/// How long it is remembered of an endpoint that is not registered that it leaves.
+const UNLISTED_LIFE: Duration = Duration::from_secs(60);
+
 /// What one life of an endpoint has asked of an entry.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct EndpointAdvice {
@@ -11,9 +14,23 @@
     pub limit: EndpointLimit,
     /// Its rest.
     pub rest: EndpointRest,
+    leaving_since: Option<Duration>,
 }
 
 impl EndpointAdvice {
+    /// Takes that the endpoint says that it leaves, which it does not take back. Returns whether
+    /// that is new.
+    pub fn on_leaving(&mut self, now: Duration) -> bool {
+        let is_new = self.leaving_since.is_none();
+        self.leaving_since.get_or_insert(now);
+        is_new
+    }
+
+    /// Says whether the endpoint leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving_since.is_some()
+    }
+
     /// Says whether the endpoint has asked for something that concerns the next call.
     pub fn is_active(&self) -> bool {
         self.limit.limit_per_s().is_some() || !self.rest.is_closed()
@@ -21,7 +38,8 @@
 
     /// Says whether it is to be remembered of an endpoint that is not registered.
     pub fn is_recent(&self, now: Duration) -> bool {
-        self.limit.is_recent(now) || self.rest.resumes_at(now).is_some()
+        let is_leaving = self.leaving_since.is_some_and(|at| now < at + UNLISTED_LIFE);
+        is_leaving || self.limit.is_recent(now) || self.rest.resumes_at(now).is_some()
     }
 
     /// When the next call may be sent, if not now.
@@ -31,12 +49,15 @@
 
     /// Takes a call that is about to be sent. Returns whether it may be.
     pub fn take(&mut self, now: Duration) -> bool {
-        self.resumes_at(now).is_none() && self.rest.take(now) && self.limit.take(now)
+        !self.is_leaving()
+            && self.resumes_at(now).is_none()
+            && self.rest.take(now)
+            && self.limit.take(now)
     }
 
     /// Says whether a call that was taken may still be sent.
     pub fn may_send(&self, now: Duration) -> bool {
-        !self.rest.is_open(now)
+        !self.is_leaving() && !self.rest.is_open(now)
     }
 
     /// Returns a call that was not sent.
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -40,6 +40,8 @@
     pub was_tried: bool,
     /// When this entry last chose it, as a count of its choices; 0 for never.
     pub last_chosen: u64,
+    /// It has said that it leaves.
+    pub is_leaving: bool,
     /// When it takes the next call of this entry, if it has asked for a pause until then.
     pub resumes_at: Option<Duration>,
 }
@@ -83,7 +85,8 @@
 
 /// When the next endpoint of an open group takes a call again that has asked for a pause.
 pub fn resumes_at(seats: &[Seat]) -> Option<Duration> {
-    seats.iter().filter(|seat| !seat.is_closed).filter_map(|seat| seat.resumes_at).min()
+    let takes_calls = |seat: &&Seat| !seat.is_closed && !seat.is_leaving;
+    seats.iter().filter(takes_calls).filter_map(|seat| seat.resumes_at).min()
 }
 
 /// Chooses an endpoint. Those that were tried or are ejected are taken only if
@@ -91,15 +94,15 @@
 pub fn place(seats: &[Seat]) -> Placement {
     // A call that waits for a healthy endpoint is better off than at one that fails.
     let is_paused = |seat: &Seat| !seat.is_closed && seat.resumes_at.is_some();
-    let may_wait = seats.iter().any(|seat| is_paused(seat) && !seat.is_ejected);
+    let staying = || seats.iter().enumerate().filter(|(_, seat)| !seat.is_leaving);
+    let may_wait = staying().any(|(_, seat)| is_paused(seat) && !seat.is_ejected);
     let is_left_out = |seat: &Seat| seat.is_closed || seat.is_ejected && may_wait;
     let takes_calls = |seat: &Seat| !is_paused(seat) && !is_left_out(seat);
-    let open: Vec<(usize, &Seat)> =
-        seats.iter().enumerate().filter(|(_, seat)| takes_calls(seat)).collect();
+    let open: Vec<(usize, &Seat)> = staying().filter(|(_, seat)| takes_calls(seat)).collect();
     let Some(best) = open.iter().map(|(_, seat)| seat.pace).min() else {
         return match resumes_at(seats) {
             Some(until) => Placement::Paused { until },
-            None if seats.is_empty() => Placement::Nowhere,
+            None if staying().next().is_none() => Placement::Nowhere,
             None => Placement::Closed,
         };
     };
--- a/crates/policy/tests/direct.rs
+++ b/crates/policy/tests/direct.rs
@@ -66,6 +66,16 @@
     assert_eq!(place(&[closed]), Placement::Closed);
 }
 
+#[test]
+fn an_endpoint_that_leaves_counts_as_gone() {
+    let leaving = Seat { is_leaving: true, ..seat(0, 0) };
+    let paused = Seat { resumes_at: Some(at_ms(10)), ..leaving };
+
+    assert_eq!(place(&[leaving, seat(4, 0)]), Placement::At(1));
+    assert_eq!(place(&[leaving, seat(5, 0)]), Placement::Full);
+    assert_eq!(place(&[leaving, paused]), Placement::Nowhere);
+}
+
 #[test]
 fn an_endpoint_that_can_not_be_reached_is_left_out_for_longer_each_time() {
     let mut health = Health::default();
