--- a/crates/soak/src/advice.rs
+++ b/crates/soak/src/advice.rs
@@ -5,10 +5,12 @@
     time::Duration,
 };
 
-use lynxmount_platform_standin::{allowed_in_window, most_in_window};
+use lynxmount_platform_standin::{
+    ALLOWED_IN_REST, allowed_in_window, most_in_rest, most_in_window,
+};
 
 use crate::{
-    history::{Disturbed, History, LimitRecord, RunRecord},
+    history::{Disturbed, History, LimitRecord, RestRecord, RunRecord},
     plan::{LinkId, ProcessId},
     promises::{Promise, Violation, broken},
 };
@@ -23,6 +25,9 @@
     for limit in &history.limits {
         judge_limit(history, &entries, limit, found);
     }
+    for rest in &history.rests {
+        judge_rest(history, &entries, rest, found);
+    }
 }
 
 fn judge_limit(
@@ -43,6 +48,22 @@
     }
 }
 
+fn judge_rest(
+    history: &History,
+    entries: &HashMap<&str, usize>,
+    rest: &RestRecord,
+    found: &mut Vec<Violation>,
+) {
+    let arrivals = arrivals(history, entries, rest.endpoint, rest.from, rest.to);
+    for (entry, arrivals) in arrivals {
+        let most = most_in_rest(&arrivals, rest.rest);
+        if most > ALLOWED_IN_REST {
+            let seen = format!("{most} requests of entry {entry} in a time of {rest:?}");
+            broken(found, Promise::GrantsRest, seen);
+        }
+    }
+}
+
 /// Those of an entry's requests that it sent after it had heard what the endpoint asks for.
 fn after_heard(arrivals: &[Duration]) -> Vec<Duration> {
     let heard_at = arrivals.first().map(|at| *at + HEARD_AFTER);
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -16,7 +16,7 @@
 use tokio::task::JoinSet;
 
 use crate::{
-    history::{Disturbed, LeaveRecord, LimitRecord},
+    history::{Disturbed, LeaveRecord, LimitRecord, RestRecord},
     plan::{EndpointAdvice, EndpointFault, Fault, FaultKind, LinkFault, LinkId, ProcessId},
     process::wait_for_end,
     world::{EXPERTS, World, name},
@@ -70,6 +70,9 @@
             FaultKind::Advise(endpoint, EndpointAdvice::Limit(in_ten_s)) => {
                 self.limit(endpoint, f64::from(in_ten_s) / 10.0, fault.length).await;
             }
+            FaultKind::Advise(endpoint, EndpointAdvice::Rest(rest_ms)) => {
+                self.rest(endpoint, Duration::from_millis(rest_ms), fault.length).await;
+            }
             FaultKind::ChangeConfig => {
                 world.put_config(self.version.fetch_add(1, Ordering::Relaxed) + 1);
             }
@@ -120,6 +123,18 @@
         world.history.lock().limits.push(LimitRecord { endpoint, limit_per_s, from, to });
     }
 
+    async fn rest(&self, endpoint: usize, rest: Duration, length: Duration) {
+        let world = &self.world;
+        let from = world.now();
+        world.endpoints[endpoint].advise(Advice::rest(rest));
+        world.endpoints[endpoint].set(Behaviour::Shed);
+        tokio::time::sleep(length).await;
+        let to = world.now();
+        world.mend(endpoint);
+        world.endpoints[endpoint].advise(Advice::default());
+        world.history.lock().rests.push(RestRecord { endpoint, rest, from, to });
+    }
+
     async fn leave(&self, endpoint: usize, length: Duration) {
         let world = &self.world;
         world.register(endpoint, "draining");
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -121,6 +121,19 @@
     pub to: Duration,
 }
 
+/// A time during which an endpoint refused everything and asked for rest.
+#[derive(Clone, Copy, Debug)]
+pub struct RestRecord {
+    /// The endpoint, counted over all services.
+    pub endpoint: usize,
+    /// The rest.
+    pub rest: Duration,
+    /// When it began to refuse.
+    pub from: Duration,
+    /// When it refused no more.
+    pub to: Duration,
+}
+
 /// What was disturbed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Disturbed {
@@ -158,6 +171,8 @@
     pub arrivals: Vec<RunRecord>,
     /// All limits of endpoints.
     pub limits: Vec<LimitRecord>,
+    /// All rests of endpoints.
+    pub rests: Vec<RestRecord>,
     /// All questions.
     pub probes: Vec<ProbeRecord>,
     /// All configurations.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -29,6 +29,9 @@
 /// How long an endpoint asks for something, in milliseconds: long enough for several windows.
 const ADVICE_LENGTH_MS: std::ops::Range<u64> = 5000..12_000;
 
+/// The rest that endpoints ask for, in milliseconds.
+const REST_MS: std::ops::Range<u64> = 1000..6000;
+
 /// Limits of endpoints, in requests in ten seconds.
 const LIMIT_IN_TEN_S: std::ops::Range<u32> = 5..60;
 
@@ -100,6 +103,8 @@
 pub enum EndpointAdvice {
     /// So many requests in ten seconds, from all entries together.
     Limit(u32),
+    /// So many milliseconds of rest, with each call, which it refuses.
+    Rest(u64),
 }
 
 /// What happens.
@@ -180,7 +185,10 @@
     let mut at = Duration::from_millis(rng.random_range(0..ADVICE_PAUSE_MS));
     while at < time {
         let endpoint = rng.random_range(0..3 * size.endpoints);
-        let asked = EndpointAdvice::Limit(rng.random_range(LIMIT_IN_TEN_S));
+        let asked = match rng.random_range(0..2) {
+            0 => EndpointAdvice::Limit(rng.random_range(LIMIT_IN_TEN_S)),
+            _ => EndpointAdvice::Rest(rng.random_range(REST_MS)),
+        };
         let length = Duration::from_millis(rng.random_range(ADVICE_LENGTH_MS));
         // An endpoint asks for one thing at a time.
         if over_at[endpoint] <= at {
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -54,6 +54,8 @@
     ConfigNeverBack,
     /// Processes end only when they are asked to, and in time.
     Ends,
+    /// An endpoint that refuses an entry and asks for rest has it.
+    GrantsRest,
     /// An endpoint that names a limit gets no more than it allows.
     KeepsLimits,
     /// A process that leaves finishes what it has taken.
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -6,7 +6,7 @@
 use lynxmount_soak::{
     history::{
         CallRecord, CallSort, ConfigRecord, Disturbance, Disturbed, History, LeaveRecord,
-        LimitRecord, Outcome, ProbeRecord, RunRecord,
+        LimitRecord, Outcome, ProbeRecord, RestRecord, RunRecord,
     },
     plan::{LinkId, ProcessId},
     promises::{Promise, RECOVERY, STREAM_EVENTS, judge},
@@ -179,6 +179,26 @@
     assert_eq!(broken(&disturbed), []);
 }
 
+#[test]
+fn requests_in_a_time_of_rest_are_seen_unless_their_entry_was_disturbed() {
+    let (rest, from, to) = (seconds(3.0), seconds(20.0), seconds(30.0));
+    let mut history = History { rests: vec![RestRecord { endpoint: 0, rest, from, to }], ..good() };
+    for number in 0..8 {
+        let (id, at_s) = (format!("r{number}"), 20.0 + 0.7 * f64::from(number));
+        history.calls.push(call(&id, CallSort::Lookup, at_s, answered(503, "")));
+        history.arrivals.push(run(&id, 0, at_s));
+    }
+    let mut granted = history.clone();
+    granted.arrivals = granted.arrivals.into_iter().step_by(5).collect();
+    let mut disturbed = history.clone();
+    let entry = Disturbed::Process(ProcessId::Entry(0));
+    disturbed.disturbances.push(disturbance(entry, 21.0, 22.0));
+
+    assert_eq!(broken(&history), [Promise::GrantsRest]);
+    assert_eq!(broken(&granted), []);
+    assert_eq!(broken(&disturbed), []);
+}
+
 #[test]
 fn a_configuration_that_is_late_or_goes_back_is_seen() {
     let mut late = good();
