--- a/crates/soak/src/advice.rs
+++ b/crates/soak/src/advice.rs
@@ -6,11 +6,11 @@
 };
 
 use lynxmount_platform_standin::{
-    ALLOWED_IN_REST, allowed_in_window, most_in_rest, most_in_window,
+    ALLOWED_IN_REST, allowed_in_window, fixture::DRAIN, most_in_rest, most_in_window,
 };
 
 use crate::{
-    history::{Disturbed, History, LimitRecord, RestRecord, RunRecord},
+    history::{Disturbed, History, LimitRecord, RestRecord, RunRecord, SaidLeavingRecord},
     plan::{LinkId, ProcessId},
     promises::{Promise, Violation, broken},
 };
@@ -25,6 +25,9 @@
     for limit in &history.limits {
         judge_limit(history, &entries, limit, found);
     }
+    for said in &history.said_leaving {
+        judge_said_leaving(history, &entries, said, found);
+    }
     for rest in &history.rests {
         judge_rest(history, &entries, rest, found);
     }
@@ -48,6 +51,22 @@
     }
 }
 
+fn judge_said_leaving(
+    history: &History,
+    entries: &HashMap<&str, usize>,
+    said: &SaidLeavingRecord,
+    found: &mut Vec<Violation>,
+) {
+    let arrivals = arrivals(history, entries, said.endpoint, said.from, said.to);
+    for (entry, arrivals) in arrivals {
+        let bound_at = arrivals.first().map(|at| *at + HEARD_AFTER + DRAIN);
+        if let Some(late) = arrivals.iter().find(|at| bound_at.is_some_and(|bound| **at > bound)) {
+            let seen = format!("a request of entry {entry} at {late:?}, {said:?}");
+            broken(found, Promise::LeavingGetsNothing, seen);
+        }
+    }
+}
+
 fn judge_rest(
     history: &History,
     entries: &HashMap<&str, usize>,
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -16,7 +16,7 @@
 use tokio::task::JoinSet;
 
 use crate::{
-    history::{Disturbed, LeaveRecord, LimitRecord, RestRecord},
+    history::{Disturbed, LeaveRecord, LimitRecord, RestRecord, SaidLeavingRecord},
     plan::{EndpointAdvice, EndpointFault, Fault, FaultKind, LinkFault, LinkId, ProcessId},
     process::wait_for_end,
     world::{EXPERTS, World, name},
@@ -67,6 +67,9 @@
     async fn inject(&self, fault: Fault) -> anyhow::Result<()> {
         let world = &self.world;
         match fault.kind {
+            FaultKind::Advise(endpoint, EndpointAdvice::Leave) => {
+                self.say_leaving(endpoint, fault.length).await;
+            }
             FaultKind::Advise(endpoint, EndpointAdvice::Limit(in_ten_s)) => {
                 self.limit(endpoint, f64::from(in_ten_s) / 10.0, fault.length).await;
             }
@@ -135,6 +138,17 @@
         world.history.lock().rests.push(RestRecord { endpoint, rest, from, to });
     }
 
+    async fn say_leaving(&self, endpoint: usize, length: Duration) {
+        let world = &self.world;
+        let from = world.now();
+        world.endpoints[endpoint].advise(Advice::leaving());
+        tokio::time::sleep(length).await;
+        let to = world.now();
+        world.endpoints[endpoint].advise(Advice::default());
+        world.register_later_life(endpoint);
+        world.history.lock().said_leaving.push(SaidLeavingRecord { endpoint, from, to });
+    }
+
     async fn leave(&self, endpoint: usize, length: Duration) {
         let world = &self.world;
         world.register(endpoint, "draining");
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -121,6 +121,17 @@
     pub to: Duration,
 }
 
+/// A time during which an endpoint said with its answers that it left.
+#[derive(Clone, Copy, Debug)]
+pub struct SaidLeavingRecord {
+    /// The endpoint, counted over all services.
+    pub endpoint: usize,
+    /// When it began to say so.
+    pub from: Duration,
+    /// When it started again.
+    pub to: Duration,
+}
+
 /// A time during which an endpoint refused everything and asked for rest.
 #[derive(Clone, Copy, Debug)]
 pub struct RestRecord {
@@ -171,6 +182,8 @@
     pub arrivals: Vec<RunRecord>,
     /// All limits of endpoints.
     pub limits: Vec<LimitRecord>,
+    /// All leavings that endpoints said with their answers.
+    pub said_leaving: Vec<SaidLeavingRecord>,
     /// All rests of endpoints.
     pub rests: Vec<RestRecord>,
     /// All questions.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -101,6 +101,8 @@
 /// What an endpoint asks of entries.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 pub enum EndpointAdvice {
+    /// To be sent nothing more, as it leaves; it starts again later.
+    Leave,
     /// So many requests in ten seconds, from all entries together.
     Limit(u32),
     /// So many milliseconds of rest, with each call, which it refuses.
@@ -185,8 +187,9 @@
     let mut at = Duration::from_millis(rng.random_range(0..ADVICE_PAUSE_MS));
     while at < time {
         let endpoint = rng.random_range(0..3 * size.endpoints);
-        let asked = match rng.random_range(0..2) {
-            0 => EndpointAdvice::Limit(rng.random_range(LIMIT_IN_TEN_S)),
+        let asked = match rng.random_range(0..3) {
+            0 => EndpointAdvice::Leave,
+            1 => EndpointAdvice::Limit(rng.random_range(LIMIT_IN_TEN_S)),
             _ => EndpointAdvice::Rest(rng.random_range(REST_MS)),
         };
         let length = Duration::from_millis(rng.random_range(ADVICE_LENGTH_MS));
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -11,8 +11,8 @@
     Behaviour, GroupStandin, ReplicaStandin, StoreStandin,
     fixture::{
         CONFIG_KEY, EntryPorts, GroupText, ONCE, OPERATOR_TOPIC, PLAIN, REGISTRATIONS_TOPIC,
-        STREAM, config_text, endpoint_settings_text, entry_settings_text, registration_text,
-        service_of,
+        STREAM, config_text, endpoint_settings_text, entry_settings_text, later_registration_text,
+        registration_text, service_of,
     },
 };
 use parking_lot::Mutex;
@@ -187,6 +187,15 @@
         self.store.put(REGISTRATIONS_TOPIC, &self.endpoints[endpoint].id, &registration);
     }
 
+    /// Writes the registration of a later life of an endpoint.
+    pub(crate) fn register_later_life(&self, endpoint: usize) {
+        let address = self.endpoint_links[endpoint].address();
+        let service = service_of(route_of(endpoint, self.size));
+        let born_ms = self.now().as_millis() as u64;
+        let registration = later_registration_text(address, &service, born_ms);
+        self.store.put(REGISTRATIONS_TOPIC, &self.endpoints[endpoint].id, &registration);
+    }
+
     /// Lets an endpoint answer well.
     pub(crate) fn mend(&self, endpoint: usize) {
         self.endpoints[endpoint].set(good_behaviour(endpoint, self.size));
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -6,7 +6,7 @@
 use lynxmount_soak::{
     history::{
         CallRecord, CallSort, ConfigRecord, Disturbance, Disturbed, History, LeaveRecord,
-        LimitRecord, Outcome, ProbeRecord, RestRecord, RunRecord,
+        LimitRecord, Outcome, ProbeRecord, RestRecord, RunRecord, SaidLeavingRecord,
     },
     plan::{LinkId, ProcessId},
     promises::{Promise, RECOVERY, STREAM_EVENTS, judge},
@@ -199,6 +199,22 @@
     assert_eq!(broken(&disturbed), []);
 }
 
+#[test]
+fn requests_to_an_endpoint_that_has_said_it_leaves_are_seen() {
+    let said = SaidLeavingRecord { endpoint: 0, from: seconds(20.0), to: seconds(30.0) };
+    let mut history = History { said_leaving: vec![said], ..good() };
+    for at_s in [20.1, 22.0, 25.0] {
+        let id = format!("s{at_s}");
+        history.calls.push(call(&id, CallSort::Lookup, at_s, answered(200, &echo_body(&id))));
+        history.arrivals.push(run(&id, 0, at_s));
+    }
+    let mut in_time = history.clone();
+    in_time.arrivals.pop();
+
+    assert_eq!(broken(&history), [Promise::LeavingGetsNothing]);
+    assert_eq!(broken(&in_time), []);
+}
+
 #[test]
 fn a_configuration_that_is_late_or_goes_back_is_seen() {
     let mut late = good();
