--- a/crates/direct/src/service/advice.rs
+++ b/crates/direct/src/service/advice.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use lynxmount_core::{Mechanism, edge::Field};
-use lynxmount_policy::{EndpointLimit, LimitChange, LimitShare, Waiter};
+use lynxmount_policy::{EndpointLimit, LimitChange, LimitShare, SlotOwners, Waiter};
 
 use super::{Offered, Service, Unavailable, Want, inner::Inner};
 use crate::{endpoint::Endpoint, limit_gossip::LimitReport};
@@ -142,8 +142,10 @@
 impl Inner {
     /// This entry's share of a limit that an endpoint names.
     fn limit_share(&self, endpoint: &Endpoint, limit_per_s: f64) -> LimitShare {
-        let owners = self.owners.clone().unwrap_or_default();
-        LimitShare::new(&owners, &endpoint.record.id, limit_per_s)
+        match &self.owners {
+            Some(owners) => LimitShare::new(owners, &endpoint.record.id, limit_per_s),
+            None => LimitShare::new(&SlotOwners::default(), &endpoint.record.id, limit_per_s),
+        }
     }
 
     /// Gives endpoints that name a limit this entry's share of it.
--- a/crates/direct/src/service/inner.rs
+++ b/crates/direct/src/service/inner.rs
@@ -89,9 +89,11 @@
             .into_iter()
             .map(|endpoint| (EndpointId::clone(&endpoint.record.id), endpoint))
             .collect();
+        let mut has_new = false;
         let endpoints = ready.map(|record| {
             let kept = known.get(&record.id).filter(|endpoint| endpoint.record == *record);
             kept.cloned().unwrap_or_else(|| {
+                has_new = true;
                 let advice = self.advice.entry(record.life()).or_default();
                 Arc::new(Endpoint::new(record.clone(), Arc::clone(advice)))
             })
@@ -102,8 +104,9 @@
         self.advice.retain(|_, advice| is_in_use(advice) || advice.lock().is_recent(now));
         self.slots = engine.map(|engine| engine.slots);
         self.note_groups();
-        self.note_owners(owners);
-        self.set_limit_shares(now);
+        if self.set_owners(owners) || has_new {
+            self.set_limit_shares(now);
+        }
     }
 
     /// Says whether this life of an endpoint takes calls, by the newest list. What else its
@@ -120,15 +123,18 @@
     }
 
     /// Gives the endpoints of a model service what this entry has of their slots. Calls
-    /// of other services end before a slot's owner matters.
-    fn note_owners(&mut self, owners: &SlotOwners) {
+    /// of other services end before a slot's owner matters. Returns whether the entries changed.
+    fn set_owners(&mut self, owners: &SlotOwners) -> bool {
         let are_same = self.owners.as_ref() == Some(owners);
         if let Some(slots) = self.slots.filter(|_| self.mechanisms.has(Mechanism::OwnSlots)) {
             for endpoint in self.endpoints.iter().filter(|e| !are_same || !e.has_own_slots()) {
                 endpoint.note_own_slots(owners.own_slots(&endpoint.record.id, slots));
             }
         }
-        self.owners = Some(owners.clone());
+        if !are_same {
+            self.owners = Some(owners.clone());
+        }
+        !are_same
     }
 
     /// Gives all endpoints their groups, and forgets groups without endpoints.
