--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -225,7 +225,7 @@
     let head = Response::from_parts(parts, ());
     let told = dialect.read_answer(outgoing.id, &head);
     if matches!(told.kind, AnswerKind::Ran | AnswerKind::NotRun) {
-        permit.on_answer(&told, sent_at);
+        permit.on_answer(&told, head.status(), sent_at);
     }
     let endpoint = &*permit.endpoint.record.id;
     match told.kind {
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -5,9 +5,10 @@
     time::{Duration, Instant},
 };
 
+use http::StatusCode;
 use lynxmount_core::{
     CallFingerprint, CallPhase, EndpointId, EndpointRecord,
-    edge::{AnswerHead, ReportedLoad},
+    edge::{AnswerHead, Field, ReportedLoad},
 };
 use lynxmount_policy::{
     CallEnd, EndpointAdvice, GroupWatch, Health, Liveness, OwnSlots, Seat, Stall,
@@ -193,12 +194,15 @@
     }
 
     /// Takes what the head of an answer tells of the endpoint, to a call that was sent at a time.
-    pub(crate) fn on_answer(&self, told: &AnswerHead, sent_at: Instant) {
+    pub(crate) fn on_answer(&self, told: &AnswerHead, status: StatusCode, sent_at: Instant) {
         if let Some(load) = told.load {
             self.endpoint.note_load(load);
         }
-        let sent_at = self.service.now().saturating_sub(sent_at.elapsed());
-        self.service.on_limit(&self.endpoint, told.limit_per_s, sent_at);
+        // What fails on the way to an answer may say nothing of the limit.
+        if status.is_success() || told.limit_per_s != Field::Absent {
+            let sent_at = self.service.now().saturating_sub(sent_at.elapsed());
+            self.service.on_limit(&self.endpoint, told.limit_per_s, sent_at);
+        }
         self.service.on_rest(&self.endpoint, told.rest);
         self.service.on_leaving(&self.endpoint, told.leaving);
     }
--- a/crates/lynxmount/tests/platform_advice.rs
+++ b/crates/lynxmount/tests/platform_advice.rs
@@ -202,3 +202,20 @@
 
     assert_eq!(fleet.replicas[0].seen().len(), 1);
 }
+
+#[tokio::test]
+async fn a_failure_that_names_no_limit_does_not_end_it() {
+    let fleet = Fleet::start(PLAIN, &[Behaviour::Answer]).await;
+    let path = format!("/{PLAIN}/7");
+    fleet.replicas[0].advise(Advice::limit(20.0));
+    call(fleet.address(), Method::GET, &path, KEY).await.expect("an answer");
+    fleet.replicas[0].advise(Advice::default());
+    fleet.replicas[0].set(Behaviour::Fail);
+
+    wait_for("a failure", async || {
+        get(fleet.address(), &path).await == Some(StatusCode::INTERNAL_SERVER_ERROR)
+    })
+    .await;
+
+    assert_eq!(fleet.entry.logged("endpoint limit changed").len(), 1);
+}
