--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -33,6 +33,9 @@
 /// The longest time that a caller stays away when it is told to come back.
 const MAX_STAY_AWAY: Duration = Duration::from_secs(1);
 
+/// Of so many callers one repeats at once, whatever it is told.
+const IMPATIENT_ONE_OF: usize = 4;
+
 /// The pause between two questions which configuration is in force.
 const PROBE_PAUSE: Duration = Duration::from_millis(250);
 
@@ -55,7 +58,10 @@
         let limit = TIME_LEFT + PATIENCE;
         let told = tokio::time::timeout(limit, caller.call(&call(&id, sort))).await.ok();
         let has_connection = !matches!(told, None | Some(Told::NoAnswer | Told::NoConnection));
-        let stay_away = stay_away(told.as_ref());
+        let stay_away = match number % IMPATIENT_ONE_OF {
+            0 => Duration::ZERO,
+            _ => stay_away(told.as_ref()),
+        };
         let outcome = told.map_or(Outcome::Unanswered, outcome);
         let record = CallRecord { id, sort, entry, sent, ended: world.now(), outcome };
         world.history.lock().calls.push(record);
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -39,11 +39,14 @@
     world: Arc<World>,
     version: AtomicU64,
     demand: AtomicU64,
+    /// How many leavings of each endpoint are under way.
+    leaves: Vec<AtomicU64>,
 }
 
 impl Injector {
     pub(crate) fn new(world: Arc<World>) -> Injector {
-        Injector { world, version: AtomicU64::new(1), demand: AtomicU64::new(0) }
+        let leaves = world.endpoints.iter().map(|_| AtomicU64::new(0)).collect();
+        Injector { world, version: AtomicU64::new(1), demand: AtomicU64::new(0), leaves }
     }
 
     /// Does all faults, and returns when the last is over.
@@ -151,12 +154,17 @@
 
     async fn leave(&self, endpoint: usize, length: Duration) {
         let world = &self.world;
+        let leaves = &self.leaves[endpoint];
+        leaves.fetch_add(1, Ordering::Relaxed);
         world.register(endpoint, "draining");
         let from = world.now();
         // Long enough that work after the bound would be seen.
         tokio::time::sleep(length + Duration::from_secs(3)).await;
         let to = world.now();
-        world.register(endpoint, "ready");
+        // It is back when the last of its leavings that overlap is over.
+        if leaves.fetch_sub(1, Ordering::Relaxed) == 1 {
+            world.register(endpoint, "ready");
+        }
         world.history.lock().leaves.push(LeaveRecord { endpoint, from, to });
     }
 
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -23,6 +23,9 @@
 /// The mean pause between two endpoints that ask for something.
 const ADVICE_PAUSE_MS: u64 = 1500;
 
+/// Of so many times one is for all endpoints of a service at once.
+const WHOLE_SERVICE_ONE_OF: u32 = 5;
+
 /// The shortest pause before an endpoint asks for something else.
 const ADVICE_GAP: Duration = Duration::from_secs(1);
 
@@ -186,17 +189,25 @@
     let mut over_at = vec![Duration::ZERO; 3 * size.endpoints];
     let mut at = Duration::from_millis(rng.random_range(0..ADVICE_PAUSE_MS));
     while at < time {
-        let endpoint = rng.random_range(0..3 * size.endpoints);
+        let first = rng.random_range(0..3 * size.endpoints);
         let asked = match rng.random_range(0..3) {
             0 => EndpointAdvice::Leave,
             1 => EndpointAdvice::Limit(rng.random_range(LIMIT_IN_TEN_S)),
             _ => EndpointAdvice::Rest(rng.random_range(REST_MS)),
         };
         let length = Duration::from_millis(rng.random_range(ADVICE_LENGTH_MS));
-        // An endpoint asks for one thing at a time.
-        if over_at[endpoint] <= at {
-            over_at[endpoint] = at + length + ADVICE_GAP;
-            advice.push(Fault { at, length, kind: FaultKind::Advise(endpoint, asked) });
+        let is_for_all = rng.random_ratio(1, WHOLE_SERVICE_ONE_OF);
+        let service = first - first % size.endpoints;
+        let endpoints = match is_for_all {
+            true => service..service + size.endpoints,
+            false => first..first + 1,
+        };
+        for endpoint in endpoints {
+            // An endpoint asks for one thing at a time.
+            if over_at[endpoint] <= at {
+                over_at[endpoint] = at + length + ADVICE_GAP;
+                advice.push(Fault { at, length, kind: FaultKind::Advise(endpoint, asked) });
+            }
         }
         at += Duration::from_millis(rng.random_range(0..2 * ADVICE_PAUSE_MS));
     }
