--- a/crates/direct/src/limit_gossip.rs
+++ b/crates/direct/src/limit_gossip.rs
@@ -21,8 +21,7 @@
 /// The shortest pause between messages to peers.
 const PUBLISH_PAUSE: Duration = Duration::from_millis(300);
 
-/// How often each change is published, to other peers each time: one round of three peers leaves
-/// one entry in twenty without it.
+/// How often each change is published, to other peers each time: a round at random misses some.
 const ROUNDS: u32 = 2;
 
 /// Endpoints in one message.
