--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -188,7 +188,7 @@
         self.interval.saturating_mul(self.tickets.len() as u32)
     }
 
-    /// The time between departures, as measured lately.
+    /// Moving average of the time between departures.
     pub fn interval(&self) -> Duration {
         self.interval
     }
