Log the silence of the endpoint and the pause of its group when callers leave

Lines of attempts that callers cancel told the age of the last event in the group only, and streams that are canceled in mid-stream had no line, so that a stalled endpoint of a slow group could not be told from a group that stands still. No change of behaviour.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -13,7 +13,11 @@
 use lynxmount_link::Connection;
 use lynxmount_policy::{CallEnd, Stall};
 
-use crate::{endpoint::Permit, reply::ReplyBody, stream::SILENCE_CHECK};
+use crate::{
+    endpoint::{Permit, Silence},
+    reply::ReplyBody,
+    stream::SILENCE_CHECK,
+};
 
 /// What is sent to an endpoint, whatever endpoint it is.
 pub(crate) struct Outgoing<'a> {
@@ -158,10 +162,10 @@
             return;
         }
         self.permit.on_canceled(self.outgoing.call, self.outgoing.pending_phase());
-        let group_silent_ms = self.permit.group_silent_for().map(|time| time.as_millis() as u64);
+        let Silence { endpoint_ms, group_ms, pause_ms } = self.permit.silence();
         log::info!(request = self.outgoing.id, endpoint = &*self.permit.endpoint.record.id,
-            waited_ms = self.sent_at.elapsed().as_millis() as u64, group_silent_ms;
-            "attempt canceled");
+            waited_ms = self.sent_at.elapsed().as_millis() as u64, endpoint_silent_ms = endpoint_ms,
+            group_silent_ms = group_ms, group_pause_ms = pause_ms; "attempt canceled");
     }
 }
 
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -59,6 +59,15 @@
     pub(crate) now: Duration,
 }
 
+/// How long an endpoint and its group have sent nothing to this entry, and the mean pause between
+/// events in the group.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Silence {
+    pub(crate) endpoint_ms: u64,
+    pub(crate) group_ms: Option<u64>,
+    pub(crate) pause_ms: u64,
+}
+
 /// The right to run a call at an endpoint; released when it is dropped.
 pub(crate) struct Permit {
     pub(crate) endpoint: Arc<Endpoint>,
@@ -218,9 +227,14 @@
         self.service.note_event(&self.group, pause, goal);
     }
 
-    /// How long ago the last event of any stream in the group was.
-    pub(crate) fn group_silent_for(&self) -> Option<Duration> {
-        self.service.group_silent_for(&self.group)
+    /// The silence that the call meets, for log lines.
+    pub(crate) fn silence(&self) -> Silence {
+        let group = self.service.group_progress(&self.group);
+        Silence {
+            endpoint_ms: self.silent_for().as_millis() as u64,
+            group_ms: group.silent_for.map(|time| time.as_millis() as u64),
+            pause_ms: group.pause.as_millis() as u64,
+        }
     }
 
     /// Records that the endpoint has sent something.
--- a/crates/direct/src/service/groups.rs
+++ b/crates/direct/src/service/groups.rs
@@ -57,11 +57,6 @@
         inner.groups.note_event(group, StreamEvent { pause, goal, share }, self.now());
     }
 
-    /// How long ago the last event of any stream in a group was.
-    pub(crate) fn group_silent_for(&self, group: &str) -> Option<Duration> {
-        self.inner.lock().groups.silent_for(group, self.now())
-    }
-
     /// What is known of a group's progress.
     pub(crate) fn group_progress(&self, group: &str) -> GroupProgress {
         self.inner.lock().groups.progress(group, self.now())
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -17,7 +17,7 @@
 use crate::{
     attempt::{AttemptError, ResponseHead, left},
     call::Call,
-    endpoint::Permit,
+    endpoint::{Permit, Silence},
     reply::ReplyBody,
 };
 
@@ -276,6 +276,12 @@
         }
         if let Some(permit) = &self.permit {
             permit.on_canceled(self.call.fingerprint, self.phase());
+            let Silence { endpoint_ms, group_ms, pause_ms } = permit.silence();
+            log::info!(request = self.call.head.id.as_deref(),
+                endpoint = &*permit.endpoint.record.id,
+                waited_ms = self.last_event_at.elapsed().as_millis() as u64,
+                endpoint_silent_ms = endpoint_ms, group_silent_ms = group_ms,
+                group_pause_ms = pause_ms; "stream canceled");
         }
         self.call.finished("caller went away", self.events.last());
     }
