Failing tests: calls at silent endpoints outlast their callers' patience

What callers see: a stream's call at a group that stands still has no answer until its caller leaves, and a stream that stops is kept open until then. Both fail on this code: the caller leaves after its patience of 4 s with nothing.

--- a/crates/lynxmount/tests/platform_entry.rs
+++ b/crates/lynxmount/tests/platform_entry.rs
@@ -602,3 +602,54 @@
     }
     assert_eq!(fleet.replicas[2].seen().len(), 1);
 }
+
+/// How long callers of [`patient_fleet`] wait for the next event of a stream: four times the
+/// objective.
+const CALLER_PATIENCE: Duration = Duration::from_secs(4);
+
+/// A fleet whose callers leave after [`CALLER_PATIENCE`] without an event.
+async fn patient_fleet(behaviours: &[Behaviour]) -> Fleet {
+    let fleet = Fleet::start(STREAM, behaviours).await;
+    let goal = format!(r#""GoalMs":{}"#, (CALLER_PATIENCE / 4).as_millis());
+    let text = config(2, &[KEY]).replace(r#""GoalMs":500"#, &goal);
+    let text = text.replace(r#""TimeoutMs":4000"#, r#""TimeoutMs":8000"#);
+    assert!(text.contains(&goal), "{text}");
+    fleet.store.put(OPERATOR_TOPIC, CONFIG_KEY, &text);
+    wait_for("the configuration", async || fleet.entry.logged("configuration in force").len() >= 2)
+        .await;
+    fleet
+}
+
+/// Calls as a caller that leaves after its patience; `None` if it has left.
+async fn call_patiently(fleet: &Fleet) -> Option<Told> {
+    let mut caller = CallerStandin::new(fleet.address());
+    let call = stream_call(Duration::from_secs(8));
+    tokio::time::timeout(CALLER_PATIENCE, caller.call(&call)).await.ok()
+}
+
+/// Guards against calls that wait in a group that stands still until their callers leave, and run
+/// there afterwards.
+#[tokio::test]
+async fn a_call_at_a_silent_group_is_answered_before_its_caller_leaves() {
+    let fleet = patient_fleet(&[Behaviour::Hang, Behaviour::Hang]).await;
+
+    let told = call_patiently(&fleet).await;
+
+    let Some(Told::Answer(answer)) = told else { panic!("the caller left: {told:?}") };
+    assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT);
+    assert!(answer.retry_after_s.is_some_and(|after| after > 0.0), "{answer:?}");
+    assert_eq!(fleet.arrivals(), 1);
+}
+
+/// Guards against streams that stop until their callers leave, and go on at the endpoint afterwards.
+#[tokio::test]
+async fn a_stream_that_stops_is_cut_before_its_caller_leaves() {
+    let hanging = Behaviour::StreamHang { events: 3 };
+    let fleet = patient_fleet(&[hanging.clone(), hanging]).await;
+
+    let told = call_patiently(&fleet).await;
+
+    let Some(Told::Answer(answer)) = told else { panic!("the caller left: {told:?}") };
+    assert_eq!(answer.received, events(1..=3).as_bytes());
+    assert!(!answer.is_whole);
+}
