Answer calls at silent endpoints before their callers leave

Cause: nobody bounded a call's wait by its caller's patience. The entry waited until the call's deadline unless it could show a stall by a neighbour that made progress, which a slow or blocked group does not. A cancellation does not reach a frozen machine before its engine begins what it has read, so whatever is done after the caller has left is too late.

Change: routes carry the pause after which callers leave, which the adapter knows. A call that has met silence for 0.9 of it, or until as long before its deadline, is answered: 504 with a time to come back before its first event, a cut stream after it.

Ruled out: refusing new calls alone (the runs that go on were sent before the freeze).

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -75,6 +75,10 @@
     /// The longest pause between two events that still meets the objective.
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     pub gap_goal: Option<Duration>,
+    /// The longest pause between events, and before the first one, that callers wait for; `None`
+    /// if they wait until their deadline.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    pub patience: Option<Duration>,
     /// The priority; 0 goes first.
     pub priority: u8,
     /// Where calls go.
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -33,6 +33,8 @@
     /// Whether another attempt may follow this one. Silence is no reason to end one
     /// that none may follow.
     pub(crate) may_follow: bool,
+    /// When the caller is answered if its endpoint is silent until then.
+    pub(crate) overdue_at: Option<Instant>,
 }
 
 /// The head of an answer, with the connection that the body comes on.
@@ -76,6 +78,8 @@
     HeldBack,
     /// Another endpoint has the address.
     OtherEndpoint,
+    /// It was sent, and its endpoint was silent until the caller had to be answered.
+    Overdue,
     /// Nothing was sent, as its endpoint has asked for a pause since it was chosen.
     Paused,
     /// It was sent, and its endpoint or group stalled.
@@ -107,10 +111,9 @@
         return Err(AttemptError::Paused);
     }
     let request = request(dialect, outgoing, &forward);
-    let may_reroute = outgoing.is_stream && outgoing.may_repeat && outgoing.may_follow;
     let sent_at = Instant::now();
     let mut pending = PendingHead { permit: &permit, outgoing, sent_at, is_over: false };
-    let answered = response_head(&permit, &mut connection, request, may_reroute, until).await;
+    let answered = response_head(&permit, &mut connection, request, outgoing, until).await;
     pending.is_over = true;
     drop(pending);
     let response = match answered {
@@ -129,6 +132,13 @@
             permit.note_end(CallEnd::Unreachable);
             return Err(AttemptError::Stalled);
         }
+        Err(NoHead::Overdue) => {
+            log::info!(request = outgoing.id, endpoint = &*permit.endpoint.record.id,
+                waited_ms = sent_at.elapsed().as_millis() as u64; "attempt overdue");
+            permit.on_canceled(outgoing.call, outgoing.pending_phase());
+            permit.on_overdue();
+            return Err(AttemptError::Overdue);
+        }
         Err(NoHead::TimedOut) => {
             permit.on_canceled(outgoing.call, outgoing.pending_phase());
             permit.note_end(CallEnd::Unreachable);
@@ -172,30 +182,37 @@
 /// Why there is no response head.
 enum NoHead {
     Broken(hyper::Error),
+    Overdue,
     Stalled(Stall),
     TimedOut,
 }
 
 /// Waits for the response head. A stream's comes with its first event.
 ///
-/// Fails if the connection breaks, the time is up, or a call that may be rerouted meets a stall.
+/// Fails if the connection breaks, the time is up, the caller has to be answered, or a call that may
+/// be rerouted meets a stall.
 async fn response_head(
     permit: &Permit,
     connection: &mut Connection,
     request: Request<Full<Bytes>>,
-    may_reroute: bool,
+    outgoing: &Outgoing<'_>,
     until: Instant,
 ) -> Result<Response<Incoming>, NoHead> {
+    let may_reroute = outgoing.is_stream && outgoing.may_repeat && outgoing.may_follow;
+    let overdue_at = outgoing.overdue_at.unwrap_or(until);
     let sent_at = Instant::now();
     let mut sending = std::pin::pin!(connection.send(request));
     loop {
-        let limit = left(until).min(SILENCE_CHECK);
+        let limit = left(until.min(overdue_at)).min(SILENCE_CHECK);
         if let Ok(answered) = tokio::time::timeout(limit, &mut sending).await {
             return answered.map_err(NoHead::Broken);
         }
         if left(until).is_zero() {
             return Err(NoHead::TimedOut);
         }
+        if left(overdue_at).is_zero() {
+            return Err(NoHead::Overdue);
+        }
         // A queued call of a live endpoint waits in silence, too.
         let silence = sent_at.elapsed().min(permit.silent_for());
         if may_reroute && let Some(stall) = permit.stall(silence) {
--- a/crates/direct/src/attempt_history.rs
+++ b/crates/direct/src/attempt_history.rs
@@ -18,6 +18,7 @@
             ended,
             AttemptError::HeldBack
                 | AttemptError::Lost
+                | AttemptError::Overdue
                 | AttemptError::Stalled
                 | AttemptError::TimedOut
         );
@@ -35,6 +36,7 @@
         AttemptError::Lost => "attempts.lost",
         AttemptError::NotRun => "attempts.not_run",
         AttemptError::OtherEndpoint => "attempts.other_endpoint",
+        AttemptError::Overdue => "attempts.overdue",
         AttemptError::Paused => "attempts.paused",
         AttemptError::Stalled => "attempts.stalled",
         AttemptError::TimedOut => "attempts.timed_out",
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -14,7 +14,7 @@
     CallFingerprint, CallKind, Clock, EndpointId, Mechanism, Mechanisms, RouteId, TeamId,
     edge::{CallHead, Dialect, Forward},
 };
-use lynxmount_policy::{Waiter, return_time};
+use lynxmount_policy::{Patience, Waiter, return_time};
 use lynxmount_suspects::Suspects;
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
@@ -70,6 +70,7 @@
     pub(crate) goal: Duration,
     /// The longest pause between events that is on time.
     pub(crate) gap_goal: Option<Duration>,
+    pub(crate) patience: Option<Patience>,
     pub(crate) team: Option<TeamId>,
     pub(crate) priority: u8,
     pub(crate) attempts: AtomicU32,
@@ -102,7 +103,7 @@
             }
             history.record(ended);
             if !self.may_retry(&history, ended) {
-                let refusal = self.give_up(history.may_have_run);
+                let refusal = self.give_up(&history, ended);
                 return self.settle(history, refusal);
             }
             self.metrics.count("attempts.retried");
@@ -115,7 +116,7 @@
         let may_send = !history.may_have_run || self.kind.may_repeat();
         match ended {
             _ if left(self.deadline).is_zero() || !may_send => false,
-            AttemptError::HeldBack => false,
+            AttemptError::HeldBack | AttemptError::Overdue => false,
             AttemptError::Paused | AttemptError::Unreachable => {
                 history.unreachable <= MAX_UNREACHABLE
             }
@@ -178,14 +179,22 @@
         return_after(&self.service.mechanisms, left(self.deadline))
     }
 
-    fn give_up(&self, may_have_run: bool) -> Refusal {
-        match may_have_run {
-            true if left(self.deadline).is_zero() => Refusal::TimedOut,
-            true => Refusal::MayHaveRun,
-            false => Refusal::NotRun { retry_after: self.return_after() },
+    fn give_up(&self, history: &AttemptHistory, ended: AttemptError) -> Refusal {
+        let retry_after = self.return_after();
+        match ended {
+            AttemptError::Overdue => Refusal::Overdue { retry_after },
+            _ if !history.may_have_run => Refusal::NotRun { retry_after },
+            _ if left(self.deadline).is_zero() => Refusal::TimedOut,
+            _ => Refusal::MayHaveRun,
         }
     }
 
+    /// How much longer the caller waits that was last sent something at a moment, less what its
+    /// answer takes; `None` if it waits until its deadline.
+    pub(crate) fn remaining_patience(&self, sent_at: Instant) -> Option<Duration> {
+        Some(self.patience?.remaining(sent_at.elapsed(), left(self.deadline)))
+    }
+
     /// Makes an attempt. A call that is held back meanwhile is taken back from the endpoint
     /// before it begins there: copies wait in a group that stands still, and each would stop it
     /// again.
@@ -199,7 +208,7 @@
     }
 
     async fn attempt_at(self: &Arc<Call<D>>, permit: Permit) -> AttemptResult {
-        let opened = match self.open(permit, self.head.last_event).await {
+        let opened = match self.open(permit, self.head.last_event, self.arrived).await {
             Ok(opened) => opened,
             Err(ended) => return AttemptResult::Error(ended),
         };
@@ -230,11 +239,13 @@
         self.whole_response(answer)
     }
 
-    /// Sends the call to an endpoint, after the last event that the caller has.
+    /// Sends the call to an endpoint, after the last event that the caller has, which waits since
+    /// then.
     async fn open(
         &self,
         permit: Permit,
         last_event: Option<u64>,
+        waiting_since: Instant,
     ) -> Result<ResponseHead, AttemptError> {
         let endpoint = EndpointId::clone(&permit.endpoint.record.id);
         log::info!(request = self.head.id.as_deref(), call:% = self.fingerprint,
@@ -251,6 +262,7 @@
             may_repeat: self.kind.may_repeat(),
             is_stream: self.kind.is_stream(),
             may_follow: self.may_follow(),
+            overdue_at: self.remaining_patience(waiting_since).map(|left| Instant::now() + left),
         };
         let forward = Forward {
             endpoint: &endpoint,
@@ -287,7 +299,12 @@
     }
 
     /// Sends a broken stream's call to another endpoint.
-    pub(crate) async fn resume(&self, last_event: Option<u64>, why: &str) -> Option<ResponseHead> {
+    pub(crate) async fn resume(
+        &self,
+        last_event: Option<u64>,
+        waiting_since: Instant,
+        why: &str,
+    ) -> Option<ResponseHead> {
         self.wait_for_verdict().await;
         let is_held_back = self.suspects.held_back_for(&self.fingerprint).is_some();
         let is_allowed = !is_held_back && self.service.take_repeat();
@@ -297,14 +314,18 @@
             return None;
         }
         tokio::select! {
-            resumed = self.resume_elsewhere(last_event) => resumed,
+            resumed = self.resume_elsewhere(last_event, waiting_since) => resumed,
             _ = self.suspects.until_held_back(&self.fingerprint) => None,
         }
     }
 
-    async fn resume_elsewhere(&self, last_event: Option<u64>) -> Option<ResponseHead> {
+    async fn resume_elsewhere(
+        &self,
+        last_event: Option<u64>,
+        waiting_since: Instant,
+    ) -> Option<ResponseHead> {
         let permit = self.place(self.goal.mul_f64(WAIT_PART)).await.ok()?;
-        let opened = self.open(permit, last_event).await.ok()?;
+        let opened = self.open(permit, last_event, waiting_since).await.ok()?;
         if !opened.status.is_success() {
             return None;
         }
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -254,6 +254,14 @@
         Stall::detect(silence, self.service.group_progress(&self.group), is_better_elsewhere)
     }
 
+    /// Records that the endpoint was silent until the call's caller had to be answered. In a group
+    /// that stands still as a whole that is not the endpoint's failure.
+    pub(crate) fn on_overdue(&self) {
+        if self.service.group_progress(&self.group).is_live() {
+            self.note_end(CallEnd::Unreachable);
+        }
+    }
+
     /// Takes that the endpoint has refused because it runs nothing. One that rests says nothing
     /// of its group.
     pub(crate) fn note_refusal(&self) {
--- a/crates/direct/src/handler.rs
+++ b/crates/direct/src/handler.rs
@@ -12,6 +12,7 @@
     CallContent, CallFingerprint, Clock, Mechanisms, RouteId,
     edge::{CallHead, Dialect},
 };
+use lynxmount_policy::Patience;
 use lynxmount_suspects::Suspects;
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
@@ -127,6 +128,7 @@
             max_attempts: route.max_attempts,
             goal: route.goal,
             gap_goal: route.gap_goal,
+            patience: route.patience.map(Patience::new),
             team,
             priority,
             attempts: AtomicU32::new(0),
--- a/crates/direct/src/reply.rs
+++ b/crates/direct/src/reply.rs
@@ -25,6 +25,8 @@
     NoRoute,
     /// It has not run and never will.
     NotRun { retry_after: Duration },
+    /// It was sent, and its endpoint was silent until its caller would have left; it may have run.
+    Overdue { retry_after: Duration },
     /// The time is up; it may have run.
     TimedOut,
     /// No team has the key.
@@ -39,16 +41,16 @@
             Refusal::MayHaveRun => StatusCode::BAD_GATEWAY,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::HeldBack { .. } | Refusal::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
-            Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Refusal::Overdue { .. } | Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
         }
     }
 
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Refusal::HeldBack { retry_after } | Refusal::NotRun { retry_after } => {
-                Some(retry_after)
-            }
+            Refusal::HeldBack { retry_after }
+            | Refusal::NotRun { retry_after }
+            | Refusal::Overdue { retry_after } => Some(retry_after),
             _ => None,
         }
     }
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -35,6 +35,8 @@
     body: Incoming,
     events: NumberedEvents,
     last_event_at: Instant,
+    /// When the caller was last sent events, or its call arrived.
+    sent_at: Instant,
     /// Whether this run has had events, so that the pause before the next counts.
     has_events: bool,
     is_over: bool,
@@ -45,6 +47,7 @@
     Broken(Broken),
     End,
     Events(Bytes),
+    Overdue,
     TimedOut,
 }
 
@@ -72,6 +75,7 @@
 impl<D: Dialect> StreamRelay<D> {
     pub(crate) fn new(call: Arc<Call<D>>, opened: ResponseHead) -> StreamRelay<D> {
         let events = NumberedEvents::after(call.head.last_event);
+        let sent_at = call.arrived;
         StreamRelay {
             call,
             permit: Some(opened.permit),
@@ -80,6 +84,7 @@
             body: opened.body,
             events,
             last_event_at: Instant::now(),
+            sent_at,
             has_events: false,
             is_over: false,
         }
@@ -98,6 +103,10 @@
                 self.note_started();
                 Ok(events)
             }
+            Next::Overdue => {
+                self.on_overdue();
+                Err(AttemptError::Overdue)
+            }
             Next::TimedOut => {
                 self.note_end(CallEnd::Unreachable);
                 Err(AttemptError::TimedOut)
@@ -139,6 +148,11 @@
                     self.keep_connection();
                     return None;
                 }
+                Next::Overdue => {
+                    self.on_overdue();
+                    self.finish("overdue in mid-stream");
+                    return Some(Err(broken("the endpoint is silent")));
+                }
                 Next::TimedOut => {
                     self.finish("timed out in mid-stream");
                     return Some(Err(broken("the time is up")));
@@ -186,6 +200,13 @@
         }
     }
 
+    fn on_overdue(&self) {
+        if let Some(permit) = &self.permit {
+            permit.on_canceled(self.call.fingerprint, self.phase());
+            permit.on_overdue();
+        }
+    }
+
     fn phase(&self) -> CallPhase {
         match self.has_events {
             true => CallPhase::Running,
@@ -201,7 +222,9 @@
 
     async fn read(&mut self) -> Next {
         loop {
+            let patience = self.call.remaining_patience(self.sent_at);
             let limit = left(self.call.deadline).min(SILENCE_CHECK);
+            let limit = patience.map_or(limit, |patience| limit.min(patience));
             match tokio::time::timeout(limit, self.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
@@ -218,6 +241,9 @@
                 Ok(None) if self.events.ends_early() => return Next::Broken(Broken::CutEvent),
                 Ok(None) => return Next::End,
                 Err(_) if left(self.call.deadline).is_zero() => return Next::TimedOut,
+                Err(_) if patience.is_some_and(|patience| patience <= limit) => {
+                    return Next::Overdue;
+                }
                 Err(_) => {
                     if let Some(stall) = self.stall() {
                         return Next::Broken(Broken::Stall(stall));
@@ -233,6 +259,7 @@
             permit.note_event(pause, self.call.gap_goal);
         }
         self.last_event_at = Instant::now();
+        self.sent_at = self.last_event_at;
         self.has_events = true;
     }
 
@@ -257,7 +284,7 @@
         self.connection = None;
         self.permit = None;
         self.events.restart();
-        let resumed = self.call.resume(self.events.last(), why).await;
+        let resumed = self.call.resume(self.events.last(), self.sent_at, why).await;
         let Some(opened) = resumed else { return false };
         self.permit = Some(opened.permit);
         self.connection = Some(opened.connection);
--- /dev/null
+++ b/crates/policy/src/patience.rs
@@ -0,0 +1,34 @@
+//! Bounds how long a call waits at a silent endpoint: its caller is answered before it leaves.
+//!
+//! A caller that has left can't be answered, and a frozen endpoint begins what it has read before
+//! it sees the cancellation.
+
+use std::time::Duration;
+
+/// Fraction of a caller's patience that is kept for the answer to reach it.
+const ANSWER_FRACTION: f64 = 0.1;
+
+/// Silence after which an endpoint is not expected to finish a call before its deadline.
+const SILENT_AFTER: Duration = Duration::from_millis(250);
+
+/// How long callers of a stream wait for its next event.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Patience {
+    pause: Duration,
+}
+
+impl Patience {
+    /// The patience of callers that leave after a pause of this length, also before the first
+    /// event.
+    pub fn new(pause: Duration) -> Patience {
+        Patience { pause }
+    }
+
+    /// How much longer a call may wait that has met silence for a time, before it is answered.
+    pub fn remaining(self, silence: Duration, time_left: Duration) -> Duration {
+        let margin = self.pause.mul_f64(ANSWER_FRACTION);
+        let leaves_in = self.pause.saturating_sub(silence).min(time_left);
+        let until_silent = SILENT_AFTER.saturating_sub(silence);
+        leaves_in.saturating_sub(margin).max(until_silent)
+    }
+}
--- a/crates/policy/src/stall.rs
+++ b/crates/policy/src/stall.rs
@@ -35,7 +35,8 @@
 }
 
 impl GroupProgress {
-    fn is_live(&self) -> bool {
+    /// Says whether an event shows that the group makes progress.
+    pub fn is_live(&self) -> bool {
         self.silent_for.is_some_and(|age| age <= PROGRESS_LIFE)
     }
 }
