Suspect frozen endpoints of slow groups while callers still wait

Cause: an event counted as progress of the group for 0.25 s only, whatever its passes take, and an endpoint was suspected after four passes, which in a slow group is longer than callers wait.

Change: progress counts for one and a half mean pauses; an endpoint is suspected after 1.2 s at the latest, if its group has completed a pass without it. The tests of slow groups failed before.

--- a/crates/policy/src/stall.rs
+++ b/crates/policy/src/stall.rs
@@ -12,6 +12,10 @@
 /// Passes of its group that an endpoint must have missed to be suspected.
 const SUSPECT_PASSES: u32 = 4;
 
+/// Silence after which an endpoint is suspected however slow its group is: callers wait for
+/// little longer.
+const MAX_SUSPECT_AFTER: Duration = Duration::from_millis(1200);
+
 /// Least silence after which calls are rerouted from an endpoint.
 const REROUTE_AFTER: Duration = Duration::from_millis(900);
 
@@ -22,9 +26,12 @@
 /// of a map switch, which end by themselves.
 const GROUP_REROUTE_AFTER: Duration = Duration::from_millis(1200);
 
-/// Age up to which an event shows that a group makes progress.
+/// Least age up to which an event shows that a group makes progress.
 const PROGRESS_LIFE: Duration = Duration::from_millis(250);
 
+/// The same in mean pauses between events, in a slow group.
+const PROGRESS_LIFE_PAUSES: f64 = 1.5;
+
 /// What is known of the progress of a group.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct GroupProgress {
@@ -37,7 +44,13 @@
 impl GroupProgress {
     /// Says whether an event shows that the group makes progress.
     pub fn is_live(&self) -> bool {
-        self.silent_for.is_some_and(|age| age <= PROGRESS_LIFE)
+        let life = PROGRESS_LIFE.max(self.pause.mul_f64(PROGRESS_LIFE_PAUSES));
+        self.silent_for.is_some_and(|age| age <= life)
+    }
+
+    /// Says whether the group has completed a pass since an endpoint was heard.
+    fn is_ahead_of(&self, silence: Duration) -> bool {
+        self.silent_for.is_some_and(|age| silence >= age + self.pause)
     }
 }
 
@@ -96,7 +109,8 @@
 
     /// Says whether the endpoint seems to have stalled while its group makes progress.
     pub fn is_suspect(&self, group: GroupProgress, now: Duration) -> bool {
-        let suspect_after = SUSPECT_AFTER.max(group.pause * SUSPECT_PASSES);
-        group.is_live() && self.silent_for(now) >= suspect_after
+        let suspect_after = SUSPECT_AFTER.max(group.pause * SUSPECT_PASSES).min(MAX_SUSPECT_AFTER);
+        let silence = self.silent_for(now);
+        group.is_live() && group.is_ahead_of(silence) && silence >= suspect_after
     }
 }
--- a/crates/policy/tests/stall.rs
+++ b/crates/policy/tests/stall.rs
@@ -78,3 +78,25 @@
     assert_eq!(after_event, ms(100));
     assert_eq!(liveness.silent_for(ms(9000)), Duration::ZERO);
 }
+
+/// Guards against calls that are sent to a frozen endpoint for as long as its group is slow.
+#[test]
+fn an_endpoint_of_a_group_with_long_passes_is_suspected_while_callers_wait() {
+    let mut liveness = Liveness::default();
+    liveness.on_sent(ms(0));
+
+    for age in [60, 400, 700] {
+        assert!(!liveness.is_suspect(progress(age, 700), ms(1199)));
+    }
+    assert!(liveness.is_suspect(progress(60, 700), ms(1200)));
+    assert!(liveness.is_suspect(progress(400, 700), ms(1200)));
+}
+
+#[test]
+fn an_endpoint_is_not_suspected_for_a_pass_that_its_whole_group_has_not_completed() {
+    let mut liveness = Liveness::default();
+    liveness.on_sent(ms(0));
+
+    assert!(!liveness.is_suspect(progress(900, 700), ms(1500)));
+    assert!(!liveness.is_suspect(progress(1200, 700), ms(1500)));
+}
