Measure endpoints by the time for which their group makes progress

What callers saw: as a group goes on after a standstill, entries ejected a dozen healthy endpoints within 0.1 s, and rerouted their calls.

Cause: the first event after the standstill made the group a reference again, and the other endpoints' silence was counted from before the standstill.

Change: silence counts from when the group's events began to follow each other again. The test failed before (a silence of 4.3 s was held against an endpoint 0.3 s after the group had gone on).

--- a/crates/policy/src/group_watch.rs
+++ b/crates/policy/src/group_watch.rs
@@ -191,6 +191,7 @@
         GroupProgress {
             silent_for: pace.silent_for(now),
             pause: pace.mean(now).unwrap_or_default(),
+            live_for: pace.live_for(now),
         }
     }
 
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use crate::stall::progress_life;
+
 /// The time over which pauses are averaged: one or two passes.
 const SPAN: Duration = Duration::from_millis(150);
 
@@ -56,11 +58,17 @@
     mean: Option<Measured>,
     told: Option<Measured>,
     last_event_at: Option<Duration>,
+    /// When events began that follow each other without a standstill.
+    live_since: Duration,
 }
 
 impl Pace {
     /// Takes an event of a stream, and the pause before it if it was not the first.
     pub fn note_event(&mut self, pause: Option<Duration>, now: Duration) {
+        let life = progress_life(self.mean(now).unwrap_or_default());
+        if self.silent_for(now).is_none_or(|age| age > life) {
+            self.live_since = now;
+        }
         self.last_event_at = Some(now);
         let Some(pause) = pause else { return };
         self.sum += pause;
@@ -81,6 +89,11 @@
         self.last_event_at.map(|at| now.saturating_sub(at))
     }
 
+    /// For how long events have followed each other without a standstill.
+    pub fn live_for(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.live_since)
+    }
+
     /// The mean pause of late, by the own streams or as told; `None` if neither is fresh.
     pub fn mean(&self, now: Duration) -> Option<Duration> {
         Measured::fresh(self.mean, now).or(Measured::fresh(self.told, now))
--- a/crates/policy/src/stall.rs
+++ b/crates/policy/src/stall.rs
@@ -39,13 +39,14 @@
     pub silent_for: Option<Duration>,
     /// The mean pause between events of late; zero if it is not known.
     pub pause: Duration,
+    /// For how long the group has made progress without a standstill.
+    pub live_for: Duration,
 }
 
 impl GroupProgress {
     /// Says whether an event shows that the group makes progress.
     pub fn is_live(&self) -> bool {
-        let life = PROGRESS_LIFE.max(self.pause.mul_f64(PROGRESS_LIFE_PAUSES));
-        self.silent_for.is_some_and(|age| age <= life)
+        self.silent_for.is_some_and(|age| age <= progress_life(self.pause))
     }
 
     /// Says whether the group has completed a pass since an endpoint was heard.
@@ -54,6 +55,11 @@
     }
 }
 
+/// The age up to which an event shows that a group makes progress, by the mean pause between events.
+pub(crate) fn progress_life(pause: Duration) -> Duration {
+    PROGRESS_LIFE.max(pause.mul_f64(PROGRESS_LIFE_PAUSES))
+}
+
 /// What has stalled.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Stall {
@@ -65,7 +71,7 @@
 
 impl Stall {
     /// Says what has stalled under a call that has met silence for so long, if it should be
-    /// rerouted.
+    /// rerouted. An endpoint is measured by the time for which its group has made progress.
     pub fn detect(
         silence: Duration,
         group: GroupProgress,
@@ -73,7 +79,7 @@
     ) -> Option<Stall> {
         let reroute_after = REROUTE_AFTER.max(group.pause * REROUTE_PASSES);
         match group.is_live() {
-            true if silence >= reroute_after => Some(Stall::Endpoint),
+            true if silence.min(group.live_for) >= reroute_after => Some(Stall::Endpoint),
             false if silence >= GROUP_REROUTE_AFTER && is_better_elsewhere => Some(Stall::Group),
             _ => None,
         }
@@ -110,7 +116,7 @@
     /// Says whether the endpoint seems to have stalled while its group makes progress.
     pub fn is_suspect(&self, group: GroupProgress, now: Duration) -> bool {
         let suspect_after = SUSPECT_AFTER.max(group.pause * SUSPECT_PASSES).min(MAX_SUSPECT_AFTER);
-        let silence = self.silent_for(now);
+        let silence = self.silent_for(now).min(group.live_for);
         group.is_live() && group.is_ahead_of(silence) && silence >= suspect_after
     }
 }
--- a/crates/policy/tests/stall.rs
+++ b/crates/policy/tests/stall.rs
@@ -12,6 +12,7 @@
     GroupProgress {
         silent_for: Some(Duration::from_millis(silent_for_ms)),
         pause: Duration::from_millis(pause_ms),
+        live_for: Duration::MAX,
     }
 }
 
@@ -100,3 +101,17 @@
     assert!(!liveness.is_suspect(progress(900, 700), ms(1500)));
     assert!(!liveness.is_suspect(progress(1200, 700), ms(1500)));
 }
+
+/// Guards against ejections of healthy endpoints as their group goes on after a standstill.
+#[test]
+fn an_endpoint_is_not_blamed_for_a_standstill_of_its_group() {
+    let mut liveness = Liveness::default();
+    liveness.on_sent(ms(0));
+    let resumed = GroupProgress { live_for: ms(300), ..PROGRESS };
+    let steady = GroupProgress { live_for: ms(900), ..PROGRESS };
+
+    assert!(!liveness.is_suspect(resumed, ms(4300)));
+    assert_eq!(Stall::detect(ms(4300), resumed, false), None);
+    assert!(liveness.is_suspect(steady, ms(4900)));
+    assert_eq!(Stall::detect(ms(4900), steady, false), Some(Stall::Endpoint));
+}
