Tell entries that a group is blocked, and send nothing there

Cause: a held group was told to be open. The process that balances knew of the standstill and had no word for it, and an entry took a group that was silent under all its calls for one that works.

Change: a group's state is serving, blocked or down. The process that balances, or the one that takes over, tells that it is blocked once it works or is held and has begun no pass for 0.5 s, or four passes. Without such news an entry finds a group blocked that is silent under all its calls for 0.7 s, or four mean pauses, and sends it one call at a time. Calls to a blocked group are refused at once, as they have not run; a first event or news that it serves ends that. The pauses of a standstill say nothing of load.

Ruled out: letting new calls wait for a slot's time.

The tests of blocked groups fail without the change, as there was no such state.

--- a/crates/balance/src/pass_time.rs
+++ b/crates/balance/src/pass_time.rs
@@ -56,6 +56,16 @@
         self.from = Some(seen);
     }
 
+    /// The time between the newest passes; `None` before any was seen.
+    pub fn newest(&self) -> Option<Duration> {
+        self.newest
+    }
+
+    /// For how long a group that works has begun no pass.
+    pub fn stalled_for(&self, now: Duration) -> Duration {
+        self.latest.map_or(Duration::ZERO, |latest| now.saturating_sub(latest.at))
+    }
+
     /// The time between the newest passes, or since the last one if that is longer;
     /// `None` while the group is idle.
     pub fn current(&self, now: Duration) -> Option<Duration> {
--- a/crates/core/src/experts.rs
+++ b/crates/core/src/experts.rs
@@ -13,6 +13,17 @@
 /// The experts of each set and rank.
 pub type GroupMap = Vec<Vec<Vec<usize>>>;
 
+/// What a group does with calls.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum GroupState {
+    /// It has calls and completes no pass, or its next pass is held.
+    Blocked,
+    /// It has lost a rank, or forms, and refuses calls.
+    Down,
+    /// It takes calls.
+    Serving,
+}
+
 /// Which rank of which group an engine is.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Membership {
--- a/crates/direct/src/service/groups.rs
+++ b/crates/direct/src/service/groups.rs
@@ -2,11 +2,14 @@
 
 use std::{sync::Arc, time::Duration};
 
-use lynxmount_core::Mechanism;
+use lynxmount_core::{Mechanism, experts::GroupState};
 use lynxmount_link::{GroupMembersNotice, GroupNotice, MembersFingerprint};
-use lynxmount_policy::{GroupChange, GroupProgress, StreamEvent};
+use lynxmount_policy::{GroupProgress, StreamEvent};
 
-use super::{Service, inner::Members};
+use super::{
+    Service,
+    inner::{Inner, Members},
+};
 use crate::endpoint::Endpoint;
 
 impl Service {
@@ -38,23 +41,45 @@
         }
         let now = self.now();
         inner.groups.note_pass(&group, notice.pass, now);
-        let change = inner.groups.note_told(&group, notice.is_open, now);
-        if let Some(change) = change {
-            log::info!(group = &*group, change:? = change; "group state received");
+        if !inner.groups.note_told(&group, notice.state, now) {
+            return;
         }
-        if change == Some(GroupChange::Opened) {
+        log::info!(group = &*group, state:? = notice.state; "group state received");
+        if notice.state == GroupState::Serving {
             inner.queue.resume(now);
             drop(inner);
             self.wake();
         }
     }
 
+    /// Looks for groups that stand still.
+    pub(super) fn detect_blocked(self: &Arc<Service>, inner: &mut Inner, now: Duration) {
+        if !self.mechanisms.has(Mechanism::OutageWatch) {
+            return;
+        }
+        for group in inner.groups.detect_blocked(now) {
+            log::info!(group; "group blocked");
+            self.metrics.count("groups.blocked");
+        }
+    }
+
     /// Takes an event of a stream in a group, how long after the one before, and the
     /// longest pause that is on time.
-    pub(crate) fn note_event(&self, group: &str, pause: Option<Duration>, goal: Option<Duration>) {
+    pub(crate) fn note_event(
+        self: &Arc<Service>,
+        group: &str,
+        pause: Option<Duration>,
+        goal: Option<Duration>,
+    ) {
         let mut inner = self.inner.lock();
         let share = inner.group_share(group).unwrap_or(f64::INFINITY);
-        inner.groups.note_event(group, StreamEvent { pause, goal, share }, self.now());
+        let now = self.now();
+        if inner.groups.note_event(group, StreamEvent { pause, goal, share }, now) {
+            inner.queue.resume(now);
+            drop(inner);
+            log::info!(group; "group resumed");
+            self.wake();
+        }
     }
 
     /// What is known of a group's progress.
--- a/crates/direct/src/service/inner.rs
+++ b/crates/direct/src/service/inner.rs
@@ -196,7 +196,7 @@
 
     /// Lets a call wait for a group to open, all of which are closed: it is late in
     /// any case, and sent away it would spend its last try on coming back. As many
-    /// wait as can start at once then.
+    /// wait as can start at once then. Nobody waits for a blocked group.
     ///
     /// Fails at once if no group is expected to open in time for the call.
     pub(super) fn hold(&mut self, want: Want<'_>, now: Duration) -> Result<Offered, Unavailable> {
--- a/crates/direct/src/service/mod.rs
+++ b/crates/direct/src/service/mod.rs
@@ -174,6 +174,7 @@
     fn offer(self: &Arc<Service>, want: Want<'_>) -> Result<Offered, Unavailable> {
         let now = self.now();
         let mut inner = self.inner.lock();
+        self.detect_blocked(&mut inner, now);
         let (placement, resumes_at) = inner.choose(want.tried, now);
         let free = match placement {
             Placement::Nowhere => return Err(Unavailable::Nowhere),
--- a/crates/link/src/group_notice.rs
+++ b/crates/link/src/group_notice.rs
@@ -10,7 +10,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use lynxmount_core::{Result, Step, invalid};
+use lynxmount_core::{Result, Step, experts::GroupState, invalid};
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMicroSeconds, serde_as};
 use xxhash_rust::xxh3::xxh3_64;
@@ -47,8 +47,8 @@
 pub struct GroupNotice {
     /// The group's name.
     pub group: String,
-    /// Whether it takes work.
-    pub is_open: bool,
+    /// What it does with calls.
+    pub state: GroupState,
     /// The time between its passes lately; `None` while it is idle.
     #[serde_as(as = "Option<DurationMicroSeconds<u64>>")]
     pub pass: Option<Duration>,
--- a/crates/lynxmount/tests/platform_endpoint.rs
+++ b/crates/lynxmount/tests/platform_endpoint.rs
@@ -4,6 +4,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use lynxmount_core::experts::GroupState;
+use lynxmount_link::{GROUP_PORT_OFFSET, GroupMessage};
 use lynxmount_platform_standin::{
     GroupStandin, StoreStandin,
     fixture::{
@@ -13,6 +15,7 @@
 };
 use nix::sys::signal::Signal;
 use platform_common::{INTERNAL_PORT, Process, STORE_PORT, ip, network, wait_for};
+use tokio::net::UdpSocket;
 
 const RANKS: u8 = 4;
 const EXPERTS: usize = 8;
@@ -300,3 +303,53 @@
     wait_for("replicas", async || replicas_in(&world.groups[0], 6) >= 3).await;
     assert_no_split(&world.groups);
 }
+
+/// Asks the processes beside a group's engines for its state until one tells this one.
+async fn wait_for_state(world: &GroupsWorld, entry: &UdpSocket, state: GroupState) {
+    wait_for("the group's state", async || {
+        let ask = GroupMessage::Ask { members: 0 }.encode().expect("a datagram");
+        for rank in 0..RANKS {
+            let process = (world.engine(rank).ip(), INTERNAL_PORT + GROUP_PORT_OFFSET);
+            entry.send_to(&ask, process).await.expect("the question is sent");
+        }
+        let mut received = [0; 2048];
+        let receiving = entry.recv_from(&mut received);
+        let Ok(Ok((length, peer))) = tokio::time::timeout(PASS * 20, receiving).await else {
+            return false;
+        };
+        match GroupMessage::decode(peer, &received[..length]) {
+            Ok(GroupMessage::Notice(notice)) => notice.state == state,
+            _ => false,
+        }
+    })
+    .await;
+}
+
+/// Guards against groups that stand still and are told to be open.
+#[tokio::test]
+async fn entries_are_told_when_a_group_stands_still_and_when_it_goes_on() {
+    let world = start_groups(&["group"]).await;
+    let entry = UdpSocket::bind((ip(world.network, 200), 0)).await.expect("a socket");
+    wait_for_state(&world, &entry, GroupState::Serving).await;
+
+    world.groups[0].set_stalled(true);
+    wait_for_state(&world, &entry, GroupState::Blocked).await;
+    world.groups[0].set_stalled(false);
+
+    wait_for_state(&world, &entry, GroupState::Serving).await;
+}
+
+/// Guards against a standstill that nobody tells as the process that balances is part of it.
+#[tokio::test]
+async fn another_process_tells_that_a_group_stands_still_when_the_first_is_paused() {
+    let world = start_groups(&["group"]).await;
+    let entry = UdpSocket::bind((ip(world.network, 200), 0)).await.expect("a socket");
+    wait_for_state(&world, &entry, GroupState::Serving).await;
+    wait_for("one process to balance", async || leaders(&world.processes) == 1).await;
+
+    world.processes[0].signal(Signal::SIGSTOP);
+    world.groups[0].set_stalled(true);
+
+    wait_for_state(&world, &entry, GroupState::Blocked).await;
+    world.processes[0].signal(Signal::SIGCONT);
+}
--- a/crates/lynxmount/tests/platform_entry.rs
+++ b/crates/lynxmount/tests/platform_entry.rs
@@ -4,14 +4,12 @@
 
 use std::{
     net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
 use http::{Method, StatusCode};
+use lynxmount_core::experts::GroupState;
 use lynxmount_link::{GROUP_PORT_OFFSET, GroupMembersNotice, GroupMessage, GroupNotice};
 use lynxmount_platform_standin::{
     Behaviour, Call, CallerStandin, StoreMode, StoreStandin, Told,
@@ -409,19 +407,16 @@
 }
 
 /// Tells an entry the state of the group of a fleet's replicas, again and again.
-fn tell_group(fleet: &Fleet, is_open: &Arc<AtomicBool>) -> JoinHandle<()> {
-    let (network, is_open) = (fleet.network, Arc::clone(is_open));
+fn tell_group(fleet: &Fleet, state: &Arc<Mutex<GroupState>>) -> JoinHandle<()> {
+    let (network, state) = (fleet.network, Arc::clone(state));
     let engines = fleet.replicas.iter().map(|replica| replica.address).collect::<Vec<_>>();
     let entry = SocketAddr::new(entry_ip(network, 0), INTERNAL_PORT + GROUP_PORT_OFFSET);
     tokio::spawn(async move {
         let socket = UdpSocket::bind((ip(network, 200), 0)).await.expect("a socket");
         loop {
             let members = GroupMembersNotice { group: "g".to_owned(), engines: engines.clone() };
-            let notice = GroupNotice {
-                group: "g".to_owned(),
-                is_open: is_open.load(Ordering::Relaxed),
-                pass: None,
-            };
+            let state = *state.lock().expect("the state is not poisoned");
+            let notice = GroupNotice { group: "g".to_owned(), state, pass: None };
             for message in [GroupMessage::Members(members), GroupMessage::Notice(notice)] {
                 let datagram = message.encode().expect("a datagram");
                 socket.send_to(&datagram, entry).await.expect("a notice is sent");
@@ -431,8 +426,8 @@
     })
 }
 
-/// A fleet whose replicas are ranks of a group that is told to be closed.
-async fn start_closed_group(is_open: &Arc<AtomicBool>) -> Fleet {
+/// A fleet whose replicas are ranks of a group that is told not to serve.
+async fn start_group(state: &Arc<Mutex<GroupState>>) -> Fleet {
     let replica = Behaviour::Stream { events: 3, pause: Duration::ZERO };
     let replicas = [replica.clone(), replica];
     let fleet = Fleet::start(STREAM, &replicas).await;
@@ -441,7 +436,7 @@
     fleet.store.put(OPERATOR_TOPIC, CONFIG_KEY, &config_text(2, &[KEY], Some(group)));
     wait_for("the configuration", async || fleet.entry.logged("configuration in force").len() >= 2)
         .await;
-    tell_group(&fleet, is_open);
+    tell_group(&fleet, state);
     wait_for("the group's state", async || !fleet.entry.logged("group state received").is_empty())
         .await;
     fleet
@@ -459,8 +454,8 @@
 
 #[tokio::test]
 async fn a_call_waits_for_a_group_that_opens_in_time_and_is_sent_once() {
-    let is_open = Arc::new(AtomicBool::new(false));
-    let fleet = start_closed_group(&is_open).await;
+    let state = Arc::new(Mutex::new(GroupState::Down));
+    let fleet = start_group(&state).await;
     // What is left of the usual time until then is less than half of the call's.
     tokio::time::sleep(Duration::from_millis(400)).await;
     let mut caller = CallerStandin::new(fleet.address());
@@ -469,7 +464,7 @@
     tokio::time::sleep(Duration::from_millis(200)).await;
     let before = fleet.arrivals();
 
-    is_open.store(true, Ordering::Relaxed);
+    *state.lock().expect("the state is not poisoned") = GroupState::Serving;
 
     let Told::Answer(answer) = calling.await.expect("the call ends") else { panic!("no answer") };
     assert_eq!((before, answer.status), (0, StatusCode::OK));
@@ -478,8 +473,8 @@
 
 #[tokio::test]
 async fn a_call_that_can_not_wait_for_a_group_is_refused_at_once() {
-    let is_open = Arc::new(AtomicBool::new(false));
-    let fleet = start_closed_group(&is_open).await;
+    let state = Arc::new(Mutex::new(GroupState::Down));
+    let fleet = start_group(&state).await;
     let mut caller = CallerStandin::new(fleet.address());
 
     let told = caller.call(&stream_call(Duration::from_millis(1500))).await;
@@ -491,6 +486,29 @@
     wait_for("the line", async || fleet.entry.logged("refused").len() == 1).await;
 }
 
+/// Guards against calls that are sent into a group that stands still, and run after their callers
+/// have left.
+#[tokio::test]
+async fn a_call_to_a_blocked_group_is_refused_at_once() {
+    let state = Arc::new(Mutex::new(GroupState::Blocked));
+    let fleet = start_group(&state).await;
+    let mut caller = CallerStandin::new(fleet.address());
+
+    let refused = caller.call(&stream_call(Duration::from_secs(8))).await;
+    let arrivals_before = fleet.arrivals();
+    *state.lock().expect("the state is not poisoned") = GroupState::Serving;
+    wait_for("the group to serve", async || fleet.entry.logged("group state received").len() == 2)
+        .await;
+    let served = caller.call(&stream_call(Duration::from_secs(8))).await;
+
+    let Told::Answer(refused) = refused else { panic!("no answer") };
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(refused.retry_after_s.is_some_and(|after| after > 0.0));
+    assert_eq!(arrivals_before, 0);
+    let Told::Answer(served) = served else { panic!("no answer") };
+    assert_eq!(served.status, StatusCode::OK);
+}
+
 #[tokio::test]
 async fn an_entry_of_another_writer_names_no_replica_and_the_others_hold() {
     let fleet = Fleet::start(PLAIN, &[Behaviour::Answer]).await;
--- a/crates/policy/src/group_watch.rs
+++ b/crates/policy/src/group_watch.rs
@@ -2,12 +2,16 @@
 //! from what their endpoints answer.
 //!
 //! A group is a failure domain: all ranks of it work or none does, and all are as
-//! slow as the slowest. One that is closed takes no calls, one that is late is
+//! slow as the slowest. One that is down or blocked takes no calls, one that is late is
 //! taken last, and the others go on.
 
 use std::{collections::BTreeMap, time::Duration};
 
-use crate::{GroupProgress, OutageWatch, Pace, PaceClass, PaceLimit, pace_limit::FIRST_MAPS};
+use lynxmount_core::experts::GroupState;
+
+use crate::{
+    GroupProgress, Liveness, OutageWatch, Pace, PaceClass, PaceLimit, pace_limit::FIRST_MAPS,
+};
 
 /// How long what a group's process has told counts: five of its periods.
 const TOLD_LIFE: Duration = Duration::from_secs(1);
@@ -17,29 +21,31 @@
 /// 0.1 to 0.3 s later.
 const LATE_OPENING: Duration = Duration::from_millis(500);
 
+/// Least silence under calls in progress after which a group is blocked, if its process tells
+/// nothing. Passes that read many prompts take up to 0.4 s.
+const BLOCKED_AFTER: Duration = Duration::from_millis(700);
+
+/// The same in mean pauses between events, in a slow group.
+const BLOCKED_PAUSES: u32 = 4;
+
 /// A group's name. Endpoints whose group is not known are one group without name.
 pub type GroupName = String;
 
-/// What has become of a group.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum GroupChange {
-    /// It takes no calls any more.
-    Closed,
-    /// It takes calls again.
-    Opened,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Told {
-    is_open: bool,
+    state: GroupState,
     at: Duration,
+    /// When the state was first told.
+    since: Duration,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Watched {
     outage: OutageWatch,
+    /// Whether the outage began with silence under calls, and not with refusals.
+    is_silent: bool,
+    liveness: Liveness,
     told: Option<Told>,
-    closed_since: Option<Duration>,
     opened_at: Option<Duration>,
     pace: Pace,
     limit: PaceLimit,
@@ -59,29 +65,50 @@
 }
 
 impl Watched {
-    fn told_open(&self, now: Duration) -> Option<bool> {
-        let told = self.told.filter(|told| now < told.at + TOLD_LIFE);
-        told.map(|told| told.is_open)
+    fn told(&self, now: Duration) -> Option<Told> {
+        // An event that the entry has seen is newer than what was told.
+        let is_refuted = |told: &Told| told.state == GroupState::Blocked && self.pace.is_live(now);
+        self.told.filter(|told| now < told.at + TOLD_LIFE && !is_refuted(told))
     }
 
     fn may_send(&self, now: Duration) -> bool {
-        // Endpoints of a group that is told to be open refuse because they are full.
-        self.told_open(now).unwrap_or_else(|| self.outage.may_send(now))
+        // Endpoints of a group that is told to serve refuse because they are full.
+        match self.told(now) {
+            Some(told) => told.state == GroupState::Serving,
+            None => self.outage.may_send(now),
+        }
     }
 
-    fn note_opening(&mut self, now: Duration) {
+    fn is_blocked(&self, now: Duration) -> bool {
+        match self.told(now) {
+            Some(told) => told.state == GroupState::Blocked,
+            None => self.is_silent && self.outage.since().is_some(),
+        }
+    }
+
+    fn end_outage(&mut self) {
         self.outage.note_answer();
+        self.is_silent = false;
+    }
+
+    fn note_opening(&mut self, now: Duration) {
+        self.end_outage();
         self.limit.note_opening(now);
         self.opened_at = Some(now);
     }
 
-    fn out_since(&self, now: Duration) -> Option<Duration> {
-        match self.told_open(now) {
-            Some(false) => self.closed_since,
-            Some(true) => None,
-            None => self.outage.since(),
+    /// Since when the group has been down; `None` while it is blocked, as nobody knows for how long.
+    fn down_since(&self, now: Duration) -> Option<Duration> {
+        match self.told(now) {
+            Some(told) => Some(told.since).filter(|_| told.state == GroupState::Down),
+            None => self.outage.since().filter(|_| !self.is_silent),
         }
     }
+
+    fn is_silent_for_long(&self, now: Duration) -> bool {
+        let pauses = self.pace.last_mean() * BLOCKED_PAUSES;
+        self.liveness.silent_for(now) >= BLOCKED_AFTER.max(pauses)
+    }
 }
 
 /// What is known of a service's groups.
@@ -100,22 +127,38 @@
         self.usual_outage = usual;
     }
 
-    /// Takes what a group's process has told, and returns what has changed with it.
-    pub fn note_told(&mut self, group: &str, is_open: bool, now: Duration) -> Option<GroupChange> {
+    /// Takes what a group's process has told. Returns whether that has changed; a group whose
+    /// process has told nothing is taken to serve.
+    pub fn note_told(&mut self, group: &str, state: GroupState, now: Duration) -> bool {
         let watched = self.watched(group);
-        watched.told = Some(Told { is_open, at: now });
-        match (is_open, watched.closed_since) {
-            (true, Some(_)) => {
-                watched.closed_since = None;
-                watched.note_opening(now);
-                Some(GroupChange::Opened)
-            }
-            (false, None) => {
-                watched.closed_since = Some(now);
-                Some(GroupChange::Closed)
+        let before = watched.told.map_or(GroupState::Serving, |told| told.state);
+        let has_changed = state != before;
+        let since = watched.told.filter(|_| !has_changed).map_or(now, |told| told.since);
+        watched.told = Some(Told { state, at: now, since });
+        match (before, state) {
+            (GroupState::Down, GroupState::Serving) => watched.note_opening(now),
+            (GroupState::Blocked, GroupState::Serving) => watched.end_outage(),
+            _ => {}
+        }
+        has_changed
+    }
+
+    /// Finds groups that are silent under all calls of this entry, and whose processes tell
+    /// nothing. They are sent one call at a time from then on.
+    pub fn detect_blocked(&mut self, now: Duration) -> Vec<GroupName> {
+        if self.usual_outage.is_none() {
+            return Vec::new();
+        }
+        let mut blocked = Vec::new();
+        for (group, watched) in &mut self.groups {
+            let is_known = watched.told(now).is_some() || watched.outage.since().is_some();
+            if !is_known && watched.is_silent_for_long(now) {
+                watched.outage.begin(now);
+                watched.is_silent = true;
+                blocked.push(group.clone());
             }
-            (true, None) | (false, Some(_)) => None,
         }
+        blocked
     }
 
     /// Takes that an endpoint of a group has refused because it runs nothing.
@@ -129,10 +172,11 @@
     /// ends with it.
     pub fn note_answer(&mut self, group: &str, now: Duration) -> bool {
         let watched = self.watched(group);
+        watched.liveness.on_heard(now);
         let was_out = watched.outage.since().is_some();
         match was_out {
-            true => watched.note_opening(now),
-            false => watched.outage.note_answer(),
+            true if !watched.is_silent => watched.note_opening(now),
+            _ => watched.end_outage(),
         }
         was_out
     }
@@ -142,6 +186,7 @@
     pub fn note_sent(&mut self, group: &str, now: Duration) -> Option<Duration> {
         let watched = self.watched(group);
         watched.running += 1;
+        watched.liveness.on_sent(now);
         watched.outage.note_sent(now)
     }
 
@@ -149,17 +194,29 @@
     pub fn note_ended(&mut self, group: &str) {
         let watched = self.watched(group);
         watched.running = watched.running.saturating_sub(1);
+        if watched.running == 0 {
+            watched.liveness.on_idle();
+        }
     }
 
-    /// Takes an event of a stream in a group.
-    pub fn note_event(&mut self, group: &str, event: StreamEvent, now: Duration) {
+    /// Takes an event of a stream in a group. Returns whether a standstill of the group ends with
+    /// it.
+    pub fn note_event(&mut self, group: &str, event: StreamEvent, now: Duration) -> bool {
         self.goal = event.goal.or(self.goal);
         let watched = self.watched(group);
+        let was_blocked = watched.is_blocked(now);
+        if was_blocked {
+            watched.end_outage();
+        }
+        watched.liveness.on_heard(now);
         watched.pace.note_event(event.pause, now);
-        if let (Some(pause), Some(goal)) = (event.pause, event.goal) {
+        // The pause of a standstill says nothing of load.
+        let pause = event.pause.filter(|_| !was_blocked);
+        if let (Some(pause), Some(goal)) = (pause, event.goal) {
             let taken = f64::from(watched.running) / event.share.max(1.0);
             watched.limit.note_pause(pause, goal, taken, now);
         }
+        was_blocked
     }
 
     /// Takes the time between passes that a group's process tells.
@@ -215,15 +272,15 @@
     }
 
     /// Until when a call may wait for one of these groups to open, all of which
-    /// are closed; `None` if none of them is expected to, or is late already.
+    /// take no calls; `None` if none of them is expected to, or is late already.
     pub fn opening_by<'a>(
         &self,
         groups: impl Iterator<Item = &'a str>,
         now: Duration,
     ) -> Option<Duration> {
         let usual = self.usual_outage? + LATE_OPENING;
-        let out_since = |group| self.groups.get(group)?.out_since(now);
-        let first = groups.filter_map(out_since).map(|since| since + usual);
+        let down_since = |group| self.groups.get(group)?.down_since(now);
+        let first = groups.filter_map(down_since).map(|since| since + usual);
         first.filter(|by| *by > now).min()
     }
 
--- a/crates/policy/src/outage.rs
+++ b/crates/policy/src/outage.rs
@@ -37,12 +37,17 @@
         self.refusals += 1;
         let begins = self.refusals >= REFUSALS_IN_A_ROW && self.since.is_none();
         if begins {
-            self.since = Some(now);
-            self.probe_at = now + PROBE_PERIOD;
+            self.begin(now);
         }
         begins
     }
 
+    /// Begins an outage that is seen in another way than by refusals.
+    pub(crate) fn begin(&mut self, now: Duration) {
+        self.since = Some(now);
+        self.probe_at = now + PROBE_PERIOD;
+    }
+
     /// Notes that an endpoint has answered.
     pub fn note_answer(&mut self) {
         *self = OutageWatch::default();
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -65,8 +65,7 @@
 impl Pace {
     /// Takes an event of a stream, and the pause before it if it was not the first.
     pub fn note_event(&mut self, pause: Option<Duration>, now: Duration) {
-        let life = progress_life(self.mean(now).unwrap_or_default());
-        if self.silent_for(now).is_none_or(|age| age > life) {
+        if !self.is_live(now) {
             self.live_since = now;
         }
         self.last_event_at = Some(now);
@@ -89,6 +88,12 @@
         self.last_event_at.map(|at| now.saturating_sub(at))
     }
 
+    /// Says whether an event was seen lately.
+    pub fn is_live(&self, now: Duration) -> bool {
+        let life = progress_life(self.mean(now).unwrap_or_default());
+        self.silent_for(now).is_some_and(|age| age <= life)
+    }
+
     /// For how long events have followed each other without a standstill.
     pub fn live_for(&self, now: Duration) -> Duration {
         now.saturating_sub(self.live_since)
@@ -99,6 +104,11 @@
         Measured::fresh(self.mean, now).or(Measured::fresh(self.told, now))
     }
 
+    /// The mean pause as it was last seen or told, however long ago.
+    pub fn last_mean(&self) -> Duration {
+        self.mean.or(self.told).map_or(Duration::ZERO, |measured| measured.pause)
+    }
+
     /// What a stream may expect, with the longest pause that is on time.
     pub fn class(&self, goal: Duration, has_streams: bool, now: Duration) -> PaceClass {
         let silence = self.silent_for(now).filter(|_| has_streams).unwrap_or_default();
--- a/crates/policy/tests/groups.rs
+++ b/crates/policy/tests/groups.rs
@@ -3,9 +3,8 @@
 
 use std::time::Duration;
 
-use lynxmount_policy::{
-    GroupChange, GroupWatch, Pace, PaceClass, Placement, Seat, StreamEvent, place,
-};
+use lynxmount_core::experts::GroupState;
+use lynxmount_policy::{GroupWatch, Pace, PaceClass, Placement, Seat, StreamEvent, place};
 
 /// The longest pause that is on time.
 const GOAL: Duration = Duration::from_millis(120);
@@ -41,8 +40,8 @@
 fn a_group_that_is_told_to_be_closed_takes_no_calls_and_the_other_does() {
     let mut groups = watch();
 
-    groups.note_told("a", false, at_ms(100));
-    groups.note_told("b", true, at_ms(100));
+    groups.note_told("a", GroupState::Down, at_ms(100));
+    groups.note_told("b", GroupState::Serving, at_ms(100));
 
     assert!(!groups.may_send("a", at_ms(200)));
     assert!(groups.may_send("b", at_ms(200)));
@@ -52,7 +51,7 @@
 fn what_was_told_long_ago_does_not_count() {
     let mut groups = watch();
 
-    groups.note_told("a", false, at_ms(100));
+    groups.note_told("a", GroupState::Down, at_ms(100));
 
     assert!(groups.may_send("a", at_ms(1100)));
 }
@@ -71,7 +70,7 @@
 #[test]
 fn refusals_of_a_group_that_is_told_to_be_open_do_not_close_it() {
     let mut groups = watch();
-    groups.note_told("a", true, at_ms(0));
+    groups.note_told("a", GroupState::Serving, at_ms(0));
 
     groups.note_refusal("a", at_ms(900));
     groups.note_refusal("a", at_ms(950));
@@ -83,8 +82,8 @@
 #[test]
 fn calls_may_wait_for_the_group_that_opens_first() {
     let mut groups = watch();
-    groups.note_told("a", false, at_ms(1000));
-    groups.note_told("b", false, at_ms(1400));
+    groups.note_told("a", GroupState::Down, at_ms(1000));
+    groups.note_told("b", GroupState::Down, at_ms(1400));
 
     let by = groups.opening_by(["a", "b"].into_iter(), at_ms(1500));
 
@@ -95,7 +94,7 @@
 fn calls_do_not_wait_for_a_group_that_is_closed_for_longer_than_usual() {
     let mut groups = watch();
     (1000..9000).step_by(200).for_each(|now| {
-        groups.note_told("a", false, at_ms(now));
+        groups.note_told("a", GroupState::Down, at_ms(now));
     });
 
     assert_eq!(groups.opening_by(["a"].into_iter(), at_ms(9000)), None);
@@ -115,10 +114,10 @@
     let mut groups = watch();
     groups.note_refusal("a", at_ms(0));
     groups.note_refusal("a", at_ms(5));
-    assert_eq!(groups.note_told("a", false, at_ms(10)), Some(GroupChange::Closed));
+    assert!(groups.note_told("a", GroupState::Down, at_ms(10)));
 
-    assert_eq!(groups.note_told("a", true, at_ms(300)), Some(GroupChange::Opened));
-    assert_eq!(groups.note_told("a", true, at_ms(400)), None);
+    assert!(groups.note_told("a", GroupState::Serving, at_ms(300)));
+    assert!(!groups.note_told("a", GroupState::Serving, at_ms(400)));
     assert!(groups.may_send("a", at_ms(301)));
 }
 
@@ -168,8 +167,8 @@
 #[test]
 fn a_group_on_its_first_maps_is_late_and_does_not_stand_still() {
     let mut groups = watch();
-    groups.note_told("a", false, at_ms(500));
-    groups.note_told("a", true, at_ms(1000));
+    groups.note_told("a", GroupState::Down, at_ms(500));
+    groups.note_told("a", GroupState::Serving, at_ms(1000));
 
     play(&mut groups, "a", at_ms(500), 1000, 2400);
 
@@ -212,8 +211,8 @@
 #[test]
 fn pauses_of_the_first_maps_set_no_limit() {
     let mut groups = watch();
-    groups.note_told("a", false, at_ms(500));
-    groups.note_told("a", true, at_ms(1000));
+    groups.note_told("a", GroupState::Down, at_ms(500));
+    groups.note_told("a", GroupState::Serving, at_ms(1000));
     (0..19).for_each(|_| {
         groups.note_sent("a", at_ms(1000));
     });
@@ -274,3 +273,103 @@
     assert_eq!(pace.class(GOAL, true, at_ms(1950)), PaceClass::Stalled);
     assert_eq!(pace.class(GOAL, false, at_ms(3000)), PaceClass::OnTime);
 }
+
+const EVENT: StreamEvent =
+    StreamEvent { pause: Some(Duration::from_millis(60)), goal: Some(GOAL), share: SHARE };
+
+#[test]
+fn a_group_that_is_told_to_be_blocked_takes_no_calls_until_it_is_told_to_serve() {
+    let mut groups = watch();
+    assert!(groups.note_told("a", GroupState::Blocked, at_ms(100)));
+
+    let while_blocked = groups.may_send("a", at_ms(200));
+    groups.note_told("a", GroupState::Serving, at_ms(300));
+
+    assert!(!while_blocked);
+    assert_eq!(groups.opening_by(["a"].into_iter(), at_ms(200)), None, "nobody knows until when");
+    assert!(groups.may_send("a", at_ms(300)));
+}
+
+#[test]
+fn an_event_is_newer_than_a_told_standstill() {
+    let mut groups = watch();
+    groups.note_sent("a", at_ms(0));
+    groups.note_told("a", GroupState::Blocked, at_ms(900));
+
+    let is_resumed = groups.note_event("a", EVENT, at_ms(950));
+    let is_resumed_again = groups.note_event("a", EVENT, at_ms(960));
+
+    assert!(is_resumed && !is_resumed_again);
+    assert!(groups.may_send("a", at_ms(960)));
+}
+
+/// Guards against calls that are sent into a group that stands still while its own process is
+/// frozen.
+#[test]
+fn a_group_that_is_silent_under_all_calls_is_blocked_and_sent_one_call_at_a_time() {
+    let mut groups = watch();
+    play(&mut groups, "a", at_ms(60), 0, 600);
+
+    let before = groups.detect_blocked(at_ms(1200));
+    let blocked = groups.detect_blocked(at_ms(1240));
+    let may_send = groups.may_send("a", at_ms(1241));
+    let may_probe = groups.may_send("a", at_ms(1490));
+    groups.note_sent("a", at_ms(1490));
+
+    assert!(before.is_empty());
+    assert_eq!(blocked, ["a"]);
+    assert!(!may_send && may_probe);
+    assert!(!groups.may_send("a", at_ms(1491)));
+    assert!(groups.note_event("a", EVENT, at_ms(1600)));
+    assert!(groups.may_send("a", at_ms(1600)));
+}
+
+#[test]
+fn a_group_without_calls_in_progress_is_not_blocked() {
+    let mut groups = watch();
+    play(&mut groups, "a", at_ms(60), 0, 600);
+    groups.note_ended("a");
+
+    assert!(groups.detect_blocked(at_ms(9000)).is_empty());
+
+    groups.note_sent("a", at_ms(9000));
+    assert!(groups.detect_blocked(at_ms(9600)).is_empty());
+}
+
+#[test]
+fn a_slow_group_is_not_blocked() {
+    let mut groups = watch();
+    play(&mut groups, "a", at_ms(600), 0, 3000);
+
+    assert!(groups.detect_blocked(at_ms(4700)).is_empty());
+    assert_eq!(groups.detect_blocked(at_ms(4800)), ["a"]);
+}
+
+#[test]
+fn a_group_that_is_told_to_serve_is_not_blocked_by_silence() {
+    let mut groups = watch();
+    play(&mut groups, "a", at_ms(60), 0, 600);
+    groups.note_told("a", GroupState::Serving, at_ms(1000));
+
+    assert!(groups.detect_blocked(at_ms(1900)).is_empty());
+}
+
+#[test]
+fn a_service_without_groups_is_never_blocked() {
+    let mut groups = GroupWatch::default();
+    groups.note_sent("", at_ms(0));
+
+    assert!(groups.detect_blocked(at_ms(9000)).is_empty());
+}
+
+#[test]
+fn the_pause_of_a_standstill_does_not_lower_what_a_group_may_run() {
+    let mut groups = watch();
+    groups.note_sent("a", at_ms(0));
+    groups.note_told("a", GroupState::Blocked, at_ms(900));
+    let late = StreamEvent { pause: Some(at_ms(4000)), ..EVENT };
+
+    groups.note_event("a", late, at_ms(1200));
+
+    assert!(!groups.is_at_limit("a", 1.1));
+}
--- a/crates/rank/src/beliefs.rs
+++ b/crates/rank/src/beliefs.rs
@@ -38,6 +38,7 @@
 pub(crate) struct Progress {
     pub(crate) epoch: GroupEpoch,
     pub(crate) step: GroupStep,
+    /// Whether any rank runs something, or holds the group.
     pub(crate) is_working: bool,
 }
 
@@ -74,16 +75,16 @@
         self.heard.get(&self.own)?.report.membership.clone()
     }
 
-    /// The last pass that the own engine has begun, and whether any rank of its group
-    /// runs something.
+    /// The last pass that the own engine has begun, and whether the group should begin the next.
     pub(crate) fn progress(&self) -> Option<Progress> {
         let own = &self.heard.get(&self.own)?.report;
         let group = own.membership.as_ref()?;
         let is_of_group = |report: &&EngineReport| {
             report.membership.as_ref().is_some_and(|m| m.group == group.group)
         };
-        let mut reports = self.heard.values().map(|heard| &heard.report).filter(is_of_group);
-        let is_working = reports.any(|report| report.running > 0);
+        let fresh = self.heard.values().filter(|heard| heard.at.elapsed() <= FRESH);
+        let mut reports = fresh.map(|heard| &heard.report).filter(is_of_group);
+        let is_working = reports.any(|report| report.running > 0 || report.held.is_some());
         Some(Progress { epoch: group.epoch, step: own.step, is_working })
     }
 
--- a/crates/rank/src/notifier.rs
+++ b/crates/rank/src/notifier.rs
@@ -8,7 +8,10 @@
 };
 
 use lynxmount_balance::PassTime;
-use lynxmount_core::Clock;
+use lynxmount_core::{
+    Clock,
+    experts::{GroupState, Membership},
+};
 use lynxmount_link::{
     ASKED_FOR, GroupMembersNotice, GroupMessage, GroupNotice, MembersFingerprint, receive,
 };
@@ -24,6 +27,13 @@
 /// How often a state that has not changed is told: entries believe it for a second.
 const REPEAT_PERIOD: Duration = Duration::from_millis(250);
 
+/// How long a group that works must have begun no pass to be blocked. A change of map holds it for
+/// some 20 ms, and passes that read many prompts take up to 0.4 s.
+const BLOCKED_AFTER: Duration = Duration::from_millis(500);
+
+/// The same in passes, in a slow group.
+const BLOCKED_PASSES: u32 = 4;
+
 /// The largest asking, in bytes.
 const MAX_ASKING_BYTES: usize = 64;
 
@@ -68,7 +78,7 @@
                 continue;
             };
             let is_told = told.as_ref().is_some_and(|(last, at)| {
-                last.is_open == notice.is_open && at.elapsed() < REPEAT_PERIOD
+                last.state == notice.state && at.elapsed() < REPEAT_PERIOD
             });
             self.tell_members(&notice.group).await;
             if !is_told {
@@ -80,18 +90,18 @@
 
     /// The state of the own group, if this process is to tell it.
     fn notice(&self, pass_time: &mut PassTime) -> Option<GroupNotice> {
-        if !self.duty.is_leading() {
-            return None;
-        }
         let now = self.clock.now();
         let (membership, progress) = {
             let beliefs = self.beliefs.lock();
             (beliefs.own_membership()?, beliefs.progress()?)
         };
         pass_time.note(progress.epoch, progress.step, progress.is_working, now);
+        if !self.duty.is_leading() {
+            return None;
+        }
         Some(GroupNotice {
-            group: membership.group,
-            is_open: membership.is_open,
+            group: membership.group.clone(),
+            state: state(&membership, pass_time, now),
             pass: pass_time.current(now),
         })
     }
@@ -138,3 +148,13 @@
         asked.keys().copied().collect()
     }
 }
+
+/// What the group does with calls, by its ranks and the passes that it has begun.
+fn state(membership: &Membership, pass_time: &PassTime, now: Duration) -> GroupState {
+    let passes = pass_time.newest().unwrap_or_default() * BLOCKED_PASSES;
+    match pass_time.stalled_for(now) >= BLOCKED_AFTER.max(passes) {
+        _ if !membership.is_open => GroupState::Down,
+        true => GroupState::Blocked,
+        false => GroupState::Serving,
+    }
+}
