Let calls wait for a group no longer than their callers do

Cause: the wait was bounded by the deadline, and not by the caller's patience.

Change: a call waits for a group to open only as long as its first event can come before its caller leaves, and is refused at once otherwise.

--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -142,7 +142,7 @@
         let (now, left) = (self.clock.now(), left(self.deadline));
         let wait_until = now + wait.min(left);
         let waiter = Waiter { team, priority: self.priority, wait_until };
-        let hold_until = now + left.mul_f64(HOLD_PART);
+        let hold_until = now + self.hold_time(left);
         let want = Want { waiter, hold_until, tried: &tried };
         tokio::select! {
             biased;
@@ -153,6 +153,14 @@
         }
     }
 
+    /// How long the call may wait for a group to open, so that its first event comes while its
+    /// caller waits.
+    fn hold_time(&self, left: Duration) -> Duration {
+        let by_deadline = left.mul_f64(HOLD_PART);
+        let patience = self.remaining_patience(self.arrived);
+        patience.map_or(by_deadline, |left| by_deadline.min(left.saturating_sub(self.goal)))
+    }
+
     /// How long the call may wait for a permit: what is left of its part of the
     /// objective.
     fn wait_time(&self) -> Duration {
