Judge a group's progress by own events, and a standstill by its length

Now events of the entry's own streams show progress, for 1 s at most; silence of 0.7 s or four mean pauses, 1.2 s at most, is a standstill, whose pause counts nowhere. The time kept for an answer is 0.4 s at most.

--- a/crates/policy/src/group_watch.rs
+++ b/crates/policy/src/group_watch.rs
@@ -28,6 +28,10 @@
 /// The same in mean pauses between events, in a slow group.
 const BLOCKED_PAUSES: u32 = 4;
 
+/// Silence after which a group with one call in progress is blocked: a long prompt, or a place in
+/// an engine's queue, keeps one call waiting.
+const BLOCKED_AFTER_ONE: Duration = Duration::from_millis(1200);
+
 /// A group's name. Endpoints whose group is not known are one group without name.
 pub type GroupName = String;
 
@@ -46,6 +50,8 @@
     is_silent: bool,
     liveness: Liveness,
     told: Option<Told>,
+    /// Whether it was told to be down and has not been told to serve since.
+    was_down: bool,
     opened_at: Option<Duration>,
     pace: Pace,
     limit: PaceLimit,
@@ -71,6 +77,11 @@
         self.told.filter(|told| now < told.at + TOLD_LIFE && !is_refuted(told))
     }
 
+    /// Says whether there was an event after a moment.
+    fn is_heard_since(&self, moment: Duration, now: Duration) -> bool {
+        self.pace.silent_for(now).is_some_and(|age| moment + age < now)
+    }
+
     fn may_send(&self, now: Duration) -> bool {
         // Endpoints of a group that is told to serve refuse because they are full.
         match self.told(now) {
@@ -93,6 +104,7 @@
 
     fn note_opening(&mut self, now: Duration) {
         self.end_outage();
+        self.was_down = false;
         self.limit.note_opening(now);
         self.opened_at = Some(now);
     }
@@ -106,8 +118,8 @@
     }
 
     fn is_silent_for_long(&self, now: Duration) -> bool {
-        let pauses = self.pace.last_mean() * BLOCKED_PAUSES;
-        self.liveness.silent_for(now) >= BLOCKED_AFTER.max(pauses)
+        let least = if self.running < 2 { BLOCKED_AFTER_ONE } else { BLOCKED_AFTER };
+        self.liveness.silent_for(now) >= least.max(self.pace.last_mean() * BLOCKED_PAUSES)
     }
 }
 
@@ -131,14 +143,17 @@
     /// process has told nothing is taken to serve.
     pub fn note_told(&mut self, group: &str, state: GroupState, now: Duration) -> bool {
         let watched = self.watched(group);
-        let before = watched.told.map_or(GroupState::Serving, |told| told.state);
-        let has_changed = state != before;
-        let since = watched.told.filter(|_| !has_changed).map_or(now, |told| told.since);
+        let last = watched.told.filter(|told| !watched.is_heard_since(told.at + TOLD_LIFE, now));
+        let has_changed = state != last.map_or(GroupState::Serving, |told| told.state);
+        let is_same = |told: &Told| !has_changed && now < told.at + TOLD_LIFE;
+        let since = last.filter(is_same).map_or(now, |told| told.since);
         watched.told = Some(Told { state, at: now, since });
-        match (before, state) {
-            (GroupState::Down, GroupState::Serving) => watched.note_opening(now),
-            (GroupState::Blocked, GroupState::Serving) => watched.end_outage(),
-            _ => {}
+        match state {
+            GroupState::Blocked => {}
+            GroupState::Down => watched.was_down = true,
+            GroupState::Serving if has_changed && watched.was_down => watched.note_opening(now),
+            GroupState::Serving if has_changed => watched.end_outage(),
+            GroupState::Serving => watched.was_down = false,
         }
         has_changed
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -44,7 +44,7 @@
 pub use outage::{OutageWatch, return_time};
 pub use pace::{Pace, PaceClass};
 pub use pace_limit::PaceLimit;
-pub use patience::Patience;
+pub use patience::{Patience, SILENT_AFTER};
 pub use placement::{Placement, Seat, place, resumes_at};
 pub use prefix::PrefixCounts;
 pub use quarantine::{Quarantine, Taken};
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -25,6 +25,15 @@
 /// 0.574 and 0.563 (three seeds each).
 const SILENT_FACTOR: f64 = 6.0;
 
+/// The least silence that is a standstill. Passes that read many prompts take up to 0.4 s.
+const STANDSTILL: Duration = Duration::from_millis(700);
+
+/// The same in mean pauses, in a slow group.
+const STANDSTILL_PAUSES: u32 = 4;
+
+/// Silence that is a standstill in any group.
+const MAX_STANDSTILL: Duration = Duration::from_millis(1200);
+
 /// What a stream may expect of a group.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub enum PaceClass {
@@ -65,11 +74,13 @@
 impl Pace {
     /// Takes an event of a stream, and the pause before it if it was not the first.
     pub fn note_event(&mut self, pause: Option<Duration>, now: Duration) {
-        if !self.is_live(now) {
+        let had_stopped = self.silent_for(now).is_none_or(|age| age >= self.standstill());
+        if had_stopped {
             self.live_since = now;
         }
         self.last_event_at = Some(now);
-        let Some(pause) = pause else { return };
+        // The pause of a standstill says nothing of how long passes take.
+        let Some(pause) = pause.filter(|_| !had_stopped) else { return };
         self.sum += pause;
         self.count += 1;
         if now >= self.span_began + SPAN {
@@ -90,8 +101,15 @@
 
     /// Says whether an event was seen lately.
     pub fn is_live(&self, now: Duration) -> bool {
-        let life = progress_life(self.mean(now).unwrap_or_default());
-        self.silent_for(now).is_some_and(|age| age <= life)
+        // What is told grows with a standstill.
+        let own_mean = Measured::fresh(self.mean, now).unwrap_or_default();
+        self.silent_for(now).is_some_and(|age| age <= progress_life(own_mean))
+    }
+
+    /// The least silence that is a standstill, and not a long pass.
+    fn standstill(&self) -> Duration {
+        let mean = self.mean.map_or(Duration::ZERO, |mean| mean.pause);
+        STANDSTILL.max(mean * STANDSTILL_PAUSES).min(MAX_STANDSTILL)
     }
 
     /// For how long events have followed each other without a standstill.
--- a/crates/policy/src/patience.rs
+++ b/crates/policy/src/patience.rs
@@ -8,8 +8,11 @@
 /// Fraction of a caller's patience that is kept for the answer to reach it.
 const ANSWER_FRACTION: f64 = 0.1;
 
+/// The longest time that is kept for that.
+const MAX_ANSWER_TIME: Duration = Duration::from_millis(400);
+
 /// Silence after which an endpoint is not expected to finish a call before its deadline.
-const SILENT_AFTER: Duration = Duration::from_millis(250);
+pub const SILENT_AFTER: Duration = Duration::from_millis(250);
 
 /// How long callers of a stream wait for its next event.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -26,7 +29,7 @@
 
     /// How much longer a call may wait that has met silence for a time, before it is answered.
     pub fn remaining(self, silence: Duration, time_left: Duration) -> Duration {
-        let margin = self.pause.mul_f64(ANSWER_FRACTION);
+        let margin = self.pause.mul_f64(ANSWER_FRACTION).min(MAX_ANSWER_TIME);
         let leaves_in = self.pause.saturating_sub(silence).min(time_left);
         let until_silent = SILENT_AFTER.saturating_sub(silence);
         leaves_in.saturating_sub(margin).max(until_silent)
--- a/crates/policy/src/stall.rs
+++ b/crates/policy/src/stall.rs
@@ -32,6 +32,9 @@
 /// The same in mean pauses between events, in a slow group.
 const PROGRESS_LIFE_PAUSES: f64 = 1.5;
 
+/// Age beyond which no event shows progress, however slow the group is.
+const MAX_PROGRESS_LIFE: Duration = Duration::from_millis(1000);
+
 /// What is known of the progress of a group.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct GroupProgress {
@@ -57,7 +60,7 @@
 
 /// The age up to which an event shows that a group makes progress, by the mean pause between events.
 pub(crate) fn progress_life(pause: Duration) -> Duration {
-    PROGRESS_LIFE.max(pause.mul_f64(PROGRESS_LIFE_PAUSES))
+    PROGRESS_LIFE.max(pause.mul_f64(PROGRESS_LIFE_PAUSES)).min(MAX_PROGRESS_LIFE)
 }
 
 /// What has stalled.
--- a/crates/policy/tests/groups.rs
+++ b/crates/policy/tests/groups.rs
@@ -308,6 +308,7 @@
 #[test]
 fn a_group_that_is_silent_under_all_calls_is_blocked_and_sent_one_call_at_a_time() {
     let mut groups = watch();
+    groups.note_sent("a", at_ms(0));
     play(&mut groups, "a", at_ms(60), 0, 600);
 
     let before = groups.detect_blocked(at_ms(1200));
@@ -339,6 +340,7 @@
 #[test]
 fn a_slow_group_is_not_blocked() {
     let mut groups = watch();
+    groups.note_sent("a", at_ms(0));
     play(&mut groups, "a", at_ms(600), 0, 3000);
 
     assert!(groups.detect_blocked(at_ms(4700)).is_empty());
@@ -373,3 +375,77 @@
 
     assert!(!groups.is_at_limit("a", 1.1));
 }
+
+/// Guards against calls that are sent into a group whose standstill is told, once that has lasted.
+#[test]
+fn a_told_standstill_is_not_refuted_by_its_own_length() {
+    let mut groups = watch();
+    play(&mut groups, "a", at_ms(60), 0, 600);
+
+    for now in (1100..=4000).step_by(250) {
+        groups.note_pass("a", Some(at_ms(now - 600)), at_ms(now));
+        groups.note_told("a", GroupState::Blocked, at_ms(now));
+        assert!(!groups.may_send("a", at_ms(now + 100)), "sent at {} ms", now + 100);
+        assert!(!groups.progress("a", at_ms(now + 600)).is_live());
+    }
+}
+
+#[test]
+fn a_told_standstill_ends_the_time_for_which_a_group_was_live() {
+    let mut groups = watch();
+    play(&mut groups, "a", at_ms(60), 0, 600);
+    groups.note_pass("a", Some(at_ms(3400)), at_ms(4000));
+
+    groups.note_event("a", StreamEvent { pause: Some(at_ms(3500)), ..EVENT }, at_ms(4100));
+
+    assert!(groups.progress("a", at_ms(4200)).live_for < at_ms(200));
+}
+
+#[test]
+fn a_second_standstill_is_found_as_soon_as_the_first() {
+    let mut groups = watch();
+    groups.note_sent("a", at_ms(0));
+    play(&mut groups, "a", at_ms(60), 0, 600);
+    groups.note_event("a", StreamEvent { pause: Some(at_ms(4000)), ..EVENT }, at_ms(4600));
+
+    assert_eq!(groups.detect_blocked(at_ms(5300)), ["a"]);
+}
+
+#[test]
+fn one_call_that_waits_for_its_prompt_does_not_block_a_group() {
+    let mut groups = watch();
+    groups.note_sent("a", at_ms(0));
+
+    assert!(groups.detect_blocked(at_ms(1100)).is_empty());
+}
+
+#[test]
+fn a_group_that_is_down_anew_is_down_since_then() {
+    let mut groups = watch();
+    groups.note_told("a", GroupState::Down, at_ms(0));
+    groups.note_told("a", GroupState::Down, at_ms(20_000));
+
+    assert!(groups.opening_by(["a"].into_iter(), at_ms(20_100)).is_some());
+}
+
+#[test]
+fn what_was_told_before_many_events_makes_no_opening() {
+    let mut groups = watch();
+    groups.note_told("a", GroupState::Down, at_ms(0));
+    play(&mut groups, "a", at_ms(600), 5000, 30_000);
+
+    groups.note_told("a", GroupState::Serving, at_ms(30_000));
+
+    assert_eq!(groups.pace("a", at_ms(30_000)), PaceClass::Stalled);
+}
+
+#[test]
+fn a_group_that_is_blocked_before_it_serves_has_opened() {
+    let mut groups = watch();
+    groups.note_told("a", GroupState::Down, at_ms(0));
+    groups.note_told("a", GroupState::Blocked, at_ms(500));
+    groups.note_told("a", GroupState::Serving, at_ms(1000));
+    play(&mut groups, "a", at_ms(600), 1000, 2300);
+
+    assert_eq!(groups.pace("a", at_ms(2400)), PaceClass::Late);
+}
--- a/crates/policy/tests/stall.rs
+++ b/crates/policy/tests/stall.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use lynxmount_policy::{GroupProgress, Liveness, Stall};
+use lynxmount_policy::{GroupProgress, Liveness, Pace, Stall};
 
 const PROGRESS: GroupProgress = progress(60, 60);
 const SLOW_PROGRESS: GroupProgress = progress(60, 300);
@@ -115,3 +115,25 @@
     assert!(liveness.is_suspect(steady, ms(4900)));
     assert_eq!(Stall::detect(ms(4900), steady, false), Some(Stall::Endpoint));
 }
+
+#[test]
+fn passes_that_read_prompts_do_not_hide_a_frozen_endpoint() {
+    let (mut pace, mut frozen) = (Pace::default(), Liveness::default());
+    frozen.on_sent(ms(0));
+    let (mut now, mut is_suspected, mut has_stalled) = (0, false, false);
+
+    for pause in [400, 120, 120, 120, 120].into_iter().cycle().take(50) {
+        now += pause;
+        pace.note_event(Some(ms(pause)), ms(now));
+        let at = ms(now + 20);
+        let group = GroupProgress {
+            silent_for: pace.silent_for(at),
+            pause: pace.mean(at).unwrap_or_default(),
+            live_for: pace.live_for(at),
+        };
+        is_suspected |= frozen.is_suspect(group, at);
+        has_stalled |= Stall::detect(frozen.silent_for(at), group, false).is_some();
+    }
+
+    assert!(is_suspected && has_stalled);
+}
