End calls early at silent endpoints only, and send none that come too late

Found by a review: a call was ended before its caller left also where its endpoint was heard on other calls, which hears of a cancellation at once, and its endpoint was ejected for it, though it may have been healthy: a call that waits in an engine's queue, a stream that was preempted, a call released from a hold with half a second left. A resumed stream was allowed no wait, as its patience was counted from the call's arrival. A call whose time was up while its connection opened was sent, and told unknown.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -19,6 +19,9 @@
     stream::SILENCE_CHECK,
 };
 
+/// The least time that an attempt is given; an engine reads no prompt in less.
+const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(100);
+
 /// What is sent to an endpoint, whatever endpoint it is.
 pub(crate) struct Outgoing<'a> {
     pub(crate) method: &'a Method,
@@ -86,6 +89,8 @@
     Stalled,
     /// It was sent, and there was no answer in time.
     TimedOut,
+    /// Nothing was sent, as its caller has to be answered.
+    TooLate,
     /// Nothing was sent.
     Unreachable,
 }
@@ -106,6 +111,10 @@
         permit.note_end(CallEnd::Unreachable);
         AttemptError::Unreachable
     })?;
+    if outgoing.overdue_at.is_some_and(|at| left(at) < MIN_ATTEMPT_TIME) {
+        permit.endpoint.pool.release(connection, None);
+        return Err(AttemptError::TooLate);
+    }
     if !permit.use_turn() {
         permit.endpoint.pool.release(connection, None);
         return Err(AttemptError::Paused);
@@ -203,14 +212,15 @@
     let sent_at = Instant::now();
     let mut sending = std::pin::pin!(connection.send(request));
     loop {
-        let limit = left(until.min(overdue_at)).min(SILENCE_CHECK);
+        let until_overdue = permit.until_overdue(left(overdue_at));
+        let limit = left(until).min(until_overdue).min(SILENCE_CHECK);
         if let Ok(answered) = tokio::time::timeout(limit, &mut sending).await {
             return answered.map_err(NoHead::Broken);
         }
         if left(until).is_zero() {
             return Err(NoHead::TimedOut);
         }
-        if left(overdue_at).is_zero() {
+        if permit.until_overdue(left(overdue_at)).is_zero() {
             return Err(NoHead::Overdue);
         }
         // A queued call of a live endpoint waits in silence, too.
--- a/crates/direct/src/attempt_history.rs
+++ b/crates/direct/src/attempt_history.rs
@@ -40,6 +40,7 @@
         AttemptError::Paused => "attempts.paused",
         AttemptError::Stalled => "attempts.stalled",
         AttemptError::TimedOut => "attempts.timed_out",
+        AttemptError::TooLate => "attempts.too_late",
         AttemptError::Unreachable => "attempts.unreachable",
     }
 }
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -82,7 +82,7 @@
     pub(crate) async fn run(self: &Arc<Call<D>>) -> Result<Response<ReplyBody>, Refusal> {
         let mut history = AttemptHistory::default();
         loop {
-            let permit = match self.place(self.wait_time()).await {
+            let permit = match self.place(self.wait_time(), self.arrived).await {
                 Ok(permit) => permit,
                 Err(unavailable) => {
                     let refusal = self.unavailable(unavailable, history.may_have_run);
@@ -116,7 +116,7 @@
         let may_send = !history.may_have_run || self.kind.may_repeat();
         match ended {
             _ if left(self.deadline).is_zero() || !may_send => false,
-            AttemptError::HeldBack | AttemptError::Overdue => false,
+            AttemptError::HeldBack | AttemptError::Overdue | AttemptError::TooLate => false,
             AttemptError::Paused | AttemptError::Unreachable => {
                 history.unreachable <= MAX_UNREACHABLE
             }
@@ -136,13 +136,13 @@
         history.failure.map(|answer| self.deliver(answer)).ok_or(refusal)
     }
 
-    async fn place(&self, wait: Duration) -> Result<Permit, Unavailable> {
+    async fn place(&self, wait: Duration, waiting_since: Instant) -> Result<Permit, Unavailable> {
         let tried = self.tried.lock().clone();
         let team = self.team.clone().unwrap_or_else(|| PUBLIC_TEAM.into());
         let (now, left) = (self.clock.now(), left(self.deadline));
         let wait_until = now + wait.min(left);
         let waiter = Waiter { team, priority: self.priority, wait_until };
-        let hold_until = now + self.hold_time(left);
+        let hold_until = now + self.hold_time(left, waiting_since);
         let want = Want { waiter, hold_until, tried: &tried };
         tokio::select! {
             biased;
@@ -155,9 +155,9 @@
 
     /// How long the call may wait for a group to open, so that its first event comes while its
     /// caller waits.
-    fn hold_time(&self, left: Duration) -> Duration {
+    fn hold_time(&self, left: Duration, waiting_since: Instant) -> Duration {
         let by_deadline = left.mul_f64(HOLD_PART);
-        let patience = self.remaining_patience(self.arrived);
+        let patience = self.remaining_patience(waiting_since);
         patience.map_or(by_deadline, |left| by_deadline.min(left.saturating_sub(self.goal)))
     }
 
@@ -284,7 +284,10 @@
         // One that did not reach the endpoint that is meant is no attempt.
         let is_missed = matches!(
             opened,
-            Err(AttemptError::OtherEndpoint | AttemptError::Paused | AttemptError::Unreachable)
+            Err(AttemptError::OtherEndpoint
+                | AttemptError::Paused
+                | AttemptError::TooLate
+                | AttemptError::Unreachable)
         );
         if !is_missed {
             self.attempts.fetch_add(1, Ordering::Relaxed);
@@ -332,7 +335,7 @@
         last_event: Option<u64>,
         waiting_since: Instant,
     ) -> Option<ResponseHead> {
-        let permit = self.place(self.goal.mul_f64(WAIT_PART)).await.ok()?;
+        let permit = self.place(self.goal.mul_f64(WAIT_PART), waiting_since).await.ok()?;
         let opened = self.open(permit, last_event, waiting_since).await.ok()?;
         if !opened.status.is_success() {
             return None;
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -11,7 +11,7 @@
     edge::{AnswerHead, Field, ReportedLoad},
 };
 use lynxmount_policy::{
-    CallEnd, EndpointAdvice, GroupWatch, Health, Liveness, OwnSlots, Seat, Stall,
+    CallEnd, EndpointAdvice, GroupWatch, Health, Liveness, OwnSlots, SILENT_AFTER, Seat, Stall,
 };
 use parking_lot::Mutex;
 
@@ -254,14 +254,22 @@
         Stall::detect(silence, self.service.group_progress(&self.group), is_better_elsewhere)
     }
 
-    /// Records that the endpoint was silent until the call's caller had to be answered. In a group
-    /// that stands still as a whole that is not the endpoint's failure.
+    /// Records that the endpoint was silent until the call's caller had to be answered. It is
+    /// ejected if its group has made progress without it.
     pub(crate) fn on_overdue(&self) {
-        if self.service.group_progress(&self.group).is_live() {
+        let progress = self.service.group_progress(&self.group);
+        let now = self.service.now();
+        if self.endpoint.load.lock().liveness.is_suspect(progress, now) {
             self.note_end(CallEnd::Unreachable);
         }
     }
 
+    /// How much longer a call waits at the endpoint whose caller has to be answered after a time:
+    /// until the endpoint has been silent for a while, as it hears of the cancellation otherwise.
+    pub(crate) fn until_overdue(&self, patience: Duration) -> Duration {
+        patience.max(SILENT_AFTER.saturating_sub(self.silent_for()))
+    }
+
     /// Takes that the endpoint has refused because it runs nothing. One that rests says nothing
     /// of its group.
     pub(crate) fn note_refusal(&self) {
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -200,6 +200,12 @@
         }
     }
 
+    /// How much longer the stream waits until its caller has to be answered.
+    fn until_overdue(&self) -> Option<Duration> {
+        let patience = self.call.remaining_patience(self.sent_at)?;
+        Some(self.permit.as_ref().map_or(patience, |permit| permit.until_overdue(patience)))
+    }
+
     fn on_overdue(&self) {
         if let Some(permit) = &self.permit {
             permit.on_canceled(self.call.fingerprint, self.phase());
@@ -222,7 +228,7 @@
 
     async fn read(&mut self) -> Next {
         loop {
-            let patience = self.call.remaining_patience(self.sent_at);
+            let patience = self.until_overdue();
             let limit = left(self.call.deadline).min(SILENCE_CHECK);
             let limit = patience.map_or(limit, |patience| limit.min(patience));
             match tokio::time::timeout(limit, self.body.frame()).await {
@@ -241,9 +247,7 @@
                 Ok(None) if self.events.ends_early() => return Next::Broken(Broken::CutEvent),
                 Ok(None) => return Next::End,
                 Err(_) if left(self.call.deadline).is_zero() => return Next::TimedOut,
-                Err(_) if patience.is_some_and(|patience| patience <= limit) => {
-                    return Next::Overdue;
-                }
+                Err(_) if self.until_overdue() == Some(Duration::ZERO) => return Next::Overdue,
                 Err(_) => {
                     if let Some(stall) = self.stall() {
                         return Next::Broken(Broken::Stall(stall));
