Tell a group as blocked until it can begin a pass

Now a hold counts however old its report is, calls that wait in an engine count as work, the step is the newest of all ranks, and a blocked group stays blocked until a pass begins or all ranks are heard and none holds it, for 10 s at most. The process needs a fresh report of its own engine.

--- a/crates/rank/src/beliefs.rs
+++ b/crates/rank/src/beliefs.rs
@@ -25,6 +25,13 @@
     told_at: Option<Instant>,
 }
 
+impl Heard {
+    /// Says whether the state may be acted on.
+    fn is_fresh(&self) -> bool {
+        self.at.elapsed() <= FRESH
+    }
+}
+
 /// The last state of each rank, by its engine's address.
 pub(crate) struct Beliefs {
     /// The own engine, whose group counts.
@@ -77,15 +84,27 @@
 
     /// The last pass that the own engine has begun, and whether the group should begin the next.
     pub(crate) fn progress(&self) -> Option<Progress> {
-        let own = &self.heard.get(&self.own)?.report;
-        let group = own.membership.as_ref()?;
-        let is_of_group = |report: &&EngineReport| {
-            report.membership.as_ref().is_some_and(|m| m.group == group.group)
+        let own = self.heard.get(&self.own).filter(|heard| heard.is_fresh())?;
+        let group = own.report.membership.as_ref()?;
+        let is_of_group = |heard: &&Heard| {
+            let membership = heard.report.membership.as_ref();
+            membership.is_some_and(|m| m.group == group.group && m.epoch == group.epoch)
         };
-        let fresh = self.heard.values().filter(|heard| heard.at.elapsed() <= FRESH);
-        let mut reports = fresh.map(|heard| &heard.report).filter(is_of_group);
-        let is_working = reports.any(|report| report.running > 0 || report.held.is_some());
-        Some(Progress { epoch: group.epoch, step: own.step, is_working })
+        let ranks: Vec<&Heard> = self.heard.values().filter(is_of_group).collect();
+        let step = ranks.iter().map(|heard| heard.report.step).max().unwrap_or_default();
+        let is_working = ranks.iter().any(|heard| {
+            let EngineReport { running, waiting, held, .. } = &heard.report;
+            // A hold does not expire, however old its report is.
+            held.is_some_and(|held| held > step) || heard.is_fresh() && running + waiting > 0
+        });
+        Some(Progress { epoch: group.epoch, step, is_working })
+    }
+
+    /// Says whether nothing is known that keeps the own group from its next pass: all ranks were
+    /// heard lately, and none holds it.
+    pub(crate) fn may_begin_pass(&self) -> bool {
+        let group = self.group_of(self.own);
+        group.is_some_and(|group| group.reports.iter().all(|report| report.held.is_none()))
     }
 
     /// Demand by set and expert; `None` before anything was seen.
@@ -124,7 +143,7 @@
             return None;
         }
         let mut by_rank: Vec<Option<(SocketAddr, &EngineReport)>> = vec![None; own.ranks];
-        for (engine, heard) in self.heard.iter().filter(|(_, heard)| heard.at.elapsed() <= FRESH) {
+        for (engine, heard) in self.heard.iter().filter(|(_, heard)| heard.is_fresh()) {
             let membership = heard.report.membership.as_ref();
             let same = membership.filter(|m| m.epoch == own.epoch && m.group == own.group);
             if let Some(place) = same.and_then(|m| by_rank.get_mut(m.rank)) {
--- a/crates/rank/src/notifier.rs
+++ b/crates/rank/src/notifier.rs
@@ -10,7 +10,7 @@
 use lynxmount_balance::PassTime;
 use lynxmount_core::{
     Clock,
-    experts::{GroupState, Membership},
+    experts::{GroupState, GroupStep, Membership},
 };
 use lynxmount_link::{
     ASKED_FOR, GroupMembersNotice, GroupMessage, GroupNotice, MembersFingerprint, receive,
@@ -34,6 +34,9 @@
 /// The same in passes, in a slow group.
 const BLOCKED_PASSES: u32 = 4;
 
+/// How long a group that looks idle stays blocked at most, if ranks of it are not heard.
+const MAX_BLOCKED: Duration = Duration::from_secs(10);
+
 /// The largest asking, in bytes.
 const MAX_ASKING_BYTES: usize = 64;
 
@@ -48,6 +51,21 @@
     pub(crate) asked: Mutex<BTreeMap<SocketAddr, Asking>>,
 }
 
+/// What is kept of the group's progress from one look to the next.
+#[derive(Default)]
+struct GroupProgress {
+    pass_time: PassTime,
+    /// The step after which the group stands still, and since when it does.
+    blocked: Option<(GroupStep, Duration)>,
+}
+
+impl GroupProgress {
+    /// Says whether the group was found blocked at a step, not too long ago.
+    fn is_blocked_at(&self, step: GroupStep, now: Duration) -> bool {
+        self.blocked.is_some_and(|(at, since)| at == step && now < since + MAX_BLOCKED)
+    }
+}
+
 /// What an entry has asked.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Asking {
@@ -70,10 +88,10 @@
     /// Tells until the task is dropped.
     pub(crate) async fn run(self: Arc<Notifier>) {
         let mut told: Option<(GroupNotice, Instant)> = None;
-        let mut pass_time = PassTime::default();
+        let mut progress = GroupProgress::default();
         loop {
             tokio::time::sleep(PERIOD).await;
-            let Some(notice) = self.notice(&mut pass_time) else {
+            let Some(notice) = self.notice(&mut progress) else {
                 told = None;
                 continue;
             };
@@ -89,21 +107,28 @@
     }
 
     /// The state of the own group, if this process is to tell it.
-    fn notice(&self, pass_time: &mut PassTime) -> Option<GroupNotice> {
+    fn notice(&self, seen: &mut GroupProgress) -> Option<GroupNotice> {
         let now = self.clock.now();
-        let (membership, progress) = {
+        let (membership, progress, may_go_on) = {
             let beliefs = self.beliefs.lock();
-            (beliefs.own_membership()?, beliefs.progress()?)
+            (beliefs.own_membership()?, beliefs.progress()?, beliefs.may_begin_pass())
+        };
+        seen.pass_time.note(progress.epoch, progress.step, progress.is_working, now);
+        let state = match state(&membership, &seen.pass_time, now) {
+            // Entries have taken their calls back, so that it looks idle.
+            GroupState::Serving if seen.is_blocked_at(progress.step, now) && !may_go_on => {
+                GroupState::Blocked
+            }
+            state => state,
         };
-        pass_time.note(progress.epoch, progress.step, progress.is_working, now);
+        let since = seen.blocked.filter(|(step, _)| *step == progress.step);
+        let since = since.map_or(now, |(_, since)| since);
+        seen.blocked = (state == GroupState::Blocked).then_some((progress.step, since));
         if !self.duty.is_leading() {
             return None;
         }
-        Some(GroupNotice {
-            group: membership.group.clone(),
-            state: state(&membership, pass_time, now),
-            pass: pass_time.current(now),
-        })
+        let pass = seen.pass_time.current(now);
+        Some(GroupNotice { group: membership.group, state, pass })
     }
 
     /// Tells who the ranks are to entries that know others. One that does not get it
