--- a/crates/group/tests/switch.rs
+++ b/crates/group/tests/switch.rs
@@ -1,5 +1,6 @@
 //! One map in every pass, whoever dies, pauses or is late.
 
+mod engines;
 mod switch_world;
 
 use std::time::Duration;
--- a/crates/group/tests/switch_world/mod.rs
+++ b/crates/group/tests/switch_world/mod.rs
@@ -3,14 +3,14 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use lynxmount_core::experts::{
-    Action, EngineOrder, EngineReport, GroupMap, GroupStep, MapVersion, Membership, OrderResult,
-};
+use lynxmount_core::experts::{Action, EngineOrder, EngineReport, GroupMap, GroupStep};
 use lynxmount_group::{
     Guards, RankOrder, Switch, SwitchEnd, SwitchOptions, SwitchStart, left_behind,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
+use crate::engines::{EPOCH, Engine, engines, first_report};
+
 /// What goes wrong, as parts of all events.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Faults {
@@ -28,18 +28,6 @@
     pub(crate) coordinators: usize,
 }
 
-/// One engine, by the page on its orders.
-#[derive(Clone, Debug)]
-struct Engine {
-    report: EngineReport,
-    /// The highest number of a map that it was given.
-    had: MapVersion,
-    /// What it was given under the number that it has prepared.
-    prepared: GroupMap,
-    /// What it holds.
-    in_use: GroupMap,
-}
-
 /// An order on its way.
 struct InFlight {
     to: usize,
@@ -83,7 +71,6 @@
 }
 
 const TICK: Duration = Duration::from_millis(5);
-const EPOCH: u64 = 1;
 
 /// Coordinators that there may be; each has every so many ranks to hold through.
 const MAX_COORDINATORS: usize = 3;
@@ -100,37 +87,8 @@
 /// How long a hold may stand before another coordinator takes it up.
 const LEFT_BEHIND_AFTER: Duration = Duration::from_millis(900);
 
-fn first_report(rank: usize, ranks: usize) -> EngineReport {
-    EngineReport {
-        membership: Some(Membership {
-            group: "g".to_owned(),
-            epoch: EPOCH,
-            rank,
-            ranks,
-            is_open: true,
-        }),
-        step: 0,
-        map: 0,
-        prepared: None,
-        armed: None,
-        held: None,
-        running: 0,
-        waiting: 0,
-        pace: 1.0,
-    }
-}
-
 impl World {
     pub(crate) fn new(seed: u64, ranks: usize, faults: Faults) -> World {
-        let first: GroupMap = vec![(0..ranks).map(|rank| vec![rank]).collect()];
-        let engines = (0..ranks)
-            .map(|rank| Engine {
-                report: first_report(rank, ranks),
-                had: 0,
-                prepared: Vec::new(),
-                in_use: first.clone(),
-            })
-            .collect();
         let coordinators = (0..faults.coordinators)
             .map(|index| Coordinator {
                 life: index as u64,
@@ -147,7 +105,7 @@
             rng: SmallRng::seed_from_u64(seed),
             now: Duration::ZERO,
             step: 0,
-            engines,
+            engines: engines(ranks),
             orders: Vec::new(),
             coordinators,
             next_life: faults.coordinators as u64,
@@ -397,74 +355,3 @@
         other => format!("{other:?}"),
     }
 }
-
-impl Engine {
-    /// Takes an order as the engines' page says.
-    fn take(&mut self, order: &EngineOrder, step: GroupStep) -> OrderResult {
-        if order.epoch != EPOCH {
-            return OrderResult::Refused;
-        }
-        let report = &self.report;
-        let is_done = match &order.action {
-            Action::Prepare { version, .. } => report.prepared == Some(*version),
-            Action::Arm { version, step } => report.armed == Some((*version, *step)),
-            Action::Hold { step } => report.held == Some(*step),
-            Action::Disarm { .. } | Action::Go { .. } => false,
-        };
-        if is_done {
-            return OrderResult::Accepted;
-        }
-        let is_taken = match &order.action {
-            Action::Prepare { version, map } => {
-                let fits = *version > self.had && self.report.armed.is_none();
-                if fits {
-                    self.had = *version;
-                    self.report.prepared = Some(*version);
-                    self.prepared = GroupMap::clone(map);
-                }
-                fits
-            }
-            Action::Arm { version, step: at } => {
-                let fits = self.report.prepared == Some(*version)
-                    && *at > step
-                    && self.report.armed.is_none();
-                if fits {
-                    self.report.armed = Some((*version, *at));
-                }
-                fits
-            }
-            Action::Disarm { version } => {
-                let fits = self.report.armed.is_some_and(|(armed, _)| armed == *version);
-                if fits {
-                    self.report.armed = None;
-                }
-                fits
-            }
-            Action::Hold { step: at } => {
-                let fits = *at > step && self.report.held.is_none();
-                if fits {
-                    self.report.held = Some(*at);
-                }
-                fits
-            }
-            Action::Go { step: at } => {
-                let fits = self.report.held == Some(*at);
-                if fits {
-                    self.report.held = None;
-                }
-                fits
-            }
-        };
-        if is_taken { OrderResult::Accepted } else { OrderResult::Refused }
-    }
-
-    fn begin(&mut self, step: GroupStep) {
-        self.report.step = step;
-        if let Some((version, at)) = self.report.armed.filter(|(_, at)| *at == step) {
-            debug_assert_eq!(at, step);
-            self.report.map = version;
-            self.report.armed = None;
-            self.in_use = self.prepared.clone();
-        }
-    }
-}
