Play a machine that freezes at each order and each moment of a change of map

The matrix of the switch has late and lost orders, deaths and paused coordinators, and no machine that freezes with its rank: nothing showed for how long a group stands still then. The test asserts one map in every pass and no hold left behind.

--- /dev/null
+++ b/crates/group/tests/switch_freeze.rs
@@ -0,0 +1,85 @@
+//! One map in every pass, and for how long a group stands still, if a machine freezes during a
+//! change.
+
+mod engines;
+mod freeze_world;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use freeze_world::{COORDINATOR, Freeze, Moment, Outcome, play};
+use lynxmount_group::{SwitchEnd, SwitchOptions};
+
+const RANKS: usize = 16;
+
+/// From which time on a group counts as standing still.
+const LONG: Duration = Duration::from_secs(1);
+
+/// How far apart the moments are at which machines freeze.
+const MOMENT_STEP_MS: usize = 4;
+
+fn check(outcome: &Outcome, freeze: Freeze) {
+    assert!(outcome.end.is_some(), "{freeze:?}: the change does not end");
+    assert_eq!(outcome.held, None, "{freeze:?}: the group is still held");
+}
+
+/// The standstill of a group by the order at which a machine freezes, the longest one.
+#[test]
+fn a_machine_that_freezes_at_any_order_leaves_one_map_and_no_hold() {
+    let options = SwitchOptions::default();
+    let calm = play(RANKS, options, None);
+    let mut longest: BTreeMap<(&str, &str, &str), Duration> = BTreeMap::new();
+    for (index, order) in calm.delivered.iter().enumerate() {
+        for moment in [Moment::BeforeOrder(index), Moment::AfterOrder(index)] {
+            for rank in [order.rank, COORDINATOR] {
+                let freeze = Freeze { rank, moment };
+
+                let outcome = play(RANKS, options, Some(freeze));
+
+                check(&outcome, freeze);
+                let who = if rank == COORDINATOR { "coordinator" } else { "receiver" };
+                let when = if moment == Moment::BeforeOrder(index) { "before" } else { "after" };
+                let entry = longest.entry((who, order.name, when)).or_default();
+                *entry = outcome.standstill.max(*entry);
+            }
+        }
+    }
+
+    assert_eq!(calm.end, Some(SwitchEnd::Switched));
+    println!("calm: {:?} of standstill, switched after {:?}", calm.standstill, calm.took);
+    for ((who, name, when), standstill) in longest {
+        println!("{who} freezes {when} {name}: {standstill:?}");
+    }
+}
+
+/// The standstill of a group over all machines and moments of a change.
+#[test]
+fn a_machine_that_freezes_at_any_moment_leaves_one_map_and_no_hold() {
+    for lead_steps in [1, 2, 4, 8] {
+        let options = SwitchOptions { lead_steps, ..SwitchOptions::default() };
+        let calm = play(RANKS, options, None);
+        let moments = (1..=calm.took.as_millis() as usize).step_by(MOMENT_STEP_MS);
+        let (mut plays, mut long, mut total) = (0, 0, Duration::ZERO);
+        for at in moments {
+            for rank in 0..RANKS {
+                let moment = Moment::At(Duration::from_millis(at as u64));
+                let freeze = Freeze { rank, moment };
+
+                let outcome = play(RANKS, options, Some(freeze));
+
+                check(&outcome, freeze);
+                plays += 1;
+                long += usize::from(outcome.standstill >= LONG);
+                total += outcome.standstill;
+            }
+        }
+
+        assert_eq!(calm.end, Some(SwitchEnd::Switched));
+        println!(
+            "lead {lead_steps}: {long} of {plays} freezes stop the group for over a second, {:?} on \
+             average; calm: {:?}, switched after {:?}",
+            total / plays as u32,
+            calm.standstill,
+            calm.took
+        );
+    }
+}
