Ask all ranks for their state before a group is held for a change of map

Cause: a rank that froze between preparing a map and its order to arm was found only by that order. Nobody can know whether such a rank is armed, so that its group stood still until the machine woke. Ranks prepare within 0.2 s of each other, and arming takes 10 to 25 ms, so that most freezes fall into that time.

Change: once all have prepared, each rank reports its state through the process beside its engine, which gives no order. Only when all have answered is the group held; if one is late, all are asked again, three times at most. A silent one ends the change as not prepared, with nothing armed and nothing held. Safety is as before: the hold, the arming and the settling are untouched.

A test reads messages by the new name of the function, as strictly.

The new test is red with the confirmation taken out (Undone for NotPrepared).

--- a/crates/group/src/switch/mod.rs
+++ b/crates/group/src/switch/mod.rs
@@ -1,10 +1,11 @@
 //! Switching a group to another expert map, through engines that hold, arm and
 //! let go by themselves.
 //!
-//! A map is prepared on every rank; then the coordinator holds the group at a
-//! step, arms every rank for that step, and lets go once all are seen to be
-//! armed. If one is not, every rank is settled: disarmed, and given one and the
-//! same later map to prepare. Only then is the group let go.
+//! A map is prepared on every rank, and every rank confirms that it is in reach: one
+//! that has frozen since is found while the group still runs. Then the coordinator
+//! holds the group at a step, arms every rank for that step, and lets go once all are
+//! seen to be armed. If one is not, every rank is settled: disarmed, and given one and
+//! the same later map to prepare. Only then is the group let go.
 //!
 //! Whoever finds a hold that its coordinator has left behind settles all ranks
 //! in the same way, under a hold of its own. It never arms, so that several that
@@ -21,6 +22,7 @@
 //! - Each coordinator holds the group through ranks that no other uses, and never
 //!   twice at one step, so that a late order can't let go a hold that is needed.
 
+mod confirm;
 mod guards;
 mod options;
 mod orders;
@@ -48,6 +50,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Phase {
     Arming { since: Duration },
+    Confirming { round: u32, since: Duration },
     Holding { tries: u32 },
     Over(SwitchEnd),
     Preparing,
@@ -82,13 +85,25 @@
     ranks: Vec<Rank>,
 }
 
-/// An order for one rank.
+/// A request to one rank.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RankOrder {
     /// The rank.
     pub rank: RankNumber,
-    /// The order.
-    pub order: EngineOrder,
+    /// The request.
+    pub request: RankRequest,
+}
+
+/// What a rank is requested.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RankRequest {
+    /// To take an order.
+    Order(EngineOrder),
+    /// To report its state and change nothing.
+    Report {
+        /// The group's life.
+        epoch: GroupEpoch,
+    },
 }
 
 /// What a switch starts from.
@@ -212,8 +227,10 @@
     /// is repeated.
     pub fn answered(&mut self, rank: RankNumber, result: Option<OrderResult>) {
         let wanted = self.ranks[rank].note_answered(result);
-        if let (Some(OrderResult::Refused), Some(wanted)) = (result, wanted) {
-            self.refused(rank, wanted);
+        match (result, wanted) {
+            (Some(_), Some(Wanted::Report { round })) => self.confirmed(rank, round),
+            (Some(OrderResult::Refused), Some(wanted)) => self.refused(rank, wanted),
+            _ => {}
         }
     }
 
@@ -279,11 +296,13 @@
 
     fn next_phase(&mut self, now: Duration) -> Option<Phase> {
         match self.phase {
-            Phase::Preparing if self.all(Switch::has_prepared) => {
-                self.step = self.next_hold_step();
-                Some(Phase::Holding { tries: 0 })
+            Phase::Preparing if self.all(Switch::has_prepared) => Some(self.confirming(0, now)),
+            Phase::Confirming { round, since } if self.all(Switch::is_confirmed) => {
+                Some(self.after_confirming(round, since, now))
             }
-            Phase::Preparing if now >= self.started + self.options.prepare_timeout => {
+            Phase::Confirming { .. } | Phase::Preparing
+                if now >= self.started + self.options.prepare_timeout =>
+            {
                 Some(Phase::Over(SwitchEnd::NotPrepared))
             }
             Phase::Holding { .. } if !self.is_held() => None,
--- a/crates/group/src/switch/options.rs
+++ b/crates/group/src/switch/options.rs
@@ -10,6 +10,9 @@
     /// How long the copies of experts may take. A rank copies an expert in about
     /// 0.11 s on the reference deployments, and eight at most.
     pub prepare_timeout: Duration,
+    /// How long all ranks may take to report their state before the group is held;
+    /// after that they are asked again.
+    pub confirm_within: Duration,
     /// How long a group may be kept with some ranks armed. Orders are answered
     /// in a few milliseconds, and a held group serves nobody.
     pub arm_timeout: Duration,
@@ -26,10 +29,11 @@
 }
 
 impl Default for SwitchOptions {
-    /// Three seconds to prepare, 0.4 s to arm, one step ahead.
+    /// Three seconds to prepare, 0.15 s to confirm, 0.4 s to arm, one step ahead.
     fn default() -> SwitchOptions {
         SwitchOptions {
             prepare_timeout: Duration::from_secs(3),
+            confirm_within: Duration::from_millis(150),
             arm_timeout: Duration::from_millis(400),
             repeat_after: Duration::from_millis(600),
             lead_steps: 1,
@@ -45,7 +49,8 @@
     GroupFormedAnew,
     /// The group could not be held in time; no rank was armed.
     NotHeld,
-    /// Not every rank has prepared the map; no rank was armed.
+    /// Not every rank has prepared the map and reported its state after that; no rank was
+    /// armed.
     NotPrepared,
     /// Another coordinator has given orders meanwhile, and settles what is left.
     Overtaken,
--- a/crates/group/src/switch/orders.rs
+++ b/crates/group/src/switch/orders.rs
@@ -4,20 +4,20 @@
 
 use lynxmount_core::experts::{Action, EngineOrder};
 
-use super::{Phase, RankOrder, Switch, rank::Wanted};
+use super::{Phase, RankOrder, RankRequest, Switch, rank::Wanted};
 use crate::RankNumber;
 
 impl Switch {
-    /// The order that a rank needs, unless it was given just now.
+    /// The request that a rank needs, unless it was made just now.
     pub(super) fn next_order(&mut self, rank: RankNumber, now: Duration) -> Option<RankOrder> {
         let wanted = self.wanted(rank)?;
         let is_to_ask = self.ranks[rank].is_to_ask(wanted, now, self.options.repeat_after);
-        let action = is_to_ask.then(|| self.action(wanted))?;
-        Some(RankOrder { rank, order: EngineOrder { epoch: self.epoch, action } })
+        is_to_ask.then(|| RankOrder { rank, request: self.request(wanted) })
     }
 
-    fn action(&self, wanted: Wanted) -> Action {
-        match wanted {
+    fn request(&self, wanted: Wanted) -> RankRequest {
+        let epoch = self.epoch;
+        let action = match wanted {
             Wanted::Arm => Action::Arm { version: self.version, step: self.step },
             Wanted::Disarm(version) => Action::Disarm { version },
             Wanted::Go(step) => Action::Go { step },
@@ -26,13 +26,18 @@
                 let map = Arc::clone(self.goal.as_ref().unwrap_or(&self.current));
                 Action::Prepare { version: self.version, map }
             }
+            Wanted::Report { .. } => return RankRequest::Report { epoch },
             Wanted::Settle(version) => Action::Prepare { version, map: Arc::clone(&self.current) },
-        }
+        };
+        RankRequest::Order(EngineOrder { epoch, action })
     }
 
     fn wanted(&self, rank: RankNumber) -> Option<Wanted> {
         match self.phase {
             Phase::Preparing if !self.has_prepared(rank) => Some(Wanted::Prepare),
+            Phase::Confirming { round, .. } if !self.is_confirmed(rank) => {
+                Some(Wanted::Report { round })
+            }
             Phase::Holding { .. } if rank == self.guard => Some(Wanted::Hold(self.step)),
             Phase::Arming { .. } if !self.is_armed(rank) => Some(Wanted::Arm),
             Phase::Settling if !self.is_settled(rank) => Some(self.settling_order(rank)),
--- a/crates/group/src/switch/rank.rs
+++ b/crates/group/src/switch/rank.rs
@@ -30,6 +30,7 @@
     Go(GroupStep),
     Hold(GroupStep),
     Prepare,
+    Report { round: u32 },
     Settle(MapVersion),
 }
 
@@ -45,12 +46,14 @@
 #[derive(Clone, Debug)]
 pub(super) struct Rank {
     pub(super) report: EngineReport,
+    /// Whether it has answered in the round in which all are asked.
+    pub(super) is_confirmed: bool,
     sent: Option<Sent>,
 }
 
 impl Rank {
     pub(super) fn new(report: EngineReport) -> Rank {
-        Rank { report, sent: None }
+        Rank { report, is_confirmed: false, sent: None }
     }
 
     /// Says whether the rank is armed for a step.
--- a/crates/group/tests/freeze_world/mod.rs
+++ b/crates/group/tests/freeze_world/mod.rs
@@ -7,7 +7,7 @@
 
 use lynxmount_core::experts::{Action, EngineReport, GroupStep, OrderResult};
 use lynxmount_group::{
-    RankNumber, RankOrder, Switch, SwitchEnd, SwitchOptions, SwitchStart, left_behind,
+    RankNumber, RankOrder, RankRequest, Switch, SwitchEnd, SwitchOptions, SwitchStart, left_behind,
 };
 
 use crate::engines::{EPOCH, Engine, engines};
@@ -305,7 +305,10 @@
     }
 
     fn take(&mut self, order: &RankOrder) -> OrderResult {
-        self.engines[order.rank].take(&order.order, self.step)
+        match &order.request {
+            RankRequest::Order(taken) => self.engines[order.rank].take(taken, self.step),
+            RankRequest::Report { .. } => OrderResult::Accepted,
+        }
     }
 
     fn look(&mut self) {
@@ -358,14 +361,15 @@
 
 /// How long a rank works before an order takes effect.
 fn work_time(order: &RankOrder) -> Duration {
-    match order.order.action {
-        Action::Prepare { .. } => COPY_TIME_PER_RANK * order.rank as u32,
+    match name(order) {
+        "prepare" => COPY_TIME_PER_RANK * order.rank as u32,
         _ => Duration::ZERO,
     }
 }
 
 fn name(order: &RankOrder) -> &'static str {
-    match order.order.action {
+    let RankRequest::Order(order) = &order.request else { return "report" };
+    match order.action {
         Action::Arm { .. } => "arm",
         Action::Disarm { .. } => "disarm",
         Action::Go { .. } => "go",
--- a/crates/group/tests/switch_freeze.rs
+++ b/crates/group/tests/switch_freeze.rs
@@ -83,3 +83,18 @@
         );
     }
 }
+
+#[test]
+fn a_rank_that_freezes_after_it_has_prepared_does_not_stop_the_group() {
+    // By then ranks 1 to 8 have prepared, and others still copy.
+    let moment = Moment::At(Duration::from_millis(100));
+    for rank in 1..=8 {
+        let freeze = Freeze { rank, moment };
+
+        let outcome = play(RANKS, SwitchOptions::default(), Some(freeze));
+
+        check(&outcome, freeze);
+        assert_eq!(outcome.end, Some(SwitchEnd::NotPrepared), "rank {rank}");
+        assert_eq!(outcome.standstill, Duration::ZERO, "rank {rank}");
+    }
+}
--- a/crates/group/tests/switch_world/mod.rs
+++ b/crates/group/tests/switch_world/mod.rs
@@ -3,9 +3,9 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use lynxmount_core::experts::{Action, EngineOrder, EngineReport, GroupMap, GroupStep};
+use lynxmount_core::experts::{Action, EngineReport, GroupMap, GroupStep, OrderResult};
 use lynxmount_group::{
-    Guards, RankOrder, Switch, SwitchEnd, SwitchOptions, SwitchStart, left_behind,
+    Guards, RankOrder, RankRequest, Switch, SwitchEnd, SwitchOptions, SwitchStart, left_behind,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -32,7 +32,7 @@
 struct InFlight {
     to: usize,
     /// `None` once whoever has given it gives it up.
-    order: Option<EngineOrder>,
+    request: Option<RankRequest>,
     from: usize,
     life: u64,
     sent_at: Duration,
@@ -179,8 +179,8 @@
         let orders = switch.tick(self.now);
         let (end, guard, step) = (switch.end(), switch.guard(), switch.step());
         self.coordinators[index].guards.note(EPOCH, guard, step);
-        for RankOrder { rank, order } in orders {
-            self.send(index, rank, order);
+        for RankOrder { rank, request } in orders {
+            self.send(index, rank, request);
         }
         if let Some(end) = end {
             self.tell(format!("coordinator {index} ends: {end:?}"));
@@ -252,7 +252,7 @@
         vec![(0..ranks).map(|_| vec![self.rng.random_range(0..100)]).collect()]
     }
 
-    fn send(&mut self, from: usize, to: usize, order: EngineOrder) {
+    fn send(&mut self, from: usize, to: usize, request: RankRequest) {
         let delay_ms = match self.rng.random_bool(self.faults.late_orders) {
             true => self.rng.random_range(1000..6000),
             false => self.rng.random_range(0..15),
@@ -261,7 +261,7 @@
         let life = self.coordinators[from].life;
         self.orders.push(InFlight {
             to,
-            order: Some(order),
+            request: Some(request),
             from,
             life,
             sent_at: self.now,
@@ -271,7 +271,7 @@
             let not_before = self.now + Duration::from_millis(GIVE_UP_AFTER_MS);
             self.orders.push(InFlight {
                 to,
-                order: None,
+                request: None,
                 from,
                 life,
                 sent_at: self.now,
@@ -285,21 +285,24 @@
             .into_iter()
             .partition(|order| order.not_before <= self.now);
         self.orders = later;
-        for InFlight { to, order, from, life, sent_at, .. } in due {
-            let Some(order) = order else {
+        for InFlight { to, request, from, life, sent_at, .. } in due {
+            let Some(request) = request else {
                 let coordinator = &mut self.coordinators[from];
                 let switch = coordinator.switch.as_mut().filter(|_| coordinator.life == life);
                 switch.into_iter().for_each(|switch| switch.answered(to, None));
                 continue;
             };
-            let result = self.engines[to].take(&order, self.step);
+            let result = match &request {
+                RankRequest::Order(order) => self.engines[to].take(order, self.step),
+                RankRequest::Report { .. } => OrderResult::Accepted,
+            };
             let is_late = sent_at + Duration::from_millis(GIVE_UP_AFTER_MS) < self.now;
             let is_lost = is_late || self.rng.random_bool(self.faults.lost_answers);
             let report = self.engines[to].report.clone();
             self.tell(format!(
                 "coordinator {from} life {life} to rank {to}: {} {result:?}; held {:?}, \
                  armed {:?}, prepared {:?}",
-                name(&order.action),
+                name(&request),
                 report.held,
                 report.armed,
                 report.prepared,
@@ -348,10 +351,13 @@
     }
 }
 
-/// An action without the map that it may carry.
-fn name(action: &Action) -> String {
-    match action {
-        Action::Prepare { version, .. } => format!("Prepare {{ version: {version} }}"),
-        other => format!("{other:?}"),
+/// A request without the map that it may carry.
+fn name(request: &RankRequest) -> String {
+    match request {
+        RankRequest::Order(order) => match &order.action {
+            Action::Prepare { version, .. } => format!("Prepare {{ version: {version} }}"),
+            other => format!("{other:?}"),
+        },
+        RankRequest::Report { .. } => "Report".to_owned(),
     }
 }
--- a/crates/rank/src/coordinator/drive.rs
+++ b/crates/rank/src/coordinator/drive.rs
@@ -6,16 +6,16 @@
 use lynxmount_core::{
     Result,
     edge::{Engine, FleetSource},
-    experts::{Action, EngineOrder},
+    experts::EngineOrder,
 };
-use lynxmount_group::{RankOrder, RelayTarget, Switch, SwitchEnd};
+use lynxmount_group::{RankOrder, RankRequest, RelayTarget, Switch, SwitchEnd};
 
 use super::Coordinator;
 use crate::{
-    engine_calls::give,
+    engine_calls::request,
     memory::Memory,
     message::{Base, OrderAnswer},
-    outbox::Awaiting,
+    outbox::{Awaiting, is_map},
 };
 
 /// How often a switch under way is looked after if nothing is answered.
@@ -41,11 +41,11 @@
             let orders = switch.tick(self.clock.now());
             self.note_maps(&orders);
             let mut relayed = self.relay(&orders, engines, base).await;
-            for RankOrder { rank, order } in orders {
+            for RankOrder { rank, request } in orders {
                 let engine = engines[rank];
                 let awaiting = relayed.remove(&self.mailbox.peer(engine));
                 under_way.push(Box::pin(async move {
-                    (rank, self.give(engine, &order, base, awaiting).await)
+                    (rank, self.give(engine, &request, base, awaiting).await)
                 }));
             }
             memory.guards.note(switch.epoch(), switch.guard(), switch.step());
@@ -68,7 +68,7 @@
 
     /// Keeps the map that ranks are to prepare: the same one for all of them.
     fn note_maps(&self, orders: &[RankOrder]) {
-        if let Some(RankOrder { order, .. }) = orders.iter().find(|order| is_map(order)) {
+        if let Some((_, order)) = maps(orders).next() {
             self.maps.lock().note_order(order);
         }
     }
@@ -81,12 +81,11 @@
         engines: &[SocketAddr],
         base: Base<'_>,
     ) -> HashMap<SocketAddr, Awaiting> {
-        let maps: Vec<&RankOrder> = orders.iter().filter(|order| is_map(order)).collect();
-        let Some(first) = maps.first() else { return HashMap::new() };
-        let engines = maps.iter().map(|order| engines[order.rank]);
+        let Some((_, first)) = maps(orders).next() else { return HashMap::new() };
+        let engines = maps(orders).map(|(rank, _)| engines[rank]);
         let spoken = engines.filter(|engine| *engine != self.own && !self.is_silent(*engine));
         let targets: Vec<RelayTarget> = spoken.map(|engine| self.relay_target(engine)).collect();
-        match self.outbox.relay(&targets, &first.order, base).await {
+        match self.outbox.relay(&targets, first, base).await {
             Ok(awaited) => awaited,
             Err(error) => {
                 log::error!(error:% = error; "a map can't be written");
@@ -119,36 +118,42 @@
         }
     }
 
-    /// Gives an order through the process beside the engine, or straight to the
-    /// engine if that process does not answer.
+    /// Makes a request through the process beside the engine. An order goes straight to
+    /// the engine if that process does not answer; a report has to come the way on which
+    /// orders will go.
     async fn give(
         &self,
         engine: SocketAddr,
-        order: &EngineOrder,
+        asked: &RankRequest,
         base: Base<'_>,
         awaiting: Option<Awaiting>,
     ) -> Result<OrderAnswer> {
         if engine == self.own {
-            return give(&*self.engine, order).await;
+            return request(&*self.engine, asked).await;
         }
         if self.is_silent(engine) {
             self.metrics.count("orders.direct");
-            return give(&(self.make_engine)(engine), order).await;
+            return request(&(self.make_engine)(engine), asked).await;
         }
         let peer = self.mailbox.peer(engine);
-        match self.outbox.give(peer, order, base, awaiting).await {
+        match self.outbox.give(peer, asked, base, awaiting).await {
             Ok(answer) => Ok(answer),
+            Err(error) if matches!(asked, RankRequest::Report { .. }) => Err(error),
             Err(error) => {
                 log::info!(error:% = error; "order given to the engine directly");
                 self.metrics.count("orders.direct");
-                give(&(self.make_engine)(engine), order).await
+                request(&(self.make_engine)(engine), asked).await
             }
         }
     }
 }
 
-fn is_map(order: &RankOrder) -> bool {
-    matches!(order.order.action, Action::Prepare { .. })
+/// The orders that carry a map, and their ranks.
+fn maps(orders: &[RankOrder]) -> impl Iterator<Item = (usize, &EngineOrder)> {
+    orders.iter().filter_map(|RankOrder { rank, request }| match request {
+        RankRequest::Order(order) if is_map(request) => Some((*rank, order)),
+        _ => None,
+    })
 }
 
 fn take_answer(switch: &mut Switch, rank: usize, answered: Result<OrderAnswer>) {
--- a/crates/rank/src/engine_calls.rs
+++ b/crates/rank/src/engine_calls.rs
@@ -1,11 +1,12 @@
-//! What is asked of an engine: an order with its state after it, and what it holds.
+//! What is asked of an engine: an order with its state after it, its state alone, and what
+//! it holds.
 
 use lynxmount_core::{
     Result,
     edge::Engine,
-    experts::{EngineOrder, GroupEpoch, MapVersion, Membership},
+    experts::{EngineOrder, GroupEpoch, MapVersion, Membership, OrderResult},
 };
-use lynxmount_group::RankRow;
+use lynxmount_group::{RankRequest, RankRow};
 
 use crate::message::OrderAnswer;
 
@@ -13,10 +14,23 @@
 /// after the first time, so that it may be given again.
 const MAX_TRIES: u32 = 4;
 
+/// Makes a request, and reads the engine's state after it.
+///
+/// Fails if the state can't be read.
+pub(crate) async fn request(engine: &impl Engine, request: &RankRequest) -> Result<OrderAnswer> {
+    match request {
+        RankRequest::Order(order) => give(engine, order).await,
+        RankRequest::Report { .. } => {
+            let report = engine.report().await?;
+            Ok(OrderAnswer { result: Some(OrderResult::Accepted), tries: 0, report })
+        }
+    }
+}
+
 /// Gives an order, and reads the engine's state after it.
 ///
 /// Fails if the state can't be read.
-pub(crate) async fn give(engine: &impl Engine, order: &EngineOrder) -> Result<OrderAnswer> {
+async fn give(engine: &impl Engine, order: &EngineOrder) -> Result<OrderAnswer> {
     let mut result = None;
     let mut tries = 0;
     while result.is_none() && tries < MAX_TRIES {
--- a/crates/rank/src/inbox.rs
+++ b/crates/rank/src/inbox.rs
@@ -4,13 +4,13 @@
 
 use lynxmount_core::{
     edge::Engine,
-    experts::{Action, GroupEpoch, MapVersion},
+    experts::{Action, EngineOrder, GroupEpoch, MapVersion},
 };
-use lynxmount_group::KnownMaps;
+use lynxmount_group::{KnownMaps, RankRequest};
 use parking_lot::Mutex;
 
 use crate::{
-    engine_calls::{give, read_row},
+    engine_calls::{read_row, request},
     mailbox::Mailbox,
     message::{AnswerMessage, Datagram, OrderId, OrderMessage, OrderOutcome, RelayedOrder},
     reporter::{Awaited, Reporter},
@@ -68,16 +68,14 @@
     async fn give(&self, message: OrderMessage) -> OrderOutcome {
         let epoch = message.epoch;
         let known = |version| self.maps.lock().get(epoch, version);
-        let Some(order) = message.order(known) else { return OrderOutcome::MapUnknown };
-        self.maps.lock().note_order(&order);
-        match give(&*self.reporter.engine, &order).await {
+        let Some(asked) = message.request(known) else { return OrderOutcome::MapUnknown };
+        if let RankRequest::Order(order) = &asked {
+            self.maps.lock().note_order(order);
+        }
+        match request(&*self.reporter.engine, &asked).await {
             Ok(answer) => {
-                match order.action {
-                    Action::Prepare { version, .. } => {
-                        self.reporter.await_end(Awaited::Copy(version));
-                    }
-                    Action::Arm { .. } => self.reporter.await_end(Awaited::Switch),
-                    Action::Disarm { .. } | Action::Go { .. } | Action::Hold { .. } => {}
+                if let RankRequest::Order(order) = &asked {
+                    self.await_end(order);
                 }
                 OrderOutcome::Given(Box::new(answer))
             }
@@ -87,4 +85,12 @@
             }
         }
     }
+
+    fn await_end(&self, order: &EngineOrder) {
+        match order.action {
+            Action::Prepare { version, .. } => self.reporter.await_end(Awaited::Copy(version)),
+            Action::Arm { .. } => self.reporter.await_end(Awaited::Switch),
+            Action::Disarm { .. } | Action::Go { .. } | Action::Hold { .. } => {}
+        }
+    }
 }
--- a/crates/rank/src/message.rs
+++ b/crates/rank/src/message.rs
@@ -7,7 +7,7 @@
     experts::{Action, EngineOrder, EngineReport, GroupEpoch, GroupMap, MapVersion, OrderResult},
     invalid,
 };
-use lynxmount_group::{Announcement, GroupMembers, RankRow};
+use lynxmount_group::{Announcement, GroupMembers, RankRequest, RankRow};
 use miniz_oxide::{deflate::compress_to_vec, inflate::decompress_to_vec_with_limit};
 use serde::{Deserialize, Serialize};
 
@@ -157,6 +157,8 @@
     },
     /// An action without a map.
     Small(Action),
+    /// Report the state, and change nothing.
+    Report,
 }
 
 /// A map, as a whole or by what differs: a whole one of 192 ranks takes up to 16 kB
@@ -262,18 +264,30 @@
         OrderMessage { id, epoch: order.epoch, action }
     }
 
-    /// The order; `None` if it builds on a map that is not known.
-    pub fn order(
+    /// Makes a message of a request.
+    pub(crate) fn of(id: OrderId, request: &RankRequest, base: Base<'_>) -> OrderMessage {
+        match request {
+            RankRequest::Order(order) => OrderMessage::new(id, order, base),
+            RankRequest::Report { epoch } => {
+                OrderMessage { id, epoch: *epoch, action: ActionMessage::Report }
+            }
+        }
+    }
+
+    /// The request; `None` if it builds on a map that is not known.
+    pub fn request(
         self,
         known: impl FnOnce(MapVersion) -> Option<Arc<GroupMap>>,
-    ) -> Option<EngineOrder> {
+    ) -> Option<RankRequest> {
+        let epoch = self.epoch;
         let action = match self.action {
             ActionMessage::Prepare { version, map } => {
                 Action::Prepare { version, map: map.map(known)? }
             }
             ActionMessage::Small(action) => action,
+            ActionMessage::Report => return Some(RankRequest::Report { epoch }),
         };
-        Some(EngineOrder { epoch: self.epoch, action })
+        Some(RankRequest::Order(EngineOrder { epoch, action }))
     }
 }
 
--- a/crates/rank/src/outbox.rs
+++ b/crates/rank/src/outbox.rs
@@ -15,7 +15,7 @@
     experts::{Action, EngineOrder},
     timed_out, unreachable,
 };
-use lynxmount_group::{Relay, RelayTarget, relays, relays_pay};
+use lynxmount_group::{RankRequest, Relay, RelayTarget, relays, relays_pay};
 use lynxmount_policy::AnswerTime;
 use parking_lot::Mutex;
 use tokio::sync::{Semaphore, oneshot};
@@ -133,20 +133,19 @@
         Ok(awaited)
     }
 
-    /// Asks the process beside an engine to give an order, which may be on its way
-    /// already.
+    /// Makes a request to the process beside an engine. An order may be on its way already.
     ///
     /// Fails if that process or its engine does not answer.
     pub(crate) async fn give(
         &self,
         peer: SocketAddr,
-        order: &EngineOrder,
+        request: &RankRequest,
         base: Base<'_>,
         awaiting: Option<Awaiting>,
     ) -> Result<OrderAnswer> {
-        match self.ask(peer, order, base, awaiting).await? {
+        match self.ask(peer, request, base, awaiting).await? {
             OrderOutcome::Given(answer) => Ok(*answer),
-            OrderOutcome::MapUnknown => match self.ask(peer, order, None, None).await? {
+            OrderOutcome::MapUnknown => match self.ask(peer, request, None, None).await? {
                 OrderOutcome::Given(answer) => Ok(*answer),
                 _ => Err(unreachable(Step::Order, peer, "the engine can't be read")),
             },
@@ -166,16 +165,16 @@
     async fn ask(
         &self,
         peer: SocketAddr,
-        order: &EngineOrder,
+        request: &RankRequest,
         base: Base<'_>,
         awaiting: Option<Awaiting>,
     ) -> Result<OrderOutcome> {
-        let is_map = matches!(order.action, Action::Prepare { .. });
+        let is_map = is_map(request);
         let mut awaiting = awaiting.unwrap_or_else(|| {
             let id = self.next_id.fetch_add(1, Ordering::Relaxed);
             self.expect(peer, id, false)
         });
-        let outcome = self.send_until_answered(&mut awaiting, order, base, is_map).await;
+        let outcome = self.send_until_answered(&mut awaiting, request, base, is_map).await;
         if is_map && outcome.is_ok() {
             self.map_answers.lock().note(awaiting.since.elapsed());
         }
@@ -185,7 +184,7 @@
     async fn send_until_answered(
         &self,
         awaiting: &mut Awaiting,
-        order: &EngineOrder,
+        request: &RankRequest,
         base: Base<'_>,
         is_map: bool,
     ) -> Result<OrderOutcome> {
@@ -197,7 +196,7 @@
                 false => None,
             };
             if !is_on_its_way {
-                let message = OrderMessage::new(awaiting.id, order, base);
+                let message = OrderMessage::of(awaiting.id, request, base);
                 self.mailbox.send_bytes(peer, &Datagram::Order(message).encode()?).await;
             }
             match tokio::time::timeout(self.resend_after(is_map), &mut awaiting.receiver).await {
@@ -216,3 +215,8 @@
         }
     }
 }
+
+/// Says whether a request carries a map.
+pub(crate) fn is_map(request: &RankRequest) -> bool {
+    matches!(request, RankRequest::Order(order) if matches!(order.action, Action::Prepare { .. }))
+}
--- a/crates/rank/tests/link_budget.rs
+++ b/crates/rank/tests/link_budget.rs
@@ -10,7 +10,7 @@
     FailureDomainId,
     experts::{Action, EngineOrder, GroupMap},
 };
-use lynxmount_group::{RelayTarget, relays, relays_pay};
+use lynxmount_group::{RankRequest, RelayTarget, relays, relays_pay};
 use lynxmount_rank::message::{Datagram, DemandSample, OrderMessage, RelayedOrder};
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::SliceRandom};
 use rand_distr::{Distribution, LogNormal};
@@ -207,9 +207,9 @@
         let base = Arc::new(base);
 
         let message = OrderMessage::new(1, &order, Some((0, &base)));
-        let read = message.order(|version| (version == 0).then(|| Arc::clone(&base)));
+        let read = message.request(|version| (version == 0).then(|| Arc::clone(&base)));
 
-        assert_eq!(read, Some(order));
+        assert_eq!(read, Some(RankRequest::Order(order)));
     }
 }
 
