Match answers of ranks to the requests that they answer

Cause: an answer named its rank only. A coordinator that wakes from a freeze gives up its order to hold, repeats it, and is refused twice, as the step has begun. The second refusal was taken for one of the next hold: the switch went on to a further step, which the rank refuses while it is held, and ended NotHeld with the hold left standing for 0.6 s, until it was undone as left behind.

Change: each request has an id, and only the answer to the last one counts.

The new test is red without the comparison (NotHeld).

--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -25,6 +25,6 @@
 pub use rank_gate::{Armed, EngineState, GateAction, RankGate};
 pub use relay::{Relay, RelayTarget, relays, relays_pay};
 pub use switch::{
-    Guard, Guards, RankOrder, RankRequest, Switch, SwitchEnd, SwitchOptions, SwitchStart,
-    left_behind,
+    Guard, Guards, RankOrder, RankRequest, RequestId, Switch, SwitchEnd, SwitchOptions,
+    SwitchStart, left_behind,
 };
--- a/crates/group/src/switch/mod.rs
+++ b/crates/group/src/switch/mod.rs
@@ -82,6 +82,7 @@
     others_held: Vec<(RankNumber, GroupStep)>,
     phase: Phase,
     armed_in: Option<Duration>,
+    last_request: RequestId,
     ranks: Vec<Rank>,
 }
 
@@ -90,10 +91,15 @@
 pub struct RankOrder {
     /// The rank.
     pub rank: RankNumber,
+    /// Names the request among those of the switch.
+    pub id: RequestId,
     /// The request.
     pub request: RankRequest,
 }
 
+/// Names a request of a switch.
+pub type RequestId = u64;
+
 /// What a rank is requested.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum RankRequest {
@@ -175,6 +181,7 @@
             others_held: Vec::new(),
             phase: Phase::Preparing,
             armed_in: None,
+            last_request: 0,
             ranks: start.reports.into_iter().map(Rank::new).collect(),
         }
     }
@@ -222,11 +229,12 @@
         }
     }
 
-    /// Takes the answer to an order; the rank's state after it is to be observed
+    /// Takes the answer to a request; the rank's state after it is to be observed
     /// first. An order that is given up without an answer may take effect yet, and
-    /// is repeated.
-    pub fn answered(&mut self, rank: RankNumber, result: Option<OrderResult>) {
-        let wanted = self.ranks[rank].note_answered(result);
+    /// is repeated. Only the last request to a rank counts: a late refusal of an earlier
+    /// one says nothing of it.
+    pub fn answered(&mut self, rank: RankNumber, id: RequestId, result: Option<OrderResult>) {
+        let wanted = self.ranks[rank].note_answered(id, result);
         match (result, wanted) {
             (Some(_), Some(Wanted::Report { round })) => self.confirmed(rank, round),
             (Some(OrderResult::Refused), Some(wanted)) => self.refused(rank, wanted),
--- a/crates/group/src/switch/orders.rs
+++ b/crates/group/src/switch/orders.rs
@@ -11,8 +11,13 @@
     /// The request that a rank needs, unless it was made just now.
     pub(super) fn next_order(&mut self, rank: RankNumber, now: Duration) -> Option<RankOrder> {
         let wanted = self.wanted(rank)?;
-        let is_to_ask = self.ranks[rank].is_to_ask(wanted, now, self.options.repeat_after);
-        is_to_ask.then(|| RankOrder { rank, request: self.request(wanted) })
+        let id = self.last_request + 1;
+        let is_to_ask = self.ranks[rank].is_to_ask(wanted, id, now, self.options.repeat_after);
+        if !is_to_ask {
+            return None;
+        }
+        self.last_request = id;
+        Some(RankOrder { rank, id, request: self.request(wanted) })
     }
 
     fn request(&self, wanted: Wanted) -> RankRequest {
--- a/crates/group/src/switch/rank.rs
+++ b/crates/group/src/switch/rank.rs
@@ -4,6 +4,8 @@
 
 use lynxmount_core::experts::{EngineReport, GroupStep, MapVersion, OrderResult};
 
+use super::RequestId;
+
 /// How soon an order is repeated that nothing is known of, or that was refused
 /// though it still seems to fit: the report may be older than the refusal.
 const REPEAT_SOON: Duration = Duration::from_millis(25);
@@ -37,6 +39,7 @@
 /// An order that was given.
 #[derive(Clone, Debug)]
 struct Sent {
+    id: RequestId,
     wanted: Wanted,
     at: Duration,
     fate: Fate,
@@ -66,9 +69,13 @@
         self.report.armed.is_none() && self.report.prepared == Some(version)
     }
 
-    /// Notes what has become of the last order, and returns it.
-    pub(super) fn note_answered(&mut self, result: Option<OrderResult>) -> Option<Wanted> {
-        let sent = self.sent.as_mut()?;
+    /// Notes what has become of a request, and returns it if it is the last one.
+    pub(super) fn note_answered(
+        &mut self,
+        id: RequestId,
+        result: Option<OrderResult>,
+    ) -> Option<Wanted> {
+        let sent = self.sent.as_mut().filter(|sent| sent.id == id)?;
         sent.fate = match result {
             Some(OrderResult::Accepted) => Fate::Accepted,
             Some(OrderResult::Refused) => Fate::Refused,
@@ -82,6 +89,7 @@
     pub(super) fn is_to_ask(
         &mut self,
         wanted: Wanted,
+        id: RequestId,
         now: Duration,
         repeat_after: Duration,
     ) -> bool {
@@ -94,7 +102,7 @@
         if same.is_some_and(|sent| now < sent.at + pause) {
             return false;
         }
-        self.sent = Some(Sent { wanted, at: now, fate: Fate::UnderWay });
+        self.sent = Some(Sent { id, wanted, at: now, fate: Fate::UnderWay });
         true
     }
 }
--- a/crates/group/tests/freeze_world/mod.rs
+++ b/crates/group/tests/freeze_world/mod.rs
@@ -7,7 +7,8 @@
 
 use lynxmount_core::experts::{Action, EngineReport, GroupStep, OrderResult};
 use lynxmount_group::{
-    RankNumber, RankOrder, RankRequest, Switch, SwitchEnd, SwitchOptions, SwitchStart, left_behind,
+    RankNumber, RankOrder, RankRequest, RequestId, Switch, SwitchEnd, SwitchOptions, SwitchStart,
+    left_behind,
 };
 
 use crate::engines::{EPOCH, Engine, engines};
@@ -84,7 +85,7 @@
 }
 
 enum Body {
-    Answer { result: OrderResult },
+    Answer { id: RequestId, result: OrderResult },
     Order(RankOrder),
     Report,
 }
@@ -114,7 +115,8 @@
     last_pass: Duration,
     standstill: Duration,
     messages: Vec<Message>,
-    waiting: BTreeMap<RankNumber, Duration>,
+    /// Since when answers are awaited.
+    waiting: BTreeMap<(RankNumber, RequestId), Duration>,
     options: SwitchOptions,
     switch: Switch,
     /// The last report of each rank that the coordinator got.
@@ -276,10 +278,10 @@
             }
             let Message { rank, body, report, due } = message;
             match body {
-                Body::Answer { result } => {
-                    self.waiting.remove(&rank);
+                Body::Answer { id, result } => {
+                    self.waiting.remove(&(rank, id));
                     self.observe(rank, report);
-                    self.switch.answered(rank, Some(result));
+                    self.switch.answered(rank, id, Some(result));
                     has_come = true;
                 }
                 Body::Order(order) => self.deliver_order(rank, order, due),
@@ -298,10 +300,11 @@
             return;
         }
         self.delivered.push(Delivered { rank, name: name(&order) });
+        let id = order.id;
         let result = self.take(&order);
         self.freeze_if(Moment::AfterOrder(index));
         let sent_at = if self.is_frozen(rank) { self.frozen_until } else { self.now };
-        self.send(rank, Body::Answer { result }, sent_at + latency(rank));
+        self.send(rank, Body::Answer { id, result }, sent_at + latency(rank));
     }
 
     fn take(&mut self, order: &RankOrder) -> OrderResult {
@@ -314,10 +317,10 @@
     fn look(&mut self) {
         self.looked_at = self.now;
         let waiting = std::mem::take(&mut self.waiting);
-        for (rank, since) in waiting {
+        for ((rank, id), since) in waiting {
             match self.now >= since + GIVE_UP_AFTER {
-                true => self.switch.answered(rank, None),
-                false => drop(self.waiting.insert(rank, since)),
+                true => self.switch.answered(rank, id, None),
+                false => drop(self.waiting.insert((rank, id), since)),
             }
         }
         if self.switch.end().is_some() {
@@ -326,7 +329,7 @@
         for order in self.switch.tick(self.now) {
             let rank = order.rank;
             let due = self.now + latency(rank) + work_time(&order);
-            self.waiting.insert(rank, self.now);
+            self.waiting.insert((rank, order.id), self.now);
             self.send(rank, Body::Order(order), due);
         }
         self.ended = self.ended.or(self.switch.end().map(|end| (end, self.now)));
--- a/crates/group/tests/switch_freeze.rs
+++ b/crates/group/tests/switch_freeze.rs
@@ -98,3 +98,17 @@
         assert_eq!(outcome.standstill, Duration::ZERO, "rank {rank}");
     }
 }
+
+#[test]
+fn a_late_refusal_of_an_earlier_hold_leaves_no_hold_behind() {
+    let options = SwitchOptions::default();
+    let calm = play(RANKS, options, None);
+    let hold = calm.delivered.iter().position(|order| order.name == "hold").expect("a hold");
+    let freeze = Freeze { rank: COORDINATOR, moment: Moment::BeforeOrder(hold) };
+
+    let outcome = play(RANKS, options, Some(freeze));
+
+    check(&outcome, freeze);
+    assert_eq!(outcome.end, Some(SwitchEnd::Switched));
+    assert_eq!(outcome.standstill, Duration::ZERO);
+}
--- a/crates/group/tests/switch_world/mod.rs
+++ b/crates/group/tests/switch_world/mod.rs
@@ -5,7 +5,8 @@
 
 use lynxmount_core::experts::{Action, EngineReport, GroupMap, GroupStep, OrderResult};
 use lynxmount_group::{
-    Guards, RankOrder, RankRequest, Switch, SwitchEnd, SwitchOptions, SwitchStart, left_behind,
+    Guards, RankOrder, RankRequest, RequestId, Switch, SwitchEnd, SwitchOptions, SwitchStart,
+    left_behind,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -32,6 +33,7 @@
 struct InFlight {
     to: usize,
     /// `None` once whoever has given it gives it up.
+    id: RequestId,
     request: Option<RankRequest>,
     from: usize,
     life: u64,
@@ -179,8 +181,8 @@
         let orders = switch.tick(self.now);
         let (end, guard, step) = (switch.end(), switch.guard(), switch.step());
         self.coordinators[index].guards.note(EPOCH, guard, step);
-        for RankOrder { rank, request } in orders {
-            self.send(index, rank, request);
+        for order in orders {
+            self.send(index, order);
         }
         if let Some(end) = end {
             self.tell(format!("coordinator {index} ends: {end:?}"));
@@ -252,7 +254,8 @@
         vec![(0..ranks).map(|_| vec![self.rng.random_range(0..100)]).collect()]
     }
 
-    fn send(&mut self, from: usize, to: usize, request: RankRequest) {
+    fn send(&mut self, from: usize, order: RankOrder) {
+        let RankOrder { rank: to, id, request } = order;
         let delay_ms = match self.rng.random_bool(self.faults.late_orders) {
             true => self.rng.random_range(1000..6000),
             false => self.rng.random_range(0..15),
@@ -261,6 +264,7 @@
         let life = self.coordinators[from].life;
         self.orders.push(InFlight {
             to,
+            id,
             request: Some(request),
             from,
             life,
@@ -271,6 +275,7 @@
             let not_before = self.now + Duration::from_millis(GIVE_UP_AFTER_MS);
             self.orders.push(InFlight {
                 to,
+                id,
                 request: None,
                 from,
                 life,
@@ -285,11 +290,11 @@
             .into_iter()
             .partition(|order| order.not_before <= self.now);
         self.orders = later;
-        for InFlight { to, request, from, life, sent_at, .. } in due {
+        for InFlight { to, id, request, from, life, sent_at, .. } in due {
             let Some(request) = request else {
                 let coordinator = &mut self.coordinators[from];
                 let switch = coordinator.switch.as_mut().filter(|_| coordinator.life == life);
-                switch.into_iter().for_each(|switch| switch.answered(to, None));
+                switch.into_iter().for_each(|switch| switch.answered(to, id, None));
                 continue;
             };
             let result = match &request {
@@ -310,12 +315,12 @@
             let coordinator = &mut self.coordinators[from];
             match &mut coordinator.switch {
                 Some(switch) if coordinator.life == life && is_lost && !is_late => {
-                    switch.answered(to, None);
+                    switch.answered(to, id, None);
                 }
                 Some(_) if is_lost => {}
                 Some(switch) if coordinator.life == life => {
                     switch.observe(to, report);
-                    switch.answered(to, Some(result));
+                    switch.answered(to, id, Some(result));
                 }
                 _ => {}
             }
--- a/crates/rank/src/coordinator/drive.rs
+++ b/crates/rank/src/coordinator/drive.rs
@@ -8,7 +8,7 @@
     edge::{Engine, FleetSource},
     experts::EngineOrder,
 };
-use lynxmount_group::{RankOrder, RankRequest, RelayTarget, Switch, SwitchEnd};
+use lynxmount_group::{RankOrder, RankRequest, RelayTarget, RequestId, Switch, SwitchEnd};
 
 use super::Coordinator;
 use crate::{
@@ -35,17 +35,18 @@
         engines: &[SocketAddr],
         base: Base<'_>,
     ) -> SwitchEnd {
-        let mut under_way: FuturesUnordered<BoxFuture<'_, (usize, Result<OrderAnswer>)>> =
-            FuturesUnordered::new();
+        let mut under_way: FuturesUnordered<
+            BoxFuture<'_, (usize, RequestId, Result<OrderAnswer>)>,
+        > = FuturesUnordered::new();
         loop {
             let orders = switch.tick(self.clock.now());
             self.note_maps(&orders);
             let mut relayed = self.relay(&orders, engines, base).await;
-            for RankOrder { rank, request } in orders {
+            for RankOrder { rank, id, request } in orders {
                 let engine = engines[rank];
                 let awaiting = relayed.remove(&self.mailbox.peer(engine));
                 under_way.push(Box::pin(async move {
-                    (rank, self.give(engine, &request, base, awaiting).await)
+                    (rank, id, self.give(engine, &request, base, awaiting).await)
                 }));
             }
             memory.guards.note(switch.epoch(), switch.guard(), switch.step());
@@ -53,10 +54,10 @@
                 return end;
             }
             tokio::select! {
-                Some((rank, answered)) = under_way.next(), if !under_way.is_empty() => {
+                Some((rank, id, answered)) = under_way.next(), if !under_way.is_empty() => {
                     memory.note_loss(&answered);
                     self.note_report(engines[rank], &answered);
-                    take_answer(switch, rank, answered);
+                    take_answer(switch, rank, id, answered);
                 }
                 () = tokio::time::sleep(SWITCH_TICK) => {
                     self.read_silent(memory);
@@ -150,21 +151,21 @@
 
 /// The orders that carry a map, and their ranks.
 fn maps(orders: &[RankOrder]) -> impl Iterator<Item = (usize, &EngineOrder)> {
-    orders.iter().filter_map(|RankOrder { rank, request }| match request {
+    orders.iter().filter_map(|RankOrder { rank, request, .. }| match request {
         RankRequest::Order(order) if is_map(request) => Some((*rank, order)),
         _ => None,
     })
 }
 
-fn take_answer(switch: &mut Switch, rank: usize, answered: Result<OrderAnswer>) {
+fn take_answer(switch: &mut Switch, rank: usize, id: RequestId, answered: Result<OrderAnswer>) {
     match answered {
         Ok(OrderAnswer { result, report, .. }) => {
             switch.observe(rank, report);
-            switch.answered(rank, result);
+            switch.answered(rank, id, result);
         }
         Err(error) => {
             log::info!(rank, error:% = error; "order outcome unknown");
-            switch.answered(rank, None);
+            switch.answered(rank, id, None);
         }
     }
 }
