--- a/crates/group/tests/switch_world/mod.rs
+++ b/crates/group/tests/switch_world/mod.rs
@@ -3,14 +3,15 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use lynxmount_core::experts::{
-    Action, EngineOrder, EngineReport, GroupMap, GroupStep, MapVersion, Membership, OrderResult,
-};
+use lynxmount_core::experts::{Action, EngineReport, GroupMap, GroupStep, OrderResult};
 use lynxmount_group::{
-    Guards, RankOrder, Switch, SwitchEnd, SwitchOptions, SwitchStart, left_behind,
+    Guards, RankOrder, RankRequest, RequestId, Switch, SwitchEnd, SwitchOptions, SwitchStart,
+    left_behind,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
+use crate::engines::{EPOCH, Engine, engines, first_report};
+
 /// What goes wrong, as parts of all events.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Faults {
@@ -28,23 +29,12 @@
     pub(crate) coordinators: usize,
 }
 
-/// One engine, by the page on its orders.
-#[derive(Clone, Debug)]
-struct Engine {
-    report: EngineReport,
-    /// The highest number of a map that it was given.
-    had: MapVersion,
-    /// What it was given under the number that it has prepared.
-    prepared: GroupMap,
-    /// What it holds.
-    in_use: GroupMap,
-}
-
 /// An order on its way.
 struct InFlight {
     to: usize,
     /// `None` once whoever has given it gives it up.
-    order: Option<EngineOrder>,
+    id: RequestId,
+    request: Option<RankRequest>,
     from: usize,
     life: u64,
     sent_at: Duration,
@@ -83,7 +73,6 @@
 }
 
 const TICK: Duration = Duration::from_millis(5);
-const EPOCH: u64 = 1;
 
 /// Coordinators that there may be; each has every so many ranks to hold through.
 const MAX_COORDINATORS: usize = 3;
@@ -100,37 +89,8 @@
 /// How long a hold may stand before another coordinator takes it up.
 const LEFT_BEHIND_AFTER: Duration = Duration::from_millis(900);
 
-fn first_report(rank: usize, ranks: usize) -> EngineReport {
-    EngineReport {
-        membership: Some(Membership {
-            group: "g".to_owned(),
-            epoch: EPOCH,
-            rank,
-            ranks,
-            is_open: true,
-        }),
-        step: 0,
-        map: 0,
-        prepared: None,
-        armed: None,
-        held: None,
-        running: 0,
-        waiting: 0,
-        pace: 1.0,
-    }
-}
-
 impl World {
     pub(crate) fn new(seed: u64, ranks: usize, faults: Faults) -> World {
-        let first: GroupMap = vec![(0..ranks).map(|rank| vec![rank]).collect()];
-        let engines = (0..ranks)
-            .map(|rank| Engine {
-                report: first_report(rank, ranks),
-                had: 0,
-                prepared: Vec::new(),
-                in_use: first.clone(),
-            })
-            .collect();
         let coordinators = (0..faults.coordinators)
             .map(|index| Coordinator {
                 life: index as u64,
@@ -147,7 +107,7 @@
             rng: SmallRng::seed_from_u64(seed),
             now: Duration::ZERO,
             step: 0,
-            engines,
+            engines: engines(ranks),
             orders: Vec::new(),
             coordinators,
             next_life: faults.coordinators as u64,
@@ -221,8 +181,8 @@
         let orders = switch.tick(self.now);
         let (end, guard, step) = (switch.end(), switch.guard(), switch.step());
         self.coordinators[index].guards.note(EPOCH, guard, step);
-        for RankOrder { rank, order } in orders {
-            self.send(index, rank, order);
+        for order in orders {
+            self.send(index, order);
         }
         if let Some(end) = end {
             self.tell(format!("coordinator {index} ends: {end:?}"));
@@ -294,7 +254,8 @@
         vec![(0..ranks).map(|_| vec![self.rng.random_range(0..100)]).collect()]
     }
 
-    fn send(&mut self, from: usize, to: usize, order: EngineOrder) {
+    fn send(&mut self, from: usize, order: RankOrder) {
+        let RankOrder { rank: to, id, request } = order;
         let delay_ms = match self.rng.random_bool(self.faults.late_orders) {
             true => self.rng.random_range(1000..6000),
             false => self.rng.random_range(0..15),
@@ -303,7 +264,8 @@
         let life = self.coordinators[from].life;
         self.orders.push(InFlight {
             to,
-            order: Some(order),
+            id,
+            request: Some(request),
             from,
             life,
             sent_at: self.now,
@@ -313,7 +275,8 @@
             let not_before = self.now + Duration::from_millis(GIVE_UP_AFTER_MS);
             self.orders.push(InFlight {
                 to,
-                order: None,
+                id,
+                request: None,
                 from,
                 life,
                 sent_at: self.now,
@@ -327,21 +290,24 @@
             .into_iter()
             .partition(|order| order.not_before <= self.now);
         self.orders = later;
-        for InFlight { to, order, from, life, sent_at, .. } in due {
-            let Some(order) = order else {
+        for InFlight { to, id, request, from, life, sent_at, .. } in due {
+            let Some(request) = request else {
                 let coordinator = &mut self.coordinators[from];
                 let switch = coordinator.switch.as_mut().filter(|_| coordinator.life == life);
-                switch.into_iter().for_each(|switch| switch.answered(to, None));
+                switch.into_iter().for_each(|switch| switch.answered(to, id, None));
                 continue;
             };
-            let result = self.engines[to].take(&order, self.step);
+            let result = match &request {
+                RankRequest::Order(order) => self.engines[to].take(order, self.step),
+                RankRequest::Report { .. } => OrderResult::Accepted,
+            };
             let is_late = sent_at + Duration::from_millis(GIVE_UP_AFTER_MS) < self.now;
             let is_lost = is_late || self.rng.random_bool(self.faults.lost_answers);
             let report = self.engines[to].report.clone();
             self.tell(format!(
                 "coordinator {from} life {life} to rank {to}: {} {result:?}; held {:?}, \
                  armed {:?}, prepared {:?}",
-                name(&order.action),
+                name(&request),
                 report.held,
                 report.armed,
                 report.prepared,
@@ -349,12 +315,12 @@
             let coordinator = &mut self.coordinators[from];
             match &mut coordinator.switch {
                 Some(switch) if coordinator.life == life && is_lost && !is_late => {
-                    switch.answered(to, None);
+                    switch.answered(to, id, None);
                 }
                 Some(_) if is_lost => {}
                 Some(switch) if coordinator.life == life => {
                     switch.observe(to, report);
-                    switch.answered(to, Some(result));
+                    switch.answered(to, id, Some(result));
                 }
                 _ => {}
             }
@@ -390,81 +356,13 @@
     }
 }
 
-/// An action without the map that it may carry.
-fn name(action: &Action) -> String {
-    match action {
-        Action::Prepare { version, .. } => format!("Prepare {{ version: {version} }}"),
-        other => format!("{other:?}"),
-    }
-}
-
-impl Engine {
-    /// Takes an order as the engines' page says.
-    fn take(&mut self, order: &EngineOrder, step: GroupStep) -> OrderResult {
-        if order.epoch != EPOCH {
-            return OrderResult::Refused;
-        }
-        let report = &self.report;
-        let is_done = match &order.action {
-            Action::Prepare { version, .. } => report.prepared == Some(*version),
-            Action::Arm { version, step } => report.armed == Some((*version, *step)),
-            Action::Hold { step } => report.held == Some(*step),
-            Action::Disarm { .. } | Action::Go { .. } => false,
-        };
-        if is_done {
-            return OrderResult::Accepted;
-        }
-        let is_taken = match &order.action {
-            Action::Prepare { version, map } => {
-                let fits = *version > self.had && self.report.armed.is_none();
-                if fits {
-                    self.had = *version;
-                    self.report.prepared = Some(*version);
-                    self.prepared = GroupMap::clone(map);
-                }
-                fits
-            }
-            Action::Arm { version, step: at } => {
-                let fits = self.report.prepared == Some(*version)
-                    && *at > step
-                    && self.report.armed.is_none();
-                if fits {
-                    self.report.armed = Some((*version, *at));
-                }
-                fits
-            }
-            Action::Disarm { version } => {
-                let fits = self.report.armed.is_some_and(|(armed, _)| armed == *version);
-                if fits {
-                    self.report.armed = None;
-                }
-                fits
-            }
-            Action::Hold { step: at } => {
-                let fits = *at > step && self.report.held.is_none();
-                if fits {
-                    self.report.held = Some(*at);
-                }
-                fits
-            }
-            Action::Go { step: at } => {
-                let fits = self.report.held == Some(*at);
-                if fits {
-                    self.report.held = None;
-                }
-                fits
-            }
-        };
-        if is_taken { OrderResult::Accepted } else { OrderResult::Refused }
-    }
-
-    fn begin(&mut self, step: GroupStep) {
-        self.report.step = step;
-        if let Some((version, at)) = self.report.armed.filter(|(_, at)| *at == step) {
-            debug_assert_eq!(at, step);
-            self.report.map = version;
-            self.report.armed = None;
-            self.in_use = self.prepared.clone();
-        }
+/// A request without the map that it may carry.
+fn name(request: &RankRequest) -> String {
+    match request {
+        RankRequest::Order(order) => match &order.action {
+            Action::Prepare { version, .. } => format!("Prepare {{ version: {version} }}"),
+            other => format!("{other:?}"),
+        },
+        RankRequest::Report { .. } => "Report".to_owned(),
     }
 }
