Bound the wait for the confirmation of a claim, not only its read

Cause: a refused request with a key is looked up in the log before it is told *not run*. CONFIRM_TIMEOUT bounded the read, but not the wait for the turn to read: while the log takes calls and answers none, each of N such requests waited for all before it, N times 0.5 s.

Change: the time covers the turn too.

Evidence: keyed_calls_refused_while_the_log_is_silent_do_not_wait_for_each_other (60 requests) fails before (not answered after 15 s) and passes after, in 3 s.

--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -61,17 +61,21 @@
 
     /// The claim that counts for a key, as of now.
     ///
-    /// Fails if the log can't be read.
+    /// Fails if the log can't be read in time.
     pub(crate) async fn get_confirmed(&self, key: &KeyDigest) -> Result<Option<Standing>> {
-        // Requests that wait here share the read of the one before them.
+        let confirmed = tokio::time::timeout(CONFIRM_TIMEOUT, self.read_to_end()).await;
+        confirmed.map_err(|_| timed_out(Step::ReadLog, "platform", "no answer in time"))??;
+        Ok(self.get(key))
+    }
+
+    /// Reads the log to its end. Requests that wait for their turn find what the one before
+    /// them has read.
+    async fn read_to_end(&self) -> Result<()> {
         let _turn = self.confirming.lock().await;
         let next = self.table.lock().next();
-        let read = self.platform.read_to_end(CLAIMS_STREAM, next);
-        let page = tokio::time::timeout(CONFIRM_TIMEOUT, read)
-            .await
-            .map_err(|_| timed_out(Step::ReadLog, "platform", "no answer in time"))??;
+        let page = self.platform.read_to_end(CLAIMS_STREAM, next).await?;
         self.take(page);
-        Ok(self.get(key))
+        Ok(())
     }
 
     /// Appends a claim and returns the one that counts for its key.
--- a/crates/lynxmount/tests/outages.rs
+++ b/crates/lynxmount/tests/outages.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{Fleet, OTHER_TEAM, Wanted, chat, eventually, token_of};
 use http::Method;
 use lynxmount_standin::{Caller, Faults};
@@ -11,6 +13,17 @@
 const ORDERS: &str = "/bookings/orders";
 const KEY: [(&str, &str); 1] = [("idempotency-key", "o-1")];
 
+/// Keyed requests that are refused together.
+const REFUSED: usize = 60;
+
+/// Far less than all of them take one after the other.
+const REFUSED_WITHIN: Duration = Duration::from_secs(15);
+
+/// A platform that takes calls and answers none while the test lasts.
+fn silent() -> Faults {
+    Faults { delay: Duration::from_secs(30), ..Faults::default() }
+}
+
 fn down() -> Faults {
     Faults { down: true, ..Faults::default() }
 }
@@ -224,3 +237,21 @@
         .await;
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keyed_calls_refused_while_the_log_is_silent_do_not_wait_for_each_other() {
+    let fleet = Fleet::start(plains(1)).await;
+    fleet.platform.log.set_faults(silent());
+
+    let guest = Caller::new(fleet.callers_address(0), token_of(OTHER_TEAM));
+    let refused = (0..REFUSED).map(|number| {
+        let (guest, key) = (guest.clone(), format!("o-{number}"));
+        async move { guest.call(Method::POST, ORDERS, &[("idempotency-key", &key)], "{}").await }
+    });
+    let answers = tokio::time::timeout(REFUSED_WITHIN, futures::future::join_all(refused)).await;
+
+    for answer in answers.expect("all are answered long before one by one") {
+        let answer = answer.unwrap();
+        assert_ne!(answer.outcome(), "complete", "{}", answer.body);
+    }
+}
