Bound the claim of a key by its request's deadline

Cause: a request that may run once waited for the append of its claim for as long as the platform's client and the batch before it took, whatever time its caller had.

Evidence: an_order_whose_claim_the_silent_log_leaves_unanswered_is_told_by_its_deadline got "platform-out" after more than its time before, and "timed-out" after.

--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -127,8 +127,10 @@
                 rest = self.suspects.until_held_back(&call.fingerprint) => Err(held_back(rest)),
             },
             Some(key) => {
-                let bound = bind(key, want, &call.gate, &self.claims, &self.node).await;
-                bound.map(|(place, binding)| (place, Some(binding)))
+                let binding = bind(key, want, &call.gate, &self.claims, &self.node);
+                let bound = tokio::time::timeout_at(call.deadline.at, binding).await;
+                let (place, binding) = bound.map_err(|_| claim_timed_out())??;
+                Ok((place, Some(binding)))
             }
         }
     }
@@ -196,6 +198,11 @@
     Refusal::not_run(Reason::HeldBack, detail).retry_after(rest)
 }
 
+/// Refuses a request whose claim the log has not confirmed in time: nobody acts on it.
+fn claim_timed_out() -> Refusal {
+    Refusal::not_run(Reason::TimedOut, "the log has not confirmed the claim in time")
+}
+
 /// What can be said if no further place is found after earlier attempts.
 fn with_history(refusal: Refusal, retry: &Retry) -> Refusal {
     match retry.may_have_run() {
--- a/crates/lynxmount/tests/outages.rs
+++ b/crates/lynxmount/tests/outages.rs
@@ -255,3 +255,13 @@
         assert_ne!(answer.outcome(), "complete", "{}", answer.body);
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_whose_claim_the_silent_log_leaves_unanswered_is_told_by_its_deadline() {
+    let fleet = Fleet::start(Wanted { plain_timeout_ms: 500, ..plains(1) }).await;
+    fleet.platform.log.set_faults(silent());
+
+    let answer = fleet.caller(0).call(Method::POST, ORDERS, &KEY, "{}").await.unwrap();
+
+    assert_eq!((&answer.json()["reason"], runs(&fleet)), (&"timed-out".into(), 0));
+}
