Start attempts only once nothing follows that an endpoint process has read

Cause: a process that was frozen reads, as it wakes, the attempts that came meanwhile, and behind them their cancellations or the end of the connection. Each attempt started as it was read, so that some reached the back end whose entry had told their callers *unknown* long ago.

Change: attempts start once no frame follows. One that was canceled by then doesn't start; those of a connection that has ended are dropped.

--- a/crates/endpoint/src/connection.rs
+++ b/crates/endpoint/src/connection.rs
@@ -28,6 +28,9 @@
 /// How many frames may wait to be written to one entry.
 const MAX_FRAMES_WAITING: usize = 1_024;
 
+/// How many attempts are read at most before the first of them starts.
+const MAX_READ_AHEAD: usize = 1_024;
+
 type Reader = FrameReader<OwnedReadHalf, ToEndpoint>;
 
 /// What one connection needs.
@@ -123,10 +126,14 @@
         outbound: &mpsc::Sender<ToEntry>,
         attempts: &Attempts,
     ) -> Result<()> {
-        while let Some(frame) = reader.next().await? {
+        let mut read_ahead = Vec::new();
+        while let Some(frame) = self.next(&mut reader, &mut read_ahead, outbound, attempts).await? {
             match frame {
                 ToEndpoint::Hello { .. } => return Err(unexpected(&self.peer, Some(frame))),
-                ToEndpoint::Dispatch(dispatch) => self.start(*dispatch, outbound, attempts),
+                ToEndpoint::Dispatch(dispatch) => {
+                    let admitted = attempts.add(dispatch.id);
+                    read_ahead.extend(admitted.map(|running| (*dispatch, running)));
+                }
                 ToEndpoint::Cancel(id) => {
                     if let Some(running) = attempts.get(id) {
                         running.cancel.cancel();
@@ -142,14 +149,43 @@
         Ok(())
     }
 
-    fn start(&self, dispatch: Dispatch, outbound: &mpsc::Sender<ToEntry>, attempts: &Attempts) {
+    /// Reads the next frame; attempts that were read start once no frame follows. A process
+    /// that was frozen finds cancellations, or the end of the connection, behind them.
+    async fn next(
+        &self,
+        reader: &mut Reader,
+        read_ahead: &mut Vec<(Dispatch, Running)>,
+        outbound: &mpsc::Sender<ToEntry>,
+        attempts: &Attempts,
+    ) -> Result<Option<ToEndpoint>> {
+        if read_ahead.len() < MAX_READ_AHEAD && !read_ahead.is_empty() {
+            tokio::select! {
+                biased;
+                frame = reader.next() => return frame,
+                () = std::future::ready(()) => {}
+            }
+        }
+        for (dispatch, running) in read_ahead.drain(..) {
+            self.start(dispatch, running, outbound, attempts);
+        }
+        reader.next().await
+    }
+
+    fn start(
+        &self,
+        dispatch: Dispatch,
+        running: Running,
+        outbound: &mpsc::Sender<ToEntry>,
+        attempts: &Attempts,
+    ) {
         let id = dispatch.id;
-        let Some(running) = attempts.add(id) else { return };
         let output = Output::new(id, outbound.clone(), running.credit);
         let runner = Arc::clone(&self.runner);
         let attempts = attempts.clone();
         tokio::spawn(async move {
-            runner.run(dispatch, output, running.cancel).await;
+            if !running.cancel.is_cancelled() {
+                runner.run(dispatch, output, running.cancel).await;
+            }
             attempts.remove(id);
         });
     }
--- /dev/null
+++ b/crates/lynxmount/tests/frozen.rs
@@ -0,0 +1,145 @@
+//! Parties that freeze together, so that no neighbour shows what is wrong.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Fleet, Wanted, chat, eventually, streamed_text};
+use http::Method;
+use http_body_util::BodyExt;
+use lynxmount_standin::{Answer, BatchOptions};
+use nix::sys::signal::Signal;
+use tokio::task::JoinHandle;
+
+const CHAT: &str = "/v1/chat/completions";
+const NOTES: &str = "/bookings/notes";
+
+/// A stream that outlasts the test.
+const ENDLESS: u32 = 100_000;
+
+/// A call that is still running when its endpoint is frozen.
+const LONG_CALL: Duration = Duration::from_secs(3);
+
+/// Requests that are in the air at a time.
+const CALLS: usize = 20;
+
+/// A fleet whose calls have far more time than a test takes.
+fn patient() -> Wanted {
+    let batch = BatchOptions { step: Duration::from_millis(20), ..BatchOptions::default() };
+    let (plain_timeout_ms, model_timeout_ms) = (60_000, 60_000);
+    Wanted { batch, plain_timeout_ms, model_timeout_ms, ..Wanted::default() }
+}
+
+fn plains(plains: usize) -> Wanted {
+    Wanted { engines: 0, plains, ..patient() }
+}
+
+fn signal_endpoints(fleet: &Fleet, signal: Signal) {
+    fleet.endpoints.iter().flatten().for_each(|process| process.signal(signal));
+}
+
+fn runs(fleet: &Fleet) -> usize {
+    fleet.plains.iter().map(|plain| plain.seen().len()).sum()
+}
+
+fn note(fleet: &Fleet) -> JoinHandle<anyhow::Result<Answer>> {
+    let caller = fleet.caller(0);
+    tokio::spawn(async move { caller.call(Method::POST, NOTES, &[], "{}").await })
+}
+
+/// Posts notes that nobody answers, and leaves once the entry has them all.
+async fn post_and_leave(fleet: &Fleet) {
+    let notes: Vec<_> = (0..CALLS).map(|_| note(fleet)).collect();
+    // The entry counts a call as a request, and again once it is let in.
+    eventually("the entry has the notes", async || {
+        fleet.entry_status(0).await.is_some_and(|status| status.running as usize == 2 * CALLS)
+    })
+    .await;
+    notes.iter().for_each(JoinHandle::abort);
+    eventually("the entry has seen the callers leave", async || {
+        fleet.entry_status(0).await.is_some_and(|status| status.running == 0)
+    })
+    .await;
+}
+
+async fn entry_reaches_nobody(fleet: &Fleet) {
+    eventually("the entry reaches no endpoint", async || {
+        let answer = fleet.caller(0).call(Method::GET, "/bookings/1", &[], "").await;
+        answer.is_ok_and(|a| (a.status.as_u16(), a.outcome()) == (503, "not-run"))
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_under_which_all_endpoints_freeze_is_told_as_unknown_before_its_time_is_over() {
+    let fleet = Fleet::start(Wanted { plain_delay: LONG_CALL, ..plains(2) }).await;
+    let call = note(&fleet);
+    eventually("the call runs", async || runs(&fleet) == 1).await;
+
+    signal_endpoints(&fleet, Signal::SIGSTOP);
+    let answer = call.await.unwrap().unwrap();
+    signal_endpoints(&fleet, Signal::SIGCONT);
+
+    assert_eq!(answer.outcome(), "unknown", "{}", answer.body);
+    assert_ne!(answer.json()["reason"], "timed-out");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_waits_at_endpoints_that_all_froze_is_told_before_its_time_is_over() {
+    let fleet = Fleet::start(Wanted { plains: 0, ..patient() }).await;
+
+    signal_endpoints(&fleet, Signal::SIGSTOP);
+    let answer = fleet.caller(0).call(Method::POST, CHAT, &[], chat("dent", 5, true)).await;
+    signal_endpoints(&fleet, Signal::SIGCONT);
+
+    let answer = answer.unwrap();
+    assert_eq!(answer.outcome(), "unknown", "{}", answer.body);
+    assert_ne!(answer.json()["reason"], "timed-out");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_under_which_all_endpoints_freeze_ends_with_a_problem() {
+    let fleet = Fleet::start(Wanted { plains: 0, ..patient() }).await;
+    let body = chat("dent", ENDLESS, true);
+    let mut response = fleet.caller(0).open(Method::POST, CHAT, &[], body).await.unwrap();
+    assert!(response.body_mut().frame().await.unwrap().is_ok());
+
+    signal_endpoints(&fleet, Signal::SIGSTOP);
+    let mut text = String::new();
+    while let Some(Ok(frame)) = response.body_mut().frame().await {
+        text.push_str(&String::from_utf8_lossy(frame.data_ref().unwrap()));
+    }
+    signal_endpoints(&fleet, Signal::SIGCONT);
+
+    assert!(text.contains("\"outcome\":\"unknown\""), "{text}");
+    assert!(!streamed_text(&text).1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_that_wakes_begins_nothing_whose_callers_have_left() {
+    let fleet = Fleet::start(plains(1)).await;
+    signal_endpoints(&fleet, Signal::SIGSTOP);
+    post_and_leave(&fleet).await;
+
+    signal_endpoints(&fleet, Signal::SIGCONT);
+    eventually("the endpoint serves", async || note(&fleet).await.unwrap().unwrap().status == 200)
+        .await;
+
+    assert_eq!(runs(&fleet), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_that_wakes_begins_nothing_that_its_entry_has_given_up() {
+    let fleet = Fleet::start(plains(1)).await;
+    signal_endpoints(&fleet, Signal::SIGSTOP);
+    let notes: Vec<_> = (0..CALLS).map(|_| note(&fleet)).collect();
+    for note in notes {
+        assert_eq!(note.await.unwrap().unwrap().outcome(), "unknown");
+    }
+    entry_reaches_nobody(&fleet).await;
+
+    signal_endpoints(&fleet, Signal::SIGCONT);
+    fleet.entry_serves(0).await;
+
+    assert_eq!(runs(&fleet), 0);
+}
