Take requests back from a back end that is silent

Cause: an endpoint process reported a back end that left a question for its load unanswered as down, so that it got no new attempts, and left those that were there to their deadline or their caller, while other back ends served.

Change: after two such questions in a row, 1 s each, without any sign of life between (a load, a head, a piece of an answer), attempts without a key end as failed, so that their entry may try elsewhere, and the engine is told. A run with a key goes on: nobody may run it again, and its caller may come back to it.

--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -12,5 +12,6 @@
 mod recording;
 mod reports;
 mod runner;
+mod sink;
 
 pub use process::run;
--- a/crates/endpoint/src/reports.rs
+++ b/crates/endpoint/src/reports.rs
@@ -9,13 +9,16 @@
     time::Duration,
 };
 
-use lynxmount_core::EndpointLife;
+use lynxmount_core::{Cause, EndpointLife, Result};
 use lynxmount_node::{DrainState, NodeHandle};
 use lynxmount_wire::{LoadReport, ToEntry};
 use parking_lot::Mutex;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, watch};
 
-use crate::{backend::Backend, places::Places};
+use crate::{
+    backend::{Backend, Load},
+    places::Places,
+};
 
 /// How often a report is sent if nothing changes. At the target size a report
 /// costs an entry 12 bytes from each of 304 endpoints (docs/CAPACITY.md).
@@ -24,6 +27,10 @@
 /// How often the back end is asked for its load.
 const LOAD_PERIOD: Duration = Duration::from_millis(500);
 
+/// Loads in a row that a back end leaves unanswered before it counts as silent: one may be
+/// lost to a pause of this process.
+const MAX_MISSED_LOADS: u32 = 2;
+
 /// Sends reports.
 pub(crate) struct Reports {
     node: NodeHandle,
@@ -35,6 +42,8 @@
     backend_up: AtomicBool,
     /// How often the back end has come up.
     backend_lives: AtomicU64,
+    /// Loads that the back end has left unanswered since its last sign of life.
+    missed_loads: watch::Sender<u32>,
     changed: Notify,
 }
 
@@ -61,6 +70,7 @@
             waiting: AtomicU32::new(0),
             backend_up: AtomicBool::new(false),
             backend_lives: AtomicU64::new(0),
+            missed_loads: watch::Sender::new(0),
             changed: Notify::new(),
         }
     }
@@ -86,6 +96,18 @@
         }
     }
 
+    /// Notes that the back end has sent something.
+    pub(crate) fn note_sign_of_life(&self) {
+        self.missed_loads.send_if_modified(|missed| std::mem::take(missed) > 0);
+    }
+
+    /// Waits until the back end is silent: it takes connections, perhaps, and answers nothing.
+    pub(crate) async fn until_backend_silent(&self) {
+        let mut missed = self.missed_loads.subscribe();
+        // The sender lives as long as this does.
+        let _ = missed.wait_for(|missed| *missed >= MAX_MISSED_LOADS).await;
+    }
+
     /// The latest life of the back end, as entries tell it from others.
     pub(crate) fn backend_life(&self) -> EndpointLife {
         let (process, _) = self.node.incarnation().as_u64_pair();
@@ -131,9 +153,19 @@
         loop {
             ticks.tick().await;
             let load = self.backend.load().await;
+            self.note_load(&load);
             self.note_backend(load.is_ok());
             let waiting = load.map_or(0, |load| load.waiting);
             self.waiting.store(waiting, Ordering::Relaxed);
         }
     }
+
+    fn note_load(&self, load: &Result<Load>) {
+        match load {
+            Err(error) if matches!(error.cause, Cause::TimedOut) => {
+                self.missed_loads.send_modify(|missed| *missed += 1);
+            }
+            _ => self.note_sign_of_life(),
+        }
+    }
 }
--- a/crates/endpoint/src/runner.rs
+++ b/crates/endpoint/src/runner.rs
@@ -11,7 +11,7 @@
 use lynxmount_config::{Service, ServiceKind};
 use lynxmount_core::{CallPhase, Cause, ServiceId, wall_time_ms};
 use lynxmount_node::{Counter, NodeHandle, RunningGuard, View};
-use lynxmount_wire::{Binding, Dispatch, EventStream, Failure, Header, RefusalReason};
+use lynxmount_wire::{Binding, Dispatch, EventStream, Failure, RefusalReason};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -21,6 +21,7 @@
     places::{Place, Places},
     recording::{Recording, RecordingEnd},
     reports::Reports,
+    sink::{AnswerHead, Sink},
 };
 
 /// How often one stream is resumed at most.
@@ -46,12 +47,6 @@
     max_running: u32,
 }
 
-/// Where a run's answer goes.
-enum Sink {
-    Direct(Output),
-    Recorded(Arc<Recording>),
-}
-
 impl Runner {
     /// Decides about an attempt, runs it if it may, and sends the answer.
     pub(crate) async fn run(
@@ -121,6 +116,9 @@
             end = self.call(&dispatch, &mut sink) => end,
             () = cancel.cancelled() => RecordingEnd::Failed(Failure::Cancelled),
             () = expiry(&dispatch) => RecordingEnd::Failed(Failure::Expired),
+            () = self.reports.until_backend_silent() => {
+                return self.leave_silent(&dispatch, permit, sink).await;
+            }
         };
         self.cancel_at_engine(&dispatch, end).await;
         // The process stays until the end of the answer is on its way.
@@ -128,6 +126,14 @@
         sink.end(end).await;
     }
 
+    /// Ends a run whose back end is silent, so that the request goes on elsewhere. The back
+    /// end finds the cancellation when it wakes.
+    async fn leave_silent(&self, dispatch: &Dispatch, permit: Permit, mut sink: Sink) {
+        sink.end(RecordingEnd::Failed(Failure::Backend)).await;
+        self.cancel_at_engine(dispatch, RecordingEnd::Failed(Failure::Cancelled)).await;
+        self.give_back(permit);
+    }
+
     /// Cancels a run that was given up here. An engine keeps a stream whose
     /// connection breaks for a while, in case it is resumed.
     async fn cancel_at_engine(&self, dispatch: &Dispatch, end: RecordingEnd) {
@@ -216,7 +222,10 @@
     async fn call(&self, dispatch: &Dispatch, sink: &mut Sink) -> RecordingEnd {
         self.node.counters().count(Counter::AttemptsStarted);
         let response = match self.backend.call(dispatch).await {
-            Ok(response) => response,
+            Ok(response) => {
+                self.reports.note_sign_of_life();
+                response
+            }
             Err(error) if matches!(error.cause, Cause::Unreachable | Cause::Invalid) => {
                 self.reports.note_backend(false);
                 return RecordingEnd::Refused(RefusalReason::BackendUnreachable);
@@ -225,7 +234,7 @@
         };
         match is_event_stream(&response) {
             true => self.pass_events(dispatch, response, sink).await,
-            false if pass_body(response, sink).await => RecordingEnd::Whole,
+            false if self.pass_body(response, sink).await => RecordingEnd::Whole,
             false => self.failed(CallPhase::Beginning).await,
         }
     }
@@ -262,7 +271,7 @@
         let mut head = Some(head_of(&response));
         let mut body = response.into_body();
         for _ in 0..=MAX_RESUMES {
-            if pass_whole_events(&mut body, &mut events, &mut head, sink).await {
+            if self.pass_whole_events(&mut body, &mut events, &mut head, sink).await {
                 return RecordingEnd::Whole;
             }
             events.restart();
@@ -276,94 +285,64 @@
         RecordingEnd::Failed(Failure::Backend)
     }
 
-    /// Gives the place back; entries that wait for one are told at once.
-    fn give_back(&self, permit: Permit) -> RunningGuard {
-        let was_full = self.places.running() >= permit.max_running;
-        drop(permit.place);
-        if was_full {
-            self.reports.note_change();
-        }
-        permit.running
-    }
-}
-
-impl Sink {
-    /// Passes the head on, unless it was passed on before.
-    async fn head(&mut self, head: Option<AnswerHead>) {
-        let Some((status, headers)) = head else { return };
-        match self {
-            // An entry that has gone cancels the run by closing its connection.
-            Sink::Direct(output) => {
-                let _ = output.head(status, headers).await;
-            }
-            Sink::Recorded(recording) => recording.set_head(status, headers),
-        }
-    }
-
-    async fn piece(&mut self, bytes: bytes::Bytes) {
-        match self {
-            Sink::Direct(output) => {
-                let _ = output.piece(bytes).await;
+    /// Passes a body on that can't be resumed; `false` if it breaks.
+    ///
+    /// Head, first piece and end are handed over without a pause between them where
+    /// they can be, so that they share one write and one read.
+    async fn pass_body(&self, response: Response<Incoming>, sink: &mut Sink) -> bool {
+        let mut head = Some(head_of(&response));
+        let mut body = response.into_body();
+        while !body.is_end_stream() {
+            match body.frame().await {
+                Some(Ok(frame)) => {
+                    self.reports.note_sign_of_life();
+                    let Ok(bytes) = frame.into_data() else { continue };
+                    sink.head(head.take()).await;
+                    sink.piece(bytes).await;
+                }
+                Some(Err(_)) => return false,
+                None => break,
             }
-            Sink::Recorded(recording) => recording.add_piece(bytes),
-        }
-    }
-
-    async fn end(&mut self, end: RecordingEnd) {
-        match (self, end) {
-            (Sink::Recorded(recording), end) => recording.set_end(end),
-            (Sink::Direct(output), end) => send_end(output, end).await,
         }
+        sink.head(head.take()).await;
+        true
     }
-}
 
-/// Passes a body on that can't be resumed; `false` if it breaks.
-///
-/// Head, first piece and end are handed over without a pause between them where
-/// they can be, so that they share one write and one read.
-async fn pass_body(response: Response<Incoming>, sink: &mut Sink) -> bool {
-    let mut head = Some(head_of(&response));
-    let mut body = response.into_body();
-    while !body.is_end_stream() {
-        match body.frame().await {
-            Some(Ok(frame)) => {
-                let Ok(bytes) = frame.into_data() else { continue };
+    /// Passes events on until the stream ends; `false` if it breaks.
+    async fn pass_whole_events(
+        &self,
+        body: &mut Incoming,
+        events: &mut EventStream,
+        head: &mut Option<AnswerHead>,
+        sink: &mut Sink,
+    ) -> bool {
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else { return false };
+            self.reports.note_sign_of_life();
+            let whole = frame.data_ref().and_then(|bytes| events.take(bytes));
+            if let Some(whole) = whole {
                 sink.head(head.take()).await;
-                sink.piece(bytes).await;
+                sink.piece(whole).await;
             }
-            Some(Err(_)) => return false,
-            None => break,
         }
+        sink.head(head.take()).await;
+        if let Some(rest) = events.rest() {
+            sink.piece(rest).await;
+        }
+        true
     }
-    sink.head(head.take()).await;
-    true
-}
 
-/// Passes events on until the stream ends; `false` if it breaks.
-async fn pass_whole_events(
-    body: &mut Incoming,
-    events: &mut EventStream,
-    head: &mut Option<AnswerHead>,
-    sink: &mut Sink,
-) -> bool {
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else { return false };
-        let whole = frame.data_ref().and_then(|bytes| events.take(bytes));
-        if let Some(whole) = whole {
-            sink.head(head.take()).await;
-            sink.piece(whole).await;
+    /// Gives the place back; entries that wait for one are told at once.
+    fn give_back(&self, permit: Permit) -> RunningGuard {
+        let was_full = self.places.running() >= permit.max_running;
+        drop(permit.place);
+        if was_full {
+            self.reports.note_change();
         }
+        permit.running
     }
-    sink.head(head.take()).await;
-    if let Some(rest) = events.rest() {
-        sink.piece(rest).await;
-    }
-    true
 }
 
-/// An answer's status and headers.
-type AnswerHead = (u16, Vec<Header>);
-
 fn head_of(response: &Response<Incoming>) -> AnswerHead {
     (response.status().as_u16(), headers_to_pass(response))
 }
@@ -373,15 +352,6 @@
     media_type.is_some_and(|value| value.as_bytes().starts_with(EVENT_STREAM))
 }
 
-async fn send_end(output: &mut Output, end: RecordingEnd) {
-    // An entry that has gone needs no end.
-    let _ = match end {
-        RecordingEnd::Failed(failure) => output.failed(failure).await,
-        RecordingEnd::Refused(reason) => output.refused(reason).await,
-        RecordingEnd::Whole => output.end().await,
-    };
-}
-
 /// Waits until the request's time is over.
 async fn expiry(dispatch: &Dispatch) {
     let now_ms = wall_time_ms(SystemTime::now());
--- a/crates/lynxmount/tests/frozen.rs
+++ b/crates/lynxmount/tests/frozen.rs
@@ -151,6 +151,35 @@
     assert_eq!(runs(&fleet), 0);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_at_a_back_end_that_freezes_is_answered_by_another() {
+    let wanted = Wanted { plain_delay: Duration::from_millis(500), ..plains(2) };
+    let fleet = Fleet::start(wanted).await;
+    fleet.plains.iter().for_each(|plain| plain.freeze());
+    let call = note(&fleet);
+    eventually("the call is at a back end", async || {
+        fleet.plains.iter().any(|plain| plain.active() > 0)
+    })
+    .await;
+
+    let other = fleet.plains.iter().find(|plain| plain.active() == 0).expect("another");
+    other.wake();
+    let answer = call.await.unwrap().unwrap();
+
+    assert_eq!(answer.status, 200, "{}", answer.body);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_at_back_ends_that_all_freeze_is_told_as_unknown_before_its_time_is_over() {
+    let fleet = Fleet::start(plains(2)).await;
+
+    fleet.plains.iter().for_each(|plain| plain.freeze());
+    let answer = note(&fleet).await.unwrap().unwrap();
+
+    assert_eq!(answer.outcome(), "unknown", "{}", answer.body);
+    assert_ne!(answer.json()["reason"], "timed-out");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_endpoint_that_wakes_gets_nothing_more_of_a_connection_that_its_entry_has_given_up() {
     let fleet = Fleet::start(plains(1)).await;
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -12,13 +12,13 @@
 
 use bytes::Bytes;
 use futures::stream;
-use http::{HeaderValue, Method, Request, Response, StatusCode, header::CONTENT_TYPE};
+use http::{HeaderValue, Request, Response, StatusCode, header::CONTENT_TYPE};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 use serde_json::json;
-use tokio::{task::JoinHandle, time::Instant};
+use tokio::{sync::watch, task::JoinHandle, time::Instant};
 
 use crate::http_server::{Body, End, json, serve};
 
@@ -46,6 +46,7 @@
     active: AtomicUsize,
     /// A part of the path of calls under which the service ends.
     ends_under: Mutex<Option<String>>,
+    is_frozen: watch::Sender<bool>,
     end: End,
 }
 
@@ -67,6 +68,7 @@
             seen: Mutex::default(),
             active: AtomicUsize::new(0),
             ends_under: Mutex::default(),
+            is_frozen: watch::Sender::new(false),
             end: Arc::clone(&end),
         });
         let (address, task) = serve(address, Arc::clone(&state), end, handle).await?;
@@ -94,6 +96,17 @@
         *self.state.ends_under.lock() = Some(path.to_owned());
     }
 
+    /// Freezes the service: its machine goes on taking connections and requests, and it
+    /// begins these as it wakes, before it sees which callers have left.
+    pub fn freeze(&self) {
+        self.state.is_frozen.send_replace(true);
+    }
+
+    /// Wakes the service.
+    pub fn wake(&self) {
+        self.state.is_frozen.send_replace(false);
+    }
+
     /// Says whether it has ended.
     pub fn has_ended(&self) -> bool {
         *self.state.end.borrow()
@@ -155,6 +168,7 @@
         return stream.response();
     }
     if request.uri().path() == "/load" {
+        awake(&state).await;
         let running = state.active.load(Ordering::Relaxed);
         return json(StatusCode::OK, &json!({ "running": running, "waiting": 0 }));
     }
@@ -173,8 +187,28 @@
         path: parts.uri.to_string(),
         body: String::from_utf8_lossy(&body.to_bytes()).into_owned(),
     };
-    let number = match parts.method {
-        Method::GET | Method::HEAD => 0,
+    if !*state.is_frozen.borrow() {
+        return run(&state, call).await;
+    }
+    let state = Arc::clone(&state);
+    let running = tokio::spawn(async move {
+        awake(&state).await;
+        run(&state, call).await
+    });
+    running.await.unwrap_or_else(|error| {
+        json(StatusCode::INTERNAL_SERVER_ERROR, &json!({ "error": error.to_string() }))
+    })
+}
+
+/// Waits until the service is not frozen.
+async fn awake(state: &State) {
+    // The sender lives as long as the state.
+    let _ = state.is_frozen.subscribe().wait_for(|is_frozen| !is_frozen).await;
+}
+
+async fn run(state: &State, call: SeenCall) -> Response<Body> {
+    let number = match call.method.as_str() {
+        "GET" | "HEAD" => 0,
         _ => {
             let mut seen = state.seen.lock();
             seen.push(call.clone());
