Test what leaves while endpoint processes or back ends are frozen

An entry that leaves answers a call at endpoints that all froze, before and after the changes here. An endpoint process that leaves gives a call at its silent back end to another since requests are taken back; before, the caller got 504 after its 60 s.

--- a/crates/lynxmount/tests/frozen.rs
+++ b/crates/lynxmount/tests/frozen.rs
@@ -203,3 +203,38 @@
 
     assert_eq!(runs(&fleet) - before, 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_leaves_answers_a_call_at_endpoints_that_all_froze() {
+    let mut fleet = Fleet::start(Wanted { plain_delay: LONG_CALL, ..plains(2) }).await;
+    let call = note(&fleet);
+    eventually("the call runs", async || runs(&fleet) == 1).await;
+
+    signal_endpoints(&fleet, Signal::SIGSTOP);
+    fleet.entries[0].as_ref().unwrap().signal(Signal::SIGTERM);
+    let answer = call.await.unwrap().unwrap();
+    let code = fleet.entries[0].as_mut().unwrap().exit_code().await;
+    signal_endpoints(&fleet, Signal::SIGCONT);
+
+    assert_eq!((answer.outcome(), code), ("unknown", Some(0)), "{}", answer.body);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_that_leaves_hands_a_call_at_its_silent_back_end_to_another() {
+    let mut fleet = Fleet::start(plains(2)).await;
+    fleet.plains.iter().for_each(|plain| plain.freeze());
+    let call = note(&fleet);
+    eventually("the call is at a back end", async || {
+        fleet.plains.iter().any(|plain| plain.active() > 0)
+    })
+    .await;
+    let busy = fleet.plains.iter().position(|plain| plain.active() > 0).expect("one is busy");
+    let other = 1 - busy;
+
+    fleet.endpoints[busy].as_ref().unwrap().signal(Signal::SIGTERM);
+    fleet.plains[other].wake();
+    let answer = call.await.unwrap().unwrap();
+
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    assert_eq!(fleet.endpoints[busy].as_mut().unwrap().exit_code().await, Some(0));
+}
