Ask peers for their configuration at once

Cause: while the log is out, and when a peer is ahead, a process asked three peers one after the other, 2 s each, and read no log meanwhile: 6 s by the constants if all were silent, and a silent one held up what the next would have told.

Change: all are asked at once, so that a silent one costs 2 s at most.

Evidence: a_silent_peer_does_not_hold_up_what_another_would_tell waits in vain before, and passes after.

--- a/crates/lynxmount/tests/common/mod.rs
+++ b/crates/lynxmount/tests/common/mod.rs
@@ -300,13 +300,21 @@
         self.spawn("endpoint", &name, &settings)
     }
 
+    /// Where an entry finds its peers.
+    pub fn peers_of_entry(&self, number: usize) -> Vec<SocketAddr> {
+        self.peers_of(CONTROL_PORT + number as u16)
+    }
+
+    /// Two peers that are not the process itself, as far as there are.
+    fn peers_of(&self, control: u16) -> Vec<SocketAddr> {
+        let ports = [CONTROL_PORT, CONTROL_PORT + 1, CONTROL_PORT + 50];
+        let others = ports.into_iter().filter(|port| *port != control);
+        others.map(|port| self.address(port)).collect()
+    }
+
     fn process_settings(&self, name: &str, control: u16, operators: u16) -> String {
-        // Two peers that are not the process itself, as far as there are.
-        let peers: Vec<String> = [CONTROL_PORT, CONTROL_PORT + 1, CONTROL_PORT + 50]
-            .iter()
-            .filter(|port| **port != control)
-            .map(|port| format!("\"{}\"", self.address(*port)))
-            .collect();
+        let peers = self.peers_of(control);
+        let peers: Vec<String> = peers.iter().map(|peer| format!("\"{peer}\"")).collect();
         let statsd = self.wanted.statsd_address;
         let statsd = statsd.map(|to| format!("\"statsd_address\": \"{to}\", ")).unwrap_or_default();
         format!(
--- a/crates/lynxmount/tests/outages.rs
+++ b/crates/lynxmount/tests/outages.rs
@@ -2,12 +2,20 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use common::{Fleet, OTHER_TEAM, Wanted, chat, eventually, token_of};
 use http::Method;
 use lynxmount_standin::{Caller, Faults};
 use nix::sys::signal::Signal;
+use tokio::{io::AsyncReadExt, net::TcpListener};
 
 const CHAT: &str = "/v1/chat/completions";
 const ORDERS: &str = "/bookings/orders";
@@ -265,3 +273,39 @@
 
     assert_eq!((&answer.json()["reason"], runs(&fleet)), (&"timed-out".into(), 0));
 }
+
+/// A peer that takes connections and answers nothing; tells how many are open.
+async fn silent_peer(address: SocketAddr) -> Arc<AtomicUsize> {
+    let listener = TcpListener::bind(address).await.expect("an address");
+    let open = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&open);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let open = Arc::clone(&counted);
+            tokio::spawn(async move {
+                open.fetch_add(1, Ordering::Relaxed);
+                while stream.read(&mut [0; 512]).await.is_ok_and(|read| read > 0) {}
+                open.fetch_sub(1, Ordering::Relaxed);
+            });
+        }
+    });
+    open
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_peer_does_not_hold_up_what_another_would_tell() {
+    let mut fleet = Fleet::start_without_config(Wanted { entries: 1, ..plains(0) }).await;
+    fleet.platform.log.set_faults(down());
+    let mut peers = Vec::new();
+    for address in fleet.peers_of_entry(0) {
+        peers.push(silent_peer(address).await);
+    }
+
+    let entry = fleet.spawn_entry(0);
+    fleet.entries.push(Some(entry));
+
+    eventually("all peers are asked at once", async || {
+        peers.len() > 1 && peers.iter().all(|open| open.load(Ordering::Relaxed) > 0)
+    })
+    .await;
+}
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -6,7 +6,10 @@
 use lynxmount_core::{Offset, Result};
 use lynxmount_platform::{Page, Platform};
 use serde::Deserialize;
-use tokio::sync::{Notify, mpsc};
+use tokio::{
+    sync::{Notify, mpsc},
+    task::JoinSet,
+};
 
 use crate::{
     blackboard::{ConfigRead, Event},
@@ -83,16 +86,13 @@
         after
     }
 
+    /// Asks all peers at once: silent ones must not hold up the others' answers.
     async fn ask_peers(&self) {
+        let mut asking = JoinSet::new();
         for peer in self.peers() {
-            let head = match ControlClient::new(peer) {
-                Ok(client) => client.config_head().await,
-                Err(error) => Err(error),
-            };
-            if let Ok(Some(head)) = head {
-                let _ = self.events.send(Event::PeerHead { peer, head: Box::new(head) });
-            }
+            asking.spawn(ask_peer(peer, self.events.clone()));
         }
+        asking.join_all().await;
     }
 
     /// Peers from the settings and from the fleet in force, in an order that
@@ -115,3 +115,13 @@
         named.into_iter().map(|(_, peer)| peer).take(PEERS_ASKED).collect()
     }
 }
+
+async fn ask_peer(peer: SocketAddr, events: mpsc::UnboundedSender<Event>) {
+    let head = match ControlClient::new(peer) {
+        Ok(client) => client.config_head().await,
+        Err(error) => Err(error),
+    };
+    if let Ok(Some(head)) = head {
+        let _ = events.send(Event::PeerHead { peer, head: Box::new(head) });
+    }
+}
