--- a/crates/group/src/switch/mod.rs
+++ b/crates/group/src/switch/mod.rs
@@ -304,6 +304,10 @@
 
     fn next_phase(&mut self, now: Duration) -> Option<Phase> {
         match self.phase {
+            // Whoever waits for copies would not see that the hold is left behind.
+            Phase::Confirming { .. } | Phase::Preparing if self.is_held_by_another() => {
+                Some(Phase::Over(SwitchEnd::NotPrepared))
+            }
             Phase::Preparing if self.all(Switch::has_prepared) => Some(self.confirming(0, now)),
             Phase::Confirming { round, since } if self.all(Switch::is_confirmed) => {
                 Some(self.after_confirming(round, since, now))
@@ -346,6 +350,11 @@
         self.ranks[rank].is_armed(self.version, self.step)
     }
 
+    /// Says whether a hold stands while this switch has none.
+    fn is_held_by_another(&self) -> bool {
+        self.ranks.iter().any(|rank| rank.report.held.is_some())
+    }
+
     fn is_held(&self) -> bool {
         self.ranks[self.guard].report.held == Some(self.step)
     }
--- a/crates/lynxmount/tests/outages.rs
+++ b/crates/lynxmount/tests/outages.rs
@@ -2,15 +2,36 @@
 
 mod common;
 
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
 use common::{Fleet, OTHER_TEAM, Wanted, chat, eventually, token_of};
 use http::Method;
 use lynxmount_standin::{Caller, Faults};
 use nix::sys::signal::Signal;
+use tokio::{io::AsyncReadExt, net::TcpListener};
 
 const CHAT: &str = "/v1/chat/completions";
 const ORDERS: &str = "/bookings/orders";
 const KEY: [(&str, &str); 1] = [("idempotency-key", "o-1")];
 
+/// Keyed requests that are refused together.
+const REFUSED: usize = 60;
+
+/// Far less than all of them take one after the other.
+const REFUSED_WITHIN: Duration = Duration::from_secs(15);
+
+/// A platform that takes calls and answers none while the test lasts.
+fn silent() -> Faults {
+    Faults { delay: Duration::from_secs(30), ..Faults::default() }
+}
+
 fn down() -> Faults {
     Faults { down: true, ..Faults::default() }
 }
@@ -224,3 +245,67 @@
         .await;
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keyed_calls_refused_while_the_log_is_silent_do_not_wait_for_each_other() {
+    let fleet = Fleet::start(plains(1)).await;
+    fleet.platform.log.set_faults(silent());
+
+    let guest = Caller::new(fleet.callers_address(0), token_of(OTHER_TEAM));
+    let refused = (0..REFUSED).map(|number| {
+        let (guest, key) = (guest.clone(), format!("o-{number}"));
+        async move { guest.call(Method::POST, ORDERS, &[("idempotency-key", &key)], "{}").await }
+    });
+    let answers = tokio::time::timeout(REFUSED_WITHIN, futures::future::join_all(refused)).await;
+
+    for answer in answers.expect("all are answered long before one by one") {
+        let answer = answer.unwrap();
+        assert_ne!(answer.outcome(), "complete", "{}", answer.body);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_whose_claim_the_silent_log_leaves_unanswered_is_told_by_its_deadline() {
+    let fleet = Fleet::start(Wanted { plain_timeout_ms: 500, ..plains(1) }).await;
+    fleet.platform.log.set_faults(silent());
+
+    let answer = fleet.caller(0).call(Method::POST, ORDERS, &KEY, "{}").await.unwrap();
+
+    assert_eq!((&answer.json()["reason"], runs(&fleet)), (&"timed-out".into(), 0));
+}
+
+/// A peer that takes connections and answers nothing; tells how many are open.
+async fn silent_peer(address: SocketAddr) -> Arc<AtomicUsize> {
+    let listener = TcpListener::bind(address).await.expect("an address");
+    let open = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&open);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let open = Arc::clone(&counted);
+            tokio::spawn(async move {
+                open.fetch_add(1, Ordering::Relaxed);
+                while stream.read(&mut [0; 512]).await.is_ok_and(|read| read > 0) {}
+                open.fetch_sub(1, Ordering::Relaxed);
+            });
+        }
+    });
+    open
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_peer_does_not_hold_up_what_another_would_tell() {
+    let mut fleet = Fleet::start_without_config(Wanted { entries: 1, ..plains(0) }).await;
+    fleet.platform.log.set_faults(down());
+    let mut peers = Vec::new();
+    for address in fleet.peers_of_entry(0) {
+        peers.push(silent_peer(address).await);
+    }
+
+    let entry = fleet.spawn_entry(0);
+    fleet.entries.push(Some(entry));
+
+    eventually("all peers are asked at once", async || {
+        peers.len() > 1 && peers.iter().all(|open| open.load(Ordering::Relaxed) > 0)
+    })
+    .await;
+}
