--- a/crates/lynxmount/tests/platform_common/mod.rs
+++ b/crates/lynxmount/tests/platform_common/mod.rs
@@ -220,7 +220,7 @@
             signature: answer.signature,
             body: answer.is_whole.then_some(answer.received),
         }),
-        Told::NoAnswer | Told::NoConnection => None,
+        Told::Left(_) | Told::NoAnswer | Told::NoConnection => None,
     }
 }
 
