Soak: endpoints freeze, groups stand still, and callers of streams leave

Cause: the soak never froze an engine or blocked a group, and its callers waited for their whole deadline, so that it could not see work for callers that have left.

Evidence: crates/soak/tests/promises.rs, 4 tests on histories that break them.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -11,7 +11,7 @@
 use http::{Method, StatusCode};
 use lynxmount_platform_standin::{
     Call, CallerStandin, Told,
-    fixture::{ONCE, PLAIN, STREAM},
+    fixture::{CALLER_PATIENCE, ONCE, PLAIN, STREAM},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -25,7 +25,7 @@
 const TIME_LEFT: Duration = Duration::from_millis(3000);
 
 /// How much longer they wait before the call counts as never answered.
-const PATIENCE: Duration = Duration::from_millis(5000);
+const LATE_ANSWER: Duration = Duration::from_millis(5000);
 
 /// The pause between two calls of a caller, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 20..120;
@@ -55,8 +55,9 @@
         let sort = draw_sort(&mut rng);
         let id = format!("c{number}-{calls}");
         let sent = world.now();
-        let limit = TIME_LEFT + PATIENCE;
-        let told = tokio::time::timeout(limit, caller.call(&call(&id, sort))).await.ok();
+        let (limit, call) = (TIME_LEFT + LATE_ANSWER, call(&id, sort));
+        let calling = caller.call_patiently(&call, patience(sort));
+        let told = tokio::time::timeout(limit, calling).await.ok();
         let has_connection = !matches!(told, None | Some(Told::NoAnswer | Told::NoConnection));
         let stay_away = match number % IMPATIENT_ONE_OF {
             0 => Duration::ZERO,
@@ -116,6 +117,14 @@
     }
 }
 
+/// The pause after which a caller leaves.
+fn patience(sort: CallSort) -> Duration {
+    match sort {
+        CallSort::Lookup | CallSort::Booking => Duration::MAX,
+        CallSort::Draft => CALLER_PATIENCE,
+    }
+}
+
 pub(crate) fn call(id: &str, sort: CallSort) -> Call {
     let (method, route) = match sort {
         CallSort::Lookup => (Method::GET, PLAIN),
@@ -144,6 +153,9 @@
 
 fn outcome(told: Told) -> Outcome {
     match told {
+        Told::Left(received) => {
+            Outcome::Left { received: String::from_utf8_lossy(&received).into_owned() }
+        }
         Told::NoAnswer => Outcome::NoAnswer,
         Told::NoConnection => Outcome::NoConnection,
         Told::Answer(answer) => {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -79,6 +79,7 @@
             FaultKind::Advise(endpoint, EndpointAdvice::Rest(rest_ms)) => {
                 self.rest(endpoint, Duration::from_millis(rest_ms), fault.length).await;
             }
+            FaultKind::BlockGroup { frozen } => self.block_group(frozen, fault.length).await,
             FaultKind::ChangeConfig => {
                 world.put_config(self.version.fetch_add(1, Ordering::Relaxed) + 1);
             }
@@ -87,6 +88,7 @@
                 world.store.compact(OPERATOR_TOPIC);
                 world.store.compact(REGISTRATIONS_TOPIC);
             }
+            FaultKind::Freeze(endpoint) => self.freeze(endpoint, fault.length).await,
             FaultKind::Leave(endpoint) => self.leave(endpoint, fault.length).await,
             FaultKind::Link(link, harm) => self.harm(link, harm, fault.length).await,
             FaultKind::LoseOrders(one_of) => {
@@ -119,6 +121,27 @@
         self.world.group.set_demand((0..EXPERTS).map(demand).collect());
     }
 
+    async fn freeze(&self, endpoint: usize, length: Duration) {
+        let begun = self.world.note_begin(Disturbed::Endpoint(endpoint));
+        self.world.endpoints[endpoint].freeze();
+        tokio::time::sleep(length).await;
+        self.world.endpoints[endpoint].thaw();
+        self.world.note_end(begun);
+    }
+
+    async fn block_group(&self, frozen: Option<usize>, length: Duration) {
+        let world = &self.world;
+        let ranks = world.stream_endpoints().map(Disturbed::Endpoint);
+        let begun: Vec<usize> = ranks.map(|rank| world.note_begin(rank)).collect();
+        world.streams.hold();
+        match frozen {
+            Some(endpoint) => self.freeze(endpoint, length).await,
+            None => tokio::time::sleep(length).await,
+        }
+        world.streams.release();
+        begun.into_iter().for_each(|index| world.note_end(index));
+    }
+
     async fn limit(&self, endpoint: usize, limit_per_s: f64, length: Duration) {
         let world = &self.world;
         let from = world.now();
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -35,6 +35,11 @@
         /// What came of the body.
         received: String,
     },
+    /// The caller has left after a pause without an event.
+    Left {
+        /// What came of the body.
+        received: String,
+    },
     /// The connection ended without an answer.
     NoAnswer,
     /// No connection was opened.
@@ -71,6 +76,21 @@
     pub at: Duration,
 }
 
+/// An endpoint's work for a request.
+#[derive(Clone, Debug)]
+pub struct WorkRecord {
+    /// The call's id.
+    pub id: String,
+    /// The endpoint, counted over all services.
+    pub endpoint: usize,
+    /// Whether the caller had closed its connection when it began.
+    pub is_begun_after_close: bool,
+    /// When it ended.
+    pub ended: Duration,
+    /// When it would have ended if it had not been canceled.
+    pub would_end: Duration,
+}
+
 /// A question which configuration an entry has in force.
 #[derive(Clone, Copy, Debug)]
 pub struct ProbeRecord {
@@ -178,6 +198,8 @@
     pub calls: Vec<CallRecord>,
     /// All runs.
     pub runs: Vec<RunRecord>,
+    /// All work of endpoints.
+    pub works: Vec<WorkRecord>,
     /// All requests that came to endpoints, run or not.
     pub arrivals: Vec<RunRecord>,
     /// All limits of endpoints.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,6 +10,7 @@
 mod advice;
 mod callers;
 mod faults;
+mod gone;
 pub mod history;
 pub mod plan;
 mod process;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -38,6 +38,21 @@
 /// Limits of endpoints, in requests in ten seconds.
 const LIMIT_IN_TEN_S: std::ops::Range<u32> = 5..60;
 
+/// The mean pause between two standstills.
+const STANDSTILL_PAUSE_MS: u64 = 3000;
+
+/// Of so many standstills one blocks all endpoints of streams.
+const BLOCKED_GROUP_ONE_OF: u32 = 3;
+
+/// Of so many standstills one is long.
+const LONG_STANDSTILL_ONE_OF: u32 = 4;
+
+/// How long such a one lasts, in milliseconds: beyond the patience of all callers.
+const LONG_STANDSTILL_MS: std::ops::Range<u64> = 4000..9000;
+
+/// Tells the draw of standstills apart from the others of a seed.
+const STANDSTILL_SEED: u64 = 0x5354_414e_4453_5449;
+
 /// How many processes and back ends there are.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 pub struct Size {
@@ -117,12 +132,19 @@
 pub enum FaultKind {
     /// An endpoint asks something of entries.
     Advise(usize, EndpointAdvice),
+    /// The endpoints of streams stand still as a group, perhaps since one of them is frozen.
+    BlockGroup {
+        /// The frozen one, counted over all services.
+        frozen: Option<usize>,
+    },
     /// A newer configuration withdraws a key and adds another.
     ChangeConfig,
     /// Other experts are in demand.
     ChangeDemand,
     /// The store drops all but the newest records.
     CompactStore,
+    /// An endpoint's machine freezes, and wakes later.
+    Freeze(usize),
     /// An endpoint tells that it leaves, and comes back later.
     Leave(usize),
     /// A link harms what passes.
@@ -177,6 +199,7 @@
         at += Duration::from_millis(rng.random_range(0..2 * MEAN_PAUSE_MS));
     }
     faults.extend(draw_advice(seed, size, time));
+    faults.extend(draw_standstills(seed, size, time));
     faults.retain(|fault| fault.at < time);
     faults.sort_by_key(|fault| fault.at);
     faults
@@ -214,6 +237,32 @@
     advice
 }
 
+/// Draws which endpoints stand still, apart from the other faults, which stay as they are then.
+fn draw_standstills(seed: u64, size: Size, time: Duration) -> Vec<Fault> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ STANDSTILL_SEED);
+    let mut standstills = Vec::new();
+    let mut at = Duration::from_millis(rng.random_range(0..STANDSTILL_PAUSE_MS));
+    while at < time {
+        let kind = match rng.random_ratio(1, BLOCKED_GROUP_ONE_OF) {
+            true => FaultKind::BlockGroup { frozen: draw_frozen_rank(&mut rng, size) },
+            false => FaultKind::Freeze(rng.random_range(0..3 * size.endpoints)),
+        };
+        let length_ms = match rng.random_ratio(1, LONG_STANDSTILL_ONE_OF) {
+            true => LONG_STANDSTILL_MS,
+            false => LENGTH_MS,
+        };
+        let length = Duration::from_millis(rng.random_range(length_ms));
+        standstills.push(Fault { at, length, kind });
+        at += Duration::from_millis(rng.random_range(0..2 * STANDSTILL_PAUSE_MS));
+    }
+    standstills
+}
+
+fn draw_frozen_rank(rng: &mut SmallRng, size: Size) -> Option<usize> {
+    let rank = 2 * size.endpoints + rng.random_range(0..size.endpoints);
+    rng.random_bool(0.5).then_some(rank)
+}
+
 fn draw_kind(rng: &mut SmallRng, size: Size) -> FaultKind {
     let endpoint = rng.random_range(0..3 * size.endpoints);
     match rng.random_range(0..14) {
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     advice::judge_advice,
+    gone::judge_gone_callers,
     history::{CallRecord, CallSort, Disturbed, History, Outcome, ProbeRecord},
     plan::{LinkId, ProcessId},
 };
@@ -46,6 +47,8 @@
 pub enum Promise {
     /// Every call is answered within its time.
     Answered,
+    /// The caller of a silent stream is answered before it leaves.
+    AnsweredBeforeLeaving,
     /// What runs once at most does so.
     AtMostOnce,
     /// A configuration is in force in time.
@@ -64,6 +67,8 @@
     LeavingGetsNothing,
     /// Proper calls are not called wrong.
     NotDenied,
+    /// Endpoints don't work on for callers that have left.
+    NoWorkForGoneCallers,
     /// Whoever is told that a call has not run was told the truth.
     NotRun,
     /// All ranks use one map in each pass.
@@ -88,6 +93,7 @@
     let mut found = Vec::new();
     judge_answers(history, &mut found);
     judge_runs(history, &mut found);
+    judge_gone_callers(history, &mut found);
     judge_leaving_processes(history, &mut found);
     judge_leaving_endpoints(history, &mut found);
     judge_advice(history, &mut found);
@@ -112,7 +118,9 @@
             {
                 broken(found, Promise::WholeAnswer, seen());
             }
-            Outcome::Cut { status: 200, received } if !whole_body(call).starts_with(received) => {
+            Outcome::Cut { status: 200, received } | Outcome::Left { received }
+                if !whole_body(call).starts_with(received) =>
+            {
                 broken(found, Promise::WholeAnswer, seen());
             }
             Outcome::Answered { status: 400 | 401 | 403 | 404, .. } => {
@@ -134,7 +142,7 @@
 }
 
 /// Says whether the entry of a call, or its callers' link, was disturbed.
-fn is_entry_disturbed(history: &History, call: &CallRecord) -> bool {
+pub(crate) fn is_entry_disturbed(history: &History, call: &CallRecord) -> bool {
     let entry = ProcessId::Entry(call.entry);
     let link = LinkId::Callers(call.entry);
     let from = call.sent.saturating_sub(STABLE);
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -60,6 +60,7 @@
     match outcome {
         Outcome::Answered { status, .. } => status.to_string(),
         Outcome::Cut { status, .. } => format!("{status} cut"),
+        Outcome::Left { .. } => "left".to_owned(),
         Outcome::NoAnswer => "no answer".to_owned(),
         Outcome::NoConnection => "no connection".to_owned(),
         Outcome::Unanswered => "unanswered".to_owned(),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -6,12 +6,12 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use anyhow::{Context, bail};
 use http::StatusCode;
-use lynxmount_platform_standin::{CallerStandin, Told};
+use lynxmount_platform_standin::{CallerStandin, Told, Work};
 use tempfile::TempDir;
 use tokio::task::JoinSet;
 
@@ -19,7 +19,7 @@
     Report,
     callers::{call, run_caller, run_probe},
     faults::Injector,
-    history::{CallSort, Disturbed, RunRecord},
+    history::{CallSort, Disturbed, RunRecord, WorkRecord},
     plan::{self, ProcessId, Size},
     promises::RECOVERY,
     world::{World, name},
@@ -96,7 +96,9 @@
     for (endpoint, replica) in world.endpoints.iter().enumerate() {
         for seen in replica.seen() {
             let at = seen.at.saturating_duration_since(world.started);
-            let arrival = RunRecord { id: id_in_line(&seen.line), endpoint, at };
+            let id = id_in_line(&seen.line);
+            history.works.extend(seen.work.map(|work| work_record(world, &id, endpoint, work)));
+            let arrival = RunRecord { id, endpoint, at };
             if seen.is_run {
                 history.runs.push(arrival.clone());
             }
@@ -106,6 +108,18 @@
     Report::new(options.seed, options.size, faults, &history, version)
 }
 
+fn work_record(world: &World, id: &str, endpoint: usize, work: Work) -> WorkRecord {
+    let since_start = |at: Instant| at.saturating_duration_since(world.started);
+    let ended = work.ended_at.map_or(Duration::MAX, since_start);
+    WorkRecord {
+        id: id.to_owned(),
+        endpoint,
+        is_begun_after_close: work.is_begun_after_close,
+        ended,
+        would_end: ended.saturating_add(work.unfinished),
+    }
+}
+
 /// The id at the end of a request line's path, as callers write it.
 fn id_in_line(line: &str) -> String {
     let path = line.split(' ').nth(1).unwrap_or_default();
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -3,12 +3,13 @@
 use std::{
     collections::HashMap,
     net::{IpAddr, Ipv4Addr, SocketAddr},
+    ops::Range,
     path::Path,
     time::{Duration, Instant},
 };
 
 use lynxmount_platform_standin::{
-    Behaviour, GroupStandin, ReplicaStandin, StoreStandin,
+    Behaviour, Gate, GroupStandin, ReplicaStandin, StoreStandin,
     fixture::{
         CONFIG_KEY, EntryPorts, GroupText, ONCE, OPERATOR_TOPIC, PLAIN, REGISTRATIONS_TOPIC,
         STREAM, config_text, endpoint_settings_text, entry_settings_text, later_registration_text,
@@ -56,6 +57,8 @@
     pub(crate) store: StoreStandin,
     pub(crate) group: GroupStandin,
     pub(crate) endpoints: Vec<ReplicaStandin>,
+    /// Closed while all endpoints of streams stand still.
+    pub(crate) streams: Gate,
     pub(crate) callers_links: Vec<Proxy>,
     pub(crate) endpoint_links: Vec<Proxy>,
     store_links: HashMap<String, Proxy>,
@@ -77,6 +80,7 @@
             store,
             group,
             endpoints: Vec::new(),
+            streams: Gate::default(),
             callers_links: Vec::new(),
             endpoint_links: Vec::new(),
             store_links: HashMap::new(),
@@ -103,6 +107,9 @@
             let behaviour = good_behaviour(index, self.size);
             let target = (own, ENDPOINT_PORT).into();
             let endpoint = ReplicaStandin::start(&format!("i-{index}"), target, behaviour).await?;
+            if route_of(index, self.size) == STREAM {
+                endpoint.join(&self.streams);
+            }
             let link = Proxy::start((own, ENDPOINT_PROXY_PORT).into(), target).await?;
             self.endpoints.push(endpoint);
             self.endpoint_links.push(link);
@@ -196,6 +203,11 @@
         self.store.put(REGISTRATIONS_TOPIC, &self.endpoints[endpoint].id, &registration);
     }
 
+    /// The endpoints of streams.
+    pub(crate) fn stream_endpoints(&self) -> Range<usize> {
+        2 * self.size.endpoints..3 * self.size.endpoints
+    }
+
     /// Lets an endpoint answer well.
     pub(crate) fn mend(&self, endpoint: usize) {
         self.endpoints[endpoint].set(good_behaviour(endpoint, self.size));
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -14,6 +14,8 @@
     };
     match kind {
         FaultKind::Advise(endpoint, _)
+        | FaultKind::BlockGroup { frozen: Some(endpoint) }
+        | FaultKind::Freeze(endpoint)
         | FaultKind::Leave(endpoint)
         | FaultKind::Misbehave(endpoint, _) => endpoint < 3 * SIZE.endpoints,
         FaultKind::Link(LinkId::Endpoint(endpoint), _) => endpoint < 3 * SIZE.endpoints,
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -6,7 +6,7 @@
 use lynxmount_soak::{
     history::{
         CallRecord, CallSort, ConfigRecord, Disturbance, Disturbed, History, LeaveRecord,
-        LimitRecord, Outcome, ProbeRecord, RestRecord, RunRecord, SaidLeavingRecord,
+        LimitRecord, Outcome, ProbeRecord, RestRecord, RunRecord, SaidLeavingRecord, WorkRecord,
     },
     plan::{LinkId, ProcessId},
     promises::{Promise, RECOVERY, STREAM_EVENTS, judge},
@@ -127,6 +127,71 @@
     assert_eq!(broken(&history), []);
 }
 
+/// A call whose caller leaves at 22 s.
+fn left_call(id: &str) -> CallRecord {
+    let left = Outcome::Left { received: String::new() };
+    CallRecord { ended: seconds(22.0), ..call(id, CallSort::Draft, 20.0, left) }
+}
+
+fn work(id: &str, ended_s: f64, would_end_s: f64) -> WorkRecord {
+    WorkRecord {
+        id: id.to_owned(),
+        endpoint: 6,
+        is_begun_after_close: true,
+        ended: seconds(ended_s),
+        would_end: seconds(would_end_s),
+    }
+}
+
+#[test]
+fn a_caller_that_leaves_a_silent_stream_is_seen_unless_its_entry_was_disturbed() {
+    let mut history = with_call(left_call("f"));
+    let before = broken(&history);
+
+    let link = Disturbed::Link(LinkId::Callers(0));
+    history.disturbances.push(disturbance(link, 19.0, 19.5));
+
+    assert_eq!(before, [Promise::AnsweredBeforeLeaving]);
+    assert_eq!(broken(&history), []);
+}
+
+#[test]
+fn what_came_before_a_caller_left_is_of_its_call() {
+    let left = Outcome::Left { received: echo_events("g", 2) };
+    let mut history = with_call(CallRecord { outcome: left, ..left_call("f") });
+    let entry = Disturbed::Process(ProcessId::Entry(0));
+    history.disturbances.push(disturbance(entry, 19.0, 19.5));
+
+    assert_eq!(broken(&history), [Promise::WholeAnswer]);
+}
+
+#[test]
+fn work_for_callers_that_have_left_is_seen() {
+    let mut history = with_call(left_call("f"));
+    history.works.push(work("f", 24.0, 24.0));
+    let one_of_one = broken(&history);
+    history.works.extend([work("f", 22.1, 25.0), work("f", 22.1, 25.0), work("f", 22.1, 25.0)]);
+    let one_of_four = broken(&history);
+    history.works.push(work("f", 22.6, 25.0));
+
+    assert_eq!(one_of_one, [Promise::AnsweredBeforeLeaving, Promise::NoWorkForGoneCallers]);
+    assert_eq!(one_of_four, [Promise::AnsweredBeforeLeaving]);
+    assert_eq!(broken(&history), one_of_one);
+}
+
+#[test]
+fn work_for_callers_that_have_left_is_excused_by_its_entry_or_its_endpoints_link() {
+    let mut history = with_call(left_call("f"));
+    history.works.push(work("f", 24.0, 24.0));
+    let mut cut_off = history.clone();
+    let (entry, link) = (ProcessId::Entry(0), LinkId::Endpoint(6));
+    history.disturbances.push(disturbance(Disturbed::Process(entry), 19.0, 19.5));
+    cut_off.disturbances.push(disturbance(Disturbed::Link(link), 21.0, 23.0));
+
+    assert_eq!(broken(&history), []);
+    assert_eq!(broken(&cut_off), [Promise::AnsweredBeforeLeaving]);
+}
+
 #[test]
 fn a_call_that_a_leaving_process_drops_is_seen_if_it_was_passed_on() {
     let mut history = with_call(call("f", CallSort::Booking, 20.0, Outcome::NoAnswer));
