--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -21,6 +21,8 @@
     pub faults: usize,
     /// Calls, by what became of them.
     pub calls: BTreeMap<String, usize>,
+    /// Runs of calls that their entries had canceled when they began.
+    pub begun_after_close: usize,
     /// Questions which configuration was in force.
     pub probes: usize,
     /// The number of the group's map at the end; 0 if it never changed.
@@ -48,6 +50,11 @@
             size,
             faults: faults.len(),
             calls,
+            begun_after_close: history
+                .works
+                .iter()
+                .filter(|work| work.is_begun_after_close)
+                .count(),
             probes: history.probes.len(),
             last_map_version,
             violations: judge(history),
