Let calls wait for a group that is expected to open while their callers wait

Cause: the wait was granted only if the group was expected with half a second to spare, and a whole objective was kept for the first event.

Change: the expected opening counts, the wait ends when the caller's patience does, and half an objective is kept.

--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -37,6 +37,10 @@
 /// and longer while a group's first map is in use.
 const HOLD_PART: f64 = 0.5;
 
+/// The part of the latency objective that is kept for the first event of a call that waits for a
+/// group to open.
+const FIRST_EVENT_PART: f64 = 0.5;
+
 /// The part of the time that is left which one of several attempts may take,
 /// so that there is time for another.
 const ATTEMPT_PART: f64 = 0.45;
@@ -158,7 +162,8 @@
     fn hold_time(&self, left: Duration, waiting_since: Instant) -> Duration {
         let by_deadline = left.mul_f64(HOLD_PART);
         let patience = self.remaining_patience(waiting_since);
-        patience.map_or(by_deadline, |left| by_deadline.min(left.saturating_sub(self.goal)))
+        let first_event = self.goal.mul_f64(FIRST_EVENT_PART);
+        patience.map_or(by_deadline, |left| by_deadline.min(left.saturating_sub(first_event)))
     }
 
     /// How long the call may wait for a permit: what is left of its part of the
--- a/crates/direct/src/service/inner.rs
+++ b/crates/direct/src/service/inner.rs
@@ -10,8 +10,8 @@
 use lynxmount_core::{EndpointId, EndpointLife, EndpointRecord, EngineSpec, Mechanism, Mechanisms};
 use lynxmount_link::MembersFingerprint;
 use lynxmount_policy::{
-    EndpointAdvice, GroupWatch, PaceClass, Placement, ReturnSchedule, Seat, ServiceQueue,
-    SlotOwners, Ticket, Waiter, WindowBudget, place, resumes_at,
+    EndpointAdvice, GroupWatch, LATE_OPENING, PaceClass, Placement, ReturnSchedule, Seat,
+    ServiceQueue, SlotOwners, Ticket, Waiter, WindowBudget, place, resumes_at,
 };
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
@@ -203,9 +203,11 @@
         let groups: Vec<Arc<str>> =
             self.endpoints.iter().map(|endpoint| endpoint.group()).collect();
         let opening_by = self.groups.opening_by(groups.iter().map(|group| &**group), now);
-        let is_in_time =
-            |by: &Duration| *by <= want.hold_until && self.mechanisms.has(Mechanism::Holds);
-        let until = opening_by.filter(is_in_time);
+        let is_in_time = |by: &Duration| {
+            by.saturating_sub(LATE_OPENING) <= want.hold_until
+                && self.mechanisms.has(Mechanism::Holds)
+        };
+        let until = opening_by.filter(is_in_time).map(|by| by.min(want.hold_until));
         let Some(until) = until.filter(|_| self.queue.len() < self.places()) else {
             let retry_after = opening_by.map_or(Duration::ZERO, |by| by.saturating_sub(now));
             return Err(Unavailable::Full { retry_after });
--- a/crates/lynxmount/tests/platform_entry.rs
+++ b/crates/lynxmount/tests/platform_entry.rs
@@ -456,8 +456,8 @@
 async fn a_call_waits_for_a_group_that_opens_in_time_and_is_sent_once() {
     let state = Arc::new(Mutex::new(GroupState::Down));
     let fleet = start_group(&state).await;
-    // What is left of the usual time until then is less than the caller waits for.
-    tokio::time::sleep(Duration::from_millis(900)).await;
+    // What is left of the usual time until then is less than half of the call's.
+    tokio::time::sleep(Duration::from_millis(400)).await;
     let mut caller = CallerStandin::new(fleet.address());
     let calling =
         tokio::spawn(async move { caller.call(&stream_call(Duration::from_secs(8))).await });
--- a/crates/policy/src/group_watch.rs
+++ b/crates/policy/src/group_watch.rs
@@ -19,7 +19,7 @@
 /// How much longer than usual a group may take to open again before calls stop
 /// waiting for it: it stalls, is found broken and forms, and is told to be open
 /// 0.1 to 0.3 s later.
-const LATE_OPENING: Duration = Duration::from_millis(500);
+pub const LATE_OPENING: Duration = Duration::from_millis(500);
 
 /// Least silence under calls in progress after which a group is blocked, if its process tells
 /// nothing. Passes that read many prompts take up to 0.4 s.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -38,7 +38,7 @@
 pub use endpoint_advice::EndpointAdvice;
 pub use endpoint_limit::{EndpointLimit, LimitChange, LimitShare, SETTLE_TIME};
 pub use endpoint_rest::EndpointRest;
-pub use group_watch::{GroupName, GroupWatch, StreamEvent};
+pub use group_watch::{GroupName, GroupWatch, LATE_OPENING, StreamEvent};
 pub use health::{CallEnd, Health};
 pub use membership::Membership;
 pub use outage::{OutageWatch, return_time};
