--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -11,47 +11,28 @@
 use bytes::Bytes;
 use http::{Method, Response, header, request::Parts};
 use lynxmount_core::{
-    CallFingerprint, CallKind, Clock, EndpointId, Mechanism, Mechanisms, RouteId, TeamId,
+    CallFingerprint, CallKind, Clock, EndpointId, RouteId, TeamId,
     edge::{CallHead, Dialect, Forward},
 };
-use lynxmount_policy::{Patience, Waiter, return_time};
+use lynxmount_policy::{Patience, Waiter};
 use lynxmount_suspects::Suspects;
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
-use rand::Rng;
 
 use crate::{
     attempt::{AttemptError, AttemptResult, Outgoing, ResponseHead, WholeAnswer, left, open},
     attempt_history::{AttemptHistory, attempt_counter},
+    call_times::WAIT_PART,
     endpoint::Permit,
     reply::{Refusal, ReplyBody, whole_body},
     service::{Service, Unavailable, Want},
     stream::StreamRelay,
 };
 
-/// The part of the latency objective that a call may wait for a permit.
-const WAIT_PART: f64 = 0.5;
-
-/// The part of the time that is left for which a call may wait until a group opens:
-/// streams of the reference deployments take a third of their callers' time at most,
-/// and longer while a group's first map is in use.
-const HOLD_PART: f64 = 0.5;
-
-/// The part of the latency objective that is kept for the first event of a call that waits for a
-/// group to open.
-const FIRST_EVENT_PART: f64 = 0.5;
-
-/// The part of the time that is left which one of several attempts may take,
-/// so that there is time for another.
-const ATTEMPT_PART: f64 = 0.45;
-
 /// How often one call may miss its endpoint: a connection does not open, or
 /// another endpoint has the address. It is not run then.
 const MAX_UNREACHABLE: u32 = 3;
 
-/// When callers come back if return times are switched off.
-const SOON_RETURN: Duration = Duration::from_millis(300);
-
 /// The team of calls that need no key.
 const PUBLIC_TEAM: &str = "public";
 
@@ -157,21 +138,6 @@
         }
     }
 
-    /// How long the call may wait for a group to open, so that its first event comes while its
-    /// caller waits.
-    fn hold_time(&self, left: Duration, waiting_since: Instant) -> Duration {
-        let by_deadline = left.mul_f64(HOLD_PART);
-        let patience = self.remaining_patience(waiting_since);
-        let first_event = self.goal.mul_f64(FIRST_EVENT_PART);
-        patience.map_or(by_deadline, |left| by_deadline.min(left.saturating_sub(first_event)))
-    }
-
-    /// How long the call may wait for a permit: what is left of its part of the
-    /// objective.
-    fn wait_time(&self) -> Duration {
-        self.goal.mul_f64(WAIT_PART).saturating_sub(self.arrived.elapsed())
-    }
-
     fn unavailable(&self, unavailable: Unavailable, may_have_run: bool) -> Refusal {
         match unavailable {
             _ if may_have_run => Refusal::MayHaveRun,
@@ -188,10 +154,6 @@
         }
     }
 
-    fn return_after(&self) -> Duration {
-        return_after(&self.service.mechanisms, left(self.deadline))
-    }
-
     fn give_up(&self, history: &AttemptHistory, ended: AttemptError) -> Refusal {
         let retry_after = self.return_after();
         match ended {
@@ -202,12 +164,6 @@
         }
     }
 
-    /// How much longer the caller waits that was last sent something at a moment, less what its
-    /// answer takes; `None` if it waits until its deadline.
-    pub(crate) fn remaining_patience(&self, sent_at: Instant) -> Option<Duration> {
-        Some(self.patience?.remaining(sent_at.elapsed(), left(self.deadline)))
-    }
-
     /// Makes an attempt. A call that is held back meanwhile is taken back from the endpoint
     /// before it begins there: copies wait in a group that stands still, and each would stop it
     /// again.
@@ -357,22 +313,6 @@
         self.has_attempts_left() && !left(self.deadline).is_zero()
     }
 
-    /// Says whether another attempt may follow the next one.
-    fn may_follow(&self) -> bool {
-        self.attempts.load(Ordering::Relaxed) + 1 < self.max_attempts
-    }
-
-    /// Until when the next attempt may take: not all of the time that is left if
-    /// another may follow it.
-    fn attempt_end(&self) -> Instant {
-        match self.kind {
-            CallKind::Idempotent if self.may_follow() => {
-                Instant::now() + left(self.deadline).mul_f64(ATTEMPT_PART)
-            }
-            _ => self.deadline,
-        }
-    }
-
     fn whole_response(&self, answer: WholeAnswer) -> Response<ReplyBody> {
         let mut response = Response::new(whole_body(answer.body));
         *response.status_mut() = answer.status;
@@ -404,11 +344,3 @@
             "finished");
     }
 }
-
-/// When a caller may come back that has met an outage.
-pub(crate) fn return_after(mechanisms: &Mechanisms, time_left: Duration) -> Duration {
-    match mechanisms.has(Mechanism::ReturnTimes) {
-        true => return_time(time_left, rand::rng().random()),
-        false => SOON_RETURN,
-    }
-}
--- a/crates/direct/src/handler.rs
+++ b/crates/direct/src/handler.rs
@@ -19,7 +19,8 @@
 
 use crate::{
     admission::{authenticate, draw_target, host, host_name, read_body},
-    call::{Call, return_after},
+    call::Call,
+    call_times::return_after,
     drain::Drain,
     endpoint_set::EndpointSet,
     fleet::{ConfigView, Fleet},
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -10,6 +10,7 @@
 mod attempt;
 mod attempt_history;
 mod call;
+mod call_times;
 mod callers_port;
 mod crash_detector;
 mod crash_gossip;
