--- a/crates/endpoint/src/reports.rs
+++ b/crates/endpoint/src/reports.rs
@@ -96,8 +96,8 @@
         }
     }
 
-    /// Notes that the back end has sent something.
-    pub(crate) fn note_sign_of_life(&self) {
+    /// Records that the back end has sent something.
+    pub(crate) fn on_sign_of_life(&self) {
         self.missed_loads.send_if_modified(|missed| std::mem::take(missed) > 0);
     }
 
@@ -153,19 +153,19 @@
         loop {
             ticks.tick().await;
             let load = self.backend.load().await;
-            self.note_load(&load);
+            self.on_load(&load);
             self.note_backend(load.is_ok());
             let waiting = load.map_or(0, |load| load.waiting);
             self.waiting.store(waiting, Ordering::Relaxed);
         }
     }
 
-    fn note_load(&self, load: &Result<Load>) {
+    fn on_load(&self, load: &Result<Load>) {
         match load {
             Err(error) if matches!(error.cause, Cause::TimedOut) => {
                 self.missed_loads.send_modify(|missed| *missed += 1);
             }
-            _ => self.note_sign_of_life(),
+            _ => self.on_sign_of_life(),
         }
     }
 }
--- a/crates/endpoint/src/runner.rs
+++ b/crates/endpoint/src/runner.rs
@@ -223,7 +223,7 @@
         self.node.counters().count(Counter::AttemptsStarted);
         let response = match self.backend.call(dispatch).await {
             Ok(response) => {
-                self.reports.note_sign_of_life();
+                self.reports.on_sign_of_life();
                 response
             }
             Err(error) if matches!(error.cause, Cause::Unreachable | Cause::Invalid) => {
@@ -295,7 +295,7 @@
         while !body.is_end_stream() {
             match body.frame().await {
                 Some(Ok(frame)) => {
-                    self.reports.note_sign_of_life();
+                    self.reports.on_sign_of_life();
                     let Ok(bytes) = frame.into_data() else { continue };
                     sink.head(head.take()).await;
                     sink.piece(bytes).await;
@@ -318,7 +318,7 @@
     ) -> bool {
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else { return false };
-            self.reports.note_sign_of_life();
+            self.reports.on_sign_of_life();
             let whole = frame.data_ref().and_then(|bytes| events.take(bytes));
             if let Some(whole) = whole {
                 sink.head(head.take()).await;
