--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -15,7 +15,8 @@
 use crate::{
     BatchOptions,
     batch::{Batch, Progress},
-    http_server::{Body, End, json, serve, whole},
+    crash::Lifecycle,
+    http_server::{Body, json, serve, whole},
 };
 
 /// How many tokens an answer has if the request does not say.
@@ -64,7 +65,8 @@
             seen: Mutex::default(),
             cut_after: Mutex::default(),
         });
-        let (address, server) = serve(address, Arc::clone(&state), End::default(), handle).await?;
+        let lifecycle = Lifecycle::default();
+        let (address, server) = serve(address, Arc::clone(&state), lifecycle, handle).await?;
         let tasks = vec![server, tokio::spawn(batch.run())];
         Ok(Engine { state, address, tasks })
     }
--- a/crates/standin/src/http_server.rs
+++ b/crates/standin/src/http_server.rs
@@ -8,29 +8,24 @@
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+};
+
+use crate::crash::Lifecycle;
 
 /// A body that a stand-in sends; an error cuts the connection.
 pub(crate) type Body = UnsyncBoxBody<Bytes, anyhow::Error>;
 
-/// Set once a stand-in ends as a process does: its connections break, and it takes no new
-/// ones.
-pub(crate) type End = Arc<watch::Sender<bool>>;
-
-/// Waits until a stand-in ends.
-async fn ended(end: End) {
-    // The sender lives as long as this.
-    let _ = end.subscribe().wait_for(|ended| *ended).await;
-}
-
-/// Serves requests by `handle` until the returned task is aborted, or the stand-in ends.
+/// Serves requests by `handle` until the returned task is aborted, or the stand-in crashes.
 ///
 /// Fails if the address can't be bound.
 pub(crate) async fn serve<S, F>(
     address: SocketAddr,
     state: Arc<S>,
-    end: End,
-    handle: impl Fn(Arc<S>, Request<Incoming>) -> F + Clone + Send + 'static,
+    lifecycle: Lifecycle,
+    handle: impl Fn(Arc<S>, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
 ) -> anyhow::Result<(SocketAddr, JoinHandle<()>)>
 where
     S: Send + Sync + 'static,
@@ -38,32 +33,20 @@
 {
     let listener = TcpListener::bind(address).await.with_context(|| format!("bind {address}"))?;
     let bound = listener.local_addr()?;
-    let accepting_end = ended(Arc::clone(&end));
-    let accepting = async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            let _ = stream.set_nodelay(true);
-            let (state, handle) = (Arc::clone(&state), handle.clone());
-            let service = service_fn(move |request| {
-                let answer = handle(Arc::clone(&state), request);
-                async move { Ok::<_, Infallible>(answer.await) }
-            });
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            let end = ended(Arc::clone(&end));
-            tokio::spawn(async move {
-                tokio::select! {
-                    _ = connection => {}
-                    () = end => {}
-                }
-            });
+    let serve_connection = move |stream: TcpStream| {
+        let _ = stream.set_nodelay(true);
+        let (state, handle) = (Arc::clone(&state), handle.clone());
+        let service = service_fn(move |request| {
+            let answer = handle(Arc::clone(&state), request);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        async move {
+            // What fails here shows at the caller.
+            let _ = connection.await;
         }
     };
-    let task = tokio::spawn(async move {
-        tokio::select! {
-            () = accepting => {}
-            () = accepting_end => {}
-        }
-    });
-    Ok((bound, task))
+    Ok((bound, tokio::spawn(lifecycle.accept(listener, serve_connection))))
 }
 
 /// Makes a JSON response.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod batch;
 mod caller;
+mod crash;
 mod engine;
 mod http_server;
 mod plain;
@@ -16,6 +17,7 @@
 
 pub use batch::BatchOptions;
 pub use caller::{Answer, Caller};
+pub use crash::{CrashKind, Lifecycle};
 pub use engine::{Engine, SeenRun, token_text};
 pub use plain::{Plain, PlainOptions, SeenCall};
 pub use platform::PlatformServer;
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -20,7 +20,10 @@
 use serde_json::json;
 use tokio::{sync::watch, task::JoinHandle, time::Instant};
 
-use crate::http_server::{Body, End, json, serve};
+use crate::{
+    crash::{CrashKind, Lifecycle},
+    http_server::{Body, json, serve},
+};
 
 /// How a plain service behaves.
 #[derive(Clone, Copy, Debug, Default)]
@@ -47,7 +50,7 @@
     /// A part of the path of calls under which the service ends.
     ends_under: Mutex<Option<String>>,
     is_frozen: watch::Sender<bool>,
-    end: End,
+    lifecycle: Lifecycle,
 }
 
 /// A running plain service.
@@ -62,16 +65,16 @@
     ///
     /// Fails if the address can't be bound.
     pub async fn start(address: SocketAddr, options: PlainOptions) -> anyhow::Result<Plain> {
-        let end = End::default();
+        let lifecycle = Lifecycle::default();
         let state = Arc::new(State {
             options,
             seen: Mutex::default(),
             active: AtomicUsize::new(0),
             ends_under: Mutex::default(),
             is_frozen: watch::Sender::new(false),
-            end: Arc::clone(&end),
+            lifecycle: lifecycle.clone(),
         });
-        let (address, task) = serve(address, Arc::clone(&state), end, handle).await?;
+        let (address, task) = serve(address, Arc::clone(&state), lifecycle, handle).await?;
         Ok(Plain { state, address, task })
     }
 
@@ -107,9 +110,19 @@
         self.state.is_frozen.send_replace(false);
     }
 
+    /// Sets how the service crashes.
+    pub fn crash_as(&self, kind: CrashKind) {
+        self.state.lifecycle.set_kind(kind);
+    }
+
     /// Says whether it has ended.
     pub fn has_ended(&self) -> bool {
-        *self.state.end.borrow()
+        self.crashes() > 0
+    }
+
+    /// How often it has crashed.
+    pub fn crashes(&self) -> u32 {
+        self.state.lifecycle.crashes()
     }
 
     /// Stops the service.
@@ -173,7 +186,7 @@
         return json(StatusCode::OK, &json!({ "running": running, "waiting": 0 }));
     }
     if state.ends_under.lock().as_ref().is_some_and(|part| request.uri().path().contains(part)) {
-        state.end.send_replace(true);
+        state.lifecycle.crash();
         std::future::pending::<()>().await;
     }
     state.active.fetch_add(1, Ordering::Relaxed);
