Record crashes of back ends that show late, between entries and endpoint processes

What callers saw: one request took down a whole service although requests that crash back ends are quarantined.

Cause: the process beside a back end decided by one connect, made as its connection broke. A listener that closes late, is held by another process, or belongs to a process that is back at once takes it; the attempt counted as failed by a live back end, then and ever, and the entry sent the request to the next one.

Ruled out: the wait of 50 ms for the verdict (not on this path), the platform's log (entries were told in 3 ms).

Change: one connection to the back end is kept open, and breaks with its process whatever listens. A load that is answered there proves life, so that innocent requests go on at once. Evidence counts for a second after the break, and a request that broke at two back ends waits for their verdicts. Frames change (protocol 3): peers of another version are turned away.

A new test shows that a back end which cuts single connections holds nothing back.

--- a/crates/endpoint/src/backend.rs
+++ b/crates/endpoint/src/backend.rs
@@ -1,10 +1,11 @@
 //! The back end beside this process, by its published HTTP interface.
 
-use std::{io::ErrorKind, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::{
-    HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, header::CONNECTION,
+    HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri,
+    header::{CONNECTION, HOST},
 };
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -13,9 +14,9 @@
     rt::{TokioExecutor, TokioTimer},
 };
 use lynxmount_core::{Error, Result, Step, invalid, not_known, refused, timed_out, unreachable};
+use lynxmount_link::{Connection, ProbeResult, probe};
 use lynxmount_wire::{AttemptId, Dispatch, Header};
 use serde::Deserialize;
-use tokio::net::TcpStream;
 
 /// How long a connection may take to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -99,25 +100,36 @@
         answer.map_err(|e| self.transport_error(&e))
     }
 
-    /// Says whether the back end's process has ended: its machine, which is this one, takes
-    /// no connections for it.
-    pub(crate) async fn has_ended(&self) -> bool {
-        let connecting = TcpStream::connect(self.address);
-        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
-        matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+    /// Opens a connection of its own, on which loads are asked for.
+    ///
+    /// Fails if the back end takes none.
+    pub(crate) async fn connect(&self) -> Result<Connection> {
+        Connection::open(self.address, CONNECT_TIMEOUT).await
+    }
+
+    /// Sees whether a process takes connections.
+    pub(crate) async fn probe(&self) -> ProbeResult {
+        probe(self.address, CONNECT_TIMEOUT).await
     }
 
     /// Asks for the back end's load.
     ///
-    /// Fails if it doesn't answer in time.
-    pub(crate) async fn load(&self) -> Result<Load> {
-        let response = self.bare(Method::GET, LOAD_PATH).await?;
-        let body = tokio::time::timeout(LOAD_TIMEOUT, response.into_body().collect())
-            .await
-            .map_err(|_| timed_out(Step::CallBackend, self.address, "no load in time"))?
-            .map_err(|e| not_known(Step::CallBackend, self.address, e))?;
-        serde_json::from_slice(&body.to_bytes())
-            .map_err(|e| invalid(Step::CallBackend, self.address, e))
+    /// Fails with `Cause::TimedOut` if it doesn't answer in time.
+    pub(crate) async fn load(&self, connection: &mut Connection) -> Result<Load> {
+        let answered = tokio::time::timeout(LOAD_TIMEOUT, self.ask_load(connection)).await;
+        answered.map_err(|_| timed_out(Step::CallBackend, self.address, "no load in time"))?
+    }
+
+    async fn ask_load(&self, connection: &mut Connection) -> Result<Load> {
+        let fail = |e: hyper::Error| not_known(Step::CallBackend, self.address, e);
+        let request = Request::get(LOAD_PATH)
+            .header(HOST, self.address.to_string())
+            .body(Full::default())
+            .map_err(|e| invalid(Step::CallBackend, self.address, e))?;
+        connection.ready().await.map_err(fail)?;
+        let response = connection.send(request).await.map_err(fail)?;
+        let body = response.into_body().collect().await.map_err(fail)?.to_bytes();
+        serde_json::from_slice(&body).map_err(|e| invalid(Step::CallBackend, self.address, e))
     }
 
     fn request_of(&self, dispatch: &Dispatch) -> Result<Request<Full<Bytes>>> {
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 mod backend;
+mod backend_watch;
 mod connection;
 mod data_port;
 mod keys;
--- a/crates/endpoint/src/process.rs
+++ b/crates/endpoint/src/process.rs
@@ -9,8 +9,8 @@
 };
 
 use crate::{
-    backend::Backend, data_port::DataPort, keys::Keys, places::Places, reports::Reports,
-    runner::Runner,
+    backend::Backend, backend_watch::BackendWatch, data_port::DataPort, keys::Keys, places::Places,
+    reports::Reports, runner::Runner,
 };
 
 /// How long the last frames of finished answers may take to leave.
@@ -29,15 +29,19 @@
     drain_on_signals(&node)?;
     let places = Arc::new(Places::default());
     let backend = Backend::new(settings.backend_address);
-    let reports = Arc::new(Reports::new(node.clone(), Arc::clone(&places), backend.clone()));
+    let watch = Arc::new(BackendWatch::new(node.clone(), backend.clone()));
+    let reports = Reports::new(node.clone(), Arc::clone(&places), Arc::clone(&watch));
+    let reports = Arc::new(reports);
     let runner = Arc::new(Runner {
         node: node.clone(),
         service: settings.service.clone(),
         keys: Keys::new(node.incarnation(), &settings),
         places,
         backend,
+        watch: Arc::clone(&watch),
         reports: Arc::clone(&reports),
     });
+    tokio::spawn(watch.run());
     tokio::spawn(Arc::clone(&reports).run());
     let port = DataPort::bind(settings.data_address, runner, reports).await?;
     let is_finished = node.wait_for(|view| view.drain == DrainState::Finished);
--- a/crates/endpoint/src/runner.rs
+++ b/crates/endpoint/src/runner.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     backend::{Backend, headers_to_pass},
+    backend_watch::{BackendWatch, Break, Verdict},
     keys::{KeyAdmission, Keys},
     output::Output,
     places::{Place, Places},
@@ -37,6 +38,7 @@
     pub(crate) keys: Keys,
     pub(crate) places: Arc<Places>,
     pub(crate) backend: Backend,
+    pub(crate) watch: Arc<BackendWatch>,
     pub(crate) reports: Arc<Reports>,
 }
 
@@ -116,7 +118,7 @@
             end = self.call(&dispatch, &mut sink) => end,
             () = cancel.cancelled() => RecordingEnd::Failed(Failure::Cancelled),
             () = expiry(&dispatch) => RecordingEnd::Failed(Failure::Expired),
-            () = self.reports.until_backend_silent() => {
+            () = self.watch.until_silent() => {
                 return self.leave_silent(&dispatch, permit, sink).await;
             }
         };
@@ -223,19 +225,24 @@
         self.node.counters().count(Counter::AttemptsStarted);
         let response = match self.backend.call(dispatch).await {
             Ok(response) => {
-                self.reports.on_sign_of_life();
+                self.watch.on_sign_of_life();
                 response
             }
             Err(error) if matches!(error.cause, Cause::Unreachable | Cause::Invalid) => {
-                self.reports.note_backend(false);
+                self.watch.on_unreachable();
                 return RecordingEnd::Refused(RefusalReason::BackendUnreachable);
             }
-            Err(_) => return self.failed(self.first_phase()).await,
+            Err(_) => {
+                let broken = self.watch.on_call_broken();
+                return self.failed(broken, self.first_phase()).await;
+            }
         };
         match is_event_stream(&response) {
             true => self.pass_events(dispatch, response, sink).await,
-            false if self.pass_body(response, sink).await => RecordingEnd::Whole,
-            false => self.failed(CallPhase::Beginning).await,
+            false => match self.pass_body(response, sink).await {
+                Ok(()) => RecordingEnd::Whole,
+                Err(broken) => self.failed(broken, CallPhase::Beginning).await,
+            },
         }
     }
 
@@ -247,16 +254,19 @@
         }
     }
 
-    /// Ends a run that the back end broke off, and tells whether the back end has ended: the
-    /// request would go on to the next one otherwise, whatever it does there. One that ends as
-    /// this process leaves ends as it was told to.
-    async fn failed(&self, phase: CallPhase) -> RecordingEnd {
-        if !self.node.view().is_ready() || !self.backend.has_ended().await {
+    /// Ends a run that the back end broke off, and tells what became of the back end: the request
+    /// would go on to the next one otherwise, whatever it does there. One that ends as this process
+    /// leaves ends as it was told to.
+    async fn failed(&self, broken: Break, phase: CallPhase) -> RecordingEnd {
+        if !self.node.view().is_ready() {
             return RecordingEnd::Failed(Failure::Backend);
         }
-        self.reports.note_backend(false);
-        let life = self.reports.backend_life();
-        RecordingEnd::Failed(Failure::BackendEnded { life, phase })
+        let life = broken.life;
+        RecordingEnd::Failed(match self.watch.verdict(broken).await {
+            Verdict::Alive => Failure::BackendBroke { life, phase, is_alive: true },
+            Verdict::Crashed(life) => Failure::BackendEnded { life, phase },
+            Verdict::Unknown => Failure::BackendBroke { life, phase, is_alive: false },
+        })
     }
 
     /// Passes a stream of events on; where it breaks, the engine is asked to go
@@ -274,38 +284,41 @@
             if self.pass_whole_events(&mut body, &mut events, &mut head, sink).await {
                 return RecordingEnd::Whole;
             }
+            let broken = self.watch.on_call_broken();
             events.restart();
             self.node.counters().count(Counter::StreamsResumed);
             match self.backend.resume(dispatch.id, events.events()).await {
                 Ok(response) => body = response.into_body(),
-                Err(_) if events.events() == 0 => return self.failed(CallPhase::Beginning).await,
-                Err(_) => return self.failed(CallPhase::Running).await,
+                Err(_) if events.events() == 0 => {
+                    return self.failed(broken, CallPhase::Beginning).await;
+                }
+                Err(_) => return self.failed(broken, CallPhase::Running).await,
             }
         }
         RecordingEnd::Failed(Failure::Backend)
     }
 
-    /// Passes a body on that can't be resumed; `false` if it breaks.
+    /// Passes a body on that can't be resumed. Fails if it breaks.
     ///
     /// Head, first piece and end are handed over without a pause between them where
     /// they can be, so that they share one write and one read.
-    async fn pass_body(&self, response: Response<Incoming>, sink: &mut Sink) -> bool {
+    async fn pass_body(&self, response: Response<Incoming>, sink: &mut Sink) -> Result<(), Break> {
         let mut head = Some(head_of(&response));
         let mut body = response.into_body();
         while !body.is_end_stream() {
             match body.frame().await {
                 Some(Ok(frame)) => {
-                    self.reports.on_sign_of_life();
+                    self.watch.on_sign_of_life();
                     let Ok(bytes) = frame.into_data() else { continue };
                     sink.head(head.take()).await;
                     sink.piece(bytes).await;
                 }
-                Some(Err(_)) => return false,
+                Some(Err(_)) => return Err(self.watch.on_call_broken()),
                 None => break,
             }
         }
         sink.head(head.take()).await;
-        true
+        Ok(())
     }
 
     /// Passes events on until the stream ends; `false` if it breaks.
@@ -318,7 +331,7 @@
     ) -> bool {
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else { return false };
-            self.reports.on_sign_of_life();
+            self.watch.on_sign_of_life();
             let whole = frame.data_ref().and_then(|bytes| events.take(bytes));
             if let Some(whole) = whole {
                 sink.head(head.take()).await;
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use lynxmount_core::CallFingerprint;
 use lynxmount_node::{Counter, NodeHandle};
-use lynxmount_policy::AttemptEnd;
+use lynxmount_policy::{AttemptEnd, LifeSign};
 use lynxmount_suspects::Suspects;
 use lynxmount_wire::{
     Answer, AnswerEnd, AttemptId, Dispatch, Failure, Header, Piece, RefusalReason, ToEndpoint,
@@ -120,9 +120,7 @@
             }
             ToEntry::Failed { failure, .. } => {
                 self.is_over = true;
-                if let Failure::BackendEnded { life, phase } = failure {
-                    self.suspects.note_end(life, &[(self.call, phase)]);
-                }
+                self.note_failure(failure);
                 Some(Next::Ended(AttemptEnd::Failed))
             }
             ToEntry::Refused { reason, .. } => {
@@ -130,7 +128,7 @@
                 self.note_refusal(reason);
                 Some(Next::Refused(reason))
             }
-            ToEntry::Welcome { .. } | ToEntry::Report(_) => None,
+            ToEntry::BackendCrashed { .. } | ToEntry::Welcome { .. } | ToEntry::Report(_) => None,
         }
     }
 
@@ -174,6 +172,19 @@
         }
     }
 
+    fn note_failure(&self, failure: Failure) {
+        match failure {
+            Failure::BackendBroke { life, phase, is_alive } => {
+                let sign = if is_alive { LifeSign::Answered } else { LifeSign::Missing };
+                self.suspects.on_broken(life, self.call, phase, sign);
+            }
+            Failure::BackendEnded { life, phase } => {
+                self.suspects.note_end(life, &[(self.call, phase)]);
+            }
+            Failure::AnswerGone | Failure::Backend | Failure::Cancelled | Failure::Expired => {}
+        }
+    }
+
     fn note_refusal(&self, reason: RefusalReason) {
         self.node.counters().count(Counter::AttemptsRefused);
         match reason {
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -108,6 +108,7 @@
         call: &Call,
         tried: &[EndpointId],
     ) -> Result<(Place, Option<Binding>), Refusal> {
+        self.wait_for_verdicts(call).await?;
         if let Some(rest) = self.suspects.held_back_for(&call.fingerprint) {
             return Err(held_back(rest));
         }
@@ -135,6 +136,24 @@
         }
     }
 
+    /// Waits until it is known whether back ends crashed that broke the request off: it may crash
+    /// the next one.
+    async fn wait_for_verdicts(&self, call: &Call) -> Result<(), Refusal> {
+        match self.suspects.hold(&call.fingerprint) {
+            Some(hold) if tokio::time::Instant::now() + hold > call.wait_until.at => {
+                let detail = "back ends broke this request off, and may have crashed";
+                Err(Refusal::not_run(Reason::HeldBack, detail).retry_after(hold))
+            }
+            Some(hold) => {
+                let hold_ms = hold.as_millis() as u64;
+                log::info!(request:% = call.id, hold_ms; "call held for verdicts");
+                self.suspects.until_released(&call.fingerprint).await;
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
+
     fn after_refusal(&self, retry: &mut Retry, reason: RefusalReason, call: &Call) -> AfterAttempt {
         let end = match reason {
             RefusalReason::Busy => AttemptEnd::Busy,
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -12,10 +12,11 @@
 use lynxmount_audit::AuditEvent;
 use lynxmount_config::Endpoint;
 use lynxmount_core::{
-    Error, Incarnation, Result, Step, invalid, not_known, timed_out, unreachable,
+    EndpointLife, Error, Incarnation, Result, Step, invalid, not_known, timed_out, unreachable,
 };
 use lynxmount_node::{Counter, NodeHandle};
 use lynxmount_policy::{Candidate, ChoiceOptions};
+use lynxmount_suspects::Suspects;
 use lynxmount_wire::{
     AttemptId, FrameReader, FrameWriter, LoadReport, PROTOCOL_VERSION, ToEndpoint, ToEntry,
 };
@@ -58,6 +59,7 @@
     pub(crate) endpoint: Endpoint,
     /// Whether it stands in this entry's failure domain.
     is_local: bool,
+    suspects: Arc<Suspects>,
     own_running: AtomicU32,
     last_chosen: AtomicU64,
     state: Mutex<State>,
@@ -90,10 +92,11 @@
 }
 
 impl Link {
-    pub(crate) fn new(endpoint: Endpoint, is_local: bool) -> Link {
+    pub(crate) fn new(endpoint: Endpoint, is_local: bool, suspects: Arc<Suspects>) -> Link {
         Link {
             endpoint,
             is_local,
+            suspects,
             own_running: AtomicU32::new(0),
             last_chosen: AtomicU64::new(0),
             state: Mutex::default(),
@@ -257,6 +260,7 @@
                 Err(error) => return error,
                 Ok(None) => return not_known(Step::ReadAnswer, peer, "connection closed"),
                 Ok(Some(ToEntry::Report(report))) => self.take_report(report, node, gates),
+                Ok(Some(ToEntry::BackendCrashed { life })) => self.on_backend_crashed(life),
                 Ok(Some(frame)) => self.deliver(frame, node),
             }
         }
@@ -274,6 +278,11 @@
         }
     }
 
+    fn on_backend_crashed(&self, life: EndpointLife) {
+        let calls = self.suspects.on_crashed(life);
+        log::warn!(endpoint = &*self.endpoint.id, calls = calls.len(); "endpoint crashed");
+    }
+
     fn take_report(&self, report: LoadReport, node: &NodeHandle, gates: &Gates) {
         let own = self.own_running.load(Ordering::Relaxed);
         {
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -9,6 +9,7 @@
 use lynxmount_core::{EndpointId, ServiceId};
 use lynxmount_node::{NodeHandle, View};
 use lynxmount_policy::rendezvous;
+use lynxmount_suspects::Suspects;
 use tokio::task::JoinHandle;
 
 use crate::{gate::Gates, link::Link};
@@ -22,6 +23,7 @@
 pub(crate) struct Links {
     node: NodeHandle,
     gates: Arc<Gates>,
+    suspects: Arc<Suspects>,
     open: BTreeMap<EndpointId, OpenLink>,
 }
 
@@ -31,8 +33,8 @@
 }
 
 impl Links {
-    pub(crate) fn new(node: NodeHandle, gates: Arc<Gates>) -> Links {
-        Links { node, gates, open: BTreeMap::new() }
+    pub(crate) fn new(node: NodeHandle, gates: Arc<Gates>, suspects: Arc<Suspects>) -> Links {
+        Links { node, gates, suspects, open: BTreeMap::new() }
     }
 
     /// Follows the configuration for as long as the process runs.
@@ -75,7 +77,7 @@
     fn open(&mut self, endpoint: Endpoint) {
         let is_local = endpoint.failure_domain == self.node.settings().failure_domain;
         let id = endpoint.id.clone();
-        let link = Arc::new(Link::new(endpoint, is_local));
+        let link = Arc::new(Link::new(endpoint, is_local, Arc::clone(&self.suspects)));
         let run = Arc::clone(&link).run(self.node.clone(), Arc::clone(&self.gates));
         self.open.insert(id, OpenLink { link, task: tokio::spawn(run) });
     }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -29,9 +29,10 @@
     let gates = Arc::new(Gates::new(node.clone()));
     let claims =
         Arc::new(Claims::new(node.clone(), Platform::new(settings.process.platform_address)));
-    tokio::spawn(Links::new(node.clone(), Arc::clone(&gates)).run());
-    tokio::spawn(Arc::clone(&claims).follow());
     let suspects = Arc::new(Suspects::new(true));
+    let links = Links::new(node.clone(), Arc::clone(&gates), Arc::clone(&suspects));
+    tokio::spawn(links.run());
+    tokio::spawn(Arc::clone(&claims).follow());
     let platform = Platform::new(settings.process.platform_address);
     let suspicion_log = Arc::new(SuspicionLog::new(platform, Arc::clone(&suspects)));
     tokio::spawn(Arc::clone(&suspicion_log).follow());
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -114,6 +114,14 @@
         self.sender.is_ready()
     }
 
+    /// Waits until the connection is closed.
+    pub async fn closed(&mut self) {
+        if !self.task.is_finished() {
+            // However its task ends, the connection is closed.
+            let _ = (&mut self.task).await;
+        }
+    }
+
     /// Says whether the connection can take no further request.
     pub fn is_closed(&self) -> bool {
         self.sender.is_closed()
--- a/crates/lynxmount/tests/backend_ends.rs
+++ b/crates/lynxmount/tests/backend_ends.rs
@@ -12,9 +12,11 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{Fleet, Wanted, eventually};
 use http::Method;
-use lynxmount_standin::Answer;
+use lynxmount_standin::{Answer, CrashKind};
 
 /// A part of the path of the call under which back ends end.
 const ENDING: &str = "ending";
@@ -85,3 +87,95 @@
 
     assert!(ended(&fleet) <= MAX_ENDS, "{} back ends have ended", ended(&fleet));
 }
+
+fn crashes(fleet: &Fleet) -> u32 {
+    fleet.plains.iter().map(|plain| plain.crashes()).sum()
+}
+
+/// Calls at both entries until they quarantine the lookup, or as many back ends as there are have
+/// crashed. Returns how many crashes that took.
+async fn crashes_until_quarantined(kind: CrashKind) -> u32 {
+    let fleet = fleet().await;
+    fleet.plains.iter().for_each(|plain| plain.crash_as(kind));
+    for entry in [0, 1] {
+        eventually("the call is quarantined", async || {
+            let answer = look_up(&fleet, entry).await;
+            is_held_back(&answer) || crashes(&fleet) as usize >= BACKENDS
+        })
+        .await;
+    }
+    crashes(&fleet)
+}
+
+/// Guards against a crash that is missed as the back end's listener closes after its connections:
+/// the request went on to the next back end, until none was left.
+async fn a_crash_with_a_late_listener_is_recorded(listener_after_ms: u64) {
+    let listener_after = Duration::from_millis(listener_after_ms);
+
+    let crashes = crashes_until_quarantined(CrashKind::ListenerLast { listener_after }).await;
+
+    assert!(crashes as usize <= MAX_ENDS, "{crashes} crashes");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crash_whose_listener_closes_1_ms_late_is_recorded() {
+    a_crash_with_a_late_listener_is_recorded(1).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crash_whose_listener_closes_20_ms_late_is_recorded() {
+    a_crash_with_a_late_listener_is_recorded(20).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crash_whose_listener_closes_100_ms_late_is_recorded() {
+    a_crash_with_a_late_listener_is_recorded(100).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crash_whose_listener_closes_500_ms_late_is_recorded() {
+    a_crash_with_a_late_listener_is_recorded(500).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crash_whose_listener_closes_first_is_recorded() {
+    let connections_after = Duration::from_millis(20);
+
+    let crashes = crashes_until_quarantined(CrashKind::ListenerFirst { connections_after }).await;
+
+    assert!(crashes as usize <= MAX_ENDS, "{crashes} crashes");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crash_of_a_back_end_that_is_back_at_once_is_recorded() {
+    let crashes = crashes_until_quarantined(CrashKind::Restarted).await;
+
+    assert!(crashes as usize <= MAX_ENDS, "{crashes} crashes");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crash_behind_a_listener_that_another_process_holds_is_recorded() {
+    let crashes = crashes_until_quarantined(CrashKind::ListenerHeld).await;
+
+    assert!(crashes as usize <= MAX_ENDS, "{crashes} crashes");
+}
+
+/// A part of the path of the call whose connections back ends cut.
+const CUT: &str = "cut";
+
+/// Guards against a quarantine of calls whose connections break while their back ends live.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_that_break_while_the_back_end_lives_quarantine_nothing() {
+    let wanted = Wanted { engines: 0, plains: 2, ..Wanted::default() };
+    let fleet = Fleet::start(wanted).await;
+    fleet.plains.iter().for_each(|plain| plain.cut_under(CUT));
+
+    for number in 1..=6 {
+        let path = format!("/bookings/{CUT}/1");
+        let answer = fleet.caller(0).call(Method::GET, &path, &[], "").await.expect("an answer");
+
+        assert_eq!((answer.status.as_u16(), answer.outcome()), (502, "unknown"));
+        let cut: usize = fleet.plains.iter().map(|plain| plain.cut()).sum();
+        assert!(cut >= number, "{cut} calls of {number} have reached back ends");
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod answer_time;
 mod answered_calls;
+mod broken_calls;
 mod bucket;
 mod choice;
 mod endpoint_advice;
@@ -21,6 +22,7 @@
 mod patience;
 mod placement;
 mod prefix;
+mod process_life;
 mod quarantine;
 mod queue;
 mod retry;
@@ -33,6 +35,7 @@
 mod window_budget;
 
 pub use answer_time::AnswerTime;
+pub use broken_calls::{BrokenCalls, LifeSign, OBSERVATION_TIME};
 pub use bucket::TokenBucket;
 pub use choice::{Candidate, Choice, ChoiceOptions, choose};
 pub use endpoint_advice::EndpointAdvice;
@@ -47,6 +50,7 @@
 pub use patience::{Patience, SILENT_AFTER};
 pub use placement::{Placement, Seat, place, resumes_at};
 pub use prefix::PrefixCounts;
+pub use process_life::{ProcessLife, ProcessVerdict};
 pub use quarantine::{Quarantine, Taken};
 pub use queue::{Offer, ServiceQueue, Ticket, Waiter};
 pub use retry::{AttemptEnd, GiveUp, Next, Retry};
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -49,6 +49,9 @@
     active: AtomicUsize,
     /// A part of the path of calls under which the service ends.
     ends_under: Mutex<Option<String>>,
+    /// A part of the path of calls whose connections the service cuts.
+    cuts_under: Mutex<Option<String>>,
+    cut: AtomicUsize,
     is_frozen: watch::Sender<bool>,
     lifecycle: Lifecycle,
 }
@@ -71,6 +74,8 @@
             seen: Mutex::default(),
             active: AtomicUsize::new(0),
             ends_under: Mutex::default(),
+            cuts_under: Mutex::default(),
+            cut: AtomicUsize::new(0),
             is_frozen: watch::Sender::new(false),
             lifecycle: lifecycle.clone(),
         });
@@ -110,6 +115,16 @@
         self.state.is_frozen.send_replace(false);
     }
 
+    /// Lets the service cut the connection of each call with this in its path, and live on.
+    pub fn cut_under(&self, path: &str) {
+        *self.state.cuts_under.lock() = Some(path.to_owned());
+    }
+
+    /// How many calls it has cut.
+    pub fn cut(&self) -> usize {
+        self.state.cut.load(Ordering::Relaxed)
+    }
+
     /// Sets how the service crashes.
     pub fn crash_as(&self, kind: CrashKind) {
         self.state.lifecycle.set_kind(kind);
@@ -189,6 +204,10 @@
         state.lifecycle.crash();
         std::future::pending::<()>().await;
     }
+    if state.cuts_under.lock().as_ref().is_some_and(|part| request.uri().path().contains(part)) {
+        state.cut.fetch_add(1, Ordering::Relaxed);
+        return cut_response();
+    }
     state.active.fetch_add(1, Ordering::Relaxed);
     let _active = Active(&state.active);
     let (parts, body) = request.into_parts();
@@ -213,6 +232,12 @@
     })
 }
 
+/// A response whose connection breaks before its body.
+fn cut_response() -> Response<Body> {
+    let broken = stream::once(async { Err(anyhow::anyhow!("cut")) });
+    Response::new(StreamBody::new(broken).boxed_unsync())
+}
+
 /// Waits until the service is not frozen.
 async fn awake(state: &State) {
     // The sender lives as long as the state.
--- a/crates/suspects/src/lib.rs
+++ b/crates/suspects/src/lib.rs
@@ -3,6 +3,7 @@
 
 #![forbid(unsafe_code)]
 
+mod holds;
 mod suspects;
 
 pub use suspects::Suspects;
--- a/crates/suspects/src/suspects.rs
+++ b/crates/suspects/src/suspects.rs
@@ -2,11 +2,12 @@
 
 use std::{
     collections::BTreeSet,
-    time::{Duration, SystemTime},
+    sync::atomic::AtomicBool,
+    time::{Duration, Instant, SystemTime},
 };
 
 use lynxmount_core::{CallFingerprint, CallPhase, EndpointLife, Suspicion, wall_time_ms};
-use lynxmount_policy::{Quarantine, Taken};
+use lynxmount_policy::{BrokenCalls, Quarantine, Taken};
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
 
@@ -16,13 +17,19 @@
 /// What this entry knows of calls under which endpoints have ended.
 pub struct Suspects {
     /// Whether calls are held back; what is known is told in any case.
-    is_used: bool,
+    pub(crate) is_used: bool,
+    pub(crate) started: Instant,
     quarantine: Mutex<Quarantine>,
     /// Counts changes of what is known, for calls in progress.
     changes: watch::Sender<u64>,
     /// Calls of which others have to be told.
     news: Mutex<BTreeSet<CallFingerprint>>,
     has_news: Notify,
+    /// Calls whose endpoints may have crashed.
+    pub(crate) broken: Mutex<BrokenCalls>,
+    pub(crate) has_broken: AtomicBool,
+    /// Counts verdicts on endpoints, for calls that wait for them.
+    pub(crate) releases: watch::Sender<u64>,
 }
 
 impl Suspects {
@@ -30,10 +37,14 @@
     pub fn new(is_used: bool) -> Suspects {
         Suspects {
             is_used,
+            started: Instant::now(),
             quarantine: Mutex::default(),
             changes: watch::Sender::new(0),
             news: Mutex::default(),
             has_news: Notify::new(),
+            broken: Mutex::default(),
+            has_broken: AtomicBool::new(false),
+            releases: watch::Sender::new(0),
         }
     }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 /// The version of the protocol; peers of another version are turned away.
-pub const PROTOCOL_VERSION: u32 = 2;
+pub const PROTOCOL_VERSION: u32 = 3;
 
 /// One try at one request.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
@@ -133,6 +133,15 @@
         /// How far the request was.
         phase: CallPhase,
     },
+    /// The connection to the back end broke. A crash may still show.
+    BackendBroke {
+        /// The life of the back end.
+        life: EndpointLife,
+        /// How far the request was.
+        phase: CallPhase,
+        /// Whether the back end has answered since.
+        is_alive: bool,
+    },
 }
 
 /// What an endpoint process says of itself, regularly and on each change.
@@ -224,13 +233,18 @@
         /// Why not.
         failure: Failure,
     },
+    /// The back end has crashed.
+    BackendCrashed {
+        /// Its life that has ended.
+        life: EndpointLife,
+    },
 }
 
 impl ToEntry {
     /// The attempt that the frame belongs to, if it belongs to one.
     pub fn attempt(&self) -> Option<AttemptId> {
         match self {
-            ToEntry::Welcome { .. } | ToEntry::Report(_) => None,
+            ToEntry::Welcome { .. } | ToEntry::Report(_) | ToEntry::BackendCrashed { .. } => None,
             ToEntry::Refused { id, .. }
             | ToEntry::Head { id, .. }
             | ToEntry::Data { id, .. }
