Record crashes of endpoints that show late, at entries on the users' platform

What callers saw: a call crashed all nine endpoints of a service, where the quarantine allows three.

One connect 5 ms after a connection broke decided for good; one that was accepted counted as *survived*, and the broken calls were forgotten.

Evidence: with endpoints whose connections break 20 ms before their listeners close, the entry's log has nine times 'endpoint survived its broken connections' 7 ms after the break, and no later line that corrects one (docs/incidents/crashes-seen-late.md).

Ruled out: the wait for the verdict (it came 43 ms before its end), and late gossip.

Change: an endpoint is observed for a second; evidence in that time counts for the calls that broke there, unless it was heard 100 ms or more after their break, leaves, or falls silent. Where connects tell nothing, one question to its health path tells whether the registered instance is still there. A call waits 50 ms for one verdict, and for the rest of the observation once its connections broke at two endpoints; if it can't wait so long it is refused at once.

One more shows that an endpoint which leaves within the observation speaks against no call (not run on the code before).

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -142,6 +142,9 @@
     pub id: ServiceId,
     /// Connections that one endpoint accepts from all callers together.
     pub max_connections: u32,
+    /// Where its endpoints tell their health, if they do.
+    #[serde(default)]
+    pub health_path: Option<String>,
     /// The pace of its engines, if it is a model service.
     pub engine: Option<EngineSpec>,
 }
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -251,10 +251,12 @@
     response: Response<Incoming>,
     sent_at: Instant,
 ) -> Result<ResponseHead, AttemptError> {
-    permit.on_heard();
     let (parts, body) = response.into_parts();
     let head = Response::from_parts(parts, ());
     let told = dialect.read_answer(outgoing.id, &head);
+    if told.kind != AnswerKind::OtherEndpoint {
+        permit.on_heard();
+    }
     if matches!(told.kind, AnswerKind::Ran | AnswerKind::NotRun) {
         permit.on_answer(&told, head.status(), sent_at);
     }
@@ -270,6 +272,7 @@
             Err(AttemptError::NotRun)
         }
         AnswerKind::OtherEndpoint => {
+            permit.on_replaced();
             permit.note_end(CallEnd::Unreachable);
             Err(AttemptError::OtherEndpoint)
         }
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -122,6 +122,7 @@
     }
 
     async fn place(&self, wait: Duration, waiting_since: Instant) -> Result<Permit, Unavailable> {
+        self.wait_out_hold(self.hold_time(left(self.deadline), waiting_since)).await?;
         let tried = self.tried.lock().clone();
         let team = self.team.clone().unwrap_or_else(|| PUBLIC_TEAM.into());
         let (now, left) = (self.clock.now(), left(self.deadline));
@@ -138,6 +139,21 @@
         }
     }
 
+    /// Waits until it is known whether endpoints crashed at which the call's connections broke: it
+    /// may crash the next one.
+    ///
+    /// Fails at once if that may take longer than the call can wait.
+    async fn wait_out_hold(&self, limit: Duration) -> Result<(), Unavailable> {
+        let Some(hold) = self.suspects.hold(&self.fingerprint) else { return Ok(()) };
+        if hold > limit {
+            return Err(Unavailable::InDoubt { retry_after: hold });
+        }
+        log::info!(request = self.head.id.as_deref(), call:% = self.fingerprint,
+            hold_ms = hold.as_millis() as u64; "call held for verdicts");
+        self.suspects.until_released(&self.fingerprint).await;
+        Ok(())
+    }
+
     fn unavailable(&self, unavailable: Unavailable, may_have_run: bool) -> Refusal {
         match unavailable {
             _ if may_have_run => Refusal::MayHaveRun,
@@ -149,7 +165,9 @@
             // When it may come again is true, so that a caller who is held back in error gets
             // through then.
             Unavailable::HeldBack { retry_after } => Refusal::HeldBack { retry_after },
-            Unavailable::Paused { retry_after } => Refusal::NotRun { retry_after },
+            Unavailable::InDoubt { retry_after } | Unavailable::Paused { retry_after } => {
+                Refusal::NotRun { retry_after }
+            }
             Unavailable::Nowhere => Refusal::NotRun { retry_after: self.return_after() },
         }
     }
@@ -323,12 +341,9 @@
         response
     }
 
-    /// Waits until the endpoint of the last attempt is classified.
+    /// Waits shortly for the verdict on the endpoint of the last attempt.
     async fn wait_for_verdict(&self) {
-        let last = self.tried.lock().last().cloned();
-        if let Some(endpoint) = last {
-            self.service.wait_for_verdict(&endpoint).await;
-        }
+        self.service.wait_for_verdict(&self.fingerprint).await;
     }
 
     /// Notes that the call has come to an end that its endpoint has outlived.
--- a/crates/direct/src/crash_detector.rs
+++ b/crates/direct/src/crash_detector.rs
@@ -1,30 +1,47 @@
 //! Detects endpoints that crash under calls.
 //!
 //! A broken connection does not show a crash: partitions and stalled groups break connections,
-//! too. So the endpoint is probed; the machine of a crashed process refuses the probe.
+//! too. So the endpoint is probed for a while; the machine of a crashed process refuses the probe.
+//! One probe is not enough: the listener of a crashed process may close late, or a new process be
+//! back at once.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{HashSet, VecDeque},
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use lynxmount_core::{CallFingerprint, CallPhase, EndpointId};
+use lynxmount_core::{CallFingerprint, CallPhase, EndpointId, EndpointLife, edge::Dialect};
 use lynxmount_link::{ProbeResult, probe};
+use lynxmount_policy::LifeSign;
 use lynxmount_suspects::Suspects;
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
-use tokio::sync::watch;
 
-use crate::endpoint::Endpoint;
+use crate::{
+    endpoint::Endpoint,
+    health_check::{HealthCheck, check},
+    service::Service,
+};
+
+/// Pauses before the liveness probes of an endpoint; the last one is repeated for as long as the
+/// endpoint is observed. Connections that break within the first share a probe.
+const PROBE_PAUSES: [Duration; 5] = [
+    Duration::from_millis(5),
+    Duration::from_millis(20),
+    Duration::from_millis(40),
+    Duration::from_millis(85),
+    Duration::from_millis(200),
+];
 
-/// How long connections that break after the first are gathered, so that one probe serves all.
-const GATHER_TIME: Duration = Duration::from_millis(5);
+/// Probes that are accepted before the endpoint is asked who it is. Most endpoints are heard by
+/// then.
+const PROBES_BEFORE_CHECK: usize = 4;
 
 /// Timeout of the liveness probe. A host that stays silent is partitioned, not crashed.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// How long a call waits for the verdict on its endpoint before it is repeated.
+/// How long a call waits for the verdict on its endpoint before its caller is answered.
 const VERDICT_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// Fraction of a group's stall after which a silent call counts as cut by the stall.
@@ -38,12 +55,11 @@
 pub(crate) struct CrashDetector {
     metrics: Arc<Metrics>,
     suspects: Arc<Suspects>,
-    /// Calls whose connections have broken, by endpoints that are about to be probed.
-    broken: Mutex<HashMap<EndpointId, Vec<(CallFingerprint, CallPhase)>>>,
+    dialect: Arc<dyn Dialect>,
+    /// Endpoints that are being probed.
+    observed: Mutex<HashSet<EndpointLife>>,
     /// Calls that were canceled within [`CANCELED_LIFE`], the oldest first.
     canceled: Mutex<VecDeque<CanceledCall>>,
-    /// Counts the endpoints that were classified.
-    verdicts: watch::Sender<u64>,
 }
 
 struct CanceledCall {
@@ -79,35 +95,47 @@
 }
 
 impl CrashDetector {
-    pub(crate) fn new(metrics: Arc<Metrics>, suspects: Arc<Suspects>) -> CrashDetector {
+    pub(crate) fn new(
+        metrics: Arc<Metrics>,
+        suspects: Arc<Suspects>,
+        dialect: Arc<dyn Dialect>,
+    ) -> CrashDetector {
         CrashDetector {
             metrics,
             suspects,
-            broken: Mutex::default(),
+            dialect,
+            observed: Mutex::default(),
             canceled: Mutex::default(),
-            verdicts: watch::Sender::new(0),
         }
     }
 
     /// Records that the connection of a call broke before the call's end.
     pub(crate) fn on_broken(
         self: &Arc<CrashDetector>,
+        service: &Arc<Service>,
         endpoint: &Arc<Endpoint>,
         broken: BrokenCall,
     ) {
         if broken.is_stalled() {
             return;
         }
-        let id = EndpointId::clone(&endpoint.record.id);
-        let mut gathering = self.broken.lock();
-        if let Some(calls) = gathering.get_mut(&id) {
-            calls.push((broken.call, broken.phase));
+        let life = endpoint.life;
+        let mut observed = self.observed.lock();
+        self.suspects.on_broken(life, broken.call, broken.phase, LifeSign::Missing);
+        if !observed.insert(life) {
             return;
         }
-        let mut calls = self.canceled_at(&id);
-        calls.push((broken.call, broken.phase));
-        gathering.insert(id, calls);
-        tokio::spawn(Arc::clone(self).classify(Arc::clone(endpoint)));
+        for (call, phase) in self.canceled_at(&endpoint.record.id) {
+            self.suspects.on_broken(life, call, phase, LifeSign::Missing);
+        }
+        let detector = Arc::clone(self);
+        let (service, endpoint) = (Arc::clone(service), Arc::clone(endpoint));
+        tokio::spawn(async move { detector.observe(&service, &endpoint).await });
+    }
+
+    /// Records that an endpoint has sent something.
+    pub(crate) fn on_heard(&self, life: EndpointLife) {
+        self.suspects.on_heard(life);
     }
 
     /// Records that a call was canceled at an endpoint before its end.
@@ -131,34 +159,98 @@
         there.map(|canceled| (canceled.call, canceled.phase)).collect()
     }
 
-    /// Waits until an endpoint whose connections have broken is classified. A call that is
-    /// repeated sooner may crash another endpoint before the first crash is recorded.
-    pub(crate) async fn wait_for_verdict(&self, endpoint: &EndpointId) {
-        let mut verdicts = self.verdicts.subscribe();
-        let is_known = |_: &u64| !self.broken.lock().contains_key(endpoint);
-        // The sender lives as long as this, and who is silent has not ended.
-        let _ = tokio::time::timeout(VERDICT_TIMEOUT, verdicts.wait_for(is_known)).await;
+    /// Waits shortly for the verdicts on a call's endpoints.
+    pub(crate) async fn wait_for_verdict(&self, call: &CallFingerprint) {
+        // Whoever sends the call again waits for the rest.
+        let _ = tokio::time::timeout(VERDICT_TIMEOUT, self.suspects.until_released(call)).await;
     }
 
-    /// Probes an endpoint, and records a crash.
-    async fn classify(self: Arc<CrashDetector>, endpoint: Arc<Endpoint>) {
-        tokio::time::sleep(GATHER_TIME).await;
-        let result = probe(endpoint.record.address, PROBE_TIMEOUT).await;
-        let id = &*endpoint.record.id;
-        let mut calls = self.broken.lock().remove(id).unwrap_or_default();
-        calls.sort_unstable();
-        calls.dedup();
-        if result == ProbeResult::Refused {
-            self.metrics.count("endpoints.crashed");
-            let names = calls.iter().map(|(call, phase)| format!("{call} {phase:?}"));
-            log::warn!(endpoint = id, calls:? = names.collect::<Vec<_>>();
-                "endpoint crashed");
-            self.suspects.note_end(endpoint.record.life(), &calls);
-        } else {
-            log::info!(endpoint = id, probe:? = result, calls = calls.len();
-                "endpoint survived its broken connections");
+    /// Probes an endpoint until it shows whether it has crashed, or the observation is over.
+    async fn observe(&self, service: &Service, endpoint: &Endpoint) {
+        let last_pause = PROBE_PAUSES.iter().skip(PROBE_PAUSES.len() - 1).cycle();
+        for (probes, pause) in PROBE_PAUSES.iter().chain(last_pause).enumerate() {
+            tokio::time::sleep(*pause).await;
+            if !self.observed.lock().contains(&endpoint.life) {
+                return;
+            }
+            if self.is_over(endpoint.life) {
+                return self.log_survived(endpoint, ProbeResult::Accepted);
+            }
+            let result = self.probe(service, endpoint, probes).await;
+            match result {
+                ProbeResult::Accepted => {}
+                // One that leaves ends as it was told to, whatever runs there.
+                ProbeResult::Refused if service.is_listed(endpoint) => {
+                    return self.on_crashed(endpoint);
+                }
+                ProbeResult::Refused | ProbeResult::Silent => {
+                    self.end_observation(endpoint.life);
+                    return self.log_survived(endpoint, result);
+                }
+            }
         }
-        self.verdicts.send_modify(|count| *count += 1);
+    }
+
+    /// Connects to an endpoint and, if that shows nothing for a while, asks whether it is the one
+    /// that is meant. A refusal shows that its process is gone.
+    async fn probe(
+        &self,
+        service: &Service,
+        endpoint: &Endpoint,
+        probes_before: usize,
+    ) -> ProbeResult {
+        // A check counts as a request against what the endpoint has asked for.
+        let may_check = probes_before == PROBES_BEFORE_CHECK && !endpoint.advice.lock().is_active();
+        let Some(path) = service.health_path().filter(|_| may_check) else {
+            return probe(endpoint.record.address, PROBE_TIMEOUT).await;
+        };
+        match check(&*self.dialect, &endpoint.record, &path, PROBE_TIMEOUT).await {
+            HealthCheck::Answered => {
+                self.suspects.on_answered(endpoint.life);
+                ProbeResult::Accepted
+            }
+            HealthCheck::OtherEndpoint => ProbeResult::Refused,
+            HealthCheck::NoAnswer => ProbeResult::Accepted,
+        }
+    }
+
+    /// Ends an observation once no call is observed there.
+    fn is_over(&self, life: EndpointLife) -> bool {
+        let mut observed = self.observed.lock();
+        let is_over = !self.suspects.is_observed(life);
+        if is_over {
+            observed.remove(&life);
+        }
+        is_over
+    }
+
+    fn end_observation(&self, life: EndpointLife) {
+        let mut observed = self.observed.lock();
+        self.suspects.forget_broken(life);
+        observed.remove(&life);
+    }
+
+    fn on_crashed(&self, endpoint: &Endpoint) {
+        let mut observed = self.observed.lock();
+        let calls = self.suspects.on_crashed(endpoint.life);
+        observed.remove(&endpoint.life);
+        drop(observed);
+        self.metrics.count("endpoints.crashed");
+        let names = calls.iter().map(|(call, phase)| format!("{call} {phase:?}"));
+        log::warn!(endpoint = &*endpoint.record.id, calls:? = names.collect::<Vec<_>>();
+            "endpoint crashed");
+    }
+
+    /// Records that another endpoint answers at the address.
+    pub(crate) fn on_replaced(&self, endpoint: &Endpoint) {
+        if self.suspects.is_observed(endpoint.life) {
+            self.on_crashed(endpoint);
+        }
+    }
+
+    fn log_survived(&self, endpoint: &Endpoint, result: ProbeResult) {
+        log::info!(endpoint = &*endpoint.record.id, probe:? = result;
+            "endpoint survived its broken connections");
     }
 }
 
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -7,7 +7,7 @@
 
 use http::StatusCode;
 use lynxmount_core::{
-    CallFingerprint, CallPhase, EndpointId, EndpointRecord,
+    CallFingerprint, CallPhase, EndpointId, EndpointLife, EndpointRecord,
     edge::{AnswerHead, Field, ReportedLoad},
 };
 use lynxmount_policy::{
@@ -27,6 +27,7 @@
 /// An endpoint that takes calls.
 pub(crate) struct Endpoint {
     pub(crate) record: EndpointRecord,
+    pub(crate) life: EndpointLife,
     pub(crate) pool: Pool,
     /// What this life of the endpoint has asked for, whatever else its registration tells.
     pub(crate) advice: Arc<Mutex<EndpointAdvice>>,
@@ -90,7 +91,8 @@
 
 impl Endpoint {
     pub(crate) fn new(record: EndpointRecord, advice: Arc<Mutex<EndpointAdvice>>) -> Endpoint {
-        Endpoint { record, pool: Pool::default(), advice, load: Mutex::default() }
+        let life = record.life();
+        Endpoint { record, life, pool: Pool::default(), advice, load: Mutex::default() }
     }
 
     /// Takes the load that the endpoint has told.
@@ -240,6 +242,7 @@
     /// Records that the endpoint has sent something.
     pub(crate) fn on_heard(&self) {
         self.endpoint.on_heard(self.service.now());
+        self.service.on_heard(self.endpoint.life);
     }
 
     /// How long the endpoint has sent nothing to any call of this entry.
@@ -284,6 +287,11 @@
         self.service.on_broken(&self.endpoint, &self.group, call, phase, heard_at);
     }
 
+    /// Records that another endpoint has answered at the address.
+    pub(crate) fn on_replaced(&self) {
+        self.service.on_replaced(&self.endpoint);
+    }
+
     /// Records that the call was canceled before its end.
     pub(crate) fn on_canceled(&self, call: CallFingerprint, phase: CallPhase) {
         self.service.on_canceled(&self.endpoint.record.id, call, phase);
--- a/crates/direct/src/endpoint_set.rs
+++ b/crates/direct/src/endpoint_set.rs
@@ -100,7 +100,7 @@
             let ready = list.endpoints.iter().filter(|endpoint| {
                 endpoint.service == spec.id && endpoint.state == EndpointState::Ready
             });
-            service.update(ready, spec.engine.as_ref(), owners);
+            service.update(ready, spec, owners);
         }
     }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -20,6 +20,7 @@
 mod fleet;
 mod groups;
 mod handler;
+mod health_check;
 mod limit_gossip;
 mod peers;
 mod pool;
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -63,13 +63,14 @@
     let drain = Arc::new(Drain::default());
     let metrics = Arc::new(Metrics::default());
     let suspects = Arc::new(Suspects::new(mechanisms.has(Mechanism::Quarantine)));
-    let ends = Arc::new(CrashDetector::new(Arc::clone(&metrics), Arc::clone(&suspects)));
+    let crashes =
+        CrashDetector::new(Arc::clone(&metrics), Arc::clone(&suspects), Arc::clone(&dialect) as _);
     let limit_gossip = Arc::new(LimitGossip::default());
     let endpoint_set = Arc::new(EndpointSet::new(
         clock,
         settings.bounds,
         Arc::clone(&mechanisms),
-        ends,
+        Arc::new(crashes),
         Arc::clone(&metrics),
         Arc::clone(&limit_gossip),
     ));
--- a/crates/direct/src/service/inner.rs
+++ b/crates/direct/src/service/inner.rs
@@ -50,6 +50,8 @@
     /// What all lives of endpoints have asked for, also those that are not listed for a while.
     advice: HashMap<EndpointLife, Arc<Mutex<EndpointAdvice>>>,
     choices: u64,
+    /// Where endpoints tell their health.
+    pub(super) health_path: Option<String>,
     /// Requests that one endpoint runs at once.
     pub(super) slots: Option<u32>,
     /// All entries, once they are known.
@@ -71,6 +73,7 @@
             resume_timer: None,
             advice: HashMap::new(),
             choices: 0,
+            health_path: None,
             slots: None,
             owners: None,
             mechanisms,
@@ -112,9 +115,7 @@
     /// Says whether this life of an endpoint takes calls, by the newest list. What else its
     /// registration tells may have changed since a call was sent there.
     pub(super) fn is_listed(&self, endpoint: &Endpoint) -> bool {
-        let life = endpoint.record.life();
-        let mut same = self.endpoints.iter().filter(|e| e.record.id == endpoint.record.id);
-        same.any(|listed| listed.record.life() == life)
+        self.endpoints.iter().any(|listed| listed.life == endpoint.life)
     }
 
     /// How many entries there are, this one included.
--- a/crates/direct/src/service/mod.rs
+++ b/crates/direct/src/service/mod.rs
@@ -10,8 +10,8 @@
 };
 
 use lynxmount_core::{
-    CallFingerprint, CallPhase, Clock, EndpointId, EndpointRecord, EngineSpec, Mechanism,
-    Mechanisms, SiteBounds,
+    CallFingerprint, CallPhase, Clock, EndpointId, EndpointLife, EndpointRecord, Mechanism,
+    Mechanisms, ServiceSpec, SiteBounds,
 };
 use lynxmount_policy::{
     Offer, Placement, SlotOwners, Ticket, Waiter, WindowBudget, WindowBudgetOptions,
@@ -43,6 +43,8 @@
     Full { retry_after: Duration },
     /// Endpoints end under the call.
     HeldBack { retry_after: Duration },
+    /// Endpoints may have crashed under the call.
+    InDoubt { retry_after: Duration },
     /// No endpoint takes calls.
     Nowhere,
     /// All endpoints have asked for a pause.
@@ -84,11 +86,13 @@
     pub(crate) fn update<'a>(
         self: &Arc<Service>,
         ready: impl Iterator<Item = &'a EndpointRecord>,
-        engine: Option<&EngineSpec>,
+        spec: &ServiceSpec,
         owners: &SlotOwners,
     ) {
         let mut inner = self.inner.lock();
+        let engine = spec.engine.as_ref();
         inner.update(ready, engine, owners, self.now());
+        inner.health_path.clone_from(&spec.health_path);
         let experts = engine.and_then(|engine| engine.experts);
         inner.groups.set_usual_outage(experts.map(|spec| self.group_stall + spec.form_time));
         drop(inner);
@@ -121,7 +125,7 @@
     /// Takes that the connection of a call at one of the endpoints has broken before the
     /// call's end.
     pub(crate) fn on_broken(
-        &self,
+        self: &Arc<Service>,
         endpoint: &Arc<Endpoint>,
         group: &str,
         call: CallFingerprint,
@@ -136,8 +140,31 @@
         let group_silence = inner.groups.silent_for(group, self.now());
         let stall = inner.slots.map(|_| self.group_stall);
         drop(inner);
-        self.crashes
-            .on_broken(endpoint, BrokenCall { call, phase, heard_at, group_silence, stall });
+        let broken = BrokenCall { call, phase, heard_at, group_silence, stall };
+        self.crashes.on_broken(self, endpoint, broken);
+    }
+
+    /// Says whether this life of an endpoint takes calls, by the newest list.
+    pub(crate) fn is_listed(&self, endpoint: &Endpoint) -> bool {
+        self.inner.lock().is_listed(endpoint)
+    }
+
+    /// Where endpoints tell their health.
+    pub(crate) fn health_path(&self) -> Option<String> {
+        self.inner.lock().health_path.clone()
+    }
+
+    /// Records that an endpoint has sent something.
+    pub(crate) fn on_heard(&self, life: EndpointLife) {
+        self.crashes.on_heard(life);
+    }
+
+    /// Records that another endpoint answers at an endpoint's address. One that leaves ends as it
+    /// was told to.
+    pub(crate) fn on_replaced(&self, endpoint: &Endpoint) {
+        if self.is_listed(endpoint) {
+            self.crashes.on_replaced(endpoint);
+        }
     }
 
     /// Records that a call was canceled at an endpoint before its end.
@@ -150,9 +177,9 @@
         self.crashes.on_canceled(endpoint, call, phase);
     }
 
-    /// Waits until an endpoint whose connections have broken is classified.
-    pub(crate) async fn wait_for_verdict(&self, endpoint: &EndpointId) {
-        self.crashes.wait_for_verdict(endpoint).await;
+    /// Waits shortly for the verdicts on the endpoints at which a call's connections broke.
+    pub(crate) async fn wait_for_verdict(&self, call: &CallFingerprint) {
+        self.crashes.wait_for_verdict(call).await;
     }
 
     /// Waits for a permit until the call may not wait any more.
--- a/crates/lynxmount/tests/platform_endpoint_ends.rs
+++ b/crates/lynxmount/tests/platform_endpoint_ends.rs
@@ -24,6 +24,7 @@
     Behaviour, ReplicaStandin, Seen, StoreMode,
     fixture::{ONCE, PLAIN, REGISTRATIONS_TOPIC, STREAM},
 };
+use lynxmount_standin::CrashKind;
 use nix::sys::signal::Signal;
 use platform_common::{
     Answer, CALLERS_PORT, Fleet, KEY, Process, call, entry_ip, entry_settings, registration,
@@ -105,13 +106,17 @@
 
 async fn a_call_is_held_back_at_all_entries(route: &str) {
     let fleet = Fleet::start(route, &behaviours(route, 9)).await;
-    let (other_entry, _process) = start_entry(&fleet, 1).await;
+    is_held_back_at_all_entries(&fleet, route).await;
+}
+
+async fn is_held_back_at_all_entries(fleet: &Fleet, route: &str) {
+    let (other_entry, _process) = start_entry(fleet, 1).await;
     let entries = [entry_ip(fleet.network, 0), other_entry];
 
-    let late_arrivals = call_until_held_back(&fleet, &entries, route).await;
+    let late_arrivals = call_until_held_back(fleet, &entries, route).await;
 
-    assert!(late_arrivals <= MAX_LATE_ARRIVALS, "{late_arrivals} more, {} ended", ended(&fleet));
-    assert!(ended(&fleet) < fleet.replicas.len(), "all endpoints have ended");
+    assert!(late_arrivals <= MAX_LATE_ARRIVALS, "{late_arrivals} more, {} ended", ended(fleet));
+    assert!(ended(fleet) < fleet.replicas.len(), "all endpoints have ended");
     let address = callers_address(other_entry);
     let other = call(address, Method::POST, &other_path(route), KEY).await.expect("an answer");
     assert_eq!(other.status, StatusCode::OK, "a call that ends nothing is served");
@@ -373,3 +378,81 @@
 
     assert!(is_held_back(entry, STREAM).await);
 }
+
+async fn a_crash_is_recorded(kind: CrashKind, route: &str) {
+    let fleet = Fleet::start(route, &behaviours(route, 9)).await;
+    fleet.replicas.iter().for_each(|replica| replica.crash_as(kind));
+    is_held_back_at_all_entries(&fleet, route).await;
+}
+
+/// Guards against a crash that is missed as the endpoint's listener closes after its connections:
+/// the call went on to the next endpoint, until none was left.
+async fn a_crash_with_a_late_listener_is_recorded(listener_after_ms: u64, route: &str) {
+    let listener_after = Duration::from_millis(listener_after_ms);
+    a_crash_is_recorded(CrashKind::ListenerLast { listener_after }, route).await;
+}
+
+#[tokio::test]
+async fn a_crash_under_a_lookup_whose_listener_closes_1_ms_late_is_recorded() {
+    a_crash_with_a_late_listener_is_recorded(1, PLAIN).await;
+}
+
+#[tokio::test]
+async fn a_crash_under_a_lookup_whose_listener_closes_20_ms_late_is_recorded() {
+    a_crash_with_a_late_listener_is_recorded(20, PLAIN).await;
+}
+
+#[tokio::test]
+async fn a_crash_under_a_lookup_whose_listener_closes_100_ms_late_is_recorded() {
+    a_crash_with_a_late_listener_is_recorded(100, PLAIN).await;
+}
+
+#[tokio::test]
+async fn a_crash_under_a_lookup_whose_listener_closes_500_ms_late_is_recorded() {
+    a_crash_with_a_late_listener_is_recorded(500, PLAIN).await;
+}
+
+#[tokio::test]
+async fn a_crash_under_a_stream_whose_listener_closes_20_ms_late_is_recorded() {
+    a_crash_with_a_late_listener_is_recorded(20, STREAM).await;
+}
+
+#[tokio::test]
+async fn a_crash_under_a_stream_whose_listener_closes_100_ms_late_is_recorded() {
+    a_crash_with_a_late_listener_is_recorded(100, STREAM).await;
+}
+
+#[tokio::test]
+async fn a_crash_whose_listener_closes_first_is_recorded() {
+    let connections_after = Duration::from_millis(20);
+    a_crash_is_recorded(CrashKind::ListenerFirst { connections_after }, PLAIN).await;
+}
+
+#[tokio::test]
+async fn a_crash_of_an_endpoint_that_is_back_at_once_is_recorded() {
+    a_crash_is_recorded(CrashKind::Restarted, PLAIN).await;
+}
+
+/// Guards against late evidence that is taken from an endpoint which leaves.
+#[tokio::test]
+async fn an_endpoint_that_leaves_after_its_connections_broke_speaks_against_no_call() {
+    let fleet = Fleet::start(ONCE, &vec![Behaviour::Reset; 3]).await;
+    let entry = entry_ip(fleet.network, 0);
+    for number in 1..=2 {
+        let answer = call_ending(entry, ONCE).await.expect("an answer");
+        assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+        assert_eq!(arrivals(&fleet), number);
+        let has_it = |replica: &&ReplicaStandin| !replica.seen().is_empty() && !replica.has_ended();
+        let at = fleet.replicas.iter().find(has_it).expect("an endpoint has had the call");
+        let text = registration(at, ONCE, "draining");
+        fleet.store.put(REGISTRATIONS_TOPIC, &at.id, &text);
+        let reads_before = fleet.store.calls();
+        wait_for("two reads", async || fleet.store.calls() >= reads_before + 4).await;
+        at.kill();
+    }
+
+    let answer = call_ending(entry, ONCE).await.expect("an answer");
+
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    assert_eq!(arrivals(&fleet), 3);
+}
--- a/crates/policy/src/broken_calls.rs
+++ b/crates/policy/src/broken_calls.rs
@@ -70,6 +70,17 @@
         self.broken.retain(|broken| !outlived(broken));
     }
 
+    /// Records that an endpoint has answered since all breaks so far.
+    pub fn on_answered(&mut self, life: EndpointLife) {
+        let there = self.broken.iter_mut().filter(|broken| broken.life == life);
+        there.for_each(|broken| broken.sign = LifeSign::Answered);
+    }
+
+    /// Says whether a crash of an endpoint would be attributed to a call.
+    pub fn is_observed(&self, life: EndpointLife, now: Duration) -> bool {
+        self.broken.iter().any(|broken| broken.life == life && !is_over(broken, now))
+    }
+
     /// Records that an endpoint has crashed. Returns the calls to which that is attributed.
     pub fn on_crashed(
         &mut self,
--- a/crates/suspects/src/holds.rs
+++ b/crates/suspects/src/holds.rs
@@ -35,6 +35,17 @@
         self.release();
     }
 
+    /// Records that an endpoint has answered since connections of calls broke there.
+    pub fn on_answered(&self, life: EndpointLife) {
+        self.broken.lock().on_answered(life);
+        self.release();
+    }
+
+    /// Says whether a crash of an endpoint would be attributed to a call.
+    pub fn is_observed(&self, life: EndpointLife) -> bool {
+        self.broken.lock().is_observed(life, self.started.elapsed())
+    }
+
     /// Records that an endpoint has crashed. Returns the calls to which that is attributed.
     pub fn on_crashed(&self, life: EndpointLife) -> Vec<(CallFingerprint, CallPhase)> {
         let calls = self.broken.lock().on_crashed(life, self.started.elapsed());
