Record crashes of endpoints behind port forwarders, at entries on the users' platform

What callers saw (by a test): a call under which endpoints crash is never quarantined if something in front of them goes on taking connections and closes them; it crashed an endpoint a second.

Cause: connects alone are looked at, and a forwarder accepts them.

Change: from 350 ms after the break on, probes ask for the endpoint's health; three in a row that are closed without an answer count as a crash. An answer, whatever it says, ends the call's wait. Endpoints that name limits or ask for rest are not asked. Stand-ins restart after a crash.

Tests: a_crash_behind_a_forwarder_is_recorded failed before on this path (not quarantined in 20 s) and passes; on the path through endpoint processes it passes without a change. While this was written a check whose connection was refused counted as accepted; the test with the listener 500 ms late showed it.

--- a/crates/direct/src/crash_detector.rs
+++ b/crates/direct/src/crash_detector.rs
@@ -34,10 +34,13 @@
     Duration::from_millis(200),
 ];
 
-/// Probes that are accepted before the endpoint is asked who it is. Most endpoints are heard by
-/// then.
+/// Probes that are accepted before the endpoint is asked for its health. Most are heard by then.
 const PROBES_BEFORE_CHECK: usize = 4;
 
+/// Health checks in a row whose connections are closed without an answer until an endpoint counts
+/// as crashed behind a forwarder. One alone may have met a limit of connections.
+const MAX_CLOSED_CHECKS: u32 = 3;
+
 /// Timeout of the liveness probe. A host that stays silent is partitioned, not crashed.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -62,6 +65,19 @@
     canceled: Mutex<VecDeque<CanceledCall>>,
 }
 
+/// What a probe of an observed endpoint has shown.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Probe {
+    /// Nothing, or that its process lives.
+    Accepted,
+    /// Something takes connections, and closes them without an answer.
+    Closed,
+    /// Its process is gone.
+    Refused,
+    /// The machine or the way there is down.
+    Silent,
+}
+
 struct CanceledCall {
     endpoint: EndpointId,
     call: CallFingerprint,
@@ -168,22 +184,23 @@
     /// Probes an endpoint until it shows whether it has crashed, or the observation is over.
     async fn observe(&self, service: &Service, endpoint: &Endpoint) {
         let last_pause = PROBE_PAUSES.iter().skip(PROBE_PAUSES.len() - 1).cycle();
+        let mut closed_checks = 0;
         for (probes, pause) in PROBE_PAUSES.iter().chain(last_pause).enumerate() {
             tokio::time::sleep(*pause).await;
             if !self.observed.lock().contains(&endpoint.life) {
                 return;
             }
             if self.is_over(endpoint.life) {
-                return self.log_survived(endpoint, ProbeResult::Accepted);
+                return self.log_survived(endpoint, Probe::Accepted);
             }
             let result = self.probe(service, endpoint, probes).await;
+            closed_checks = if result == Probe::Closed { closed_checks + 1 } else { 0 };
+            let is_gone = result == Probe::Refused || closed_checks >= MAX_CLOSED_CHECKS;
             match result {
-                ProbeResult::Accepted => {}
                 // One that leaves ends as it was told to, whatever runs there.
-                ProbeResult::Refused if service.is_listed(endpoint) => {
-                    return self.on_crashed(endpoint);
-                }
-                ProbeResult::Refused | ProbeResult::Silent => {
+                _ if is_gone && service.is_listed(endpoint) => return self.on_crashed(endpoint),
+                Probe::Accepted | Probe::Closed if !is_gone => {}
+                _ => {
                     self.end_observation(endpoint.life);
                     return self.log_survived(endpoint, result);
                 }
@@ -191,26 +208,22 @@
         }
     }
 
-    /// Connects to an endpoint and, if that shows nothing for a while, asks whether it is the one
-    /// that is meant. A refusal shows that its process is gone.
-    async fn probe(
-        &self,
-        service: &Service,
-        endpoint: &Endpoint,
-        probes_before: usize,
-    ) -> ProbeResult {
+    /// Connects to an endpoint and, if that shows nothing for a while, asks for its health.
+    async fn probe(&self, service: &Service, endpoint: &Endpoint, probes_before: usize) -> Probe {
         // A check counts as a request against what the endpoint has asked for.
-        let may_check = probes_before == PROBES_BEFORE_CHECK && !endpoint.advice.lock().is_active();
+        let may_check = probes_before >= PROBES_BEFORE_CHECK && !endpoint.advice.lock().is_active();
         let Some(path) = service.health_path().filter(|_| may_check) else {
-            return probe(endpoint.record.address, PROBE_TIMEOUT).await;
+            return connect(endpoint).await;
         };
         match check(&*self.dialect, &endpoint.record, &path, PROBE_TIMEOUT).await {
             HealthCheck::Answered => {
                 self.suspects.on_answered(endpoint.life);
-                ProbeResult::Accepted
+                Probe::Accepted
             }
-            HealthCheck::OtherEndpoint => ProbeResult::Refused,
-            HealthCheck::NoAnswer => ProbeResult::Accepted,
+            HealthCheck::Closed => Probe::Closed,
+            HealthCheck::OtherEndpoint => Probe::Refused,
+            HealthCheck::Silent => Probe::Accepted,
+            HealthCheck::Unreachable => connect(endpoint).await,
         }
     }
 
@@ -248,12 +261,20 @@
         }
     }
 
-    fn log_survived(&self, endpoint: &Endpoint, result: ProbeResult) {
+    fn log_survived(&self, endpoint: &Endpoint, result: Probe) {
         log::info!(endpoint = &*endpoint.record.id, probe:? = result;
             "endpoint survived its broken connections");
     }
 }
 
+async fn connect(endpoint: &Endpoint) -> Probe {
+    match probe(endpoint.record.address, PROBE_TIMEOUT).await {
+        ProbeResult::Accepted => Probe::Accepted,
+        ProbeResult::Refused => Probe::Refused,
+        ProbeResult::Silent => Probe::Silent,
+    }
+}
+
 fn expire(canceled: &mut VecDeque<CanceledCall>) {
     while canceled.front().is_some_and(|call| call.at.elapsed() > CANCELED_LIFE) {
         canceled.pop_front();
--- a/crates/direct/src/health_check.rs
+++ b/crates/direct/src/health_check.rs
@@ -15,10 +15,14 @@
 pub(crate) enum HealthCheck {
     /// The endpoint has answered, whatever its health.
     Answered,
+    /// The connection was closed without an answer.
+    Closed,
     /// Another endpoint has the address.
     OtherEndpoint,
     /// There was no answer in time.
-    NoAnswer,
+    Silent,
+    /// No connection was opened.
+    Unreachable,
 }
 
 /// Asks an endpoint on a connection of its own.
@@ -29,11 +33,7 @@
     timeout: Duration,
 ) -> HealthCheck {
     let asked = tokio::time::timeout(timeout, ask(dialect, endpoint, path, timeout)).await;
-    match asked.ok().flatten() {
-        Some(AnswerKind::OtherEndpoint) => HealthCheck::OtherEndpoint,
-        Some(_) => HealthCheck::Answered,
-        None => HealthCheck::NoAnswer,
-    }
+    asked.unwrap_or(HealthCheck::Silent)
 }
 
 async fn ask(
@@ -41,14 +41,23 @@
     endpoint: &EndpointRecord,
     path: &str,
     time_left: Duration,
-) -> Option<AnswerKind> {
+) -> HealthCheck {
     let forward =
         Forward { endpoint: &endpoint.id, team: None, time_left, last_event: None, priority: None };
-    let mut request =
-        Request::get(path).header(HOST, endpoint.address.to_string()).body(Full::default()).ok()?;
-    request.headers_mut().extend(dialect.write_attempt(&HeaderMap::new(), &forward));
-    let mut connection = Connection::open(endpoint.address, time_left).await.ok()?;
-    let response = connection.send(request).await.ok()?;
+    let mut request = Request::new(Full::default());
+    let Ok(uri) = path.parse() else { return HealthCheck::Silent };
+    *request.uri_mut() = uri;
+    *request.headers_mut() = dialect.write_attempt(&HeaderMap::new(), &forward);
+    if let Ok(host) = endpoint.address.to_string().parse() {
+        request.headers_mut().insert(HOST, host);
+    }
+    let Ok(mut connection) = Connection::open(endpoint.address, time_left).await else {
+        return HealthCheck::Unreachable;
+    };
+    let Ok(response) = connection.send(request).await else { return HealthCheck::Closed };
     let (parts, _) = response.into_parts();
-    Some(dialect.read_answer(None, &Response::from_parts(parts, ())).kind)
+    match dialect.read_answer(None, &Response::from_parts(parts, ())).kind {
+        AnswerKind::OtherEndpoint => HealthCheck::OtherEndpoint,
+        AnswerKind::Foreign | AnswerKind::NotRun | AnswerKind::Ran => HealthCheck::Answered,
+    }
 }
--- a/crates/lynxmount/tests/backend_ends.rs
+++ b/crates/lynxmount/tests/backend_ends.rs
@@ -137,6 +137,12 @@
     a_crash_with_a_late_listener_is_recorded(500).await;
 }
 
+/// What stands in front of a back end may take connections for as long as it likes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crash_behind_a_forwarder_is_recorded() {
+    a_crash_with_a_late_listener_is_recorded(60_000).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_crash_whose_listener_closes_first_is_recorded() {
     let connections_after = Duration::from_millis(20);
--- a/crates/lynxmount/tests/platform_endpoint_ends.rs
+++ b/crates/lynxmount/tests/platform_endpoint_ends.rs
@@ -433,6 +433,12 @@
     a_crash_is_recorded(CrashKind::Restarted, PLAIN).await;
 }
 
+/// What stands in front of an endpoint may take connections for as long as it likes.
+#[tokio::test]
+async fn a_crash_behind_a_forwarder_is_recorded() {
+    a_crash_with_a_late_listener_is_recorded(60_000, PLAIN).await;
+}
+
 /// Guards against late evidence that is taken from an endpoint which leaves.
 #[tokio::test]
 async fn an_endpoint_that_leaves_after_its_connections_broke_speaks_against_no_call() {
--- a/crates/standin/src/crash.rs
+++ b/crates/standin/src/crash.rs
@@ -34,42 +34,65 @@
 /// A process that may crash; clones are one.
 #[derive(Clone, Debug, Default)]
 pub struct Lifecycle {
-    crashes: Arc<watch::Sender<u32>>,
+    lives: Arc<watch::Sender<Lives>>,
     kind: Arc<Mutex<CrashKind>>,
 }
 
+/// How many lives have begun anew, and how many have ended.
+#[derive(Clone, Copy, Debug, Default)]
+struct Lives {
+    crashes: u32,
+    restarts: u32,
+}
+
+impl Lives {
+    fn is_alive(self) -> bool {
+        self.restarts >= self.crashes
+    }
+}
+
 impl Lifecycle {
     /// Sets how the process crashes.
     pub fn set_kind(&self, kind: CrashKind) {
         *self.kind.lock() = kind;
     }
 
-    /// Crashes the process.
+    /// Crashes the process, unless it has crashed.
     pub fn crash(&self) {
-        self.crashes.send_modify(|crashes| *crashes += 1);
+        let is_restarted = self.kind() == CrashKind::Restarted;
+        self.lives.send_if_modified(|lives| {
+            let is_alive = lives.is_alive();
+            lives.crashes += u32::from(is_alive);
+            lives.restarts += u32::from(is_alive && is_restarted);
+            is_alive
+        });
+    }
+
+    /// Starts a process that has crashed again.
+    pub fn restart(&self) {
+        self.lives.send_modify(|lives| lives.restarts = lives.crashes);
     }
 
     /// How often the process has crashed.
     pub fn crashes(&self) -> u32 {
-        *self.crashes.borrow()
+        self.lives.borrow().crashes
     }
 
     fn kind(&self) -> CrashKind {
         *self.kind.lock()
     }
 
-    async fn until_crashes(&self, least: u32) {
+    async fn wait_for(&self, is_so: impl Fn(Lives) -> bool) {
         // The sender lives as long as this.
-        let _ = self.crashes.subscribe().wait_for(|crashes| *crashes >= least).await;
+        let _ = self.lives.subscribe().wait_for(|lives| is_so(*lives)).await;
     }
 
-    /// Waits until connections break that were accepted after some crashes.
-    async fn until_connections_break(&self, crashes: u32) {
-        let is_dead = crashes > 0 && self.kind() != CrashKind::Restarted;
-        if is_dead {
+    /// Waits until connections break that were accepted in some state.
+    async fn until_connections_break(&self, accepted: Lives) {
+        if !accepted.is_alive() {
             return;
         }
-        self.until_crashes(crashes + 1).await;
+        self.wait_for(|lives| lives.crashes > accepted.crashes).await;
         if let CrashKind::ListenerFirst { connections_after } = self.kind() {
             tokio::time::sleep(connections_after).await;
         }
@@ -77,40 +100,50 @@
 
     /// Waits until the listener accepts nothing any more.
     async fn until_listener_stops(&self) {
-        self.until_crashes(1).await;
-        match self.kind() {
-            CrashKind::AllAtOnce | CrashKind::ListenerFirst { .. } | CrashKind::ListenerHeld => {}
-            CrashKind::ListenerLast { listener_after } => tokio::time::sleep(listener_after).await,
-            CrashKind::Restarted => std::future::pending().await,
+        self.wait_for(|lives| !lives.is_alive()).await;
+        if let CrashKind::ListenerLast { listener_after } = self.kind() {
+            tokio::time::sleep(listener_after).await;
         }
     }
 
-    /// Accepts connections until the listener closes. Each is served until it breaks.
+    /// Accepts connections. Each is served until it breaks.
     pub async fn accept<F>(self, listener: TcpListener, serve: impl Fn(TcpStream) -> F)
     where
         F: Future<Output = ()> + Send + 'static,
     {
-        let accepting = async {
-            while let Ok((stream, _)) = listener.accept().await {
-                let lifecycle = self.clone();
-                let crashes = lifecycle.crashes();
-                let serving = serve(stream);
-                tokio::spawn(async move {
-                    tokio::select! {
-                        biased;
-                        () = lifecycle.until_connections_break(crashes) => {}
-                        () = serving => {}
-                    }
-                });
+        let mut listening = Some(listener);
+        while let Some(listener) = listening.take() {
+            let address = listener.local_addr();
+            tokio::select! {
+                () = self.accept_from(&listener, &serve) => {}
+                () = self.until_listener_stops() => {}
             }
-        };
-        tokio::select! {
-            () = accepting => {}
-            () = self.until_listener_stops() => {}
+            let held = (self.kind() == CrashKind::ListenerHeld).then_some(listener);
+            self.wait_for(Lives::is_alive).await;
+            listening = match (held, address) {
+                (Some(listener), _) => Some(listener),
+                // One whose address is taken stays down.
+                (None, Ok(address)) => TcpListener::bind(address).await.ok(),
+                (None, Err(_)) => None,
+            };
         }
-        if self.kind() == CrashKind::ListenerHeld {
-            std::future::pending::<()>().await;
+    }
+
+    async fn accept_from<F>(&self, listener: &TcpListener, serve: &impl Fn(TcpStream) -> F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        while let Ok((stream, _)) = listener.accept().await {
+            let lifecycle = self.clone();
+            let accepted = *lifecycle.lives.borrow();
+            let serving = serve(stream);
+            tokio::spawn(async move {
+                tokio::select! {
+                    biased;
+                    () = lifecycle.until_connections_break(accepted) => {}
+                    () = serving => {}
+                }
+            });
         }
-        drop(listener);
     }
 }
