Soak: poison requests under which endpoints crash in several ways

The soak had no request that crashes endpoints, so that neither the quarantine nor late evidence of crashes was under faults. Poison requests are drawn apart from the other faults, which stay as they are; crashed endpoints start again as other instances. New promise Quarantines, with its bound from the aim of three crashes, and as many until all entries know; a history that breaks it is seen (tests/promises.rs).

The disturbance now begins before the leaving ends.

--- a/crates/soak/src/advice.rs
+++ b/crates/soak/src/advice.rs
@@ -99,7 +99,9 @@
     to: Duration,
 ) -> BTreeMap<usize, Vec<Duration>> {
     let is_endpoint_disturbed = history.is_disturbed(from, to, |what| {
-        what == Disturbed::Endpoint(endpoint) || what == Disturbed::Link(LinkId::Endpoint(endpoint))
+        what == Disturbed::Crash(endpoint)
+            || what == Disturbed::Endpoint(endpoint)
+            || what == Disturbed::Link(LinkId::Endpoint(endpoint))
     });
     let mut by_entry: BTreeMap<usize, Vec<Duration>> = BTreeMap::new();
     let is_meant = |run: &&RunRecord| run.endpoint == endpoint && run.at >= from && run.at < to;
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -18,6 +18,7 @@
 use crate::{
     history::{Disturbed, LeaveRecord, LimitRecord, RestRecord, SaidLeavingRecord},
     plan::{EndpointAdvice, EndpointFault, Fault, FaultKind, LinkFault, LinkId, ProcessId},
+    poison::repeat_poison,
     process::wait_for_end,
     world::{EXPERTS, World, name},
 };
@@ -103,6 +104,9 @@
                 world.mend(endpoint);
                 world.note_end(begun);
             }
+            FaultKind::Poison { service, crash } => {
+                repeat_poison(world, service, crash, fault.length).await;
+            }
             FaultKind::Kill(process) => self.kill(process).await?,
             FaultKind::Pause(process) => self.pause(process, fault.length).await?,
             FaultKind::StoreBusy => self.stop_store(StoreMode::Busy, fault.length).await,
@@ -231,11 +235,13 @@
         let asked = world.now();
         let ended = || world.process(process).lock().ended();
         let ended = wait_for_end(ended, GRACE + END_SLACK).await?;
-        world.note_end(leaving);
         let was_harmed = world
             .history
             .lock()
             .is_disturbed(asked, world.now(), |what| what == Disturbed::Process(process));
+        // Whoever looks at the process finds it disturbed at each moment until it is back.
+        let begun = world.note_begin(Disturbed::Process(process));
+        world.note_end(leaving);
         let is_same_life = world.process(process).lock().life() == life;
         match ended {
             Some(status) if status.success() => {}
@@ -246,7 +252,6 @@
                 world.process(process).lock().signal(Signal::SIGKILL)?;
             }
         }
-        let begun = world.note_begin(Disturbed::Process(process));
         self.start_again(process, begun).await
     }
 
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -1,7 +1,7 @@
 //! What callers, back ends and the injector have seen. All times count from the
 //! start of the run.
 
-use std::time::Duration;
+use std::{ops::Range, time::Duration};
 
 use crate::plan::{LinkId, ProcessId};
 
@@ -165,9 +165,24 @@
     pub to: Duration,
 }
 
+/// A time during which a request was repeated that crashes endpoints.
+#[derive(Clone, Debug)]
+pub struct PoisonRecord {
+    /// The endpoints of its service.
+    pub endpoints: Range<usize>,
+    /// When it was first sent.
+    pub from: Duration,
+    /// When it was sent no more.
+    pub to: Duration,
+    /// How often it has crashed one of them.
+    pub crashes: u32,
+}
+
 /// What was disturbed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Disturbed {
+    /// An endpoint whose process may crash under a poison request, or is down after it did.
+    Crash(usize),
     /// An endpoint.
     Endpoint(usize),
     /// A link.
@@ -208,6 +223,8 @@
     pub said_leaving: Vec<SaidLeavingRecord>,
     /// All rests of endpoints.
     pub rests: Vec<RestRecord>,
+    /// All poison requests.
+    pub poisons: Vec<PoisonRecord>,
     /// All questions.
     pub probes: Vec<ProbeRecord>,
     /// All configurations.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -13,6 +13,7 @@
 mod gone;
 pub mod history;
 pub mod plan;
+mod poison;
 mod process;
 pub mod promises;
 pub mod proxy;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use lynxmount_standin::CrashKind;
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
 use serde::Serialize;
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -53,6 +54,19 @@
 /// Tells the draw of standstills apart from the others of a seed.
 const STANDSTILL_SEED: u64 = 0x5354_414e_4453_5449;
 
+/// The mean pause between two poison requests, and how long one is repeated, in milliseconds.
+const POISON_PAUSE_MS: u64 = 4000;
+const POISON_LENGTH_MS: std::ops::Range<u64> = 2000..5000;
+
+/// How much later than the rest of a crashed process its listener closes, in milliseconds.
+const LATE_LISTENER_MS: [u64; 4] = [1, 20, 100, 500];
+
+/// How much earlier it closes, in milliseconds.
+const EARLY_LISTENER_MS: std::ops::Range<u64> = 1..100;
+
+/// Tells the draw of poison requests apart from the others of a seed.
+const POISON_SEED: u64 = 0x504f_4953_4f4e;
+
 /// How many processes and back ends there are.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 pub struct Size {
@@ -151,6 +165,13 @@
     Link(LinkId, LinkFault),
     /// One of so many orders to engines takes effect without an answer.
     LoseOrders(u64),
+    /// A request is repeated at all entries under which endpoints of a service crash.
+    Poison {
+        /// The service, in the order of the routes.
+        service: usize,
+        /// How they crash.
+        crash: CrashKind,
+    },
     /// An endpoint answers badly.
     Misbehave(usize, EndpointFault),
     /// A process is killed and started again.
@@ -200,6 +221,7 @@
     }
     faults.extend(draw_advice(seed, size, time));
     faults.extend(draw_standstills(seed, size, time));
+    faults.extend(draw_poisons(seed, time));
     faults.retain(|fault| fault.at < time);
     faults.sort_by_key(|fault| fault.at);
     faults
@@ -258,6 +280,36 @@
     standstills
 }
 
+/// Draws poison requests, one at a time, apart from the other faults, which stay as they are then.
+fn draw_poisons(seed: u64, time: Duration) -> Vec<Fault> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ POISON_SEED);
+    let mut poisons = Vec::new();
+    let mut at = Duration::from_millis(rng.random_range(0..POISON_PAUSE_MS));
+    while at < time {
+        let service = rng.random_range(0..3);
+        let kind = FaultKind::Poison { service, crash: draw_crash(&mut rng) };
+        let length = Duration::from_millis(rng.random_range(POISON_LENGTH_MS));
+        poisons.push(Fault { at, length, kind });
+        at += length + Duration::from_millis(rng.random_range(0..2 * POISON_PAUSE_MS));
+    }
+    poisons
+}
+
+fn draw_crash(rng: &mut SmallRng) -> CrashKind {
+    let millis = Duration::from_millis;
+    match rng.random_range(0..5) {
+        0 => CrashKind::AllAtOnce,
+        1 => CrashKind::ListenerFirst {
+            connections_after: millis(rng.random_range(EARLY_LISTENER_MS)),
+        },
+        2 | 3 => {
+            let late_ms = LATE_LISTENER_MS.choose(rng).expect("not empty");
+            CrashKind::ListenerLast { listener_after: millis(*late_ms) }
+        }
+        _ => CrashKind::Restarted,
+    }
+}
+
 fn draw_frozen_rank(rng: &mut SmallRng, size: Size) -> Option<usize> {
     let rank = 2 * size.endpoints + rng.random_range(0..size.endpoints);
     rng.random_bool(0.5).then_some(rank)
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -16,6 +16,7 @@
     gone::judge_gone_callers,
     history::{CallRecord, CallSort, Disturbed, History, Outcome, ProbeRecord},
     plan::{LinkId, ProcessId},
+    poison::judge_poisons,
 };
 
 /// Events of each stream.
@@ -73,6 +74,8 @@
     NotRun,
     /// All ranks use one map in each pass.
     OneMap,
+    /// A request that crashes endpoints is quarantined.
+    Quarantines,
     /// Service is back after the last fault.
     Recovers,
     /// An answer is whole and belongs to its call.
@@ -97,6 +100,7 @@
     judge_leaving_processes(history, &mut found);
     judge_leaving_endpoints(history, &mut found);
     judge_advice(history, &mut found);
+    judge_poisons(history, &mut found);
     judge_configs(history, &mut found);
     judge_group(history, &mut found);
     judge_recovery(history, &mut found);
@@ -188,9 +192,9 @@
         });
         let from = call.sent.saturating_sub(STABLE);
         let is_harmed = history.is_disturbed(from, call.ended, |what| match what {
-            Disturbed::Endpoint(endpoint) | Disturbed::Link(LinkId::Endpoint(endpoint)) => {
-                endpoints.contains(&endpoint)
-            }
+            Disturbed::Crash(endpoint)
+            | Disturbed::Endpoint(endpoint)
+            | Disturbed::Link(LinkId::Endpoint(endpoint)) => endpoints.contains(&endpoint),
             _ => false,
         });
         if is_taken && is_leaving && !is_harmed && !is_entry_disturbed(history, call) {
@@ -214,7 +218,9 @@
                     matches!(process, ProcessId::Entry(_))
                 }
                 Disturbed::Link(LinkId::Endpoint(endpoint)) => endpoint == leave.endpoint,
-                Disturbed::Link(LinkId::Callers(_)) | Disturbed::Endpoint(_) => false,
+                Disturbed::Link(LinkId::Callers(_))
+                | Disturbed::Crash(_)
+                | Disturbed::Endpoint(_) => false,
             });
             if !is_excused {
                 let seen = format!("{run:?} although it left at {:?}", leave.from);
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -23,6 +23,8 @@
     pub calls: BTreeMap<String, usize>,
     /// Runs of calls that their entries had canceled when they began.
     pub begun_after_close: usize,
+    /// Crashes under each poison request.
+    pub crashes: Vec<u32>,
     /// Questions which configuration was in force.
     pub probes: usize,
     /// The number of the group's map at the end; 0 if it never changed.
@@ -55,6 +57,7 @@
                 .iter()
                 .filter(|work| work.is_begun_after_close)
                 .count(),
+            crashes: history.poisons.iter().map(|poison| poison.crashes).collect(),
             probes: history.probes.len(),
             last_map_version,
             violations: judge(history),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -21,6 +21,7 @@
     faults::Injector,
     history::{CallSort, Disturbed, RunRecord, WorkRecord},
     plan::{self, ProcessId, Size},
+    poison::restart_crashed,
     promises::RECOVERY,
     world::{World, name},
 };
@@ -72,6 +73,7 @@
     for entry in 0..options.size.entries {
         traffic.spawn(run_probe(Arc::clone(&world), entry, Arc::clone(&is_over)));
     }
+    traffic.spawn(restart_crashed(Arc::clone(&world), Arc::clone(&is_over)));
     traffic.spawn(watch_processes(Arc::clone(&world), Arc::clone(&is_over)));
     Arc::new(Injector::new(Arc::clone(&world))).run(&faults).await?;
     let step = world.group.step();
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -22,6 +22,7 @@
     Options,
     history::{ConfigRecord, Disturbance, Disturbed, History},
     plan::{LinkId, ProcessId, Size},
+    poison::POISON,
     process::{Process, Program},
     promises::STREAM_EVENTS,
     proxy::Proxy,
@@ -191,7 +192,7 @@
         let route = route_of(endpoint, self.size);
         let address = self.endpoint_links[endpoint].address();
         let registration = registration_text(address, &service_of(route), state);
-        self.store.put(REGISTRATIONS_TOPIC, &self.endpoints[endpoint].id, &registration);
+        self.store.put(REGISTRATIONS_TOPIC, &self.endpoints[endpoint].instance(), &registration);
     }
 
     /// Writes the registration of a later life of an endpoint.
@@ -200,7 +201,7 @@
         let service = service_of(route_of(endpoint, self.size));
         let born_ms = self.now().as_millis() as u64;
         let registration = later_registration_text(address, &service, born_ms);
-        self.store.put(REGISTRATIONS_TOPIC, &self.endpoints[endpoint].id, &registration);
+        self.store.put(REGISTRATIONS_TOPIC, &self.endpoints[endpoint].instance(), &registration);
     }
 
     /// The endpoints of streams.
@@ -238,10 +239,11 @@
 }
 
 fn good_behaviour(endpoint: usize, size: Size) -> Behaviour {
-    match route_of(endpoint, size) {
+    let otherwise = Box::new(match route_of(endpoint, size) {
         STREAM => Behaviour::EchoStream { events: STREAM_EVENTS, pause: EVENT_PAUSE },
         _ => Behaviour::Echo { pause: WORK },
-    }
+    });
+    Behaviour::EndUnder { path: POISON.to_owned(), otherwise }
 }
 
 pub(crate) fn name(id: ProcessId) -> String {
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -6,7 +6,8 @@
 use lynxmount_soak::{
     history::{
         CallRecord, CallSort, ConfigRecord, Disturbance, Disturbed, History, LeaveRecord,
-        LimitRecord, Outcome, ProbeRecord, RestRecord, RunRecord, SaidLeavingRecord, WorkRecord,
+        LimitRecord, Outcome, PoisonRecord, ProbeRecord, RestRecord, RunRecord, SaidLeavingRecord,
+        WorkRecord,
     },
     plan::{LinkId, ProcessId},
     promises::{Promise, RECOVERY, STREAM_EVENTS, judge},
@@ -312,3 +313,21 @@
 
     assert_eq!(broken(&history), [Promise::Ends]);
 }
+
+fn poisoned(crashes: u32) -> History {
+    let mut history = good();
+    let (from, to) = (seconds(20.0), seconds(24.0));
+    history.poisons.push(PoisonRecord { endpoints: 0..3, from, to, crashes });
+    history
+}
+
+#[test]
+fn requests_that_crash_more_endpoints_than_the_quarantine_allows_are_seen() {
+    assert_eq!(broken(&poisoned(6)), []);
+    assert_eq!(broken(&poisoned(7)), [Promise::Quarantines]);
+
+    let mut harmed = poisoned(7);
+    let link = Disturbed::Link(LinkId::Endpoint(2));
+    harmed.disturbances.push(disturbance(link, 21.0, 22.0));
+    assert_eq!(broken(&harmed), []);
+}
--- a/crates/standin/src/crash.rs
+++ b/crates/standin/src/crash.rs
@@ -4,13 +4,14 @@
 use std::{future::Future, sync::Arc, time::Duration};
 
 use parking_lot::Mutex;
+use serde::Serialize;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
 };
 
 /// How a process crashes.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
 pub enum CrashKind {
     /// Its connections and its listener close in one moment.
     #[default]
@@ -73,6 +74,11 @@
         self.lives.send_modify(|lives| lives.restarts = lives.crashes);
     }
 
+    /// Says whether a process serves.
+    pub fn is_up(&self) -> bool {
+        self.lives.borrow().is_alive()
+    }
+
     /// How often the process has crashed.
     pub fn crashes(&self) -> u32 {
         self.lives.borrow().crashes
