Answer calls that hang at a live endpoint before their callers leave

Cause: the wait of a call ends before its caller leaves only if its endpoint is silent. One that was heard in the last 0.25 s, by events of another call, let the call wait on.

Change: without a first event a call is answered 504 with Retry-After 50 ms before its caller leaves, wherever it waits.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -38,6 +38,8 @@
     pub(crate) may_follow: bool,
     /// When the caller is answered if its endpoint is silent until then.
     pub(crate) overdue_at: Option<Instant>,
+    /// When the caller is answered although its endpoint lives.
+    pub(crate) last_answer_at: Option<Instant>,
 }
 
 /// The head of an answer, with the connection that the body comes on.
@@ -209,18 +211,19 @@
 ) -> Result<Response<Incoming>, NoHead> {
     let may_reroute = outgoing.is_stream && outgoing.may_repeat && outgoing.may_follow;
     let overdue_at = outgoing.overdue_at.unwrap_or(until);
+    let last_answer_at = outgoing.last_answer_at.unwrap_or(until);
+    let until_overdue = || permit.until_overdue(left(overdue_at)).min(left(last_answer_at));
     let sent_at = Instant::now();
     let mut sending = std::pin::pin!(connection.send(request));
     loop {
-        let until_overdue = permit.until_overdue(left(overdue_at));
-        let limit = left(until).min(until_overdue).min(SILENCE_CHECK);
+        let limit = left(until).min(until_overdue()).min(SILENCE_CHECK);
         if let Ok(answered) = tokio::time::timeout(limit, &mut sending).await {
             return answered.map_err(NoHead::Broken);
         }
         if left(until).is_zero() {
             return Err(NoHead::TimedOut);
         }
-        if permit.until_overdue(left(overdue_at)).is_zero() {
+        if until_overdue().is_zero() {
             return Err(NoHead::Overdue);
         }
         // A queued call of a live endpoint waits in silence, too.
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -249,6 +249,7 @@
             may_repeat: self.kind.may_repeat(),
             is_stream: self.kind.is_stream(),
             may_follow: self.may_follow(),
+            last_answer_at: self.last_answer_at(waiting_since),
             overdue_at: self.remaining_patience(waiting_since).map(|left| Instant::now() + left),
         };
         let forward = Forward {
--- a/crates/direct/src/call_times.rs
+++ b/crates/direct/src/call_times.rs
@@ -52,6 +52,14 @@
         Some(self.patience?.remaining(sent_at.elapsed(), left(self.deadline)))
     }
 
+    /// When the caller is answered at the latest that was last sent something at a moment; `None` if
+    /// it waits until its deadline.
+    pub(crate) fn last_answer_at(&self, sent_at: Instant) -> Option<Instant> {
+        let patience = self.patience?;
+        let left = patience.until_last_answer(sent_at.elapsed(), left(self.deadline));
+        Some(Instant::now() + left)
+    }
+
     /// When the caller may come back that has met an outage.
     pub(crate) fn return_after(&self) -> Duration {
         return_after(&self.service.mechanisms, left(self.deadline))
--- a/crates/lynxmount/tests/platform_entry.rs
+++ b/crates/lynxmount/tests/platform_entry.rs
@@ -660,6 +660,30 @@
     assert_eq!(fleet.arrivals(), 1);
 }
 
+/// Guards against calls that hang at an endpoint which goes on with others, until their callers leave.
+#[tokio::test]
+async fn a_call_that_hangs_at_a_live_endpoint_is_answered_before_its_caller_leaves() {
+    let fleet = patient_fleet(&[Behaviour::Hang]).await;
+    let address = fleet.address();
+    let hanging = call_patiently(&fleet);
+    let live = async {
+        wait_for("the call", async || fleet.arrivals() == 1).await;
+        fleet.replicas[0].set(Behaviour::Stream { events: 3, pause: Duration::from_millis(20) });
+        loop {
+            call(address, Method::POST, &format!("/{STREAM}/2"), KEY).await;
+        }
+    };
+
+    let told = tokio::select! {
+        told = hanging => told,
+        () = live => unreachable!("calls go on"),
+    };
+
+    let Some(Told::Answer(answer)) = told else { panic!("the caller left: {told:?}") };
+    assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT);
+    assert!(answer.retry_after_s.is_some_and(|after| after > 0.0), "{answer:?}");
+}
+
 /// Guards against streams that stop until their callers leave, and go on at the endpoint afterwards.
 #[tokio::test]
 async fn a_stream_that_stops_is_cut_before_its_caller_leaves() {
--- a/crates/policy/src/patience.rs
+++ b/crates/policy/src/patience.rs
@@ -14,6 +14,9 @@
 /// Silence after which an endpoint is not expected to finish a call before its deadline.
 pub const SILENT_AFTER: Duration = Duration::from_millis(250);
 
+/// How long the answer takes that a call gets last, before its caller leaves.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(50);
+
 /// How long callers of a stream wait for its next event.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Patience {
@@ -27,6 +30,13 @@
         Patience { pause }
     }
 
+    /// How much longer a call may wait whose endpoint lives, after silence for a time: until its
+    /// caller is about to leave.
+    pub fn until_last_answer(self, silence: Duration, time_left: Duration) -> Duration {
+        let leaves_in = self.pause.saturating_sub(silence).min(time_left);
+        leaves_in.saturating_sub(LAST_ANSWER_TIME)
+    }
+
     /// How much longer a call may wait that has met silence for a time, before it is answered.
     pub fn remaining(self, silence: Duration, time_left: Duration) -> Duration {
         let margin = self.pause.mul_f64(ANSWER_FRACTION).min(MAX_ANSWER_TIME);
