Record the crash of an endpoint whose new instance is listed before it is probed

What callers saw (by a test): a request that crashes endpoints which are back at once under another id was not held against their crash if the list of endpoints was read in the 350 ms until the question who is there.

Cause: an endpoint that is no longer listed counted as one that left, which speaks against no call. The list leaves a former life out as soon as a later one has its address, so that a restart looked like a leaving.

Evidence: by reading Membership, and the test: eight endpoints that are restarted at once, of which the list is read at any moment; without the change it waits in vain for one of the crashes.

Change: an endpoint has left only if no other is listed at its address.

Test: failed before, passes now.

--- a/crates/direct/src/crash_detector.rs
+++ b/crates/direct/src/crash_detector.rs
@@ -198,7 +198,7 @@
             let is_gone = result == Probe::Refused || closed_checks >= MAX_CLOSED_CHECKS;
             match result {
                 // One that leaves ends as it was told to, whatever runs there.
-                _ if is_gone && service.is_listed(endpoint) => return self.on_crashed(endpoint),
+                _ if is_gone && !service.has_left(endpoint) => return self.on_crashed(endpoint),
                 Probe::Accepted | Probe::Closed if !is_gone => {}
                 _ => {
                     self.end_observation(endpoint.life);
--- a/crates/direct/src/service/inner.rs
+++ b/crates/direct/src/service/inner.rs
@@ -118,6 +118,11 @@
         self.endpoints.iter().any(|listed| listed.life == endpoint.life)
     }
 
+    /// Says whether an endpoint takes calls at an address.
+    pub(super) fn has_address(&self, address: SocketAddr) -> bool {
+        self.endpoints.iter().any(|listed| listed.record.address == address)
+    }
+
     /// How many entries there are, this one included.
     pub(super) fn entries(&self) -> usize {
         self.owners.as_ref().map_or(1, SlotOwners::entries)
--- a/crates/direct/src/service/mod.rs
+++ b/crates/direct/src/service/mod.rs
@@ -144,9 +144,11 @@
         self.crashes.on_broken(self, endpoint, broken);
     }
 
-    /// Says whether this life of an endpoint takes calls, by the newest list.
-    pub(crate) fn is_listed(&self, endpoint: &Endpoint) -> bool {
-        self.inner.lock().is_listed(endpoint)
+    /// Says whether this life of an endpoint has left, by the newest list. One whose address
+    /// another life has was restarted there.
+    pub(crate) fn has_left(&self, endpoint: &Endpoint) -> bool {
+        let inner = self.inner.lock();
+        !inner.is_listed(endpoint) && !inner.has_address(endpoint.record.address)
     }
 
     /// Where endpoints tell their health.
@@ -162,7 +164,7 @@
     /// Records that another endpoint answers at an endpoint's address. One that leaves ends as it
     /// was told to.
     pub(crate) fn on_replaced(&self, endpoint: &Endpoint) {
-        if self.is_listed(endpoint) {
+        if !self.has_left(endpoint) {
             self.crashes.on_replaced(endpoint);
         }
     }
--- a/crates/lynxmount/tests/platform_endpoint_ends.rs
+++ b/crates/lynxmount/tests/platform_endpoint_ends.rs
@@ -439,6 +439,31 @@
     a_crash_with_a_late_listener_is_recorded(60_000, PLAIN).await;
 }
 
+/// Guards against a restart that is taken for a leaving, as the new instance is listed before the
+/// endpoint is probed. The list is read at any moment, so that some of the crashes meet that.
+#[tokio::test]
+async fn a_crash_of_an_endpoint_whose_new_instance_is_registered_at_once_is_recorded() {
+    let fleet = Fleet::start(ONCE, &vec![Behaviour::Reset; 8]).await;
+    fleet.replicas.iter().for_each(|replica| replica.crash_as(CrashKind::Restarted));
+    let address = callers_address(entry_ip(fleet.network, 0));
+    for number in 1..=fleet.replicas.len() {
+        let path = format!("/{ONCE}/{number}");
+        let answer = call(address, Method::POST, &path, KEY).await.expect("an answer");
+        assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+        let is_at = |replica: &&ReplicaStandin| {
+            replica.seen().iter().any(|seen| seen.line.contains(&format!("{path} ")))
+        };
+        let at = fleet.replicas.iter().find(is_at).expect("an endpoint has had the call");
+
+        at.kill();
+        let text = registration(at, ONCE, "ready");
+        fleet.store.put(REGISTRATIONS_TOPIC, &at.instance(), &text);
+
+        wait_for("the crash", async || fleet.entry.logged("endpoint crashed").len() == number)
+            .await;
+    }
+}
+
 /// Guards against late evidence that is taken from an endpoint which leaves.
 #[tokio::test]
 async fn an_endpoint_that_leaves_after_its_connections_broke_speaks_against_no_call() {
