Take one moment for a broken connection and its question, and expire broken calls as endpoints are heard

The moment that a verdict is asked for was read after the back end had been asked, so that an answer could count as older than the break by microseconds and the call wait 200 ms (by reading, not seen). Broken calls of endpoints that are never heard again stayed in memory until the next break, and each event of a stream looked at them.

--- a/crates/endpoint/src/backend_watch.rs
+++ b/crates/endpoint/src/backend_watch.rs
@@ -133,10 +133,11 @@
 
     /// Records that the connection of a call broke before the call's end.
     pub(crate) fn on_call_broken(&self) -> Break {
-        let life = self.name_of(self.life.lock().life());
-        self.observe(|life, now| life.on_call_broken(now));
+        let broken = Break { life: self.name_of(self.life.lock().life()), at: self.node.now() };
+        self.observe(|life, _| life.on_call_broken(broken.at));
+        // Only an answer to a later question proves life.
         self.ask.notify_one();
-        Break { life, at: self.node.now() }
+        broken
     }
 
     /// Waits until the back end is silent: it takes connections, perhaps, and answers nothing.
--- a/crates/policy/src/broken_calls.rs
+++ b/crates/policy/src/broken_calls.rs
@@ -67,7 +67,7 @@
         let outlived = |broken: &BrokenCall| {
             broken.life == life && now.saturating_sub(broken.at) >= MAX_READ_DELAY
         };
-        self.broken.retain(|broken| !outlived(broken));
+        self.broken.retain(|broken| !outlived(broken) && !is_over(broken, now));
     }
 
     /// Records that an endpoint has answered since all breaks so far.
