--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -120,7 +120,7 @@
             }
             ToEntry::Failed { failure, .. } => {
                 self.is_over = true;
-                self.note_failure(failure);
+                self.on_failure(failure);
                 Some(Next::Ended(AttemptEnd::Failed))
             }
             ToEntry::Refused { reason, .. } => {
@@ -172,7 +172,7 @@
         }
     }
 
-    fn note_failure(&self, failure: Failure) {
+    fn on_failure(&self, failure: Failure) {
         match failure {
             Failure::BackendBroke { life, phase, is_alive } => {
                 let sign = if is_alive { LifeSign::Answered } else { LifeSign::Missing };
