Place the hold of a map switch through another process than the held rank's

No rank is armed before the hold is answered. A hold without an answer is withdrawn: it is released whether it is in place or not, and the switch ends as HoldFailed. Only the hold of a rollback is retried as before.

Tests: the simulation of freezes gives the hold through a delegate. A freeze of that process after the hold stalls the group for 0.33 s (4 s with the old state machine, on which the new test fails). In the test of a late refusal the coordinator now withdraws the hold that it has missed the answer of, so that it expects HoldFailed in place of Switched; no hold left and no stall are still required.

Tests of group, rank and platform_endpoint passed.

--- a/crates/group/src/switch/mod.rs
+++ b/crates/group/src/switch/mod.rs
@@ -4,7 +4,8 @@
 //! Every rank prepares the map, and then confirms that it is reachable, so that a rank that
 //! has frozen meanwhile is detected while the group still runs. Then the coordinator
 //! holds the group at a step (a barrier that no rank passes), arms every rank for that step,
-//! and releases the hold once all ranks are known to be armed. If a rank does not arm, all
+//! and releases the hold once all ranks are known to be armed. No rank is armed before the hold is
+//! answered: if it is not, it is withdrawn. If a rank does not arm, all
 //! ranks are rolled back: each is disarmed and prepares the current map under a new
 //! version, the same one for all. Only then is the hold released.
 //!
@@ -24,6 +25,7 @@
 //!   twice at the same step, so that a late release can't hit a hold that is needed.
 
 mod confirmation;
+mod hold;
 mod hold_history;
 mod options;
 mod rank;
@@ -50,13 +52,24 @@
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Phase {
-    Arming { since: Duration },
-    Confirming { round: u32, since: Duration },
-    Holding { attempts: u32 },
+    Arming {
+        since: Duration,
+    },
+    Confirming {
+        round: u32,
+        since: Duration,
+    },
+    Holding {
+        attempts: u32,
+    },
     Over(SwitchOutcome),
     Preparing,
-    Releasing { outcome: SwitchOutcome },
+    Releasing {
+        outcome: SwitchOutcome,
+    },
     RollingBack,
+    /// The hold was not answered, and is released whether it is in place or not.
+    WithdrawingHold,
 }
 
 /// One switch, or the rollback of an abandoned one.
@@ -77,6 +90,7 @@
     rollback_version_raises: u32,
     nonce: u64,
     hold_step: GroupStep,
+    is_hold_answered: bool,
     min_step: GroupStep,
     /// Holds that were found at the start, to be released at the end.
     abandoned_holds: Vec<(RankNumber, GroupStep)>,
@@ -178,6 +192,7 @@
             rollback_version_raises: 0,
             nonce: inputs.nonce,
             hold_step: 0,
+            is_hold_answered: false,
             min_step: inputs.min_step,
             abandoned_holds: Vec::new(),
             phase: Phase::Preparing,
@@ -241,6 +256,8 @@
         let kind = self.ranks[rank].record_answer(id, result);
         match (result, kind) {
             (Some(_), Some(RequestKind::Report { round })) => self.record_confirmation(rank, round),
+            (result, Some(RequestKind::Hold(_))) => self.on_hold_answer(result),
+            (Some(_), Some(RequestKind::Go(_))) => self.on_release_answer(),
             (Some(OrderResult::Refused), Some(kind)) => self.on_refusal(rank, kind),
             _ => {}
         }
@@ -254,9 +271,6 @@
             (Phase::Arming { .. }, RequestKind::Arm) if !self.is_armed(rank) => {
                 self.phase = Phase::RollingBack;
             }
-            (Phase::Holding { attempts }, RequestKind::Hold(_)) if !self.is_held() => {
-                self.on_hold_refusal(attempts);
-            }
             // The rank has received that version before, perhaps for a copy that is still
             // running. A rank that was armed by a late order refuses any map, and is
             // disarmed first.
@@ -271,18 +285,6 @@
         }
     }
 
-    fn on_hold_refusal(&mut self, attempts: u32) {
-        match attempts < self.options.max_hold_attempts {
-            true => {
-                self.phase = Phase::Holding { attempts: attempts + 1 };
-                self.hold_step = self.next_hold_step();
-            }
-            // The step of the abandoned switch has begun, so that nothing is left to roll back.
-            false if self.target.is_none() => self.phase = Phase::Over(SwitchOutcome::RolledBack),
-            false => self.phase = Phase::Over(SwitchOutcome::HoldFailed),
-        }
-    }
-
     /// Restarts the rollback under a higher version. The number of restarts is limited, as
     /// another coordinator may do the same; what remains is found abandoned again.
     fn raise_rollback_version(&mut self) {
@@ -325,8 +327,8 @@
                 Some(Phase::Over(SwitchOutcome::PrepareFailed))
             }
             Phase::Holding { .. } if !self.is_held() => None,
-            Phase::Holding { .. } if self.target.is_some() => Some(Phase::Arming { since: now }),
-            Phase::Holding { .. } => Some(Phase::RollingBack),
+            Phase::Holding { .. } if self.target.is_none() => Some(Phase::RollingBack),
+            Phase::Holding { .. } if self.is_hold_answered => Some(Phase::Arming { since: now }),
             Phase::Arming { since } if self.all(MapSwitch::is_armed) => {
                 self.arming_time = Some(now.saturating_sub(since));
                 Some(Phase::Releasing { outcome: SwitchOutcome::Switched })
@@ -357,15 +359,6 @@
         self.ranks[rank].is_armed(self.version, self.hold_step)
     }
 
-    /// Whether the group is held while this switch has not placed a hold yet.
-    fn is_held_by_another(&self) -> bool {
-        self.ranks.iter().any(|rank| rank.report.held.is_some())
-    }
-
-    fn is_held(&self) -> bool {
-        self.ranks[self.hold_rank].report.held == Some(self.hold_step)
-    }
-
     fn is_rolled_back(&self, rank: RankNumber) -> bool {
         self.ranks[rank].is_rolled_back(self.rollback_version)
     }
@@ -389,9 +382,4 @@
     fn is_still_held(&self, (rank, step): (RankNumber, GroupStep)) -> bool {
         self.ranks[rank].report.held == Some(step)
     }
-
-    fn next_hold_step(&self) -> GroupStep {
-        let newest = self.ranks.iter().map(|rank| rank.report.step).max().unwrap_or_default();
-        (newest + self.options.lead_steps).max(self.min_step).max(self.hold_step + 1)
-    }
 }
--- a/crates/group/src/switch/options.rs
+++ b/crates/group/src/switch/options.rs
@@ -46,7 +46,7 @@
 pub enum SwitchOutcome {
     /// The group formed again under a new epoch; nothing of the switch is left.
     GroupReformed,
-    /// The group could not be held in time; no rank was armed.
+    /// The group could not be held in time, or the hold was not answered; no rank was armed.
     HoldFailed,
     /// Not every rank prepared the map and then reported its state; no rank was armed.
     PrepareFailed,
--- a/crates/group/src/switch/requests.rs
+++ b/crates/group/src/switch/requests.rs
@@ -55,6 +55,9 @@
             Phase::Arming { .. } if !self.is_armed(rank) => Some(RequestKind::Arm),
             Phase::RollingBack if !self.is_rolled_back(rank) => Some(self.rollback_request(rank)),
             Phase::Releasing { .. } => self.release_request(rank),
+            Phase::WithdrawingHold if rank == self.hold_rank => {
+                Some(RequestKind::Go(self.hold_step))
+            }
             _ => None,
         }
     }
--- a/crates/rank/src/coordinator/drive.rs
+++ b/crates/rank/src/coordinator/drive.rs
@@ -6,10 +6,10 @@
 use lynxmount_core::{
     Result,
     adapter::{Engine, FleetSource},
-    experts::EngineOrder,
+    experts::{Action, EngineOrder},
 };
 use lynxmount_group::{
-    MapSwitch, OutgoingRequest, RankRequest, RelayTarget, RequestId, SwitchOutcome,
+    MapSwitch, OutgoingRequest, RankNumber, RankRequest, RelayTarget, RequestId, SwitchOutcome,
 };
 
 use super::Coordinator;
@@ -40,6 +40,7 @@
         let mut in_flight: FuturesUnordered<
             BoxFuture<'_, (usize, RequestId, Result<OrderAnswer>)>,
         > = FuturesUnordered::new();
+        let delegate = self.hold_delegate(engines, switch.hold_rank());
         loop {
             let orders = switch.tick(self.clock.now());
             self.record_map(&orders);
@@ -48,7 +49,13 @@
                 let engine = engines[rank];
                 let pending = relayed.remove(&self.transport.peer(engine));
                 in_flight.push(Box::pin(async move {
-                    (rank, id, self.request(engine, &request, base, pending).await)
+                    let answered = match (delegate, hold_order(&request)) {
+                        (Some(delegate), Some(hold)) => {
+                            self.place_hold(delegate, engine, hold).await
+                        }
+                        _ => self.request(engine, &request, base, pending).await,
+                    };
+                    (rank, id, answered)
                 }));
             }
             state.hold_history.record(switch.epoch(), switch.hold_rank(), switch.hold_step());
@@ -69,6 +76,29 @@
         }
     }
 
+    /// The engine whose process places the hold. If a machine freezes just after that, the engine
+    /// that holds the group is on another one and can still be told to release it.
+    fn hold_delegate(&self, engines: &[SocketAddr], hold_rank: RankNumber) -> Option<SocketAddr> {
+        let (before, from_hold) = engines.split_at(hold_rank);
+        let mut others = from_hold.iter().skip(1).chain(before).copied();
+        others.find(|engine| *engine != self.own_engine && !self.is_silent(*engine))
+    }
+
+    /// Places a hold at an engine through the process of another one, and reads the state after it
+    /// through the engine's own process: from elsewhere, an engine's report is out of date.
+    async fn place_hold(
+        &self,
+        delegate: SocketAddr,
+        engine: SocketAddr,
+        hold: &EngineOrder,
+    ) -> Result<OrderAnswer> {
+        let placed =
+            self.order_client.delegate(self.transport.peer(delegate), engine, hold).await?;
+        let report = RankRequest::Report { epoch: hold.epoch };
+        let OrderAnswer { report, .. } = self.request(engine, &report, None, None).await?;
+        Ok(OrderAnswer { report, ..placed })
+    }
+
     /// Caches the map that ranks are to prepare, which is the same for all of them.
     fn record_map(&self, orders: &[OutgoingRequest]) {
         if let Some((_, order)) = map_orders(orders).next() {
@@ -160,6 +190,13 @@
     })
 }
 
+fn hold_order(request: &RankRequest) -> Option<&EngineOrder> {
+    match request {
+        RankRequest::Order(order) if matches!(order.action, Action::Hold { .. }) => Some(order),
+        _ => None,
+    }
+}
+
 fn on_answer(switch: &mut MapSwitch, rank: usize, id: RequestId, answered: Result<OrderAnswer>) {
     match answered {
         Ok(OrderAnswer { result, report, .. }) => {
--- a/crates/rank/src/coordinator/mod.rs
+++ b/crates/rank/src/coordinator/mod.rs
@@ -48,7 +48,7 @@
 /// Balances the own group while this process is its leader.
 pub(crate) struct Coordinator<E, S, F> {
     pub(crate) engine: Arc<E>,
-    pub(crate) make_engine: F,
+    pub(crate) make_engine: Arc<F>,
     pub(crate) source: Arc<S>,
     pub(crate) own_engine: SocketAddr,
     pub(crate) transport: Transport,
--- a/crates/rank/src/message.rs
+++ b/crates/rank/src/message.rs
@@ -73,6 +73,17 @@
     Relayed(RelayedOrder),
     /// The state of the sender's rank.
     Report(Box<RankState>),
+    /// An order that the receiver sends to the engine of another process.
+    Delegated(DelegatedOrder),
+}
+
+/// An order to an engine beside another process than the receiver.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct DelegatedOrder {
+    /// The engine.
+    pub engine: SocketAddr,
+    /// The order.
+    pub order: OrderMessage,
 }
 
 /// An order to the receiver's engine that the receiver also forwards to other processes. Each of
--- a/crates/rank/src/order_client.rs
+++ b/crates/rank/src/order_client.rs
@@ -22,8 +22,8 @@
 
 use crate::{
     message::{
-        AnswerMessage, BaseMap, Datagram, OrderAnswer, OrderId, OrderMessage, OrderOutcome,
-        RelayedOrder,
+        AnswerMessage, BaseMap, Datagram, DelegatedOrder, OrderAnswer, OrderId, OrderMessage,
+        OrderOutcome, RelayedOrder,
     },
     transport::Transport,
 };
@@ -147,17 +147,31 @@
         pending: Option<PendingOrder>,
     ) -> Result<OrderAnswer> {
         match self.request_once(peer, request, base, pending).await? {
-            OrderOutcome::Delivered(answer) => Ok(*answer),
-            OrderOutcome::MapUnknown => match self.request_once(peer, request, None, None).await? {
-                OrderOutcome::Delivered(answer) => Ok(*answer),
-                _ => Err(unreachable(Step::ControlCall, peer, "reading the engine failed")),
-            },
-            OrderOutcome::Unreachable => {
-                Err(unreachable(Step::ControlCall, peer, "reading the engine failed"))
+            OrderOutcome::MapUnknown => {
+                delivered(peer, self.request_once(peer, request, None, None).await?)
             }
+            outcome => delivered(peer, outcome),
         }
     }
 
+    /// Makes a process send an order without a map to the engine of another process.
+    ///
+    /// Fails if the process does not answer or can't read that engine.
+    pub(crate) async fn delegate(
+        &self,
+        peer: SocketAddr,
+        engine: SocketAddr,
+        order: &EngineOrder,
+    ) -> Result<OrderAnswer> {
+        let id = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let mut pending = self.register(peer, id, false);
+        let datagram = || {
+            let order = OrderMessage::new(id, order, None);
+            Datagram::Delegated(DelegatedOrder { engine, order })
+        };
+        delivered(peer, self.send_until_answered(&mut pending, false, datagram).await?)
+    }
+
     fn register(&self, peer: SocketAddr, id: OrderId, is_relayed: bool) -> PendingOrder {
         let (sender, receiver) = oneshot::channel();
         self.channels.lock().insert((peer, id), sender);
@@ -177,7 +191,9 @@
             let id = self.next_id.fetch_add(1, Ordering::Relaxed);
             self.register(peer, id, false)
         });
-        let outcome = self.send_until_answered(&mut pending, request, base, has_map).await;
+        let id = pending.id;
+        let datagram = || Datagram::Order(OrderMessage::from_request(id, request, base));
+        let outcome = self.send_until_answered(&mut pending, has_map, datagram).await;
         if has_map && outcome.is_ok() {
             self.map_rtt.lock().record(pending.since.elapsed());
         }
@@ -187,9 +203,8 @@
     async fn send_until_answered(
         &self,
         pending: &mut PendingOrder,
-        request: &RankRequest,
-        base: BaseMap<'_>,
         has_map: bool,
+        datagram: impl Fn() -> Datagram,
     ) -> Result<OrderOutcome> {
         let peer = pending.peer;
         for send in 0..MAX_SENDS {
@@ -199,8 +214,7 @@
                 false => None,
             };
             if !is_sent_already {
-                let message = OrderMessage::from_request(pending.id, request, base);
-                self.transport.send_bytes(peer, &Datagram::Order(message).encode()?).await;
+                self.transport.send_bytes(peer, &datagram().encode()?).await;
             }
             match tokio::time::timeout(self.retransmission_timeout(has_map), &mut pending.receiver)
                 .await
@@ -221,6 +235,18 @@
     }
 }
 
+/// The answer in an outcome.
+///
+/// Fails if the process at `peer` could not carry the order out.
+fn delivered(peer: SocketAddr, outcome: OrderOutcome) -> Result<OrderAnswer> {
+    match outcome {
+        OrderOutcome::Delivered(answer) => Ok(*answer),
+        OrderOutcome::MapUnknown | OrderOutcome::Unreachable => {
+            Err(unreachable(Step::ControlCall, peer, "reading the engine failed"))
+        }
+    }
+}
+
 /// Whether a request carries a map.
 pub(crate) fn has_map(request: &RankRequest) -> bool {
     matches!(request, RankRequest::Order(order) if matches!(order.action, Action::Prepare { .. }))
--- a/crates/rank/src/order_handler.rs
+++ b/crates/rank/src/order_handler.rs
@@ -1,8 +1,9 @@
-//! Carrying out the leader's orders at the own engine.
+//! Carrying out the leader's orders at the own engine, and delegated ones at another.
 
 use std::{collections::HashSet, net::SocketAddr, sync::Arc};
 
 use lynxmount_core::{
+    Result,
     adapter::Engine,
     experts::{Action, EngineOrder, GroupEpoch, MapVersion},
 };
@@ -11,24 +12,32 @@
 
 use crate::{
     engine_calls::{make_request, read_row},
-    message::{AnswerMessage, Datagram, OrderId, OrderMessage, OrderOutcome, RelayedOrder},
+    message::{
+        AnswerMessage, Datagram, DelegatedOrder, OrderAnswer, OrderId, OrderMessage, OrderOutcome,
+        RelayedOrder,
+    },
     reporter::{Completion, Reporter},
     transport::Transport,
 };
 
-/// The receiver of orders for the own engine.
-pub(crate) struct OrderHandler<E> {
+/// The receiver of orders.
+pub(crate) struct OrderHandler<E, F> {
     pub(crate) reporter: Arc<Reporter<E>>,
+    pub(crate) make_engine: Arc<F>,
     pub(crate) transport: Transport,
     pub(crate) maps: Arc<Mutex<MapCache>>,
     /// Orders being carried out, by sender and number. Retransmissions of these are ignored.
     pub(crate) in_progress: Mutex<HashSet<(SocketAddr, OrderId)>>,
 }
 
-impl<E: Engine> OrderHandler<E> {
+impl<E, F> OrderHandler<E, F>
+where
+    E: Engine,
+    F: Fn(SocketAddr) -> E + Send + Sync + 'static,
+{
     /// Answers a request for the own engine's row of a map.
     pub(crate) async fn send_row(
-        self: Arc<OrderHandler<E>>,
+        self: Arc<OrderHandler<E, F>>,
         peer: SocketAddr,
         epoch: GroupEpoch,
         version: MapVersion,
@@ -41,7 +50,7 @@
     }
 
     /// Forwards an order, and carries it out at the own engine.
-    pub(crate) async fn handle_relayed(self: Arc<OrderHandler<E>>, relayed: RelayedOrder) {
+    pub(crate) async fn handle_relayed(self: Arc<OrderHandler<E, F>>, relayed: RelayedOrder) {
         let RelayedOrder { order, answer_to, forward_to } = relayed;
         if !forward_to.is_empty() {
             let forwarded =
@@ -57,7 +66,7 @@
 
     /// Carries out an order at the own engine, and answers its sender.
     pub(crate) async fn handle(
-        self: Arc<OrderHandler<E>>,
+        self: Arc<OrderHandler<E, F>>,
         answer_to: SocketAddr,
         message: OrderMessage,
     ) {
@@ -66,6 +75,28 @@
             return;
         }
         let outcome = self.execute(message).await;
+        self.answer(answer_to, id, outcome).await;
+    }
+
+    /// Carries out an order at the engine of another process, and answers its sender.
+    pub(crate) async fn handle_delegated(
+        self: Arc<OrderHandler<E, F>>,
+        answer_to: SocketAddr,
+        delegated: DelegatedOrder,
+    ) {
+        let DelegatedOrder { engine, order } = delegated;
+        let id = order.id;
+        if !self.in_progress.lock().insert((answer_to, id)) {
+            return;
+        }
+        let outcome = match order.into_request(|_| None) {
+            Some(request) => to_outcome(make_request(&(self.make_engine)(engine), &request).await),
+            None => OrderOutcome::MapUnknown,
+        };
+        self.answer(answer_to, id, outcome).await;
+    }
+
+    async fn answer(&self, answer_to: SocketAddr, id: OrderId, outcome: OrderOutcome) {
         self.in_progress.lock().remove(&(answer_to, id));
         let answer = Datagram::Answer(AnswerMessage { id, outcome });
         self.transport.send(answer_to, &answer).await;
@@ -78,18 +109,11 @@
         if let RankRequest::Order(order) = &request {
             self.maps.lock().insert_from_order(order);
         }
-        match make_request(&*self.reporter.engine, &request).await {
-            Ok(answer) => {
-                if let RankRequest::Order(order) = &request {
-                    self.watch_completion(order);
-                }
-                OrderOutcome::Delivered(Box::new(answer))
-            }
-            Err(error) => {
-                log::info!(error:% = error; "engine state read failed");
-                OrderOutcome::Unreachable
-            }
+        let answered = make_request(&*self.reporter.engine, &request).await;
+        if let (Ok(_), RankRequest::Order(order)) = (&answered, &request) {
+            self.watch_completion(order);
         }
+        to_outcome(answered)
     }
 
     fn watch_completion(&self, order: &EngineOrder) {
@@ -100,3 +124,13 @@
         }
     }
 }
+
+fn to_outcome(answered: Result<OrderAnswer>) -> OrderOutcome {
+    match answered {
+        Ok(answer) => OrderOutcome::Delivered(Box::new(answer)),
+        Err(error) => {
+            log::info!(error:% = error; "engine state read failed");
+            OrderOutcome::Unreachable
+        }
+    }
+}
--- a/crates/rank/src/process.rs
+++ b/crates/rank/src/process.rs
@@ -67,6 +67,7 @@
     let maps: Arc<Mutex<MapCache>> = Arc::default();
     let link_bytes_per_s = settings.link_bytes_per_s();
     let engine = Arc::new(make_engine(own_engine));
+    let make_engine = Arc::new(make_engine);
     let source = Arc::new(source);
     let socket = UdpSocket::bind(address).await.with_context(|| format!("bind {address}"))?;
     let socket = Arc::new(socket);
@@ -91,6 +92,7 @@
     let order_client = Arc::new(OrderClient::new(transport.clone(), address, link_bytes_per_s));
     let order_handler = Arc::new(OrderHandler {
         reporter: Arc::clone(&reporter),
+        make_engine: Arc::clone(&make_engine),
         transport: transport.clone(),
         maps: Arc::clone(&maps),
         in_progress: Mutex::default(),
@@ -155,18 +157,22 @@
 }
 
 /// The receiver of datagrams from other endpoint processes.
-struct DatagramListener<E> {
+struct DatagramListener<E, F> {
     socket: Arc<UdpSocket>,
     rank_states: Arc<Mutex<RankStates>>,
     discovery: Arc<Discovery>,
     transport: Transport,
-    order_handler: Arc<OrderHandler<E>>,
+    order_handler: Arc<OrderHandler<E, F>>,
     order_client: Arc<OrderClient>,
     maps: Arc<Mutex<MapCache>>,
     metrics: Arc<Metrics>,
 }
 
-impl<E: Engine> DatagramListener<E> {
+impl<E, F> DatagramListener<E, F>
+where
+    E: Engine,
+    F: Fn(SocketAddr) -> E + Send + Sync + 'static,
+{
     /// Receives datagrams until the task is dropped.
     async fn run(self) {
         receive_datagrams(&self.socket, MAX_DATAGRAM_BYTES, Datagram::decode, |peer, datagram| {
@@ -185,6 +191,9 @@
                 tokio::spawn(async move { discovery.on_announcement(peer, announcement).await });
             }
             Datagram::Answer(answer) => self.order_client.on_answer(peer, answer),
+            Datagram::Delegated(order) => {
+                tokio::spawn(Arc::clone(&self.order_handler).handle_delegated(peer, order));
+            }
             Datagram::Demand(sample) => self.rank_states.lock().on_demand_sample(&sample),
             Datagram::Map(MapCopy { epoch, version, map }) => {
                 self.maps.lock().insert(epoch, version, map);
