--- a/crates/rank/src/coordinator/drive.rs
+++ b/crates/rank/src/coordinator/drive.rs
@@ -16,7 +16,7 @@
 use crate::{
     engine_calls::make_request,
     leader_state::LeaderState,
-    message::{BaseMap, OrderAnswer},
+    message::{BaseMap, OrderAnswer, SentOrder},
     order_client::{PendingOrder, has_map},
 };
 
@@ -92,11 +92,12 @@
         engine: SocketAddr,
         hold: &EngineOrder,
     ) -> Result<OrderAnswer> {
-        let placed =
-            self.order_client.delegate(self.transport.peer(delegate), engine, hold).await?;
+        let delegate = self.transport.peer(delegate);
+        let SentOrder { result, tries } =
+            self.order_client.delegate(delegate, engine, hold).await?;
         let report = RankRequest::Report { epoch: hold.epoch };
         let OrderAnswer { report, .. } = self.request(engine, &report, None, None).await?;
-        Ok(OrderAnswer { report, ..placed })
+        Ok(OrderAnswer { result, tries, report })
     }
 
     /// Caches the map that ranks are to prepare, which is the same for all of them.
--- a/crates/rank/src/engine_calls.rs
+++ b/crates/rank/src/engine_calls.rs
@@ -7,7 +7,7 @@
 };
 use lynxmount_group::{RankRequest, RankRow};
 
-use crate::message::OrderAnswer;
+use crate::message::{OrderAnswer, SentOrder};
 
 /// How often an order is sent in all while it is not answered. Orders are idempotent.
 const MAX_TRIES: u32 = 4;
@@ -20,7 +20,11 @@
     request: &RankRequest,
 ) -> Result<OrderAnswer> {
     match request {
-        RankRequest::Order(order) => send_order(engine, order).await,
+        RankRequest::Order(order) => {
+            let SentOrder { result, tries } = send_order(engine, order).await;
+            let report = engine.report().await?;
+            Ok(OrderAnswer { result, tries, report })
+        }
         RankRequest::Report { .. } => {
             let report = engine.report().await?;
             Ok(OrderAnswer { result: Some(OrderResult::Accepted), tries: 0, report })
@@ -28,21 +32,20 @@
     }
 }
 
-/// Sends an order until it is answered, and reads the engine's state after it.
-///
-/// Fails if the state can't be read.
-async fn send_order(engine: &impl Engine, order: &EngineOrder) -> Result<OrderAnswer> {
-    let mut result = None;
-    let mut tries = 0;
-    while result.is_none() && tries < MAX_TRIES {
-        tries += 1;
+/// Sends an order until it is answered, a limited number of times.
+pub(crate) async fn send_order(engine: &impl Engine, order: &EngineOrder) -> SentOrder {
+    let mut sent = SentOrder { result: None, tries: 0 };
+    while sent.result.is_none() && sent.tries < MAX_TRIES {
+        sent.tries += 1;
         match engine.order(order).await {
-            Ok(answered) => result = Some(answered),
-            Err(error) => log::info!(tries, error:% = error; "order not answered by the engine"),
+            Ok(result) => sent.result = Some(result),
+            Err(error) => {
+                log::info!(tries = sent.tries, error:% = error;
+                    "order not answered by the engine");
+            }
         }
     }
-    let report = engine.report().await?;
-    Ok(OrderAnswer { result, tries, report })
+    sent
 }
 
 /// The experts that an engine holds under a map; `None` if it uses another map or is in
--- a/crates/rank/src/message.rs
+++ b/crates/rank/src/message.rs
@@ -222,6 +222,17 @@
     MapUnknown,
     /// The engine's state can't be read.
     Unreachable,
+    /// The order was sent to the engine of another process.
+    Sent(SentOrder),
+}
+
+/// An engine's answer to an order.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct SentOrder {
+    /// The engine's answer; `None` if none came in time.
+    pub result: Option<OrderResult>,
+    /// How often the order was sent to the engine.
+    pub tries: u32,
 }
 
 /// An engine's answer to an order, and its state after it.
--- a/crates/rank/src/order_client.rs
+++ b/crates/rank/src/order_client.rs
@@ -23,7 +23,7 @@
 use crate::{
     message::{
         AnswerMessage, BaseMap, Datagram, DelegatedOrder, OrderAnswer, OrderId, OrderMessage,
-        OrderOutcome, RelayedOrder,
+        OrderOutcome, RelayedOrder, SentOrder,
     },
     transport::Transport,
 };
@@ -156,20 +156,23 @@
 
     /// Makes a process send an order without a map to the engine of another process.
     ///
-    /// Fails if the process does not answer or can't read that engine.
+    /// Fails if the process does not answer.
     pub(crate) async fn delegate(
         &self,
         peer: SocketAddr,
         engine: SocketAddr,
         order: &EngineOrder,
-    ) -> Result<OrderAnswer> {
+    ) -> Result<SentOrder> {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let mut pending = self.register(peer, id, false);
         let datagram = || {
             let order = OrderMessage::new(id, order, None);
             Datagram::Delegated(DelegatedOrder { engine, order })
         };
-        delivered(peer, self.send_until_answered(&mut pending, false, datagram).await?)
+        match self.send_until_answered(&mut pending, false, datagram).await? {
+            OrderOutcome::Sent(sent) => Ok(sent),
+            _ => Err(unreachable(Step::ControlCall, peer, "the order was not sent")),
+        }
     }
 
     fn register(&self, peer: SocketAddr, id: OrderId, is_relayed: bool) -> PendingOrder {
@@ -241,7 +244,7 @@
 fn delivered(peer: SocketAddr, outcome: OrderOutcome) -> Result<OrderAnswer> {
     match outcome {
         OrderOutcome::Delivered(answer) => Ok(*answer),
-        OrderOutcome::MapUnknown | OrderOutcome::Unreachable => {
+        OrderOutcome::MapUnknown | OrderOutcome::Sent(_) | OrderOutcome::Unreachable => {
             Err(unreachable(Step::ControlCall, peer, "reading the engine failed"))
         }
     }
--- a/crates/rank/src/order_handler.rs
+++ b/crates/rank/src/order_handler.rs
@@ -3,7 +3,6 @@
 use std::{collections::HashSet, net::SocketAddr, sync::Arc};
 
 use lynxmount_core::{
-    Result,
     adapter::Engine,
     experts::{Action, EngineOrder, GroupEpoch, MapVersion},
 };
@@ -11,10 +10,9 @@
 use parking_lot::Mutex;
 
 use crate::{
-    engine_calls::{make_request, read_row},
+    engine_calls::{make_request, read_row, send_order},
     message::{
-        AnswerMessage, Datagram, DelegatedOrder, OrderAnswer, OrderId, OrderMessage, OrderOutcome,
-        RelayedOrder,
+        AnswerMessage, Datagram, DelegatedOrder, OrderId, OrderMessage, OrderOutcome, RelayedOrder,
     },
     reporter::{Completion, Reporter},
     transport::Transport,
@@ -90,8 +88,10 @@
             return;
         }
         let outcome = match order.into_request(|_| None) {
-            Some(request) => to_outcome(make_request(&(self.make_engine)(engine), &request).await),
-            None => OrderOutcome::MapUnknown,
+            Some(RankRequest::Order(order)) => {
+                OrderOutcome::Sent(send_order(&(self.make_engine)(engine), &order).await)
+            }
+            Some(RankRequest::Report { .. }) | None => OrderOutcome::Unreachable,
         };
         self.answer(answer_to, id, outcome).await;
     }
@@ -109,11 +109,18 @@
         if let RankRequest::Order(order) = &request {
             self.maps.lock().insert_from_order(order);
         }
-        let answered = make_request(&*self.reporter.engine, &request).await;
-        if let (Ok(_), RankRequest::Order(order)) = (&answered, &request) {
-            self.watch_completion(order);
+        match make_request(&*self.reporter.engine, &request).await {
+            Ok(answer) => {
+                if let RankRequest::Order(order) = &request {
+                    self.watch_completion(order);
+                }
+                OrderOutcome::Delivered(Box::new(answer))
+            }
+            Err(error) => {
+                log::info!(error:% = error; "engine state read failed");
+                OrderOutcome::Unreachable
+            }
         }
-        to_outcome(answered)
     }
 
     fn watch_completion(&self, order: &EngineOrder) {
@@ -124,13 +131,3 @@
         }
     }
 }
-
-fn to_outcome(answered: Result<OrderAnswer>) -> OrderOutcome {
-    match answered {
-        Ok(answer) => OrderOutcome::Delivered(Box::new(answer)),
-        Err(error) => {
-            log::info!(error:% = error; "engine state read failed");
-            OrderOutcome::Unreachable
-        }
-    }
-}
