Move experts away from ranks that report to be slow

Cause: all ranks wait for the slowest in each pass. Engines report their pace, and nothing read it.

Change: the load of a rank counts times its slowdown when a map is planned, from a slowdown of 1.5 on. The mechanism `slow-ranks` switches it off.

A test plans for a rank of eight times the usual time: 4 and more -> below 2.

--- a/crates/balance/src/adaptive.rs
+++ b/crates/balance/src/adaptive.rs
@@ -116,7 +116,7 @@
             max_fetches: MAX_FETCHES_PER_LAYER * self.budget_windows(),
             ..Limits::unlimited(self.shape.slots_per_rank)
         };
-        let path = improve(map, &expected, limits);
+        let path = improve(map, &expected, &[], limits);
         let current_skew = path.points[0].skew;
         let uncertainty = ERROR_FRACTION * forecast.error();
         let horizon_steps = forecast.horizon_windows() * self.options.window_steps as f64;
@@ -136,7 +136,7 @@
         }
         if path.points.last().is_some_and(|last| last.skew > LOCAL_OPTIMUM_SKEW) {
             let replanned = replan_near(self.shape, &expected, map);
-            let skew = expected_skew(&replanned, &expected);
+            let skew = expected_skew(&replanned, &expected, &[]);
             consider(skew, replanned.fetches_from(map), Target::Replanned(replanned));
         }
         candidates.sort_by(|a, b| b.net_benefit.total_cmp(&a.net_benefit));
--- a/crates/balance/src/group_plan.rs
+++ b/crates/balance/src/group_plan.rs
@@ -40,42 +40,45 @@
     pub fetches: usize,
 }
 
-/// The skew of a group: the load of the most loaded rank over the mean, averaged over
-/// all sets.
-pub fn group_skew(current: &[Vec<Vec<usize>>], demand: &[Vec<f64>]) -> f64 {
-    let skews = current
-        .iter()
-        .zip(demand)
-        .map(|(ranks, demand)| expected_skew(&ExpertMap::from_ranks(ranks.clone()), demand));
+/// The skew of a group: the load of the slowest rank, times its slowdown, over the mean load,
+/// averaged over all sets. Ranks without a slowdown have the usual speed.
+pub fn group_skew(current: &[Vec<Vec<usize>>], demand: &[Vec<f64>], slowdowns: &[f64]) -> f64 {
+    let skews = current.iter().zip(demand).map(|(ranks, demand)| {
+        expected_skew(&ExpertMap::from_ranks(ranks.clone()), demand, slowdowns)
+    });
     skews.sum::<f64>() / current.len().max(1) as f64
 }
 
-/// Plans the next map for the expected demand by set and expert. The set with the highest
-/// skew is planned first.
+/// Plans the next map for the expected demand by set and expert, and the slowdown of each rank.
+/// The set with the highest skew is planned first.
 ///
 /// `None` if no change is expected to gain enough.
 pub fn plan_group(
     current: &[Vec<Vec<usize>>],
     demand: &[Vec<f64>],
+    slowdowns: &[f64],
     limits: PlanLimits,
 ) -> Option<GroupPlan> {
     let maps: Vec<ExpertMap> =
         current.iter().map(|ranks| ExpertMap::from_ranks(ranks.clone())).collect();
-    let skews: Vec<f64> =
-        maps.iter().zip(demand).map(|(map, demand)| expected_skew(map, demand)).collect();
+    let skews: Vec<f64> = maps
+        .iter()
+        .zip(demand)
+        .map(|(map, demand)| expected_skew(map, demand, slowdowns))
+        .collect();
     let mut order: Vec<usize> = (0..skews.len()).collect();
     order.sort_by(|&a, &b| skews[b].total_cmp(&skews[a]));
     let ranks = current.first().map_or(0, Vec::len);
     let mut fetches_left_by_rank = vec![limits.fetches_per_rank; ranks];
     let mut planned = maps.clone();
     for set in order {
-        planned[set] = plan_set(&maps[set], &demand[set], limits, &fetches_left_by_rank);
+        planned[set] = plan_set(&maps[set], &demand[set], slowdowns, limits, &fetches_left_by_rank);
         for (rank, fetches_left) in fetches_left_by_rank.iter_mut().enumerate() {
             *fetches_left -= count_fetches(&planned[set], &maps[set], rank);
         }
     }
     let after: f64 =
-        planned.iter().zip(demand).map(|(map, demand)| expected_skew(map, demand)).sum();
+        planned.iter().zip(demand).map(|(map, demand)| expected_skew(map, demand, slowdowns)).sum();
     let sets = skews.len().max(1) as f64;
     let fetches = planned.iter().zip(&maps).map(|(new, old)| new.fetches_from(old)).sum();
     let plan = GroupPlan {
@@ -90,6 +93,7 @@
 fn plan_set(
     map: &ExpertMap,
     demand: &[f64],
+    slowdowns: &[f64],
     limits: PlanLimits,
     fetches_left_by_rank: &[usize],
 ) -> ExpertMap {
@@ -105,7 +109,7 @@
         stop_rule,
         ..Limits::unlimited(limits.slots_per_rank)
     };
-    let path = improve(map, demand, search_limits);
+    let path = improve(map, demand, slowdowns, search_limits);
     let cost = |skew: f64, fetches: usize| skew + limits.min_gain_per_fetch * fetches as f64;
     let best = path
         .points
--- a/crates/balance/src/map_change.rs
+++ b/crates/balance/src/map_change.rs
@@ -42,16 +42,20 @@
 /// Plans a quick change, or a larger one if the skew is high; `None` if no change gains
 /// enough.
 ///
+/// `slowdowns` tells how much longer than usual each rank takes: the map of a group with a slow
+/// rank moves load away from it, as all ranks wait for it in every pass.
+///
 /// `pressure` is the time between passes as a fraction of the longest gap between events
 /// that meets the objective.
 /// At low pressure streams gain little by shorter passes, while copies still cost time.
 pub fn plan_change(
     current: &GroupMap,
     demand: &[Vec<f64>],
+    slowdowns: &[f64],
     spec: &ExpertSpec,
     pressure: f64,
 ) -> Option<GroupPlan> {
-    let skew = group_skew(current, demand);
+    let skew = group_skew(current, demand, slowdowns);
     let gain_factor = gain_factor(pressure);
     let min_gain = MIN_GAIN * gain_factor;
     if skew < 1.0 + min_gain {
@@ -63,7 +67,8 @@
         fetches_per_rank: fetches_per_rank(skew, spec),
         min_gain_per_fetch: min_gain_per_fetch(current) * gain_factor,
     };
-    plan_group(current, demand, limits).filter(|p| p.skew_before - p.skew_after >= min_gain)
+    plan_group(current, demand, slowdowns, limits)
+        .filter(|p| p.skew_before - p.skew_after >= min_gain)
 }
 
 /// The factor on the minimum gain: interpolated from [`SLACK_FACTOR`] at low pressure to 1
--- a/crates/balance/src/search.rs
+++ b/crates/balance/src/search.rs
@@ -112,14 +112,22 @@
     holders: Vec<Vec<usize>>,
     /// The load of each expert on each of its holders.
     shares: Vec<f64>,
+    /// How much longer than usual each rank takes for the same load.
+    slowdowns: Vec<f64>,
+    /// The load of each rank times its slowdown.
     loads: Vec<f64>,
     costs: Vec<f64>,
 }
 
 /// Improves a map until the stop rule applies or the maximum number of fetches is reached.
-pub(crate) fn improve(map: &ExpertMap, expert_loads: &[f64], limits: Limits) -> Path {
+pub(crate) fn improve(
+    map: &ExpertMap,
+    expert_loads: &[f64],
+    slowdowns: &[f64],
+    limits: Limits,
+) -> Path {
     let max_fetches = limits.max_fetches;
-    let mut search = SearchState::new(map, expert_loads, limits);
+    let mut search = SearchState::new(map, expert_loads, slowdowns, limits);
     let mut path =
         Path { from: map.clone(), moves: Vec::new(), points: vec![search.point(map, 0)] };
     while let Some(best) = search.best_move() {
@@ -138,9 +146,9 @@
     path
 }
 
-/// The skew of a map for the given load of each expert.
-pub(crate) fn expected_skew(map: &ExpertMap, expert_loads: &[f64]) -> f64 {
-    SearchState::new(map, expert_loads, Limits::unlimited(usize::MAX)).skew()
+/// The skew of a map for the given load of each expert and slowdown of each rank.
+pub(crate) fn expected_skew(map: &ExpertMap, expert_loads: &[f64], slowdowns: &[f64]) -> f64 {
+    SearchState::new(map, expert_loads, slowdowns, Limits::unlimited(usize::MAX)).skew()
 }
 
 fn apply(map: &mut ExpertMap, change: Move) {
@@ -170,9 +178,16 @@
 }
 
 impl SearchState {
-    fn new(map: &ExpertMap, expert_loads: &[f64], limits: Limits) -> SearchState {
+    /// Ranks without a slowdown have the usual speed.
+    fn new(
+        map: &ExpertMap,
+        expert_loads: &[f64],
+        slowdowns: &[f64],
+        limits: Limits,
+    ) -> SearchState {
         // Moves don't change the total load, so that the mean is constant.
-        let mean = expert_loads.iter().sum::<f64>() / map.ranks().len() as f64;
+        let ranks = map.ranks().len();
+        let mean = expert_loads.iter().sum::<f64>() / ranks as f64;
         let unit = mean.max(f64::MIN_POSITIVE);
         let mut search = SearchState {
             limits,
@@ -181,6 +196,7 @@
             map: map.clone(),
             holders: vec![Vec::new(); expert_loads.len()],
             shares: vec![0.0; expert_loads.len()],
+            slowdowns: (0..ranks).map(|rank| slowdowns.get(rank).copied().unwrap_or(1.0)).collect(),
             loads: Vec::new(),
             costs: Vec::new(),
         };
@@ -197,11 +213,17 @@
         for (expert, holders) in self.holders.iter().enumerate() {
             self.shares[expert] = self.expert_loads[expert] / holders.len() as f64;
         }
-        let load = |held: &Vec<Expert>| held.iter().map(|&expert| self.shares[expert]).sum();
-        self.loads = self.map.ranks().iter().map(load).collect();
+        let load = |held: &Vec<Expert>| held.iter().map(|&expert| self.shares[expert]).sum::<f64>();
+        let ranks = self.map.ranks().iter().zip(&self.slowdowns);
+        self.loads = ranks.map(|(held, slowdown)| load(held) * slowdown).collect();
         self.costs = self.loads.iter().map(|load| load_cost(*load)).collect();
     }
 
+    /// The cost of a rank after a change of its load.
+    fn cost_after(&self, rank: usize, change: f64) -> f64 {
+        load_cost(self.loads[rank] + change * self.slowdowns[rank])
+    }
+
     fn skew(&self) -> f64 {
         self.loads.iter().copied().fold(0.0, f64::max)
     }
@@ -249,8 +271,8 @@
                 if difference <= 0.0 || held_here.contains(&other) || !self.can_fetch(rank, other) {
                     continue;
                 }
-                let after = load_cost(self.loads[rank] - difference)
-                    + load_cost(self.loads[other_rank] + difference);
+                let after =
+                    self.cost_after(rank, -difference) + self.cost_after(other_rank, difference);
                 let gain = self.costs[rank] + self.costs[other_rank] - after;
                 // Both ranks have to fetch.
                 best.consider(Move::Swap { rank, slot, other_rank, other_slot }, gain / 2.0);
@@ -292,9 +314,9 @@
         let share_reduction = self.shares[expert] - new_share;
         let at_holders = self.holders[expert].iter();
         let holders_gain: f64 = at_holders
-            .map(|&rank| self.costs[rank] - load_cost(self.loads[rank] - share_reduction))
+            .map(|&rank| self.costs[rank] - self.cost_after(rank, -share_reduction))
             .sum();
-        holders_gain + self.costs[at] - load_cost(self.loads[at] + new_share)
+        holders_gain + self.costs[at] - self.cost_after(at, new_share)
     }
 
     /// The gain of a replica of `expert` on a rank in place of one of `replaced`.
@@ -307,14 +329,14 @@
         let mut gain = 0.0;
         for &rank in &self.holders[expert] {
             let increase = if self.holders[replaced].contains(&rank) { extra_share } else { 0.0 };
-            gain += self.costs[rank] - load_cost(self.loads[rank] - share_reduction + increase);
+            gain += self.costs[rank] - self.cost_after(rank, increase - share_reduction);
         }
         for &rank in &self.holders[replaced] {
             if rank != at && !self.holders[expert].contains(&rank) {
-                gain += self.costs[rank] - load_cost(self.loads[rank] + extra_share);
+                gain += self.costs[rank] - self.cost_after(rank, extra_share);
             }
         }
-        gain + self.costs[at] - load_cost(self.loads[at] + new_share - self.shares[replaced])
+        gain + self.costs[at] - self.cost_after(at, new_share - self.shares[replaced])
     }
 }
 
--- a/crates/balance/tests/group_plan.rs
+++ b/crates/balance/tests/group_plan.rs
@@ -31,7 +31,7 @@
 
 #[test]
 fn one_change_after_a_shift_removes_most_of_the_skew() {
-    let plan = plan_group(&initial_map(), &demand(3), limits()).expect("a plan");
+    let plan = plan_group(&initial_map(), &demand(3), &[], limits()).expect("a plan");
 
     assert!(plan.skew_before > 3.0, "{}", plan.skew_before);
     assert!(plan.skew_after < 1.6, "{}", plan.skew_after);
@@ -42,21 +42,42 @@
     let mut maps = initial_map();
     let demand = demand(9);
     for _ in 0..4 {
-        if let Some(plan) = plan_group(&maps, &demand, limits()) {
+        if let Some(plan) = plan_group(&maps, &demand, &[], limits()) {
             maps = plan.maps;
         }
     }
 
-    let skew = group_skew(&maps, &demand);
+    let skew = group_skew(&maps, &demand, &[]);
 
     assert!(skew < 1.2, "{skew}");
 }
 
+/// Guards against maps that leave a slow rank its share, so that all ranks wait for it in each pass.
+#[test]
+fn a_few_changes_relieve_a_slow_rank() {
+    let mut slowdowns = vec![1.0; RANKS];
+    slowdowns[5] = 8.0;
+    let demand = demand(9);
+    let mut maps = initial_map();
+    for _ in 0..4 {
+        maps = plan_group(&maps, &demand, &[], limits()).map_or(maps, |plan| plan.maps);
+    }
+    let before = group_skew(&maps, &demand, &slowdowns);
+
+    for _ in 0..8 {
+        maps = plan_group(&maps, &demand, &slowdowns, limits()).map_or(maps, |plan| plan.maps);
+    }
+
+    let after = group_skew(&maps, &demand, &slowdowns);
+    assert!(before > 4.0, "{before}");
+    assert!(after < 2.0, "{after}");
+}
+
 #[test]
 fn even_demand_moves_nothing() {
     let even = vec![vec![1.0; EXPERTS]; SETS];
 
-    assert_eq!(plan_group(&initial_map(), &even, limits()), None);
+    assert_eq!(plan_group(&initial_map(), &even, &[], limits()), None);
 }
 
 proptest! {
@@ -68,7 +89,7 @@
         let mut maps = initial_map();
         for offset in offsets {
             let limits = PlanLimits { fetches_per_rank, ..limits() };
-            let Some(plan) = plan_group(&maps, &demand(offset), limits) else { continue };
+            let Some(plan) = plan_group(&maps, &demand(offset), &[], limits) else { continue };
 
             prop_assert!(plan.skew_after <= plan.skew_before + 1e-9);
             for rank in 0..RANKS {
--- a/crates/balance/tests/shifting_demand.rs
+++ b/crates/balance/tests/shifting_demand.rs
@@ -127,7 +127,7 @@
             map = switched;
         } else if next.is_none() {
             let demand = windows.demand_by_set(spec.experts).expect("counts");
-            next = plan_change(&map, &demand, spec, MAX_PRESSURE).map(|plan| {
+            next = plan_change(&map, &demand, &[], spec, MAX_PRESSURE).map(|plan| {
                 let copies = max_copies(&map, &plan.maps);
                 let copy_s = copies as f64 * spec.copy_time.as_secs_f64();
                 let lead_s = f64::from(*lead_steps) * PASS_S;
@@ -136,7 +136,7 @@
         }
         // The first seconds show mostly the initial map.
         if time_s >= 3.0 {
-            sum += group_skew(&map, &shifts.at(time_s));
+            sum += group_skew(&map, &shifts.at(time_s), &[]);
             passes += 1;
         }
         time_s += PASS_S;
--- a/crates/core/src/mechanism.rs
+++ b/crates/core/src/mechanism.rs
@@ -47,13 +47,15 @@
     ShiftDetection,
     /// The copy time of experts limits how many a map change copies.
     ShortCopies,
+    /// Ranks that report to be slow get fewer experts and no calls.
+    SlowRanks,
     /// Calls whose estimated wait is too long are refused on arrival.
     WaitEstimate,
 }
 
 impl Mechanism {
     /// All mechanisms with their names in settings.
-    pub const ALL: [(Mechanism, &'static str); 22] = [
+    pub const ALL: [(Mechanism, &'static str); 23] = [
         (Mechanism::ConnectionReuse, "connection-reuse"),
         (Mechanism::DirectReads, "direct-reads"),
         (Mechanism::EndpointLimits, "endpoint-limits"),
@@ -75,6 +77,7 @@
         (Mechanism::RoomForGains, "room-for-gains"),
         (Mechanism::ShiftDetection, "shift-detection"),
         (Mechanism::ShortCopies, "short-copies"),
+        (Mechanism::SlowRanks, "slow-ranks"),
         (Mechanism::WaitEstimate, "wait-estimate"),
     ];
 }
--- a/crates/rank/src/coordinator/mod.rs
+++ b/crates/rank/src/coordinator/mod.rs
@@ -145,7 +145,12 @@
         }
         let Some(current) = self.current_map(state, &group).await else { return };
         let Some(demand) = self.rank_states.lock().demand(spec.experts.experts) else { return };
-        let Some(plan) = plan_change(&current, &demand, &spec.experts, pressure) else { return };
+        let slowdowns = match self.mechanisms.has(Mechanism::SlowRanks) {
+            true => group.slowdowns(),
+            false => Vec::new(),
+        };
+        let plan = plan_change(&current, &demand, &slowdowns, &spec.experts, pressure);
+        let Some(plan) = plan else { return };
         let Some(inputs) = self.switch_inputs(state, &group, &current) else { return };
         let base = group.map_version().map(|version| (version, &*current));
         let mut switch = MapSwitch::start(inputs, plan.maps.clone(), state.min_version);
--- a/crates/rank/src/rank_states.rs
+++ b/crates/rank/src/rank_states.rs
@@ -17,6 +17,9 @@
 /// most often, three of the others.
 const MAX_STATE_AGE: Duration = Duration::from_millis(1000);
 
+/// The slowdown from which on a rank is slow. Engines of one service differ by less.
+const MIN_SLOWDOWN: f64 = 1.5;
+
 /// The last state of a rank.
 struct RankEntry {
     report: EngineReport,
@@ -158,6 +161,12 @@
 }
 
 impl GroupSnapshot {
+    /// How much longer than usual each rank takes for the same work; 1 unless it is slow.
+    pub(crate) fn slowdowns(&self) -> Vec<f64> {
+        let slowdown = |pace: f64| if pace < MIN_SLOWDOWN { 1.0 } else { pace };
+        self.reports.iter().map(|report| slowdown(report.pace)).collect()
+    }
+
     /// The version of the map in use, if all ranks report the same one.
     pub(crate) fn map_version(&self) -> Option<MapVersion> {
         let version = self.reports.first()?.map;
--- a/crates/rank/tests/link_budget.rs
+++ b/crates/rank/tests/link_budget.rs
@@ -94,7 +94,7 @@
         fetches_per_rank: 14,
         min_gain_per_fetch: 0.0005,
     };
-    let plan = plan_group(&current, &demand(&mut SmallRng::seed_from_u64(seed)), limits);
+    let plan = plan_group(&current, &demand(&mut SmallRng::seed_from_u64(seed)), &[], limits);
     let plan = plan.expect("a plan that gains");
     let action = Action::Prepare { version: 1 << 20, map: Arc::new(plan.maps) };
     (EngineOrder { epoch: 1, action }, current, plan.fetches)
