Send no calls to slow ranks, and let streams leave them

Cause: a pass lasts as long as the slowest rank's own streams take. Entries did not know of a rank's pace and went on to fill a slow one.

Change: the leader of a group tells entries which ranks are slow (at most a quarter of them; beyond that it is the group's usual speed), four times a second while there are any. Entries select such a rank as they do an ejected endpoint: only if there is no other. A stream at one is resumed after its last event at another that takes it now, within the retry budget and the route's attempts.

--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -9,6 +9,7 @@
 };
 
 use bytes::Bytes;
+use futures::FutureExt;
 use http::{Method, Response, header, request::Parts};
 use lynxmount_core::{
     CallFingerprint, CallKind, Clock, EndpointId, RouteId, TeamId,
@@ -331,6 +332,23 @@
             .acquire_permit(self.goal.mul_f64(QUEUE_TIME_FRACTION), waiting_since)
             .await
             .ok()?;
+        self.resume_at(permit, last_event, waiting_since).await
+    }
+
+    /// A permit at another endpoint that is not slow, if there is one now and the service's retry
+    /// budget allows to use it.
+    pub(crate) fn acquire_elsewhere(&self) -> Option<Permit> {
+        let permit = self.acquire_permit(Duration::ZERO, Instant::now()).now_or_never()?.ok()?;
+        (!permit.is_slow() && self.service.withdraw_retry()).then_some(permit)
+    }
+
+    /// Resumes a stream with a permit, after `last_event`.
+    pub(crate) async fn resume_at(
+        &self,
+        permit: Permit,
+        last_event: Option<u64>,
+        waiting_since: Instant,
+    ) -> Option<ResponseHead> {
         let head = self.send(permit, last_event, waiting_since).await.ok()?;
         if !head.status.is_success() {
             return None;
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -21,6 +21,9 @@
 /// How long a load report of an endpoint is valid.
 const LOAD_REPORT_TTL: Duration = Duration::from_millis(600);
 
+/// How long a notice that an endpoint is slow is valid: four periods in which it is repeated.
+const SLOW_NOTICE_TTL: Duration = Duration::from_secs(1);
+
 /// Maximum silence of an endpoint for a stream to reuse one of its connections. On a new
 /// connection, an endpoint that was frozen sees the connection's reset before it reads the request.
 const MAX_REUSE_SILENCE: Duration = Duration::from_millis(250);
@@ -46,6 +49,8 @@
     last_chosen: u64,
     group: Option<Arc<str>>,
     own_slots: Option<OwnSlots>,
+    /// Until when it counts as slow.
+    slow_until: Duration,
 }
 
 /// Concurrency limits of an endpoint at a point in time.
@@ -137,6 +142,16 @@
         self.load.lock().group = Some(Arc::clone(group));
     }
 
+    /// Records a notice that the endpoint is slow: in a group that runs in lock-step, a call there
+    /// would delay all calls of the group.
+    pub(crate) fn on_slow(&self, now: Duration) {
+        self.load.lock().slow_until = now + SLOW_NOTICE_TTL;
+    }
+
+    fn is_slow(&self, now: Duration) -> bool {
+        now < self.load.lock().slow_until
+    }
+
     /// Sets this entry's share of the endpoint's slots.
     pub(crate) fn set_own_slots(&self, own: OwnSlots) {
         self.load.lock().own_slots = Some(own);
@@ -183,7 +198,9 @@
             is_closed: !groups.may_send(group, capacity.now),
             latency_class: groups.latency_class(group, capacity.now),
             is_at_limit: capacity.group_share.is_some_and(|share| groups.is_at_limit(group, share)),
-            is_ejected: load.outlier_detector.is_ejected(capacity.now) || is_suspect,
+            is_ejected: load.outlier_detector.is_ejected(capacity.now)
+                || is_suspect
+                || capacity.now < load.slow_until,
             was_tried: tried.contains(&self.record.id),
             last_chosen: load.last_chosen,
             is_leaving: backpressure.is_leaving(),
@@ -244,6 +261,11 @@
         &self.group
     }
 
+    /// Whether the endpoint delays its group.
+    pub(crate) fn is_slow(&self) -> bool {
+        self.endpoint.is_slow(self.service.now())
+    }
+
     /// Records an event of the call's stream, its gap to the previous event, and the longest gap
     /// that meets the objective.
     pub(crate) fn on_event(&self, gap: Option<Duration>, gap_goal: Option<Duration>) {
--- a/crates/direct/src/endpoint_set.rs
+++ b/crates/direct/src/endpoint_set.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, sync::Arc};
 
 use lynxmount_core::{Clock, EndpointList, EndpointState, Mechanisms, ServiceId, SiteBounds};
-use lynxmount_link::{GroupMembersNotice, GroupNotice, MembersFingerprint};
+use lynxmount_link::{GroupMembersNotice, GroupNotice, MembersFingerprint, SlowRanksNotice};
 use lynxmount_policy::SlotOwners;
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
@@ -97,6 +97,12 @@
         services.iter().for_each(|service| service.on_group_notice(notice));
     }
 
+    /// Applies a notice of a group's slow ranks.
+    pub(crate) fn on_slow_ranks(&self, notice: &SlowRanksNotice) {
+        let services: Vec<Arc<Service>> = self.services.lock().values().cloned().collect();
+        services.iter().for_each(|service| service.on_slow_ranks(notice));
+    }
+
     /// Replaces services and endpoints by those of a configuration and an endpoint list.
     pub(crate) fn update(&self, config: &ConfigView, list: &EndpointList, owners: &SlotOwners) {
         let mut services = self.services.lock();
--- a/crates/direct/src/group_listener.rs
+++ b/crates/direct/src/group_listener.rs
@@ -73,6 +73,7 @@
             match message {
                 Ok(GroupMessage::Notice(notice)) => self.endpoint_set.on_group_notice(&notice),
                 Ok(GroupMessage::Members(members)) => self.endpoint_set.on_group_members(&members),
+                Ok(GroupMessage::SlowRanks(notice)) => self.endpoint_set.on_slow_ranks(&notice),
                 Ok(GroupMessage::Subscribe { .. }) | Err(_) => {}
             }
         })
--- a/crates/direct/src/service/group_events.rs
+++ b/crates/direct/src/service/group_events.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use lynxmount_core::{Mechanism, experts::GroupState};
-use lynxmount_link::{GroupMembersNotice, GroupNotice, MembersFingerprint};
+use lynxmount_link::{GroupMembersNotice, GroupNotice, MembersFingerprint, SlowRanksNotice};
 use lynxmount_policy::{GroupProgress, StreamEvent};
 
 use super::{
@@ -52,6 +52,19 @@
         }
     }
 
+    /// Applies a notice of a group's slow ranks, if the group belongs to this service.
+    pub(crate) fn on_slow_ranks(&self, notice: &SlowRanksNotice) {
+        if !self.mechanisms.has(Mechanism::SlowRanks) {
+            return;
+        }
+        let inner = self.inner.lock();
+        let is_slow = |endpoint: &&Arc<Endpoint>| {
+            *endpoint.group() == *notice.group && notice.engines.contains(&endpoint.record.address)
+        };
+        let now = self.now();
+        inner.endpoints.iter().filter(is_slow).for_each(|endpoint| endpoint.on_slow(now));
+    }
+
     /// Detects groups that have stalled.
     pub(super) fn detect_blocked(self: &Arc<Service>, inner: &mut Inner, now: Duration) {
         if !self.mechanisms.has(Mechanism::OutageWatch) {
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -139,6 +139,10 @@
             return None;
         }
         loop {
+            if !self.leave_slow_endpoint().await {
+                self.finish("truncated mid-stream");
+                return Some(Err(aborted("endpoint slow")));
+            }
             match self.read().await {
                 Read::Events(events) => return Some(Ok(events)),
                 Read::End => {
@@ -289,11 +293,35 @@
         if !self.is_resumable() {
             return false;
         }
-        // The old connection is closed first, so that the call never runs twice at a time.
+        self.detach();
+        let head = self.call.resume(self.events.last_id(), self.sent_at, why).await;
+        self.attach(head)
+    }
+
+    /// Resumes the stream elsewhere if its endpoint is slow and another one takes it now. Each
+    /// stream at a slow rank delays all streams of its group. Returns false if the stream is lost.
+    async fn leave_slow_endpoint(&mut self) -> bool {
+        let Some(permit) = self.permit.as_ref().filter(|permit| permit.is_slow()) else {
+            return true;
+        };
+        let elsewhere = self.is_resumable().then(|| self.call.acquire_elsewhere()).flatten();
+        let Some(elsewhere) = elsewhere else { return true };
+        permit.on_canceled(self.call.fingerprint, self.phase());
+        self.detach();
+        let head = self.call.resume_at(elsewhere, self.events.last_id(), self.sent_at).await;
+        self.attach(head)
+    }
+
+    /// Closes the old connection before the stream is resumed, so that the call never runs twice
+    /// at a time.
+    fn detach(&mut self) {
         self.connection = None;
         self.permit = None;
         self.events.discard_partial();
-        let head = self.call.resume(self.events.last_id(), self.sent_at, why).await;
+    }
+
+    /// Continues with the response of another endpoint. Returns whether there is one.
+    fn attach(&mut self, head: Option<ResponseHead>) -> bool {
         let Some(head) = head else { return false };
         self.permit = Some(head.permit);
         self.connection = Some(head.connection);
--- a/crates/link/src/group_notice.rs
+++ b/crates/link/src/group_notice.rs
@@ -39,6 +39,8 @@
     Members(GroupMembersNotice),
     /// The state of the sender's group.
     Notice(GroupNotice),
+    /// The slow ranks of the sender's group.
+    SlowRanks(SlowRanksNotice),
 }
 
 /// The state of a group.
@@ -64,6 +66,15 @@
     pub engines: Vec<SocketAddr>,
 }
 
+/// The ranks of a group that are slower than usual.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SlowRanksNotice {
+    /// The group's name.
+    pub group: String,
+    /// The addresses of the engines.
+    pub engines: Vec<SocketAddr>,
+}
+
 impl GroupMembersNotice {
     /// Computes the fingerprint, which does not depend on the order of the engines.
     pub fn fingerprint(&self) -> MembersFingerprint {
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -19,7 +19,7 @@
 pub use gossip::{GossipTopic, publish, read_published};
 pub use group_notice::{
     GROUP_PORT_OFFSET, GroupMembersNotice, GroupMessage, GroupNotice, MembersFingerprint,
-    SUBSCRIBE_INTERVAL, SUBSCRIPTION_TTL,
+    SUBSCRIBE_INTERVAL, SUBSCRIPTION_TTL, SlowRanksNotice,
 };
 pub use server::{RequestHandler, bind, serve};
 pub use signals::wait_for_termination_signal;
--- a/crates/rank/src/notifier.rs
+++ b/crates/rank/src/notifier.rs
@@ -11,12 +11,12 @@
 
 use lynxmount_balance::PassTimeTracker;
 use lynxmount_core::{
-    Clock,
+    Clock, Mechanism, Mechanisms,
     experts::{GroupMembership, GroupState, GroupStep},
 };
 use lynxmount_link::{
     GroupMembersNotice, GroupMessage, GroupNotice, MembersFingerprint, SUBSCRIPTION_TTL,
-    receive_datagrams,
+    SlowRanksNotice, receive_datagrams,
 };
 use parking_lot::Mutex;
 use tokio::net::UdpSocket;
@@ -50,6 +50,7 @@
     pub(crate) discovery: Arc<Discovery>,
     pub(crate) rank_states: Arc<Mutex<RankStates>>,
     pub(crate) clock: Clock,
+    pub(crate) mechanisms: Mechanisms,
     /// The subscribed entries.
     pub(crate) subscribers: Mutex<BTreeMap<SocketAddr, Subscription>>,
 }
@@ -99,6 +100,7 @@
     /// Publishes until the task is dropped.
     pub(crate) async fn run(self: Arc<Notifier>) {
         let mut last_sent: Option<(GroupNotice, Instant)> = None;
+        let mut last_slow: Option<(Vec<SocketAddr>, Instant)> = None;
         let mut tracker = ProgressTracker::default();
         loop {
             tokio::time::sleep(CHECK_PERIOD).await;
@@ -110,6 +112,7 @@
                 last.state == notice.state && at.elapsed() < REPEAT_PERIOD
             });
             self.send_members(&notice.group).await;
+            self.send_slow_ranks(&notice.group, &mut last_slow).await;
             if !is_current {
                 self.send(&GroupMessage::Notice(notice.clone()), &self.live_subscribers()).await;
                 last_sent = Some((notice, Instant::now()));
@@ -165,6 +168,23 @@
         }
     }
 
+    /// Sends the slow ranks if there are any, and none have been sent for a while.
+    async fn send_slow_ranks(&self, group: &str, last: &mut Option<(Vec<SocketAddr>, Instant)>) {
+        if !self.mechanisms.has(Mechanism::SlowRanks) {
+            return;
+        }
+        let engines = self.rank_states.lock().slow_engines();
+        let is_current = |(sent, at): &(Vec<SocketAddr>, Instant)| {
+            *sent == engines && at.elapsed() < REPEAT_PERIOD
+        };
+        if engines.is_empty() || last.as_ref().is_some_and(is_current) {
+            return;
+        }
+        *last = Some((engines.clone(), Instant::now()));
+        let notice = SlowRanksNotice { group: group.to_owned(), engines };
+        self.send(&GroupMessage::SlowRanks(notice), &self.live_subscribers()).await;
+    }
+
     async fn send(&self, message: &GroupMessage, entries: &[SocketAddr]) {
         let datagram = match message.encode() {
             Ok(datagram) => datagram,
--- a/crates/rank/src/process.rs
+++ b/crates/rank/src/process.rs
@@ -129,6 +129,7 @@
         discovery: Arc::clone(&discovery),
         rank_states: Arc::clone(&rank_states),
         clock,
+        mechanisms: settings.mechanisms.clone(),
         subscribers: Mutex::default(),
     });
     tokio::spawn(Arc::clone(&notifier).listen());
--- a/crates/rank/src/rank_states.rs
+++ b/crates/rank/src/rank_states.rs
@@ -20,6 +20,10 @@
 /// The slowdown from which on a rank is slow. Engines of one service differ by less.
 const MIN_SLOWDOWN: f64 = 1.5;
 
+/// The largest fraction of a group's ranks that may be slow: more of them are the group's usual
+/// speed, and the others can't take over their work.
+const MAX_SLOW_FRACTION: f64 = 0.25;
+
 /// The last state of a rank.
 struct RankEntry {
     report: EngineReport,
@@ -110,6 +114,20 @@
         group.is_some_and(|group| group.reports.iter().all(|report| report.held.is_none()))
     }
 
+    /// The engines of the own group that are known to be slow; none if they are too many.
+    pub(crate) fn slow_engines(&self) -> Vec<SocketAddr> {
+        let Some(group) = self.own_membership() else { return Vec::new() };
+        let is_slow = |(_, entry): &(&SocketAddr, &RankEntry)| {
+            let membership = entry.report.membership.as_ref();
+            let is_own = membership.is_some_and(|m| m.group == group.group);
+            is_own && entry.is_fresh() && entry.report.pace >= MIN_SLOWDOWN
+        };
+        let slow: Vec<SocketAddr> =
+            self.entries.iter().filter(is_slow).map(|(engine, _)| *engine).collect();
+        let max = (group.ranks as f64 * MAX_SLOW_FRACTION) as usize;
+        if slow.len() <= max { slow } else { Vec::new() }
+    }
+
     /// Demand by set and expert; `None` without any.
     pub(crate) fn demand(&self, experts: usize) -> Option<Vec<Vec<f64>>> {
         self.demand.by_set(experts)
