Arm no rank before the process that placed the hold has answered again

Cause: a machine that freezes just after it gave an order freezes some milliseconds later.

Change: after the hold the leader asks the delegate for the report of its own engine, at the same time as the held engine's process for its one. Without both, the hold is withdrawn.

The new test of processes fails without the second answer.

--- a/crates/lynxmount/tests/platform_endpoint.rs
+++ b/crates/lynxmount/tests/platform_endpoint.rs
@@ -20,6 +20,8 @@
 const RANKS: u8 = 4;
 const EXPERTS: usize = 8;
 const ENGINE_PORT: u16 = 8130;
+/// The rank whose process leads the group.
+const LEADER: usize = 0;
 const PASS_PERIOD: Duration = Duration::from_millis(20);
 
 /// One group of engines with its endpoint processes.
@@ -199,6 +201,21 @@
     assert_one_map(&test_group);
 }
 
+/// Guards against a group that stays held until the machine of the process that has placed the
+/// hold resumes.
+#[tokio::test]
+async fn passes_go_on_if_machines_freeze_just_after_the_group_was_held() {
+    let test_group = start().await;
+    test_group.group.silence_others_on_hold(LEADER);
+
+    test_group.group.set_demand(demand_for(2));
+    wait_for("the hold", async || test_group.group.has_silent_ranks()).await;
+    let step = test_group.group.step();
+
+    wait_for("passes", async || test_group.group.step() > step + 20).await;
+    assert_one_map(&test_group);
+}
+
 #[tokio::test]
 async fn groups_of_one_service_are_balanced_independently() {
     let test_service = start_groups(&["a", "b", "c"]).await;
--- a/crates/rank/src/coordinator/drive.rs
+++ b/crates/rank/src/coordinator/drive.rs
@@ -86,17 +86,21 @@
 
     /// Places a hold at an engine through the process of another one, and reads the state after it
     /// through the engine's own process: from elsewhere, an engine's report is out of date.
+    ///
+    /// Fails if the delegate does not answer once more after that: an order to arm its own engine
+    /// would have an unknown outcome.
     async fn place_hold(
         &self,
         delegate: SocketAddr,
         engine: SocketAddr,
         hold: &EngineOrder,
     ) -> Result<OrderAnswer> {
-        let delegate = self.transport.peer(delegate);
-        let SentOrder { result, tries } =
-            self.order_client.delegate(delegate, engine, hold).await?;
+        let process = self.transport.peer(delegate);
+        let SentOrder { result, tries } = self.order_client.delegate(process, engine, hold).await?;
         let report = RankRequest::Report { epoch: hold.epoch };
-        let OrderAnswer { report, .. } = self.request(engine, &report, None, None).await?;
+        let of_engine = self.request(engine, &report, None, None);
+        let of_delegate = self.request(delegate, &report, None, None);
+        let (OrderAnswer { report, .. }, _) = futures::try_join!(of_engine, of_delegate)?;
         Ok(OrderAnswer { result, tries, report })
     }
 
