--- a/crates/lynxmount/tests/common/mod.rs
+++ b/crates/lynxmount/tests/common/mod.rs
@@ -5,7 +5,7 @@
 
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Output, Stdio},
     sync::atomic::{AtomicU8, Ordering},
     time::Duration,
@@ -98,6 +98,23 @@
         kill(Pid::from_raw(self.child.id() as i32), signal).expect("signal the process");
     }
 
+    /// Waits until no thread runs any more after a `SIGSTOP`: one that runs at another processor
+    /// does so for a while, and may still take requests.
+    pub fn wait_until_stopped(&self) {
+        let tasks = format!("/proc/{}/task", self.child.id());
+        let is_stopped = |task: &Path| {
+            let stat = std::fs::read_to_string(task.join("stat")).unwrap_or_default();
+            stat.rsplit(')').next().is_some_and(|rest| rest.trim_start().starts_with('T'))
+        };
+        let all_stopped = || {
+            let tasks = std::fs::read_dir(&tasks).expect("the process runs");
+            tasks.flatten().all(|task| is_stopped(&task.path()))
+        };
+        while !all_stopped() {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     pub fn has_exited(&mut self) -> bool {
         self.child.try_wait().expect("wait for the process").is_some()
     }
--- a/crates/lynxmount/tests/frozen_processes.rs
+++ b/crates/lynxmount/tests/frozen_processes.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{Fleet, FleetOptions, chat_request, eventually, streamed_text};
+use common::{Fleet, FleetOptions, Process, chat_request, eventually, streamed_text};
 use http::Method;
 use http_body_util::BodyExt;
 use lynxmount_standin::{BatchOptions, ReceivedResponse};
@@ -37,8 +37,14 @@
     FleetOptions { engines: 0, plain_services, ..long_timeouts() }
 }
 
-fn signal_endpoints(fleet: &Fleet, signal: Signal) {
-    fleet.endpoints.iter().flatten().for_each(|process| process.signal(signal));
+/// Freezes all endpoint processes, and returns when they are.
+fn freeze_endpoints(fleet: &Fleet) {
+    fleet.endpoints.iter().flatten().for_each(|process| process.signal(Signal::SIGSTOP));
+    fleet.endpoints.iter().flatten().for_each(Process::wait_until_stopped);
+}
+
+fn thaw_endpoints(fleet: &Fleet) {
+    fleet.endpoints.iter().flatten().for_each(|process| process.signal(Signal::SIGCONT));
 }
 
 fn run_count(fleet: &Fleet) -> usize {
@@ -90,9 +96,9 @@
     let call = post_note(&fleet);
     eventually("the call runs", async || run_count(&fleet) == 1).await;
 
-    signal_endpoints(&fleet, Signal::SIGSTOP);
+    freeze_endpoints(&fleet);
     let answer = call.await.unwrap().unwrap();
-    signal_endpoints(&fleet, Signal::SIGCONT);
+    thaw_endpoints(&fleet);
 
     assert_eq!(answer.outcome(), "unknown", "{}", answer.body);
     assert_ne!(answer.json()["reason"], "timed-out");
@@ -102,10 +108,10 @@
 async fn a_stream_sent_to_frozen_endpoints_is_unknown_before_its_deadline() {
     let fleet = Fleet::start(FleetOptions { plain_services: 0, ..long_timeouts() }).await;
 
-    signal_endpoints(&fleet, Signal::SIGSTOP);
+    freeze_endpoints(&fleet);
     let answer =
         fleet.caller(0).call(Method::POST, CHAT_PATH, &[], chat_request("dent", 5, true)).await;
-    signal_endpoints(&fleet, Signal::SIGCONT);
+    thaw_endpoints(&fleet);
 
     let answer = answer.unwrap();
     assert_eq!(answer.outcome(), "unknown", "{}", answer.body);
@@ -119,12 +125,12 @@
     let mut response = fleet.caller(0).open(Method::POST, CHAT_PATH, &[], body).await.unwrap();
     assert!(response.body_mut().frame().await.unwrap().is_ok());
 
-    signal_endpoints(&fleet, Signal::SIGSTOP);
+    freeze_endpoints(&fleet);
     let mut text = String::new();
     while let Some(Ok(frame)) = response.body_mut().frame().await {
         text.push_str(&String::from_utf8_lossy(frame.data_ref().unwrap()));
     }
-    signal_endpoints(&fleet, Signal::SIGCONT);
+    thaw_endpoints(&fleet);
 
     assert!(text.contains("\"outcome\":\"unknown\""), "{text}");
     assert!(!streamed_text(&text).1);
@@ -133,10 +139,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_resumed_endpoint_does_not_start_calls_whose_callers_have_disconnected() {
     let fleet = Fleet::start(only_plain_services(1)).await;
-    signal_endpoints(&fleet, Signal::SIGSTOP);
+    freeze_endpoints(&fleet);
     post_and_disconnect(&fleet).await;
 
-    signal_endpoints(&fleet, Signal::SIGCONT);
+    thaw_endpoints(&fleet);
     eventually("the endpoint serves requests", async || {
         post_note(&fleet).await.unwrap().unwrap().status == 200
     })
@@ -148,14 +154,14 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_resumed_endpoint_does_not_start_calls_that_its_entry_has_abandoned() {
     let fleet = Fleet::start(only_plain_services(1)).await;
-    signal_endpoints(&fleet, Signal::SIGSTOP);
+    freeze_endpoints(&fleet);
     let notes: Vec<_> = (0..CONCURRENT_CALLS).map(|_| post_note(&fleet)).collect();
     for note in notes {
         assert_eq!(note.await.unwrap().unwrap().outcome(), "unknown");
     }
     wait_until_no_endpoint_is_connected(&fleet).await;
 
-    signal_endpoints(&fleet, Signal::SIGCONT);
+    thaw_endpoints(&fleet);
     fleet.wait_until_entry_serves(0).await;
 
     assert_eq!(run_count(&fleet), 0);
@@ -206,7 +212,7 @@
         post_body(&fleet, LARGE_BODY_BYTES).await.unwrap().unwrap().status == 200
     })
     .await;
-    signal_endpoints(&fleet, Signal::SIGSTOP);
+    freeze_endpoints(&fleet);
     let notes: Vec<_> =
         (0..CONCURRENT_CALLS).map(|_| post_body(&fleet, LARGE_BODY_BYTES)).collect();
     for note in notes {
@@ -215,7 +221,7 @@
     wait_until_no_endpoint_is_connected(&fleet).await;
     let before = run_count(&fleet);
 
-    signal_endpoints(&fleet, Signal::SIGCONT);
+    thaw_endpoints(&fleet);
     fleet.wait_until_entry_serves(0).await;
 
     assert_eq!(run_count(&fleet) - before, 0);
@@ -231,11 +237,11 @@
     let call = post_note(&fleet);
     eventually("the call runs", async || run_count(&fleet) == 1).await;
 
-    signal_endpoints(&fleet, Signal::SIGSTOP);
+    freeze_endpoints(&fleet);
     fleet.entries[0].as_ref().unwrap().signal(Signal::SIGTERM);
     let answer = call.await.unwrap().unwrap();
     let code = fleet.entries[0].as_mut().unwrap().exit_code().await;
-    signal_endpoints(&fleet, Signal::SIGCONT);
+    thaw_endpoints(&fleet);
 
     assert_eq!((answer.outcome(), code), ("unknown", Some(0)), "{}", answer.body);
 }
