--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -335,8 +335,8 @@
         self.resume_at(permit, last_event, waiting_since).await
     }
 
-    /// A permit at another endpoint that is not slow, if there is one now and the service's retry
-    /// budget allows to use it.
+    /// A permit at an endpoint that is not slow, if one is free now and the service's retry budget
+    /// allows its use.
     pub(crate) fn acquire_elsewhere(&self) -> Option<Permit> {
         let permit = self.acquire_permit(Duration::ZERO, Instant::now()).now_or_never()?.ok()?;
         (!permit.is_slow() && self.service.withdraw_retry()).then_some(permit)
--- a/crates/rank/src/coordinator/drive.rs
+++ b/crates/rank/src/coordinator/drive.rs
@@ -84,11 +84,11 @@
         others.find(|engine| *engine != self.own_engine && !self.is_silent(*engine))
     }
 
-    /// Places a hold at an engine through the process of another one, and reads the state after it
+    /// Places a hold at an engine through the delegate's process, and reads the state after it
     /// through the engine's own process: from elsewhere, an engine's report is out of date.
     ///
-    /// Fails if the delegate does not answer once more after that: an order to arm its own engine
-    /// would have an unknown outcome.
+    /// Fails if the delegate does not answer once more after that. If it has frozen, the outcome of
+    /// an order to arm its own engine would be unknown.
     async fn place_hold(
         &self,
         delegate: SocketAddr,
--- a/crates/rank/src/notifier.rs
+++ b/crates/rank/src/notifier.rs
@@ -100,7 +100,7 @@
     /// Publishes until the task is dropped.
     pub(crate) async fn run(self: Arc<Notifier>) {
         let mut last_sent: Option<(GroupNotice, Instant)> = None;
-        let mut last_slow: Option<(Vec<SocketAddr>, Instant)> = None;
+        let mut last_slow: Option<(SlowRanksNotice, Instant)> = None;
         let mut tracker = ProgressTracker::default();
         loop {
             tokio::time::sleep(CHECK_PERIOD).await;
@@ -168,20 +168,19 @@
         }
     }
 
-    /// Sends the slow ranks if there are any, and none have been sent for a while.
-    async fn send_slow_ranks(&self, group: &str, last: &mut Option<(Vec<SocketAddr>, Instant)>) {
+    /// Sends the slow ranks if there are any, when they change and periodically.
+    async fn send_slow_ranks(&self, group: &str, last: &mut Option<(SlowRanksNotice, Instant)>) {
         if !self.mechanisms.has(Mechanism::SlowRanks) {
             return;
         }
         let engines = self.rank_states.lock().slow_engines();
-        let is_current = |(sent, at): &(Vec<SocketAddr>, Instant)| {
-            *sent == engines && at.elapsed() < REPEAT_PERIOD
-        };
-        if engines.is_empty() || last.as_ref().is_some_and(is_current) {
+        let notice = SlowRanksNotice { group: group.to_owned(), engines };
+        let is_current =
+            last.as_ref().is_some_and(|(last, at)| *last == notice && at.elapsed() < REPEAT_PERIOD);
+        if notice.engines.is_empty() || is_current {
             return;
         }
-        *last = Some((engines.clone(), Instant::now()));
-        let notice = SlowRanksNotice { group: group.to_owned(), engines };
+        *last = Some((notice.clone(), Instant::now()));
         self.send(&GroupMessage::SlowRanks(notice), &self.live_subscribers()).await;
     }
 
