--- a/crates/lynxmount/tests/platform_blocked.rs
+++ b/crates/lynxmount/tests/platform_blocked.rs
@@ -6,20 +6,13 @@
 
 use lynxmount_core::experts::GroupState;
 use lynxmount_link::{GROUP_PORT_OFFSET, GroupMessage};
-use lynxmount_platform_standin::{
-    GroupStandin, StoreStandin,
-    fixture::{
-        CONFIG_KEY, GroupService, OPERATOR_TOPIC, REGISTRATIONS_TOPIC, config_text,
-        endpoint_settings_text, registration_text, service_of,
-    },
-};
+use lynxmount_platform_standin::{GroupStandin, StoreStandin};
 use nix::sys::signal::Signal;
-use platform_common::{INTERNAL_PORT, Process, STORE_PORT, WAIT_TIMEOUT, allocate_network, ip};
+use platform_common::{EngineGroup, INTERNAL_PORT, Process, WAIT_TIMEOUT, allocate_network, ip};
 use tokio::{net::UdpSocket, time::Instant};
 
 const RANKS: u8 = 4;
 const EXPERTS: usize = 8;
-const ENGINE_PORT: u16 = 8130;
 const PASS_PERIOD: Duration = Duration::from_millis(20);
 
 /// The rank whose process is the leader.
@@ -41,23 +34,9 @@
 
 async fn start() -> TestGroup {
     let network = allocate_network() + 200;
-    let store =
-        StoreStandin::start((ip(network, 250), STORE_PORT).into()).await.expect("store starts");
-    let service = service_of("model");
-    let text = GroupService { service: &service, experts: EXPERTS };
-    store.put(OPERATOR_TOPIC, CONFIG_KEY, &config_text(1, &[], Some(text)));
-    let engines: Vec<SocketAddr> =
-        (0..RANKS).map(|rank| (ip(network, 10 + rank), ENGINE_PORT).into()).collect();
-    let group =
-        GroupStandin::start("group", &engines, EXPERTS, PASS_PERIOD).await.expect("group starts");
-    let mut processes = Vec::new();
-    for (rank, engine) in engines.iter().enumerate() {
-        let registration = registration_text(*engine, &service, "ready");
-        store.put(REGISTRATIONS_TOPIC, &format!("i-{rank}"), &registration);
-        let settings = endpoint_settings_text(*engine, INTERNAL_PORT, store.address());
-        processes.push(Process::start("platform-endpoint", &settings));
-    }
+    let engines = EngineGroup::start(network, RANKS, EXPERTS, PASS_PERIOD).await;
     let entry = UdpSocket::bind((ip(network, 200), 0)).await.expect("socket is bound");
+    let EngineGroup { group, processes, store, .. } = engines;
     TestGroup { group, processes, entry, _store: store }
 }
 
--- a/crates/lynxmount/tests/platform_common/mod.rs
+++ b/crates/lynxmount/tests/platform_common/mod.rs
@@ -13,10 +13,10 @@
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use lynxmount_platform_standin::{
-    Behaviour, Call, CallerOutcome, CallerStandin, ReplicaStandin, StoreStandin,
+    Behaviour, Call, CallerOutcome, CallerStandin, GroupStandin, ReplicaStandin, StoreStandin,
     fixture::{
-        CONFIG_KEY, EntryPorts, OPERATOR_TOPIC, REGISTRATIONS_TOPIC, config_text,
-        entry_settings_text, registration_text, service_of,
+        CONFIG_KEY, EntryPorts, GroupService, OPERATOR_TOPIC, REGISTRATIONS_TOPIC, config_text,
+        endpoint_settings_text, entry_settings_text, registration_text, service_of,
     },
 };
 use nix::{
@@ -35,6 +35,7 @@
 pub const INTERNAL_PORT: u16 = 8104;
 pub const REPLICA_PORT: u16 = 8110;
 pub const STORE_PORT: u16 = 8120;
+const ENGINE_PORT: u16 = 8130;
 
 pub const KEY: &str = "key-of-claims";
 
@@ -181,6 +182,42 @@
     }
 }
 
+/// A group of engines with their endpoint processes.
+pub struct EngineGroup {
+    pub group: GroupStandin,
+    pub engines: Vec<SocketAddr>,
+    pub processes: Vec<Process>,
+    pub store: StoreStandin,
+}
+
+impl EngineGroup {
+    /// Starts a group with one set of experts; a pass takes `pass_period`.
+    pub async fn start(
+        network: u8,
+        ranks: u8,
+        experts: usize,
+        pass_period: Duration,
+    ) -> EngineGroup {
+        let store =
+            StoreStandin::start((ip(network, 250), STORE_PORT).into()).await.expect("store starts");
+        let service = service_of("model");
+        let text = GroupService { service: &service, experts };
+        store.put(OPERATOR_TOPIC, CONFIG_KEY, &config_text(1, &[], Some(text)));
+        let engines: Vec<SocketAddr> =
+            (0..ranks).map(|rank| (ip(network, 10 + rank), ENGINE_PORT).into()).collect();
+        let group =
+            GroupStandin::start("group", &engines, experts, pass_period).await.expect("group");
+        let mut processes = Vec::new();
+        for (rank, engine) in engines.iter().enumerate() {
+            let registration = registration_text(*engine, &service, "ready");
+            store.put(REGISTRATIONS_TOPIC, &format!("i-{rank}"), &registration);
+            let settings = endpoint_settings_text(*engine, INTERNAL_PORT, store.address());
+            processes.push(Process::start("platform-endpoint", &settings));
+        }
+        EngineGroup { group, engines, processes, store }
+    }
+}
+
 pub fn entry_ip(network: u8, index: u8) -> IpAddr {
     ip(network, 10 + index)
 }
--- a/crates/lynxmount/tests/platform_slow_ranks.rs
+++ b/crates/lynxmount/tests/platform_slow_ranks.rs
@@ -9,20 +9,16 @@
 use lynxmount_core::experts::GroupMap;
 use lynxmount_link::{GROUP_PORT_OFFSET, GroupMembersNotice, GroupMessage, SlowRanksNotice};
 use lynxmount_platform_standin::{
-    Behaviour, Call, CallerOutcome, CallerStandin, GroupStandin, StoreStandin,
-    fixture::{
-        CONFIG_KEY, GroupService, OPERATOR_TOPIC, REGISTRATIONS_TOPIC, STREAM, config_text,
-        endpoint_settings_text, registration_text, service_of,
-    },
+    Behaviour, Call, CallerOutcome, CallerStandin, GroupStandin, echo_events,
+    fixture::{CONFIG_KEY, GroupService, OPERATOR_TOPIC, STREAM, config_text, service_of},
 };
 use platform_common::{
-    Fleet, INTERNAL_PORT, KEY, Process, STORE_PORT, allocate_network, call, entry_ip, ip, wait_for,
+    EngineGroup, Fleet, INTERNAL_PORT, KEY, allocate_network, call, entry_ip, ip, wait_for,
 };
 use tokio::{net::UdpSocket, task::JoinHandle};
 
 const RANKS: u8 = 4;
 const EXPERTS: usize = 8;
-const ENGINE_PORT: u16 = 8130;
 const PASS_PERIOD: Duration = Duration::from_millis(20);
 
 /// The position of the slow replica in a fleet.
@@ -110,8 +106,7 @@
         let CallerOutcome::Response(response) = call.await.expect("task completes") else {
             panic!("no response")
         };
-        let expected =
-            lynxmount_platform_standin::echo_events(&format!("attempt-{number}"), events);
+        let expected = echo_events(&format!("attempt-{number}"), events);
         assert_eq!(response.status, StatusCode::OK);
         assert_eq!(response.body, expected.as_bytes(), "attempt-{number}");
     }
@@ -121,29 +116,6 @@
     assert!(fleet.replicas[SLOW].canceled_count() > 0);
 }
 
-/// Starts the endpoint processes of a group's engines.
-async fn start_group() -> (GroupStandin, Vec<Process>, Vec<SocketAddr>, StoreStandin, UdpSocket) {
-    let network = allocate_network() + 100;
-    let store =
-        StoreStandin::start((ip(network, 250), STORE_PORT).into()).await.expect("store starts");
-    let service = service_of("model");
-    let text = GroupService { service: &service, experts: EXPERTS };
-    store.put(OPERATOR_TOPIC, CONFIG_KEY, &config_text(1, &[], Some(text)));
-    let engines: Vec<SocketAddr> =
-        (0..RANKS).map(|rank| (ip(network, 10 + rank), ENGINE_PORT).into()).collect();
-    let group =
-        GroupStandin::start("group", &engines, EXPERTS, PASS_PERIOD).await.expect("group starts");
-    let mut processes = Vec::new();
-    for (rank, engine) in engines.iter().enumerate() {
-        let registration = registration_text(*engine, &service, "ready");
-        store.put(REGISTRATIONS_TOPIC, &format!("i-{rank}"), &registration);
-        let settings = endpoint_settings_text(*engine, INTERNAL_PORT, store.address());
-        processes.push(Process::start("platform-endpoint", &settings));
-    }
-    let entry = UdpSocket::bind((ip(network, 200), 0)).await.expect("socket is bound");
-    (group, processes, engines, store, entry)
-}
-
 /// Subscribes at all processes, and returns the slow ranks in the next notice of them.
 async fn next_slow_ranks(entry: &UdpSocket, engines: &[SocketAddr]) -> Option<Vec<SocketAddr>> {
     let request = GroupMessage::Subscribe { members: 0 }.encode().expect("request is encoded");
@@ -168,17 +140,20 @@
 
 #[tokio::test]
 async fn leader_publishes_a_slow_rank_and_moves_experts_away_from_it() {
-    let (group, _processes, engines, _store, entry) = start_group().await;
+    let network = allocate_network() + 100;
+    let test_group = EngineGroup::start(network, RANKS, EXPERTS, PASS_PERIOD).await;
+    let EngineGroup { group, engines, .. } = &test_group;
+    let entry = UdpSocket::bind((ip(network, 200), 0)).await.expect("socket is bound");
     let slow_rank = 2;
     let load = |group: &GroupStandin| load(&group.map().1, slow_rank);
-    let load_before = load(&group);
+    let load_before = load(group);
 
     group.set_pace(slow_rank, 8.0);
 
     wait_for("the notice", async || {
-        next_slow_ranks(&entry, &engines).await == Some(vec![engines[slow_rank]])
+        next_slow_ranks(&entry, engines).await == Some(vec![engines[slow_rank]])
     })
     .await;
-    wait_for("a map with less load on it", async || load(&group) <= load_before / 2.0).await;
+    wait_for("a map with less load on it", async || load(group) <= load_before / 2.0).await;
     assert_eq!(group.map().2, None);
 }
