--- a/crates/balance/src/sample_period.rs
+++ b/crates/balance/src/sample_period.rs
@@ -3,8 +3,7 @@
 use std::time::Duration;
 
 /// The maximum fraction of a receiver's link for the demand samples of all ranks. Reports,
-/// orders and maps need the rest: full counts of 16 ranks with 3,840 experts would need
-/// twice a link of 6 Mbit/s. A smaller fraction makes samples rarer, and maps follow shifts of
+/// orders and maps need the rest. A smaller fraction makes samples rarer, and maps follow shifts of
 /// demand later.
 const MAX_LINK_FRACTION: f64 = 0.3;
 
--- a/crates/core/src/mechanism.rs
+++ b/crates/core/src/mechanism.rs
@@ -5,6 +5,8 @@
 /// A mechanism of an entry or of an endpoint process.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Mechanism {
+    /// Adaptive concurrency limit: fewer calls run if gaps between events exceed the objective.
+    ConcurrencyLimit,
     /// Connections of completed streams return to the pool.
     ConnectionReuse,
     /// Engines of unresponsive processes are read and sent orders directly.
@@ -31,8 +33,6 @@
     OutageWatch,
     /// Slot ownership: an entry uses its own slots of engines before those of others.
     OwnSlots,
-    /// Adaptive concurrency limit: fewer calls run if gaps between events exceed the objective.
-    PaceLimit,
     /// Poison requests, which crash endpoints, are quarantined.
     Quarantine,
     /// Calls are retried where that is allowed.
@@ -56,6 +56,7 @@
 impl Mechanism {
     /// All mechanisms with their names in settings.
     pub const ALL: [(Mechanism, &'static str); 23] = [
+        (Mechanism::ConcurrencyLimit, "pace-limit"),
         (Mechanism::ConnectionReuse, "connection-reuse"),
         (Mechanism::DirectReads, "direct-reads"),
         (Mechanism::EndpointLimits, "endpoint-limits"),
@@ -69,7 +70,6 @@
         (Mechanism::LossyLead, "lossy-lead"),
         (Mechanism::OutageWatch, "outage-watch"),
         (Mechanism::OwnSlots, "own-slots"),
-        (Mechanism::PaceLimit, "pace-limit"),
         (Mechanism::Quarantine, "quarantine"),
         (Mechanism::Repeats, "repeats"),
         (Mechanism::ReportedLoad, "reported-load"),
--- a/crates/direct/src/service/inner.rs
+++ b/crates/direct/src/service/inner.rs
@@ -195,7 +195,7 @@
             } else {
                 LatencyClass::OnTime
             },
-            is_at_limit: snapshot.is_at_limit && has(Mechanism::PaceLimit),
+            is_at_limit: snapshot.is_at_limit && has(Mechanism::ConcurrencyLimit),
             is_ejected: snapshot.is_ejected && has(Mechanism::Health),
             ..snapshot
         }
