Slow ranks and the hold's delegate are chosen by code of their own

Cause: both decisions stood among sockets and clocks (RankStates, the coordinator's drive), without a test of their bounds.

Change: policy::slow_ranks and planned_slowdown say which load they answer, and group::hold_delegate why another machine places the hold; the callers pass in what they know. No change of behaviour.

--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -30,5 +30,5 @@
 pub use relay::{Relay, RelayTarget, plan_relays, should_relay};
 pub use switch::{
     HoldHistory, HoldPlacement, MapSwitch, OutgoingRequest, RankRequest, RequestId, SwitchInputs,
-    SwitchOptions, SwitchOutcome, abandoned_step,
+    SwitchOptions, SwitchOutcome, abandoned_step, hold_delegate,
 };
--- a/crates/group/src/switch/hold.rs
+++ b/crates/group/src/switch/hold.rs
@@ -6,6 +6,20 @@
 use lynxmount_core::experts::{GroupStep, OrderResult};
 
 use super::{MapSwitch, Phase, SwitchOutcome};
+use crate::RankNumber;
+
+/// The rank through whose process the hold is placed at the engine of `hold_rank`: the next one
+/// after it that is available, in rotation; `None` if there is none.
+///
+/// If a machine freezes just after it has placed the hold, the engine that holds the group is on
+/// another one and can still be told to release it.
+pub fn hold_delegate(
+    ranks: usize,
+    hold_rank: RankNumber,
+    is_available: impl Fn(RankNumber) -> bool,
+) -> Option<RankNumber> {
+    (hold_rank + 1..ranks).chain(0..hold_rank).find(|rank| is_available(*rank))
+}
 
 impl MapSwitch {
     /// Handles the answer to the hold, `None` if there is none.
--- a/crates/group/src/switch/mod.rs
+++ b/crates/group/src/switch/mod.rs
@@ -38,6 +38,7 @@
     EngineOrder, EngineReport, GroupEpoch, GroupMap, GroupStep, MapVersion, OrderResult,
 };
 
+pub use self::hold::hold_delegate;
 pub use self::hold_history::{HoldHistory, HoldPlacement};
 pub use self::options::{SwitchOptions, SwitchOutcome};
 pub use self::reports::abandoned_step;
--- a/crates/group/tests/switch_hold.rs
+++ b/crates/group/tests/switch_hold.rs
@@ -5,7 +5,9 @@
 use lynxmount_core::experts::{
     Action, EngineOrder, EngineReport, GroupMap, GroupMembership, OrderResult,
 };
-use lynxmount_group::{MapSwitch, RankRequest, SwitchInputs, SwitchOptions, SwitchOutcome};
+use lynxmount_group::{
+    MapSwitch, RankRequest, SwitchInputs, SwitchOptions, SwitchOutcome, hold_delegate,
+};
 
 const RANKS: usize = 4;
 const EPOCH: u64 = 1;
@@ -106,3 +108,16 @@
 
     assert_eq!(switch.outcome(), Some(SwitchOutcome::PrepareFailed));
 }
+
+#[test]
+fn hold_is_placed_by_the_next_available_rank_and_never_by_the_held_one() {
+    let is_leader = |rank: usize| rank == 0;
+
+    let next = hold_delegate(RANKS, 1, |rank| !is_leader(rank));
+    let wrapped = hold_delegate(RANKS, RANKS - 1, |rank| !is_leader(rank));
+    let beside_frozen = hold_delegate(RANKS, 1, |rank| !is_leader(rank) && rank != 2);
+    let in_group_of_two = hold_delegate(2, 1, |rank| !is_leader(rank));
+
+    assert_eq!((next, wrapped, beside_frozen), (Some(2), Some(1), Some(3)));
+    assert_eq!(in_group_of_two, None);
+}
--- a/crates/policy/tests/slow_rank_simulation.rs
+++ b/crates/policy/tests/slow_rank_simulation.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use lynxmount_policy::{EndpointSnapshot, Selection, select_endpoint};
+use lynxmount_policy::{EndpointSnapshot, Selection, select_endpoint, slow_ranks};
 
 /// Objective for the longest gap between events.
 const GAP_GOAL: Duration = Duration::from_millis(150);
@@ -46,12 +46,15 @@
     (SLOW_FROM..SLOW_UNTIL).contains(&now)
 }
 
+fn slowdown(rank: usize, now: Duration) -> f64 {
+    if rank == SLOW_RANK && is_slow(now) { SLOWDOWN } else { 1.0 }
+}
+
 impl Group {
     /// Duration of a pass: all ranks wait for the one whose streams take longest.
     fn pass_time(&self, now: Duration) -> Duration {
         let of_rank = |(rank, streams): (usize, &Vec<Stream>)| {
-            let slowdown = if rank == SLOW_RANK && is_slow(now) { SLOWDOWN } else { 1.0 };
-            0.008 * streams.len() as f64 * slowdown
+            0.008 * streams.len() as f64 * slowdown(rank, now)
         };
         let longest_s = self.streams_by_rank.iter().enumerate().map(of_rank).fold(0.0, f64::max);
         Duration::from_secs_f64(0.03 + longest_s)
@@ -113,7 +116,9 @@
     let (mut arrived, mut on_time, mut due_arrivals) = (0, 0, 0.0);
     let (mut now, mut next_pass_at) = (Duration::ZERO, Duration::ZERO);
     while now < DURATION {
-        let is_known = is_slow(now) && is_slow(now.saturating_sub(NOTICE_DELAY));
+        let noticed_at = now.saturating_sub(NOTICE_DELAY);
+        let reported = (0..RANKS).map(|rank| (rank, slowdown(rank, noticed_at)));
+        let is_known = is_slow(now) && slow_ranks(reported, RANKS) == [SLOW_RANK];
         if is_known && reaction == Reaction::StreamsLeaveIt {
             group.leave_slow_rank();
         }
--- a/crates/rank/src/coordinator/drive.rs
+++ b/crates/rank/src/coordinator/drive.rs
@@ -10,6 +10,7 @@
 };
 use lynxmount_group::{
     MapSwitch, OutgoingRequest, RankNumber, RankRequest, RelayTarget, RequestId, SwitchOutcome,
+    hold_delegate,
 };
 
 use super::Coordinator;
@@ -76,12 +77,11 @@
         }
     }
 
-    /// The engine whose process places the hold. If a machine freezes just after that, the engine
-    /// that holds the group is on another one and can still be told to release it.
+    /// The engine whose process places the hold.
     fn hold_delegate(&self, engines: &[SocketAddr], hold_rank: RankNumber) -> Option<SocketAddr> {
-        let (before, from_hold) = engines.split_at(hold_rank);
-        let mut others = from_hold.iter().skip(1).chain(before).copied();
-        others.find(|engine| *engine != self.own_engine && !self.is_silent(*engine))
+        let is_available =
+            |rank: RankNumber| engines[rank] != self.own_engine && !self.is_silent(engines[rank]);
+        hold_delegate(engines.len(), hold_rank, is_available).map(|rank| engines[rank])
     }
 
     /// Places a hold at an engine through the delegate's process, and reads the state after it
--- a/crates/rank/src/rank_states.rs
+++ b/crates/rank/src/rank_states.rs
@@ -7,6 +7,7 @@
 };
 
 use lynxmount_core::experts::{EngineReport, GroupEpoch, GroupMembership, GroupStep, MapVersion};
+use lynxmount_policy::{planned_slowdown, slow_ranks};
 
 use crate::{
     demand::Demand,
@@ -17,13 +18,6 @@
 /// most often, three of the others.
 const MAX_STATE_AGE: Duration = Duration::from_millis(1000);
 
-/// The slowdown from which on a rank is slow. Engines of one service differ by less.
-const MIN_SLOWDOWN: f64 = 1.5;
-
-/// The largest fraction of a group's ranks that may be slow: more of them are the group's usual
-/// speed, and the others can't take over their work.
-const MAX_SLOW_FRACTION: f64 = 0.25;
-
 /// The last state of a rank.
 struct RankEntry {
     report: EngineReport,
@@ -114,18 +108,14 @@
         group.is_some_and(|group| group.reports.iter().all(|report| report.held.is_none()))
     }
 
-    /// The engines of the own group that are known to be slow; none if they are too many.
+    /// The engines of the own group's slow ranks.
     pub(crate) fn slow_engines(&self) -> Vec<SocketAddr> {
         let Some(group) = self.own_membership() else { return Vec::new() };
-        let is_slow = |(_, entry): &(&SocketAddr, &RankEntry)| {
-            let membership = entry.report.membership.as_ref();
-            let is_own = membership.is_some_and(|m| m.group == group.group);
-            is_own && entry.is_fresh() && entry.report.pace >= MIN_SLOWDOWN
+        let is_of_group = |entry: &RankEntry| {
+            entry.report.membership.as_ref().is_some_and(|m| m.group == group.group)
         };
-        let slow: Vec<SocketAddr> =
-            self.entries.iter().filter(is_slow).map(|(engine, _)| *engine).collect();
-        let max = (group.ranks as f64 * MAX_SLOW_FRACTION) as usize;
-        if slow.len() <= max { slow } else { Vec::new() }
+        let known = self.entries.iter().filter(|(_, entry)| entry.is_fresh() && is_of_group(entry));
+        slow_ranks(known.map(|(engine, entry)| (*engine, entry.report.pace)), group.ranks)
     }
 
     /// Demand by set and expert; `None` without any.
@@ -179,10 +169,9 @@
 }
 
 impl GroupSnapshot {
-    /// How much longer than usual each rank takes for the same work; 1 unless it is slow.
+    /// The slowdown of each rank to plan with.
     pub(crate) fn slowdowns(&self) -> Vec<f64> {
-        let slowdown = |pace: f64| if pace < MIN_SLOWDOWN { 1.0 } else { pace };
-        self.reports.iter().map(|report| slowdown(report.pace)).collect()
+        self.reports.iter().map(|report| planned_slowdown(report.pace)).collect()
     }
 
     /// The version of the map in use, if all ranks report the same one.
