--- a/crates/entry/src/endpoint_client.rs
+++ b/crates/entry/src/endpoint_client.rs
@@ -250,7 +250,12 @@
         let stream = TcpStream::connect(self.endpoint.data_address)
             .await
             .map_err(|e| unreachable(Step::Connect, peer, e))?;
-        stream.set_nodelay(true).map_err(|e| unreachable(Step::Connect, peer, e))?;
+        // With zero linger, closing the connection discards what the kernel still has to send. An
+        // endpoint that resumes would otherwise read it, and run calls that were reported as lost.
+        stream
+            .set_nodelay(true)
+            .and_then(|()| stream.set_zero_linger())
+            .map_err(|e| unreachable(Step::Connect, peer, e))?;
         let (read, write) = stream.into_split();
         let mut writer = FrameWriter::new(write, &**peer);
         let process = node.settings().process_id.clone();
