--- a/crates/endpoint/src/data_port.rs
+++ b/crates/endpoint/src/data_port.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     attempt_runner::AttemptRunner, entry_connection::EntryConnection, load_reporter::LoadReporter,
+    pause_watch::PauseWatch,
 };
 
 /// Delay after a failed `accept`.
@@ -18,6 +19,7 @@
     listener: TcpListener,
     runner: Arc<AttemptRunner>,
     reporter: Arc<LoadReporter>,
+    pauses: Arc<PauseWatch>,
 }
 
 impl DataPort {
@@ -28,10 +30,11 @@
         address: SocketAddr,
         runner: Arc<AttemptRunner>,
         reporter: Arc<LoadReporter>,
+        pauses: Arc<PauseWatch>,
     ) -> Result<DataPort> {
         let listener =
             TcpListener::bind(address).await.map_err(|e| invalid(Step::Bind, address, e))?;
-        Ok(DataPort { listener, runner, reporter })
+        Ok(DataPort { listener, runner, reporter, pauses })
     }
 
     /// Serves entries until `shutdown` resolves, then writes all queued frames and closes all
@@ -52,6 +55,7 @@
                         let connection = EntryConnection {
                             runner: Arc::clone(&self.runner),
                             reporter: Arc::clone(&self.reporter),
+                            pauses: Arc::clone(&self.pauses),
                             peer: address.to_string(),
                         };
                         connections.spawn(connection.serve(stream, closing.clone()));
--- a/crates/endpoint/src/entry_connection.rs
+++ b/crates/endpoint/src/entry_connection.rs
@@ -20,6 +20,7 @@
     answer_sender::{AnswerSender, Credit},
     attempt_runner::AttemptRunner,
     load_reporter::LoadReporter,
+    pause_watch::PauseWatch,
 };
 
 /// How long an entry may take to send its hello frame.
@@ -37,6 +38,7 @@
 pub(crate) struct EntryConnection {
     pub(crate) runner: Arc<AttemptRunner>,
     pub(crate) reporter: Arc<LoadReporter>,
+    pub(crate) pauses: Arc<PauseWatch>,
     pub(crate) peer: String,
 }
 
@@ -151,8 +153,9 @@
         Ok(())
     }
 
-    /// Reads the next frame. Attempts that were read are started once no further frame is ready:
-    /// after this process was frozen, cancellations or the end of the connection follow them.
+    /// Reads the next frame. Attempts that were read are started once no further frame is ready,
+    /// and after a pause of this process some time later: cancellations or the end of the
+    /// connection follow them.
     async fn next_frame(
         &self,
         reader: &mut Reader,
@@ -164,7 +167,7 @@
             tokio::select! {
                 biased;
                 frame = reader.next() => return frame,
-                () = std::future::ready(()) => {}
+                () = self.wait_after_pause() => {}
             }
         }
         for (dispatch, control) in read_ahead.drain(..) {
@@ -173,6 +176,13 @@
         reader.next().await
     }
 
+    async fn wait_after_pause(&self) {
+        let settle_time = self.pauses.settle_time();
+        if !settle_time.is_zero() {
+            tokio::time::sleep(settle_time).await;
+        }
+    }
+
     fn start(
         &self,
         dispatch: Dispatch,
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -12,6 +12,7 @@
 mod entry_connection;
 mod idempotency_store;
 mod load_reporter;
+mod pause_watch;
 mod process;
 mod recording;
 
--- a/crates/endpoint/src/process.rs
+++ b/crates/endpoint/src/process.rs
@@ -11,7 +11,7 @@
 use crate::{
     attempt_runner::AttemptRunner, backend::Backend, backend_monitor::BackendMonitor,
     concurrency::ConcurrencyLimiter, data_port::DataPort, idempotency_store::IdempotencyStore,
-    load_reporter::LoadReporter,
+    load_reporter::LoadReporter, pause_watch::PauseWatch,
 };
 
 /// How long the last frames of completed answers may take to be flushed on shutdown.
@@ -44,7 +44,9 @@
     });
     tokio::spawn(monitor.run());
     tokio::spawn(Arc::clone(&reporter).run());
-    let port = DataPort::bind(settings.data_address, runner, reporter).await?;
+    let pauses = Arc::new(PauseWatch::new());
+    tokio::spawn(Arc::clone(&pauses).run());
+    let port = DataPort::bind(settings.data_address, runner, reporter, pauses).await?;
     let drained = node.wait_for(|view| view.drain == DrainState::Finished);
     port.serve_until(drained, FLUSH_TIMEOUT).await;
     Ok(())
--- a/crates/lynxmount/tests/frozen_processes.rs
+++ b/crates/lynxmount/tests/frozen_processes.rs
@@ -201,20 +201,19 @@
     assert_ne!(answer.json()["reason"], "timed-out");
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn a_resumed_endpoint_gets_no_more_frames_of_an_abandoned_connection() {
+/// Checks that no call runs that was sent with a body of `body_bytes` to a frozen endpoint.
+async fn assert_no_frames_after_resuming(body_bytes: usize) {
     let fleet = Fleet::start(only_plain_services(1)).await;
     let large =
         fleet.fleet_file().replace("\"max_body_bytes\": 4096", "\"max_body_bytes\": 2000000");
     fleet.write_file("fleet.jsonc", &large);
     fleet.apply_config();
     eventually("large bodies are accepted", async || {
-        post_body(&fleet, LARGE_BODY_BYTES).await.unwrap().unwrap().status == 200
+        post_body(&fleet, body_bytes).await.unwrap().unwrap().status == 200
     })
     .await;
     freeze_endpoints(&fleet);
-    let notes: Vec<_> =
-        (0..CONCURRENT_CALLS).map(|_| post_body(&fleet, LARGE_BODY_BYTES)).collect();
+    let notes: Vec<_> = (0..CONCURRENT_CALLS).map(|_| post_body(&fleet, body_bytes)).collect();
     for note in notes {
         assert_eq!(note.await.unwrap().unwrap().outcome(), "unknown");
     }
@@ -227,6 +226,17 @@
     assert_eq!(run_count(&fleet) - before, 0);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resumed_endpoint_gets_no_more_frames_of_an_abandoned_connection() {
+    assert_no_frames_after_resuming(LARGE_BODY_BYTES).await;
+}
+
+/// A frozen process's socket buffers hold about half of the calls.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resumed_endpoint_gets_no_more_frames_that_half_fill_its_buffers() {
+    assert_no_frames_after_resuming(LARGE_BODY_BYTES / 4).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_draining_entry_answers_a_call_whose_endpoints_are_all_frozen() {
     let mut fleet = Fleet::start(FleetOptions {
