--- a/review/1/standin.py
+++ b/review/standins/platform_standins.py
@@ -1,7 +1,7 @@
-#!/usr/bin/env python3
-"""Stand-ins for one lock-step group of 8 engines and the platform's store, and the scenario of case 1.
+"""Stand-ins of the platform for scripted cases: its store, and a lock-step group of 8 engines.
 
-Python standard library only. Everything listens on one free 127.x.y.0/24 network.
+The bounds and the sizes are those of cascade-hearth. Python standard library only. Everything listens on one free
+127.x.y.0/24 network.
 """
 
 import asyncio
@@ -11,6 +11,7 @@
 import os
 import random
 import shlex
+import shutil
 import signal
 import socket
 import struct
@@ -20,8 +21,9 @@
 import time
 import tomllib
 
-HERE = os.path.dirname(os.path.abspath(__file__))
-ROOT = os.path.dirname(os.path.dirname(HERE))
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+# Each case runs in its own folder.
+HERE = os.getcwd()
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 RANKS, SETS, EXPERTS, PLACEMENTS, SPARE = 8, 6, 64, 11, 4
@@ -31,7 +33,7 @@
 ENGINE_PORT, STORE_PORT, INTERNAL_PORT = 8228, 8223, 7340
 # An order without an answer is carried out 2 to 12 s later.
 LATE_MIN_S, LATE_MAX_S = 2.0, 12.0
-SERVICE = "huvo11a"
+SERVICE, PLAIN_SERVICE = "huvo11a", "wuno96b"
 START = time.monotonic()
 RECORD = open(os.path.join(HERE, "record.txt"), "w")
 
@@ -43,7 +45,7 @@
 
 # --- HTTP ---------------------------------------------------------------------------------------
 
-REASONS = {200: "OK", 202: "Accepted", 404: "Not Found", 409: "Conflict", 410: "Gone"}
+REASONS = {200: "OK", 202: "Accepted", 404: "Not Found", 409: "Conflict", 410: "Gone", 421: "Misdirected Request"}
 
 
 async def serve(ip, port, handler):
@@ -66,6 +68,19 @@
                     await asyncio.sleep(60)
                     return
                 status, content, extra = answer
+                if not isinstance(content, bytes):  # A stream of events, in chunks.
+                    sending = asyncio.ensure_future(send_stream(writer, status, content, extra))
+                    leaving = asyncio.ensure_future(reader.read(1))
+                    await asyncio.wait([sending, leaving], return_when=asyncio.FIRST_COMPLETED)
+                    if not sending.done():  # The caller has closed the channel.
+                        sending.cancel()
+                        await content.aclose()
+                        return
+                    if leaving.done():
+                        return
+                    leaving.cancel()
+                    await asyncio.gather(leaving, return_exceptions=True)
+                    continue
                 text = f"HTTP/1.1 {status} {REASONS.get(status, 'X')}\r\nContent-Length: {len(content)}\r\n"
                 text += "".join(f"{k}: {v}\r\n" for k, v in extra.items()) + "\r\n"
                 writer.write(text.encode() + content)
@@ -78,6 +93,17 @@
     return await asyncio.start_server(on_connection, ip, port)
 
 
+async def send_stream(writer, status, events, extra):
+    head = f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+    head += "".join(f"{k}: {v}\r\n" for k, v in extra.items()) + "\r\n"
+    async for event in events:
+        writer.write(head.encode() + f"{len(event):x}\r\n".encode() + event + b"\r\n")
+        head = ""
+        await writer.drain()
+    writer.write(b"0\r\n\r\n")
+    await writer.drain()
+
+
 def as_json(status, value):
     return status, json.dumps(value).encode(), {"Content-Type": "application/json"}
 
@@ -192,11 +218,19 @@
             rank.requests = [request for request in rank.requests if request[0] > 0]
         self.try_begin()
 
-    async def run_request(self, number, passes):
-        done = asyncio.get_running_loop().create_future()
-        self.ranks[number].requests.append([passes, done])
+    async def events(self, number, identity):
+        """The only event of a request: one pass reads the prompt, the next writes the answer."""
+        request = [2, asyncio.get_running_loop().create_future()]
+        self.ranks[number].requests.append(request)
         self.try_begin()
-        await done
+        try:
+            await request[1]
+            yield b"id: 1\ndata: done\n\n"
+            note(f"request {identity} is answered by rank {number}")
+        finally:
+            if request in self.ranks[number].requests:
+                self.ranks[number].requests.remove(request)
+                note(f"request {identity} is given up at rank {number}")
 
     def report(self, rank):
         return {
@@ -285,13 +319,15 @@
                 # A round trip: requests and orders to other engines arrive meanwhile.
                 await asyncio.sleep(0.004)
                 return as_json(status, {}) if status != 409 else (409, b"", {})
+            if path == "/healthz":
+                return 200, b"", {"X-Instance-Id": f"i-{number}"}
             if method == "POST":
                 identity = headers.get("x-attempt-id", "-")
+                if headers.get("x-expect-instance", f"i-{number}") != f"i-{number}":
+                    return 421, b"", {"X-Instance-Id": f"i-{number}"}
                 note(f"request {identity} arrives at rank {number}")
-                # One pass reads the prompt, the next writes the answer.
-                await self.run_request(number, 2)
-                note(f"request {identity} is answered by rank {number}")
-                return 200, b"done", {"X-Attempt-Id": identity, "X-Server-Stamp": f"s.{number}.{identity}"}
+                return 200, self.events(number, identity), {
+                    "X-Attempt-Id": identity, "X-Server-Stamp": f"s.{number}.{identity}"}
             return 404, b"", {}
 
         return handle
@@ -315,43 +351,68 @@
     raise SystemExit(2)
 
 
-def settings_text(network, number):
-    ip = f"{network}.{10 + number}"
-    bounds = """SeedLagS=3 ReuseAfterS=2 StableMs=3000 AckMs=4000 CatchUpS=4 DrainMs=2000 GraceS=8 LossSlackMs=200
-    ConfigApplyMs=2000 RollbackSlackMs=250 PartitionMaxMs=5000 RevokeStrict=false RevokeMs=5000 RetryRatio=0.2
-    RetryWindowS=10 RetrySlack=92 RecoverS=12 MaxDelayMs=120 RetryAfterS=0 stall_ms=1500 FencingEnforced=false"""
-    lines = [
-        f"NodeName=side-seattle-{number + 1}", "Role=endpoint", "MachineClass=side", "Serves=side", f"Ip={ip}",
-        "Zone=seattle", "Region=pnw", "Zones.seattle=pnw", f"InternalPorts={INTERNAL_PORT},{INTERNAL_PORT + 15}",
-        "Seeds=", "FirstStart=true", "InTolerance=false", "Limits.CpuQuota=0.15", "Limits.Cores=1",
-        "Limits.MemoryMb=128", "Limits.MaxFds=2048", "Limits.LinkMbps=20.0", "HeartbeatMs=1200",
-        f"app={ip}:{ENGINE_PORT}", f"Service={SERVICE}", f"Platform.Address={network}.250:{STORE_PORT}",
-        "Platform.form=log",
-    ] + [f"Bounds.{bound}" for bound in bounds.split()]
-    return "\n".join(lines) + "\n"
-
-
-class Endpoint:
-    def __init__(self, folder, network, number):
-        self.number, self.folder = number, folder
-        self.path = os.path.join(folder, f"{number}.conf")
+BOUNDS = """SeedLagS=3 ReuseAfterS=2 StableMs=3000 AckMs=4000 CatchUpS=4 DrainMs=2000 GraceS=8 LossSlackMs=200
+ConfigApplyMs=2000 RollbackSlackMs=250 PartitionMaxMs=5000 RevokeStrict=false RevokeMs=5000 RetryRatio=0.2
+RetryWindowS=10 RetrySlack=92 RecoverS=12 MaxDelayMs=120 RetryAfterS=0 stall_ms=1500 FencingEnforced=false"""
+FRONTEND_PORT, READINESS_PORT, CONTROL_PORT = 8227, 8220, 8229
+
+
+def settings_text(network, host, machine, lines):
+    common = [
+        f"NodeName={machine}-seattle-{host}", f"MachineClass={machine}", f"Ip={network}.{host}", "Zone=seattle",
+        "Region=pnw", "Zones.seattle=pnw", f"InternalPorts={INTERNAL_PORT},{INTERNAL_PORT + 15}",
+        "FirstStart=true", "InTolerance=false", "Limits.Cores=1", "HeartbeatMs=1200", "Discovery=platform",
+        "Entry=vip", f"Platform.Address={network}.250:{STORE_PORT}", "Platform.form=log",
+    ]
+    return "\n".join(common + lines + [f"Bounds.{bound}" for bound in BOUNDS.split()]) + "\n"
+
+
+class Process:
+    """A process of the project, started by the command of a role in the deploy file."""
+
+    def __init__(self, folder, name, role, settings):
+        self.name, self.folder, self.child = name, folder, None
+        self.path = os.path.join(folder, f"{name}.conf")
         with open(self.path, "w") as file:
-            file.write(settings_text(network, number))
+            file.write(settings)
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
-            self.command = shlex.split(tomllib.load(file)["roles"]["endpoint"]["run"])
-        self.child = None
+            self.command = shlex.split(tomllib.load(file)["roles"][role]["run"])
 
     def start(self):
-        log = open(os.path.join(self.folder, f"{self.number}.log"), "ab")
+        log = open(os.path.join(self.folder, f"{self.name}.log"), "ab")
         environment = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
         environment["LYNXMOUNT_BOOT"] = self.path
         self.child = subprocess.Popen(self.command, cwd=ROOT, env=environment, stdout=log, stderr=log)
-        note(f"endpoint process of rank {self.number} starts (pid {self.child.pid})")
+        note(f"process {self.name} starts (pid {self.child.pid})")
 
     def kill(self):
-        note(f"endpoint process of rank {self.number} is killed")
-        self.child.send_signal(signal.SIGKILL)
-        self.child.wait()
+        note(f"process {self.name} is killed")
+        self.stop()
+
+    def stop(self):
+        if self.child and self.child.poll() is None:
+            self.child.send_signal(signal.SIGKILL)
+            self.child.wait()
+
+
+def endpoint(folder, network, number):
+    """The endpoint process beside the engine of a rank."""
+    host = 10 + number
+    lines = [
+        "Role=endpoint", "Serves=side", "Seeds=", "Limits.CpuQuota=0.15", "Limits.MemoryMb=128", "Limits.MaxFds=2048",
+        "Limits.LinkMbps=20.0", f"app={network}.{host}:{ENGINE_PORT}", f"Service={SERVICE}",
+    ]
+    return Process(folder, f"endpoint-{number}", "endpoint", settings_text(network, host, "side", lines))
+
+
+def entry(folder, network, host):
+    ip = f"{network}.{host}"
+    lines = [
+        "Role=entry", "Serves=frontend,control_plane", f"Seeds={ip}:{CONTROL_PORT}", "Limits.CpuQuota=0.19",
+        "Limits.MemoryMb=260", "Limits.MaxFds=4100", "Limits.LinkMbps=1000.0", f"Listen.FrontendAddr={ip}:{FRONTEND_PORT}",
+        f"Listen.ReadinessAddr={ip}:{READINESS_PORT}", f"Listen.ControlAddr={ip}:{CONTROL_PORT}",
+    ]
+    return Process(folder, f"entry-{host}", "entry", settings_text(network, host, "frontend", lines))
 
 
 def config():
@@ -367,24 +428,61 @@
         "usual": {"prompt": 835, "answer": 159}, "Sets": SETS, "Experts": EXPERTS, "Placements": PLACEMENTS,
         "Spare": SPARE, "ExpertMb": 230.0, "ExpertShare": 0.85, "form_ms": 600.0,
     }
+    lookups = {
+        "Name": "r-2", "Hostname": "ficu95.example", "PathPrefix": "/cufi504/", "RouteKind": "idempotent",
+        "TimeoutMs": 4000, "GoalMs": 300, "Priority": 2, "Service": PLAIN_SERVICE, "MaxAttempts": 2, "Public": False,
+    }
     return {
-        "Version": 7, "Routes": [route],
-        "Services": [{"Name": SERVICE, "HealthPath": "/healthz", "MaxConns": 348, "Engine": engine}],
+        "Version": 7, "Routes": [route, lookups],
+        "Services": [
+            {"Name": SERVICE, "HealthPath": "/healthz", "MaxConns": 348, "Engine": engine},
+            {"Name": PLAIN_SERVICE, "HealthPath": "/healthz", "MaxConns": 110},
+        ],
         "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
         "Tenants": [],
     }
 
 
-async def post_request(network, number, identity):
-    reader, writer = await asyncio.open_connection(f"{network}.{10 + number}", ENGINE_PORT)
-    writer.write(
-        f"POST /lohu930/2f HTTP/1.1\r\nHost: ficu95.example\r\nX-Attempt-Id: {identity}\r\nX-Model: m\r\n"
-        f"X-Token-Count: 400,6\r\nX-Deadline-Ms: 8000\r\nContent-Length: 0\r\n\r\n".encode()
-    )
+async def plain_replica(method, path, args, headers, body):
+    """A replica of the plain service; it answers at once."""
+    if headers.get("x-expect-instance", "i-8") != "i-8":
+        return 421, b"", {"X-Instance-Id": "i-8"}
+    identity = headers.get("x-attempt-id", "-")
+    return 200, b"here", {"X-Attempt-Id": identity, "X-Server-Stamp": f"s.8.{identity}", "X-Instance-Id": "i-8"}
+
+
+async def get_lookup(ip, port, identity):
+    """A client's lookup at the plain service; returns the status of its answer, None without one."""
+    return await exchange(ip, port, identity, f"GET /cufi504/2f HTTP/1.1\r\nHost: ficu95.example\r\n"
+                          f"X-Attempt-Id: {identity}\r\nX-Deadline-Ms: 4000\r\n\r\n")
+
+
+async def post_request(ip, port, identity):
+    """A client's request to the model service; returns the status of its answer, None without one."""
+    return await exchange(ip, port, identity, f"POST /lohu930/2f HTTP/1.1\r\nHost: ficu95.example\r\n"
+                          f"X-Attempt-Id: {identity}\r\nX-Model: m\r\nX-Token-Count: 400,6\r\n"
+                          f"X-Deadline-Ms: 8000\r\nContent-Length: 0\r\n\r\n")
+
+
+async def exchange(ip, port, identity, text):
+    """One request on a channel of its own."""
+    try:
+        reader, writer = await asyncio.wait_for(asyncio.open_connection(ip, port), 1)
+    except (asyncio.TimeoutError, ConnectionError):
+        note(f"client of {identity} gets no channel")
+        return None
+    writer.write(text.encode())
     await writer.drain()
-    head = await reader.readuntil(b"\r\n\r\n")
-    note(f"client of {identity} gets {head.split(bytes([13]))[0].decode()}")
-    writer.close()
+    try:
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 8)
+        status = int(head.split(b" ")[1])
+        note(f"client of {identity} gets {status}")
+        return status
+    except (asyncio.IncompleteReadError, asyncio.TimeoutError, ConnectionError):
+        note(f"client of {identity} gets no answer")
+        return None
+    finally:
+        writer.close()
 
 
 async def wait_for(what, condition, limit_s):
@@ -397,45 +495,10 @@
     return True
 
 
-# --- The scenario -------------------------------------------------------------------------------
-
-
-class Trouble:
-    """Orders that get no answer while `is_on`; late ones are carried out 2 to 12 s later."""
 
-    def __init__(self, group):
-        self.group, self.is_on = group, False
-        self.late, self.answered, self.unanswered = {}, 0, 0  # (rank, step) -> when it was sent
 
-    def policy(self, rank, order):
-        operation, key = order["Operation"], (rank.number, order.get("step"))
-        answer = None
-        if self.is_on and operation == "Retain":
-            answer = "lost"
-        elif self.is_on and operation == "go" and key not in self.late:
-            self.late[key] = time.monotonic()
-            asyncio.get_running_loop().call_later(LATE_MAX_S - 0.5, self.carry_out, key)
-            answer = "late"
-        self.unanswered += answer is not None
-        self.answered += answer is None
-        return answer
-
-    def carry_out(self, key):
-        sent_at = self.late.get(key)
-        if not sent_at:
-            return
-        self.late[key] = 0
-        number, step = key
-        age = time.monotonic() - sent_at
-        status = self.group.carry_out(self.group.ranks[number], {"Operation": "go", "step": step, "epoch": EPOCH})
-        note(f"late order go step={step} at rank {number} is carried out {age:.1f} s after it was sent: {status}")
-
-    def can_carry_out(self, key):
-        sent_at = self.late.get(key)
-        return bool(sent_at) and LATE_MIN_S <= time.monotonic() - sent_at <= LATE_MAX_S
-
-
-async def scenario(folder, network):
+async def start_platform(network):
+    """The store with a configuration and the registrations, and the engines of one group."""
     store, group = Store(), Group()
     store.put("keyed.op", "config", json.dumps(config()).encode())
     for number in range(RANKS):
@@ -444,95 +507,33 @@
             "Version": "v1", "Slots": 12, "State": "ready", "ColdLeftMs": 0, "SeqNo": 0,
         }
         store.put("keyed.servers", f"i-{number}", json.dumps(registration).encode())
-    servers = [await serve(f"{network}.250", STORE_PORT, store.handle)]
+    registration = {
+        "Service": PLAIN_SERVICE, "Address": f"{network}.30:{ENGINE_PORT}", "Zone": "seattle", "Version": "v1",
+        "Slots": 6, "State": "ready", "ColdLeftMs": 0, "SeqNo": 0,
+    }
+    store.put("keyed.servers", "i-8", json.dumps(registration).encode())
+    await serve(f"{network}.250", STORE_PORT, store.handle)
+    await serve(f"{network}.30", ENGINE_PORT, plain_replica)
     for number in range(RANKS):
-        servers.append(await serve(f"{network}.{10 + number}", ENGINE_PORT, group.engine(number)))
-    trouble = Trouble(group)
-    group.policy = trouble.policy
-    endpoints = [Endpoint(folder, network, number) for number in range(RANKS)]
-    pending = set()
-
-    def send(number, identity):
-        task = asyncio.ensure_future(post_request(network, number, identity))
-        pending.add(task)
-        task.add_done_callback(pending.discard)
-        return task
-
-    try:
-        for endpoint in endpoints:
-            endpoint.start()
-        await asyncio.sleep(2.5)
-        trouble.is_on = TROUBLE
-        note("first requests")
-        await asyncio.gather(*[send(number, f"a{number}") for number in range(RANKS)])
-        idle_step = group.step
-        # The next requests take two passes; the group is then held at the third step from here.
-        step = idle_step + 3
-        if not TROUBLE:
-            await asyncio.sleep(3)
-        else:
-            is_done = lambda: all((rank, step) in trouble.late for rank in (0, 3, 6))
-            if not await wait_for("switches that fail", is_done, 9):
-                return 2
-            # A moment at which no rank holds the group.
-            await wait_for("a moment without hold", lambda: all(rank.held is None for rank in group.ranks), 2)
-            endpoints[0].kill()
-            trouble.is_on = False
-            share = trouble.unanswered / max(1, trouble.unanswered + trouble.answered)
-            note(f"orders so far without an answer: {share:.2f} of all")
-            await asyncio.sleep(0.2)
-            endpoints[0].start()
-            await asyncio.sleep(2.5)
-
-        waiting = []
-
-        def on_order(rank, order, status):
-            key = (rank.number, order.get("step"))
-            if order["Operation"] == "Retain" and status in (200, 202) and not waiting and trouble.can_carry_out(key):
-                waiting.append(key)
-                send(5, "c5")
-            if order["Operation"] == "arm" and waiting and any(rank.requests for rank in group.ranks):
-                trouble.carry_out(waiting[0])
-
-        group.on_order = on_order
-        note("second requests")
-        await asyncio.gather(*[send(number, f"b{number}") for number in range(RANKS)])
-        await wait_for("the outcome", lambda: group.broken_at is not None, 4)
-        if group.broken_at is None:
-            await asyncio.gather(*[send(number, f"d{number}") for number in range(RANKS)])
-            await asyncio.sleep(1)
-        switched = any(rank.in_use[0] > 0 for rank in group.ranks)
-        note(f"passes: {group.step}; a map was switched: {switched}")
-        if group.broken_at is not None:
-            return 1
-        if TROUBLE and not waiting:
-            note("no hold was placed where an order to let go was still under way")
-            return 2
-        return 0 if switched else 2
-    finally:
-        for endpoint in endpoints:
-            if endpoint.child and endpoint.child.poll() is None:
-                endpoint.child.kill()
-                endpoint.child.wait()
-        for task in list(pending):
-            task.cancel()
-        for server in servers:
-            server.close()
+        await serve(f"{network}.{10 + number}", ENGINE_PORT, group.engine(number))
+    return store, group
 
 
-def main():
+def run_case(scenario, outcomes):
+    """Runs a scenario, ends its processes and exits with its code."""
+    processes = []
     with tempfile.TemporaryDirectory() as folder:
         try:
-            code = asyncio.run(asyncio.wait_for(scenario(folder, free_network()), 100))
+            code = asyncio.run(asyncio.wait_for(scenario(folder, free_network(), processes), 110))
         except asyncio.TimeoutError:
             code = 2
+        finally:
+            for process in processes:
+                process.stop()
         if os.environ.get("KEEP_LOGS"):
-            for number in range(RANKS):
-                with open(os.path.join(folder, f"{number}.log")) as log:
-                    open(os.path.join(os.environ["KEEP_LOGS"], f"{number}.log"), "w").write(log.read())
-    note({0: "the rule held", 1: "MAP was broken", 2: "the case could not run"}[code])
-    sys.exit(code)
-
-
-if __name__ == "__main__":
-    main()
+            for name in os.listdir(folder):
+                shutil.copy(os.path.join(folder, name), os.environ["KEEP_LOGS"])
+    note(outcomes[code])
+    RECORD.close()
+    # Connections that were left without an answer are not closed one by one.
+    os._exit(code)
