--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -72,14 +72,12 @@
                     sending = asyncio.ensure_future(send_stream(writer, status, content, extra))
                     leaving = asyncio.ensure_future(reader.read(1))
                     await asyncio.wait([sending, leaving], return_when=asyncio.FIRST_COMPLETED)
-                    if not sending.done():  # The caller has closed the channel.
-                        sending.cancel()
-                        await content.aclose()
+                    has_left = leaving.done()  # The caller has closed the channel.
+                    for task in (sending, leaving):
+                        task.cancel()
+                    await asyncio.gather(sending, leaving, return_exceptions=True)
+                    if has_left:
                         return
-                    if leaving.done():
-                        return
-                    leaving.cancel()
-                    await asyncio.gather(leaving, return_exceptions=True)
                     continue
                 text = f"HTTP/1.1 {status} {REASONS.get(status, 'X')}\r\nContent-Length: {len(content)}\r\n"
                 text += "".join(f"{k}: {v}\r\n" for k, v in extra.items()) + "\r\n"
@@ -183,6 +181,8 @@
         self.step = 0
         self.in_pass = False
         self.broken_at = None
+        # The rank whose first experts under map 0 are chosen most.
+        self.hot = 0
         self.policy = None
         self.on_order = None
 
@@ -210,8 +210,7 @@
             for request in rank.requests:
                 for layers in range(SETS):
                     for expert in range(EXPERTS):
-                        # Four experts that map 0 has on one rank are chosen most.
-                        rank.counts[layers * EXPERTS + expert] += 400 if expert % RANKS == 0 and expert < 32 else 4
+                        rank.counts[layers * EXPERTS + expert] += 400 if expert % RANKS == self.hot and expert < 32 else 4
                 request[0] -= 1
                 if request[0] == 0:
                     request[1].set_result(None)
