--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -394,11 +394,12 @@
             self.child.wait()
 
 
-def endpoint(folder, network, number):
+def endpoint(folder, network, number, seed_host=None):
     """The endpoint process beside the engine of a rank."""
     host = 10 + number
+    seeds = f"{network}.{seed_host}:{CONTROL_PORT}" if seed_host else ""
     lines = [
-        "Role=endpoint", "Serves=side", "Seeds=", "Limits.CpuQuota=0.15", "Limits.MemoryMb=128", "Limits.MaxFds=2048",
+        "Role=endpoint", "Serves=side", f"Seeds={seeds}", "Limits.CpuQuota=0.15", "Limits.MemoryMb=128", "Limits.MaxFds=2048",
         "Limits.LinkMbps=20.0", f"app={network}.{host}:{ENGINE_PORT}", f"Service={SERVICE}",
     ]
     return Process(folder, f"endpoint-{number}", "endpoint", settings_text(network, host, "side", lines))
