--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -16,7 +16,6 @@
 import socket
 import struct
 import subprocess
-import sys
 import tempfile
 import time
 import tomllib
@@ -347,7 +346,7 @@
             return network
         except OSError:
             continue
-    raise SystemExit(2)
+    raise RuntimeError("no free network")
 
 
 BOUNDS = """SeedLagS=3 ReuseAfterS=2 StableMs=3000 AckMs=4000 CatchUpS=4 DrainMs=2000 GraceS=8 LossSlackMs=200
@@ -520,13 +519,18 @@
 
 
 def run_case(scenario, outcomes):
-    """Runs a scenario, ends its processes and exits with its code."""
-    processes = []
+    """Runs a scenario, ends its processes and exits with its code; 2 after any error of the scenario itself."""
+    processes, code = [], 2
+
+    def on_terminate(*_):
+        raise SystemExit(2)
+
+    signal.signal(signal.SIGTERM, on_terminate)
     with tempfile.TemporaryDirectory() as folder:
         try:
-            code = asyncio.run(asyncio.wait_for(scenario(folder, free_network(), processes), 110))
-        except asyncio.TimeoutError:
-            code = 2
+            code = asyncio.run(asyncio.wait_for(scenario(folder, free_network(), processes), 100))
+        except BaseException as error:
+            note(f"the scenario failed: {error!r}")
         finally:
             for process in processes:
                 process.stop()
