--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -520,24 +520,26 @@
 
 def run_case(scenario, outcomes):
     """Runs a scenario, ends its processes and exits with its code; 2 after any error of the scenario itself."""
-    processes, code = [], 2
+    folder, processes = tempfile.mkdtemp(), []
 
-    def on_terminate(*_):
-        raise SystemExit(2)
-
-    signal.signal(signal.SIGTERM, on_terminate)
-    with tempfile.TemporaryDirectory() as folder:
-        try:
-            code = asyncio.run(asyncio.wait_for(scenario(folder, free_network(), processes), 100))
-        except BaseException as error:
-            note(f"the scenario failed: {error!r}")
-        finally:
-            for process in processes:
-                process.stop()
+    def finish(code):
+        for process in processes:
+            process.stop()
         if os.environ.get("KEEP_LOGS"):
             for name in os.listdir(folder):
                 shutil.copy(os.path.join(folder, name), os.environ["KEEP_LOGS"])
-    note(outcomes[code])
-    RECORD.close()
-    # Connections that were left without an answer are not closed one by one.
-    os._exit(code)
+        shutil.rmtree(folder)
+        note(outcomes[code])
+        RECORD.close()
+        # Connections that were left without an answer are not closed one by one.
+        os._exit(code)
+
+    async def run():
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, finish, 2)
+        try:
+            finish(await asyncio.wait_for(scenario(folder, free_network(), processes), 100))
+        except Exception as error:
+            note(f"the scenario failed: {error!r}")
+            finish(2)
+
+    asyncio.run(run())
