Log the shared prompt segments of calls, when they are sent and where endpoints crash

Change: the adapter reads the parts of X-Prompt-Prefix but the last, which is the request's or its session's own, eight at most. The identity of a call (fingerprint and segments) goes along to the crash detector. No decision changes.

--- a/crates/core/src/adapter.rs
+++ b/crates/core/src/adapter.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     CallFingerprint, CrashReport, EndpointId, EndpointList, FleetConfig, Offset, ProcessId,
-    ReceivedCrashReport, Result, TeamId,
+    ReceivedCrashReport, Result, SegmentNumber, TeamId,
     experts::{EngineOrder, EngineReport, ExpertCounts, OrderResult, RankMap},
 };
 
@@ -21,6 +21,8 @@
     pub key: Option<String>,
     /// The id of the last event that the caller received of a broken stream.
     pub last_event: Option<u64>,
+    /// The segments of its prompt that other calls may share, in order.
+    pub segments: Vec<SegmentNumber>,
     /// Length of the prompt in tokens; 0 for a call without one.
     pub prompt_tokens: u32,
     /// Upper limit of the response's length in tokens.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 mod mechanism;
 mod outcome;
 mod problem;
+mod segment;
 mod site;
 mod time;
 
@@ -35,5 +36,6 @@
 pub use mechanism::{Mechanism, Mechanisms};
 pub use outcome::Outcome;
 pub use problem::{Problem, Reason};
+pub use segment::{CallIdentity, MAX_SEGMENTS, SegmentId, SegmentNumber, segment_number};
 pub use site::{SiteBounds, SiteSettings};
 pub use time::{Clock, duration_ms, wall_time_ms};
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use lynxmount_core::{
-    CallFingerprint, CallPhase,
+    CallIdentity, CallPhase,
     adapter::{AttemptContext, Dialect, ResponseKind, ResponseMetadata},
 };
 use lynxmount_link::Connection;
@@ -30,7 +30,7 @@
     pub(crate) body: &'a Bytes,
     /// The caller's request id.
     pub(crate) id: Option<&'a str>,
-    pub(crate) call: CallFingerprint,
+    pub(crate) call: &'a CallIdentity,
     /// Whether the call may run more than once.
     pub(crate) is_retryable: bool,
     pub(crate) is_stream: bool,
@@ -46,7 +46,7 @@
 pub(crate) struct ResponseHead {
     pub(crate) permit: Permit,
     pub(crate) connection: Connection,
-    pub(crate) call: CallFingerprint,
+    pub(crate) call: CallIdentity,
     /// When the head arrived.
     pub(crate) last_received_at: Instant,
     pub(crate) metadata: ResponseMetadata,
@@ -291,7 +291,7 @@
             Ok(ResponseHead {
                 permit,
                 connection,
-                call: outgoing.call,
+                call: outgoing.call.clone(),
                 last_received_at: Instant::now(),
                 metadata,
                 status: parts.status,
@@ -331,7 +331,7 @@
             }
             Ok(Err(_)) => {
                 permit.record_outcome(CallOutcome::Failed);
-                permit.on_disconnect(call, CallPhase::Beginning, last_received_at);
+                permit.on_disconnect(&call, CallPhase::Beginning, last_received_at);
                 Err(AttemptError::Lost)
             }
             Err(_) => {
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -12,7 +12,7 @@
 use futures::FutureExt;
 use http::{Method, Response, header, request::Parts};
 use lynxmount_core::{
-    CallFingerprint, CallKind, Clock, EndpointId, RouteId, TeamId,
+    CallIdentity, CallKind, Clock, EndpointId, RouteId, TeamId,
     adapter::{AttemptContext, CallHead, Dialect},
 };
 use lynxmount_policy::{CallerIdleTimeout, Waiter};
@@ -48,7 +48,7 @@
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
     pub(crate) head: CallHead,
-    pub(crate) fingerprint: CallFingerprint,
+    pub(crate) identity: CallIdentity,
     pub(crate) kind: CallKind,
     pub(crate) service: Arc<Service>,
     pub(crate) quarantine: Arc<SharedQuarantine>,
@@ -143,7 +143,7 @@
         let request = PermitRequest { waiter, park_until, tried: &tried };
         tokio::select! {
             biased;
-            retry_after = self.quarantine.wait_until_quarantined(&self.fingerprint) => {
+            retry_after = self.quarantine.wait_until_quarantined(&self.identity.fingerprint) => {
                 Err(Unavailable::Quarantined { retry_after })
             }
             result = self.service.acquire(request) => result,
@@ -155,13 +155,15 @@
     ///
     /// Fails at once if the verdicts may take longer than `limit`.
     async fn wait_while_suspected(&self, limit: Duration) -> Result<(), Unavailable> {
-        let Some(hold) = self.quarantine.remaining_hold(&self.fingerprint) else { return Ok(()) };
+        let Some(hold) = self.quarantine.remaining_hold(&self.identity.fingerprint) else {
+            return Ok(());
+        };
         if hold > limit {
             return Err(Unavailable::Suspected { retry_after: hold });
         }
-        log::info!(request = self.head.id.as_deref(), call:% = self.fingerprint,
+        log::info!(request = self.head.id.as_deref(), call:% = self.identity.fingerprint,
             hold_ms = hold.as_millis() as u64; "call held for crash verdicts");
-        self.quarantine.wait_until_released(&self.fingerprint).await;
+        self.quarantine.wait_until_released(&self.identity.fingerprint).await;
         Ok(())
     }
 
@@ -199,7 +201,7 @@
     async fn attempt(self: &Arc<Call<D>>, permit: Permit) -> AttemptResult {
         tokio::select! {
             result = self.attempt_at(permit) => result,
-            _ = self.quarantine.wait_until_quarantined(&self.fingerprint) => {
+            _ = self.quarantine.wait_until_quarantined(&self.identity.fingerprint) => {
                 AttemptResult::Error(AttemptError::Quarantined)
             }
         }
@@ -246,7 +248,8 @@
         waiting_since: Instant,
     ) -> Result<ResponseHead, AttemptError> {
         let endpoint = EndpointId::clone(&permit.endpoint.record.id);
-        log::info!(request = self.head.id.as_deref(), call:% = self.fingerprint,
+        log::info!(request = self.head.id.as_deref(), call:% = self.identity.fingerprint,
+            segments:% = segment_list(&self.identity),
             route = &*self.route, endpoint = &*endpoint,
             running = permit.endpoint.own_running(),
             left_ms = time_until(self.deadline).as_millis() as u64,
@@ -257,7 +260,7 @@
             headers: &self.parts.headers,
             body: &self.body,
             id: self.head.id.as_deref(),
-            call: self.fingerprint,
+            call: &self.identity,
             is_retryable: self.kind.is_retryable(),
             is_stream: self.kind.is_stream(),
             has_retry_left: self.has_retry_left(),
@@ -310,7 +313,7 @@
         why: &str,
     ) -> Option<ResponseHead> {
         self.wait_for_verdict().await;
-        let is_held_back = self.quarantine.quarantined_for(&self.fingerprint).is_some();
+        let is_held_back = self.quarantine.quarantined_for(&self.identity.fingerprint).is_some();
         let is_allowed = !is_held_back && self.service.withdraw_retry();
         log::info!(request = self.head.id.as_deref(), why, last_event, is_allowed, is_held_back;
             "stream broken");
@@ -319,7 +322,7 @@
         }
         tokio::select! {
             resumed = self.resume_elsewhere(last_event, waiting_since) => resumed,
-            _ = self.quarantine.wait_until_quarantined(&self.fingerprint) => None,
+            _ = self.quarantine.wait_until_quarantined(&self.identity.fingerprint) => None,
         }
     }
 
@@ -377,12 +380,12 @@
 
     /// Waits for the crash verdict on the endpoint of the last attempt, for a limited time.
     async fn wait_for_verdict(&self) {
-        self.service.wait_for_verdict(&self.fingerprint).await;
+        self.service.wait_for_verdict(&self.identity.fingerprint).await;
     }
 
     /// Records that the call has completed without crashing its endpoint.
     pub(crate) fn record_survival(&self) {
-        self.quarantine.record_survival(self.fingerprint);
+        self.quarantine.record_survival(self.identity.fingerprint);
     }
 
     /// Logs the outcome of the call.
@@ -393,3 +396,9 @@
             "call finished");
     }
 }
+
+/// The shared segments of a call's prompt for the log.
+fn segment_list(identity: &CallIdentity) -> String {
+    let segments = identity.segments.iter().map(|segment| format!("{:08x}", segment.number));
+    segments.collect::<Vec<_>>().join(",")
+}
--- a/crates/direct/src/crash_detector.rs
+++ b/crates/direct/src/crash_detector.rs
@@ -11,7 +11,7 @@
 };
 
 use lynxmount_core::{
-    CallFingerprint, CallPhase, EndpointId, EndpointIncarnation, adapter::Dialect,
+    CallFingerprint, CallIdentity, CallPhase, EndpointId, EndpointIncarnation, adapter::Dialect,
 };
 use lynxmount_link::{ProbeResult, probe};
 use lynxmount_policy::LivenessEvidence;
@@ -83,15 +83,15 @@
 
 struct CanceledCall {
     endpoint: EndpointId,
-    call: CallFingerprint,
+    call: CallIdentity,
     phase: CallPhase,
     at: Instant,
 }
 
 /// A call whose connection broke before the call ended.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct DisconnectedCall {
-    pub(crate) call: CallFingerprint,
+    pub(crate) call: CallIdentity,
     pub(crate) phase: CallPhase,
     /// When the connection last received something, or else the call was sent.
     pub(crate) last_received_at: Instant,
@@ -164,24 +164,19 @@
     }
 
     /// Records that a call was canceled at an endpoint.
-    pub(crate) fn on_canceled(
-        &self,
-        endpoint: &EndpointId,
-        call: CallFingerprint,
-        phase: CallPhase,
-    ) {
-        let endpoint = EndpointId::clone(endpoint);
+    pub(crate) fn on_canceled(&self, endpoint: &EndpointId, call: &CallIdentity, phase: CallPhase) {
+        let (endpoint, call) = (EndpointId::clone(endpoint), call.clone());
         let mut canceled = self.canceled.lock();
         expire(&mut canceled);
         canceled.push_back(CanceledCall { endpoint, call, phase, at: Instant::now() });
     }
 
     /// Calls that were canceled at an endpoint within [`CANCELED_CALL_TTL`].
-    fn canceled_calls(&self, endpoint: &EndpointId) -> Vec<(CallFingerprint, CallPhase)> {
+    fn canceled_calls(&self, endpoint: &EndpointId) -> Vec<(CallIdentity, CallPhase)> {
         let mut canceled = self.canceled.lock();
         expire(&mut canceled);
         let at_endpoint = canceled.iter().filter(|call| call.endpoint == *endpoint);
-        at_endpoint.map(|canceled| (canceled.call, canceled.phase)).collect()
+        at_endpoint.map(|canceled| (canceled.call.clone(), canceled.phase)).collect()
     }
 
     /// Waits for the crash verdicts on a call's endpoints, at most [`VERDICT_TIMEOUT`].
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -7,7 +7,7 @@
 
 use http::StatusCode;
 use lynxmount_core::{
-    CallFingerprint, CallPhase, EndpointId, EndpointIncarnation, EndpointRecord,
+    CallIdentity, CallPhase, EndpointId, EndpointIncarnation, EndpointRecord,
     adapter::{EndpointLoad, HeaderField, ResponseMetadata},
 };
 use lynxmount_policy::{
@@ -329,7 +329,7 @@
     /// when the connection last received something, or else the call was sent.
     pub(crate) fn on_disconnect(
         &self,
-        call: CallFingerprint,
+        call: &CallIdentity,
         phase: CallPhase,
         last_received_at: Instant,
     ) {
@@ -342,7 +342,7 @@
     }
 
     /// Records that the call was canceled.
-    pub(crate) fn on_canceled(&self, call: CallFingerprint, phase: CallPhase) {
+    pub(crate) fn on_canceled(&self, call: &CallIdentity, phase: CallPhase) {
         self.service.on_canceled(&self.endpoint.record.id, call, phase);
     }
 
--- a/crates/direct/src/handler.rs
+++ b/crates/direct/src/handler.rs
@@ -9,7 +9,7 @@
 use http::{Request, Response, header, request::Parts};
 use hyper::body::Incoming;
 use lynxmount_core::{
-    CallContent, CallFingerprint, Clock, Mechanisms, RouteId,
+    CallContent, CallFingerprint, CallIdentity, Clock, Mechanisms, RouteId, SegmentId,
     adapter::{CallHead, Dialect},
 };
 use lynxmount_policy::CallerIdleTimeout;
@@ -114,6 +114,8 @@
             path: parts.uri.path_and_query().map_or("/", |path| path.as_str()),
             body: &body,
         });
+        let segment = |number| SegmentId::new(&target.service, number);
+        let segments = head.segments.iter().copied().map(segment).collect();
         Ok(Call {
             dialect: Arc::clone(&self.dialect),
             metrics: Arc::clone(&self.metrics),
@@ -121,7 +123,7 @@
             parts,
             body,
             head,
-            fingerprint,
+            identity: CallIdentity { fingerprint, segments },
             kind: route.kind,
             service,
             quarantine: Arc::clone(&self.quarantine),
--- a/crates/direct/src/service/mod.rs
+++ b/crates/direct/src/service/mod.rs
@@ -10,8 +10,8 @@
 };
 
 use lynxmount_core::{
-    CallFingerprint, CallPhase, Clock, EndpointId, EndpointIncarnation, EndpointRecord, Mechanism,
-    Mechanisms, ServiceSpec, SiteBounds,
+    CallFingerprint, CallIdentity, CallPhase, Clock, EndpointId, EndpointIncarnation,
+    EndpointRecord, Mechanism, Mechanisms, ServiceSpec, SiteBounds,
 };
 use lynxmount_policy::{
     QueueDecision, Selection, SlotOwners, Ticket, Waiter, WindowBudget, WindowBudgetOptions,
@@ -128,7 +128,7 @@
         self: &Arc<Service>,
         endpoint: &Arc<Endpoint>,
         group: &str,
-        call: CallFingerprint,
+        call: &CallIdentity,
         phase: CallPhase,
         last_received_at: Instant,
     ) {
@@ -140,6 +140,7 @@
         let group_silence = inner.groups.silent_for(group, self.now());
         let stall = inner.slots.map(|_| self.group_stall);
         drop(inner);
+        let call = call.clone();
         let disconnected = DisconnectedCall { call, phase, last_received_at, group_silence, stall };
         self.crash_detector.on_disconnect(self, endpoint, disconnected);
     }
@@ -170,12 +171,7 @@
     }
 
     /// Records that a call was canceled at an endpoint.
-    pub(crate) fn on_canceled(
-        &self,
-        endpoint: &EndpointId,
-        call: CallFingerprint,
-        phase: CallPhase,
-    ) {
+    pub(crate) fn on_canceled(&self, endpoint: &EndpointId, call: &CallIdentity, phase: CallPhase) {
         self.crash_detector.on_canceled(endpoint, call, phase);
     }
 
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -200,7 +200,7 @@
         });
         let is_closed = matches!(error, StreamError::Disconnected | StreamError::Truncated);
         if let Some(permit) = self.permit.as_ref().filter(|_| is_closed) {
-            permit.on_disconnect(self.call.fingerprint, self.phase(), self.last_event_at);
+            permit.on_disconnect(&self.call.identity, self.phase(), self.last_event_at);
         }
     }
 
@@ -213,7 +213,7 @@
 
     fn on_overdue(&self) {
         if let Some(permit) = &self.permit {
-            permit.on_canceled(self.call.fingerprint, self.phase());
+            permit.on_canceled(&self.call.identity, self.phase());
             permit.on_overdue();
         }
     }
@@ -306,7 +306,7 @@
         };
         let elsewhere = self.is_resumable().then(|| self.call.acquire_elsewhere()).flatten();
         let Some(elsewhere) = elsewhere else { return true };
-        permit.on_canceled(self.call.fingerprint, self.phase());
+        permit.on_canceled(&self.call.identity, self.phase());
         self.detach();
         let head = self.call.resume_at(elsewhere, self.events.last_id(), self.sent_at).await;
         self.attach(head)
@@ -339,7 +339,7 @@
             return;
         }
         if let Some(permit) = &self.permit {
-            permit.on_canceled(self.call.fingerprint, self.phase());
+            permit.on_canceled(&self.call.identity, self.phase());
             let Silence { endpoint_ms, group_ms, mean_gap_ms } = permit.silence();
             log::info!(request = self.call.head.id.as_deref(),
                 endpoint = &*permit.endpoint.record.id,
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -182,7 +182,7 @@
                 self.quarantine.on_disconnect(incarnation, self.call, phase, evidence);
             }
             ExecutionFailure::BackendCrashed { incarnation, phase } => {
-                self.quarantine.record_crash(incarnation, &[(self.call, phase)]);
+                self.quarantine.record_crash(incarnation, &[(self.call.into(), phase)]);
             }
             ExecutionFailure::AnswerGone
             | ExecutionFailure::Backend
--- a/crates/policy/src/disconnected_calls.rs
+++ b/crates/policy/src/disconnected_calls.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use lynxmount_core::{CallFingerprint, CallPhase, EndpointIncarnation};
+use lynxmount_core::{CallFingerprint, CallIdentity, CallPhase, EndpointIncarnation};
 
 /// How long after a broken connection a crash of the endpoint is attributed to the call.
 pub const CRASH_ATTRIBUTION_WINDOW: Duration = Duration::from_secs(1);
@@ -35,10 +35,10 @@
     calls: VecDeque<DisconnectedCall>,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct DisconnectedCall {
     incarnation: EndpointIncarnation,
-    call: CallFingerprint,
+    call: CallIdentity,
     phase: CallPhase,
     evidence: LivenessEvidence,
     at: Duration,
@@ -49,12 +49,13 @@
     pub fn on_disconnect(
         &mut self,
         incarnation: EndpointIncarnation,
-        call: CallFingerprint,
+        call: impl Into<CallIdentity>,
         phase: CallPhase,
         evidence: LivenessEvidence,
         now: Duration,
     ) {
         self.expire(now);
+        let call = call.into();
         if self.calls.len() >= MAX_CALLS {
             self.calls.pop_front();
         }
@@ -86,10 +87,10 @@
         &mut self,
         incarnation: EndpointIncarnation,
         now: Duration,
-    ) -> Vec<(CallFingerprint, CallPhase)> {
+    ) -> Vec<(CallIdentity, CallPhase)> {
         self.expire(now);
         let at_endpoint = self.calls.iter().filter(|call| call.incarnation == incarnation);
-        let mut calls: Vec<_> = at_endpoint.map(|call| (call.call, call.phase)).collect();
+        let mut calls: Vec<_> = at_endpoint.map(|call| (call.call.clone(), call.phase)).collect();
         self.forget(incarnation);
         calls.sort_unstable();
         calls.dedup();
@@ -105,7 +106,7 @@
     /// endpoint, and for the rest of the attribution window once its connections broke at several.
     pub fn remaining_hold(&self, call: &CallFingerprint, now: Duration) -> Option<Duration> {
         let is_held = |other: &&DisconnectedCall| {
-            other.call == *call
+            other.call.fingerprint == *call
                 && other.evidence == LivenessEvidence::Missing
                 && !is_expired(other, now)
         };
--- a/crates/policy/tests/disconnected_calls.rs
+++ b/crates/policy/tests/disconnected_calls.rs
@@ -30,7 +30,7 @@
 
     assert_eq!(
         calls.on_crashed(INCARNATION, CRASH_ATTRIBUTION_WINDOW),
-        [(call(1), CallPhase::Beginning)]
+        [(call(1).into(), CallPhase::Beginning)]
     );
 }
 
@@ -68,7 +68,7 @@
     );
 
     assert_eq!(calls.remaining_hold(&call(1), ms(0)), None);
-    assert_eq!(calls.on_crashed(INCARNATION, ms(20)), [(call(1), CallPhase::Waiting)]);
+    assert_eq!(calls.on_crashed(INCARNATION, ms(20)), [(call(1).into(), CallPhase::Waiting)]);
 }
 
 #[test]
--- a/crates/quarantine/benches/cost.rs
+++ b/crates/quarantine/benches/cost.rs
@@ -22,7 +22,10 @@
     for number in 0..calls {
         for crash in 0..2 {
             let incarnation = u64::from(number * 2 + crash);
-            quarantine.record_crash(incarnation, &[(fingerprint(number, b""), CallPhase::Waiting)]);
+            quarantine.record_crash(
+                incarnation,
+                &[(fingerprint(number, b"").into(), CallPhase::Waiting)],
+            );
         }
     }
     quarantine
@@ -59,7 +62,8 @@
         for incarnation in 0..crashes {
             // Incarnations are hashes.
             let incarnation = u64::MAX / (incarnation + 2);
-            quarantine.record_crash(incarnation, &[(fingerprint(0, b""), CallPhase::Waiting)]);
+            quarantine
+                .record_crash(incarnation, &[(fingerprint(0, b"").into(), CallPhase::Waiting)]);
         }
         let crash_reports: Vec<CrashReport> = quarantine.crash_reports();
         let record = postcard::to_stdvec(&crash_reports[0].crashes)
--- a/crates/quarantine/src/crash_attribution.rs
+++ b/crates/quarantine/src/crash_attribution.rs
@@ -3,7 +3,7 @@
 
 use std::{sync::atomic::Ordering, time::Duration};
 
-use lynxmount_core::{CallFingerprint, CallPhase, EndpointIncarnation};
+use lynxmount_core::{CallFingerprint, CallIdentity, CallPhase, EndpointIncarnation};
 use lynxmount_policy::LivenessEvidence;
 
 use crate::SharedQuarantine;
@@ -13,7 +13,7 @@
     pub fn on_disconnect(
         &self,
         incarnation: EndpointIncarnation,
-        call: CallFingerprint,
+        call: impl Into<CallIdentity>,
         phase: CallPhase,
         evidence: LivenessEvidence,
     ) {
@@ -48,10 +48,7 @@
     }
 
     /// Records that an endpoint has crashed. Returns the calls to which that is attributed.
-    pub fn on_crashed(
-        &self,
-        incarnation: EndpointIncarnation,
-    ) -> Vec<(CallFingerprint, CallPhase)> {
+    pub fn on_crashed(&self, incarnation: EndpointIncarnation) -> Vec<(CallIdentity, CallPhase)> {
         let calls = self.disconnected.lock().on_crashed(incarnation, self.started.elapsed());
         self.record_crash(incarnation, &calls);
         self.notify_held_calls();
--- a/crates/quarantine/src/shared_quarantine.rs
+++ b/crates/quarantine/src/shared_quarantine.rs
@@ -6,7 +6,9 @@
     time::{Duration, Instant, SystemTime},
 };
 
-use lynxmount_core::{CallFingerprint, CallPhase, CrashReport, EndpointIncarnation, wall_time_ms};
+use lynxmount_core::{
+    CallFingerprint, CallIdentity, CallPhase, CrashReport, EndpointIncarnation, wall_time_ms,
+};
 use lynxmount_policy::{DisconnectedCalls, MergeOutcome, Quarantine};
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
@@ -52,15 +54,15 @@
     pub fn record_crash(
         &self,
         incarnation: EndpointIncarnation,
-        calls: &[(CallFingerprint, CallPhase)],
+        calls: &[(CallIdentity, CallPhase)],
     ) {
         let now_s = now_s();
         let mut quarantine = self.quarantine.lock();
-        let is_new = |(call, phase): &&(CallFingerprint, CallPhase)| {
-            quarantine.record_crash(*call, incarnation, *phase, now_s)
+        let is_new = |(call, phase): &&(CallIdentity, CallPhase)| {
+            quarantine.record_crash(call.fingerprint, incarnation, *phase, now_s)
         };
         let updated: Vec<CallFingerprint> =
-            calls.iter().filter(is_new).map(|(call, _)| *call).collect();
+            calls.iter().filter(is_new).map(|(call, _)| call.fingerprint).collect();
         drop(quarantine);
         self.on_updated(&updated);
         self.send(updated);
