--- a/crates/lynxmount/tests/platform_backpressure.rs
+++ b/crates/lynxmount/tests/platform_backpressure.rs
@@ -46,6 +46,7 @@
             path: format!("/{IDEMPOTENT}/{caller}-{count}"),
             key: KEY.to_owned(),
             time_left: Duration::from_millis(3000),
+            prompt_parts: Vec::new(),
         };
         CallerStandin::new(entry).call(&call).await;
         tokio::time::sleep(CALL_PAUSE).await;
--- a/crates/lynxmount/tests/platform_common/mod.rs
+++ b/crates/lynxmount/tests/platform_common/mod.rs
@@ -255,6 +255,7 @@
         path: path.to_owned(),
         key: key.to_owned(),
         time_left: Duration::from_millis(3000),
+        prompt_parts: Vec::new(),
     };
     match CallerStandin::new(address).call(&call).await {
         CallerOutcome::Response(response) => Some(CallerResponse {
--- a/crates/lynxmount/tests/platform_entry.rs
+++ b/crates/lynxmount/tests/platform_entry.rs
@@ -463,6 +463,7 @@
         path: path(STREAM),
         key: KEY.to_owned(),
         time_left,
+        prompt_parts: Vec::new(),
     }
 }
 
--- a/crates/lynxmount/tests/platform_slow_ranks.rs
+++ b/crates/lynxmount/tests/platform_slow_ranks.rs
@@ -62,6 +62,7 @@
         path: format!("/{STREAM}/7"),
         key: KEY.to_owned(),
         time_left: Duration::from_secs(8),
+        prompt_parts: Vec::new(),
     }
 }
 
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -144,6 +144,7 @@
         path: format!("/{route}/{id}"),
         key: COMMON_KEY.to_owned(),
         time_left: CALL_TIMEOUT,
+        prompt_parts: Vec::new(),
     }
 }
 
