Quarantine prompt segments under which endpoints crash

What callers saw: requests that share one part of their prompts, and nothing else, crashed one endpoint after the other; in a group each crash takes the service away for 4.3 s, so that none of 1,100 streams was served in time for half a minute.

Cause: evidence was kept under one key, chosen in advance: the fingerprint of the whole call. No two of these calls are alike, so each started without evidence.

Change: each crash speaks against the shared segments of the prompts in flight, by its weight of evidence: -ln(popularity x calls that were beginning there). From 5 nats on, over two calls and two moments, a segment is quarantined: 30 s, or 4 minutes from 10 nats or four crashes on. A call that survives its beginning clears its segments of crashes that its entry knew when it was sent (no clocks are compared). Verdicts are a greedy set cover, so that a segment that comes with a poison one is not refused. Reports travel as those of calls do: the store, pushes and pulls of peers. Calls are checked when they wait, right before the send and before they are resumed; a stream in mid-run is not cut.

Why it works: a poison segment never survives, and is rarer than what it comes with, so its weights add up within two or three crashes; common segments have weights near zero.

--- a/crates/core/src/adapter.rs
+++ b/crates/core/src/adapter.rs
@@ -5,8 +5,8 @@
 use http::{HeaderMap, Response, StatusCode, request::Parts};
 
 use crate::{
-    CallFingerprint, CrashReport, EndpointId, EndpointList, FleetConfig, Offset, ProcessId,
-    ReceivedCrashReport, Result, SegmentNumber, TeamId,
+    EndpointId, EndpointList, Evidence, EvidenceKey, FleetConfig, Offset, ProcessId,
+    ReceivedEvidence, Result, SegmentNumber, TeamId,
     experts::{EngineOrder, EngineReport, ExpertCounts, OrderResult, RankMap},
 };
 
@@ -151,21 +151,21 @@
     fn peers(&self) -> impl Future<Output = Result<Vec<SocketAddr>>> + Send;
 
     /// Publishes crash reports to all processes, replacing this process's earlier reports
-    /// of the same calls.
+    /// of the same calls and segments.
     ///
     /// Fails if it is unknown whether the reports were stored.
     fn publish_crash_reports(
         &self,
         reporter: &ProcessId,
-        reports: &[CrashReport],
+        reports: &[Evidence],
     ) -> impl Future<Output = Result<()>> + Send;
 
-    /// Removes published crash reports, each named by its reporter and call.
+    /// Removes published crash reports, each named by its reporter and key.
     ///
     /// Fails as [`FleetSource::publish_crash_reports`] does.
     fn retract_crash_reports(
         &self,
-        reports: &[(ProcessId, CallFingerprint)],
+        reports: &[(ProcessId, EvidenceKey)],
     ) -> impl Future<Output = Result<()>> + Send;
 
     /// Long-polls for crash reports from an offset on; without an offset, reads all current
@@ -176,7 +176,7 @@
         &self,
         from: Option<Offset>,
         wait: Duration,
-    ) -> impl Future<Output = Result<(Offset, Vec<ReceivedCrashReport>)>> + Send;
+    ) -> impl Future<Output = Result<(Offset, Vec<ReceivedEvidence>)>> + Send;
 }
 
 /// The inference engine of one rank.
--- a/crates/core/src/fingerprint.rs
+++ b/crates/core/src/fingerprint.rs
@@ -5,7 +5,7 @@
 use serde_with::{DeserializeFromStr, SerializeDisplay};
 use sha2::{Digest, Sha256};
 
-use crate::TeamId;
+use crate::{CallTag, TeamId};
 
 /// Length of a fingerprint in bytes. Finding a call with the fingerprint of a given other
 /// call takes about 2^128 attempts.
@@ -54,6 +54,11 @@
         CallFingerprint(bytes)
     }
 
+    /// The first bytes, to tell a few calls apart.
+    pub fn tag(&self) -> CallTag {
+        CallTag::from_be_bytes(self.0.first_chunk().copied().unwrap_or_default())
+    }
+
     /// The raw bytes.
     pub fn as_bytes(&self) -> &[u8] {
         &self.0
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,7 +19,8 @@
 mod time;
 
 pub use crash_report::{
-    CallPhase, CrashReport, EndpointCrash, EndpointIncarnation, ReceivedCrashReport,
+    CallPhase, CallTag, CrashReport, EndpointCrash, EndpointIncarnation, Evidence, EvidenceKey,
+    EvidenceWeight, ReceivedEvidence, SegmentCrash, SegmentReport,
 };
 pub use error::{
     Cause, Error, Result, Step, indeterminate, invalid, refused, timed_out, unreachable,
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -47,6 +47,8 @@
     pub(crate) permit: Permit,
     pub(crate) connection: Connection,
     pub(crate) call: CallIdentity,
+    /// When the attempt was sent.
+    pub(crate) sent_at: Instant,
     /// When the head arrived.
     pub(crate) last_received_at: Instant,
     pub(crate) metadata: ResponseMetadata,
@@ -292,6 +294,7 @@
                 permit,
                 connection,
                 call: outgoing.call.clone(),
+                sent_at,
                 last_received_at: Instant::now(),
                 metadata,
                 status: parts.status,
@@ -314,6 +317,7 @@
             last_received_at,
             metadata,
             status,
+            sent_at: _,
             headers,
             body,
         } = self;
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -143,7 +143,8 @@
         let request = PermitRequest { waiter, park_until, tried: &tried };
         tokio::select! {
             biased;
-            retry_after = self.quarantine.wait_until_quarantined(&self.identity.fingerprint) => {
+            retry_after = self.quarantine.wait_until_quarantined(&self.identity) => {
+                self.log_quarantined();
                 Err(Unavailable::Quarantined { retry_after })
             }
             result = self.service.acquire(request) => result,
@@ -200,10 +201,11 @@
     /// request may be queued in a stalled group, and each would stall the group again.
     async fn attempt(self: &Arc<Call<D>>, permit: Permit) -> AttemptResult {
         tokio::select! {
-            result = self.attempt_at(permit) => result,
-            _ = self.quarantine.wait_until_quarantined(&self.identity.fingerprint) => {
+            biased;
+            _ = self.quarantine.wait_until_quarantined(&self.identity) => {
                 AttemptResult::Error(AttemptError::Quarantined)
             }
+            result = self.attempt_at(permit) => result,
         }
     }
 
@@ -313,7 +315,7 @@
         why: &str,
     ) -> Option<ResponseHead> {
         self.wait_for_verdict().await;
-        let is_held_back = self.quarantine.quarantined_for(&self.identity.fingerprint).is_some();
+        let is_held_back = self.quarantine.quarantined_for(&self.identity).is_some();
         let is_allowed = !is_held_back && self.service.withdraw_retry();
         log::info!(request = self.head.id.as_deref(), why, last_event, is_allowed, is_held_back;
             "stream broken");
@@ -321,8 +323,9 @@
             return None;
         }
         tokio::select! {
+            biased;
+            _ = self.quarantine.wait_until_quarantined(&self.identity) => None,
             resumed = self.resume_elsewhere(last_event, waiting_since) => resumed,
-            _ = self.quarantine.wait_until_quarantined(&self.identity.fingerprint) => None,
         }
     }
 
@@ -388,6 +391,18 @@
         self.quarantine.record_survival(self.identity.fingerprint);
     }
 
+    /// Records that an attempt that was sent at a moment has survived the beginning of its answer.
+    pub(crate) fn record_start(&self, sent_at: Instant) {
+        self.quarantine.record_start(&self.identity.segments, sent_at);
+    }
+
+    fn log_quarantined(&self) {
+        let segments = self.quarantine.condemned_segments(&self.identity);
+        let segments: Vec<String> = segments.iter().map(|segment| segment.to_string()).collect();
+        log::info!(request = self.head.id.as_deref(), call:% = self.identity.fingerprint,
+            segments:? = segments; "quarantined call not sent");
+    }
+
     /// Logs the outcome of the call.
     pub(crate) fn log_finished(&self, outcome: &str, last_event: Option<u64>) {
         let took_ms = self.arrived_at.elapsed().as_millis() as u64;
--- a/crates/direct/src/crash_gossip.rs
+++ b/crates/direct/src/crash_gossip.rs
@@ -10,10 +10,11 @@
 };
 
 use lynxmount_core::{
-    CallFingerprint, CrashReport, Offset, ProcessId, ReceivedCrashReport, adapter::FleetSource,
+    CrashReport, Evidence, EvidenceKey, Offset, ProcessId, ReceivedEvidence, SegmentReport,
+    adapter::FleetSource,
 };
 use lynxmount_link::GossipTopic;
-use lynxmount_quarantine::SharedQuarantine;
+use lynxmount_quarantine::{SharedQuarantine, split};
 
 use crate::{peers::Peers, watch::Reachability};
 
@@ -44,7 +45,7 @@
     pub(crate) async fn publish(self: Arc<CrashGossip<S>>) {
         let mut reachability = Reachability::new("crash report publication");
         // Each report is pushed to peers once: they forward it, and other peers pull it.
-        let mut pushed: HashMap<CallFingerprint, CrashReport> = HashMap::new();
+        let mut pushed: HashMap<EvidenceKey, Evidence> = HashMap::new();
         loop {
             self.quarantine.wait_for_unsent().await;
             let reports = self.quarantine.take_unsent();
@@ -56,16 +57,27 @@
                 Err(error) => {
                     reachability.on_failure(&error);
                     self.quarantine.requeue(&reports);
-                    let is_new = |s: &CrashReport| pushed.get(&s.call) != Some(s);
-                    let new: Vec<CrashReport> = reports.into_iter().filter(is_new).collect();
-                    pushed.extend(new.iter().map(|s| (s.call, s.clone())));
-                    self.peers.publish(GossipTopic::CrashReports, &new).await;
+                    let is_new =
+                        |evidence: &Evidence| pushed.get(&evidence.key()) != Some(evidence);
+                    let new: Vec<Evidence> = reports.into_iter().filter(is_new).collect();
+                    pushed.extend(new.iter().map(|evidence| (evidence.key(), evidence.clone())));
+                    self.push_to_peers(&new).await;
                     tokio::time::sleep(RETRY_DELAY).await;
                 }
             }
         }
     }
 
+    async fn push_to_peers(&self, evidence: &[Evidence]) {
+        let (calls, segments) = split(evidence.iter());
+        let calls: Vec<CrashReport> = calls.into_iter().cloned().collect();
+        let segments: Vec<SegmentReport> = segments.into_iter().cloned().collect();
+        tokio::join!(
+            self.peers.publish(GossipTopic::CrashReports, &calls),
+            self.peers.publish(GossipTopic::SegmentReports, &segments),
+        );
+    }
+
     /// Reads all processes' reports from the platform until the task is dropped.
     pub(crate) async fn subscribe(self: Arc<CrashGossip<S>>) {
         let mut reachability = Reachability::new("crash reports");
@@ -79,7 +91,7 @@
                     reachability.on_success();
                     wait = LONG_POLL_WAIT;
                     self.quarantine
-                        .merge_from_platform(reports.iter().map(|report| &report.report));
+                        .merge_from_platform(reports.iter().map(|report| &report.evidence));
                     if from.is_none() {
                         self.delete_expired_of_all(&reports).await;
                     }
@@ -99,10 +111,10 @@
     }
 
     /// Deletes expired reports of all processes, as their authors may no longer run.
-    async fn delete_expired_of_all(&self, reports: &[ReceivedCrashReport]) {
-        let expired = reports.iter().filter(|report| self.quarantine.is_expired(&report.report));
-        let expired: Vec<(ProcessId, CallFingerprint)> = expired
-            .map(|report| (ProcessId::clone(&report.reporter), report.report.call))
+    async fn delete_expired_of_all(&self, reports: &[ReceivedEvidence]) {
+        let expired = reports.iter().filter(|report| self.quarantine.is_expired(&report.evidence));
+        let expired: Vec<(ProcessId, EvidenceKey)> = expired
+            .map(|report| (ProcessId::clone(&report.reporter), report.evidence.key()))
             .collect();
         self.delete(expired).await;
     }
@@ -112,18 +124,18 @@
         loop {
             tokio::time::sleep(EXPIRY_PERIOD).await;
             let expired = self.quarantine.expire();
-            let own = expired.into_iter().map(|call| (ProcessId::clone(&self.process), call));
+            let own = expired.into_iter().map(|key| (ProcessId::clone(&self.process), key));
             self.delete(own.collect()).await;
         }
     }
 
-    async fn delete(&self, expired: Vec<(ProcessId, CallFingerprint)>) {
+    async fn delete(&self, expired: Vec<(ProcessId, EvidenceKey)>) {
         if expired.is_empty() {
             return;
         }
         if let Err(error) = self.source.retract_crash_reports(&expired).await {
             // The next entry that starts deletes them.
-            log::info!(calls = expired.len(), error:% = error;
+            log::info!(reports = expired.len(), error:% = error;
                 "expired crash reports not deleted");
         }
     }
--- a/crates/direct/src/handler.rs
+++ b/crates/direct/src/handler.rs
@@ -87,6 +87,7 @@
         let config = self.fleet.config().ok_or(not_ready)?;
         let call = Arc::new(self.admit(&config, parts, body, head, arrived_at)?);
         call.service.record_call();
+        self.quarantine.record_call(&call.identity);
         call.run().await
     }
 
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -6,7 +6,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use lynxmount_core::{CrashReport, Result};
+use lynxmount_core::{CrashReport, Result, SegmentReport};
 use lynxmount_link::{
     FleetQuery, FleetSnapshot, GossipTopic, RequestHandler, parse_fleet_query, publish,
     query_fleet, read_published,
@@ -103,6 +103,7 @@
 fn apply(peer: SocketAddr, state: FleetSnapshot, fleet: &Fleet, quarantine: &SharedQuarantine) {
     let read_ago_ms = state.read_ago_ms;
     quarantine.merge_from_peer(&state.crash_reports);
+    quarantine.merge_segments_from_peer(&state.segment_reports);
     if let Some((offset, config)) = state.config {
         let version = config.version;
         if fleet.update_config(offset, config) {
@@ -159,6 +160,11 @@
             GossipTopic::CrashReports => read_published(request)
                 .await
                 .map(|reports: Vec<CrashReport>| self.quarantine.merge_from_peer(&reports)),
+            GossipTopic::SegmentReports => {
+                read_published(request).await.map(|reports: Vec<SegmentReport>| {
+                    self.quarantine.merge_segments_from_peer(&reports)
+                })
+            }
         };
         match result {
             Ok(()) => status(StatusCode::NO_CONTENT),
@@ -181,6 +187,10 @@
             config: config.map(|view| (view.offset, view.config.clone())),
             endpoints: endpoints.map(|list| (*list).clone()),
             crash_reports: if is_different { self.quarantine.crash_reports() } else { Vec::new() },
+            segment_reports: match is_different {
+                true => self.quarantine.segment_reports(),
+                false => Vec::new(),
+            },
             read_ago_ms: read_ago.map_or(u64::MAX, |ago| ago.as_millis() as u64),
         }
     }
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -62,7 +62,8 @@
     let fleet = Arc::new(Fleet::default());
     let drain = Arc::new(Drain::default());
     let metrics = Arc::new(Metrics::default());
-    let quarantine = Arc::new(SharedQuarantine::new(mechanisms.has(Mechanism::Quarantine)));
+    let is_enforced = mechanisms.has(Mechanism::Quarantine);
+    let quarantine = Arc::new(SharedQuarantine::new(is_enforced, &settings.process));
     let crash_detector = CrashDetector::new(
         Arc::clone(&metrics),
         Arc::clone(&quarantine),
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -37,8 +37,12 @@
     last_event_at: Instant,
     /// When the caller was last sent events, or its call arrived.
     sent_at: Instant,
+    /// When the current attempt was sent.
+    attempt_sent_at: Instant,
     /// Whether the current endpoint has sent events, so that the gap before the next one counts.
     has_events: bool,
+    /// Whether the current endpoint has survived the beginning of the answer.
+    has_survived: bool,
     is_done: bool,
 }
 
@@ -85,7 +89,9 @@
             events,
             last_event_at: Instant::now(),
             sent_at,
+            attempt_sent_at: head.sent_at,
             has_events: false,
+            has_survived: false,
             is_done: false,
         }
     }
@@ -146,6 +152,7 @@
             match self.read().await {
                 Read::Events(events) => return Some(Ok(events)),
                 Read::End => {
+                    self.on_survived();
                     self.finish("complete");
                     self.call.record_survival();
                     self.record_outcome(CallOutcome::Answered);
@@ -200,7 +207,12 @@
         });
         let is_closed = matches!(error, StreamError::Disconnected | StreamError::Truncated);
         if let Some(permit) = self.permit.as_ref().filter(|_| is_closed) {
-            permit.on_disconnect(&self.call.identity, self.phase(), self.last_event_at);
+            // A call that has survived its beginning is no evidence against its segments.
+            let call = match self.has_survived {
+                true => &self.call.identity.without_segments(),
+                false => &self.call.identity,
+            };
+            permit.on_disconnect(call, self.phase(), self.last_event_at);
         }
     }
 
@@ -258,6 +270,10 @@
                 Err(_) if time_until(self.call.deadline).is_zero() => return Read::TimedOut,
                 Err(_) if self.until_overdue() == Some(Duration::ZERO) => return Read::Overdue,
                 Err(_) => {
+                    // The connection is open, and a crash would have broken it by now.
+                    if self.has_events && self.last_event_at.elapsed() >= STALL_CHECK_PERIOD {
+                        self.on_survived();
+                    }
                     if let Some(stall) = self.stall() {
                         return Read::Broken(StreamError::Stalled(stall));
                     }
@@ -266,7 +282,18 @@
         }
     }
 
+    /// Records once that the endpoint has survived the beginning of the answer.
+    fn on_survived(&mut self) {
+        if !self.has_survived {
+            self.has_survived = true;
+            self.call.record_start(self.attempt_sent_at);
+        }
+    }
+
     fn on_events(&mut self) {
+        if self.has_events {
+            self.on_survived();
+        }
         let gap = self.has_events.then(|| self.last_event_at.elapsed());
         if let Some(permit) = &self.permit {
             permit.on_event(gap, self.call.gap_goal);
@@ -327,8 +354,10 @@
         self.connection = Some(head.connection);
         self.keep_alive = head.metadata.keep_alive;
         self.body = head.body;
+        self.attempt_sent_at = head.sent_at;
         self.last_event_at = Instant::now();
         self.has_events = false;
+        self.has_survived = false;
         true
     }
 }
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::request::Parts;
 use lynxmount_config::{Service, ServiceKind, Team};
-use lynxmount_core::{CallFingerprint, Reason, RequestId, ServiceId};
+use lynxmount_core::{CallIdentity, Reason, RequestId, ServiceId};
 use lynxmount_idempotency::{key_digest, request_digest};
 use lynxmount_node::ActiveConfig;
 use lynxmount_wire::{AttemptId, Binding, Dispatch, Header};
@@ -26,7 +26,7 @@
 pub(crate) struct Call {
     pub(crate) id: RequestId,
     /// Identifies requests with the same content, whatever their idempotency keys.
-    pub(crate) fingerprint: CallFingerprint,
+    pub(crate) identity: CallIdentity,
     pub(crate) team: Arc<Team>,
     pub(crate) service: Arc<Service>,
     pub(crate) pool: Arc<ServicePool>,
--- a/crates/entry/src/crash_report_log.rs
+++ b/crates/entry/src/crash_report_log.rs
@@ -5,9 +5,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use lynxmount_core::{CrashReport, Offset};
+use lynxmount_core::{CrashReport, Evidence, Offset};
 use lynxmount_platform::{Page, PlatformClient};
-use lynxmount_quarantine::SharedQuarantine;
+use lynxmount_quarantine::{SharedQuarantine, split};
 
 /// The stream of the platform's log that holds crash reports.
 const CRASH_REPORTS_STREAM: &str = "suspicions";
@@ -47,7 +47,10 @@
     fn apply(&self, page: &Page, next: Offset) -> Offset {
         for record in &page.records {
             match serde_json::from_value::<Vec<CrashReport>>(record.data.clone()) {
-                Ok(reports) => self.quarantine.merge_from_platform(reports.iter()),
+                Ok(reports) => {
+                    let evidence: Vec<Evidence> = reports.into_iter().map(Evidence::Call).collect();
+                    self.quarantine.merge_from_platform(evidence.iter());
+                }
                 Err(error) => {
                     log::warn!("crash report at offset {} invalid: {error}", record.offset);
                 }
@@ -61,10 +64,12 @@
     pub(crate) async fn publish(self: Arc<CrashReportLog>) {
         loop {
             self.quarantine.wait_for_unsent().await;
-            let reports = self.quarantine.take_unsent();
+            let evidence = self.quarantine.take_unsent();
+            // Calls have no segments here.
+            let (reports, _) = split(evidence.iter());
             if let Err(error) = self.platform.append(CRASH_REPORTS_STREAM, &reports).await {
                 log::warn!("crash reports not published: {error}");
-                self.quarantine.requeue(&reports);
+                self.quarantine.requeue(&evidence);
                 tokio::time::sleep(RETRY_DELAY).await;
             }
         }
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -177,7 +177,7 @@
         });
         Ok(Call {
             id,
-            fingerprint,
+            identity: fingerprint.into(),
             pool,
             config_version: config.version,
             path,
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -31,7 +31,7 @@
         node.clone(),
         PlatformClient::new(settings.process.platform_address),
     ));
-    let quarantine = Arc::new(SharedQuarantine::new(true));
+    let quarantine = Arc::new(SharedQuarantine::new(true, ""));
     let clients = EndpointClients::new(node.clone(), Arc::clone(&pools), Arc::clone(&quarantine));
     tokio::spawn(clients.run());
     tokio::spawn(Arc::clone(&claims).follow());
--- a/crates/entry/src/retry_loop.rs
+++ b/crates/entry/src/retry_loop.rs
@@ -62,7 +62,7 @@
                 reservation,
                 dispatch,
                 &self.node,
-                call.fingerprint,
+                call.identity.fingerprint,
                 &self.quarantine,
             );
             let collected = match sent {
@@ -106,7 +106,7 @@
         }
         tokio::select! {
             collected = collecting => collected,
-            _ = self.quarantine.wait_until_quarantined(&call.fingerprint) => {
+            _ = self.quarantine.wait_until_quarantined(&call.identity) => {
                 CollectedAnswer::Failed(AttemptFailure::Lost)
             }
         }
@@ -118,7 +118,7 @@
         tried: &[EndpointId],
     ) -> Result<(Reservation, Option<Binding>), Refusal> {
         self.wait_for_verdicts(call).await?;
-        if let Some(remaining) = self.quarantine.quarantined_for(&call.fingerprint) {
+        if let Some(remaining) = self.quarantine.quarantined_for(&call.identity) {
             return Err(quarantined(remaining));
         }
         let request = ReservationRequest {
@@ -134,7 +134,7 @@
         match &call.key {
             None => tokio::select! {
                 reservation = call.pool.reserve(request) => Ok((reservation?, None)),
-                remaining = self.quarantine.wait_until_quarantined(&call.fingerprint) => {
+                remaining = self.quarantine.wait_until_quarantined(&call.identity) => {
                     Err(quarantined(remaining))
                 }
             },
@@ -150,7 +150,7 @@
     /// Waits for the verdicts on back ends whose connections broke during this request: if they
     /// crashed, the request may crash the next one, too.
     async fn wait_for_verdicts(&self, call: &Call) -> Result<(), Refusal> {
-        match self.quarantine.remaining_hold(&call.fingerprint) {
+        match self.quarantine.remaining_hold(&call.identity.fingerprint) {
             Some(hold) if tokio::time::Instant::now() + hold > call.wait_until.at => {
                 let detail = "back ends broke this request off, and may have crashed";
                 Err(Refusal::not_run(Reason::HeldBack, detail).retry_after(hold))
@@ -158,7 +158,7 @@
             Some(hold) => {
                 let hold_ms = hold.as_millis() as u64;
                 log::info!(request:% = call.id, hold_ms; "call held for crash verdicts");
-                self.quarantine.wait_until_released(&call.fingerprint).await;
+                self.quarantine.wait_until_released(&call.identity.fingerprint).await;
                 Ok(())
             }
             None => Ok(()),
--- a/crates/link/src/fleet_query.rs
+++ b/crates/link/src/fleet_query.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{Method, StatusCode, Uri};
 use lynxmount_core::{
-    CrashReport, EndpointList, FleetConfig, Offset, Result, Step, invalid, refused,
+    CrashReport, EndpointList, FleetConfig, Offset, Result, SegmentReport, Step, invalid, refused,
 };
 use serde::{Deserialize, Serialize};
 
@@ -27,6 +27,9 @@
     /// All crash reports, if the querying process's differ.
     #[serde(default, rename = "suspicions")]
     pub crash_reports: Vec<CrashReport>,
+    /// All evidence against prompt segments, likewise.
+    #[serde(default)]
+    pub segment_reports: Vec<SegmentReport>,
     /// Time since the peer last read the platform, in milliseconds.
     pub read_ago_ms: u64,
 }
--- a/crates/link/src/gossip.rs
+++ b/crates/link/src/gossip.rs
@@ -24,15 +24,19 @@
     EndpointLimits,
     /// Crashes of endpoints, by the calls that were in flight.
     CrashReports,
+    /// Crashes of endpoints, by the prompt segments that were in flight.
+    SegmentReports,
 }
 
 impl GossipTopic {
-    const ALL: [GossipTopic; 2] = [GossipTopic::EndpointLimits, GossipTopic::CrashReports];
+    const ALL: [GossipTopic; 3] =
+        [GossipTopic::EndpointLimits, GossipTopic::CrashReports, GossipTopic::SegmentReports];
 
     fn path(self) -> &'static str {
         match self {
             GossipTopic::EndpointLimits => "/v1/endpoint-limits",
             GossipTopic::CrashReports => "/v1/suspicions",
+            GossipTopic::SegmentReports => "/v1/segment-reports",
         }
     }
 
--- a/crates/quarantine/benches/cost.rs
+++ b/crates/quarantine/benches/cost.rs
@@ -5,7 +5,7 @@
 
 use std::{hint::black_box, time::Instant};
 
-use lynxmount_core::{CallContent, CallFingerprint, CallPhase, CrashReport};
+use lynxmount_core::{CallContent, CallFingerprint, CallIdentity, CallPhase, CrashReport};
 use lynxmount_quarantine::SharedQuarantine;
 
 const ROUNDS: u32 = 200_000;
@@ -18,7 +18,7 @@
 
 /// A quarantine with evidence against so many calls, two crashes each.
 fn quarantine_of(calls: u32) -> SharedQuarantine {
-    let quarantine = SharedQuarantine::new(true);
+    let quarantine = SharedQuarantine::new(true, "entry");
     for number in 0..calls {
         for crash in 0..2 {
             let incarnation = u64::from(number * 2 + crash);
@@ -47,10 +47,12 @@
     }
     let innocent: Vec<CallFingerprint> =
         (0..1000).map(|n| fingerprint(1_000_000 + n, b"")).collect();
+    let identities: Vec<CallIdentity> = innocent.iter().map(|call| (*call).into()).collect();
     for known in [0, 20, 4096] {
         let quarantine = quarantine_of(known);
         let lookup_ns = time_ns(|number| {
-            black_box(quarantine.quarantined_for(&innocent[number as usize % innocent.len()]));
+            let call = &identities[number as usize % identities.len()];
+            black_box(quarantine.quarantined_for(call));
         });
         let survival_ns = time_ns(|number| {
             quarantine.record_survival(innocent[number as usize % innocent.len()]);
@@ -58,7 +60,7 @@
         println!("{known} known: lookup {lookup_ns:.0} ns, survival {survival_ns:.0} ns a call");
     }
     for crashes in [1, 2, 8] {
-        let quarantine = SharedQuarantine::new(true);
+        let quarantine = SharedQuarantine::new(true, "entry");
         for incarnation in 0..crashes {
             // Incarnations are hashes.
             let incarnation = u64::MAX / (incarnation + 2);
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 mod crash_attribution;
+mod segment_evidence;
 mod shared_quarantine;
 
-pub use shared_quarantine::SharedQuarantine;
+pub use shared_quarantine::{SharedQuarantine, split};
