An entry with most of the callers uses capacity that other entries leave

Cause: an entry's share of each endpoint's slots is 1.6 of an even one, of a group 1.15, however little the others use. Found by reading what limits new connections at one entry: the accept queue holds 1,024, connections aren't limited but by descriptors, the header timeout is that of idle connections; the shares bind first.

Change: ShareBorrowing raises the share step by step while it is used up and the endpoints report less than three quarters of their usable capacity in use, and lowers it from nine tenths on.

--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -137,6 +137,13 @@
         self.load.lock().last_received_at.is_some_and(|at| at.elapsed() < MAX_REUSE_SILENCE)
     }
 
+    /// Calls of all entries in progress, if the endpoint has reported its load recently.
+    pub(crate) fn total_running(&self) -> Option<u32> {
+        let load = self.load.lock();
+        let is_current = load.reported_at.is_some_and(|at| at.elapsed() < LOAD_REPORT_TTL);
+        is_current.then_some(load.own_running + load.others_running)
+    }
+
     /// Sets the group in which the endpoint is a rank.
     pub(crate) fn set_group(&self, group: &Arc<str>) {
         self.load.lock().group = Some(Arc::clone(group));
--- a/crates/direct/src/service/inner.rs
+++ b/crates/direct/src/service/inner.rs
@@ -13,8 +13,8 @@
 use lynxmount_link::MembersFingerprint;
 use lynxmount_policy::{
     EndpointBackpressure, EndpointSnapshot, GroupMonitor, LatencyClass, REOPEN_GRACE,
-    RetrySchedule, Selection, ServiceQueue, SlotOwners, Ticket, Waiter, WindowBudget,
-    earliest_resume, select_endpoint,
+    RetrySchedule, Selection, ServiceQueue, ShareBorrowing, SlotOwners, Ticket, Waiter,
+    WindowBudget, earliest_resume, select_endpoint,
 };
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
@@ -49,6 +49,8 @@
     pub(super) retry_schedule: RetrySchedule,
     /// When the armed timer grants permits of endpoints that resume.
     pub(super) resume_timer: Option<Duration>,
+    /// How far this entry exceeds its shares of endpoints and groups.
+    borrowing: ShareBorrowing,
     /// Backpressure by incarnation, including those that are temporarily not listed.
     backpressure: HashMap<EndpointIncarnation, Arc<Mutex<EndpointBackpressure>>>,
     /// Number of permits granted so far.
@@ -74,6 +76,7 @@
             budget,
             retry_schedule: RetrySchedule::default(),
             resume_timer: None,
+            borrowing: ShareBorrowing::default(),
             backpressure: HashMap::new(),
             selections: 0,
             health_path: None,
@@ -176,7 +179,8 @@
             .map(|endpoint| {
                 let group = endpoint.group();
                 let share = *shares.entry(group).or_insert_with_key(|group| {
-                    self.group_share(group).map(|share| share * GROUP_SHARE_FACTOR)
+                    self.group_share(group)
+                        .map(|share| share * GROUP_SHARE_FACTOR * self.borrowing.factor())
                 });
                 endpoint.snapshot(self.capacity_of(endpoint, share, now), tried, &self.groups)
             })
@@ -185,6 +189,33 @@
         (select_endpoint(&snapshots), earliest_resume(&snapshots))
     }
 
+    /// Adapts this entry's shares to what all entries use; `selection` is what a call has found.
+    pub(super) fn adapt_shares(&mut self, selection: Selection, now: Duration) {
+        let Some(utilization) = self.utilization() else { return };
+        let is_share_used_up = selection == Selection::Full;
+        self.borrowing.update(utilization, is_share_used_up, self.entry_count(), now);
+    }
+
+    /// The part of the capacity that the calls of all entries use, by the endpoints that have
+    /// reported their load recently; `None` if less than half of them have.
+    fn utilization(&self) -> Option<f64> {
+        let reported: Vec<(u32, f64)> = self
+            .endpoints
+            .iter()
+            .filter_map(|endpoint| Some((endpoint.total_running()?, self.usable_slots(endpoint))))
+            .collect();
+        let running: u32 = reported.iter().map(|(running, _)| running).sum();
+        let slots: f64 = reported.iter().map(|(_, slots)| slots).sum();
+        let is_enough = 2 * reported.len() >= self.endpoints.len() && slots > 0.0;
+        is_enough.then(|| f64::from(running) / slots)
+    }
+
+    /// The slots of an endpoint that the concurrency limit of its group allows.
+    fn usable_slots(&self, endpoint: &Endpoint) -> f64 {
+        let slots = f64::from(self.slots.unwrap_or(endpoint.record.slots).max(1));
+        slots * self.groups.limit_fraction(&endpoint.group())
+    }
+
     /// Resets the parts of a snapshot whose mechanisms are disabled.
     fn without_disabled(&self, snapshot: EndpointSnapshot) -> EndpointSnapshot {
         let has = |mechanism| self.mechanisms.has(mechanism);
@@ -209,6 +240,7 @@
     ) -> Capacity {
         let total = self.slots.unwrap_or(endpoint.record.slots).max(1);
         let share = f64::from(total) / self.entry_count() as f64 * SLOT_SHARE_FACTOR;
+        let share = share * self.borrowing.factor();
         let own = (share.ceil() as u32).clamp(1, total);
         Capacity { total, own, group_share, now }
     }
--- a/crates/direct/src/service/mod.rs
+++ b/crates/direct/src/service/mod.rs
@@ -206,6 +206,7 @@
         let mut inner = self.inner.lock();
         self.detect_blocked(&mut inner, now);
         let (selection, resumes_at) = inner.select(request.tried, now);
+        inner.adapt_shares(selection, now);
         let free = match selection {
             Selection::NoEndpoint => return Err(Unavailable::NoEndpoint),
             Selection::Closed => return inner.park_until_open(request, now),
--- a/crates/policy/src/group_monitor.rs
+++ b/crates/policy/src/group_monitor.rs
@@ -281,6 +281,11 @@
         f64::from(group.running) >= share * group.limit.fraction()
     }
 
+    /// The part of a group's capacity that its concurrency limit allows, from 0 to 1.
+    pub fn limit_fraction(&self, group: &str) -> f64 {
+        self.groups.get(group).map_or(1.0, |group| group.limit.fraction())
+    }
+
     /// Whether a call may be sent to a group.
     pub fn may_send(&self, group: &str, now: Duration) -> bool {
         self.groups.get(group).is_none_or(|group| group.may_send(now))
