Tests of streams that end with their connections

The relay already decides by the last event (`SequencedEvents::ends_mid_event`), so nothing failed; nothing had tested it.

--- a/crates/lynxmount/tests/platform_entry.rs
+++ b/crates/lynxmount/tests/platform_entry.rs
@@ -238,6 +238,42 @@
     assert!(resumed.into_iter().any(|seen| seen.header("last-event-id") == Some("4")));
 }
 
+/// A stream without length or chunks that ends after an event is complete.
+#[tokio::test]
+async fn stream_that_ends_with_its_connection_is_complete() {
+    let stream = Behaviour::StreamUntilClose { events: 3, is_cut: false, resumed_events: 0 };
+    let fleet = Fleet::start(STREAM, &[stream]).await;
+
+    for _ in 0..2 {
+        let response = call(fleet.address(), Method::POST, &path(STREAM), KEY).await;
+
+        assert_eq!(response.expect("response").body.as_deref(), Some(events(1..=3).as_bytes()));
+    }
+}
+
+/// Guards against a stream that passes for complete although its connection ended inside an event.
+#[tokio::test]
+async fn stream_whose_connection_ends_inside_an_event_is_resumed_elsewhere() {
+    let cut = Behaviour::StreamUntilClose { events: 4, is_cut: true, resumed_events: 9 };
+    let fleet = Fleet::start(STREAM, &[cut.clone(), cut]).await;
+
+    let response = call(fleet.address(), Method::POST, &path(STREAM), KEY).await.expect("response");
+
+    assert_eq!(response.body.as_deref(), Some(events(1..=9).as_bytes()));
+}
+
+/// The same stream where no other endpoint is left.
+#[tokio::test]
+async fn stream_whose_connection_ends_inside_an_event_is_truncated_if_it_is_not_resumed() {
+    let cut = Behaviour::StreamUntilClose { events: 4, is_cut: true, resumed_events: 0 };
+    let fleet = Fleet::start(STREAM, &[cut]).await;
+
+    let response =
+        call(fleet.address(), Method::POST, &path(STREAM), KEY).await.expect("response head");
+
+    assert_eq!(response.body, None);
+}
+
 #[tokio::test]
 async fn broken_stream_that_cannot_be_resumed_is_truncated() {
     let cut = Behaviour::StreamCut { complete_events: 4, resumed_events: 0 };
