A registration of an unknown service replaces no endpoint

Cause: Membership kept one registration for each address, the one listed last, before services were looked at.

Change: only registrations of configured services compete for an address.

--- a/crates/direct/src/watch.rs
+++ b/crates/direct/src/watch.rs
@@ -8,7 +8,7 @@
 };
 
 use lynxmount_core::{
-    Clock, EndpointList, FleetConfig, Offset, Result, SiteBounds, adapter::FleetSource,
+    Clock, EndpointList, FleetConfig, Offset, Result, ServiceId, SiteBounds, adapter::FleetSource,
 };
 use lynxmount_policy::{MEMBERSHIP_CONVERGENCE_TIME, Membership};
 use lynxmount_quarantine::SharedQuarantine;
@@ -187,7 +187,10 @@
     fn update_endpoint_set(&self) {
         let Some(config) = self.fleet.config() else { return };
         let as_of_offset = self.fleet.endpoints().map_or(0, |list| list.as_of_offset);
-        let endpoints = self.membership.lock().endpoints();
+        let is_configured = |service: &ServiceId| {
+            config.config.services.iter().any(|configured| configured.id == *service)
+        };
+        let endpoints = self.membership.lock().endpoints(is_configured);
         let list = EndpointList { as_of_offset, endpoints };
         self.endpoint_set.update(&config, &list, &self.peers.slot_owners());
     }
--- a/crates/lynxmount/tests/platform_entry.rs
+++ b/crates/lynxmount/tests/platform_entry.rs
@@ -15,7 +15,7 @@
     Behaviour, Call, CallerOutcome, CallerStandin, StoreMode, StoreStandin,
     fixture::{
         CONFIG_KEY, GroupService, IDEMPOTENT, NON_IDEMPOTENT, OPERATOR_TOPIC, REGISTRATIONS_TOPIC,
-        STREAM, TEAM, config_text, service_of,
+        STREAM, TEAM, config_text, registration_text, service_of,
     },
 };
 use nix::sys::signal::Signal;
@@ -99,6 +99,21 @@
     assert_eq!(response.status, StatusCode::OK);
 }
 
+/// Guards against lookups that are refused as long as another writer's registration names the
+/// address of their only endpoint.
+#[tokio::test]
+async fn registration_of_an_unknown_service_takes_no_endpoint_out_of_service() {
+    let fleet = Fleet::start(IDEMPOTENT, &[Behaviour::Answer]).await;
+    let foreign = registration_text(fleet.replicas[0].address, "unknown", "ready");
+
+    fleet.store.put(REGISTRATIONS_TOPIC, "z-foreign", &foreign);
+    let reads_before = fleet.store.request_count();
+    wait_for("two reads", async || fleet.store.request_count() >= reads_before + 4).await;
+
+    let response = call(fleet.address(), Method::GET, &path(IDEMPOTENT), KEY).await;
+    assert_eq!(response.expect("response").status, StatusCode::OK);
+}
+
 #[tokio::test]
 async fn lost_response_of_non_idempotent_request_is_not_retried() {
     let fleet = Fleet::start(NON_IDEMPOTENT, &[Behaviour::Reset, Behaviour::Reset]).await;
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -10,7 +10,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use lynxmount_core::{EndpointId, EndpointList, EndpointRecord, Offset};
+use lynxmount_core::{EndpointId, EndpointList, EndpointRecord, Offset, ServiceId};
 
 /// How long after the store's recovery a missing registration may still reappear.
 const REREGISTRATION_TIME: Duration = Duration::from_millis(2200);
@@ -106,10 +106,13 @@
         }
     }
 
-    /// The endpoints that may be alive: the latest incarnation at each address.
-    pub fn endpoints(&self) -> Vec<EndpointRecord> {
+    /// The endpoints of configured services that may be alive: the latest incarnation at each
+    /// address. A registration of another service may come from another writer, and does not
+    /// replace the endpoint at its address.
+    pub fn endpoints(&self, is_configured: impl Fn(&ServiceId) -> bool) -> Vec<EndpointRecord> {
+        let configured = |record: &&EndpointRecord| is_configured(&record.service);
         let mut latest: BTreeMap<SocketAddr, &EndpointRecord> = BTreeMap::new();
-        for record in self.missing.values().chain(self.listed.values()) {
+        for record in self.missing.values().chain(self.listed.values()).filter(configured) {
             let known = latest.entry(record.address).or_insert(record);
             if self.is_later(record, known) {
                 *known = record;
@@ -118,7 +121,7 @@
         let is_latest = |record: &&EndpointRecord| {
             !self.is_latest_only || latest[&record.address].id == record.id
         };
-        let maybe_alive = self.listed.values().chain(self.missing.values());
+        let maybe_alive = self.listed.values().chain(self.missing.values()).filter(configured);
         maybe_alive.filter(is_latest).cloned().collect()
     }
 
--- a/crates/policy/tests/direct_call_policies.rs
+++ b/crates/policy/tests/direct_call_policies.rs
@@ -201,7 +201,7 @@
 }
 
 fn ids(membership: &Membership) -> Vec<String> {
-    membership.endpoints().iter().map(|endpoint| endpoint.id.to_string()).collect()
+    membership.endpoints(|_| true).iter().map(|endpoint| endpoint.id.to_string()).collect()
 }
 
 #[test]
@@ -322,6 +322,18 @@
     assert_eq!(ids(&membership), ["a"]);
 }
 
+/// Guards against a live endpoint that is replaced by another writer's registration.
+#[test]
+fn a_registration_of_an_unknown_service_does_not_replace_an_endpoint() {
+    let mut membership = Membership::default();
+    let foreign = EndpointRecord { service: "unknown".into(), ..incarnation("b", 9, None) };
+
+    membership.update(&incarnations(&[incarnation("a", 3, None), foreign]), at_ms(0));
+
+    let endpoints = membership.endpoints(|service| &**service != "unknown");
+    assert_eq!(endpoints.iter().map(|endpoint| &*endpoint.id).collect::<Vec<_>>(), ["a"]);
+}
+
 #[test]
 fn registrations_at_different_addresses_are_different_endpoints() {
     let mut membership = Membership::default();
