A process whose engine has a foreign registration finds its own service

Cause: Registry::update took its own service from the first registration at its address, so that BalanceSpec found no such service.

Change: if several services are registered at the own address, the configured one is valid. The configuration is read only then.

--- a/crates/lynxmount/tests/platform_endpoint.rs
+++ b/crates/lynxmount/tests/platform_endpoint.rs
@@ -185,6 +185,24 @@
     assert_one_map(&test_group);
 }
 
+/// Guards against a leader that takes another writer's registration at its engine's address for its
+/// own, and then neither balances its group nor settles a hold.
+#[tokio::test]
+async fn group_is_balanced_although_an_unknown_service_is_registered_at_its_leader() {
+    let mut test_service = start_groups(&["a"]).await;
+    test_service.groups[0].set_demand(demand_for(2));
+    wait_for("replicas", async || replicas_in(&test_service.groups[0], 2) >= 3).await;
+
+    let foreign = registration_text(test_service.engine(0), "unknown", "ready");
+    test_service.store.put(REGISTRATIONS_TOPIC, "a-foreign", &foreign);
+    test_service.processes.remove(0);
+    test_service.processes.insert(0, test_service.start_process(test_service.engine(0)));
+    test_service.groups[0].set_demand(demand_for(7));
+
+    wait_for("replicas", async || replicas_in(&test_service.groups[0], 7) >= 3).await;
+    assert_no_split(&test_service.groups);
+}
+
 #[tokio::test]
 async fn passes_go_on_after_short_pauses_of_a_process() {
     let test_group = start().await;
--- a/crates/rank/src/registry.rs
+++ b/crates/rank/src/registry.rs
@@ -2,7 +2,7 @@
 //!
 //! Rendezvous hashing of a group's name selects the group's directories among them.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use lynxmount_core::{
     EndpointList, EndpointRecord, FailureDomainId, Offset, Result, ServiceId, adapter::FleetSource,
@@ -69,8 +69,7 @@
     }
 
     /// Replaces the cached registrations, unless the own engine is not among the new ones.
-    fn update(&self, list: &EndpointList, own: SocketAddr) {
-        let service = list.endpoints.iter().find(|e| e.address == own).map(|e| e.service.clone());
+    fn update(&self, list: &EndpointList, service: Option<ServiceId>) {
         let Some(service) = service else { return };
         let of_service = list.endpoints.iter().filter(|endpoint| endpoint.service == service);
         let to_engine = |endpoint: &EndpointRecord| RegisteredEngine {
@@ -84,6 +83,33 @@
         *self.endpoints.lock() = ServiceEndpoints { service: Some(service), engines };
     }
 
+    /// The service of the own engine. A registration at its address may come from another writer;
+    /// of several services, the configured one is valid.
+    async fn own_service(
+        &self,
+        source: &impl FleetSource,
+        list: &EndpointList,
+        own: SocketAddr,
+    ) -> Option<ServiceId> {
+        let at_own_address = list.endpoints.iter().filter(|endpoint| endpoint.address == own);
+        let services: BTreeSet<&ServiceId> = at_own_address.map(|e| &e.service).collect();
+        if services.len() < 2 {
+            return services.into_iter().next().cloned();
+        }
+        match source.config_after(None, Duration::ZERO).await {
+            Ok(config) => {
+                let (_, config) = config?;
+                let is_configured =
+                    |service: &&ServiceId| config.services.iter().any(|spec| spec.id == **service);
+                services.into_iter().find(is_configured).cloned()
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "configuration read failed");
+                None
+            }
+        }
+    }
+
     /// Refreshes the registrations until the task is dropped.
     pub(crate) async fn run(
         self: Arc<Registry>,
@@ -97,7 +123,7 @@
             match read(&*source, &seeds, &list).await {
                 Ok(read) => {
                     list = read;
-                    self.update(&list, own);
+                    self.update(&list, self.own_service(&*source, &list, own).await);
                 }
                 Err(error) => log::warn!(error:% = error; "registration refresh failed"),
             }
