Entries read the configuration as soon as the store answers again

Cause: a long poll that the store received during its outage is never answered, and the entry waited up to 2.9 s for it, a pull of peers and 0.3 s more. Registrations are read again much earlier, on another connection, and nothing made use of that.

Change: the first successful read of registrations after a loss ends the pending poll of the configuration, which is then read anew.

--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -12,6 +12,7 @@
 use lynxmount_quarantine::SharedQuarantine;
 use lynxmount_telemetry::{Metrics, MetricsHandler};
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 
 use crate::{
     crash_detector::CrashDetector,
@@ -133,6 +134,7 @@
             mechanisms.has(Mechanism::LaterLives),
             endpoints_period(&settings.bounds),
         )),
+        store_regained: Notify::new(),
     });
     tokio::spawn(Arc::clone(&watch).watch_config());
     tokio::spawn(Arc::clone(&watch).watch_endpoints());
--- a/crates/direct/src/watch.rs
+++ b/crates/direct/src/watch.rs
@@ -14,6 +14,7 @@
 use lynxmount_quarantine::SharedQuarantine;
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 
 use crate::{endpoint_set::EndpointSet, fleet::Fleet, peers::Peers};
 
@@ -54,6 +55,8 @@
     /// When the platform was last read.
     pub(crate) last_read_at: Arc<Mutex<Option<Instant>>>,
     pub(crate) membership: Mutex<Membership>,
+    /// Notified when registrations can be read again.
+    pub(crate) store_regained: Notify,
 }
 
 /// Logs when a dependency becomes unreachable and when it is reachable again.
@@ -74,11 +77,12 @@
         }
     }
 
-    pub(crate) fn on_success(&mut self) {
-        if let Some(at) = self.lost_at.take() {
-            let out_ms = at.elapsed().as_millis() as u64;
-            log::info!(what = self.dependency, out_ms; "dependency regained");
-        }
+    /// Records a success. Returns whether the dependency was unreachable before.
+    pub(crate) fn on_success(&mut self) -> bool {
+        let Some(at) = self.lost_at.take() else { return false };
+        let out_ms = at.elapsed().as_millis() as u64;
+        log::info!(what = self.dependency, out_ms; "dependency regained");
+        true
     }
 }
 
@@ -89,7 +93,12 @@
         loop {
             let after = self.fleet.config().map(|view| view.offset);
             // A dead connection is detected within this wait plus the client's timeout.
-            match self.source.config_after(after, self.bounds.config_apply).await {
+            let read = tokio::select! {
+                read = self.source.config_after(after, self.bounds.config_apply) => read,
+                // A poll that the store received during its outage is not answered.
+                () = self.store_regained.notified() => continue,
+            };
+            match read {
                 Ok(update) => {
                     reachability.on_success();
                     self.record_read();
@@ -125,7 +134,9 @@
             let current = self.fleet.endpoints().map(|list| (*list).clone()).unwrap_or_default();
             match self.read_endpoints(&current).await {
                 Ok(list) => {
-                    reachability.on_success();
+                    if reachability.on_success() {
+                        self.store_regained.notify_one();
+                    }
                     self.record_read();
                     self.apply_endpoints(list);
                     tokio::time::sleep(endpoints_period(&self.bounds)).await;
--- a/crates/lynxmount/tests/platform_entry.rs
+++ b/crates/lynxmount/tests/platform_entry.rs
@@ -114,6 +114,29 @@
     assert_eq!(response.expect("response").status, StatusCode::OK);
 }
 
+/// Guards against a configuration that comes into force late because the entry still waits for the
+/// answer to a poll that the store received during its outage.
+#[tokio::test]
+async fn configuration_is_read_as_soon_as_the_store_answers_again() {
+    let fleet = Fleet::start(IDEMPOTENT, &[Behaviour::Answer]).await;
+    let applied = || fleet.entry.logged("configuration applied").len();
+    let lost = |what: &str| {
+        let records = fleet.entry.logged("dependency lost");
+        records.iter().any(|record| record["attributes"]["what"] == what)
+    };
+    // The pending poll returns this configuration, and the next one arrives during the outage.
+    fleet.store.set_mode(StoreMode::Silent);
+    fleet.store.put(OPERATOR_TOPIC, CONFIG_KEY, &config(2, &[KEY]));
+    wait_for("the second configuration", async || applied() >= 2).await;
+    wait_for("loss of the store", async || lost("endpoints")).await;
+
+    fleet.store.put(OPERATOR_TOPIC, CONFIG_KEY, &config(3, &[KEY]));
+    fleet.store.set_mode(StoreMode::Up);
+
+    wait_for("the third configuration", async || applied() >= 3).await;
+    assert!(!lost("configuration"), "the entry waited for the pending poll");
+}
+
 #[tokio::test]
 async fn lost_response_of_non_idempotent_request_is_not_retried() {
     let fleet = Fleet::start(NON_IDEMPOTENT, &[Behaviour::Reset, Behaviour::Reset]).await;
