A restarted leader switches maps once no late release can meet its hold

Cause: which ranks were held at which steps was remembered by one process only. A next life chose the same rank and step, for which a release of its former life was under way. It takes an idle group: a busy one has begun the step long before.

Change: a leader's life places its first hold for a switch once the group has passed 32 steps since it first saw it (further than a former life can have held ahead), has another epoch, or no order can be so late (12 s). An idle group waits for its balance; a busy one for a second or two. The rollback of an abandoned switch doesn't wait, as it arms nothing.

--- a/crates/group/src/switch/hold_history.rs
+++ b/crates/group/src/switch/hold_history.rs
@@ -5,13 +5,20 @@
 //! before. The rotation follows the map versions, which all ranks report and which only
 //! grow.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use lynxmount_core::experts::{EngineReport, GroupEpoch, GroupStep};
 
 use super::reports::{VERSION_STEP, abandoned_step, highest_version};
 use crate::RankNumber;
 
+/// How late an order may take effect.
+const MAX_ORDER_DELAY: Duration = Duration::from_secs(12);
+
+/// How many steps ahead of its group a coordinator may have placed holds within that time: in an
+/// idle group each attempt on the same rank is a step later.
+const MAX_HOLD_LEAD: GroupStep = 32;
+
 /// The rank on which to place a hold, and from which step on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct HoldPlacement {
@@ -25,10 +32,40 @@
 #[derive(Clone, Debug, Default)]
 pub struct HoldHistory {
     epoch: GroupEpoch,
-    last_by_rank: BTreeMap<RankNumber, GroupStep>,
+    last_by_rank: BTreeMap<RankNumber, PlacedHold>,
+    first_seen: Option<FirstSeen>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PlacedHold {
+    step: GroupStep,
+    at: Duration,
+}
+
+/// The group as this coordinator first saw it.
+#[derive(Clone, Copy, Debug)]
+struct FirstSeen {
+    epoch: GroupEpoch,
+    step: GroupStep,
+    at: Duration,
 }
 
 impl HoldHistory {
+    /// Records the state of the group; to be called before each switch.
+    pub fn on_seen(&mut self, epoch: GroupEpoch, step: GroupStep, now: Duration) {
+        self.first_seen.get_or_insert(FirstSeen { epoch, step, at: now });
+    }
+
+    /// Whether no release of a former life of this coordinator can meet a hold for a switch: such a
+    /// life may have placed holds shortly before this one began, and they are not known here.
+    pub fn may_switch(&self, epoch: GroupEpoch, step: GroupStep, now: Duration) -> bool {
+        self.first_seen.is_some_and(|first| {
+            epoch != first.epoch
+                || step >= first.step + MAX_HOLD_LEAD
+                || now >= first.at + MAX_ORDER_DELAY
+        })
+    }
+
     /// Chooses a rank without a hold; for the rollback of an abandoned switch, one that this
     /// coordinator has not held at that step or later. Prefers the coordinator's own ranks, but
     /// crashes may have left holds on all of them.
@@ -37,12 +74,13 @@
         epoch: GroupEpoch,
         reports: &[EngineReport],
         is_own: impl Fn(RankNumber) -> bool,
+        now: Duration,
     ) -> Option<HoldPlacement> {
         let abandoned = abandoned_step(reports);
-        let last = |rank: RankNumber| match self.epoch == epoch {
-            true => self.last_by_rank.get(&rank).copied().unwrap_or_default(),
-            false => 0,
+        let placed = |rank: RankNumber| {
+            self.last_by_rank.get(&rank).copied().filter(|_| self.epoch == epoch)
         };
+        let last = |rank: RankNumber| placed(rank).map_or(0, |hold| hold.step);
         let is_free = |rank: &RankNumber| {
             reports[*rank].held.is_none() && abandoned.is_none_or(|step| last(*rank) < step)
         };
@@ -57,12 +95,13 @@
         Some(HoldPlacement { rank, min_step: last(rank) + 1 })
     }
 
-    /// Records the step of a hold that was placed on a rank.
-    pub fn record(&mut self, epoch: GroupEpoch, rank: RankNumber, step: GroupStep) {
+    /// Records the step of a hold that is in place on a rank, or may be.
+    pub fn record(&mut self, epoch: GroupEpoch, rank: RankNumber, step: GroupStep, now: Duration) {
         if self.epoch != epoch {
-            *self = HoldHistory { epoch, ..HoldHistory::default() };
+            self.epoch = epoch;
+            self.last_by_rank.clear();
         }
-        let last = self.last_by_rank.entry(rank).or_default();
-        *last = step.max(*last);
+        let last = self.last_by_rank.entry(rank).or_insert(PlacedHold { step, at: now });
+        *last = PlacedHold { step: step.max(last.step), at: now };
     }
 }
--- a/crates/group/tests/switch_hold.rs
+++ b/crates/group/tests/switch_hold.rs
@@ -6,7 +6,7 @@
     Action, EngineOrder, EngineReport, GroupMap, GroupMembership, OrderResult,
 };
 use lynxmount_group::{
-    MapSwitch, RankRequest, SwitchInputs, SwitchOptions, SwitchOutcome, hold_delegate,
+    HoldHistory, MapSwitch, RankRequest, SwitchInputs, SwitchOptions, SwitchOutcome, hold_delegate,
 };
 
 const RANKS: usize = 4;
@@ -121,3 +121,19 @@
     assert_eq!((next, wrapped, beside_frozen), (Some(2), Some(1), Some(3)));
     assert_eq!(in_group_of_two, None);
 }
+
+/// How late an order may take effect.
+const MAX_ORDER_DELAY: Duration = Duration::from_secs(12);
+
+/// Guards against a late release of a killed coordinator that lets the group go while its next life
+/// arms the ranks.
+#[test]
+fn a_restarted_coordinator_switches_once_no_release_of_its_former_life_can_meet_its_hold() {
+    let mut history = HoldHistory::default();
+    history.on_seen(EPOCH, 7, Duration::ZERO);
+
+    assert!(!history.may_switch(EPOCH, 9, Duration::from_secs(1)), "an idle group");
+    assert!(history.may_switch(EPOCH, 7 + 32, Duration::from_secs(1)), "a busy group");
+    assert!(history.may_switch(EPOCH + 1, 0, Duration::from_secs(1)), "a new epoch");
+    assert!(history.may_switch(EPOCH, 9, MAX_ORDER_DELAY), "no order is so late");
+}
--- a/crates/group/tests/switch_simulation/mod.rs
+++ b/crates/group/tests/switch_simulation/mod.rs
@@ -180,7 +180,7 @@
         }
         let requests = switch.tick(self.now);
         let (outcome, hold_rank, step) = (switch.outcome(), switch.hold_rank(), switch.hold_step());
-        self.coordinators[index].hold_history.record(EPOCH, hold_rank, step);
+        self.coordinators[index].hold_history.record(EPOCH, hold_rank, step, self.now);
         for request in requests {
             self.send(index, request);
         }
@@ -227,7 +227,9 @@
         let remainder = coordinator.remainder;
         let is_own = |rank: usize| rank % MAX_COORDINATORS == remainder;
         let hold_history = &coordinator.hold_history;
-        let Some(placement) = hold_history.choose(EPOCH, &reports, is_own) else { return };
+        let Some(placement) = hold_history.choose(EPOCH, &reports, is_own, self.now) else {
+            return;
+        };
         let inputs = SwitchInputs {
             options: SwitchOptions::default(),
             hold_rank: placement.rank,
--- a/crates/rank/src/coordinator/drive.rs
+++ b/crates/rank/src/coordinator/drive.rs
@@ -59,7 +59,8 @@
                     (rank, id, answered)
                 }));
             }
-            state.hold_history.record(switch.epoch(), switch.hold_rank(), switch.hold_step());
+            let (epoch, now) = (switch.epoch(), self.clock.now());
+            state.hold_history.record(epoch, switch.hold_rank(), switch.hold_step(), now);
             if let Some(outcome) = switch.outcome() {
                 return outcome;
             }
--- a/crates/rank/src/coordinator/mod.rs
+++ b/crates/rank/src/coordinator/mod.rs
@@ -143,6 +143,11 @@
         if group.reports.iter().any(|report| report.armed.is_some()) {
             return;
         }
+        let step = group.reports.iter().map(|report| report.step).max().unwrap_or_default();
+        state.hold_history.on_seen(group.epoch, step, self.clock.now());
+        if !state.hold_history.may_switch(group.epoch, step, self.clock.now()) {
+            return;
+        }
         let Some(current) = self.current_map(state, &group).await else { return };
         let Some(demand) = self.rank_states.lock().demand(spec.experts.experts) else { return };
         let slowdowns = match self.mechanisms.has(Mechanism::SlowRanks) {
@@ -171,7 +176,8 @@
         let candidates = self.discovery.leader_candidates();
         let position = candidates.iter().position(|engine| *engine == self.own_engine)?;
         let is_own = |rank: usize| is_own_hold_rank(&group.engines, &candidates, position, rank);
-        let placement = state.hold_history.choose(group.epoch, &reports, is_own)?;
+        let placement =
+            state.hold_history.choose(group.epoch, &reports, is_own, self.clock.now())?;
         Some(SwitchInputs {
             options: state.switch_options(self.mechanisms.has(Mechanism::LossyLead)),
             hold_rank: placement.rank,
