A rank is used again for a hold once no late release can arrive there

Change: HoldHistory remembers when it placed a hold, and a rank is free again for a rollback 12 s later, when no order can still arrive.

--- a/crates/group/src/switch/hold_history.rs
+++ b/crates/group/src/switch/hold_history.rs
@@ -67,7 +67,7 @@
     }
 
     /// Chooses a rank without a hold; for the rollback of an abandoned switch, one that this
-    /// coordinator has not held at that step or later. Prefers the coordinator's own ranks, but
+    /// coordinator has not held at that step or later for a while. Prefers the coordinator's own ranks, but
     /// crashes may have left holds on all of them.
     pub fn choose(
         &self,
@@ -81,8 +81,11 @@
             self.last_by_rank.get(&rank).copied().filter(|_| self.epoch == epoch)
         };
         let last = |rank: RankNumber| placed(rank).map_or(0, |hold| hold.step);
+        let is_outdated =
+            |rank: RankNumber| placed(rank).is_some_and(|hold| now >= hold.at + MAX_ORDER_DELAY);
         let is_free = |rank: &RankNumber| {
-            reports[*rank].held.is_none() && abandoned.is_none_or(|step| last(*rank) < step)
+            reports[*rank].held.is_none()
+                && abandoned.is_none_or(|step| last(*rank) < step || is_outdated(*rank))
         };
         let (own, others): (Vec<RankNumber>, Vec<RankNumber>) =
             (0..reports.len()).partition(|rank| is_own(*rank));
--- a/crates/group/tests/switch_hold.rs
+++ b/crates/group/tests/switch_hold.rs
@@ -137,3 +137,18 @@
     assert!(history.may_switch(EPOCH + 1, 0, Duration::from_secs(1)), "a new epoch");
     assert!(history.may_switch(EPOCH, 9, MAX_ORDER_DELAY), "no order is so late");
 }
+
+/// Guards against a group that stays held for ever, as late orders have held it at a step at which
+/// each rank was used before.
+#[test]
+fn a_rank_is_used_again_at_its_step_once_no_late_release_can_arrive() {
+    let mut history = HoldHistory::default();
+    (0..RANKS).for_each(|rank| history.record(EPOCH, rank, 9, Duration::ZERO));
+    let mut reports: Vec<EngineReport> = (0..RANKS).map(report).collect();
+    reports[HELD].held = Some(9);
+    let choose = |now: Duration| history.choose(EPOCH, &reports, |_| true, now);
+
+    assert_eq!(choose(Duration::from_secs(11)), None);
+    let placement = choose(MAX_ORDER_DELAY).expect("a rank is free");
+    assert_ne!(placement.rank, HELD);
+}
