A restarted leader waits for six steps of its group, and a first life for none

Change: the 12 s count from the start of the process; a system that starts for the first time has no former lives (FirstStart in the settings); six steps are enough but for a group that was idle while a former life failed more often than that on one rank.

--- a/crates/core/src/site.rs
+++ b/crates/core/src/site.rs
@@ -56,6 +56,8 @@
     pub engine_address: Option<SocketAddr>,
     /// Bandwidth of the machine's network link in Mbit/s, if set.
     pub link_mbit_per_s: Option<f64>,
+    /// Whether the whole system starts for the first time, so that no process has a former life.
+    pub is_first_start: bool,
     /// Bounds set by operators.
     pub bounds: SiteBounds,
     /// The enabled mechanisms.
--- a/crates/quarantine/src/segment_evidence.rs
+++ b/crates/quarantine/src/segment_evidence.rs
@@ -13,7 +13,7 @@
 use crate::SharedQuarantine;
 
 /// Age from which on published evidence is ignored. Clocks may differ by an hour.
-const MAX_AGE_S: u64 = 24 * 3600;
+const MAX_AGE_S: u64 = 2 * 3600;
 
 impl SharedQuarantine {
     /// Counts a call for the popularity of its segments.
--- a/crates/rank/src/coordinator/mod.rs
+++ b/crates/rank/src/coordinator/mod.rs
@@ -60,6 +60,7 @@
     pub(crate) maps: Arc<Mutex<MapCache>>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) clock: Clock,
+    pub(crate) is_first_start: bool,
     pub(crate) mechanisms: Mechanisms,
 }
 
@@ -71,7 +72,7 @@
 {
     /// Balances until the task is dropped.
     pub(crate) async fn run(self) {
-        let mut state = LeaderState::default();
+        let mut state = LeaderState::new(self.is_first_start);
         loop {
             tokio::time::sleep(BALANCE_PERIOD).await;
             let is_leading = self.leadership.is_leader();
@@ -144,7 +145,7 @@
             return;
         }
         let step = group.reports.iter().map(|report| report.step).max().unwrap_or_default();
-        state.hold_history.on_seen(group.epoch, step, self.clock.now());
+        state.hold_history.on_seen(group.epoch, step);
         if !state.hold_history.may_switch(group.epoch, step, self.clock.now()) {
             return;
         }
--- a/crates/rank/src/leader_state.rs
+++ b/crates/rank/src/leader_state.rs
@@ -35,6 +35,13 @@
 }
 
 impl LeaderState {
+    /// The state of a process at its start.
+    pub(crate) fn new(is_first_start: bool) -> LeaderState {
+        let hold_history =
+            if is_first_start { HoldHistory::of_first_life() } else { HoldHistory::default() };
+        LeaderState { hold_history, ..LeaderState::default() }
+    }
+
     /// Records whether an engine had to be sent an order more than once.
     pub(crate) fn record_retries(&mut self, answered: &Result<OrderAnswer>) {
         if answered.as_ref().is_ok_and(|answer| answer.tries > 1) {
--- a/crates/rank/src/process.rs
+++ b/crates/rank/src/process.rs
@@ -148,6 +148,7 @@
         maps,
         metrics,
         clock,
+        is_first_start: settings.is_first_start,
         mechanisms: settings.mechanisms.clone(),
     };
     tokio::spawn(coordinator.run());
