Soak: reads of configurations fall silent alone, and lateness is measured at each entry

Change: silences of the operators' topic, whole or every second connection, drawn apart, with a new version in each. ConfigInForce now holds from 3 s after the end of a disturbance (before: not judged if one had begun to matter since 3 s before the version was written). The report has the latest refusal of a newest key, in seconds from its bound.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -9,7 +9,7 @@
 };
 
 use lynxmount_platform_standin::{
-    Backpressure, Behaviour, StoreMode,
+    Backpressure, Behaviour, StoreMode, TopicSilence,
     fixture::{OPERATOR_TOPIC, REGISTRATIONS_TOPIC, SHUTDOWN_GRACE},
 };
 use nix::sys::signal::Signal;
@@ -117,6 +117,7 @@
             FaultKind::Kill(process) => self.kill(process).await?,
             FaultKind::Pause(process) => self.pause(process, fault.length).await?,
             FaultKind::StoreBusy => self.stop_store(StoreMode::Busy, fault.length).await,
+            FaultKind::SilenceConfigs(silence) => self.silence_configs(silence, fault.length).await,
             FaultKind::StoreSilent => self.stop_store(StoreMode::Silent, fault.length).await,
             FaultKind::Terminate(process) => self.terminate(process).await?,
             FaultKind::Hangup(process) => {
@@ -224,6 +225,14 @@
         self.fleet.end_disturbance(disturbance);
     }
 
+    async fn silence_configs(&self, silence: TopicSilence, length: Duration) {
+        let disturbance = self.fleet.start_disturbance(Disturbed::Configs);
+        self.fleet.store.set_silence(OPERATOR_TOPIC, Some(silence));
+        tokio::time::sleep(length).await;
+        self.fleet.store.set_silence(OPERATOR_TOPIC, None);
+        self.fleet.end_disturbance(disturbance);
+    }
+
     async fn pause(&self, process: ProcessId, length: Duration) -> anyhow::Result<()> {
         let disturbance = self.fleet.start_disturbance(Disturbed::Process(process));
         self.fleet.process(process).lock().signal(Signal::SIGSTOP)?;
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -181,6 +181,8 @@
 /// The part of the system that was disturbed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Disturbed {
+    /// Reads of configurations, while the store answers others.
+    Configs,
     /// An endpoint whose process may crash on a poison request, or is down after such a crash.
     Crash(usize),
     /// An endpoint.
@@ -254,4 +256,10 @@
         let overlaps = |d: &Disturbance| d.from <= to && d.to >= from;
         self.disturbances.iter().any(|d| overlaps(d) && matters(d.what))
     }
+
+    /// The end of the last disturbance before a time of a part that matters; zero without one.
+    pub fn undisturbed_since(&self, at: Duration, matters: impl Fn(Disturbed) -> bool) -> Duration {
+        let ends = self.disturbances.iter().filter(|d| d.to < at && matters(d.what)).map(|d| d.to);
+        ends.max().unwrap_or_default()
+    }
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,7 @@
 mod abandoned_calls;
 mod backpressure;
 mod callers;
+mod config_lateness;
 mod faults;
 mod fleet;
 pub mod history;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use lynxmount_platform_standin::TopicSilence;
 use lynxmount_standin::CrashKind;
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
 use serde::Serialize;
@@ -68,6 +69,18 @@
 /// Separates the random sequence of poison requests from the others of a seed.
 const POISON_SEED: u64 = 0x504f_4953_4f4e;
 
+/// The mean gap between two silences of the operators' topic, in milliseconds.
+const SILENCE_GAP_MS: u64 = 3000;
+
+/// The duration of such a silence, in milliseconds: the longest exceed the wait of a poll.
+const SILENCE_LENGTH_MS: std::ops::Range<u64> = 100..4000;
+
+/// How long after a silence a configuration may still be written, in milliseconds.
+const CONFIG_AFTER_SILENCE_MS: u64 = 900;
+
+/// Separates the random sequence of silences from the others of a seed.
+const SILENCE_SEED: u64 = 0x5349_4c45_4e43;
+
 /// The numbers of processes and back ends of a fleet.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 pub struct Size {
@@ -183,6 +196,8 @@
     StoreBusy,
     /// The store does not respond.
     StoreSilent,
+    /// The store loses responses to reads of configurations, and only to these.
+    SilenceConfigs(TopicSilence),
     /// A process gets SIGTERM and is restarted.
     Terminate(ProcessId),
     /// A process gets SIGHUP, which announces changed settings.
@@ -223,6 +238,7 @@
     faults.extend(draw_backpressure(seed, size, time));
     faults.extend(draw_stalls(seed, size, time));
     faults.extend(draw_poisons(seed, time));
+    faults.extend(draw_silences(seed, time));
     faults.retain(|fault| fault.at < time);
     faults.sort_by_key(|fault| fault.at);
     faults
@@ -299,6 +315,32 @@
     poisons
 }
 
+/// Draws silences of the operators' topic, one at a time, each with a configuration that is written
+/// during it or soon after, from a random sequence of its own, so that the other faults of a seed
+/// do not depend on it.
+fn draw_silences(seed: u64, time: Duration) -> Vec<Fault> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ SILENCE_SEED);
+    let mut faults = Vec::new();
+    let mut at = Duration::from_millis(rng.random_range(0..SILENCE_GAP_MS));
+    while at < time {
+        let silence = match rng.random_bool(0.5) {
+            true => TopicSilence::All,
+            false => TopicSilence::EverySecond,
+        };
+        let length_ms = rng.random_range(SILENCE_LENGTH_MS);
+        let change_ms = rng.random_range(0..length_ms + CONFIG_AFTER_SILENCE_MS);
+        let length = Duration::from_millis(length_ms);
+        faults.push(Fault { at, length, kind: FaultKind::SilenceConfigs(silence) });
+        faults.push(Fault {
+            at: at + Duration::from_millis(change_ms),
+            length: Duration::ZERO,
+            kind: FaultKind::ChangeConfig,
+        });
+        at += length + Duration::from_millis(rng.random_range(0..2 * SILENCE_GAP_MS));
+    }
+    faults
+}
+
 fn draw_crash(rng: &mut SmallRng) -> CrashKind {
     let millis = Duration::from_millis;
     match rng.random_range(0..5) {
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -5,15 +5,13 @@
     time::Duration,
 };
 
-use lynxmount_platform_standin::{
-    echo_body, echo_events,
-    fixture::{CONFIG_APPLY_BOUND, DRAIN_BOUND},
-};
+use lynxmount_platform_standin::{echo_body, echo_events, fixture::DRAIN_BOUND};
 use serde::Serialize;
 
 use crate::{
     abandoned_calls::check_abandoned_calls,
     backpressure::check_backpressure,
+    config_lateness::check_configs_in_force,
     history::{CallClass, CallRecord, Disturbed, History, Outcome, ProbeRecord},
     plan::{LinkId, ProcessId},
     poison::check_quarantine,
@@ -26,7 +24,7 @@
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
 /// How much later than the documented bound a process may be on a busy machine.
-const SLACK: Duration = Duration::from_millis(1500);
+pub(crate) const SLACK: Duration = Duration::from_millis(1500);
 
 /// How long a disturbance still counts after its end, until paths through the store and processes
 /// have recovered.
@@ -218,6 +216,7 @@
                 }
                 Disturbed::Link(LinkId::Endpoint(endpoint)) => endpoint == leave.endpoint,
                 Disturbed::Link(LinkId::Callers(_))
+                | Disturbed::Configs
                 | Disturbed::Crash(_)
                 | Disturbed::Endpoint(_) => false,
             });
@@ -230,9 +229,7 @@
 }
 
 fn check_configs(history: &History, violations: &mut Vec<Violation>) {
-    for probe in &history.probes {
-        check_probe_in_time(history, probe, violations);
-    }
+    check_configs_in_force(history, violations);
     let mut by_incarnation: BTreeMap<(usize, u64), Vec<&ProbeRecord>> = BTreeMap::new();
     for probe in &history.probes {
         by_incarnation.entry((probe.entry, probe.incarnation)).or_default().push(probe);
@@ -242,25 +239,6 @@
     }
 }
 
-/// Checks that a key of the newest version is accepted once the version has been in the store for
-/// the documented time.
-fn check_probe_in_time(history: &History, probe: &ProbeRecord, violations: &mut Vec<Violation>) {
-    let newest = history.configs.iter().rfind(|config| config.at <= probe.ended);
-    let Some(config) = newest.filter(|config| config.version == probe.version) else { return };
-    let is_due = probe.sent > config.at + CONFIG_APPLY_BOUND + SLACK;
-    let entry = ProcessId::Entry(probe.entry);
-    let from = config.at.saturating_sub(AFTEREFFECT_TIME);
-    let is_excused = history.is_disturbed(from, probe.ended, |what| {
-        what == Disturbed::Store
-            || what == Disturbed::Process(entry)
-            || what == Disturbed::Leaving(entry)
-            || what == Disturbed::Link(LinkId::Store(entry))
-    });
-    if is_due && !is_excused && !probe.is_known {
-        record_violation(violations, Promise::ConfigInForce, format!("{probe:?} of {config:?}"));
-    }
-}
-
 /// Checks that versions never go back; as each version has its own key, an accepted key identifies
 /// the version.
 fn check_no_rollback(probes: &[&ProbeRecord], violations: &mut Vec<Violation>) {
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 
 use crate::{
+    config_lateness::worst_lateness_s,
     history::{History, Outcome},
     plan::{Fault, Size},
     promises::{Violation, check_history},
@@ -27,6 +28,9 @@
     pub crashes: Vec<u32>,
     /// The number of configuration probes.
     pub probes: usize,
+    /// How much later than its bound a configuration was not yet in force at the worst, in seconds;
+    /// negative if all were in force earlier.
+    pub config_lateness_s: Option<f64>,
     /// The version of the group's expert map at the end; 0 if it never changed.
     pub last_map_version: u64,
     /// Broken promises.
@@ -59,6 +63,7 @@
                 .count(),
             crashes: history.poisons.iter().map(|poison| poison.crashes).collect(),
             probes: history.probes.len(),
+            config_lateness_s: worst_lateness_s(history),
             last_map_version,
             violations: check_history(history),
             logs: None,
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -62,3 +62,19 @@
         }
     }
 }
+
+#[test]
+fn silences_of_configurations_follow_each_other_with_a_change_in_each() {
+    for seed in 0..40 {
+        let faults = draw_faults(seed, SIZE, TIME);
+        let silences: Vec<&Fault> = faults
+            .iter()
+            .filter(|fault| matches!(fault.kind, FaultKind::SilenceConfigs(_)))
+            .collect();
+        let changes = faults.iter().filter(|fault| fault.kind == FaultKind::ChangeConfig).count();
+
+        assert!(silences.len() >= 3 && changes + 1 >= silences.len(), "seed {seed}");
+        let overlap = silences.windows(2).find(|pair| pair[0].at + pair[0].length > pair[1].at);
+        assert!(overlap.is_none(), "seed {seed}: {overlap:?}");
+    }
+}
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -301,6 +301,22 @@
     assert_eq!(violated(&back), [Promise::ConfigNeverBack]);
 }
 
+#[test]
+fn a_configuration_that_is_late_after_a_silence_is_reported() {
+    let mut history = valid_history();
+    history.configs.push(ConfigRecord { version: 2, at: seconds(21.0) });
+    history.disturbances.push(disturbance(Disturbed::Configs, 20.0, 24.0));
+    let with_refusal = |sent_s| {
+        let mut history = history.clone();
+        history.probes.push(probe(2, sent_s, false));
+        violated(&history)
+    };
+
+    assert_eq!(with_refusal(23.9), []);
+    assert_eq!(with_refusal(26.9), []);
+    assert_eq!(with_refusal(27.1), [Promise::ConfigInForce]);
+}
+
 #[test]
 fn a_split_map_an_idle_group_and_a_service_that_does_not_recover_are_reported() {
     let split = History { split_pass: Some(7), ..valid_history() };
