--- a/crates/lynxmount/tests/outages.rs
+++ b/crates/lynxmount/tests/outages.rs
@@ -13,6 +13,7 @@
 
 use common::{Fleet, FleetOptions, OTHER_TEAM, chat_request, eventually, token_of};
 use http::Method;
+use lynxmount_idempotency::CLAIMS_STREAM;
 use lynxmount_standin::{Caller, Faults};
 use nix::sys::signal::Signal;
 use tokio::{io::AsyncReadExt, net::TcpListener};
@@ -272,6 +273,22 @@
     }
 }
 
+/// Guards against orders that are refused because their entry waits for the response to a lost poll,
+/// although the log accepts their claims and answers other reads.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_runs_although_the_log_has_lost_the_response_to_a_poll() {
+    let fleet = Fleet::start(plain_services(1)).await;
+    fleet.platform.log.set_faults(Faults { is_silent: true, ..Faults::default() });
+    let are_polls_lost =
+        async || fleet.platform.log.lost_read_count(CLAIMS_STREAM) >= fleet.entries.len() as u64;
+    eventually("the responses to the polls of all entries are lost", are_polls_lost).await;
+    fleet.platform.log.set_faults(Faults::default());
+
+    let answer = fleet.caller(0).call(Method::POST, ORDERS_PATH, &KEY_HEADER, "{}").await.unwrap();
+
+    assert_eq!((answer.status.as_u16(), run_count(&fleet)), (200, 1), "{}", answer.body);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_order_whose_claim_is_not_confirmed_is_refused_at_its_deadline() {
     let fleet =
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -67,6 +67,9 @@
 
 async fn apply_faults(log: &PlatformLog) -> Result<(), HttpError> {
     let faults = log.faults();
+    if faults.is_silent {
+        return std::future::pending().await;
+    }
     if !faults.delay.is_zero() {
         tokio::time::sleep(faults.delay).await;
     }
@@ -102,8 +105,13 @@
     let query = query.into_inner();
     let wait = Duration::from_millis(query.wait_ms).min(MAX_WAIT);
     let mut changes = log.subscribe();
+    let mut is_lost = false;
     let waited = tokio::time::timeout(wait, async {
         loop {
+            if log.faults().is_silent {
+                is_lost = true;
+                log.record_lost_read(&stream);
+            }
             apply_faults(log).await?;
             let page = log.read(&stream, query.from, query.limit as usize);
             if !page.records.is_empty() || changes.changed().await.is_err() {
@@ -111,7 +119,11 @@
             }
         }
     });
-    match waited.await {
+    let waited = waited.await;
+    if is_lost {
+        return std::future::pending().await;
+    }
+    match waited {
         Ok(Ok(page)) => json(page),
         Ok(Err(error)) => Err(error),
         Err(_) => {
@@ -142,6 +154,7 @@
         is_down: body.down,
         responses_to_lose: body.lose_answers,
         delay: Duration::from_millis(body.delay_ms),
+        is_silent: false,
     });
     Ok(HttpResponseUpdatedNoContent())
 }
--- a/crates/standin/src/platform_log.rs
+++ b/crates/standin/src/platform_log.rs
@@ -20,6 +20,8 @@
     pub responses_to_lose: u32,
     /// The delay of every call.
     pub delay: Duration,
+    /// Calls that arrive or wait are never answered, also after the fault.
+    pub is_silent: bool,
 }
 
 #[derive(Debug, Default)]
@@ -39,6 +41,7 @@
     streams: HashMap<String, Stream>,
     vms: Vec<Vm>,
     faults: Faults,
+    lost_reads: HashMap<String, u64>,
 }
 
 /// The platform's state; clones share it.
@@ -98,6 +101,15 @@
         self.change_count.send_modify(|count| *count += 1);
     }
 
+    /// Number of reads of a stream that are never answered.
+    pub fn lost_read_count(&self, stream: &str) -> u64 {
+        self.inner.lock().lost_reads.get(stream).copied().unwrap_or_default()
+    }
+
+    pub(crate) fn record_lost_read(&self, stream: &str) {
+        *self.inner.lock().lost_reads.entry(stream.to_owned()).or_default() += 1;
+    }
+
     /// The VM list.
     pub fn vms(&self) -> Vec<Vm> {
         self.inner.lock().vms.clone()
