Overdue long polls of the product's log are backed by a read on another connection

What callers and operators saw (the product's own interface): after the log had lost the response to a poll, a process learned of a new configuration, claims of other entries and crash reports up to 7.25 s later (5 s of waiting, 2 s of timeout, 0.25 s), and of a configuration up to 9.25 s later where a peer did not answer (2 s).

The follower asked its peers between two reads, and its first read after a failure waited again.

Change: PlatformClient::read, which all three readers use, backs a poll that is overdue by 0.5 s with a read that does not wait, so that the next answered read comes 5.5 s after the log's return at the latest. Peers are asked by a task beside the reads; the first read after a failure does not wait.

That peers no longer delay reads is shown by reading only.

--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -39,28 +39,46 @@
 impl Follower {
     /// Reads the log to its end, then long-polls for new records forever.
     pub(crate) async fn run(self) {
+        let peers_wanted = Notify::new();
+        tokio::join!(self.follow_log(&peers_wanted), self.follow_peers(&peers_wanted));
+    }
+
+    async fn follow_log(&self, peers_wanted: &Notify) {
         let mut next = 0;
         let mut wait = Duration::ZERO;
         loop {
             let read = tokio::select! {
-                read = self.read(next, wait) => Some(read),
-                () = self.peer_is_ahead.notified() => None,
+                read = self.read(next, wait) => read,
+                () = self.peer_is_ahead.notified() => {
+                    peers_wanted.notify_one();
+                    wait = Duration::ZERO;
+                    continue;
+                }
             };
             match read {
-                Some(Ok(page)) => {
+                Ok(page) => {
                     next = self.send_page(page, next);
                     wait = LONG_POLL_TIME;
                 }
-                Some(Err(error)) => {
+                Err(error) => {
                     let _ = self.events.send(Event::PlatformFailed(error));
-                    self.ask_peers().await;
+                    peers_wanted.notify_one();
+                    // The first read after a failure does not wait.
+                    wait = Duration::ZERO;
                     tokio::time::sleep(RETRY_DELAY).await;
                 }
-                None => self.ask_peers().await,
             }
         }
     }
 
+    /// Asks peers beside the reads of the log, as peers that are down respond late.
+    async fn follow_peers(&self, peers_wanted: &Notify) {
+        loop {
+            peers_wanted.notified().await;
+            self.ask_peers().await;
+        }
+    }
+
     async fn read(&self, next: Offset, wait: Duration) -> Result<Page> {
         match wait {
             Duration::ZERO => self.platform.read_to_end(CONFIG_STREAM, next).await,
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -1,6 +1,6 @@
 //! HTTP client for the platform's log and VM list.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, pin::pin, time::Duration};
 
 use bytes::Bytes;
 use http::{Method, Request, StatusCode, Uri};
@@ -19,6 +19,12 @@
 /// Timeout of a response, in addition to the wait time of a long poll.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time after the wait of a long poll at which its response is overdue.
+const OVERDUE_AFTER: Duration = Duration::from_millis(500);
+
+// A read that backs an overdue poll starts while the poll may still be answered.
+const _: () = assert!(OVERDUE_AFTER.as_millis() < RESPONSE_TIMEOUT.as_millis());
+
 /// Timeout of opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -58,10 +64,25 @@
         Ok(response.offset)
     }
 
-    /// Long-polls for records from an offset on.
+    /// Long-polls for records from an offset on. If the response is overdue, it may be lost with its
+    /// connection, and a read without wait on another connection takes its place.
     ///
     /// Fails if the platform can't be reached or doesn't respond in time.
     pub async fn read(&self, stream: &str, from: Offset, wait: Duration) -> Result<Page> {
+        if wait.is_zero() {
+            return self.read_once(stream, from, wait).await;
+        }
+        let mut poll = pin!(self.read_once(stream, from, wait));
+        if let Ok(result) = tokio::time::timeout(wait + OVERDUE_AFTER, &mut poll).await {
+            return result;
+        }
+        tokio::select! {
+            result = poll => result,
+            result = self.read_once(stream, from, Duration::ZERO) => result,
+        }
+    }
+
+    async fn read_once(&self, stream: &str, from: Offset, wait: Duration) -> Result<Page> {
         let query = ReadQuery { from, limit: MAX_PAGE_RECORDS, wait_ms: wait };
         let path = format!(
             "/v1/streams/{stream}/records?from={}&limit={}&wait_ms={}",
