A hold of a former life is settled while configurations can't be read

What callers saw: if all processes beside a group's engines end while one of them holds the group, and the store does not answer reads of the configuration as they start again, the group makes no pass and every stream waits until the store answers, however long that takes.

Change: the configuration is read for a new switch only.

--- a/crates/lynxmount/tests/platform_endpoint.rs
+++ b/crates/lynxmount/tests/platform_endpoint.rs
@@ -4,10 +4,11 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use lynxmount_core::experts::GroupState;
-use lynxmount_link::{GROUP_PORT_OFFSET, GroupMessage};
+use http::Method;
+use lynxmount_core::{Step, experts::GroupState};
+use lynxmount_link::{GROUP_PORT_OFFSET, GroupMessage, HttpClient};
 use lynxmount_platform_standin::{
-    GroupStandin, StoreStandin,
+    GroupStandin, StoreStandin, TopicSilence,
     fixture::{
         CONFIG_KEY, GroupService, OPERATOR_TOPIC, REGISTRATIONS_TOPIC, config_text,
         endpoint_settings_text, registration_text, service_of,
@@ -23,6 +24,9 @@
 /// The rank whose process leads the group.
 const LEADER: usize = 0;
 const PASS_PERIOD: Duration = Duration::from_millis(20);
+/// How many passes begin between an order to hold a group and the hold.
+const PASSES_BEFORE_HOLD: u64 = 20;
+const HOLD_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// One group of engines with its endpoint processes.
 struct TestGroup {
@@ -131,6 +135,16 @@
     TestGroup { group, processes, settings }
 }
 
+/// Holds a group through the engine of one of its ranks from a pass on.
+async fn hold(engine: SocketAddr, step: u64) {
+    let body = serde_json::json!({"Operation": "Retain", "step": step}).to_string();
+    let response = HttpClient::new(engine)
+        .call(Step::ControlCall, Method::POST, "/lynxmount/order", body.into(), HOLD_TIMEOUT)
+        .await
+        .expect("response");
+    assert!(response.status.is_success(), "{}", response.status);
+}
+
 /// Demand counts with one hot expert.
 fn demand_for(expert: usize) -> Vec<u64> {
     (0..EXPERTS).map(|other| if other == expert { 4000 } else { 100 }).collect()
@@ -234,6 +248,29 @@
     assert_one_map(&test_group);
 }
 
+/// Guards against a group that stays held, with all its streams, because a restarted leader waits
+/// for the configuration before it settles the hold of its former life.
+#[tokio::test]
+async fn hold_of_a_dead_leader_is_settled_while_configurations_cannot_be_read() {
+    let mut test_service = start_groups(&["a"]).await;
+    test_service.groups[0].set_demand(demand_for(2));
+    wait_for("replicas", async || replicas_in(&test_service.groups[0], 2) >= 3).await;
+
+    test_service.store.set_silence(OPERATOR_TOPIC, Some(TopicSilence::All));
+    test_service.processes.clear();
+    let held_at = test_service.groups[0].step() + PASSES_BEFORE_HOLD;
+    hold(test_service.engine(1), held_at).await;
+    let is_held = async || test_service.groups[0].step() + 1 == held_at;
+    wait_for("the hold", is_held).await;
+    for rank in 0..RANKS {
+        let process = test_service.start_process(test_service.engine(rank));
+        test_service.processes.push(process);
+    }
+
+    wait_for("passes", async || test_service.groups[0].step() > held_at + 20).await;
+    assert_no_split(&test_service.groups);
+}
+
 #[tokio::test]
 async fn groups_of_one_service_are_balanced_independently() {
     let test_service = start_groups(&["a", "b", "c"]).await;
--- a/crates/rank/src/coordinator/mod.rs
+++ b/crates/rank/src/coordinator/mod.rs
@@ -89,11 +89,12 @@
     async fn balance(&self, state: &mut LeaderState) {
         self.read_silent_engines(state);
         let Some(group) = self.rank_states.lock().snapshot(self.own_engine) else { return };
-        let Some(spec) = self.spec(state).await else { return };
         let is_unfinished = abandoned_step(&group.reports).is_some();
         match (is_unfinished, state.unfinished_since) {
             (false, _) => {
                 state.unfinished_since = None;
+                // Only a new switch needs the configuration: settling one must not wait for it.
+                let Some(spec) = self.spec(state).await else { return };
                 self.rebalance(state, &spec, group).await;
             }
             (true, None) => state.unfinished_since = Some(Instant::now()),
