A failed registration of an entry is retried after a second

What callers saw: for up to 9.8 s after the store had failed to answer an entry's registration, or its read of peers' addresses, entries did not know each other, and together sent endpoints more than the rate limits that these state (by reading; endpoints answer that with refusals).

Change: a failed registration, or read of peers, is retried after 1 s. An entry that starts while the store does not answer still counts others as knowing it 9 s after its start: open.

--- a/crates/direct/src/watch.rs
+++ b/crates/direct/src/watch.rs
@@ -34,6 +34,9 @@
 /// Polling period of peers' addresses.
 const PEERS_PERIOD: Duration = Duration::from_secs(8);
 
+/// Delay before a failed registration, or read of peers' addresses, is retried.
+const PEERS_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 // Endpoints' rate limits are shared among all entries, which must know each other by then.
 const _: () = assert!(PEERS_PERIOD.as_millis() < MEMBERSHIP_CONVERGENCE_TIME.as_millis());
 
@@ -180,20 +183,32 @@
     pub(crate) async fn watch_peers(self: Arc<FleetWatch<S>>, name: String, own: SocketAddr) {
         let mut is_registered = false;
         loop {
-            if !is_registered {
-                match self.source.register_peer(&name, own).await {
-                    Ok(()) => is_registered = true,
-                    Err(error) => log::warn!(error:% = error; "peer registration failed"),
-                }
+            is_registered = is_registered || self.register(&name, own).await;
+            let is_read = self.read_peers().await;
+            let is_complete = is_registered && is_read;
+            tokio::time::sleep(if is_complete { PEERS_PERIOD } else { PEERS_RETRY_DELAY }).await;
+        }
+    }
+
+    async fn register(&self, name: &str, own: SocketAddr) -> bool {
+        let result = self.source.register_peer(name, own).await;
+        if let Err(error) = &result {
+            log::warn!(error:% = error; "peer registration failed");
+        }
+        result.is_ok()
+    }
+
+    async fn read_peers(&self) -> bool {
+        match self.source.peers().await {
+            Ok(addresses) => {
+                self.peers.set_registered(addresses);
+                self.update_endpoint_set();
+                true
             }
-            match self.source.peers().await {
-                Ok(addresses) => {
-                    self.peers.set_registered(addresses);
-                    self.update_endpoint_set();
-                }
-                Err(error) => log::warn!(error:% = error; "peer addresses not read"),
+            Err(error) => {
+                log::warn!(error:% = error; "peer addresses not read");
+                false
             }
-            tokio::time::sleep(PEERS_PERIOD).await;
         }
     }
 
--- a/crates/lynxmount/tests/platform_entry.rs
+++ b/crates/lynxmount/tests/platform_entry.rs
@@ -14,8 +14,8 @@
 use lynxmount_platform_standin::{
     Behaviour, Call, CallerOutcome, CallerStandin, StoreMode, StoreStandin, TopicSilence,
     fixture::{
-        CONFIG_KEY, GroupService, IDEMPOTENT, NON_IDEMPOTENT, OPERATOR_TOPIC, REGISTRATIONS_TOPIC,
-        STREAM, TEAM, config_text, registration_text, service_of,
+        CONFIG_KEY, GroupService, IDEMPOTENT, NON_IDEMPOTENT, OPERATOR_TOPIC, PEERS_TOPIC,
+        REGISTRATIONS_TOPIC, STREAM, TEAM, config_text, registration_text, service_of,
     },
 };
 use nix::sys::signal::Signal;
@@ -158,6 +158,29 @@
     assert!(!has_lost("endpoints"), "the store was silent for registrations, too");
 }
 
+/// Guards against an entry that others do not know, and with which they do not share endpoints' rate
+/// limits, for a whole period after its registration has failed.
+#[tokio::test]
+async fn failed_registration_is_retried_within_a_few_other_reads() {
+    const MAX_OTHER_READS: u64 = 8;
+    let fleet = Fleet::start_unready(IDEMPOTENT, &[Behaviour::Answer]).await;
+    fleet.store.set_silence(PEERS_TOPIC, Some(TopicSilence::All));
+    let own_ip = entry_ip(fleet.network, 1);
+    let entry =
+        Process::start("platform-entry", &entry_settings(own_ip, fleet.store.address(), &[]));
+    let failures = || entry.logged("peer registration failed").len();
+    wait_for("a failed registration", async || failures() >= 1).await;
+    let appends = fleet.store.request_count_of("/lynxmount/log-append");
+    let reads = fleet.store.request_count_of("/lynxmount/log-read");
+
+    fleet.store.set_silence(PEERS_TOPIC, None);
+    let is_retried = async || fleet.store.request_count_of("/lynxmount/log-append") > appends;
+    wait_for("another registration", is_retried).await;
+
+    let other_reads = fleet.store.request_count_of("/lynxmount/log-read") - reads;
+    assert!(other_reads <= 2 * MAX_OTHER_READS, "{other_reads} reads by two entries meanwhile");
+}
+
 #[tokio::test]
 async fn lost_response_of_non_idempotent_request_is_not_retried() {
     let fleet = Fleet::start(NON_IDEMPOTENT, &[Behaviour::Reset, Behaviour::Reset]).await;
