--- a/crates/direct/src/config_poll.rs
+++ b/crates/direct/src/config_poll.rs
@@ -23,7 +23,7 @@
 /// The part of the settle time that is left for delays on a busy machine.
 const BUSY_MACHINE_MARGIN: Duration = Duration::from_millis(700);
 
-/// Shortest wait of a poll, whatever the settle time.
+/// Shortest wait of a poll. A settle time of less than 2 s leaves no margin.
 const MIN_WAIT: Duration = Duration::from_secs(1);
 
 // A lost poll delays recovery by its wait and `OVERDUE_AFTER`, which `ConfigPoll::new` keeps within
--- a/crates/direct/tests/config_poll.rs
+++ b/crates/direct/tests/config_poll.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use futures::future::join_all;
 use lynxmount_core::SiteBounds;
 use lynxmount_direct::ConfigPoll;
 use store_model::{Loss, Outage, StoreModel};
@@ -47,6 +48,7 @@
 async fn configuration_is_in_force_within_the_settle_time_after_any_outage() {
     for (config_apply_ms, settle_ms) in [(2000, 3000), (4000, 5000), (2000, 6000), (4000, 3000)] {
         let bounds = bounds(config_apply_ms, settle_ms);
+        let longest = ConfigPoll::new(&bounds).recovery_time();
         for loss in [Loss::All, Loss::EverySecond] {
             for phase in steps(STEP, bounds.config_apply) {
                 for length in steps(3 * STEP, Duration::from_secs(6)) {
@@ -56,10 +58,9 @@
 
                     let late = receive_config(&store, &bounds).await - to;
 
-                    assert!(
-                        late < bounds.settle,
-                        "{late:?} after {length:?} at {phase:?}, {loss:?}"
-                    );
+                    let case = format!("{length:?} at {phase:?}, {loss:?}");
+                    assert!(late < bounds.settle, "{late:?} after {case}");
+                    assert!(late <= longest + store.response_time, "{late:?} after {case}");
                 }
             }
         }
@@ -93,17 +94,36 @@
     assert_eq!((overdue, store.reads_within(Duration::ZERO, Duration::MAX)), (0, 10));
 }
 
+const PROCESSES: u64 = 2500;
+
+fn outage() -> Outage {
+    Outage { from: BEFORE, to: BEFORE + Duration::from_millis(3500), loss: Loss::All }
+}
+
 #[tokio::test(start_paused = true)]
 async fn whole_fleet_returns_with_three_reads_of_each_process() {
-    const PROCESSES: u64 = 2500;
     let bounds = bounds(2000, 3000);
-    let (from, to) = (BEFORE, BEFORE + Duration::from_millis(3500));
-    let store = StoreModel::new(Some(Outage { from, to, loss: Loss::All }), Duration::MAX);
+    let Outage { to, .. } = outage();
+    let store = StoreModel::new(Some(outage()), Duration::MAX);
 
-    let polling =
-        futures::future::join_all((0..PROCESSES).map(|_| receive_config(&store, &bounds)));
+    let polling = join_all((0..PROCESSES).map(|_| receive_config(&store, &bounds)));
     let _ = tokio::time::timeout(to + bounds.settle, polling).await;
 
     let reads = store.reads_within(to, to + bounds.settle);
     assert!(reads <= 3 * PROCESSES, "{reads} reads by {PROCESSES} processes");
 }
+
+/// Guards against a fleet whose processes, after an outage that all of them lost their polls in, are
+/// rejected by an overloaded store until the settle time is over.
+#[tokio::test(start_paused = true)]
+async fn whole_fleet_returns_within_the_settle_time_while_the_store_rejects_reads() {
+    let bounds = bounds(2000, 3000);
+    let Outage { to, .. } = outage();
+    let mut store = StoreModel::new(Some(outage()), to + Duration::from_millis(200));
+    store.max_reads_per_s = 2000;
+
+    let received_at = join_all((0..PROCESSES).map(|_| receive_config(&store, &bounds))).await;
+
+    let last = received_at.into_iter().max().expect("processes") - to;
+    assert!(last < bounds.settle, "{last:?}");
+}
--- a/crates/direct/tests/store_model/mod.rs
+++ b/crates/direct/tests/store_model/mod.rs
@@ -2,9 +2,10 @@
 
 use std::{future::pending, net::SocketAddr, time::Duration};
 
+use http::StatusCode;
 use lynxmount_core::{
     CallerLimits, EndpointList, Evidence, EvidenceKey, FleetConfig, Offset, ProcessId,
-    ReceivedEvidence, Result, adapter::FleetSource,
+    ReceivedEvidence, Result, Step, adapter::FleetSource, refused,
 };
 use parking_lot::Mutex;
 use tokio::time::Instant;
@@ -29,6 +30,8 @@
 /// A store that gets its first configuration at one time.
 pub(crate) struct StoreModel {
     pub(crate) response_time: Duration,
+    /// Reads that are answered in any second; more are rejected.
+    pub(crate) max_reads_per_s: u64,
     created_at: Instant,
     outage: Option<Outage>,
     configured_at: Duration,
@@ -39,6 +42,7 @@
     pub(crate) fn new(outage: Option<Outage>, configured_at: Duration) -> StoreModel {
         StoreModel {
             response_time: Duration::from_millis(4),
+            max_reads_per_s: u64::MAX,
             created_at: Instant::now(),
             outage,
             configured_at,
@@ -53,7 +57,9 @@
 
     /// Number of reads that arrived within a time span.
     pub(crate) fn reads_within(&self, from: Duration, to: Duration) -> u64 {
-        self.reads.lock().iter().filter(|at| (from..to).contains(*at)).count() as u64
+        let reads = self.reads.lock();
+        let first = reads.partition_point(|at| *at < from);
+        reads[first..].iter().take_while(|at| **at < to).count() as u64
     }
 
     fn is_lost(&self, arrived_at: Duration, number: usize) -> bool {
@@ -73,6 +79,10 @@
         wait: Duration,
     ) -> Result<Option<(Offset, FleetConfig)>> {
         let arrived_at = self.now();
+        let second_ago = arrived_at.saturating_sub(Duration::from_secs(1));
+        if self.reads_within(second_ago, Duration::MAX) >= self.max_reads_per_s {
+            return Err(refused(Step::ReadLog, "the store", StatusCode::TOO_MANY_REQUESTS));
+        }
         let number = {
             let mut reads = self.reads.lock();
             reads.push(arrived_at);
