Crash reports are read anew when other polls may have been lost

What callers saw (by reading, and by the reads in the test): after an outage of the store, an entry whose poll of crash reports was lost learned of other entries' reports up to 11.2 s later (10 s of waiting, 0.9 s, 0.3 s), while its publications were accepted, so that no peer pushed reports to it. A request that crashes endpoints could crash some more under each such entry.

The long wait was justified by connection probes, which show that the connection lives, not that its response comes.

Change: an overdue poll of the configuration, or registrations that can be read again, end the poll of crash reports, which is then read without a wait: 2.3 s after the store's return at the latest where the configuration was lost, too.

--- a/crates/direct/src/crash_gossip.rs
+++ b/crates/direct/src/crash_gossip.rs
@@ -15,11 +15,13 @@
 };
 use lynxmount_link::GossipTopic;
 use lynxmount_quarantine::{SharedQuarantine, split};
+use tokio::sync::Notify;
 
 use crate::{peers::Peers, watch::Reachability};
 
-/// Wait of a long-poll read for new reports. Dead connections are detected by connection probes, so
-/// this only determines the cost of an idle entry: 6 reads per minute.
+/// Wait of a long-poll read for new reports; it determines the cost of an idle entry, 6 reads per
+/// minute. Connection probes detect dead connections, and other reads that are lost or answered
+/// again end the poll. If the platform loses responses to this read alone, it is blind for this time.
 const LONG_POLL_WAIT: Duration = Duration::from_secs(10);
 
 /// Pause after a read that returned reports. Several entries report one crash within some 10 ms;
@@ -38,6 +40,8 @@
     pub(crate) source: Arc<S>,
     pub(crate) quarantine: Arc<SharedQuarantine>,
     pub(crate) peers: Arc<Peers>,
+    /// Notified when a long poll at the platform may have been lost.
+    pub(crate) polls_suspected: Arc<Notify>,
 }
 
 impl<S: FleetSource> CrashGossip<S> {
@@ -86,7 +90,14 @@
         let mut wait = Duration::ZERO;
         loop {
             let started_at = Instant::now();
-            match self.source.crash_reports_from(from, wait).await {
+            let read = tokio::select! {
+                read = self.source.crash_reports_from(from, wait) => read,
+                () = self.polls_suspected.notified() => {
+                    wait = Duration::ZERO;
+                    continue;
+                }
+            };
+            match read {
                 Ok((next, reports)) => {
                     reachability.on_success();
                     wait = LONG_POLL_WAIT;
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -111,11 +111,13 @@
         tokio::spawn(serve(bind(address).await?, Arc::new(readiness)));
     }
     let source = Arc::new(source);
+    let polls_suspected = Arc::new(Notify::new());
     let crash_gossip = Arc::new(CrashGossip {
         process: ProcessId::clone(&settings.process),
         source: Arc::clone(&source),
         quarantine: Arc::clone(&quarantine),
         peers: Arc::clone(&peers),
+        polls_suspected: Arc::clone(&polls_suspected),
     });
     tokio::spawn(Arc::clone(&crash_gossip).subscribe());
     tokio::spawn(Arc::clone(&crash_gossip).publish());
@@ -136,6 +138,7 @@
         )),
         store_regained: Notify::new(),
         pull_requested: Notify::new(),
+        polls_suspected,
     });
     tokio::spawn(Arc::clone(&watch).watch_config());
     tokio::spawn(Arc::clone(&watch).watch_endpoints());
--- a/crates/direct/src/watch.rs
+++ b/crates/direct/src/watch.rs
@@ -62,6 +62,8 @@
     pub(crate) store_regained: Notify,
     /// Notified when a read of the platform is slow or has failed.
     pub(crate) pull_requested: Notify,
+    /// Notified when other long polls at the platform may have been lost, too.
+    pub(crate) polls_suspected: Arc<Notify>,
 }
 
 /// Logs when a dependency becomes unreachable and when it is reachable again.
@@ -126,6 +128,7 @@
         self.metrics.count("platform.config_poll_overdue");
         log::info!("configuration poll overdue");
         self.pull_requested.notify_one();
+        self.polls_suspected.notify_one();
     }
 
     fn apply_config(&self, update: Option<(Offset, FleetConfig)>) {
@@ -146,6 +149,7 @@
                 Ok(list) => {
                     if reachability.on_success() {
                         self.store_regained.notify_one();
+                        self.polls_suspected.notify_one();
                     }
                     self.record_read();
                     self.apply_endpoints(list);
--- a/crates/lynxmount/tests/platform_entry.rs
+++ b/crates/lynxmount/tests/platform_entry.rs
@@ -14,8 +14,8 @@
 use lynxmount_platform_standin::{
     Behaviour, Call, CallerOutcome, CallerStandin, StoreMode, StoreStandin, TopicSilence,
     fixture::{
-        CONFIG_KEY, GroupService, IDEMPOTENT, NON_IDEMPOTENT, OPERATOR_TOPIC, PEERS_TOPIC,
-        REGISTRATIONS_TOPIC, STREAM, TEAM, config_text, registration_text, service_of,
+        CONFIG_KEY, CRASH_REPORTS_TOPIC, GroupService, IDEMPOTENT, NON_IDEMPOTENT, OPERATOR_TOPIC,
+        PEERS_TOPIC, REGISTRATIONS_TOPIC, STREAM, TEAM, config_text, registration_text, service_of,
     },
 };
 use nix::sys::signal::Signal;
@@ -158,6 +158,31 @@
     assert!(!has_lost("endpoints"), "the store was silent for registrations, too");
 }
 
+/// Guards against poison requests that go on crashing endpoints after an outage, because an entry
+/// waits for the response to a lost poll of crash reports while its other reads are answered.
+#[tokio::test]
+async fn crash_reports_are_read_soon_after_an_outage_of_several_topics() {
+    const MAX_CONFIG_READS: u64 = 3;
+    let fleet = Fleet::start(IDEMPOTENT, &[Behaviour::Answer]).await;
+    let reads = |topic: &str| fleet.store.request_count_of_topic(topic);
+    wait_for("a poll of reports", async || reads(CRASH_REPORTS_TOPIC) >= 2).await;
+    for topic in [OPERATOR_TOPIC, CRASH_REPORTS_TOPIC] {
+        fleet.store.set_silence(topic, Some(TopicSilence::All));
+    }
+    fleet.store.put(OPERATOR_TOPIC, CONFIG_KEY, &config(2, &[KEY]));
+    fleet.store.put(CRASH_REPORTS_TOPIC, "expired", "");
+    wait_for("two lost polls", async || fleet.store.lost_response_count() >= 2).await;
+    let (config_reads, report_reads) = (reads(OPERATOR_TOPIC), reads(CRASH_REPORTS_TOPIC));
+
+    for topic in [OPERATOR_TOPIC, CRASH_REPORTS_TOPIC] {
+        fleet.store.set_silence(topic, None);
+    }
+    wait_for("a read of reports", async || reads(CRASH_REPORTS_TOPIC) > report_reads).await;
+
+    let config_reads = reads(OPERATOR_TOPIC) - config_reads;
+    assert!(config_reads <= MAX_CONFIG_READS, "{config_reads} reads of the configuration before");
+}
+
 /// Guards against an entry that others do not know, and with which they do not share endpoints' rate
 /// limits, for a whole period after its registration has failed.
 #[tokio::test]
