Reads of the product's log that do not wait complete however often peers are ahead

Seen by reading the diff: each notice that a peer has a newer configuration canceled the current read, also the one that an earlier notice had started. Notices that come faster than the log answers would have kept the log unread; the configuration came from peers alone, as before.

Change: only a long poll is ended by a notice.

No test of its own: the order of notices and answers can't be set from outside.

--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -49,7 +49,9 @@
         loop {
             let read = tokio::select! {
                 read = self.read(next, wait) => read,
-                () = self.peer_is_ahead.notified() => {
+                // A read that does not wait is not canceled, so that it completes however often
+                // peers are ahead.
+                () = self.peer_is_ahead.notified(), if !wait.is_zero() => {
                     peers_wanted.notify_one();
                     wait = Duration::ZERO;
                     continue;
