Three files of over 400 lines are split by job

Change: refusals of a call go to call_refusals.rs; faults with random sequences of their own to independent_faults.rs; bodies and events of stand-in replicas to events.rs. Code is moved, not changed; the module comment of config_lateness.rs says what is checked.

--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -168,35 +168,6 @@
         Ok(())
     }
 
-    fn refusal_for(&self, unavailable: Unavailable, may_have_run: bool) -> Refusal {
-        match unavailable {
-            _ if may_have_run => Refusal::MayHaveRun,
-            // A retry misses the latency objective in any case, so a time with free permits matters
-            // more than an early one.
-            Unavailable::Full { retry_after } => {
-                let retry_after = retry_after.max(self.outage_retry_delay());
-                Refusal::NotRun { retry_after }
-            }
-            // The actual end of the quarantine, so that a caller that is quarantined in error is
-            // served then.
-            Unavailable::Quarantined { retry_after } => Refusal::Quarantined { retry_after },
-            Unavailable::Suspected { retry_after } | Unavailable::Paused { retry_after } => {
-                Refusal::NotRun { retry_after }
-            }
-            Unavailable::NoEndpoint => Refusal::NotRun { retry_after: self.outage_retry_delay() },
-        }
-    }
-
-    fn final_refusal(&self, history: &AttemptHistory, error: AttemptError) -> Refusal {
-        let retry_after = self.outage_retry_delay();
-        match error {
-            AttemptError::Overdue => Refusal::Overdue { retry_after },
-            _ if !history.may_have_run => Refusal::NotRun { retry_after },
-            _ if time_until(self.deadline).is_zero() => Refusal::TimedOut,
-            _ => Refusal::MayHaveRun,
-        }
-    }
-
     /// Makes an attempt, and cancels it if the call is quarantined meanwhile: copies of a poison
     /// request may be queued in a stalled group, and each would stall the group again.
     async fn attempt(self: &Arc<Call<D>>, permit: Permit) -> AttemptResult {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -11,6 +11,7 @@
 mod attempt;
 mod attempt_history;
 mod call;
+mod call_refusals;
 mod call_times;
 mod config_poll;
 mod crash_detector;
--- a/crates/soak/src/config_lateness.rs
+++ b/crates/soak/src/config_lateness.rs
@@ -1,4 +1,5 @@
-//! How late configurations are in force, measured by probes at the entries' sockets.
+//! Checks by when entries have the newest configuration in force, as probes of their callers' ports
+//! show.
 
 use std::time::Duration;
 
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -13,6 +13,7 @@
 mod faults;
 mod fleet;
 pub mod history;
+mod independent_faults;
 pub mod plan;
 mod poison;
 mod process;
