Hedged polls are called so

Change: names, log event (configuration poll hedged), metrics (config_poll_hedged, claims.reads_hedged), comments, pages and two tests' names; no behaviour.

Measured: clippy; config_poll 5, lost_poll 1 passed.

--- a/crates/direct/src/crash_gossip.rs
+++ b/crates/direct/src/crash_gossip.rs
@@ -41,7 +41,7 @@
     pub(crate) quarantine: Arc<SharedQuarantine>,
     pub(crate) peers: Arc<Peers>,
     /// Notified when a long poll at the platform may have been lost.
-    pub(crate) polls_suspected: Arc<Notify>,
+    pub(crate) poll_loss_suspected: Arc<Notify>,
 }
 
 impl<S: FleetSource> CrashGossip<S> {
@@ -92,7 +92,7 @@
             let started_at = Instant::now();
             let read = tokio::select! {
                 read = self.source.crash_reports_from(from, wait) => read,
-                () = self.polls_suspected.notified() => {
+                () = self.poll_loss_suspected.notified() => {
                     wait = Duration::ZERO;
                     continue;
                 }
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -111,13 +111,13 @@
         tokio::spawn(serve(bind(address).await?, Arc::new(readiness)));
     }
     let source = Arc::new(source);
-    let polls_suspected = Arc::new(Notify::new());
+    let poll_loss_suspected = Arc::new(Notify::new());
     let crash_gossip = Arc::new(CrashGossip {
         process: ProcessId::clone(&settings.process),
         source: Arc::clone(&source),
         quarantine: Arc::clone(&quarantine),
         peers: Arc::clone(&peers),
-        polls_suspected: Arc::clone(&polls_suspected),
+        poll_loss_suspected: Arc::clone(&poll_loss_suspected),
     });
     tokio::spawn(Arc::clone(&crash_gossip).subscribe());
     tokio::spawn(Arc::clone(&crash_gossip).publish());
@@ -138,7 +138,7 @@
         )),
         store_regained: Notify::new(),
         pull_requested: Notify::new(),
-        polls_suspected,
+        poll_loss_suspected,
     });
     tokio::spawn(Arc::clone(&watch).watch_config());
     tokio::spawn(Arc::clone(&watch).watch_endpoints());
--- a/crates/direct/src/watch.rs
+++ b/crates/direct/src/watch.rs
@@ -63,7 +63,7 @@
     /// Notified when a read of the platform is slow or has failed.
     pub(crate) pull_requested: Notify,
     /// Notified when other long polls at the platform may have been lost, too.
-    pub(crate) polls_suspected: Arc<Notify>,
+    pub(crate) poll_loss_suspected: Arc<Notify>,
 }
 
 /// Logs when a dependency becomes unreachable and when it is reachable again.
@@ -101,7 +101,7 @@
         loop {
             let after = self.fleet.config().map(|view| view.offset);
             let read = tokio::select! {
-                read = poll.read(&*self.source, after, || self.on_overdue_poll()) => read,
+                read = poll.read(&*self.source, after, || self.on_poll_hedged()) => read,
                 // A hint only: a poll that the store received during its outage is not answered.
                 () = self.store_regained.notified() => continue,
             };
@@ -124,11 +124,11 @@
         }
     }
 
-    fn on_overdue_poll(&self) {
-        self.metrics.count("platform.config_poll_overdue");
-        log::info!("configuration poll overdue");
+    fn on_poll_hedged(&self) {
+        self.metrics.count("platform.config_poll_hedged");
+        log::info!("configuration poll hedged");
         self.pull_requested.notify_one();
-        self.polls_suspected.notify_one();
+        self.poll_loss_suspected.notify_one();
     }
 
     fn apply_config(&self, update: Option<(Offset, FleetConfig)>) {
@@ -149,7 +149,7 @@
                 Ok(list) => {
                     if reachability.on_success() {
                         self.store_regained.notify_one();
-                        self.polls_suspected.notify_one();
+                        self.poll_loss_suspected.notify_one();
                     }
                     self.record_read();
                     self.apply_endpoints(list);
--- a/crates/direct/tests/config_poll.rs
+++ b/crates/direct/tests/config_poll.rs
@@ -68,7 +68,7 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn idle_process_makes_one_read_for_each_time_to_apply() {
+async fn idle_process_makes_one_read_per_wait() {
     let bounds = bounds(2000, 3000);
     let store = StoreModel::new(None, Duration::MAX);
 
@@ -80,18 +80,18 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn slow_responses_are_not_overdue() {
+async fn polls_with_slow_responses_are_not_hedged() {
     let bounds = bounds(2000, 3000);
     let mut store = StoreModel::new(None, Duration::MAX);
     store.response_time = Duration::from_millis(280);
     let mut poll = ConfigPoll::new(&bounds);
-    let mut overdue = 0;
+    let mut hedges = 0;
 
     for _ in 0..10 {
-        poll.read(&store, Some(0), || overdue += 1).await.expect("response");
+        poll.read(&store, Some(0), || hedges += 1).await.expect("response");
     }
 
-    assert_eq!((overdue, store.reads_within(Duration::ZERO, Duration::MAX)), (0, 10));
+    assert_eq!((hedges, store.reads_within(Duration::ZERO, Duration::MAX)), (0, 10));
 }
 
 const PROCESSES: u64 = 2500;
--- a/crates/entry/src/claim_log.rs
+++ b/crates/entry/src/claim_log.rs
@@ -22,10 +22,10 @@
 /// How long to wait until an appended claim has been read back from the log.
 const READ_BACK_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// How long the long poll may take to return an appended claim before the log is read again.
-const READ_BACK_OVERDUE_AFTER: Duration = Duration::from_millis(200);
+/// How long the long poll may take to return an appended claim before it is hedged by another read.
+const READ_BACK_HEDGE_DELAY: Duration = Duration::from_millis(200);
 
-const _: () = assert!(READ_BACK_OVERDUE_AFTER.as_millis() < READ_BACK_TIMEOUT.as_millis());
+const _: () = assert!(READ_BACK_HEDGE_DELAY.as_millis() < READ_BACK_TIMEOUT.as_millis());
 
 /// How long a refused request may wait while the log is read for its key.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(500);
@@ -147,19 +147,19 @@
         let applied = applied_to.wait_for(|&next| next > offset);
         let is_applied = tokio::select! {
             result = tokio::time::timeout(READ_BACK_TIMEOUT, applied) => matches!(result, Ok(Ok(_))),
-            never = self.read_once_overdue() => match never {},
+            never = self.hedge_read_back() => match never {},
         };
         let not_shown = || timed_out(Step::Claim, "platform", "the log does not show the claim");
         is_applied.then_some(()).ok_or_else(not_shown)
     }
 
-    /// Reads the log once when a long poll has not returned an appended claim in time, as its
-    /// response may be lost. Never returns.
-    async fn read_once_overdue(&self) -> Infallible {
-        tokio::time::sleep(READ_BACK_OVERDUE_AFTER).await;
-        self.node.counters().count(Counter::ClaimReadsOverdue);
+    /// Hedges the long poll by one read of the log if it has not returned an appended claim in
+    /// time, as its response may be lost. Never returns.
+    async fn hedge_read_back(&self) -> Infallible {
+        tokio::time::sleep(READ_BACK_HEDGE_DELAY).await;
+        self.node.counters().count(Counter::ClaimReadsHedged);
         if let Err(error) = self.read_to_end().await {
-            log::info!("overdue claim read failed: {error}");
+            log::info!("hedged claim read failed: {error}");
         }
         std::future::pending().await
     }
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -36,8 +36,8 @@
     AttemptsStarted => "attempts.started",
     /// Attempts whose connection broke.
     AttemptsLost => "attempts.lost",
-    /// Reads of the claim log because a long poll did not return an appended claim in time.
-    ClaimReadsOverdue => "claims.reads_overdue",
+    /// Reads of the claim log that hedged a long poll.
+    ClaimReadsHedged => "claims.reads_hedged",
     /// Frames that were dropped as late, duplicated or of an earlier attempt.
     FramesDropped => "frames.dropped",
     /// Responses that an endpoint replayed for a repeated key.
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -39,11 +39,14 @@
 impl Follower {
     /// Reads the log to its end, then long-polls for new records forever.
     pub(crate) async fn run(self) {
-        let peers_wanted = Notify::new();
-        tokio::join!(self.follow_log(&peers_wanted), self.follow_peers(&peers_wanted));
+        let peer_query_requested = Notify::new();
+        tokio::join!(
+            self.follow_log(&peer_query_requested),
+            self.follow_peers(&peer_query_requested)
+        );
     }
 
-    async fn follow_log(&self, peers_wanted: &Notify) {
+    async fn follow_log(&self, peer_query_requested: &Notify) {
         let mut next = 0;
         let mut wait = Duration::ZERO;
         loop {
@@ -52,7 +55,7 @@
                 // A read that does not wait is not canceled, so that it completes however often
                 // peers are ahead.
                 () = self.peer_is_ahead.notified(), if !wait.is_zero() => {
-                    peers_wanted.notify_one();
+                    peer_query_requested.notify_one();
                     wait = Duration::ZERO;
                     continue;
                 }
@@ -64,7 +67,7 @@
                 }
                 Err(error) => {
                     let _ = self.events.send(Event::PlatformFailed(error));
-                    peers_wanted.notify_one();
+                    peer_query_requested.notify_one();
                     // The first read after a failure does not wait.
                     wait = Duration::ZERO;
                     tokio::time::sleep(RETRY_DELAY).await;
@@ -74,9 +77,9 @@
     }
 
     /// Asks peers beside the reads of the log, as peers that are down respond late.
-    async fn follow_peers(&self, peers_wanted: &Notify) {
+    async fn follow_peers(&self, peer_query_requested: &Notify) {
         loop {
-            peers_wanted.notified().await;
+            peer_query_requested.notified().await;
             self.ask_peers().await;
         }
     }
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -19,11 +19,11 @@
 /// Timeout of a response, in addition to the wait time of a long poll.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Time after the wait of a long poll at which its response is overdue.
-const OVERDUE_AFTER: Duration = Duration::from_millis(500);
+/// Time after the wait of a long poll at which it is hedged.
+const HEDGE_DELAY: Duration = Duration::from_millis(500);
 
-// A read that backs an overdue poll starts while the poll may still be answered.
-const _: () = assert!(OVERDUE_AFTER.as_millis() < RESPONSE_TIMEOUT.as_millis());
+// The hedge starts while the poll may still be answered.
+const _: () = assert!(HEDGE_DELAY.as_millis() < RESPONSE_TIMEOUT.as_millis());
 
 /// Timeout of opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -64,8 +64,8 @@
         Ok(response.offset)
     }
 
-    /// Long-polls for records from an offset on. If the response is overdue, it may be lost with its
-    /// connection, and a read without wait on another connection takes its place.
+    /// Long-polls for records from an offset on. A poll that is not answered soon after its wait is
+    /// hedged by a read without wait on another connection, as its response may be lost.
     ///
     /// Fails if the platform can't be reached or doesn't respond in time.
     pub async fn read(&self, stream: &str, from: Offset, wait: Duration) -> Result<Page> {
@@ -73,7 +73,7 @@
             return self.read_once(stream, from, wait).await;
         }
         let mut poll = pin!(self.read_once(stream, from, wait));
-        if let Ok(result) = tokio::time::timeout(wait + OVERDUE_AFTER, &mut poll).await {
+        if let Ok(result) = tokio::time::timeout(wait + HEDGE_DELAY, &mut poll).await {
             return result;
         }
         tokio::select! {
