--- a/crates/direct/src/watch.rs
+++ b/crates/direct/src/watch.rs
@@ -8,7 +8,8 @@
 };
 
 use lynxmount_core::{
-    Clock, EndpointList, FleetConfig, Offset, Result, ServiceId, SiteBounds, adapter::FleetSource,
+    Clock, ConfigVersion, EndpointList, FleetConfig, Offset, Result, ServiceId, SiteBounds,
+    adapter::FleetSource,
 };
 use lynxmount_policy::{MEMBERSHIP_CONVERGENCE_TIME, Membership};
 use lynxmount_quarantine::SharedQuarantine;
@@ -137,9 +138,18 @@
         if self.fleet.update_config(offset, config) {
             log::info!(version, offset; "configuration applied");
             self.update_endpoint_set();
+        } else {
+            self.on_config_ignored(version, offset);
         }
     }
 
+    fn on_config_ignored(&self, version: ConfigVersion, offset: Offset) {
+        self.metrics.count("platform.config_ignored");
+        let Some(current) = self.fleet.config() else { return };
+        log::info!(version, offset, current_version = current.config.version,
+            current_offset = current.offset; "configuration ignored");
+    }
+
     /// Watches registrations until the task is dropped.
     pub(crate) async fn watch_endpoints(self: Arc<FleetWatch<S>>) {
         let mut reachability = Reachability::new("endpoints");
--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode, header};
+use http::{HeaderMap, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use lynxmount_core::{Result, Step, indeterminate, timed_out, unreachable};
 use tokio::sync::Mutex;
@@ -26,6 +26,8 @@
 pub struct BufferedResponse {
     /// The HTTP status.
     pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
 }
@@ -93,9 +95,10 @@
             .body(Full::new(body))
             .map_err(|e| fail(&e))?;
         let response = connection.send(request).await.map_err(|e| fail(&e))?;
-        let status = response.status();
-        let body = response.into_body().collect().await.map_err(|e| fail(&e))?.to_bytes();
+        let (head, body) = response.into_parts();
+        let body = body.collect().await.map_err(|e| fail(&e))?.to_bytes();
         let is_reusable = !connection.is_closed();
-        Ok((BufferedResponse { status, body }, is_reusable.then_some(connection)))
+        let response = BufferedResponse { status: head.status, headers: head.headers, body };
+        Ok((response, is_reusable.then_some(connection)))
     }
 }
