--- /dev/null
+++ b/crates/lynxmount/tests/platform_restored_store.rs
@@ -0,0 +1,114 @@
+//! A store that comes back from an older copy: its latest records are lost, and their offsets are
+//! given out again.
+
+mod platform_common;
+
+use lynxmount_platform_standin::{
+    Behaviour, StoreCopy, StoreMode, StoreStandin,
+    fixture::{CONFIG_KEY, IDEMPOTENT, OPERATOR_TOPIC},
+};
+use platform_common::{Fleet, KEY, config, wait_for};
+
+/// What operators write again after the store's return.
+#[derive(Clone, Copy, Debug)]
+enum Rewrite {
+    /// Nothing before the next version.
+    Nothing,
+    /// The newest configuration, after records of other keys.
+    NewestAfterOthers(u64),
+    /// All lost configurations.
+    All,
+}
+
+fn put_config(store: &StoreStandin, version: u64) {
+    store.put(OPERATOR_TOPIC, CONFIG_KEY, &config(version, &[KEY]));
+}
+
+async fn wait_for_version(fleet: &Fleet, version: u64) {
+    wait_for(&format!("version {version}"), async || {
+        let applied = fleet.entry.logged("configuration applied");
+        applied.iter().any(|record| record["attributes"]["version"] == version.to_string())
+    })
+    .await;
+}
+
+/// Waits until the entry has sent this many further reads of configurations.
+async fn wait_for_reads(fleet: &Fleet, count: u64) {
+    let reads = || fleet.store.request_count_of_topic(OPERATOR_TOPIC);
+    let before = reads();
+    wait_for("reads of configurations", async || reads() >= before + count).await;
+}
+
+/// Writes `lost` versions, restores the store from a copy without them, and writes them again.
+/// Returns the latest version.
+async fn lose_versions(
+    fleet: &Fleet,
+    copy: &StoreCopy,
+    first: u64,
+    lost: u64,
+    rewrite: Rewrite,
+) -> u64 {
+    let newest = first + lost - 1;
+    for version in first..=newest {
+        put_config(&fleet.store, version);
+        wait_for_version(fleet, version).await;
+    }
+    fleet.store.restore(copy);
+    match rewrite {
+        Rewrite::Nothing => {}
+        Rewrite::NewestAfterOthers(others) => {
+            (0..others).for_each(|_| fleet.store.put(OPERATOR_TOPIC, "other", "{}"));
+            put_config(&fleet.store, newest);
+        }
+        Rewrite::All => (first..=newest).for_each(|version| put_config(&fleet.store, version)),
+    }
+    newest
+}
+
+/// Guards against a revoked key that is served on because the offset of the newest configuration is
+/// lower than that of an older one.
+#[tokio::test]
+async fn configuration_is_applied_after_its_offset_was_given_out_again() {
+    let fleet = Fleet::start(IDEMPOTENT, &[Behaviour::Answer]).await;
+    let rewrites = [
+        Rewrite::NewestAfterOthers(0),
+        Rewrite::NewestAfterOthers(1),
+        Rewrite::All,
+        Rewrite::Nothing,
+    ];
+    let mut newest = 1;
+    for rewrite in rewrites {
+        for reads_before_the_next in [0, 1] {
+            let copy = fleet.store.copy();
+            newest = lose_versions(&fleet, &copy, newest + 1, 4, rewrite).await;
+            wait_for_reads(&fleet, reads_before_the_next).await;
+
+            newest += 1;
+            put_config(&fleet.store, newest);
+
+            wait_for_version(&fleet, newest).await;
+        }
+    }
+}
+
+/// Guards against the same where reads fail while the store is away, and it returns twice.
+#[tokio::test]
+async fn configuration_is_applied_after_two_outages_that_end_with_a_restored_store() {
+    let fleet = Fleet::start(IDEMPOTENT, &[Behaviour::Answer]).await;
+    let lost = || fleet.entry.logged("dependency lost").len();
+    for (mode, first) in [(StoreMode::Silent, 2), (StoreMode::Busy, 7)] {
+        let copy = fleet.store.copy();
+        let newest = lose_versions(&fleet, &copy, first, 4, Rewrite::NewestAfterOthers(0)).await;
+        let lost_before = lost();
+        fleet.store.set_mode(mode);
+        wait_for("loss of the store", async || lost() >= lost_before + 1).await;
+        fleet.store.restore(&copy);
+        put_config(&fleet.store, newest);
+        fleet.store.set_mode(StoreMode::Up);
+        wait_for_reads(&fleet, 1).await;
+
+        put_config(&fleet.store, newest + 1);
+
+        wait_for_version(&fleet, newest + 1).await;
+    }
+}
