Configurations are ordered by version, and positions in the store's log know its era

Each entry meanwhile read the store 57 to 75 times a second.

Cause: a position in the store's log was taken for an order in time and kept past the life of that log. Fleet::update_config ordered configurations by offset first, and reads went on from the offset after the newest configuration: beyond the log's end they got 410, and what was then read was discarded as older, at once and again without a pause; within the log they skipped what had been given the offsets below. Evidence: the new log events show it in the red test (store era changed 0 to 1; log position not available from 5; configuration ignored, version 6 at offset 2 against version 5 at offset 4).

Change: LogPosition is an era and an offset, and a position of a later era is greater. The store's client (log_client) takes the era from each response: a position of an earlier era is not available, whatever the store has at its offset, a response of an earlier era than one seen is discarded, and pages of two eras are not joined. A store that names no era has era 0. Configurations have an order of their own, the version, in the entry, in queries of peers and among the records of one read; the cursor of reads is kept apart from it. A read whose position was not available is followed by a pause. Queries of peers have a new path, so that processes of the version before do not answer them.

Why it works: a version is given out once and survives the return, so no copy can make a newer one look older; a cursor is only compared within its era.

--- a/crates/core/src/adapter.rs
+++ b/crates/core/src/adapter.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, Response, StatusCode, request::Parts};
 
 use crate::{
-    EndpointId, EndpointList, Evidence, EvidenceKey, FleetConfig, Offset, ProcessId,
+    EndpointId, EndpointList, Evidence, EvidenceKey, FleetConfig, LogPosition, LogRead, ProcessId,
     ReceivedEvidence, Result, SegmentNumber, TeamId,
     experts::{EngineOrder, EngineReport, ExpertCounts, OrderResult, RankMap},
 };
@@ -118,15 +118,16 @@
 
 /// The platform's store of configurations, registrations and crash reports.
 pub trait FleetSource: Send + Sync + 'static {
-    /// Long-polls for the newest configuration after an offset.
+    /// Long-polls for the newest configuration from a position on; without a position, or if its
+    /// log is not available any more, reads the current one.
     ///
     /// Returns `None` if there is none within `wait`. Fails if the platform
     /// can't be reached, or its configuration can't be parsed.
-    fn config_after(
+    fn config_from(
         &self,
-        after: Option<Offset>,
+        from: Option<LogPosition>,
         wait: Duration,
-    ) -> impl Future<Output = Result<Option<(Offset, FleetConfig)>>> + Send;
+    ) -> impl Future<Output = Result<LogRead<Option<FleetConfig>>>> + Send;
 
     /// Updates a list of registrations to the current state.
     ///
@@ -168,15 +169,15 @@
         reports: &[(ProcessId, EvidenceKey)],
     ) -> impl Future<Output = Result<()>> + Send;
 
-    /// Long-polls for crash reports from an offset on; without an offset, reads all current
-    /// ones. Returns the offset to continue from.
+    /// Long-polls for crash reports from a position on; without a position, or if its log is not
+    /// available any more, reads all current ones.
     ///
     /// Fails if the platform can't be reached.
     fn crash_reports_from(
         &self,
-        from: Option<Offset>,
+        from: Option<LogPosition>,
         wait: Duration,
-    ) -> impl Future<Output = Result<(Offset, Vec<ReceivedEvidence>)>> + Send;
+    ) -> impl Future<Output = Result<LogRead<Vec<ReceivedEvidence>>>> + Send;
 }
 
 /// The inference engine of one rank.
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMicroSeconds, DurationMilliSeconds, serde_as};
 
-use crate::{EndpointId, FailureDomainId, Offset, ServiceId, TeamId};
+use crate::{EndpointId, FailureDomainId, LogPosition, ServiceId, TeamId};
 
 /// Name of a route.
 pub type RouteId = std::sync::Arc<str>;
@@ -219,16 +219,15 @@
     pub state: EndpointState,
     /// Start time of this incarnation, in milliseconds since the Unix epoch, if registered.
     pub started_ms: Option<u64>,
-    /// Offset in the platform's log at which its registration was first seen.
-    pub listed_at: Offset,
+    /// Position in the platform's log at which its registration was first seen.
+    pub listed_at: LogPosition,
 }
 
-/// All registrations up to an offset of the platform's log.
+/// All registrations up to a position in the platform's log.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct EndpointList {
-    /// The offset up to which the log was read; it only increases.
-    #[serde(rename = "read_to")]
-    pub as_of_offset: Offset,
+    /// The position up to which the log was read; it only increases.
+    pub as_of: LogPosition,
     /// The registered endpoints.
     pub endpoints: Vec<EndpointRecord>,
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 mod fingerprint;
 mod fleet;
 mod ids;
+mod log_position;
 mod mechanism;
 mod outcome;
 mod problem;
@@ -34,6 +35,7 @@
     AttemptNumber, ChangeId, EndpointId, FailureDomainId, Incarnation, Offset, ProcessId, RegionId,
     RequestId, ServiceId, TeamId, new_incarnation, new_request_id,
 };
+pub use log_position::{LogEra, LogPosition, LogRead};
 pub use mechanism::{Mechanism, Mechanisms};
 pub use outcome::Outcome;
 pub use problem::{Problem, Reason};
--- a/crates/direct/src/config_poll.rs
+++ b/crates/direct/src/config_poll.rs
@@ -8,7 +8,7 @@
 use std::{pin::pin, time::Duration};
 
 use lynxmount_core::{
-    FleetConfig, Offset, Result, SiteBounds, Step, adapter::FleetSource, timed_out,
+    FleetConfig, LogPosition, LogRead, Result, SiteBounds, Step, adapter::FleetSource, timed_out,
 };
 
 /// Time after a poll's wait at which it is hedged. The store responds in 4 ms, and in 280 ms while
@@ -35,16 +35,21 @@
 );
 
 /// Successive reads of the platform's configuration.
+#[derive(Default)]
 pub struct ConfigPoll {
     wait: Duration,
     has_failed: bool,
+    /// Where to continue reading; `None` before the first read.
+    next: Option<LogPosition>,
+    /// Whether the position of the last read was not available.
+    was_unavailable: bool,
 }
 
 impl ConfigPoll {
     /// Derives the wait of polls from a site's bounds.
     pub fn new(bounds: &SiteBounds) -> ConfigPoll {
         let longest = bounds.settle.saturating_sub(HEDGE_DELAY + BUSY_MACHINE_MARGIN);
-        ConfigPoll { wait: bounds.config_apply.min(longest).max(MIN_WAIT), has_failed: false }
+        ConfigPoll { wait: bounds.config_apply.min(longest).max(MIN_WAIT), ..ConfigPoll::default() }
     }
 
     /// The longest time from the platform's recovery to the next answered read.
@@ -52,36 +57,46 @@
         self.wait + HEDGE_DELAY
     }
 
-    /// Reads the newest configuration after an offset, or `None` if there is none for the duration
-    /// of a poll. After a failure, reads without waiting, and not before the retry delay.
+    /// Where the next read continues; `None` before the first read.
+    pub fn next(&self) -> Option<LogPosition> {
+        self.next
+    }
+
+    /// Reads the newest configuration since the last read, or `None` if there is none for the
+    /// duration of a poll. After a failure, reads without waiting, and not before the retry delay.
     ///
     /// Calls `on_hedge` if the poll is hedged. Fails as
-    /// [`FleetSource::config_after`] does.
+    /// [`FleetSource::config_from`] does.
     pub async fn read(
         &mut self,
         source: &impl FleetSource,
-        after: Option<Offset>,
         on_hedge: impl FnOnce(),
-    ) -> Result<Option<(Offset, FleetConfig)>> {
-        let result = match after {
+    ) -> Result<Option<FleetConfig>> {
+        if self.was_unavailable {
+            // A store that has no position available must not be read without a pause.
+            tokio::time::sleep(RETRY_DELAY).await;
+        }
+        let result = match self.next {
             _ if self.has_failed => {
                 tokio::time::sleep(RETRY_DELAY).await;
-                read_without_wait(source, after).await
+                read_without_wait(source, self.next).await
             }
-            Some(_) => self.poll(source, after, on_hedge).await,
-            None => read_without_wait(source, after).await,
+            Some(_) => self.poll(source, on_hedge).await,
+            None => read_without_wait(source, None).await,
         };
         self.has_failed = result.is_err();
-        result
+        let read = result?;
+        self.was_unavailable = read.is_complete && self.next.is_some();
+        self.next = Some(read.next);
+        Ok(read.value)
     }
 
     async fn poll(
         &self,
         source: &impl FleetSource,
-        after: Option<Offset>,
         on_hedge: impl FnOnce(),
-    ) -> Result<Option<(Offset, FleetConfig)>> {
-        let mut poll = pin!(source.config_after(after, self.wait));
+    ) -> Result<LogRead<Option<FleetConfig>>> {
+        let mut poll = pin!(source.config_from(self.next, self.wait));
         if let Ok(result) = tokio::time::timeout(self.wait + HEDGE_DELAY, &mut poll).await {
             return result;
         }
@@ -89,16 +104,16 @@
         // The pending poll occupies its connection, so this read uses another one.
         tokio::select! {
             result = &mut poll => result,
-            result = read_without_wait(source, after) => result,
+            result = read_without_wait(source, self.next) => result,
         }
     }
 }
 
 async fn read_without_wait(
     source: &impl FleetSource,
-    after: Option<Offset>,
-) -> Result<Option<(Offset, FleetConfig)>> {
-    let read = source.config_after(after, Duration::ZERO);
+    from: Option<LogPosition>,
+) -> Result<LogRead<Option<FleetConfig>>> {
+    let read = source.config_from(from, Duration::ZERO);
     let late = |_| timed_out(Step::ReadLog, "the platform", "no response in time");
     tokio::time::timeout(READ_TIMEOUT, read).await.map_err(late)?
 }
--- a/crates/direct/src/crash_gossip.rs
+++ b/crates/direct/src/crash_gossip.rs
@@ -10,7 +10,7 @@
 };
 
 use lynxmount_core::{
-    CrashReport, Evidence, EvidenceKey, Offset, ProcessId, ReceivedEvidence, SegmentReport,
+    CrashReport, Evidence, EvidenceKey, LogPosition, ProcessId, ReceivedEvidence, SegmentReport,
     adapter::FleetSource,
 };
 use lynxmount_link::GossipTopic;
@@ -85,7 +85,7 @@
     /// Reads all processes' reports from the platform until the task is dropped.
     pub(crate) async fn subscribe(self: Arc<CrashGossip<S>>) {
         let mut reachability = Reachability::new("crash reports");
-        let mut from: Option<Offset> = None;
+        let mut from: Option<LogPosition> = None;
         // The first read after a failure does not wait, so that it detects recovery at once.
         let mut wait = Duration::ZERO;
         loop {
@@ -98,15 +98,16 @@
                 }
             };
             match read {
-                Ok((next, reports)) => {
+                Ok(read) => {
+                    let reports = read.value;
                     reachability.on_success();
                     wait = LONG_POLL_WAIT;
                     self.quarantine
                         .merge_from_platform(reports.iter().map(|report| &report.evidence));
-                    if from.is_none() {
+                    if read.is_complete {
                         self.delete_expired_of_all(&reports).await;
                     }
-                    from = Some(next);
+                    from = Some(read.next);
                     let is_early = started_at.elapsed() < READ_PAUSE;
                     if !reports.is_empty() || is_early {
                         tokio::time::sleep(READ_PAUSE).await;
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -4,14 +4,13 @@
 use std::{collections::HashMap, sync::Arc};
 
 use arc_swap::ArcSwapOption;
-use lynxmount_core::{ApiKey, EndpointList, FleetConfig, Offset, Route, ServiceSpec, TeamId};
+use lynxmount_core::{ApiKey, EndpointList, FleetConfig, Route, ServiceSpec, TeamId};
 use parking_lot::Mutex;
 
 use crate::admission::host_name;
 
 /// A configuration with indexes of its routes and API keys.
 pub(crate) struct ConfigView {
-    pub(crate) offset: Offset,
     pub(crate) config: FleetConfig,
     /// Indices of routes by host, longest path prefix first.
     routes_by_host: HashMap<String, Vec<usize>>,
@@ -26,7 +25,7 @@
 }
 
 impl ConfigView {
-    pub(crate) fn new(offset: Offset, config: FleetConfig) -> ConfigView {
+    pub(crate) fn new(config: FleetConfig) -> ConfigView {
         let mut routes_by_host: HashMap<String, Vec<usize>> = HashMap::new();
         for (index, route) in config.routes.iter().enumerate() {
             routes_by_host.entry(route.host.to_ascii_lowercase()).or_default().push(index);
@@ -38,7 +37,7 @@
         let teams_by_key = teams
             .flat_map(|(index, team)| team.keys.iter().map(move |key| (key.clone(), index)))
             .collect();
-        ConfigView { offset, config, routes_by_host, teams_by_key }
+        ConfigView { config, routes_by_host, teams_by_key }
     }
 
     /// The host's route with the longest prefix of a path.
@@ -80,15 +79,13 @@
         self.endpoints.load_full()
     }
 
-    /// Applies a configuration if it is newer than the current one. Returns whether it was.
-    pub(crate) fn update_config(&self, offset: Offset, config: FleetConfig) -> bool {
+    /// Applies a configuration if its version is newer than the current one. Returns whether it was.
+    pub(crate) fn update_config(&self, config: FleetConfig) -> bool {
         let _guard = self.write_lock.lock();
-        let is_newer = self.config.load().as_ref().is_none_or(|view| {
-            (offset, config.version) > (view.offset, view.config.version)
-                && config.version >= view.config.version
-        });
+        let current = self.config.load();
+        let is_newer = current.as_ref().is_none_or(|view| config.version > view.config.version);
         if is_newer {
-            self.config.store(Some(Arc::new(ConfigView::new(offset, config))));
+            self.config.store(Some(Arc::new(ConfigView::new(config))));
         }
         is_newer
     }
@@ -97,8 +94,7 @@
     pub(crate) fn update_endpoints(&self, list: EndpointList) -> bool {
         let _guard = self.write_lock.lock();
         let current = self.endpoints.load();
-        let is_newer =
-            current.as_ref().is_none_or(|current| list.as_of_offset > current.as_of_offset);
+        let is_newer = current.as_ref().is_none_or(|current| list.as_of > current.as_of);
         if is_newer {
             self.endpoints.store(Some(Arc::new(list)));
         }
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -93,8 +93,8 @@
     quarantine: &SharedQuarantine,
 ) -> Result<FleetSnapshot> {
     let query = FleetQuery {
-        config_from: fleet.config().map_or(0, |view| view.offset + 1),
-        endpoints_after: fleet.endpoints().map_or(0, |list| list.as_of_offset),
+        config_after: fleet.config().map(|view| view.config.version),
+        endpoints_after: fleet.endpoints().map(|list| list.as_of),
         crash_reports_digest: Some(quarantine.digest()),
     };
     query_fleet(peer, query).await
@@ -104,17 +104,17 @@
     let read_ago_ms = state.read_ago_ms;
     quarantine.merge_from_peer(&state.crash_reports);
     quarantine.merge_segments_from_peer(&state.segment_reports);
-    if let Some((offset, config)) = state.config {
+    if let Some(config) = state.config {
         let version = config.version;
-        if fleet.update_config(offset, config) {
-            log::info!(peer:% = peer, version, offset, read_ago_ms;
+        if fleet.update_config(config) {
+            log::info!(peer:% = peer, version, read_ago_ms;
                 "configuration received from peer");
         }
     }
     if let Some(list) = state.endpoints {
-        let read_to = list.as_of_offset;
+        let as_of = list.as_of;
         if fleet.update_endpoints(list) {
-            log::info!(peer:% = peer, read_to, read_ago_ms; "endpoint list received from peer");
+            log::info!(peer:% = peer, as_of:? = as_of, read_ago_ms; "endpoint list received from peer");
         }
     }
 }
@@ -177,14 +177,15 @@
 
     /// The part of the state that is newer than what a peer has.
     fn state_for(&self, query: FleetQuery) -> FleetSnapshot {
-        let config = self.fleet.config().filter(|view| view.offset >= query.config_from);
+        let config =
+            self.fleet.config().filter(|view| Some(view.config.version) > query.config_after);
         let endpoints =
-            self.fleet.endpoints().filter(|list| list.as_of_offset > query.endpoints_after);
+            self.fleet.endpoints().filter(|list| Some(list.as_of) > query.endpoints_after);
         let digest = query.crash_reports_digest;
         let is_different = digest.is_some_and(|digest| digest != self.quarantine.digest());
         let read_ago = self.last_read_at.lock().map(|at| at.elapsed());
         FleetSnapshot {
-            config: config.map(|view| (view.offset, view.config.clone())),
+            config: config.map(|view| view.config.clone()),
             endpoints: endpoints.map(|list| (*list).clone()),
             crash_reports: if is_different { self.quarantine.crash_reports() } else { Vec::new() },
             segment_reports: match is_different {
--- a/crates/direct/src/watch.rs
+++ b/crates/direct/src/watch.rs
@@ -8,8 +8,7 @@
 };
 
 use lynxmount_core::{
-    Clock, ConfigVersion, EndpointList, FleetConfig, Offset, Result, ServiceId, SiteBounds,
-    adapter::FleetSource,
+    Clock, EndpointList, FleetConfig, Result, ServiceId, SiteBounds, adapter::FleetSource,
 };
 use lynxmount_policy::{MEMBERSHIP_CONVERGENCE_TIME, Membership};
 use lynxmount_quarantine::SharedQuarantine;
@@ -100,9 +99,8 @@
         let mut reachability = Reachability::new("configuration");
         let mut poll = ConfigPoll::new(&self.bounds);
         loop {
-            let after = self.fleet.config().map(|view| view.offset);
             let read = tokio::select! {
-                read = poll.read(&*self.source, after, || self.on_poll_hedged()) => read,
+                read = poll.read(&*self.source, || self.on_poll_hedged()) => read,
                 // A hint only: a poll that the store received during its outage is not answered.
                 () = self.store_regained.notified() => continue,
             };
@@ -110,11 +108,7 @@
                 Ok(update) => {
                     reachability.on_success();
                     self.record_read();
-                    let is_missing = update.is_none() && after.is_none();
-                    self.apply_config(update);
-                    if is_missing {
-                        tokio::time::sleep(RETRY_DELAY).await;
-                    }
+                    update.into_iter().for_each(|config| self.apply_config(config));
                 }
                 Err(error) => {
                     self.metrics.count("platform.config_read_failed");
@@ -132,22 +126,18 @@
         self.poll_loss_suspected.notify_one();
     }
 
-    fn apply_config(&self, update: Option<(Offset, FleetConfig)>) {
-        let Some((offset, config)) = update else { return };
+    fn apply_config(&self, config: FleetConfig) {
         let version = config.version;
-        if self.fleet.update_config(offset, config) {
-            log::info!(version, offset; "configuration applied");
+        if self.fleet.update_config(config) {
+            log::info!(version; "configuration applied");
             self.update_endpoint_set();
-        } else {
-            self.on_config_ignored(version, offset);
+            return;
+        }
+        let in_force = self.fleet.config().map(|view| view.config.version);
+        if in_force > Some(version) {
+            self.metrics.count("platform.config_ignored");
+            log::info!(version, in_force; "older configuration ignored");
         }
-    }
-
-    fn on_config_ignored(&self, version: ConfigVersion, offset: Offset) {
-        self.metrics.count("platform.config_ignored");
-        let Some(current) = self.fleet.config() else { return };
-        log::info!(version, offset, current_version = current.config.version,
-            current_offset = current.offset; "configuration ignored");
     }
 
     /// Watches registrations until the task is dropped.
@@ -245,12 +235,12 @@
 
     fn update_endpoint_set(&self) {
         let Some(config) = self.fleet.config() else { return };
-        let as_of_offset = self.fleet.endpoints().map_or(0, |list| list.as_of_offset);
+        let as_of = self.fleet.endpoints().map(|list| list.as_of).unwrap_or_default();
         let is_configured = |service: &ServiceId| {
             config.config.services.iter().any(|configured| configured.id == *service)
         };
         let endpoints = self.membership.lock().endpoints(is_configured);
-        let list = EndpointList { as_of_offset, endpoints };
+        let list = EndpointList { as_of, endpoints };
         self.endpoint_set.update(&config, &list, &self.peers.slot_owners());
     }
 
--- a/crates/direct/tests/config_poll.rs
+++ b/crates/direct/tests/config_poll.rs
@@ -32,7 +32,7 @@
 async fn receive_config(store: &StoreModel, bounds: &SiteBounds) -> Duration {
     let mut poll = ConfigPoll::new(bounds);
     loop {
-        if let Ok(Some(_)) = poll.read(store, Some(0), || ()).await {
+        if let Ok(Some(_)) = poll.read(store, || ()).await {
             return store.now();
         }
     }
@@ -88,7 +88,7 @@
     let mut hedges = 0;
 
     for _ in 0..10 {
-        poll.read(&store, Some(0), || hedges += 1).await.expect("response");
+        poll.read(&store, || hedges += 1).await.expect("response");
     }
 
     assert_eq!((hedges, store.reads_within(Duration::ZERO, Duration::MAX)), (0, 10));
--- a/crates/direct/tests/store_model/mod.rs
+++ b/crates/direct/tests/store_model/mod.rs
@@ -4,8 +4,8 @@
 
 use http::StatusCode;
 use lynxmount_core::{
-    CallerLimits, EndpointList, Evidence, EvidenceKey, FleetConfig, Offset, ProcessId,
-    ReceivedEvidence, Result, Step, adapter::FleetSource, refused,
+    CallerLimits, EndpointList, Evidence, EvidenceKey, FleetConfig, LogPosition, LogRead,
+    ProcessId, ReceivedEvidence, Result, Step, adapter::FleetSource, refused,
 };
 use parking_lot::Mutex;
 use tokio::time::Instant;
@@ -73,11 +73,11 @@
 }
 
 impl FleetSource for StoreModel {
-    async fn config_after(
+    async fn config_from(
         &self,
-        after: Option<Offset>,
+        from: Option<LogPosition>,
         wait: Duration,
-    ) -> Result<Option<(Offset, FleetConfig)>> {
+    ) -> Result<LogRead<Option<FleetConfig>>> {
         let arrived_at = self.now();
         let second_ago = arrived_at.saturating_sub(Duration::from_secs(1));
         if self.reads_within(second_ago, Duration::MAX) >= self.max_reads_per_s {
@@ -94,7 +94,9 @@
             return pending().await;
         }
         let is_configured = self.configured_at <= due_at;
-        Ok(is_configured.then(|| (after.map_or(0, |offset| offset + 1), config())))
+        let value = is_configured.then(config);
+        let next = LogPosition { era: 0, offset: u64::from(is_configured) };
+        Ok(LogRead { next, is_complete: from.is_none(), value })
     }
 
     async fn refresh_endpoints(&self, _: &EndpointList) -> Result<EndpointList> {
@@ -119,9 +121,9 @@
 
     async fn crash_reports_from(
         &self,
-        _: Option<Offset>,
+        _: Option<LogPosition>,
         _: Duration,
-    ) -> Result<(Offset, Vec<ReceivedEvidence>)> {
+    ) -> Result<LogRead<Vec<ReceivedEvidence>>> {
         unimplemented!("only configurations are read")
     }
 }
--- a/crates/link/src/fleet_query.rs
+++ b/crates/link/src/fleet_query.rs
@@ -5,7 +5,8 @@
 use bytes::Bytes;
 use http::{Method, StatusCode, Uri};
 use lynxmount_core::{
-    CrashReport, EndpointList, FleetConfig, Offset, Result, SegmentReport, Step, invalid, refused,
+    ConfigVersion, CrashReport, EndpointList, FleetConfig, LogPosition, Result, SegmentReport,
+    Step, invalid, refused,
 };
 use serde::{Deserialize, Serialize};
 
@@ -14,14 +15,14 @@
 /// Timeout of a query; most peers respond within a few milliseconds.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// The path of the query.
-const FLEET_PATH: &str = "/v1/fleet";
+/// The path of the query. Processes with another version of it do not answer.
+const FLEET_PATH: &str = "/v2/fleet";
 
 /// A peer's state of the fleet, as far as it is newer than the querying process's.
 #[derive(Debug, Default, Deserialize, Serialize)]
 pub struct FleetSnapshot {
     /// The configuration, if the querying process's is older.
-    pub config: Option<(Offset, FleetConfig)>,
+    pub config: Option<FleetConfig>,
     /// The endpoints, if the querying process's are older.
     pub endpoints: Option<EndpointList>,
     /// All crash reports, if the querying process's differ.
@@ -37,10 +38,10 @@
 /// A query for the state that a process lacks.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct FleetQuery {
-    /// The offset from which a configuration is requested.
-    pub config_from: Offset,
-    /// The offset after which endpoints are requested.
-    pub endpoints_after: Offset,
+    /// The version after which a configuration is requested; `None` requests any.
+    pub config_after: Option<ConfigVersion>,
+    /// The position after which endpoints are requested; `None` requests any.
+    pub endpoints_after: Option<LogPosition>,
     /// The digest of the querying process's crash reports; a peer whose digest differs sends
     /// all of its own. `None` requests none.
     pub crash_reports_digest: Option<u64>,
@@ -50,11 +51,7 @@
 ///
 /// Fails if it can't be reached or does not respond in time.
 pub async fn query_fleet(peer: SocketAddr, query: FleetQuery) -> Result<FleetSnapshot> {
-    let FleetQuery { config_from, endpoints_after, crash_reports_digest } = query;
-    let mut path = format!("{FLEET_PATH}?config={config_from}&endpoints={endpoints_after}");
-    if let Some(digest) = crash_reports_digest {
-        path.push_str(&format!("&suspicions={digest}"));
-    }
+    let path = encode_fleet_query(query);
     let client = HttpClient::new(peer);
     let response =
         client.call(Step::ControlCall, Method::GET, &path, Bytes::new(), QUERY_TIMEOUT).await?;
@@ -66,16 +63,32 @@
     }
 }
 
+fn encode_fleet_query(query: FleetQuery) -> String {
+    let FleetQuery { config_after, endpoints_after, crash_reports_digest } = query;
+    let fields = [
+        ("config", config_after),
+        ("era", endpoints_after.map(|position| position.era)),
+        ("endpoints", endpoints_after.map(|position| position.offset)),
+        ("suspicions", crash_reports_digest),
+    ];
+    let given = fields.iter().filter_map(|(name, value)| Some(format!("{name}={}", (*value)?)));
+    format!("{FLEET_PATH}?{}", given.collect::<Vec<String>>().join("&"))
+}
+
 /// Parses a query; `None` if the URI has another path.
 pub fn parse_fleet_query(uri: &Uri) -> Option<FleetQuery> {
     let query = uri.query().unwrap_or_default();
     (uri.path() == FLEET_PATH).then(|| FleetQuery {
-        config_from: number(query, "config").unwrap_or_default(),
-        endpoints_after: number(query, "endpoints").unwrap_or_default(),
+        config_after: number(query, "config"),
+        endpoints_after: position(query),
         crash_reports_digest: number(query, "suspicions"),
     })
 }
 
+fn position(query: &str) -> Option<LogPosition> {
+    Some(LogPosition { era: number(query, "era")?, offset: number(query, "endpoints")? })
+}
+
 fn number(query: &str, name: &str) -> Option<u64> {
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     let mut values = pairs.filter(|(key, _)| *key == name).filter_map(|(_, v)| v.parse().ok());
--- a/crates/lynxmount/tests/platform_restored_store.rs
+++ b/crates/lynxmount/tests/platform_restored_store.rs
@@ -112,3 +112,26 @@
         wait_for_version(&fleet, newest + 1).await;
     }
 }
+/// Guards against reads without a pause, which take the store's capacity from all processes, while
+/// the position to read from is not available.
+#[tokio::test]
+async fn restored_store_is_read_as_often_as_before() {
+    const MAX_READS: u64 = 12;
+    let fleet = Fleet::start(IDEMPOTENT, &[Behaviour::Answer]).await;
+    let copy = fleet.store.copy();
+    lose_versions(&fleet, &copy, 2, 4, Rewrite::Nothing).await;
+    let reads = || fleet.store.request_count_of("/lynxmount/log-read");
+    let config_reads = || fleet.store.request_count_of_topic(OPERATOR_TOPIC);
+    wait_for("a read of the restored store", async || config_reads() >= 4).await;
+    let (reads_before, config_reads_before) = (reads(), config_reads());
+
+    // Reads of registrations have a period of their own, which measures the time.
+    wait_for("reads of registrations", async || {
+        let others = (reads() - reads_before).saturating_sub(config_reads() - config_reads_before);
+        others >= 4 || config_reads() - config_reads_before > MAX_READS
+    })
+    .await;
+
+    let config_reads = config_reads() - config_reads_before;
+    assert!(config_reads <= MAX_READS, "{config_reads} reads of configurations");
+}
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -10,7 +10,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use lynxmount_core::{EndpointId, EndpointList, EndpointRecord, Offset, ServiceId};
+use lynxmount_core::{EndpointId, EndpointList, EndpointRecord, LogPosition, ServiceId};
 
 /// How long after the store's recovery a missing registration may still reappear.
 const REREGISTRATION_TIME: Duration = Duration::from_millis(2200);
@@ -32,7 +32,7 @@
 /// When an id was first and last listed.
 #[derive(Clone, Copy, Debug)]
 struct IdHistory {
-    first_listed_at: Offset,
+    first_listed_at: LogPosition,
     last_listed: Duration,
 }
 
@@ -49,7 +49,7 @@
     missing: BTreeMap<EndpointId, EndpointRecord>,
     last_read: Option<Duration>,
     /// Position in the store's log up to which the list was read.
-    as_of_offset: Offset,
+    as_of: LogPosition,
     /// Until when missing registrations may reappear.
     grace_until: Duration,
 }
@@ -71,7 +71,7 @@
             listed: BTreeMap::new(),
             missing: BTreeMap::new(),
             last_read: None,
-            as_of_offset: 0,
+            as_of: LogPosition::default(),
             grace_until: Duration::ZERO,
         }
     }
@@ -85,7 +85,7 @@
             self.grace_until = now + REREGISTRATION_TIME;
         }
         self.last_read = Some(now);
-        self.as_of_offset = list.as_of_offset;
+        self.as_of = list.as_of;
         let before = std::mem::take(&mut self.listed);
         let listed = list.endpoints.iter();
         self.listed = listed.map(|e| (EndpointId::clone(&e.id), e.clone())).collect();
@@ -101,7 +101,7 @@
     /// Applies a list that another process has read from the store, if it is newer. An entry that
     /// can't read the store would otherwise keep sending to endpoints that leave.
     pub fn update_from_peer(&mut self, list: &EndpointList, now: Duration) {
-        if list.as_of_offset > self.as_of_offset {
+        if list.as_of > self.as_of {
             self.update(list, now);
         }
     }
--- a/crates/policy/tests/direct_call_policies.rs
+++ b/crates/policy/tests/direct_call_policies.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use lynxmount_core::{EndpointList, EndpointRecord, EndpointState};
+use lynxmount_core::{EndpointList, EndpointRecord, EndpointState, LogPosition};
 use lynxmount_policy::{
     CallOutcome, EndpointSnapshot, Membership, OutageDetector, OutlierDetector, Selection,
     WindowBudget, WindowBudgetOptions, outage_retry_after, select_endpoint,
@@ -179,13 +179,13 @@
         slots: 1,
         state: EndpointState::Ready,
         started_ms: None,
-        listed_at: 0,
+        listed_at: LogPosition::default(),
     }
 }
 
 /// An incarnation of the endpoint, listed at an offset.
 fn incarnation(id: &str, listed_at: u64, started_ms: Option<u64>) -> EndpointRecord {
-    EndpointRecord { listed_at, started_ms, ..record(id) }
+    EndpointRecord { listed_at: at_offset(listed_at), started_ms, ..record(id) }
 }
 
 /// A list of incarnations at the same address.
@@ -193,11 +193,18 @@
     let address = ([127, 0, 0, 9], 1).into();
     let endpoints =
         records.iter().map(|record| EndpointRecord { address, ..record.clone() }).collect();
-    EndpointList { as_of_offset: 1, endpoints }
+    EndpointList { as_of: at_offset(1), endpoints }
+}
+
+fn at_offset(offset: u64) -> LogPosition {
+    LogPosition { era: 0, offset }
 }
 
 fn list(as_of_offset: u64, ids: &[&str]) -> EndpointList {
-    EndpointList { as_of_offset, endpoints: ids.iter().map(|id| record(id)).collect() }
+    EndpointList {
+        as_of: at_offset(as_of_offset),
+        endpoints: ids.iter().map(|id| record(id)).collect(),
+    }
 }
 
 fn ids(membership: &Membership) -> Vec<String> {
--- a/crates/rank/src/coordinator/mod.rs
+++ b/crates/rank/src/coordinator/mod.rs
@@ -108,9 +108,9 @@
 
     async fn spec(&self, state: &mut LeaderState) -> Option<BalanceSpec> {
         if state.spec.is_none() {
-            let read = self.source.config_after(None, Duration::ZERO).await;
+            let read = self.source.config_from(None, Duration::ZERO).await;
             let config = match read {
-                Ok(config) => config.map(|(_, config)| config),
+                Ok(read) => read.value,
                 Err(error) => {
                     log::warn!(error:% = error; "configuration read failed");
                     None
--- a/crates/rank/src/registry.rs
+++ b/crates/rank/src/registry.rs
@@ -5,7 +5,8 @@
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use lynxmount_core::{
-    EndpointList, EndpointRecord, FailureDomainId, Offset, Result, ServiceId, adapter::FleetSource,
+    ConfigVersion, EndpointList, EndpointRecord, FailureDomainId, Result, ServiceId,
+    adapter::FleetSource,
 };
 use lynxmount_link::{FleetQuery, query_fleet};
 use lynxmount_policy::rendezvous;
@@ -96,9 +97,9 @@
         if services.len() < 2 {
             return services.into_iter().next().cloned();
         }
-        match source.config_after(None, Duration::ZERO).await {
+        match source.config_from(None, Duration::ZERO).await {
             Ok(config) => {
-                let (_, config) = config?;
+                let config = config.value?;
                 let is_configured =
                     |service: &&ServiceId| config.services.iter().any(|spec| spec.id == **service);
                 services.into_iter().find(is_configured).cloned()
@@ -142,8 +143,8 @@
 ) -> Result<EndpointList> {
     for seed in seeds {
         let asked = FleetQuery {
-            config_from: Offset::MAX,
-            endpoints_after: list.as_of_offset,
+            config_after: Some(ConfigVersion::MAX),
+            endpoints_after: Some(list.as_of),
             crash_reports_digest: None,
         };
         match query_fleet(*seed, asked).await {
