Endpoints' state outlasts a registry that comes back from a copy

After the store came back from an older copy between two reads that both succeeded, live endpoints that registered after the copy got no calls until they registered again, and endpoints that had left or drained got calls again.

A list of registrations was taken for newer by its offset, and whether the store had been away was judged by the time between two reads alone, which a drill may fit into.

Change: a list of a later era begins the grace period of an outage; until a registration is written again, or would have expired, an endpoint that was known to drain or to have left stays so (RestoredRegistrations), by incarnation. Lists of an earlier era are ignored. Registrations know the position of their latest record. The lease is three of the heartbeats that the settings name.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -221,6 +221,8 @@
     pub started_ms: Option<u64>,
     /// Position in the platform's log at which its registration was first seen.
     pub listed_at: LogPosition,
+    /// Position of its latest registration.
+    pub written_at: LogPosition,
 }
 
 /// All registrations up to a position in the platform's log.
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -26,7 +26,7 @@
     listener,
     peers::{PeerHandler, Peers},
     readiness::ReadinessHandler,
-    watch::{FleetWatch, endpoints_period},
+    watch::{FleetWatch, endpoints_period, registration_lease},
 };
 
 /// Runs an entry process until it has drained.
@@ -135,6 +135,7 @@
         membership: Mutex::new(Membership::new(
             mechanisms.has(Mechanism::LaterLives),
             endpoints_period(&settings.bounds),
+            registration_lease(&settings.bounds),
         )),
         store_regained: Notify::new(),
         pull_requested: Notify::new(),
--- a/crates/direct/src/watch.rs
+++ b/crates/direct/src/watch.rs
@@ -22,6 +22,9 @@
 /// get no more calls. It leaves time for one lost read.
 const ENDPOINTS_PERIOD_FRACTION: f64 = 0.425;
 
+/// Heartbeats that an endpoint has missed when its registration expires.
+const LEASE_HEARTBEATS: u32 = 3;
+
 /// Delay before a failed read is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -45,6 +48,11 @@
     bounds.drain.mul_f64(ENDPOINTS_PERIOD_FRACTION)
 }
 
+/// Time after which the registration of an endpoint that does not renew it expires.
+pub(crate) fn registration_lease(bounds: &SiteBounds) -> Duration {
+    bounds.heartbeat * LEASE_HEARTBEATS
+}
+
 /// Watches the platform; shared by the watching tasks.
 pub(crate) struct FleetWatch<S> {
     pub(crate) source: Arc<S>,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,7 @@
 mod prefix_counts;
 mod quarantine;
 mod rendezvous;
+mod restored_registrations;
 mod retry;
 mod retry_budget;
 mod retry_schedule;
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -7,10 +7,18 @@
 //! An endpoint that restarts at its address under another id leaves its old registration behind
 //! for three heartbeats. Of two registrations at one address that of the later incarnation is
 //! valid: half of the calls after a loss of power went to ids that were gone.
+//!
+//! The store may also come back from an older copy, between two reads that both succeed. The lists
+//! then have positions of a later era, and what they lack or contain is confirmed before it counts:
+//! live endpoints may be missing, and endpoints that have left may be back.
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use lynxmount_core::{EndpointId, EndpointList, EndpointRecord, LogPosition, ServiceId};
+use lynxmount_core::{
+    EndpointId, EndpointList, EndpointRecord, EndpointState, LogPosition, ServiceId,
+};
+
+use crate::restored_registrations::{KnownIncarnation, LastKnown, RestoredRegistrations};
 
 /// How long after the store's recovery a missing registration may still reappear.
 const REREGISTRATION_TIME: Duration = Duration::from_millis(2200);
@@ -25,6 +33,9 @@
 /// Default period of reads.
 const DEFAULT_READ_PERIOD: Duration = Duration::from_millis(850);
 
+/// Default time after which the registration of an endpoint that does not renew it expires.
+const DEFAULT_LEASE: Duration = Duration::from_millis(3600);
+
 /// How long an id is kept after its last registration: a registration that was in flight when
 /// its endpoint ended may be read much later.
 const ID_RETENTION: Duration = Duration::from_secs(60);
@@ -34,6 +45,7 @@
 struct IdHistory {
     first_listed_at: LogPosition,
     last_listed: Duration,
+    started_ms: Option<u64>,
 }
 
 /// The endpoints that may be alive.
@@ -43,6 +55,8 @@
     is_latest_only: bool,
     /// How often the list is read while the store is available.
     read_period: Duration,
+    /// Time after which a registration that is not renewed expires.
+    lease: Duration,
     ids: BTreeMap<EndpointId, IdHistory>,
     listed: BTreeMap<EndpointId, EndpointRecord>,
     /// Not registered since an outage of the store.
@@ -52,43 +66,55 @@
     as_of: LogPosition,
     /// Until when missing registrations may reappear.
     grace_until: Duration,
+    restored: RestoredRegistrations,
 }
 
 impl Default for Membership {
     /// Starts with no endpoint, and returns only the latest incarnation at an address.
     fn default() -> Membership {
-        Membership::new(true, DEFAULT_READ_PERIOD)
+        Membership::new(true, DEFAULT_READ_PERIOD, DEFAULT_LEASE)
     }
 }
 
 impl Membership {
-    /// Starts with no endpoint. The list is read with this period while the store is available.
-    pub fn new(is_latest_only: bool, read_period: Duration) -> Membership {
+    /// Starts with no endpoint. The list is read with this period while the store is available, and
+    /// registrations expire after the lease unless they are renewed.
+    pub fn new(is_latest_only: bool, read_period: Duration, lease: Duration) -> Membership {
         Membership {
             is_latest_only,
             read_period,
+            lease,
             ids: BTreeMap::new(),
             listed: BTreeMap::new(),
             missing: BTreeMap::new(),
             last_read: None,
             as_of: LogPosition::default(),
             grace_until: Duration::ZERO,
+            restored: RestoredRegistrations::default(),
         }
     }
 
-    /// Applies a list that was just read from the store.
+    /// Applies a list that was just read from the store, unless it is of an earlier era.
     pub fn update(&mut self, list: &EndpointList, now: Duration) {
+        if list.as_of.era < self.as_of.era {
+            return;
+        }
         let max_read_interval = self.read_period + OUTAGE_READ_DELAY;
         let was_unavailable =
             self.last_read.is_some_and(|read| now.saturating_sub(read) > max_read_interval);
-        if was_unavailable {
+        let is_restored = self.last_read.is_some() && list.as_of.era > self.as_of.era;
+        if was_unavailable || is_restored {
             self.grace_until = now + REREGISTRATION_TIME;
         }
+        if is_restored {
+            let valid_until = now + self.lease;
+            self.restored = RestoredRegistrations::new(self.known(), list.as_of, valid_until);
+        }
         self.last_read = Some(now);
         self.as_of = list.as_of;
         let before = std::mem::take(&mut self.listed);
-        let listed = list.endpoints.iter();
-        self.listed = listed.map(|e| (EndpointId::clone(&e.id), e.clone())).collect();
+        let listed = list.endpoints.iter().filter_map(|e| self.restored.correct(e, now));
+        self.listed = listed.map(|e| (EndpointId::clone(&e.id), e)).collect();
         let vanished = before.into_iter().filter(|(id, _)| !self.listed.contains_key(id));
         match now < self.grace_until {
             true => self.missing.extend(vanished),
@@ -125,10 +151,27 @@
         maybe_alive.filter(is_latest).cloned().collect()
     }
 
+    /// The endpoints that drain or have left, as far as that is known.
+    fn known(&self) -> BTreeMap<EndpointId, KnownIncarnation> {
+        let last_known = |id: &EndpointId| match self.listed.get(id) {
+            Some(record) if record.state == EndpointState::Draining => Some(LastKnown::Draining),
+            Some(_) => None,
+            None => (!self.missing.contains_key(id)).then_some(LastKnown::Left),
+        };
+        let known = self.ids.iter().filter_map(|(id, history)| {
+            let last_known = last_known(id)?;
+            let started_ms = history.started_ms;
+            Some((EndpointId::clone(id), KnownIncarnation { started_ms, last_known }))
+        });
+        known.collect()
+    }
+
     fn update_ids(&mut self, now: Duration) {
         for (id, record) in &self.listed {
-            let new = IdHistory { first_listed_at: record.listed_at, last_listed: now };
-            self.ids.entry(EndpointId::clone(id)).or_insert(new).last_listed = now;
+            let started_ms = record.started_ms;
+            let new = IdHistory { first_listed_at: record.listed_at, last_listed: now, started_ms };
+            let history = self.ids.entry(EndpointId::clone(id)).or_insert(new);
+            *history = IdHistory { first_listed_at: history.first_listed_at, ..new };
         }
         self.ids.retain(|_, history| now < history.last_listed + ID_RETENTION);
     }
--- a/crates/policy/tests/direct_call_policies.rs
+++ b/crates/policy/tests/direct_call_policies.rs
@@ -180,6 +180,7 @@
         state: EndpointState::Ready,
         started_ms: None,
         listed_at: LogPosition::default(),
+        written_at: LogPosition::default(),
     }
 }
 
@@ -224,7 +225,7 @@
 #[test]
 fn a_removed_registration_is_dropped_at_once_whatever_the_read_period() {
     for period_ms in [850, 1700, 5000] {
-        let mut membership = Membership::new(true, at_ms(period_ms));
+        let mut membership = Membership::new(true, at_ms(period_ms), at_ms(3600));
         for read in 0..4 {
             membership.update(&list(1, &["a", "b"]), at_ms(read * period_ms));
         }
