Entries register again after the store has lost their registration

After the store came back from a copy that is older than an entry, its peers did not know it for good: they shared endpoints' rate limits without it.

Cause: an acknowledged registration was taken for lasting, past the life of the log that it stands in.

Change: an entry remembers the era of its registration and registers again once peers are read in a later one. The first read of a new era, of whatever topic, wakes the others, and makes the entry pull from its peers.

--- a/crates/core/src/adapter.rs
+++ b/crates/core/src/adapter.rs
@@ -5,8 +5,8 @@
 use http::{HeaderMap, Response, StatusCode, request::Parts};
 
 use crate::{
-    EndpointId, EndpointList, Evidence, EvidenceKey, FleetConfig, LogPosition, LogRead, ProcessId,
-    ReceivedEvidence, Result, SegmentNumber, TeamId,
+    EndpointId, EndpointList, Evidence, EvidenceKey, FleetConfig, LogEra, LogPosition, LogRead,
+    ProcessId, ReceivedEvidence, Result, SegmentNumber, TeamId,
     experts::{EngineOrder, EngineReport, ExpertCounts, OrderResult, RankMap},
 };
 
@@ -137,19 +137,20 @@
         list: &EndpointList,
     ) -> impl Future<Output = Result<EndpointList>> + Send;
 
-    /// Registers this process, so that its peers can discover it.
+    /// Registers this process, so that its peers can discover it. Returns the era of the
+    /// registration, which may be lost in the next one.
     ///
     /// Fails if the platform can't be reached.
     fn register_peer(
         &self,
         name: &str,
         address: SocketAddr,
-    ) -> impl Future<Output = Result<()>> + Send;
+    ) -> impl Future<Output = Result<LogEra>> + Send;
 
-    /// Reads the addresses of all registered processes.
+    /// Reads the addresses of all registered processes, and the era that they are registered in.
     ///
     /// Fails if the platform can't be reached.
-    fn peers(&self) -> impl Future<Output = Result<Vec<SocketAddr>>> + Send;
+    fn peers(&self) -> impl Future<Output = Result<(LogEra, Vec<SocketAddr>)>> + Send;
 
     /// Publishes crash reports to all processes, replacing this process's earlier reports
     /// of the same calls and segments.
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -1,17 +1,22 @@
 //! Peer entries: anti-entropy pulls of fleet state, gossip, and the handler of peers' requests.
 
-use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Instant};
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use lynxmount_core::{CrashReport, Result, SegmentReport};
+use lynxmount_core::{CrashReport, LogEra, Result, SegmentReport};
 use lynxmount_link::{
     FleetQuery, FleetSnapshot, GossipTopic, RequestHandler, parse_fleet_query, publish,
     query_fleet, read_published,
 };
-use lynxmount_policy::SlotOwners;
+use lynxmount_policy::{RegisteredPeers, SlotOwners};
 use lynxmount_quarantine::SharedQuarantine;
 use parking_lot::Mutex;
 use rand::seq::SliceRandom;
@@ -26,7 +31,7 @@
 pub(crate) struct Peers {
     own_address: SocketAddr,
     seeds: Vec<SocketAddr>,
-    registered: Mutex<BTreeSet<SocketAddr>>,
+    registered: Mutex<RegisteredPeers>,
 }
 
 impl Peers {
@@ -34,14 +39,14 @@
         Peers { own_address, seeds, registered: Mutex::default() }
     }
 
-    /// Replaces the addresses that are registered at the platform.
-    pub(crate) fn set_registered(&self, addresses: Vec<SocketAddr>) {
-        *self.registered.lock() = addresses.into_iter().collect();
+    /// Applies the addresses that are registered at the platform in an era.
+    pub(crate) fn set_registered(&self, era: LogEra, addresses: Vec<SocketAddr>, now: Duration) {
+        self.registered.lock().update(era, addresses, now);
     }
 
     /// All entries as owners of slots: the registered ones, or the seeds while these are more.
     pub(crate) fn slot_owners(&self) -> SlotOwners {
-        let registered: BTreeSet<SocketAddr> = self.registered.lock().clone();
+        let registered = self.registered.lock().addresses();
         let seeds: BTreeSet<SocketAddr> = self.seeds.iter().copied().collect();
         let entries = if registered.len() >= seeds.len() { registered } else { seeds };
         let names: Vec<String> = entries.iter().map(SocketAddr::to_string).collect();
@@ -49,7 +54,7 @@
     }
 
     fn others(&self) -> Vec<SocketAddr> {
-        let mut others: BTreeSet<SocketAddr> = self.registered.lock().clone();
+        let mut others = self.registered.lock().addresses();
         others.extend(&self.seeds);
         others.remove(&self.own_address);
         others.into_iter().collect()
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -140,6 +140,8 @@
         store_regained: Notify::new(),
         pull_requested: Notify::new(),
         poll_loss_suspected,
+        era: Mutex::default(),
+        store_restored: Notify::new(),
     });
     tokio::spawn(Arc::clone(&watch).watch_config());
     tokio::spawn(Arc::clone(&watch).watch_endpoints());
--- a/crates/direct/src/watch.rs
+++ b/crates/direct/src/watch.rs
@@ -8,7 +8,7 @@
 };
 
 use lynxmount_core::{
-    Clock, EndpointList, FleetConfig, Result, ServiceId, SiteBounds, adapter::FleetSource,
+    Clock, EndpointList, FleetConfig, LogEra, Result, ServiceId, SiteBounds, adapter::FleetSource,
 };
 use lynxmount_policy::{MEMBERSHIP_CONVERGENCE_TIME, Membership};
 use lynxmount_quarantine::SharedQuarantine;
@@ -72,6 +72,10 @@
     pub(crate) pull_requested: Notify,
     /// Notified when other long polls at the platform may have been lost, too.
     pub(crate) poll_loss_suspected: Arc<Notify>,
+    /// The latest era of the store that a read has shown.
+    pub(crate) era: Mutex<Option<LogEra>>,
+    /// Notified when the store was restored from a copy.
+    pub(crate) store_restored: Notify,
 }
 
 /// Logs when a dependency becomes unreachable and when it is reachable again.
@@ -115,7 +119,7 @@
             match read {
                 Ok(update) => {
                     reachability.on_success();
-                    self.record_read();
+                    self.record_read(poll.next().map(|next| next.era));
                     update.into_iter().for_each(|config| self.apply_config(config));
                 }
                 Err(error) => {
@@ -159,7 +163,7 @@
                         self.store_regained.notify_one();
                         self.poll_loss_suspected.notify_one();
                     }
-                    self.record_read();
+                    self.record_read(Some(list.as_of.era));
                     self.apply_endpoints(list);
                     tokio::time::sleep(endpoints_period(&self.bounds)).await;
                 }
@@ -193,35 +197,34 @@
 
     /// Registers this process and watches the addresses of its peers until the task is dropped.
     pub(crate) async fn watch_peers(self: Arc<FleetWatch<S>>, name: String, own: SocketAddr) {
-        let mut is_registered = false;
+        let mut registered_in: Option<LogEra> = None;
         loop {
-            is_registered = is_registered || self.register(&name, own).await;
-            let is_read = self.read_peers().await;
-            let is_complete = is_registered && is_read;
-            tokio::time::sleep(if is_complete { PEERS_PERIOD } else { PEERS_RETRY_DELAY }).await;
+            if registered_in.is_none() {
+                registered_in = self.register(&name, own).await;
+            }
+            let read_in = self.read_peers().await;
+            // A registration is lost if the store was restored from an older copy.
+            registered_in = registered_in.filter(|era| Some(*era) >= read_in);
+            let is_complete = registered_in.is_some() && read_in.is_some();
+            let period = if is_complete { PEERS_PERIOD } else { PEERS_RETRY_DELAY };
+            // A hint only: each read shows the era by itself.
+            let _ = tokio::time::timeout(period, self.store_restored.notified()).await;
         }
     }
 
-    async fn register(&self, name: &str, own: SocketAddr) -> bool {
+    async fn register(&self, name: &str, own: SocketAddr) -> Option<LogEra> {
         let result = self.source.register_peer(name, own).await;
-        if let Err(error) = &result {
-            log::warn!(error:% = error; "peer registration failed");
-        }
-        result.is_ok()
+        result.map_err(|e| log::warn!(error:% = e; "peer registration failed")).ok()
     }
 
-    async fn read_peers(&self) -> bool {
-        match self.source.peers().await {
-            Ok(addresses) => {
-                self.peers.set_registered(addresses);
-                self.update_endpoint_set();
-                true
-            }
-            Err(error) => {
-                log::warn!(error:% = error; "peer addresses not read");
-                false
-            }
-        }
+    /// Reads the peers' addresses, and returns the era that they are registered in.
+    async fn read_peers(&self) -> Option<LogEra> {
+        let read = self.source.peers().await;
+        let (era, addresses) =
+            read.map_err(|e| log::warn!(error:% = e; "peer addresses not read")).ok()?;
+        self.peers.set_registered(era, addresses, self.clock.now());
+        self.update_endpoint_set();
+        Some(era)
     }
 
     /// Pulls state from peers when it is requested, until the task is dropped. Reads of the platform
@@ -252,7 +255,23 @@
         self.endpoint_set.update(&config, &list, &self.peers.slot_owners());
     }
 
-    fn record_read(&self) {
+    fn record_read(&self, era: Option<LogEra>) {
         *self.last_read_at.lock() = Some(Instant::now());
+        let mut known = self.era.lock();
+        let is_restored = known.is_some() && *known < era;
+        *known = era.max(*known);
+        drop(known);
+        if is_restored {
+            self.on_store_restored();
+        }
+    }
+
+    /// Peers may have read what the store has lost, and other reads need not wait until their polls
+    /// end.
+    fn on_store_restored(&self) {
+        self.metrics.count("platform.store_restored");
+        self.pull_requested.notify_one();
+        self.poll_loss_suspected.notify_one();
+        self.store_restored.notify_one();
     }
 }
--- a/crates/direct/tests/restored_log/mod.rs
+++ b/crates/direct/tests/restored_log/mod.rs
@@ -145,11 +145,11 @@
         unimplemented!("only configurations are read")
     }
 
-    async fn register_peer(&self, _: &str, _: SocketAddr) -> Result<()> {
+    async fn register_peer(&self, _: &str, _: SocketAddr) -> Result<LogEra> {
         unimplemented!("only configurations are read")
     }
 
-    async fn peers(&self) -> Result<Vec<SocketAddr>> {
+    async fn peers(&self) -> Result<(LogEra, Vec<SocketAddr>)> {
         unimplemented!("only configurations are read")
     }
 
--- a/crates/direct/tests/store_model/mod.rs
+++ b/crates/direct/tests/store_model/mod.rs
@@ -4,7 +4,7 @@
 
 use http::StatusCode;
 use lynxmount_core::{
-    CallerLimits, EndpointList, Evidence, EvidenceKey, FleetConfig, LogPosition, LogRead,
+    CallerLimits, EndpointList, Evidence, EvidenceKey, FleetConfig, LogEra, LogPosition, LogRead,
     ProcessId, ReceivedEvidence, Result, Step, adapter::FleetSource, refused,
 };
 use parking_lot::Mutex;
@@ -103,11 +103,11 @@
         unimplemented!("only configurations are read")
     }
 
-    async fn register_peer(&self, _: &str, _: SocketAddr) -> Result<()> {
+    async fn register_peer(&self, _: &str, _: SocketAddr) -> Result<LogEra> {
         unimplemented!("only configurations are read")
     }
 
-    async fn peers(&self) -> Result<Vec<SocketAddr>> {
+    async fn peers(&self) -> Result<(LogEra, Vec<SocketAddr>)> {
         unimplemented!("only configurations are read")
     }
 
--- a/crates/lynxmount/tests/platform_restored_store.rs
+++ b/crates/lynxmount/tests/platform_restored_store.rs
@@ -5,7 +5,7 @@
 
 use lynxmount_platform_standin::{
     Behaviour, StoreCopy, StoreMode, StoreStandin,
-    fixture::{CONFIG_KEY, IDEMPOTENT, OPERATOR_TOPIC},
+    fixture::{CONFIG_KEY, IDEMPOTENT, OPERATOR_TOPIC, PEERS_TOPIC},
 };
 use platform_common::{Fleet, KEY, config, wait_for};
 
@@ -135,3 +135,15 @@
     let config_reads = config_reads() - config_reads_before;
     assert!(config_reads <= MAX_READS, "{config_reads} reads of configurations");
 }
+
+/// Guards against entries that do not know each other, and exceed the rate limits of endpoints.
+#[tokio::test]
+async fn entry_registers_again_after_its_registration_was_lost() {
+    let fleet = Fleet::start(IDEMPOTENT, &[Behaviour::Answer]).await;
+    let is_registered = || !fleet.store.latest(PEERS_TOPIC).is_empty();
+    wait_for("registration", async || is_registered()).await;
+
+    fleet.store.restore(&fleet.store.copy().without_topic(PEERS_TOPIC));
+
+    wait_for("another registration", async || is_registered()).await;
+}
--- /dev/null
+++ b/crates/policy/tests/registered_peers.rs
@@ -0,0 +1,51 @@
+//! Peers' addresses while their registry comes back from an older copy.
+
+use std::{net::SocketAddr, time::Duration};
+
+use lynxmount_policy::{MEMBERSHIP_CONVERGENCE_TIME, RegisteredPeers};
+
+fn peer(host: u8) -> SocketAddr {
+    ([127, 0, 0, host], 1).into()
+}
+
+fn hosts(peers: &RegisteredPeers) -> Vec<SocketAddr> {
+    peers.addresses().into_iter().collect()
+}
+
+/// Guards against entries that take larger shares of endpoints' rate limits than they have, because
+/// the copy lacks peers that have registered since.
+#[test]
+fn peers_that_the_copy_lacks_are_kept_until_they_have_had_time_to_register_again() {
+    let mut peers = RegisteredPeers::default();
+    peers.update(0, vec![peer(1), peer(2)], Duration::ZERO);
+
+    let restored_at = Duration::from_secs(8);
+    peers.update(1, vec![peer(1)], restored_at);
+    assert_eq!(hosts(&peers), [peer(1), peer(2)]);
+
+    peers.update(1, vec![peer(1), peer(3)], restored_at + Duration::from_secs(1));
+    assert_eq!(hosts(&peers), [peer(1), peer(2), peer(3)]);
+
+    peers.update(1, vec![peer(1), peer(3)], restored_at + MEMBERSHIP_CONVERGENCE_TIME);
+    assert_eq!(hosts(&peers), [peer(1), peer(3)]);
+}
+
+#[test]
+fn a_removed_peer_is_dropped_at_once_within_an_era() {
+    let mut peers = RegisteredPeers::default();
+    peers.update(4, vec![peer(1), peer(2)], Duration::ZERO);
+
+    peers.update(4, vec![peer(1)], MEMBERSHIP_CONVERGENCE_TIME);
+
+    assert_eq!(hosts(&peers), [peer(1)]);
+}
+
+#[test]
+fn a_late_list_of_an_earlier_era_is_ignored() {
+    let mut peers = RegisteredPeers::default();
+    peers.update(2, vec![peer(1)], Duration::ZERO);
+
+    peers.update(1, vec![peer(2)], Duration::from_secs(1));
+
+    assert_eq!(hosts(&peers), [peer(1)]);
+}
