Entries publish crash reports again that the store has lost

After the store came back from an older copy, entries that started later did not learn which requests crash endpoints, and sent them again.

Cause: an acknowledged publication was taken for lasting, past the life of the log that it stands in.

Change: an entry remembers what it has published evidence against. Only the first read of a process deletes expired reports of others; at a return all entries would do so at once.

--- a/crates/direct/src/crash_gossip.rs
+++ b/crates/direct/src/crash_gossip.rs
@@ -4,7 +4,7 @@
 //! entry that the platform rejects pushes them to three random peers, which forward them.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -15,6 +15,7 @@
 };
 use lynxmount_link::GossipTopic;
 use lynxmount_quarantine::{SharedQuarantine, split};
+use parking_lot::Mutex;
 use tokio::sync::Notify;
 
 use crate::{peers::Peers, watch::Reachability};
@@ -42,6 +43,9 @@
     pub(crate) peers: Arc<Peers>,
     /// Notified when a long poll at the platform may have been lost.
     pub(crate) poll_loss_suspected: Arc<Notify>,
+    /// What this process has published evidence against. The platform loses it when its store is
+    /// restored from an older copy.
+    pub(crate) published: Mutex<BTreeSet<EvidenceKey>>,
 }
 
 impl<S: FleetSource> CrashGossip<S> {
@@ -56,6 +60,7 @@
             match self.source.publish_crash_reports(&self.process, &reports).await {
                 Ok(()) => {
                     reachability.on_success();
+                    self.published.lock().extend(reports.iter().map(Evidence::key));
                     pushed.clear();
                 }
                 Err(error) => {
@@ -104,10 +109,11 @@
                     wait = LONG_POLL_WAIT;
                     self.quarantine
                         .merge_from_platform(reports.iter().map(|report| &report.evidence));
-                    if read.is_complete {
-                        self.delete_expired_of_all(&reports).await;
+                    match from.replace(read.next) {
+                        None => self.delete_expired_of_all(&reports).await,
+                        Some(_) if read.is_complete => self.publish_again(&reports),
+                        Some(_) => {}
                     }
-                    from = Some(read.next);
                     let is_early = started_at.elapsed() < READ_PAUSE;
                     if !reports.is_empty() || is_early {
                         tokio::time::sleep(READ_PAUSE).await;
@@ -122,6 +128,19 @@
         }
     }
 
+    /// Publishes this process's reports again that the platform has lost.
+    fn publish_again(&self, current: &[ReceivedEvidence]) {
+        let own = current.iter().filter(|report| report.reporter == self.process);
+        let own: Vec<&Evidence> = own.map(|report| &report.evidence).collect();
+        let published = self.quarantine.evidence_against(&self.published.lock());
+        let lost: Vec<Evidence> =
+            published.into_iter().filter(|evidence| !own.contains(&evidence)).collect();
+        if !lost.is_empty() {
+            log::info!(reports = lost.len(); "lost crash reports published again");
+            self.quarantine.requeue(&lost);
+        }
+    }
+
     /// Deletes expired reports of all processes, as their authors may no longer run.
     async fn delete_expired_of_all(&self, reports: &[ReceivedEvidence]) {
         let expired = reports.iter().filter(|report| self.quarantine.is_expired(&report.evidence));
@@ -136,6 +155,7 @@
         loop {
             tokio::time::sleep(EXPIRY_PERIOD).await;
             let expired = self.quarantine.expire();
+            self.published.lock().retain(|key| !expired.contains(key));
             let own = expired.into_iter().map(|key| (ProcessId::clone(&self.process), key));
             self.delete(own.collect()).await;
         }
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -118,6 +118,7 @@
         quarantine: Arc::clone(&quarantine),
         peers: Arc::clone(&peers),
         poll_loss_suspected: Arc::clone(&poll_loss_suspected),
+        published: Mutex::default(),
     });
     tokio::spawn(Arc::clone(&crash_gossip).subscribe());
     tokio::spawn(Arc::clone(&crash_gossip).publish());
--- a/crates/lynxmount/tests/platform_restored_store.rs
+++ b/crates/lynxmount/tests/platform_restored_store.rs
@@ -3,11 +3,12 @@
 
 mod platform_common;
 
+use http::Method;
 use lynxmount_platform_standin::{
     Behaviour, StoreCopy, StoreMode, StoreStandin,
-    fixture::{CONFIG_KEY, IDEMPOTENT, OPERATOR_TOPIC, PEERS_TOPIC},
+    fixture::{CONFIG_KEY, CRASH_REPORTS_TOPIC, IDEMPOTENT, OPERATOR_TOPIC, PEERS_TOPIC},
 };
-use platform_common::{Fleet, KEY, config, wait_for};
+use platform_common::{Fleet, KEY, Process, call, config, entry_ip, entry_settings, wait_for};
 
 /// What operators write again after the store's return.
 #[derive(Clone, Copy, Debug)]
@@ -147,3 +148,20 @@
 
     wait_for("another registration", async || is_registered()).await;
 }
+
+/// Guards against a poison request that crashes endpoints again, as entries that start later do not
+/// learn of it.
+#[tokio::test]
+async fn lost_crash_reports_are_published_again() {
+    let poison = format!("/{IDEMPOTENT}/poison/1");
+    let otherwise = Box::new(Behaviour::Answer);
+    let behaviour = Behaviour::CrashOnRequest { path: "poison".to_owned(), otherwise };
+    let fleet = Fleet::start(IDEMPOTENT, &[behaviour]).await;
+    let reports = || fleet.store.latest(CRASH_REPORTS_TOPIC).len();
+    call(fleet.address(), Method::POST, &poison, KEY).await;
+    wait_for("a crash report", async || reports() >= 1).await;
+
+    fleet.store.restore(&fleet.store.copy().without_topic(CRASH_REPORTS_TOPIC));
+
+    wait_for("the same report", async || reports() >= 1).await;
+}
--- a/crates/quarantine/src/shared_quarantine.rs
+++ b/crates/quarantine/src/shared_quarantine.rs
@@ -202,6 +202,11 @@
         keys.iter().filter_map(|key| self.evidence(key)).collect()
     }
 
+    /// The evidence against calls and segments, as far as there is any.
+    pub fn evidence_against(&self, keys: &BTreeSet<EvidenceKey>) -> Vec<Evidence> {
+        keys.iter().filter_map(|key| self.evidence(key)).collect()
+    }
+
     fn evidence(&self, key: &EvidenceKey) -> Option<Evidence> {
         match key {
             EvidenceKey::Call(call) => {
