Entries pull from peers when they start

Cause: the store's newest configuration was taken for the newest one of all.

Run: process_that_starts_with_an_older_copy_learns_the_configuration_from_a_peer fails without the change (20 s) and passes with it; the other five of platform_restored_store pass.

--- a/crates/direct/src/watch.rs
+++ b/crates/direct/src/watch.rs
@@ -227,12 +227,12 @@
         Some(era)
     }
 
-    /// Pulls state from peers when it is requested, until the task is dropped. Reads of the platform
-    /// do not wait for it, as peers that are down respond late.
+    /// Pulls state from peers at the start and when it is requested, until the task is dropped. Reads
+    /// of the platform do not wait for it, as peers that are down respond late.
     pub(crate) async fn serve_pull_requests(self: Arc<FleetWatch<S>>) {
         loop {
-            self.pull_requested.notified().await;
             self.pull_from_peers().await;
+            self.pull_requested.notified().await;
         }
     }
 
--- a/crates/lynxmount/tests/platform_restored_store.rs
+++ b/crates/lynxmount/tests/platform_restored_store.rs
@@ -137,6 +137,25 @@
     assert!(config_reads <= MAX_READS, "{config_reads} reads of configurations");
 }
 
+/// Guards against a process that serves what its peers know to be outdated, as it has started before
+/// the lost configurations were written again.
+#[tokio::test]
+async fn process_that_starts_with_an_older_copy_learns_the_configuration_from_a_peer() {
+    let fleet = Fleet::start(IDEMPOTENT, &[Behaviour::Answer]).await;
+    let copy = fleet.store.copy();
+    lose_versions(&fleet, &copy, 2, 4, Rewrite::Nothing).await;
+
+    let seeds = [entry_ip(fleet.network, 0)];
+    let settings = entry_settings(entry_ip(fleet.network, 1), fleet.store.address(), &seeds);
+    let second = Process::start("platform-entry", &settings);
+
+    wait_for("version 5 at the second entry", async || {
+        let received = second.logged("configuration received from peer");
+        received.iter().any(|record| record["attributes"]["version"] == "5")
+    })
+    .await;
+}
+
 /// Guards against entries that do not know each other, and exceed the rate limits of endpoints.
 #[tokio::test]
 async fn entry_registers_again_after_its_registration_was_lost() {
