Directories of a group outlast a registry that comes back from a copy

An endpoint process that read the registrations just after the store came back from an older copy chose directories from it for up to 12 s, so that its group was not balanced.

Cause: the list of a restored store was taken for the current one.

Change: the registry applies lists through Membership, which keeps engines that the copy lacks until they had time to register again, and reads again 3 s after a list of a new era.

Run: no test of its own: the decision is Membership's (membership_after_restore). platform_endpoint 16, platform_blocked 3, platform_slow_ranks 3, platform_uneven_load 1 passed.

--- a/crates/rank/src/registry.rs
+++ b/crates/rank/src/registry.rs
@@ -5,11 +5,11 @@
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use lynxmount_core::{
-    ConfigVersion, EndpointList, EndpointRecord, FailureDomainId, Result, ServiceId,
+    Clock, ConfigVersion, EndpointList, EndpointRecord, FailureDomainId, Result, ServiceId,
     adapter::FleetSource,
 };
 use lynxmount_link::{FleetQuery, query_fleet};
-use lynxmount_policy::rendezvous;
+use lynxmount_policy::{Membership, rendezvous};
 use parking_lot::Mutex;
 
 /// How often registrations are read. Only the replacement of a machine changes a group's
@@ -23,6 +23,16 @@
 /// 12 s.
 const STARTUP_PERIOD: Duration = Duration::from_millis(200);
 
+/// How often registrations are read after the store was restored from an older copy: live engines
+/// have registered again by then.
+const RESTORED_PERIOD: Duration = Duration::from_secs(3);
+
+/// How late a read of registrations may be where some entries do not answer.
+const MAX_READ_DELAY: Duration = Duration::from_secs(2);
+
+/// Heartbeats that an engine has missed when its registration expires.
+const LEASE_HEARTBEATS: u32 = 3;
+
 /// How many directories a group has: one, and a spare.
 const DIRECTORIES: usize = 2;
 
@@ -40,12 +50,20 @@
 }
 
 /// The registered engines of the own service.
-#[derive(Default)]
 pub(crate) struct Registry {
+    clock: Clock,
+    membership: Mutex<Membership>,
     endpoints: Mutex<ServiceEndpoints>,
 }
 
 impl Registry {
+    /// Starts without engines. They renew their registrations with every heartbeat.
+    pub(crate) fn new(clock: Clock, heartbeat: Duration) -> Registry {
+        let lease = heartbeat * LEASE_HEARTBEATS;
+        let membership = Membership::new(true, REFRESH_PERIOD + MAX_READ_DELAY, lease);
+        Registry { clock, membership: Mutex::new(membership), endpoints: Mutex::default() }
+    }
+
     /// The own service; `None` until the own engine is found registered.
     pub(crate) fn service(&self) -> Option<ServiceId> {
         self.endpoints.lock().service.clone()
@@ -71,14 +89,16 @@
 
     /// Replaces the cached registrations, unless the own engine is not among the new ones.
     fn update(&self, list: &EndpointList, service: Option<ServiceId>) {
+        let mut membership = self.membership.lock();
+        membership.update(list, self.clock.now());
         let Some(service) = service else { return };
-        let of_service = list.endpoints.iter().filter(|endpoint| endpoint.service == service);
+        let of_service = membership.endpoints(|configured| *configured == service);
         let to_engine = |endpoint: &EndpointRecord| RegisteredEngine {
             address: endpoint.address,
             failure_domain: endpoint.failure_domain.clone(),
             name: endpoint.address.to_string(),
         };
-        let mut engines: Vec<RegisteredEngine> = of_service.map(to_engine).collect();
+        let mut engines: Vec<RegisteredEngine> = of_service.iter().map(to_engine).collect();
         engines.sort_by_key(|engine| engine.address);
         engines.dedup_by_key(|engine| engine.address);
         *self.endpoints.lock() = ServiceEndpoints { service: Some(service), engines };
@@ -120,16 +140,23 @@
         is_discovering: impl Fn() -> bool,
     ) {
         let mut list = EndpointList::default();
+        let mut is_restored = false;
         loop {
             match read(&*source, &seeds, &list).await {
                 Ok(read) => {
+                    is_restored = read.as_of.era > list.as_of.era;
                     list = read;
                     self.update(&list, self.own_service(&*source, &list, own).await);
                 }
                 Err(error) => log::warn!(error:% = error; "registration refresh failed"),
             }
             let is_settled = self.is_registered(own) && !is_discovering();
-            tokio::time::sleep(if is_settled { REFRESH_PERIOD } else { STARTUP_PERIOD }).await;
+            let period = match is_settled {
+                true if is_restored => RESTORED_PERIOD,
+                true => REFRESH_PERIOD,
+                false => STARTUP_PERIOD,
+            };
+            tokio::time::sleep(period).await;
         }
     }
 }
