Soak: the store comes back from copies

Change: a fault of its own random sequence copies the store, lets it go away 0.3 to 6 s later for up to 2.5 s (silent or busy), restores it, and writes again all lost records, the newest of each key, or these after up to 19 records with other keys, 0 to 0.9 s later. A configuration is written before the outage and one up to 2 s after. What the system wrote itself is lost. Promises are judged as for other disturbances of the store.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -21,6 +21,7 @@
     plan::{BackpressureKind, EndpointFault, Fault, FaultKind, LinkFault, LinkId, ProcessId},
     poison::repeat_poison,
     process::wait_for_exit,
+    restore::restore_store,
 };
 
 /// How long a process may take to serve after its start; it counts as disturbed for that time.
@@ -116,6 +117,7 @@
             }
             FaultKind::Kill(process) => self.kill(process).await?,
             FaultKind::Pause(process) => self.pause(process, fault.length).await?,
+            FaultKind::RestoreStore(restore) => restore_store(fleet, restore, fault.length).await,
             FaultKind::StoreBusy => self.stop_store(StoreMode::Busy, fault.length).await,
             FaultKind::SilenceConfigs(silence) => self.silence_configs(silence, fault.length).await,
             FaultKind::StoreSilent => self.stop_store(StoreMode::Silent, fault.length).await,
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -66,6 +66,8 @@
     pub(crate) endpoint_links: Vec<Proxy>,
     store_links: HashMap<String, Proxy>,
     processes: HashMap<String, Mutex<Process>>,
+    /// All configurations that were written, as text.
+    configs: Mutex<Vec<String>>,
     pub(crate) history: Mutex<History>,
 }
 
@@ -89,6 +91,7 @@
             endpoint_links: Vec::new(),
             store_links: HashMap::new(),
             processes: HashMap::new(),
+            configs: Mutex::default(),
             history: Mutex::default(),
         };
         fleet.put_config(1);
@@ -187,10 +190,20 @@
         let service = service_of("model");
         let group = GroupService { service: &service, experts: EXPERTS };
         let text = config_text(version, &[COMMON_KEY, &version_key(version)], Some(group));
+        let mut configs = self.configs.lock();
+        configs.push(text.clone());
         self.store.put(OPERATOR_TOPIC, CONFIG_KEY, &text);
         self.history.lock().configs.push(ConfigRecord { version, at: self.now() });
     }
 
+    /// Writes the newest configuration again.
+    pub(crate) fn rewrite_newest_config(&self) {
+        let configs = self.configs.lock();
+        if let Some(newest) = configs.last() {
+            self.store.put(OPERATOR_TOPIC, CONFIG_KEY, newest);
+        }
+    }
+
     /// Writes an endpoint's registration.
     pub(crate) fn register(&self, endpoint: usize, state: &str) {
         let route = route_of(endpoint, self.size);
--- a/crates/soak/src/independent_faults.rs
+++ b/crates/soak/src/independent_faults.rs
@@ -7,7 +7,7 @@
 use lynxmount_standin::CrashKind;
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
 
-use crate::plan::{BackpressureKind, Fault, FaultKind, LENGTH_MS, Size};
+use crate::plan::{BackpressureKind, Fault, FaultKind, LENGTH_MS, RestoreFault, Rewrite, Size};
 
 /// The mean gap between two draws of backpressure, in milliseconds.
 const BACKPRESSURE_GAP_MS: u64 = 1500;
@@ -69,12 +69,34 @@
 /// Separates the random sequence of silences from the others of a seed.
 const SILENCE_SEED: u64 = 0x5349_4c45_4e43;
 
-/// Draws backpressure, stalls, poison requests and silences.
+/// The mean gap between two returns of the store from a copy, in milliseconds.
+const RESTORE_GAP_MS: u64 = 5000;
+
+/// How long the store is away before, in milliseconds: the shortest outages fit between two reads.
+const AWAY_MS: std::ops::Range<u64> = 0..2500;
+
+/// The age of a copy, in milliseconds.
+const COPY_AGE_MS: std::ops::Range<u64> = 300..6000;
+
+/// How long after the store's return the lost records are written again, in milliseconds.
+const REWRITE_DELAY_MS: std::ops::Range<u64> = 0..900;
+
+/// How many records with other keys may be written before.
+const OTHER_RECORDS: std::ops::Range<u64> = 1..20;
+
+/// How long after these a configuration may be written, in milliseconds.
+const CONFIG_AFTER_RESTORE_MS: u64 = 2000;
+
+/// Separates the random sequence of returns from the others of a seed.
+const RESTORE_SEED: u64 = 0x0052_4553_544f_5245;
+
+/// Draws backpressure, stalls, poison requests, silences and returns of the store from copies.
 pub(crate) fn draw_independent_faults(seed: u64, size: Size, time: Duration) -> Vec<Fault> {
     let mut faults = draw_backpressure(seed, size, time);
     faults.extend(draw_stalls(seed, size, time));
     faults.extend(draw_poisons(seed, time));
     faults.extend(draw_silences(seed, time));
+    faults.extend(draw_restores(seed, time));
     faults
 }
 
@@ -175,6 +197,42 @@
     faults
 }
 
+/// Draws returns of the store from copies, one at a time, each with a configuration that is lost and
+/// another one soon after, from a random sequence of its own, so that the other faults of a seed do
+/// not depend on it.
+fn draw_restores(seed: u64, time: Duration) -> Vec<Fault> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ RESTORE_SEED);
+    let mut faults = Vec::new();
+    let mut at = Duration::from_millis(rng.random_range(0..RESTORE_GAP_MS));
+    while at < time {
+        let restore = RestoreFault {
+            copy_age_ms: rng.random_range(COPY_AGE_MS),
+            is_busy: rng.random_bool(0.5),
+            rewrite: match rng.random_range(0..3) {
+                0 => Rewrite::All,
+                1 => Rewrite::Newest,
+                _ => Rewrite::NewestAfterOthers(rng.random_range(OTHER_RECORDS)),
+            },
+            rewrite_delay_ms: rng.random_range(REWRITE_DELAY_MS),
+        };
+        let length = Duration::from_millis(rng.random_range(AWAY_MS));
+        faults.push(Fault { at, length, kind: FaultKind::RestoreStore(restore) });
+        let away_at = at + Duration::from_millis(restore.copy_age_ms);
+        let written_at = away_at + length + Duration::from_millis(restore.rewrite_delay_ms);
+        let lost_ms = rng.random_range(0..restore.copy_age_ms);
+        let next_ms = rng.random_range(0..CONFIG_AFTER_RESTORE_MS);
+        let changes =
+            [at + Duration::from_millis(lost_ms), written_at + Duration::from_millis(next_ms)];
+        faults.extend(changes.map(|at| Fault {
+            at,
+            length: Duration::ZERO,
+            kind: FaultKind::ChangeConfig,
+        }));
+        at = written_at + Duration::from_millis(rng.random_range(0..2 * RESTORE_GAP_MS));
+    }
+    faults
+}
+
 fn draw_crash(rng: &mut SmallRng) -> CrashKind {
     let millis = Duration::from_millis;
     match rng.random_range(0..5) {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod promises;
 pub mod proxy;
 mod report;
+mod restore;
 mod run;
 
 pub use report::Report;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -97,6 +97,30 @@
     Rest(u64),
 }
 
+/// What is written again after the store came back from a copy.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub enum Rewrite {
+    /// All lost records in their order.
+    All,
+    /// The newest lost record of each key.
+    Newest,
+    /// The same, after this many records with other keys.
+    NewestAfterOthers(u64),
+}
+
+/// A return of the store from a copy.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct RestoreFault {
+    /// Age of the copy when the store goes away, in milliseconds.
+    pub copy_age_ms: u64,
+    /// Whether it responds with status 503 while it is away; otherwise, it does not respond.
+    pub is_busy: bool,
+    /// What operators and endpoints write again.
+    pub rewrite: Rewrite,
+    /// How long after its return they do, in milliseconds.
+    pub rewrite_delay_ms: u64,
+}
+
 /// The kind of a fault.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 pub enum FaultKind {
@@ -138,6 +162,8 @@
     StoreBusy,
     /// The store does not respond.
     StoreSilent,
+    /// The store is away and comes back from a copy.
+    RestoreStore(RestoreFault),
     /// The store loses responses to reads of configurations, and only to these.
     SilenceConfigs(TopicSilence),
     /// A process gets SIGTERM and is restarted.
