Endpoints keep their state when they renew their registrations

Change: positions in the log do not count (EndpointRecord::is_renewal_of).

Run: endpoint_that_renews_its_registration_keeps_its_connections passes (7 of platform_restored_store). It was not run without the change.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -225,6 +225,14 @@
     pub written_at: LogPosition,
 }
 
+impl EndpointRecord {
+    /// Whether a registration equals this one, wherever in the log the two were written.
+    pub fn is_renewal_of(&self, previous: &EndpointRecord) -> bool {
+        let EndpointRecord { listed_at, written_at, .. } = *previous;
+        EndpointRecord { listed_at, written_at, ..self.clone() } == *previous
+    }
+}
+
 /// All registrations up to a position in the platform's log.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct EndpointList {
--- a/crates/direct/src/service/inner.rs
+++ b/crates/direct/src/service/inner.rs
@@ -100,7 +100,7 @@
             .collect();
         let mut has_new = false;
         let endpoints = ready.map(|record| {
-            let kept = previous.get(&record.id).filter(|endpoint| endpoint.record == *record);
+            let kept = previous.get(&record.id).filter(|kept| record.is_renewal_of(&kept.record));
             kept.cloned().unwrap_or_else(|| {
                 has_new = true;
                 let backpressure = self.backpressure.entry(record.incarnation()).or_default();
--- a/crates/lynxmount/tests/platform_restored_store.rs
+++ b/crates/lynxmount/tests/platform_restored_store.rs
@@ -6,9 +6,14 @@
 use http::Method;
 use lynxmount_platform_standin::{
     Behaviour, StoreCopy, StoreMode, StoreStandin,
-    fixture::{CONFIG_KEY, CRASH_REPORTS_TOPIC, IDEMPOTENT, OPERATOR_TOPIC, PEERS_TOPIC},
+    fixture::{
+        CONFIG_KEY, CRASH_REPORTS_TOPIC, IDEMPOTENT, OPERATOR_TOPIC, PEERS_TOPIC,
+        REGISTRATIONS_TOPIC,
+    },
+};
+use platform_common::{
+    Fleet, KEY, Process, call, config, entry_ip, entry_settings, registration, wait_for,
 };
-use platform_common::{Fleet, KEY, Process, call, config, entry_ip, entry_settings, wait_for};
 
 /// What operators write again after the store's return.
 #[derive(Clone, Copy, Debug)]
@@ -184,3 +189,27 @@
 
     wait_for("the same report", async || reports() >= 1).await;
 }
+
+/// Guards against endpoints whose connections and measured load are dropped with each heartbeat, or
+/// when the store was restored.
+#[tokio::test]
+async fn endpoint_that_renews_its_registration_keeps_its_connections() {
+    let fleet = Fleet::start(IDEMPOTENT, &[Behaviour::Answer]).await;
+    let path = format!("/{IDEMPOTENT}/7");
+    let reads = || fleet.store.request_count_of_topic(REGISTRATIONS_TOPIC);
+    let renewed = registration(&fleet.replicas[0], IDEMPOTENT, "ready");
+    for restored in [false, true] {
+        call(fleet.address(), Method::POST, &path, KEY).await.expect("response");
+        let connections = fleet.replicas[0].connection_count();
+        if restored {
+            fleet.store.restore(&fleet.store.copy());
+        }
+        fleet.store.put(REGISTRATIONS_TOPIC, "i-0", &renewed);
+        let reads_before = reads();
+        wait_for("two reads", async || reads() >= reads_before + 2).await;
+
+        call(fleet.address(), Method::POST, &path, KEY).await.expect("response");
+
+        assert_eq!(fleet.replicas[0].connection_count(), connections, "restored: {restored}");
+    }
+}
