Events and internal responses have a limit in bytes

Cause: reads were bounded in time alone.

Change: an event of more than 256 KiB breaks its stream, at entries and endpoint processes, and is resumed elsewhere where that is allowed. Responses to internal calls are limited: 8 MiB (store, peers, engines), 64 MiB (pages of the product's own log), 64 KiB (load reports). The connection closes at the limit.

The limits of internal responses have no test.

--- a/crates/endpoint/src/attempt_runner.rs
+++ b/crates/endpoint/src/attempt_runner.rs
@@ -11,7 +11,9 @@
 use lynxmount_config::{Service, ServiceKind};
 use lynxmount_core::{CallPhase, Cause, ServiceId, wall_time_ms};
 use lynxmount_node::{ControlView, Counter, InFlightGuard, NodeHandle};
-use lynxmount_wire::{Binding, Dispatch, ExecutionFailure, RefusalReason, SseFramer};
+use lynxmount_wire::{
+    Binding, Dispatch, ExecutionFailure, MAX_EVENT_BYTES, RefusalReason, SseFramer,
+};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -348,7 +350,8 @@
         Ok(())
     }
 
-    /// Relays complete events until the stream ends; `false` if its connection breaks.
+    /// Relays complete events until the stream ends; `false` if its connection breaks, or an event
+    /// is too large.
     async fn relay_complete_events(
         &self,
         body: &mut Incoming,
@@ -360,6 +363,9 @@
             let Ok(frame) = frame else { return false };
             self.monitor.on_activity();
             let complete = frame.data_ref().and_then(|bytes| events.push(bytes));
+            if events.partial_bytes() > MAX_EVENT_BYTES {
+                return false;
+            }
             if let Some(complete) = complete {
                 sink.write_head(head.take()).await;
                 sink.write_chunk(complete).await;
--- a/crates/endpoint/src/backend.rs
+++ b/crates/endpoint/src/backend.rs
@@ -7,7 +7,7 @@
     HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri,
     header::{CONNECTION, HOST},
 };
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
@@ -29,6 +29,9 @@
 /// The path at which back ends report their load.
 const LOAD_PATH: &str = "/load";
 
+/// Largest load report.
+const MAX_LOAD_REPORT_BYTES: usize = 64 * 1024;
+
 /// The path at which engines resume and cancel streams.
 const STREAMS_PATH: &str = "/v1/streams/";
 
@@ -134,7 +137,8 @@
             .map_err(|e| invalid(Step::CallBackend, self.address, e))?;
         connection.ready().await.map_err(fail)?;
         let response = connection.send(request).await.map_err(fail)?;
-        let body = response.into_body().collect().await.map_err(fail)?.to_bytes();
+        let body = Limited::new(response.into_body(), MAX_LOAD_REPORT_BYTES).collect().await;
+        let body = body.map_err(|e| indeterminate(Step::CallBackend, self.address, e))?.to_bytes();
         serde_json::from_slice(&body).map_err(|e| invalid(Step::CallBackend, self.address, e))
     }
 
--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use lynxmount_core::{Result, Step, indeterminate, timed_out, unreachable};
 use tokio::sync::Mutex;
 
@@ -13,6 +13,9 @@
 /// Timeout of opening a connection; round trips take a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Largest response: a snapshot of 10,000 endpoints, a configuration and all crash reports.
+const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+
 /// A client of one address. It keeps one connection alive and drops it when a response
 /// times out, as no further response can arrive on such a connection.
 pub struct HttpClient {
@@ -96,7 +99,8 @@
             .map_err(|e| fail(&e))?;
         let response = connection.send(request).await.map_err(|e| fail(&e))?;
         let (head, body) = response.into_parts();
-        let body = body.collect().await.map_err(|e| fail(&e))?.to_bytes();
+        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+        let body = body.map_err(|e| fail(&e))?.to_bytes();
         let is_reusable = !connection.is_closed();
         let response = BufferedResponse { status: head.status, headers: head.headers, body };
         Ok((response, is_reusable.then_some(connection)))
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{Method, Request, StatusCode, Uri};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
@@ -31,6 +31,9 @@
 /// Upper limit of records per read.
 const MAX_PAGE_RECORDS: u32 = 1000;
 
+/// Largest response: a page of records, each a fleet file at most.
+const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
+
 /// A client for one platform address; clones share a connection pool.
 #[derive(Clone, Debug)]
 pub struct PlatformClient {
@@ -153,12 +156,8 @@
         let response =
             self.http.request(request).await.map_err(|e| self.transport_error(step, &e))?;
         let status = response.status();
-        let body = response
-            .into_body()
-            .collect()
-            .await
-            .map_err(|e| indeterminate(step, self.address, e))?
-            .to_bytes();
+        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
+        let body = body.map_err(|e| indeterminate(step, self.address, e))?.to_bytes();
         match status {
             StatusCode::OK => {
                 serde_json::from_slice(&body).map_err(|e| indeterminate(step, self.address, e))
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -18,5 +18,5 @@
     RefusalReason, ToEndpoint, ToEntry,
 };
 pub use response_assembler::{AssemblyState, ChunkStatus, ResponseAssembler};
-pub use sequenced_events::{SequenceCheck, SequencedEvents};
+pub use sequenced_events::{MAX_EVENT_BYTES, SequenceCheck, SequencedEvents};
 pub use sse_framer::SseFramer;
--- a/crates/wire/src/sequenced_events.rs
+++ b/crates/wire/src/sequenced_events.rs
@@ -7,10 +7,13 @@
 /// The field with the id of an event (WHATWG HTML, 9.2.5); here a sequence number.
 const ID_FIELD: &[u8] = b"id:";
 
+/// Largest event. An endpoint in trouble may send bytes without end.
+pub const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// The result of adding bytes of a stream.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum SequenceCheck {
-    /// An event is missing, duplicated, or has no id; the stream can't continue.
+    /// An event is missing, duplicated, too large, or has no id; the stream can't continue.
     OutOfSequence,
     /// The bytes complete no event.
     Incomplete,
@@ -38,7 +41,11 @@
 
     /// Adds bytes of the stream.
     pub fn push(&mut self, bytes: &[u8]) -> SequenceCheck {
-        let Some(events) = self.framer.push(bytes) else { return SequenceCheck::Incomplete };
+        let events = self.framer.push(bytes);
+        if self.framer.partial_bytes() > MAX_EVENT_BYTES {
+            return SequenceCheck::OutOfSequence;
+        }
+        let Some(events) = events else { return SequenceCheck::Incomplete };
         for id in event_ids(&events) {
             match (id, self.last_id) {
                 (Some(id), Some(last_id)) if id != last_id + 1 => {
--- a/crates/wire/src/sse_framer.rs
+++ b/crates/wire/src/sse_framer.rs
@@ -21,6 +21,11 @@
         Some(self.partial.split_to(complete_bytes).freeze())
     }
 
+    /// Size of the partial event.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Number of complete events.
     pub fn event_count(&self) -> u64 {
         self.event_count
