Response bodies are buffered within a budget

Cause: a body was buffered until the route's timeout, with no limit in bytes.

Change: a body of more than 4 MiB, announced or received, is discarded at once, its connection closed, the endpoint's failure recorded, and the call retried elsewhere where it may run again; otherwise the caller gets 502. Beyond 64 KiB each, all bodies of a process together stay within an eighth of its memory (Limits.MemoryMb) until they have been sent. Metric responses.oversized, log event "oversized response discarded".

Weighed: relaying large bodies instead of buffering them needs no limit, but then no call can be retried once its first bytes are out, and a caller gets an endless body until its deadline.

Run: platform_endless_bodies 3 passed (peak of the entry's memory under 128 MB, at most 16 MiB taken of a response, sockets' buffers among them).

--- a/crates/core/src/site.rs
+++ b/crates/core/src/site.rs
@@ -10,6 +10,9 @@
 /// Bytes per megabit.
 const BYTES_PER_MBIT: f64 = 125_000.0;
 
+/// Bytes per megabyte.
+const BYTES_PER_MB: usize = 1_000_000;
+
 /// Bounds set by operators, from which limits and timeouts are derived.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SiteBounds {
@@ -58,6 +61,8 @@
     pub engine_address: Option<SocketAddr>,
     /// Bandwidth of the machine's network link in Mbit/s, if set.
     pub link_mbit_per_s: Option<f64>,
+    /// Memory limit of the process in MB, if set.
+    pub memory_mb: Option<usize>,
     /// Whether the whole system starts for the first time, so that no process has a former life.
     pub is_first_start: bool,
     /// Bounds set by operators.
@@ -67,6 +72,11 @@
 }
 
 impl SiteSettings {
+    /// Memory limit of the process in bytes, if set.
+    pub fn memory_bytes(&self) -> Option<usize> {
+        self.memory_mb.map(|megabytes| megabytes.saturating_mul(BYTES_PER_MB))
+    }
+
     /// Bandwidth of the machine's network link in bytes/s; infinite if it is unknown.
     pub fn link_bytes_per_s(&self) -> f64 {
         self.link_mbit_per_s.map_or(f64::INFINITY, |rate| rate * BYTES_PER_MBIT)
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use lynxmount_core::{
     CallIdentity, CallPhase,
@@ -16,6 +16,7 @@
 use crate::{
     endpoint::{Permit, Silence},
     reply::ReplyBody,
+    response_buffer::{BodyError, read_body},
     stream::STALL_CHECK_PERIOD,
 };
 
@@ -322,8 +323,9 @@
             body,
         } = self;
         let limit = deadline.saturating_duration_since(Instant::now());
-        match tokio::time::timeout(limit, body.collect()).await {
-            Ok(Ok(collected)) => {
+        let budget = permit.response_budget();
+        match tokio::time::timeout(limit, read_body(body, budget)).await {
+            Ok(Ok(body)) => {
                 let is_failure = status.is_server_error();
                 permit.record_outcome(if is_failure {
                     CallOutcome::Failed
@@ -331,9 +333,15 @@
                     CallOutcome::Answered
                 });
                 permit.endpoint.pool.release(connection, metadata.keep_alive);
-                Ok(CompleteResponse { status, headers, body: collected.to_bytes() })
+                Ok(CompleteResponse { status, headers, body })
             }
-            Ok(Err(_)) => {
+            // The connection closes with the attempt, as the rest of the body may be endless.
+            Ok(Err(BodyError::TooLarge)) => {
+                permit.record_outcome(CallOutcome::Failed);
+                permit.on_oversized_response();
+                Err(AttemptError::Lost)
+            }
+            Ok(Err(BodyError::Disconnected)) => {
                 permit.record_outcome(CallOutcome::Failed);
                 permit.on_disconnect(&call, CallPhase::Beginning, last_received_at);
                 Err(AttemptError::Lost)
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -11,8 +11,8 @@
     adapter::{EndpointLoad, HeaderField, ResponseMetadata},
 };
 use lynxmount_policy::{
-    CallOutcome, EndpointBackpressure, EndpointSnapshot, GroupMonitor, Liveness, OutlierDetector,
-    OwnSlots, Stall, UNRESPONSIVE_AFTER,
+    BufferBudget, CallOutcome, EndpointBackpressure, EndpointSnapshot, GroupMonitor, Liveness,
+    OutlierDetector, OwnSlots, Stall, UNRESPONSIVE_AFTER,
 };
 use parking_lot::Mutex;
 
@@ -343,6 +343,17 @@
         self.service.on_disconnect(&self.endpoint, &self.group, call, phase, last_received_at);
     }
 
+    /// The budget of buffered response bodies.
+    pub(crate) fn response_budget(&self) -> &BufferBudget {
+        &self.service.response_budget
+    }
+
+    /// Records that a response body was too large to be buffered.
+    pub(crate) fn on_oversized_response(&self) {
+        self.service.on_oversized_response();
+        log::warn!(endpoint = &*self.endpoint.record.id; "oversized response discarded");
+    }
+
     /// Records that another endpoint has responded at the address.
     pub(crate) fn on_replaced(&self) {
         self.service.on_replaced(&self.endpoint);
--- a/crates/direct/src/endpoint_set.rs
+++ b/crates/direct/src/endpoint_set.rs
@@ -4,7 +4,7 @@
 
 use lynxmount_core::{Clock, EndpointList, EndpointState, Mechanisms, ServiceId, SiteBounds};
 use lynxmount_link::{GroupMembersNotice, GroupNotice, MembersFingerprint, SlowRanksNotice};
-use lynxmount_policy::SlotOwners;
+use lynxmount_policy::{BufferBudget, SlotOwners};
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
 
@@ -24,6 +24,7 @@
     crash_detector: Arc<CrashDetector>,
     metrics: Arc<Metrics>,
     limit_gossip: Arc<LimitGossip>,
+    response_budget: BufferBudget,
     services: Mutex<HashMap<ServiceId, Arc<Service>>>,
 }
 
@@ -35,6 +36,7 @@
         crash_detector: Arc<CrashDetector>,
         metrics: Arc<Metrics>,
         limit_gossip: Arc<LimitGossip>,
+        response_budget: BufferBudget,
     ) -> EndpointSet {
         EndpointSet {
             clock,
@@ -43,6 +45,7 @@
             crash_detector,
             metrics,
             limit_gossip,
+            response_budget,
             services: Mutex::default(),
         }
     }
@@ -63,6 +66,7 @@
             crash_detector,
             metrics,
             limit_gossip,
+            self.response_budget.clone(),
         ))
     }
 
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -30,6 +30,7 @@
 mod process;
 mod readiness;
 mod reply;
+mod response_buffer;
 mod service;
 mod stream;
 mod watch;
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -26,6 +26,7 @@
     listener,
     peers::{PeerHandler, Peers},
     readiness::ReadinessHandler,
+    response_buffer::response_budget,
     watch::{FleetWatch, endpoints_period, registration_lease},
 };
 
@@ -78,6 +79,7 @@
         Arc::new(crash_detector),
         Arc::clone(&metrics),
         Arc::clone(&limit_gossip),
+        response_budget(settings.memory_bytes()),
     ));
     let peers = Arc::new(Peers::new(peer_address, settings.seeds.clone()));
     tokio::spawn(limit_gossip.publish(Arc::clone(&peers)));
--- a/crates/direct/src/service/mod.rs
+++ b/crates/direct/src/service/mod.rs
@@ -14,7 +14,8 @@
     EndpointRecord, Mechanism, Mechanisms, ServiceSpec, SiteBounds,
 };
 use lynxmount_policy::{
-    QueueDecision, Selection, SlotOwners, Ticket, Waiter, WindowBudget, WindowBudgetOptions,
+    BufferBudget, QueueDecision, Selection, SlotOwners, Ticket, Waiter, WindowBudget,
+    WindowBudgetOptions,
 };
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
@@ -61,6 +62,7 @@
     crash_detector: Arc<CrashDetector>,
     metrics: Arc<Metrics>,
     limit_gossip: Arc<LimitGossip>,
+    pub(crate) response_budget: BufferBudget,
     inner: Mutex<Inner>,
 }
 
@@ -72,6 +74,7 @@
         crash_detector: Arc<CrashDetector>,
         metrics: Arc<Metrics>,
         limit_gossip: Arc<LimitGossip>,
+        response_budget: BufferBudget,
     ) -> Service {
         let options = WindowBudgetOptions {
             ratio: bounds.retry_ratio,
@@ -81,7 +84,16 @@
         let inner = Inner::new(WindowBudget::new(options), Arc::clone(&mechanisms));
         let inner = Mutex::new(inner);
         let group_stall = bounds.group_stall;
-        Service { clock, group_stall, mechanisms, crash_detector, metrics, limit_gossip, inner }
+        Service {
+            clock,
+            group_stall,
+            mechanisms,
+            crash_detector,
+            metrics,
+            limit_gossip,
+            response_budget,
+            inner,
+        }
     }
 
     pub(crate) fn update<'a>(
@@ -100,6 +112,10 @@
         self.wake();
     }
 
+    pub(crate) fn on_oversized_response(&self) {
+        self.metrics.count("responses.oversized");
+    }
+
     /// Time since the start of the process.
     pub(crate) fn now(&self) -> Duration {
         self.clock.now()
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 
 mod adaptive_concurrency_limit;
+mod buffer_budget;
 mod caller_idle_timeout;
 mod circuit_breaker;
 mod disconnected_calls;
@@ -43,6 +44,7 @@
 mod window_budget;
 
 pub use adaptive_concurrency_limit::AdaptiveConcurrencyLimit;
+pub use buffer_budget::{BufferBudget, BufferReservation, UNCOUNTED_BUFFER_BYTES};
 pub use caller_idle_timeout::{CallerIdleTimeout, UNRESPONSIVE_AFTER};
 pub use circuit_breaker::CircuitBreaker;
 pub use disconnected_calls::{CRASH_ATTRIBUTION_WINDOW, DisconnectedCalls, LivenessEvidence};
