Tests of streams at paused replicas, red

The stand-in's streams may pause once. One replica of two pauses for 1.5 s and no retry is allowed: truncated 904 ms after its last event. All replicas of a draining entry pause for 2.5 s, callers stay: four of four truncated 1,801 ms after their last events.

--- a/crates/lynxmount/tests/platform_common/mod.rs
+++ b/crates/lynxmount/tests/platform_common/mod.rs
@@ -145,6 +145,26 @@
     }
 
     pub async fn start_unready(service: &str, behaviours: &[Behaviour]) -> Fleet {
+        Fleet::start_with_settings(service, behaviours, |settings| settings).await
+    }
+
+    /// Starts a fleet whose entry allows no retry.
+    pub async fn start_without_retries(service: &str, behaviours: &[Behaviour]) -> Fleet {
+        let fleet = Fleet::start_with_settings(service, behaviours, |settings| {
+            settings
+                .replace("RetryRatio=0.2", "RetryRatio=0")
+                .replace("RetrySlack=88", "RetrySlack=0")
+        })
+        .await;
+        fleet.wait_until_ready(entry_ip(fleet.network, 0)).await;
+        fleet
+    }
+
+    async fn start_with_settings(
+        service: &str,
+        behaviours: &[Behaviour],
+        edit: impl FnOnce(String) -> String,
+    ) -> Fleet {
         let network = allocate_network();
         let store =
             StoreStandin::start((ip(network, 250), STORE_PORT).into()).await.expect("store starts");
@@ -160,7 +180,8 @@
             replicas.push(replica);
         }
         let own_ip = entry_ip(network, 0);
-        let entry = Process::start("platform-entry", &entry_settings(own_ip, store.address(), &[]));
+        let settings = edit(entry_settings(own_ip, store.address(), &[]));
+        let entry = Process::start("platform-entry", &settings);
         Fleet { network, store, replicas, entry }
     }
 
--- /dev/null
+++ b/crates/lynxmount/tests/platform_pauses.rs
@@ -0,0 +1,102 @@
+//! Calls at replicas that pause: what callers get while nothing can replace a silent replica.
+
+mod platform_common;
+
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use lynxmount_platform_standin::{
+    Behaviour, Call, CallerOutcome, CallerStandin, ReceivedResponse,
+    fixture::{CONFIG_KEY, OPERATOR_TOPIC, STREAM},
+};
+use nix::sys::signal::Signal;
+use platform_common::{Fleet, KEY, config, wait_for};
+
+const GAP: Duration = Duration::from_millis(60);
+
+/// Longer than the silence after which a stream is moved, and shorter than callers wait.
+const PAUSE: Duration = Duration::from_millis(1500);
+
+fn steady(events: u64) -> Behaviour {
+    Behaviour::Stream { events, gap: GAP }
+}
+
+fn pausing(events: u64, events_before: u64, pause: Duration) -> Behaviour {
+    Behaviour::StreamPause { events, gap: GAP, events_before, pause }
+}
+
+fn events(numbers: std::ops::RangeInclusive<u64>) -> String {
+    numbers.map(|number| format!("id: {number}\ndata: piece {number}\n\n")).collect()
+}
+
+fn call(id: usize, method: Method, service: &str) -> Call {
+    Call {
+        id: format!("attempt-{id}"),
+        method,
+        path: format!("/{service}/{id}"),
+        key: KEY.to_owned(),
+        time_left: Duration::from_secs(8),
+        prompt_parts: Vec::new(),
+    }
+}
+
+/// Raises the routes' timeout to what callers wait.
+async fn raise_timeouts(fleet: &Fleet) {
+    let text = config(2, &[KEY]).replace(r#""TimeoutMs":4000"#, r#""TimeoutMs":8000"#);
+    fleet.store.put(OPERATOR_TOPIC, CONFIG_KEY, &text);
+    wait_for("the configuration", async || fleet.entry.logged("configuration applied").len() >= 2)
+        .await;
+}
+
+/// Calls a service a number of times at once; the callers stay until the response ends.
+async fn responses(fleet: &Fleet, service: &str, count: usize) -> Vec<ReceivedResponse> {
+    let method = Method::POST;
+    let calls = (0..count).map(async |id| {
+        let call = call(id, method.clone(), service);
+        match CallerStandin::new(fleet.address()).call(&call).await {
+            CallerOutcome::Response(response) => response,
+            other => panic!("no response: {other:?}"),
+        }
+    });
+    futures::future::join_all(calls).await
+}
+
+fn assert_complete(responses: &[ReceivedResponse], body: &str) {
+    for response in responses {
+        assert_eq!(response.status, StatusCode::OK);
+        assert!(response.is_complete, "the stream was truncated: {response:?}");
+        assert_eq!(response.body, body.as_bytes());
+    }
+}
+
+/// Guards against streams that are given up before a retry is granted.
+#[tokio::test]
+async fn paused_stream_goes_on_at_its_replica_if_no_retry_is_allowed() {
+    let behaviours = [steady(45), pausing(30, 5, PAUSE)];
+    let fleet = Fleet::start_without_retries(STREAM, &behaviours).await;
+    raise_timeouts(&fleet).await;
+
+    let responses = responses(&fleet, STREAM, 2).await;
+
+    for response in &responses {
+        assert!(response.is_complete, "the stream was truncated: {response:?}");
+    }
+    assert_eq!(fleet.arrivals(), 2);
+}
+
+/// Guards against streams that are ended because their replica is silent.
+#[tokio::test]
+async fn streams_are_complete_after_a_pause_of_all_replicas_of_a_draining_entry() {
+    // Longer than the time after which callers may leave; these stay.
+    let behaviour = pausing(30, 5, Duration::from_millis(2500));
+    let fleet = Fleet::start(STREAM, &[behaviour.clone(), behaviour]).await;
+    raise_timeouts(&fleet).await;
+    let signal = async {
+        wait_for("the streams", async || fleet.arrivals() == 4).await;
+        fleet.entry.signal(Signal::SIGTERM);
+    };
+
+    let (responses, ()) = futures::join!(responses(&fleet, STREAM, 4), signal);
+
+    assert_complete(&responses, &events(1..=30));
+}
