Attempts go on until their replacement is granted

Cause: a silent attempt was given up first (its connection closed), and the retry, the permit and the connection for the next one were asked for afterwards. The budget follows arrivals, so that an entry that drains has none, and each pause becomes a loss. Change: `replacement.rs` grants a permit elsewhere and withdraws a retry together; a running attempt is left only for that. A stream reads on while it waits for one, and its new connection is open before the old one closes (never two runs at a time). Streams before their first event and lookups that take long ask for a replacement every 0.3 s and stay otherwise; a lookup at an endpoint that is silent to all calls still ends in time for its caller to repeat it. A stream that a replica refuses to resume is tried elsewhere, within its attempts and the budget. The budget is as before; a group that has stalled is no place to go. A stream that leaves a slow rank goes the same way.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -35,8 +35,10 @@
     /// Whether the call may run more than once.
     pub(crate) is_retryable: bool,
     pub(crate) is_stream: bool,
-    /// Whether attempts are left after this one. The last attempt is not canceled on a stall.
-    pub(crate) has_retry_left: bool,
+    /// When a call that is not a stream may be replaced, so that there is time for the retry.
+    pub(crate) replaceable_at: Option<Instant>,
+    /// Grants a permit and a retry that replace this attempt, outside of a group that has stalled.
+    pub(crate) try_replace: &'a (dyn Fn(Option<&str>) -> Option<Permit> + Send + Sync),
     /// When the caller must get a response if the endpoint is silent until then.
     pub(crate) overdue_at: Option<Instant>,
     /// When the caller must get a response even if the endpoint responds to other calls.
@@ -71,15 +73,48 @@
     Responded(Response<ReplyBody>),
     /// No usable response.
     Error(AttemptError),
+    /// It was given up for another one, which has a permit and a retry.
+    Replaced(AttemptError, Permit),
     /// A failure response of the endpoint; the call may be retried elsewhere.
     Failed(CompleteResponse),
 }
 
+/// Why an attempt ends without a response head.
+pub(crate) enum AttemptFailure {
+    /// There is no usable response.
+    Error(AttemptError),
+    /// It was given up for another one, which has a permit and a retry.
+    Replaced(AttemptError, Permit),
+}
+
+impl From<AttemptFailure> for AttemptResult {
+    fn from(failure: AttemptFailure) -> AttemptResult {
+        match failure {
+            AttemptFailure::Error(error) => AttemptResult::Error(error),
+            AttemptFailure::Replaced(error, permit) => AttemptResult::Replaced(error, permit),
+        }
+    }
+}
+
+impl From<AttemptError> for AttemptFailure {
+    fn from(error: AttemptError) -> AttemptFailure {
+        AttemptFailure::Error(error)
+    }
+}
+
+/// An attempt that may be sent at once.
+pub(crate) struct OpenAttempt {
+    pub(crate) permit: Permit,
+    connection: Connection,
+}
+
 /// Why an attempt has no usable response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum AttemptError {
     /// It was sent, and its response was lost or truncated.
     Lost,
+    /// Nothing was sent, as there is no permit or no retry.
+    NoPermit,
     /// The endpoint responded that it did not run it.
     NotRun,
     /// The call was quarantined after it was sent.
@@ -100,19 +135,18 @@
     Unreachable,
 }
 
-/// Sends an attempt and waits for the response head.
-pub(crate) async fn send(
-    dialect: &impl Dialect,
+/// Opens the connection for an attempt, and uses the token of the endpoint's backpressure.
+///
+/// Fails if nothing can be sent.
+pub(crate) async fn open(
     mut permit: Permit,
     outgoing: &AttemptRequest<'_>,
-    context: AttemptContext<'_>,
-    deadline: Instant,
-) -> Result<ResponseHead, AttemptError> {
+) -> Result<OpenAttempt, AttemptError> {
     let address = permit.endpoint.record.address;
     let may_reuse =
         outgoing.is_retryable && (!outgoing.is_stream || permit.endpoint.has_sent_recently());
     let connection = permit.endpoint.pool.connect(address, may_reuse).await;
-    let mut connection = connection.map_err(|error| {
+    let connection = connection.map_err(|error| {
         log::info!(request = outgoing.id, error:% = error; "attempt not sent");
         permit.record_outcome(CallOutcome::Unreachable);
         AttemptError::Unreachable
@@ -125,6 +159,18 @@
         permit.endpoint.pool.release(connection, None);
         return Err(AttemptError::Paused);
     }
+    Ok(OpenAttempt { permit, connection })
+}
+
+/// Sends an attempt and waits for the response head.
+pub(crate) async fn send(
+    dialect: &impl Dialect,
+    opened: OpenAttempt,
+    outgoing: &AttemptRequest<'_>,
+    context: AttemptContext<'_>,
+    deadline: Instant,
+) -> Result<ResponseHead, AttemptFailure> {
+    let OpenAttempt { permit, mut connection } = opened;
     let request = request(dialect, outgoing, &context);
     let sent_at = Instant::now();
     let mut pending = PendingHead { permit: &permit, outgoing, sent_at, is_done: false };
@@ -138,30 +184,30 @@
             log::info!(request = outgoing.id, endpoint, error:% = error; "attempt lost");
             permit.record_outcome(CallOutcome::Unreachable);
             permit.on_disconnect(outgoing.call, outgoing.pending_phase(), sent_at);
-            return Err(AttemptError::Lost);
+            return Err(AttemptError::Lost.into());
         }
-        Err(HeadError::Stalled(stall)) => {
+        Err(HeadError::Replaced(why, replacement)) => {
             log::info!(request = outgoing.id, endpoint = &*permit.endpoint.record.id,
-                stall:? = stall, waited_ms = sent_at.elapsed().as_millis() as u64;
+                why:? = why, waited_ms = sent_at.elapsed().as_millis() as u64;
                 "attempt rerouted");
             permit.on_canceled(outgoing.call, outgoing.pending_phase());
             permit.record_outcome(CallOutcome::Unreachable);
-            return Err(AttemptError::Stalled);
+            return Err(AttemptFailure::Replaced(why.into(), replacement));
         }
         Err(HeadError::Overdue) => {
             log::info!(request = outgoing.id, endpoint = &*permit.endpoint.record.id,
                 waited_ms = sent_at.elapsed().as_millis() as u64; "attempt overdue");
             permit.on_canceled(outgoing.call, outgoing.pending_phase());
             permit.on_overdue();
-            return Err(AttemptError::Overdue);
+            return Err(AttemptError::Overdue.into());
         }
         Err(HeadError::TimedOut) => {
             permit.on_canceled(outgoing.call, outgoing.pending_phase());
             permit.record_outcome(CallOutcome::Unreachable);
-            return Err(AttemptError::TimedOut);
+            return Err(AttemptError::TimedOut.into());
         }
     };
-    classify(dialect, permit, connection, outgoing, response, sent_at)
+    Ok(classify(dialect, permit, connection, outgoing, response, sent_at)?)
 }
 
 impl AttemptRequest<'_> {
@@ -199,14 +245,31 @@
 enum HeadError {
     Disconnected(hyper::Error),
     Overdue,
-    Stalled(Stall),
+    Replaced(ReplaceCause, Permit),
     TimedOut,
 }
 
+/// Why an attempt that may still succeed is replaced if another one is granted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ReplaceCause {
+    /// The call would leave no time for a retry.
+    Slow,
+    Stalled(Stall),
+}
+
+impl From<ReplaceCause> for AttemptError {
+    fn from(cause: ReplaceCause) -> AttemptError {
+        match cause {
+            ReplaceCause::Slow => AttemptError::TimedOut,
+            ReplaceCause::Stalled(_) => AttemptError::Stalled,
+        }
+    }
+}
+
 /// Waits for the response head. A stream's head arrives with its first event.
 ///
-/// Fails if the connection breaks, the deadline or the caller's idle timeout is due, or a call that
-/// can be rerouted stalls.
+/// Fails if the connection breaks, the deadline or the caller's idle timeout is due, a slow call's
+/// endpoint is silent to all calls, or another attempt replaces this one.
 async fn response_head(
     permit: &Permit,
     connection: &mut Connection,
@@ -214,7 +277,6 @@
     outgoing: &AttemptRequest<'_>,
     deadline: Instant,
 ) -> Result<Response<Incoming>, HeadError> {
-    let may_reroute = outgoing.is_stream && outgoing.is_retryable && outgoing.has_retry_left;
     let overdue_at = outgoing.overdue_at.unwrap_or(deadline);
     let final_response_at = outgoing.final_response_at.unwrap_or(deadline);
     let until_overdue =
@@ -222,7 +284,7 @@
     let sent_at = Instant::now();
     let mut sending = std::pin::pin!(connection.send(request));
     loop {
-        let limit = time_until(deadline).min(until_overdue()).min(STALL_CHECK_PERIOD);
+        let limit = time_until(deadline).min(until_overdue()).min(outgoing.next_check());
         if let Ok(result) = tokio::time::timeout(limit, &mut sending).await {
             return result.map_err(HeadError::Disconnected);
         }
@@ -232,11 +294,44 @@
         if until_overdue().is_zero() {
             return Err(HeadError::Overdue);
         }
+        let Some(cause) = outgoing.replace_cause(permit, sent_at) else { continue };
+        if let Some(replacement) = outgoing.try_replace(cause, permit) {
+            return Err(HeadError::Replaced(cause, replacement));
+        }
+        if cause == ReplaceCause::Slow && permit.silent_for() >= sent_at.elapsed() {
+            return Err(HeadError::TimedOut);
+        }
+    }
+}
+
+impl AttemptRequest<'_> {
+    /// Time until the next check whether the attempt should be replaced.
+    fn next_check(&self) -> Duration {
+        let until_replaceable = self.replaceable_at.map(time_until).unwrap_or_default();
+        match until_replaceable.is_zero() {
+            true => STALL_CHECK_PERIOD,
+            false => STALL_CHECK_PERIOD.min(until_replaceable),
+        }
+    }
+
+    /// Why an attempt without a response head should be replaced, if it should.
+    fn replace_cause(&self, permit: &Permit, sent_at: Instant) -> Option<ReplaceCause> {
         // A call that is queued at a live endpoint gets no data either, so the endpoint's silence
         // towards all calls counts.
         let silence = sent_at.elapsed().min(permit.silent_for());
-        if may_reroute && let Some(stall) = permit.stall(silence) {
-            return Err(HeadError::Stalled(stall));
+        match self.replaceable_at {
+            _ if self.is_stream && self.is_retryable => {
+                permit.stall(silence).map(ReplaceCause::Stalled)
+            }
+            Some(at) if time_until(at).is_zero() => Some(ReplaceCause::Slow),
+            _ => None,
+        }
+    }
+
+    fn try_replace(&self, cause: ReplaceCause, permit: &Permit) -> Option<Permit> {
+        match cause {
+            ReplaceCause::Stalled(Stall::Group) => (self.try_replace)(Some(permit.group())),
+            ReplaceCause::Slow | ReplaceCause::Stalled(Stall::Endpoint) => (self.try_replace)(None),
         }
     }
 }
@@ -307,10 +402,17 @@
 }
 
 impl ResponseHead {
-    /// Reads the complete body.
+    /// Reads the complete body. From `replaceable_at` on, another attempt replaces this one if
+    /// `try_replace` grants it.
     ///
-    /// Fails if the body is truncated or does not arrive before the deadline.
-    pub(crate) async fn collect(self, deadline: Instant) -> Result<CompleteResponse, AttemptError> {
+    /// Fails if the body is truncated, does not arrive before the deadline, or is given up for
+    /// another attempt.
+    pub(crate) async fn collect(
+        self,
+        deadline: Instant,
+        replaceable_at: Option<Instant>,
+        try_replace: impl Fn() -> Option<Permit>,
+    ) -> Result<CompleteResponse, AttemptFailure> {
         let ResponseHead {
             permit,
             connection,
@@ -322,10 +424,24 @@
             headers,
             body,
         } = self;
-        let limit = deadline.saturating_duration_since(Instant::now());
-        let budget = permit.response_budget();
-        match tokio::time::timeout(limit, read_body(body, budget)).await {
-            Ok(Ok(body)) => {
+        let mut reading = std::pin::pin!(read_body(body, permit.response_budget()));
+        let mut check_at = replaceable_at.unwrap_or(deadline).min(deadline);
+        let result = loop {
+            if let Ok(result) = tokio::time::timeout(time_until(check_at), &mut reading).await {
+                break result;
+            }
+            let replacement = if time_until(deadline).is_zero() { None } else { try_replace() };
+            if replacement.is_some() || time_until(deadline).is_zero() {
+                permit.record_outcome(CallOutcome::Unreachable);
+                return Err(match replacement {
+                    Some(permit) => AttemptFailure::Replaced(AttemptError::TimedOut, permit),
+                    None => AttemptFailure::Error(AttemptError::TimedOut),
+                });
+            }
+            check_at = (Instant::now() + STALL_CHECK_PERIOD).min(deadline);
+        };
+        match result {
+            Ok(body) => {
                 let is_failure = status.is_server_error();
                 permit.record_outcome(if is_failure {
                     CallOutcome::Failed
@@ -336,19 +452,15 @@
                 Ok(CompleteResponse { status, headers, body })
             }
             // The connection closes with the attempt, as the rest of the body may be endless.
-            Ok(Err(BodyError::TooLarge)) => {
+            Err(BodyError::TooLarge) => {
                 permit.record_outcome(CallOutcome::Failed);
                 permit.on_oversized_response();
-                Err(AttemptError::Lost)
+                Err(AttemptError::Lost.into())
             }
-            Ok(Err(BodyError::Disconnected)) => {
+            Err(BodyError::Disconnected) => {
                 permit.record_outcome(CallOutcome::Failed);
                 permit.on_disconnect(&call, CallPhase::Beginning, last_received_at);
-                Err(AttemptError::Lost)
-            }
-            Err(_) => {
-                permit.record_outcome(CallOutcome::Unreachable);
-                Err(AttemptError::TimedOut)
+                Err(AttemptError::Lost.into())
             }
         }
     }
--- a/crates/direct/src/attempt_history.rs
+++ b/crates/direct/src/attempt_history.rs
@@ -35,6 +35,7 @@
     match error {
         AttemptError::Quarantined => "attempts.held_back",
         AttemptError::Lost => "attempts.lost",
+        AttemptError::NoPermit => "attempts.no_permit",
         AttemptError::NotRun => "attempts.not_run",
         AttemptError::OtherEndpoint => "attempts.other_endpoint",
         AttemptError::Overdue => "attempts.overdue",
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -9,7 +9,6 @@
 };
 
 use bytes::Bytes;
-use futures::FutureExt;
 use http::{Method, Response, header, request::Parts};
 use lynxmount_core::{
     CallIdentity, CallKind, Clock, EndpointId, RouteId, TeamId,
@@ -22,11 +21,10 @@
 
 use crate::{
     attempt::{
-        AttemptError, AttemptRequest, AttemptResult, CompleteResponse, ResponseHead, send,
-        time_until,
+        AttemptError, AttemptFailure, AttemptRequest, AttemptResult, CompleteResponse, OpenAttempt,
+        ResponseHead, open, send, time_until,
     },
     attempt_history::{AttemptHistory, attempt_counter},
-    call_times::QUEUE_TIME_FRACTION,
     endpoint::Permit,
     reply::{Refusal, ReplyBody, full_body},
     service::{PermitRequest, Service, Unavailable},
@@ -73,8 +71,13 @@
     /// Makes attempts until there is a response or no retry is allowed.
     pub(crate) async fn run(self: &Arc<Call<D>>) -> Result<Response<ReplyBody>, Refusal> {
         let mut history = AttemptHistory::default();
+        let mut replacement = None;
         loop {
-            let permit = match self.acquire_permit(self.queue_time(), self.arrived_at).await {
+            let permit = match replacement.take() {
+                Some(permit) => Ok(permit),
+                None => self.acquire_permit(self.queue_time(), self.arrived_at).await,
+            };
+            let permit = match permit {
                 Ok(permit) => permit,
                 Err(unavailable) => {
                     let refusal = self.refusal_for(unavailable, history.may_have_run);
@@ -88,13 +91,17 @@
                     AttemptError::Lost
                 }
                 AttemptResult::Error(error) => error,
+                AttemptResult::Replaced(error, permit) => {
+                    replacement = Some(permit);
+                    error
+                }
             };
             self.metrics.count(attempt_counter(error));
             if error == AttemptError::Lost {
                 self.wait_for_verdict().await;
             }
             history.record(error);
-            if !self.try_retry(&history, error) {
+            if replacement.is_none() && !self.try_retry(&history, error) {
                 let refusal = self.final_refusal(&history, error);
                 return self.failure_or_refusal(history, refusal);
             }
@@ -128,7 +135,7 @@
         history.failure.map(|response| self.deliver(response)).ok_or(refusal)
     }
 
-    async fn acquire_permit(
+    pub(crate) async fn acquire_permit(
         &self,
         max_wait: Duration,
         waiting_since: Instant,
@@ -181,18 +188,25 @@
     }
 
     async fn attempt_at(self: &Arc<Call<D>>, permit: Permit) -> AttemptResult {
-        let head = match self.send(permit, self.head.last_event, self.arrived_at).await {
-            Ok(head) => head,
+        let waiting_since = Some(self.arrived_at);
+        let opened = match self.open(permit, waiting_since).await {
+            Ok(opened) => opened,
             Err(error) => return AttemptResult::Error(error),
         };
+        let head = match self.send(opened, self.head.last_event, waiting_since).await {
+            Ok(head) => head,
+            Err(failure) => return failure.into(),
+        };
         if self.kind.is_stream() && head.status.is_success() {
             let result = self.start_stream(head).await;
             return result.map_or_else(AttemptResult::Error, AttemptResult::Responded);
         }
         let endpoint = EndpointId::clone(&head.permit.endpoint.record.id);
-        let response = match head.collect(self.attempt_deadline()).await {
+        let collected =
+            head.collect(self.deadline, self.replaceable_at(), || self.try_replace(None)).await;
+        let response = match collected {
             Ok(response) => response,
-            Err(error) => return AttemptResult::Error(error),
+            Err(failure) => return failure.into(),
         };
         // Whatever the response is, the endpoint has survived the call.
         self.record_survival();
@@ -212,34 +226,35 @@
         self.caller_response(response)
     }
 
-    /// Sends the call to an endpoint. A stream starts after `last_event`; the caller has received
-    /// nothing since `waiting_since`.
-    async fn send(
+    /// Opens the connection for an attempt. `waiting_since` is when the caller was last sent
+    /// something.
+    ///
+    /// Fails if nothing can be sent.
+    pub(crate) async fn open(
         &self,
         permit: Permit,
+        waiting_since: Option<Instant>,
+    ) -> Result<OpenAttempt, AttemptError> {
+        self.tried.lock().push(EndpointId::clone(&permit.endpoint.record.id));
+        let try_replace = |group: Option<&str>| self.try_replace(group);
+        open(permit, &self.attempt_request(waiting_since, &try_replace)).await
+    }
+
+    /// Sends the call to an endpoint. A stream starts after `last_event`; `waiting_since` is when
+    /// the caller began to wait for the response head, if it has not received one.
+    pub(crate) async fn send(
+        &self,
+        opened: OpenAttempt,
         last_event: Option<u64>,
-        waiting_since: Instant,
-    ) -> Result<ResponseHead, AttemptError> {
-        let endpoint = EndpointId::clone(&permit.endpoint.record.id);
+        waiting_since: Option<Instant>,
+    ) -> Result<ResponseHead, AttemptFailure> {
+        let endpoint = EndpointId::clone(&opened.permit.endpoint.record.id);
         log::info!(request = self.head.id.as_deref(), call:% = self.identity.fingerprint,
             segments:% = segment_list(&self.identity),
             route = &*self.route, endpoint = &*endpoint,
-            running = permit.endpoint.own_running(),
+            running = opened.permit.endpoint.own_running(),
             left_ms = time_until(self.deadline).as_millis() as u64,
             after_event = last_event; "attempt started");
-        let outgoing = AttemptRequest {
-            method: &self.parts.method,
-            uri: &self.parts.uri,
-            headers: &self.parts.headers,
-            body: &self.body,
-            id: self.head.id.as_deref(),
-            call: &self.identity,
-            is_retryable: self.kind.is_retryable(),
-            is_stream: self.kind.is_stream(),
-            has_retry_left: self.has_retry_left(),
-            final_response_at: self.final_response_at(waiting_since),
-            overdue_at: self.remaining_idle_time(waiting_since).map(|time| Instant::now() + time),
-        };
         let context = AttemptContext {
             endpoint: &endpoint,
             team: self.team.as_ref(),
@@ -247,23 +262,40 @@
             last_event,
             priority: None,
         };
-        self.tried.lock().push(EndpointId::clone(&endpoint));
-        let result =
-            send(&*self.dialect, permit, &outgoing, context, self.attempt_deadline()).await;
-        // Only attempts that reached their endpoint are counted.
-        let is_unreached = matches!(
-            result,
-            Err(AttemptError::OtherEndpoint
-                | AttemptError::Paused
-                | AttemptError::TooLate
-                | AttemptError::Unreachable)
-        );
-        if !is_unreached {
-            self.attempts.fetch_add(1, Ordering::Relaxed);
+        let try_replace = |group: Option<&str>| self.try_replace(group);
+        let outgoing = self.attempt_request(waiting_since, &try_replace);
+        // Counted before it ends, as it may be replaced while it runs.
+        self.attempts.fetch_add(1, Ordering::Relaxed);
+        let result = send(&*self.dialect, opened, &outgoing, context, self.deadline).await;
+        // It did not reach its endpoint.
+        if matches!(result, Err(AttemptFailure::Error(AttemptError::OtherEndpoint))) {
+            self.attempts.fetch_sub(1, Ordering::Relaxed);
         }
         result
     }
 
+    fn attempt_request<'a>(
+        &'a self,
+        waiting_since: Option<Instant>,
+        try_replace: &'a (dyn Fn(Option<&str>) -> Option<Permit> + Send + Sync),
+    ) -> AttemptRequest<'a> {
+        let overdue_in = waiting_since.and_then(|since| self.remaining_idle_time(since));
+        AttemptRequest {
+            method: &self.parts.method,
+            uri: &self.parts.uri,
+            headers: &self.parts.headers,
+            body: &self.body,
+            id: self.head.id.as_deref(),
+            call: &self.identity,
+            is_retryable: self.kind.is_retryable(),
+            is_stream: self.kind.is_stream(),
+            replaceable_at: self.replaceable_at(),
+            try_replace,
+            final_response_at: waiting_since.and_then(|since| self.final_response_at(since)),
+            overdue_at: overdue_in.map(|time| Instant::now() + time),
+        }
+    }
+
     async fn start_stream(
         self: &Arc<Call<D>>,
         head: ResponseHead,
@@ -278,67 +310,11 @@
         Ok(response.map(|()| relay.into_body(first)))
     }
 
-    /// Resumes a broken stream at another endpoint, after `last_event`.
-    pub(crate) async fn resume(
-        &self,
-        last_event: Option<u64>,
-        waiting_since: Instant,
-        why: &str,
-    ) -> Option<ResponseHead> {
-        self.wait_for_verdict().await;
-        let is_held_back = self.quarantine.quarantined_for(&self.identity).is_some();
-        let is_allowed = !is_held_back && self.service.withdraw_retry();
-        log::info!(request = self.head.id.as_deref(), why, last_event, is_allowed, is_held_back;
-            "stream broken");
-        if !is_allowed {
-            return None;
-        }
-        tokio::select! {
-            biased;
-            _ = self.quarantine.wait_until_quarantined(&self.identity) => None,
-            resumed = self.resume_elsewhere(last_event, waiting_since) => resumed,
-        }
-    }
-
-    async fn resume_elsewhere(
-        &self,
-        last_event: Option<u64>,
-        waiting_since: Instant,
-    ) -> Option<ResponseHead> {
-        let permit = self
-            .acquire_permit(self.goal.mul_f64(QUEUE_TIME_FRACTION), waiting_since)
-            .await
-            .ok()?;
-        self.resume_at(permit, last_event, waiting_since).await
-    }
-
-    /// A permit at an endpoint that is not slow, if one is free now and the service's retry budget
-    /// allows its use.
-    pub(crate) fn acquire_elsewhere(&self) -> Option<Permit> {
-        let permit = self.acquire_permit(Duration::ZERO, Instant::now()).now_or_never()?.ok()?;
-        (!permit.is_slow() && self.service.withdraw_retry()).then_some(permit)
-    }
-
-    /// Resumes a stream with a permit, after `last_event`.
-    pub(crate) async fn resume_at(
-        &self,
-        permit: Permit,
-        last_event: Option<u64>,
-        waiting_since: Instant,
-    ) -> Option<ResponseHead> {
-        let head = self.send(permit, last_event, waiting_since).await.ok()?;
-        if !head.status.is_success() {
-            return None;
-        }
-        self.metrics.count("streams.resumed");
-        Some(head)
-    }
-
     pub(crate) fn has_attempts_left(&self) -> bool {
         self.attempts.load(Ordering::Relaxed) < self.max_attempts
     }
 
-    fn can_retry(&self) -> bool {
+    pub(crate) fn can_retry(&self) -> bool {
         self.has_attempts_left() && !time_until(self.deadline).is_zero()
     }
 
@@ -353,7 +329,7 @@
     }
 
     /// Waits for the crash verdict on the endpoint of the last attempt, for a limited time.
-    async fn wait_for_verdict(&self) {
+    pub(crate) async fn wait_for_verdict(&self) {
         self.service.wait_for_verdict(&self.identity.fingerprint).await;
     }
 
--- a/crates/direct/src/call_times.rs
+++ b/crates/direct/src/call_times.rs
@@ -23,8 +23,8 @@
 /// a group to open.
 const FIRST_EVENT_FRACTION: f64 = 0.5;
 
-/// Fraction of the time left that an attempt may take if it can be retried, so that there is time
-/// for the retry.
+/// Fraction of the time left after which an attempt is replaced if a retry is granted, so that there
+/// is time for the retry.
 const ATTEMPT_TIME_FRACTION: f64 = 0.45;
 
 /// `Retry-After` during an outage if return times are disabled.
@@ -65,18 +65,16 @@
     }
 
     /// Whether the call has attempts left after the next one.
-    pub(crate) fn has_retry_left(&self) -> bool {
+    fn has_retry_left(&self) -> bool {
         self.attempts.load(Ordering::Relaxed) + 1 < self.max_attempts
     }
 
-    /// Deadline of the next attempt. It leaves time for a retry if one can follow.
-    pub(crate) fn attempt_deadline(&self) -> Instant {
-        match self.kind {
-            CallKind::Idempotent if self.has_retry_left() => {
-                Instant::now() + time_until(self.deadline).mul_f64(ATTEMPT_TIME_FRACTION)
-            }
-            _ => self.deadline,
-        }
+    /// When the next attempt may be replaced, so that there is time for the retry; `None` if it
+    /// may not be.
+    pub(crate) fn replaceable_at(&self) -> Option<Instant> {
+        let time = time_until(self.deadline).mul_f64(ATTEMPT_TIME_FRACTION);
+        let is_replaceable = self.kind == CallKind::Idempotent && self.has_retry_left();
+        is_replaceable.then(|| Instant::now() + time)
     }
 }
 
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -268,6 +268,10 @@
         &self.group
     }
 
+    pub(crate) fn shared_group(&self) -> Arc<str> {
+        Arc::clone(&self.group)
+    }
+
     /// Whether the endpoint delays its group.
     pub(crate) fn is_slow(&self) -> bool {
         self.endpoint.is_slow(self.service.now())
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -29,6 +29,7 @@
 mod pool;
 mod process;
 mod readiness;
+mod replacement;
 mod reply;
 mod response_buffer;
 mod service;
--- a/crates/direct/src/service/mod.rs
+++ b/crates/direct/src/service/mod.rs
@@ -132,6 +132,13 @@
         self.inner.lock().budget.record_call(self.now());
     }
 
+    /// Whether the service's retry budget has a retry.
+    pub(crate) fn has_retry(&self) -> bool {
+        let mut inner = self.inner.lock();
+        let entries = inner.entry_count();
+        self.mechanisms.has(Mechanism::Repeats) && inner.budget.has_retry(entries, self.now())
+    }
+
     /// Withdraws a retry from the service's retry budget. Returns whether one was available.
     pub(crate) fn withdraw_retry(&self) -> bool {
         let mut inner = self.inner.lock();
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -6,7 +6,11 @@
 };
 
 use bytes::Bytes;
-use futures::stream::unfold;
+use futures::{
+    FutureExt,
+    future::{Fuse, FusedFuture},
+    stream::unfold,
+};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use lynxmount_core::{CallPhase, Mechanism, adapter::Dialect};
@@ -18,6 +22,7 @@
     attempt::{AttemptError, ResponseHead, time_until},
     call::Call,
     endpoint::{Permit, Silence},
+    replacement::StreamPosition,
     reply::ReplyBody,
 };
 
@@ -41,6 +46,8 @@
     attempt_sent_at: Instant,
     /// Whether the current endpoint has sent events, so that the gap before the next one counts.
     has_events: bool,
+    /// Whether the current silence of the endpoint was recorded as a stall.
+    is_stalled: bool,
     /// Whether the current endpoint has survived the beginning of the answer.
     has_survived: bool,
     is_done: bool,
@@ -52,6 +59,8 @@
     End,
     Events(Bytes),
     Overdue,
+    /// Another endpoint may take the stream, whose endpoint is silent.
+    Replaced(Stall, Permit),
     TimedOut,
 }
 
@@ -61,7 +70,6 @@
     Disconnected,
     Truncated,
     OutOfOrder,
-    Stalled(Stall),
 }
 
 impl StreamError {
@@ -70,12 +78,17 @@
             StreamError::Disconnected => "connection broken",
             StreamError::Truncated => "event truncated",
             StreamError::OutOfOrder => "events out of order",
-            StreamError::Stalled(Stall::Endpoint) => "endpoint stalled",
-            StreamError::Stalled(Stall::Group) => "group stalled",
         }
     }
 }
 
+fn stall_name(stall: Stall) -> &'static str {
+    match stall {
+        Stall::Endpoint => "endpoint stalled",
+        Stall::Group => "group stalled",
+    }
+}
+
 impl<D: Dialect> StreamRelay<D> {
     pub(crate) fn new(call: Arc<Call<D>>, head: ResponseHead) -> StreamRelay<D> {
         let events = SequencedEvents::resume_after(call.head.last_event);
@@ -91,6 +104,7 @@
             sent_at,
             attempt_sent_at: head.sent_at,
             has_events: false,
+            is_stalled: false,
             has_survived: false,
             is_done: false,
         }
@@ -100,7 +114,16 @@
     ///
     /// Fails if the stream breaks, or ends without an event.
     pub(crate) async fn first_events(&mut self) -> Result<Bytes, AttemptError> {
-        let first = self.read().await;
+        let first = loop {
+            match self.read().await {
+                Read::Replaced(stall, permit) => {
+                    if !self.move_to(permit, stall_name(stall)).await {
+                        break Read::End;
+                    }
+                }
+                first => break first,
+            }
+        };
         // A stream that fails before its first event is logged as a failed attempt, not as a
         // finished call.
         self.is_done = !matches!(first, Read::Events(_));
@@ -121,7 +144,7 @@
                 self.on_broken(error);
                 Err(AttemptError::Lost)
             }
-            Read::End => {
+            Read::End | Read::Replaced(..) => {
                 self.on_broken(StreamError::Disconnected);
                 Err(AttemptError::Lost)
             }
@@ -150,6 +173,12 @@
                 return Some(Err(aborted("endpoint slow")));
             }
             match self.read().await {
+                Read::Replaced(stall, permit) => {
+                    if !self.move_to(permit, stall_name(stall)).await {
+                        self.finish("truncated mid-stream");
+                        return Some(Err(aborted(stall_name(stall))));
+                    }
+                }
                 Read::Events(events) => return Some(Ok(events)),
                 Read::End => {
                     self.on_survived();
@@ -213,10 +242,7 @@
     }
 
     fn on_broken(&self, error: StreamError) {
-        self.record_outcome(match error {
-            StreamError::Stalled(Stall::Endpoint) => CallOutcome::Unreachable,
-            _ => CallOutcome::Failed,
-        });
+        self.record_outcome(CallOutcome::Failed);
         let is_closed = matches!(error, StreamError::Disconnected | StreamError::Truncated);
         if let Some(permit) = self.permit.as_ref().filter(|_| is_closed) {
             // A call that has survived its beginning is no evidence against its segments.
@@ -255,12 +281,21 @@
         }
     }
 
+    /// Reads the next events. While the endpoint is silent, a replacement is sought, and the
+    /// endpoint may go on before one is granted.
     async fn read(&mut self) -> Read {
+        let replacement = Fuse::terminated();
+        tokio::pin!(replacement);
+        let mut stall = Stall::Endpoint;
         loop {
-            let until_overdue = self.until_overdue();
             let limit = time_until(self.call.deadline).min(STALL_CHECK_PERIOD);
-            let limit = until_overdue.map_or(limit, |time| limit.min(time));
-            match tokio::time::timeout(limit, self.body.frame()).await {
+            let limit = self.until_overdue().map_or(limit, |time| limit.min(time));
+            let frame = tokio::select! {
+                biased;
+                frame = tokio::time::timeout(limit, self.body.frame()) => frame,
+                Some(permit) = &mut replacement => return Read::Replaced(stall, permit),
+            };
+            match frame {
                 Ok(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
                     match self.events.push(&data) {
@@ -286,14 +321,42 @@
                     if self.has_events && self.last_event_at.elapsed() >= STALL_CHECK_PERIOD {
                         self.on_survived();
                     }
-                    if let Some(stall) = self.stall() {
-                        return Read::Broken(StreamError::Stalled(stall));
+                    let Some(detected) = self.stall() else { continue };
+                    self.on_stalled(detected);
+                    if replacement.is_terminated() {
+                        stall = detected;
+                        replacement.set(self.wait_for_replacement(detected).fuse());
                     }
                 }
             }
         }
     }
 
+    /// Waits for a permit at another endpoint, outside of a group that has stalled.
+    fn wait_for_replacement(
+        &self,
+        stall: Stall,
+    ) -> impl Future<Output = Option<Permit>> + Send + use<D> {
+        let group = self.permit.as_ref().map(Permit::shared_group);
+        let excluded_group = group.filter(|_| stall == Stall::Group);
+        Arc::clone(&self.call).wait_for_replacement(excluded_group, self.sent_at)
+    }
+
+    /// Records once for each silence that the endpoint has stalled.
+    fn on_stalled(&mut self, stall: Stall) {
+        if self.is_stalled {
+            return;
+        }
+        self.is_stalled = true;
+        if stall == Stall::Endpoint {
+            self.record_outcome(CallOutcome::Unreachable);
+        }
+        log::info!(request = self.call.head.id.as_deref(), why = stall_name(stall),
+            endpoint = self.permit.as_ref().map(|permit| &*permit.endpoint.record.id),
+            silent_ms = self.last_event_at.elapsed().as_millis() as u64,
+            has_retry = self.call.service.has_retry(); "stream stalled");
+    }
+
     /// Records once that the endpoint has survived the beginning of the answer.
     fn on_survived(&mut self) {
         if !self.has_survived {
@@ -313,6 +376,7 @@
         self.last_event_at = Instant::now();
         self.sent_at = self.last_event_at;
         self.has_events = true;
+        self.is_stalled = false;
     }
 
     /// What has stalled under the stream, if the stream is resumable.
@@ -327,30 +391,48 @@
         self.call.kind.is_retryable() && self.call.has_attempts_left()
     }
 
-    /// Resumes the stream at another endpoint after the last event. Returns whether that succeeds.
+    /// Resumes a broken stream at another endpoint after the last event. Returns whether that
+    /// succeeds.
     async fn resume(&mut self, why: &'static str) -> bool {
         if !self.is_resumable() {
             return false;
         }
         self.detach();
-        let head = self.call.resume(self.events.last_id(), self.sent_at, why).await;
+        let head = self.call.resume(self.position(), why, None).await;
         self.attach(head)
     }
 
-    /// Resumes the stream elsewhere if its endpoint is slow and another one takes it now. Each
-    /// stream at a slow rank delays all streams of its group. Returns false if the stream is lost.
-    async fn leave_slow_endpoint(&mut self) -> bool {
-        let Some(permit) = self.permit.as_ref().filter(|permit| permit.is_slow()) else {
-            return true;
-        };
-        let elsewhere = self.is_resumable().then(|| self.call.acquire_elsewhere()).flatten();
-        let Some(elsewhere) = elsewhere else { return true };
-        permit.on_canceled(&self.call.identity, self.phase());
+    /// Moves the stream to another endpoint once a connection to that one is open; until then it
+    /// goes on where it is. Returns false if the stream is lost.
+    async fn move_to(&mut self, permit: Permit, why: &'static str) -> bool {
+        let Ok(opened) = self.call.open(permit, Some(self.sent_at)).await else { return true };
+        log::info!(request = self.call.head.id.as_deref(), why,
+            endpoint = self.permit.as_ref().map(|permit| &*permit.endpoint.record.id),
+            last_event = self.events.last_id(),
+            silent_ms = self.last_event_at.elapsed().as_millis() as u64; "stream moved");
+        if let Some(permit) = &self.permit {
+            permit.on_canceled(&self.call.identity, self.phase());
+        }
         self.detach();
-        let head = self.call.resume_at(elsewhere, self.events.last_id(), self.sent_at).await;
+        let head = self.call.resume(self.position(), why, Some(opened)).await;
         self.attach(head)
     }
 
+    fn position(&self) -> StreamPosition {
+        StreamPosition { last_event: self.events.last_id(), sent_at: self.sent_at }
+    }
+
+    /// Moves the stream if its endpoint is slow and another one takes it now. Each stream at a slow
+    /// rank delays all streams of its group. Returns false if the stream is lost.
+    async fn leave_slow_endpoint(&mut self) -> bool {
+        let is_slow = self.permit.as_ref().is_some_and(Permit::is_slow);
+        let elsewhere = (is_slow && self.is_resumable()).then(|| self.call.try_replace(None));
+        match elsewhere.flatten() {
+            Some(permit) => self.move_to(permit, "endpoint slow").await,
+            None => true,
+        }
+    }
+
     /// Closes the old connection before the stream is resumed, so that the call never runs twice
     /// at a time.
     fn detach(&mut self) {
@@ -369,6 +451,7 @@
         self.attempt_sent_at = head.sent_at;
         self.last_event_at = Instant::now();
         self.has_events = false;
+        self.is_stalled = false;
         self.has_survived = false;
         true
     }
--- a/crates/lynxmount/tests/platform_pauses.rs
+++ b/crates/lynxmount/tests/platform_pauses.rs
@@ -7,13 +7,16 @@
 use http::{Method, StatusCode};
 use lynxmount_platform_standin::{
     Behaviour, Call, CallerOutcome, CallerStandin, ReceivedResponse,
-    fixture::{CONFIG_KEY, OPERATOR_TOPIC, STREAM},
+    fixture::{CONFIG_KEY, IDEMPOTENT, OPERATOR_TOPIC, STREAM},
 };
 use nix::sys::signal::Signal;
 use platform_common::{Fleet, KEY, config, wait_for};
 
 const GAP: Duration = Duration::from_millis(60);
 
+/// The slots of each replica.
+const SLOTS: usize = 8;
+
 /// Longer than the silence after which a stream is moved, and shorter than callers wait.
 const PAUSE: Duration = Duration::from_millis(1500);
 
@@ -50,7 +53,7 @@
 
 /// Calls a service a number of times at once; the callers stay until the response ends.
 async fn responses(fleet: &Fleet, service: &str, count: usize) -> Vec<ReceivedResponse> {
-    let method = Method::POST;
+    let method = if service == IDEMPOTENT { Method::GET } else { Method::POST };
     let calls = (0..count).map(async |id| {
         let call = call(id, method.clone(), service);
         match CallerStandin::new(fleet.address()).call(&call).await {
@@ -100,3 +103,61 @@
 
     assert_complete(&responses, &events(1..=30));
 }
+
+/// Guards against streams that are given up before a place at another replica is granted.
+#[tokio::test]
+async fn paused_streams_go_on_at_their_replica_if_the_others_are_full() {
+    // Streams fill all slots of both replicas.
+    let fleet = Fleet::start(STREAM, &[steady(60), pausing(20, 5, PAUSE)]).await;
+    raise_timeouts(&fleet).await;
+
+    let responses = responses(&fleet, STREAM, 2 * SLOTS).await;
+
+    for response in &responses {
+        assert_eq!(response.status, StatusCode::OK);
+        assert!(response.is_complete, "the stream was truncated: {response:?}");
+    }
+    assert_eq!(fleet.arrivals(), 2 * SLOTS);
+}
+
+/// Guards against calls that are given up before a retry is granted, while they wait for their
+/// first event.
+#[tokio::test]
+async fn stream_with_a_late_first_event_is_answered_if_no_retry_is_allowed() {
+    let behaviours = [steady(45), pausing(10, 0, PAUSE)];
+    let fleet = Fleet::start_without_retries(STREAM, &behaviours).await;
+    raise_timeouts(&fleet).await;
+
+    let responses = responses(&fleet, STREAM, 2).await;
+
+    for response in &responses {
+        assert_eq!(response.status, StatusCode::OK);
+        assert!(response.is_complete, "the stream was truncated: {response:?}");
+    }
+    assert_eq!(fleet.arrivals(), 2);
+}
+
+/// Guards against lookups that are given up before a retry is granted, at a replica that answers
+/// others.
+#[tokio::test]
+async fn slow_lookup_is_answered_if_no_retry_is_allowed() {
+    // More than the part of the caller's time after which a lookup is retried elsewhere.
+    let slow = Behaviour::Echo { delay: Duration::from_millis(5000) };
+    let fleet = Fleet::start_without_retries(IDEMPOTENT, &[slow]).await;
+    raise_timeouts(&fleet).await;
+    let others = async {
+        wait_for("the lookup", async || fleet.arrivals() == 1).await;
+        fleet.replicas[0].set_behaviour(Behaviour::Answer);
+        loop {
+            responses(&fleet, IDEMPOTENT, 1).await;
+            tokio::time::sleep(GAP).await;
+        }
+    };
+
+    let responses = tokio::select! {
+        responses = responses(&fleet, IDEMPOTENT, 1) => responses,
+        () = others => unreachable!("the loop of other lookups does not end"),
+    };
+
+    assert_eq!(responses[0].status, StatusCode::OK);
+}
--- a/crates/policy/src/window_budget.rs
+++ b/crates/policy/src/window_budget.rs
@@ -45,18 +45,21 @@
         self.current_slice(now).calls += 1;
     }
 
-    /// Withdraws one retry from this entry's share of the budget. Returns whether there was one.
-    pub fn try_withdraw(&mut self, entries: usize, now: Duration) -> bool {
+    /// Whether this entry's share of the budget has a retry.
+    pub fn has_retry(&mut self, entries: usize, now: Duration) -> bool {
         self.current_slice(now);
         let calls: u32 = self.slices.iter().map(|slice| slice.calls).sum();
         let retries: u32 = self.slices.iter().map(|slice| slice.retries).sum();
         let slack_share = self.options.slack / entries.max(1) as f64;
         let bound = TARGET_FRACTION * (self.options.ratio * f64::from(calls) + slack_share);
-        if f64::from(retries) + 1.0 > bound {
-            return false;
-        }
-        self.current_slice(now).retries += 1;
-        true
+        f64::from(retries) + 1.0 <= bound
+    }
+
+    /// Withdraws one retry from this entry's share of the budget. Returns whether there was one.
+    pub fn try_withdraw(&mut self, entries: usize, now: Duration) -> bool {
+        let has_retry = self.has_retry(entries, now);
+        self.current_slice(now).retries += u32::from(has_retry);
+        has_retry
     }
 
     /// The current slice; those that have left the window are dropped.
--- a/crates/policy/tests/direct_call_policies.rs
+++ b/crates/policy/tests/direct_call_policies.rs
@@ -138,6 +138,17 @@
     assert_eq!((first, after_window), (11, 11));
 }
 
+#[test]
+fn asking_whether_there_is_a_retry_withdraws_none() {
+    let mut budget = budget();
+
+    let asked = (0..100).filter(|_| budget.has_retry(4, at_ms(0))).count();
+    let withdrawn = (0..100).filter(|_| budget.try_withdraw(4, at_ms(0))).count();
+
+    assert_eq!((asked, withdrawn), (100, 11));
+    assert!(!budget.has_retry(4, at_ms(0)));
+}
+
 proptest! {
     #[test]
     fn four_entries_together_never_exceed_the_bound_of_a_window(
