Streams that have begun are not ended because their endpoint is silent

Cause: the bound that answers calls at silent endpoints in time (work for callers that had left) also ended streams that had begun. Their callers have a response already; ending it tells them nothing. Change: only calls without a first event are answered before their callers leave. A stream that has begun waits for its endpoint, is moved where a replacement is granted, and is canceled at its endpoint as its caller leaves. An endpoint that is silent for so long while its group goes on is still ejected.

--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -44,10 +44,14 @@
     sent_at: Instant,
     /// When the current attempt was sent.
     attempt_sent_at: Instant,
+    /// Whether the caller was sent events. It has a response then, and leaves by itself.
+    has_begun: bool,
     /// Whether the current endpoint has sent events, so that the gap before the next one counts.
     has_events: bool,
     /// Whether the current silence of the endpoint was recorded as a stall.
     is_stalled: bool,
+    /// Whether the current silence of the endpoint has lasted for the caller's idle timeout.
+    is_overdue: bool,
     /// Whether the current endpoint has survived the beginning of the answer.
     has_survived: bool,
     is_done: bool,
@@ -103,8 +107,10 @@
             last_event_at: Instant::now(),
             sent_at,
             attempt_sent_at: head.sent_at,
+            has_begun: false,
             has_events: false,
             is_stalled: false,
+            is_overdue: false,
             has_survived: false,
             is_done: false,
         }
@@ -188,11 +194,7 @@
                     self.release_connection();
                     return None;
                 }
-                Read::Overdue => {
-                    self.on_overdue();
-                    self.finish("overdue mid-stream");
-                    return Some(Err(aborted("endpoint silent")));
-                }
+                Read::Overdue => unreachable!("a stream that has begun is not ended by a silence"),
                 Read::TimedOut => {
                     self.finish("timed out mid-stream");
                     return Some(Err(aborted("deadline exceeded")));
@@ -254,8 +256,7 @@
         }
     }
 
-    /// How much longer the stream may stay silent before it must end, as its caller's idle timeout
-    /// is due.
+    /// How much longer the endpoint may stay silent before the caller's idle timeout is due.
     fn until_overdue(&self) -> Option<Duration> {
         let idle_time = self.call.remaining_idle_time(self.sent_at)?;
         Some(self.permit.as_ref().map_or(idle_time, |permit| permit.until_overdue(idle_time)))
@@ -289,7 +290,10 @@
         let mut stall = Stall::Endpoint;
         loop {
             let limit = time_until(self.call.deadline).min(STALL_CHECK_PERIOD);
-            let limit = self.until_overdue().map_or(limit, |time| limit.min(time));
+            let limit = self.until_overdue().map_or(limit, |time| match time.is_zero() {
+                true => limit,
+                false => limit.min(time),
+            });
             let frame = tokio::select! {
                 biased;
                 frame = tokio::time::timeout(limit, self.body.frame()) => frame,
@@ -315,7 +319,7 @@
                 }
                 Ok(None) => return Read::End,
                 Err(_) if time_until(self.call.deadline).is_zero() => return Read::TimedOut,
-                Err(_) if self.until_overdue() == Some(Duration::ZERO) => return Read::Overdue,
+                Err(_) if self.is_due() => return Read::Overdue,
                 Err(_) => {
                     // The connection is open, and a crash would have broken it by now.
                     if self.has_events && self.last_event_at.elapsed() >= STALL_CHECK_PERIOD {
@@ -332,6 +336,21 @@
         }
     }
 
+    /// Whether the caller must get a response now, as it is about to leave. A caller that was sent
+    /// events leaves by itself, and its endpoint is only recorded as overdue.
+    fn is_due(&mut self) -> bool {
+        if self.until_overdue() != Some(Duration::ZERO) {
+            return false;
+        }
+        if self.has_begun && !self.is_overdue {
+            self.is_overdue = true;
+            if let Some(permit) = &self.permit {
+                permit.on_overdue();
+            }
+        }
+        !self.has_begun
+    }
+
     /// Waits for a permit at another endpoint, outside of a group that has stalled.
     fn wait_for_replacement(
         &self,
@@ -375,8 +394,10 @@
         }
         self.last_event_at = Instant::now();
         self.sent_at = self.last_event_at;
+        self.has_begun = true;
         self.has_events = true;
         self.is_stalled = false;
+        self.is_overdue = false;
     }
 
     /// What has stalled under the stream, if the stream is resumable.
@@ -452,6 +473,7 @@
         self.last_event_at = Instant::now();
         self.has_events = false;
         self.is_stalled = false;
+        self.is_overdue = false;
         self.has_survived = false;
         true
     }
--- a/crates/policy/src/caller_idle_timeout.rs
+++ b/crates/policy/src/caller_idle_timeout.rs
@@ -1,5 +1,6 @@
 //! Bounds how long a call waits at a silent endpoint, so that its caller gets a response before the
-//! caller's idle timeout ends the stream.
+//! caller's idle timeout ends the stream. A stream that has begun is not bounded: ending it tells
+//! its caller nothing, and its endpoint may go on.
 //!
 //! A caller that has left gets no response, and a frozen endpoint starts the requests that it has
 //! read before it sees their cancellation.
