--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -32,8 +32,10 @@
 mod replacement;
 mod reply;
 mod response_buffer;
+mod response_head;
 mod service;
 mod stream;
+mod stream_move;
 mod watch;
 
 pub use config_poll::ConfigPoll;
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -22,8 +22,8 @@
     attempt::{AttemptError, ResponseHead, time_until},
     call::Call,
     endpoint::{Permit, Silence},
-    replacement::StreamPosition,
     reply::ReplyBody,
+    stream_move::stall_name,
 };
 
 /// How often a silent call is checked for a stall.
@@ -31,30 +31,30 @@
 
 /// Relays a stream from an endpoint to its caller.
 pub(crate) struct StreamRelay<D: Dialect> {
-    call: Arc<Call<D>>,
-    permit: Option<Permit>,
+    pub(crate) call: Arc<Call<D>>,
+    pub(crate) permit: Option<Permit>,
     /// Dropped and thus closed with the relay, unless the stream has ended.
-    connection: Option<Connection>,
+    pub(crate) connection: Option<Connection>,
     /// The endpoint's idle timeout of the connection, if it announces one.
-    keep_alive: Option<Duration>,
-    body: Incoming,
-    events: SequencedEvents,
-    last_event_at: Instant,
+    pub(crate) keep_alive: Option<Duration>,
+    pub(crate) body: Incoming,
+    pub(crate) events: SequencedEvents,
+    pub(crate) last_event_at: Instant,
     /// When the caller was last sent events, or its call arrived.
-    sent_at: Instant,
+    pub(crate) sent_at: Instant,
     /// When the current attempt was sent.
-    attempt_sent_at: Instant,
+    pub(crate) attempt_sent_at: Instant,
     /// Whether the caller was sent events. It has a response then, and leaves by itself.
-    has_begun: bool,
+    pub(crate) has_begun: bool,
     /// Whether the current endpoint has sent events, so that the gap before the next one counts.
-    has_events: bool,
+    pub(crate) has_events: bool,
     /// Whether the current silence of the endpoint was recorded as a stall.
-    is_stalled: bool,
+    pub(crate) is_stalled: bool,
     /// Whether the current silence of the endpoint has lasted for the caller's idle timeout.
-    is_overdue: bool,
+    pub(crate) is_overdue: bool,
     /// Whether the current endpoint has survived the beginning of the answer.
-    has_survived: bool,
-    is_done: bool,
+    pub(crate) has_survived: bool,
+    pub(crate) is_done: bool,
 }
 
 /// Result of reading from a stream.
@@ -86,13 +86,6 @@
     }
 }
 
-fn stall_name(stall: Stall) -> &'static str {
-    match stall {
-        Stall::Endpoint => "endpoint stalled",
-        Stall::Group => "group stalled",
-    }
-}
-
 impl<D: Dialect> StreamRelay<D> {
     pub(crate) fn new(call: Arc<Call<D>>, head: ResponseHead) -> StreamRelay<D> {
         let events = SequencedEvents::resume_after(call.head.last_event);
@@ -194,8 +187,8 @@
                     self.release_connection();
                     return None;
                 }
-                Read::Overdue => unreachable!("a stream that has begun is not ended by a silence"),
-                Read::TimedOut => {
+                // A stream that has begun is never overdue.
+                Read::Overdue | Read::TimedOut => {
                     self.finish("timed out mid-stream");
                     return Some(Err(aborted("deadline exceeded")));
                 }
@@ -269,14 +262,14 @@
         }
     }
 
-    fn phase(&self) -> CallPhase {
+    pub(crate) fn phase(&self) -> CallPhase {
         match self.has_events {
             true => CallPhase::Running,
             false => CallPhase::Beginning,
         }
     }
 
-    fn record_outcome(&self, outcome: CallOutcome) {
+    pub(crate) fn record_outcome(&self, outcome: CallOutcome) {
         if let Some(permit) = &self.permit {
             permit.record_outcome(outcome);
         }
@@ -351,31 +344,6 @@
         !self.has_begun
     }
 
-    /// Waits for a permit at another endpoint, outside of a group that has stalled.
-    fn wait_for_replacement(
-        &self,
-        stall: Stall,
-    ) -> impl Future<Output = Option<Permit>> + Send + use<D> {
-        let group = self.permit.as_ref().map(Permit::shared_group);
-        let excluded_group = group.filter(|_| stall == Stall::Group);
-        Arc::clone(&self.call).wait_for_replacement(excluded_group, self.sent_at)
-    }
-
-    /// Records once for each silence that the endpoint has stalled.
-    fn on_stalled(&mut self, stall: Stall) {
-        if self.is_stalled {
-            return;
-        }
-        self.is_stalled = true;
-        if stall == Stall::Endpoint {
-            self.record_outcome(CallOutcome::Unreachable);
-        }
-        log::info!(request = self.call.head.id.as_deref(), why = stall_name(stall),
-            endpoint = self.permit.as_ref().map(|permit| &*permit.endpoint.record.id),
-            silent_ms = self.last_event_at.elapsed().as_millis() as u64,
-            has_retry = self.call.service.has_retry(); "stream stalled");
-    }
-
     /// Records once that the endpoint has survived the beginning of the answer.
     fn on_survived(&mut self) {
         if !self.has_survived {
@@ -399,84 +367,6 @@
         self.is_stalled = false;
         self.is_overdue = false;
     }
-
-    /// What has stalled under the stream, if the stream is resumable.
-    fn stall(&self) -> Option<Stall> {
-        let permit = self.permit.as_ref().filter(|_| self.is_resumable())?;
-        permit.stall(self.last_event_at.elapsed())
-    }
-
-    /// Whether the stream may be resumed elsewhere. A stream that may not is not canceled on a
-    /// stall.
-    fn is_resumable(&self) -> bool {
-        self.call.kind.is_retryable() && self.call.has_attempts_left()
-    }
-
-    /// Resumes a broken stream at another endpoint after the last event. Returns whether that
-    /// succeeds.
-    async fn resume(&mut self, why: &'static str) -> bool {
-        if !self.is_resumable() {
-            return false;
-        }
-        self.detach();
-        let head = self.call.resume(self.position(), why, None).await;
-        self.attach(head)
-    }
-
-    /// Moves the stream to another endpoint once a connection to that one is open; until then it
-    /// goes on where it is. Returns false if the stream is lost.
-    async fn move_to(&mut self, permit: Permit, why: &'static str) -> bool {
-        let Ok(opened) = self.call.open(permit, Some(self.sent_at)).await else { return true };
-        log::info!(request = self.call.head.id.as_deref(), why,
-            endpoint = self.permit.as_ref().map(|permit| &*permit.endpoint.record.id),
-            last_event = self.events.last_id(),
-            silent_ms = self.last_event_at.elapsed().as_millis() as u64; "stream moved");
-        if let Some(permit) = &self.permit {
-            permit.on_canceled(&self.call.identity, self.phase());
-        }
-        self.detach();
-        let head = self.call.resume(self.position(), why, Some(opened)).await;
-        self.attach(head)
-    }
-
-    fn position(&self) -> StreamPosition {
-        StreamPosition { last_event: self.events.last_id(), sent_at: self.sent_at }
-    }
-
-    /// Moves the stream if its endpoint is slow and another one takes it now. Each stream at a slow
-    /// rank delays all streams of its group. Returns false if the stream is lost.
-    async fn leave_slow_endpoint(&mut self) -> bool {
-        let is_slow = self.permit.as_ref().is_some_and(Permit::is_slow);
-        let elsewhere = (is_slow && self.is_resumable()).then(|| self.call.try_replace(None));
-        match elsewhere.flatten() {
-            Some(permit) => self.move_to(permit, "endpoint slow").await,
-            None => true,
-        }
-    }
-
-    /// Closes the old connection before the stream is resumed, so that the call never runs twice
-    /// at a time.
-    fn detach(&mut self) {
-        self.connection = None;
-        self.permit = None;
-        self.events.discard_partial();
-    }
-
-    /// Continues with the response of another endpoint. Returns whether there is one.
-    fn attach(&mut self, head: Option<ResponseHead>) -> bool {
-        let Some(head) = head else { return false };
-        self.permit = Some(head.permit);
-        self.connection = Some(head.connection);
-        self.keep_alive = head.metadata.keep_alive;
-        self.body = head.body;
-        self.attempt_sent_at = head.sent_at;
-        self.last_event_at = Instant::now();
-        self.has_events = false;
-        self.is_stalled = false;
-        self.is_overdue = false;
-        self.has_survived = false;
-        true
-    }
 }
 
 impl<D: Dialect> Drop for StreamRelay<D> {
--- /dev/null
+++ b/crates/direct/src/stream_move.rs
@@ -0,0 +1,122 @@
+//! Moves a stream to another endpoint: away from a silent or slow one, or after it broke.
+
+use std::{sync::Arc, time::Instant};
+
+use lynxmount_core::adapter::Dialect;
+use lynxmount_policy::{CallOutcome, Stall};
+
+use crate::{
+    attempt::ResponseHead, endpoint::Permit, replacement::StreamPosition, stream::StreamRelay,
+};
+
+pub(crate) fn stall_name(stall: Stall) -> &'static str {
+    match stall {
+        Stall::Endpoint => "endpoint stalled",
+        Stall::Group => "group stalled",
+    }
+}
+
+impl<D: Dialect> StreamRelay<D> {
+    /// Waits for a permit at another endpoint, outside of a group that has stalled.
+    pub(crate) fn wait_for_replacement(
+        &self,
+        stall: Stall,
+    ) -> impl Future<Output = Option<Permit>> + Send + use<D> {
+        let group = self.permit.as_ref().map(Permit::shared_group);
+        let excluded_group = group.filter(|_| stall == Stall::Group);
+        Arc::clone(&self.call).wait_for_replacement(excluded_group, self.sent_at)
+    }
+
+    /// Records once for each silence that the endpoint has stalled.
+    pub(crate) fn on_stalled(&mut self, stall: Stall) {
+        if self.is_stalled {
+            return;
+        }
+        self.is_stalled = true;
+        if stall == Stall::Endpoint {
+            self.record_outcome(CallOutcome::Unreachable);
+        }
+        log::info!(request = self.call.head.id.as_deref(), why = stall_name(stall),
+            endpoint = self.permit.as_ref().map(|permit| &*permit.endpoint.record.id),
+            silent_ms = self.last_event_at.elapsed().as_millis() as u64,
+            has_retry = self.call.service.has_retry(); "stream stalled");
+    }
+
+    /// What has stalled under the stream, if the stream is resumable.
+    pub(crate) fn stall(&self) -> Option<Stall> {
+        let permit = self.permit.as_ref().filter(|_| self.is_resumable())?;
+        permit.stall(self.last_event_at.elapsed())
+    }
+
+    /// Whether the stream may be resumed elsewhere. A stream that may not is not canceled on a
+    /// stall.
+    pub(crate) fn is_resumable(&self) -> bool {
+        self.call.kind.is_retryable() && self.call.has_attempts_left()
+    }
+
+    /// Resumes a broken stream at another endpoint after the last event. Returns whether that
+    /// succeeds.
+    pub(crate) async fn resume(&mut self, why: &'static str) -> bool {
+        if !self.is_resumable() {
+            return false;
+        }
+        self.detach();
+        let head = self.call.resume(self.position(), why, None).await;
+        self.attach(head)
+    }
+
+    /// Moves the stream to another endpoint once a connection to that one is open; until then it
+    /// goes on where it is. Returns false if the stream is lost.
+    pub(crate) async fn move_to(&mut self, permit: Permit, why: &'static str) -> bool {
+        let Ok(opened) = self.call.open(permit, Some(self.sent_at)).await else { return true };
+        log::info!(request = self.call.head.id.as_deref(), why,
+            endpoint = self.permit.as_ref().map(|permit| &*permit.endpoint.record.id),
+            last_event = self.events.last_id(),
+            silent_ms = self.last_event_at.elapsed().as_millis() as u64; "stream moved");
+        if let Some(permit) = &self.permit {
+            permit.on_canceled(&self.call.identity, self.phase());
+        }
+        self.detach();
+        let head = self.call.resume(self.position(), why, Some(opened)).await;
+        self.attach(head)
+    }
+
+    fn position(&self) -> StreamPosition {
+        StreamPosition { last_event: self.events.last_id(), sent_at: self.sent_at }
+    }
+
+    /// Moves the stream if its endpoint is slow and another one takes it now. Each stream at a slow
+    /// rank delays all streams of its group. Returns false if the stream is lost.
+    pub(crate) async fn leave_slow_endpoint(&mut self) -> bool {
+        let is_slow = self.permit.as_ref().is_some_and(Permit::is_slow);
+        let elsewhere = (is_slow && self.is_resumable()).then(|| self.call.try_replace(None));
+        match elsewhere.flatten() {
+            Some(permit) => self.move_to(permit, "endpoint slow").await,
+            None => true,
+        }
+    }
+
+    /// Closes the old connection before the stream is resumed, so that the call never runs twice
+    /// at a time.
+    fn detach(&mut self) {
+        self.connection = None;
+        self.permit = None;
+        self.events.discard_partial();
+    }
+
+    /// Continues with the response of another endpoint. Returns whether there is one.
+    fn attach(&mut self, head: Option<ResponseHead>) -> bool {
+        let Some(head) = head else { return false };
+        self.permit = Some(head.permit);
+        self.connection = Some(head.connection);
+        self.keep_alive = head.metadata.keep_alive;
+        self.body = head.body;
+        self.attempt_sent_at = head.sent_at;
+        self.last_event_at = Instant::now();
+        self.has_events = false;
+        self.is_stalled = false;
+        self.is_overdue = false;
+        self.has_survived = false;
+        true
+    }
+}
