A replacement has its connection before the running attempt ends, and its slot is certain

It moves now only where a slot is certain: owned, within this entry's even share, or free by a recent report; or if a further attempt is left. - Lookups and calls without a first event were given up before the connection of the next attempt was open; a stream was not read while its next connection opened. Both go on beside it now, and the retry is withdrawn last, so that a failed connection costs none. - A call without a first event that moved had no bound any more, and kept its first endpoint's head. It goes back to the retry loop, with its replacement. - A lookup at an endpoint that fell silent after it had answered others waited until its deadline, so that its caller had no time to repeat it. Ended once the endpoint has been silent to all calls for 1 s. - A granted replacement was dropped if it came with the last search. Permits are no longer acquired to be dropped: the choice is checked before it is granted. The replaced test compares the events received before the caller left.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -1,8 +1,12 @@
 //! Sends a single attempt of a call to an endpoint and reads its response.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
+use futures::future::BoxFuture;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -18,11 +22,14 @@
     reply::ReplyBody,
     response_buffer::{BodyError, read_body},
     response_head::{HeadError, wait_for_head},
-    stream::STALL_CHECK_PERIOD,
 };
 
 /// Minimum time for an attempt; no engine reads a prompt in less.
-const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(100);
+pub(crate) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(100);
+
+/// Opens a replacement for a running attempt, outside of a group.
+pub(crate) type OpenReplacement<'a> =
+    dyn Fn(Option<Arc<str>>) -> BoxFuture<'a, Option<OpenAttempt>> + Send + Sync + 'a;
 
 /// The part of an attempt that does not depend on its endpoint.
 pub(crate) struct AttemptRequest<'a> {
@@ -38,8 +45,8 @@
     pub(crate) is_stream: bool,
     /// When a call that is not a stream may be replaced, so that there is time for the retry.
     pub(crate) replaceable_at: Option<Instant>,
-    /// Grants a permit and a retry that replace this attempt, outside of a group that has stalled.
-    pub(crate) try_replace: &'a (dyn Fn(Option<&str>) -> Option<Permit> + Send + Sync),
+    /// Opens the attempt that replaces this one, outside of a group that has stalled.
+    pub(crate) open_replacement: &'a OpenReplacement<'a>,
     /// When the caller must get a response if the endpoint is silent until then.
     pub(crate) overdue_at: Option<Instant>,
     /// When the caller must get a response even if the endpoint responds to other calls.
@@ -74,8 +81,8 @@
     Responded(Response<ReplyBody>),
     /// No usable response.
     Error(AttemptError),
-    /// It was given up for another one, which has a permit and a retry.
-    Replaced(AttemptError, Permit),
+    /// It was given up for another one, which may be sent at once.
+    Replaced(AttemptError, OpenAttempt),
     /// A failure response of the endpoint; the call may be retried elsewhere.
     Failed(CompleteResponse),
 }
@@ -84,15 +91,15 @@
 pub(crate) enum AttemptFailure {
     /// There is no usable response.
     Error(AttemptError),
-    /// It was given up for another one, which has a permit and a retry.
-    Replaced(AttemptError, Permit),
+    /// It was given up for another one, which may be sent at once.
+    Replaced(AttemptError, OpenAttempt),
 }
 
 impl From<AttemptFailure> for AttemptResult {
     fn from(failure: AttemptFailure) -> AttemptResult {
         match failure {
             AttemptFailure::Error(error) => AttemptResult::Error(error),
-            AttemptFailure::Replaced(error, permit) => AttemptResult::Replaced(error, permit),
+            AttemptFailure::Replaced(error, next) => AttemptResult::Replaced(error, next),
         }
     }
 }
@@ -141,18 +148,17 @@
 /// Fails if nothing can be sent.
 pub(crate) async fn open(
     mut permit: Permit,
-    outgoing: &AttemptRequest<'_>,
+    id: Option<&str>,
+    may_reuse: bool,
+    overdue_at: Option<Instant>,
 ) -> Result<OpenAttempt, AttemptError> {
-    let address = permit.endpoint.record.address;
-    let may_reuse =
-        outgoing.is_retryable && (!outgoing.is_stream || permit.endpoint.has_sent_recently());
-    let connection = permit.endpoint.pool.connect(address, may_reuse).await;
+    let connection = permit.endpoint.pool.connect(permit.endpoint.record.address, may_reuse).await;
     let connection = connection.map_err(|error| {
-        log::info!(request = outgoing.id, error:% = error; "attempt not sent");
+        log::info!(request = id, error:% = error; "attempt not sent");
         permit.record_outcome(CallOutcome::Unreachable);
         AttemptError::Unreachable
     })?;
-    if outgoing.overdue_at.is_some_and(|at| time_until(at) < MIN_ATTEMPT_TIME) {
+    if overdue_at.is_some_and(|at| time_until(at) < MIN_ATTEMPT_TIME) {
         permit.endpoint.pool.release(connection, None);
         return Err(AttemptError::TooLate);
     }
@@ -222,14 +228,14 @@
 }
 
 /// An attempt whose response head has not arrived; records its cancellation.
-struct PendingHead<'a> {
+struct PendingHead<'a, 'o> {
     permit: &'a Permit,
-    outgoing: &'a AttemptRequest<'a>,
+    outgoing: &'a AttemptRequest<'o>,
     sent_at: Instant,
     is_done: bool,
 }
 
-impl Drop for PendingHead<'_> {
+impl Drop for PendingHead<'_, '_> {
     fn drop(&mut self) {
         if self.is_done {
             return;
@@ -308,17 +314,10 @@
 }
 
 impl ResponseHead {
-    /// Reads the complete body. From `replaceable_at` on, another attempt replaces this one if
-    /// `try_replace` grants it.
+    /// Reads the complete body.
     ///
-    /// Fails if the body is truncated, does not arrive before the deadline, or is given up for
-    /// another attempt.
-    pub(crate) async fn collect(
-        self,
-        deadline: Instant,
-        replaceable_at: Option<Instant>,
-        try_replace: impl Fn() -> Option<Permit>,
-    ) -> Result<CompleteResponse, AttemptFailure> {
+    /// Fails if the body is truncated or does not arrive before the deadline.
+    pub(crate) async fn collect(self, deadline: Instant) -> Result<CompleteResponse, AttemptError> {
         let ResponseHead {
             permit,
             connection,
@@ -330,24 +329,9 @@
             headers,
             body,
         } = self;
-        let mut reading = std::pin::pin!(read_body(body, permit.response_budget()));
-        let mut check_at = replaceable_at.unwrap_or(deadline).min(deadline);
-        let result = loop {
-            if let Ok(result) = tokio::time::timeout(time_until(check_at), &mut reading).await {
-                break result;
-            }
-            let replacement = if time_until(deadline).is_zero() { None } else { try_replace() };
-            if replacement.is_some() || time_until(deadline).is_zero() {
-                permit.record_outcome(CallOutcome::Unreachable);
-                return Err(match replacement {
-                    Some(permit) => AttemptFailure::Replaced(AttemptError::TimedOut, permit),
-                    None => AttemptFailure::Error(AttemptError::TimedOut),
-                });
-            }
-            check_at = (Instant::now() + STALL_CHECK_PERIOD).min(deadline);
-        };
-        match result {
-            Ok(body) => {
+        let budget = permit.response_budget();
+        match tokio::time::timeout(time_until(deadline), read_body(body, budget)).await {
+            Ok(Ok(body)) => {
                 let is_failure = status.is_server_error();
                 permit.record_outcome(if is_failure {
                     CallOutcome::Failed
@@ -358,15 +342,19 @@
                 Ok(CompleteResponse { status, headers, body })
             }
             // The connection closes with the attempt, as the rest of the body may be endless.
-            Err(BodyError::TooLarge) => {
+            Ok(Err(BodyError::TooLarge)) => {
                 permit.record_outcome(CallOutcome::Failed);
                 permit.on_oversized_response();
-                Err(AttemptError::Lost.into())
+                Err(AttemptError::Lost)
             }
-            Err(BodyError::Disconnected) => {
+            Ok(Err(BodyError::Disconnected)) => {
                 permit.record_outcome(CallOutcome::Failed);
                 permit.on_disconnect(&call, CallPhase::Beginning, last_received_at);
-                Err(AttemptError::Lost.into())
+                Err(AttemptError::Lost)
+            }
+            Err(_) => {
+                permit.record_outcome(CallOutcome::Unreachable);
+                Err(AttemptError::TimedOut)
             }
         }
     }
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -9,6 +9,7 @@
 };
 
 use bytes::Bytes;
+use futures::future::BoxFuture;
 use http::{Method, Response, header, request::Parts};
 use lynxmount_core::{
     CallIdentity, CallKind, Clock, EndpointId, RouteId, TeamId,
@@ -22,10 +23,11 @@
 use crate::{
     attempt::{
         AttemptError, AttemptFailure, AttemptRequest, AttemptResult, CompleteResponse, OpenAttempt,
-        ResponseHead, open, send, time_until,
+        OpenReplacement, ResponseHead, open, send, time_until,
     },
     attempt_history::{AttemptHistory, attempt_counter},
     endpoint::Permit,
+    replacement::RunningAttempt,
     reply::{Refusal, ReplyBody, full_body},
     service::{PermitRequest, Service, Unavailable},
     stream::StreamRelay,
@@ -67,32 +69,37 @@
     pub(crate) tried: Mutex<Vec<EndpointId>>,
 }
 
+/// What the next attempt of a call starts from.
+enum NextAttempt {
+    Open(OpenAttempt),
+    Permitted(Permit),
+}
+
 impl<D: Dialect> Call<D> {
     /// Makes attempts until there is a response or no retry is allowed.
     pub(crate) async fn run(self: &Arc<Call<D>>) -> Result<Response<ReplyBody>, Refusal> {
         let mut history = AttemptHistory::default();
         let mut replacement = None;
         loop {
-            let permit = match replacement.take() {
-                Some(permit) => Ok(permit),
-                None => self.acquire_permit(self.queue_time(), self.arrived_at).await,
+            let next = match replacement.take() {
+                Some(opened) => NextAttempt::Open(opened),
+                None => match self.acquire_permit(self.queue_time(), self.arrived_at).await {
+                    Ok(permit) => NextAttempt::Permitted(permit),
+                    Err(unavailable) => {
+                        let refusal = self.refusal_for(unavailable, history.may_have_run);
+                        return self.failure_or_refusal(history, refusal);
+                    }
+                },
             };
-            let permit = match permit {
-                Ok(permit) => permit,
-                Err(unavailable) => {
-                    let refusal = self.refusal_for(unavailable, history.may_have_run);
-                    return self.failure_or_refusal(history, refusal);
-                }
-            };
-            let error = match self.attempt(permit).await {
+            let error = match self.attempt(next).await {
                 AttemptResult::Responded(response) => return Ok(response),
                 AttemptResult::Failed(response) => {
                     history.failure = Some(response);
                     AttemptError::Lost
                 }
                 AttemptResult::Error(error) => error,
-                AttemptResult::Replaced(error, permit) => {
-                    replacement = Some(permit);
+                AttemptResult::Replaced(error, opened) => {
+                    replacement = Some(opened);
                     error
                 }
             };
@@ -177,36 +184,37 @@
 
     /// Makes an attempt, and cancels it if the call is quarantined meanwhile: copies of a poison
     /// request may be queued in a stalled group, and each would stall the group again.
-    async fn attempt(self: &Arc<Call<D>>, permit: Permit) -> AttemptResult {
+    async fn attempt(self: &Arc<Call<D>>, next: NextAttempt) -> AttemptResult {
         tokio::select! {
             biased;
             _ = self.quarantine.wait_until_quarantined(&self.identity) => {
                 AttemptResult::Error(AttemptError::Quarantined)
             }
-            result = self.attempt_at(permit) => result,
+            result = self.run_attempt(next) => result,
         }
     }
 
-    async fn attempt_at(self: &Arc<Call<D>>, permit: Permit) -> AttemptResult {
-        let waiting_since = Some(self.arrived_at);
-        let opened = match self.open(permit, waiting_since).await {
+    async fn run_attempt(self: &Arc<Call<D>>, next: NextAttempt) -> AttemptResult {
+        let opened = match next {
+            NextAttempt::Open(opened) => Ok(opened),
+            NextAttempt::Permitted(permit) => self.open(permit, Some(self.arrived_at)).await,
+        };
+        let opened = match opened {
             Ok(opened) => opened,
             Err(error) => return AttemptResult::Error(error),
         };
-        let head = match self.send(opened, self.head.last_event, waiting_since).await {
+        let head = match self.send(opened, self.head.last_event, Some(self.arrived_at)).await {
             Ok(head) => head,
             Err(failure) => return failure.into(),
         };
         if self.kind.is_stream() && head.status.is_success() {
             let result = self.start_stream(head).await;
-            return result.map_or_else(AttemptResult::Error, AttemptResult::Responded);
+            return result.map_or_else(AttemptResult::from, AttemptResult::Responded);
         }
         let endpoint = EndpointId::clone(&head.permit.endpoint.record.id);
-        let collected =
-            head.collect(self.deadline, self.replaceable_at(), || self.try_replace(None)).await;
-        let response = match collected {
+        let response = match head.collect(self.deadline).await {
             Ok(response) => response,
-            Err(failure) => return failure.into(),
+            Err(error) => return AttemptResult::Error(error),
         };
         // Whatever the response is, the endpoint has survived the call.
         self.record_survival();
@@ -235,9 +243,13 @@
         permit: Permit,
         waiting_since: Option<Instant>,
     ) -> Result<OpenAttempt, AttemptError> {
-        self.tried.lock().push(EndpointId::clone(&permit.endpoint.record.id));
-        let try_replace = |group: Option<&str>| self.try_replace(group);
-        open(permit, &self.attempt_request(waiting_since, &try_replace)).await
+        let endpoint = &permit.endpoint;
+        self.tried.lock().push(EndpointId::clone(&endpoint.record.id));
+        let may_reuse =
+            self.kind.is_retryable() && (!self.kind.is_stream() || endpoint.has_sent_recently());
+        let overdue_in = waiting_since.and_then(|since| self.remaining_idle_time(since));
+        let overdue_at = overdue_in.map(|time| Instant::now() + time);
+        open(permit, self.head.id.as_deref(), may_reuse, overdue_at).await
     }
 
     /// Sends the call to an endpoint. A stream starts after `last_event`; `waiting_since` is when
@@ -262,8 +274,12 @@
             last_event,
             priority: None,
         };
-        let try_replace = |group: Option<&str>| self.try_replace(group);
-        let outgoing = self.attempt_request(waiting_since, &try_replace);
+        let sent_at = waiting_since.unwrap_or_else(Instant::now);
+        let open_replacement = |excluded_group: Option<Arc<str>>| -> BoxFuture<'_, _> {
+            let running = RunningAttempt { excluded_group, sent_at, has_begun: false };
+            Box::pin(self.open_replacement(running))
+        };
+        let outgoing = self.attempt_request(waiting_since, &open_replacement);
         // Counted before it ends, as it may be replaced while it runs.
         self.attempts.fetch_add(1, Ordering::Relaxed);
         let result = send(&*self.dialect, opened, &outgoing, context, self.deadline).await;
@@ -277,7 +293,7 @@
     fn attempt_request<'a>(
         &'a self,
         waiting_since: Option<Instant>,
-        try_replace: &'a (dyn Fn(Option<&str>) -> Option<Permit> + Send + Sync),
+        open_replacement: &'a OpenReplacement<'a>,
     ) -> AttemptRequest<'a> {
         let overdue_in = waiting_since.and_then(|since| self.remaining_idle_time(since));
         AttemptRequest {
@@ -290,7 +306,7 @@
             is_retryable: self.kind.is_retryable(),
             is_stream: self.kind.is_stream(),
             replaceable_at: self.replaceable_at(),
-            try_replace,
+            open_replacement,
             final_response_at: waiting_since.and_then(|since| self.final_response_at(since)),
             overdue_at: overdue_in.map(|time| Instant::now() + time),
         }
@@ -299,7 +315,7 @@
     async fn start_stream(
         self: &Arc<Call<D>>,
         head: ResponseHead,
-    ) -> Result<Response<ReplyBody>, AttemptError> {
+    ) -> Result<Response<ReplyBody>, AttemptFailure> {
         let mut response = Response::new(());
         *response.status_mut() = head.status;
         *response.headers_mut() = self.dialect.response_headers(&head.headers);
--- a/crates/direct/src/call_times.rs
+++ b/crates/direct/src/call_times.rs
@@ -65,7 +65,7 @@
     }
 
     /// Whether the call has attempts left after the next one.
-    fn has_retry_left(&self) -> bool {
+    pub(crate) fn has_retry_left(&self) -> bool {
         self.attempts.load(Ordering::Relaxed) + 1 < self.max_attempts
     }
 
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -28,6 +28,9 @@
 /// connection, an endpoint that was frozen sees the connection's reset before it reads the request.
 const MAX_REUSE_SILENCE: Duration = Duration::from_millis(250);
 
+/// Silence to all calls after which a plain endpoint counts as down.
+const DOWN_AFTER: Duration = Duration::from_secs(1);
+
 /// An endpoint that accepts calls.
 pub(crate) struct Endpoint {
     pub(crate) record: EndpointRecord,
@@ -144,6 +147,14 @@
         is_current.then_some(load.own_running + load.others_running)
     }
 
+    /// Whether one more call is certain to find a slot: one of those that this entry owns, or else
+    /// of its even share, or one that is free by a recent report.
+    pub(crate) fn has_certain_slot(&self, slots: u32, even_share: u32) -> bool {
+        let own_slots = self.load.lock().own_slots.map_or(even_share, |own| own.count);
+        self.own_running() < own_slots
+            || self.total_running().is_some_and(|running| running < slots)
+    }
+
     /// Sets the group in which the endpoint is a rank.
     pub(crate) fn set_group(&self, group: &Arc<str>) {
         self.load.lock().group = Some(Arc::clone(group));
@@ -155,7 +166,7 @@
         self.load.lock().slow_until = now + SLOW_NOTICE_TTL;
     }
 
-    fn is_slow(&self, now: Duration) -> bool {
+    pub(crate) fn is_slow(&self, now: Duration) -> bool {
         now < self.load.lock().slow_until
     }
 
@@ -305,6 +316,12 @@
         self.endpoint.load.lock().liveness.silent_for(self.service.now())
     }
 
+    /// Whether the endpoint has been silent to all calls since one was sent, or for so long that it
+    /// seems to be down.
+    pub(crate) fn is_unresponsive(&self, sent_at: Instant) -> bool {
+        self.silent_for() >= sent_at.elapsed().min(DOWN_AFTER)
+    }
+
     /// What has stalled, if a call that has received nothing for `silence` should be rerouted.
     pub(crate) fn stall(&self, silence: Duration) -> Option<Stall> {
         let is_better_elsewhere = self.service.is_better_elsewhere(&self.group);
--- a/crates/direct/src/replacement.rs
+++ b/crates/direct/src/replacement.rs
@@ -1,26 +1,23 @@
 //! Replaces attempts that may still succeed, and resumes streams that broke.
 //!
-//! The retry and the permit of the next attempt are granted before a running one is given up;
-//! without them it goes on.
+//! The next attempt has its permit, its connection and its retry before a running one is given up;
+//! without them the running one goes on.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Instant};
 
-use futures::FutureExt;
 use lynxmount_core::adapter::Dialect;
 
 use crate::{
-    attempt::{AttemptError, AttemptFailure, OpenAttempt, ResponseHead},
+    attempt::{AttemptError, AttemptFailure, MIN_ATTEMPT_TIME, OpenAttempt, ResponseHead},
     attempt_history::attempt_counter,
     call::Call,
     call_times::QUEUE_TIME_FRACTION,
     endpoint::Permit,
+    service::Search,
 };
 
-/// Maximum number of attempts to resume a stream after it broke once.
-const MAX_RESUME_ATTEMPTS: u32 = 3;
+/// How often an endpoint is searched for after a stream broke once.
+const MAX_RESUME_SEARCHES: u32 = 3;
 
 /// Position from which a stream is resumed.
 #[derive(Clone, Copy, Debug)]
@@ -31,48 +28,48 @@
     pub(crate) sent_at: Instant,
 }
 
-impl<D: Dialect> Call<D> {
-    /// A permit and a retry that replace a running attempt, if they are available now.
-    pub(crate) fn try_replace(&self, excluded_group: Option<&str>) -> Option<Permit> {
-        if !self.may_replace() {
-            return None;
-        }
-        let permit = self.acquire_permit(Duration::ZERO, Instant::now()).now_or_never()?.ok()?;
-        self.withdraw_retry_for(permit, excluded_group)
-    }
+/// An attempt that is to be replaced.
+#[derive(Clone, Debug)]
+pub(crate) struct RunningAttempt {
+    /// Its group, if that has stalled.
+    pub(crate) excluded_group: Option<Arc<str>>,
+    /// When the caller was last sent something, or its call arrived.
+    pub(crate) sent_at: Instant,
+    /// Whether the caller was sent a part of the response.
+    pub(crate) has_begun: bool,
+}
 
-    /// Waits for a permit and a retry that replace a running attempt of a stream whose caller was
-    /// last sent something at `sent_at`; `None` if they are not available in time.
-    pub(crate) async fn wait_for_replacement(
-        self: Arc<Call<D>>,
-        excluded_group: Option<Arc<str>>,
-        sent_at: Instant,
-    ) -> Option<Permit> {
-        if !self.may_replace() {
+impl<D: Dialect> Call<D> {
+    /// Opens an attempt elsewhere and withdraws a retry for it, to replace an attempt that still
+    /// runs; `None` if that is not possible now.
+    pub(crate) async fn open_replacement(&self, running: RunningAttempt) -> Option<OpenAttempt> {
+        let RunningAttempt { excluded_group, sent_at, has_begun } = running;
+        if !self.may_replace(sent_at) {
             return None;
         }
-        let max_wait = self.goal.mul_f64(QUEUE_TIME_FRACTION);
-        let permit = self.acquire_permit(max_wait, sent_at).await.ok()?;
-        self.withdraw_retry_for(permit, excluded_group.as_deref())
+        let tried = self.tried.lock().clone();
+        let search = Search {
+            tried: &tried,
+            excluded_group: excluded_group.as_deref(),
+            // A refusal of the last attempt would truncate the response.
+            is_slot_certain: has_begun && !self.has_retry_left(),
+        };
+        let permit = self.service.acquire_elsewhere(search)?;
+        let opened = self.open(permit, Some(sent_at)).await.ok()?;
+        self.service.withdraw_retry().then_some(opened)
     }
 
-    /// Whether a retry is allowed now. A call that may have crashed endpoints stays where it is.
-    fn may_replace(&self) -> bool {
+    /// Whether a retry is allowed now and in time. A call that may have crashed endpoints stays
+    /// where it is.
+    fn may_replace(&self, sent_at: Instant) -> bool {
+        let idle_time = self.remaining_idle_time(sent_at);
         self.can_retry()
+            && idle_time.is_none_or(|time| time >= MIN_ATTEMPT_TIME)
             && self.quarantine.quarantined_for(&self.identity).is_none()
             && self.quarantine.remaining_hold(&self.identity.fingerprint).is_none()
             && self.service.has_retry()
     }
 
-    /// Withdraws the retry for an attempt with a permit, if that attempt is likely to be better off
-    /// than the running one.
-    fn withdraw_retry_for(&self, permit: Permit, excluded_group: Option<&str>) -> Option<Permit> {
-        let was_tried = self.tried.lock().contains(&permit.endpoint.record.id);
-        let is_excluded = excluded_group.is_some_and(|group| group == permit.group());
-        let is_better = !was_tried && !is_excluded && !permit.is_slow();
-        (is_better && self.service.withdraw_retry()).then_some(permit)
-    }
-
     /// Resumes a stream elsewhere, first with the attempt that is open already, if any; `None` if
     /// that is not possible.
     pub(crate) async fn resume(
@@ -94,11 +91,15 @@
         why: &str,
         mut opened: Option<OpenAttempt>,
     ) -> Option<ResponseHead> {
-        let mut replacement = None;
-        for _ in 0..MAX_RESUME_ATTEMPTS {
+        let mut searches = 0;
+        loop {
             let attempt = match opened.take() {
                 Some(attempt) => Ok(attempt),
-                None => self.open_resumption(position, why, replacement.take()).await,
+                None if searches == MAX_RESUME_SEARCHES => return None,
+                None => {
+                    searches += 1;
+                    self.open_resumption(position, why).await
+                }
             };
             let resumed = match attempt {
                 Ok(attempt) => self.resume_at(attempt, position).await,
@@ -110,28 +111,21 @@
                     return None;
                 }
                 Err(AttemptFailure::Error(error)) => error,
-                Err(AttemptFailure::Replaced(error, permit)) => {
-                    replacement = Some(permit);
+                Err(AttemptFailure::Replaced(error, replacement)) => {
+                    opened = Some(replacement);
                     error
                 }
             };
             self.metrics.count(attempt_counter(error));
         }
-        None
     }
 
-    /// Opens an attempt that resumes a stream, with the replacement that was granted or else a
-    /// new retry.
     async fn open_resumption(
         &self,
         position: StreamPosition,
         why: &str,
-        replacement: Option<Permit>,
     ) -> Result<OpenAttempt, AttemptError> {
-        let permit = match replacement {
-            Some(permit) => permit,
-            None => self.acquire_resumption(position, why).await?,
-        };
+        let permit = self.acquire_resumption(position, why).await?;
         self.open(permit, Some(position.sent_at)).await
     }
 
--- a/crates/direct/src/response_head.rs
+++ b/crates/direct/src/response_head.rs
@@ -3,6 +3,10 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures::{
+    FutureExt,
+    future::{BoxFuture, Fuse, FusedFuture},
+};
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -10,7 +14,7 @@
 use lynxmount_policy::Stall;
 
 use crate::{
-    attempt::{AttemptError, AttemptRequest, time_until},
+    attempt::{AttemptError, AttemptRequest, OpenAttempt, time_until},
     endpoint::Permit,
     stream::STALL_CHECK_PERIOD,
 };
@@ -19,7 +23,7 @@
 pub(crate) enum HeadError {
     Disconnected(hyper::Error),
     Overdue,
-    Replaced(ReplaceCause, Permit),
+    Replaced(ReplaceCause, OpenAttempt),
     TimedOut,
 }
 
@@ -42,8 +46,8 @@
 
 /// Waits for the response head. A stream's head arrives with its first event.
 ///
-/// Fails if the connection breaks, the deadline or the caller's idle timeout is due, a slow call's
-/// endpoint is silent to all calls, or another attempt replaces this one.
+/// Fails if the connection breaks, the deadline or the caller's idle timeout is due, another attempt
+/// replaces this one, or none does and a slow call's endpoint is unresponsive.
 pub(crate) async fn wait_for_head(
     permit: &Permit,
     connection: &mut Connection,
@@ -57,9 +61,23 @@
         || permit.until_overdue(time_until(overdue_at)).min(time_until(final_response_at));
     let sent_at = Instant::now();
     let mut sending = std::pin::pin!(connection.send(request));
+    let replacement = Fuse::terminated();
+    tokio::pin!(replacement);
+    let mut cause = ReplaceCause::Slow;
     loop {
         let limit = time_until(deadline).min(until_overdue()).min(outgoing.next_check());
-        if let Ok(result) = tokio::time::timeout(limit, &mut sending).await {
+        let response = tokio::select! {
+            biased;
+            response = tokio::time::timeout(limit, &mut sending) => response,
+            next = &mut replacement => match next {
+                Some(next) => return Err(HeadError::Replaced(cause, next)),
+                None if cause == ReplaceCause::Slow && permit.is_unresponsive(sent_at) => {
+                    return Err(HeadError::TimedOut);
+                }
+                None => continue,
+            },
+        };
+        if let Ok(result) = response {
             return result.map_err(HeadError::Disconnected);
         }
         if time_until(deadline).is_zero() {
@@ -68,12 +86,10 @@
         if until_overdue().is_zero() {
             return Err(HeadError::Overdue);
         }
-        let Some(cause) = outgoing.replace_cause(permit, sent_at) else { continue };
-        if let Some(replacement) = outgoing.try_replace(cause, permit) {
-            return Err(HeadError::Replaced(cause, replacement));
-        }
-        if cause == ReplaceCause::Slow && permit.silent_for() >= sent_at.elapsed() {
-            return Err(HeadError::TimedOut);
+        let detected = outgoing.replace_cause(permit, sent_at);
+        if let Some(detected) = detected.filter(|_| replacement.is_terminated()) {
+            cause = detected;
+            replacement.set(outgoing.replacement(detected, permit).fuse());
         }
     }
 }
@@ -102,10 +118,12 @@
         }
     }
 
-    fn try_replace(&self, cause: ReplaceCause, permit: &Permit) -> Option<Permit> {
-        match cause {
-            ReplaceCause::Stalled(Stall::Group) => (self.try_replace)(Some(permit.group())),
-            ReplaceCause::Slow | ReplaceCause::Stalled(Stall::Endpoint) => (self.try_replace)(None),
-        }
+    fn replacement(
+        &self,
+        cause: ReplaceCause,
+        permit: &Permit,
+    ) -> BoxFuture<'_, Option<OpenAttempt>> {
+        let is_group_stalled = cause == ReplaceCause::Stalled(Stall::Group);
+        (self.open_replacement)(is_group_stalled.then(|| permit.shared_group()))
     }
 }
--- a/crates/direct/src/service/inner.rs
+++ b/crates/direct/src/service/inner.rs
@@ -19,7 +19,7 @@
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
-use super::{Grant, PermitRequest, Service, Unavailable};
+use super::{Grant, PermitRequest, Search, Service, Unavailable};
 use crate::endpoint::{Capacity, Endpoint, Permit};
 
 /// An entry's maximum share of an endpoint's slots, as a factor of its even share. It exceeds 1
@@ -290,6 +290,17 @@
         Some(f64::from(self.slots?) * ranks as f64 / self.entry_count() as f64)
     }
 
+    /// Whether a replacement may use an endpoint that was selected.
+    pub(super) fn meets(&self, index: usize, search: Search<'_>, now: Duration) -> bool {
+        let endpoint = &self.endpoints[index];
+        let slots = self.slots.unwrap_or(endpoint.record.slots);
+        let even_share = slots / self.entry_count() as u32;
+        !search.tried.contains(&endpoint.record.id)
+            && !endpoint.is_slow(now)
+            && search.excluded_group.is_none_or(|group| *group != *endpoint.group())
+            && (!search.is_slot_certain || endpoint.has_certain_slot(slots, even_share))
+    }
+
     /// Grants a permit at the selected endpoint.
     pub(super) fn grant(&mut self, index: usize, service: &Arc<Service>) -> Permit {
         self.selections += 1;
--- a/crates/direct/src/service/mod.rs
+++ b/crates/direct/src/service/mod.rs
@@ -38,6 +38,17 @@
     pub(crate) tried: &'a [EndpointId],
 }
 
+/// What a permit for a replacement must meet.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Search<'a> {
+    /// Endpoints that were selected for earlier attempts of the call.
+    pub(crate) tried: &'a [EndpointId],
+    /// A group that has stalled.
+    pub(crate) excluded_group: Option<&'a str>,
+    /// Whether the endpoint must be known to have a free slot.
+    pub(crate) is_slot_certain: bool,
+}
+
 /// Why no permit was granted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Unavailable {
@@ -229,6 +240,15 @@
         }
     }
 
+    /// Acquires a permit at an endpoint that the call has not tried, if one is free now. A call in
+    /// progress goes before those that wait.
+    pub(crate) fn acquire_elsewhere(self: &Arc<Service>, search: Search<'_>) -> Option<Permit> {
+        let now = self.now();
+        let mut inner = self.inner.lock();
+        let (Selection::Endpoint(index), _) = inner.select(search.tried, now) else { return None };
+        inner.meets(index, search, now).then(|| inner.grant(index, self))
+    }
+
     fn try_acquire(self: &Arc<Service>, request: PermitRequest<'_>) -> Result<Grant, Unavailable> {
         let now = self.now();
         let mut inner = self.inner.lock();
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -19,7 +19,7 @@
 use lynxmount_wire::{SequenceCheck, SequencedEvents};
 
 use crate::{
-    attempt::{AttemptError, ResponseHead, time_until},
+    attempt::{AttemptError, AttemptFailure, OpenAttempt, ResponseHead, time_until},
     call::Call,
     endpoint::{Permit, Silence},
     reply::ReplyBody,
@@ -63,8 +63,8 @@
     End,
     Events(Bytes),
     Overdue,
-    /// Another endpoint may take the stream, whose endpoint is silent.
-    Replaced(Stall, Permit),
+    /// Another endpoint takes the stream, whose endpoint is silent.
+    Replaced(Stall, OpenAttempt),
     TimedOut,
 }
 
@@ -112,17 +112,8 @@
     /// Waits for the first events. Until they arrive, the call can still be retried from its start.
     ///
     /// Fails if the stream breaks, or ends without an event.
-    pub(crate) async fn first_events(&mut self) -> Result<Bytes, AttemptError> {
-        let first = loop {
-            match self.read().await {
-                Read::Replaced(stall, permit) => {
-                    if !self.move_to(permit, stall_name(stall)).await {
-                        break Read::End;
-                    }
-                }
-                first => break first,
-            }
-        };
+    pub(crate) async fn first_events(&mut self) -> Result<Bytes, AttemptFailure> {
+        let first = self.read().await;
         // A stream that fails before its first event is logged as a failed attempt, not as a
         // finished call.
         self.is_done = !matches!(first, Read::Events(_));
@@ -133,19 +124,23 @@
             }
             Read::Overdue => {
                 self.on_overdue();
-                Err(AttemptError::Overdue)
+                Err(AttemptError::Overdue.into())
             }
             Read::TimedOut => {
                 self.record_outcome(CallOutcome::Unreachable);
-                Err(AttemptError::TimedOut)
+                Err(AttemptError::TimedOut.into())
             }
             Read::Broken(error) => {
                 self.on_broken(error);
-                Err(AttemptError::Lost)
+                Err(AttemptError::Lost.into())
             }
-            Read::End | Read::Replaced(..) => {
+            Read::End => {
                 self.on_broken(StreamError::Disconnected);
-                Err(AttemptError::Lost)
+                Err(AttemptError::Lost.into())
+            }
+            Read::Replaced(_, next) => {
+                self.on_canceled();
+                Err(AttemptFailure::Replaced(AttemptError::Stalled, next))
             }
         }
     }
@@ -172,8 +167,8 @@
                 return Some(Err(aborted("endpoint slow")));
             }
             match self.read().await {
-                Read::Replaced(stall, permit) => {
-                    if !self.move_to(permit, stall_name(stall)).await {
+                Read::Replaced(stall, next) => {
+                    if !self.move_to(next, stall_name(stall)).await {
                         self.finish("truncated mid-stream");
                         return Some(Err(aborted(stall_name(stall))));
                     }
@@ -256,12 +251,18 @@
     }
 
     fn on_overdue(&self) {
+        self.on_canceled();
         if let Some(permit) = &self.permit {
-            permit.on_canceled(&self.call.identity, self.phase());
             permit.on_overdue();
         }
     }
 
+    pub(crate) fn on_canceled(&self) {
+        if let Some(permit) = &self.permit {
+            permit.on_canceled(&self.call.identity, self.phase());
+        }
+    }
+
     pub(crate) fn phase(&self) -> CallPhase {
         match self.has_events {
             true => CallPhase::Running,
@@ -290,7 +291,7 @@
             let frame = tokio::select! {
                 biased;
                 frame = tokio::time::timeout(limit, self.body.frame()) => frame,
-                Some(permit) = &mut replacement => return Read::Replaced(stall, permit),
+                Some(next) = &mut replacement => return Read::Replaced(stall, next),
             };
             match frame {
                 Ok(Some(Ok(frame))) => {
@@ -322,7 +323,7 @@
                     self.on_stalled(detected);
                     if replacement.is_terminated() {
                         stall = detected;
-                        replacement.set(self.wait_for_replacement(detected).fuse());
+                        replacement.set(self.open_replacement(detected).fuse());
                     }
                 }
             }
--- a/crates/direct/src/stream_move.rs
+++ b/crates/direct/src/stream_move.rs
@@ -6,7 +6,10 @@
 use lynxmount_policy::{CallOutcome, Stall};
 
 use crate::{
-    attempt::ResponseHead, endpoint::Permit, replacement::StreamPosition, stream::StreamRelay,
+    attempt::{OpenAttempt, ResponseHead},
+    endpoint::Permit,
+    replacement::{RunningAttempt, StreamPosition},
+    stream::StreamRelay,
 };
 
 pub(crate) fn stall_name(stall: Stall) -> &'static str {
@@ -17,14 +20,19 @@
 }
 
 impl<D: Dialect> StreamRelay<D> {
-    /// Waits for a permit at another endpoint, outside of a group that has stalled.
-    pub(crate) fn wait_for_replacement(
+    /// Opens the attempt that continues the stream elsewhere, outside of a group that has stalled.
+    pub(crate) fn open_replacement(
         &self,
         stall: Stall,
-    ) -> impl Future<Output = Option<Permit>> + Send + use<D> {
+    ) -> impl Future<Output = Option<OpenAttempt>> + Send + use<D> {
         let group = self.permit.as_ref().map(Permit::shared_group);
-        let excluded_group = group.filter(|_| stall == Stall::Group);
-        Arc::clone(&self.call).wait_for_replacement(excluded_group, self.sent_at)
+        let running = self.running_attempt(group.filter(|_| stall == Stall::Group));
+        let call = Arc::clone(&self.call);
+        async move { call.open_replacement(running).await }
+    }
+
+    fn running_attempt(&self, excluded_group: Option<Arc<str>>) -> RunningAttempt {
+        RunningAttempt { excluded_group, sent_at: self.sent_at, has_begun: self.has_begun }
     }
 
     /// Records once for each silence that the endpoint has stalled.
@@ -65,19 +73,16 @@
         self.attach(head)
     }
 
-    /// Moves the stream to another endpoint once a connection to that one is open; until then it
-    /// goes on where it is. Returns false if the stream is lost.
-    pub(crate) async fn move_to(&mut self, permit: Permit, why: &'static str) -> bool {
-        let Ok(opened) = self.call.open(permit, Some(self.sent_at)).await else { return true };
+    /// Moves the stream to another endpoint, which is ready to take it. Returns false if the stream
+    /// is lost.
+    pub(crate) async fn move_to(&mut self, next: OpenAttempt, why: &'static str) -> bool {
         log::info!(request = self.call.head.id.as_deref(), why,
             endpoint = self.permit.as_ref().map(|permit| &*permit.endpoint.record.id),
             last_event = self.events.last_id(),
             silent_ms = self.last_event_at.elapsed().as_millis() as u64; "stream moved");
-        if let Some(permit) = &self.permit {
-            permit.on_canceled(&self.call.identity, self.phase());
-        }
+        self.on_canceled();
         self.detach();
-        let head = self.call.resume(self.position(), why, Some(opened)).await;
+        let head = self.call.resume(self.position(), why, Some(next)).await;
         self.attach(head)
     }
 
@@ -89,9 +94,11 @@
     /// rank delays all streams of its group. Returns false if the stream is lost.
     pub(crate) async fn leave_slow_endpoint(&mut self) -> bool {
         let is_slow = self.permit.as_ref().is_some_and(Permit::is_slow);
-        let elsewhere = (is_slow && self.is_resumable()).then(|| self.call.try_replace(None));
-        match elsewhere.flatten() {
-            Some(permit) => self.move_to(permit, "endpoint slow").await,
+        if !is_slow || !self.is_resumable() {
+            return true;
+        }
+        match self.call.open_replacement(self.running_attempt(None)).await {
+            Some(next) => self.move_to(next, "endpoint slow").await,
             None => true,
         }
     }
--- a/crates/lynxmount/tests/platform_entry.rs
+++ b/crates/lynxmount/tests/platform_entry.rs
@@ -765,9 +765,14 @@
     let hanging = Behaviour::StreamHang { events: 3 };
     let fleet = start_with_idle_timeout(&[hanging.clone(), hanging]).await;
 
-    let result = call_with_timeout(&fleet).await;
+    let result = CallerStandin::new(fleet.address())
+        .call_with_idle_timeout(&stream_call(Duration::from_secs(8)), CALLER_IDLE_TIMEOUT)
+        .await;
 
-    assert!(result.is_none(), "the stream ended before its caller left: {result:?}");
+    let CallerOutcome::Abandoned(received) = result else {
+        panic!("the stream ended before its caller left: {result:?}")
+    };
+    assert_eq!(received, events(1..=3).as_bytes());
     wait_for("the cancellation", async || {
         fleet.replicas.iter().map(|replica| replica.canceled_count()).sum::<u32>() == 1
     })
--- a/crates/lynxmount/tests/platform_pauses.rs
+++ b/crates/lynxmount/tests/platform_pauses.rs
@@ -64,12 +64,17 @@
     futures::future::join_all(calls).await
 }
 
-fn assert_complete(responses: &[ReceivedResponse], body: &str) {
+/// Asserts that the responses are complete and have these bodies, in any order.
+fn assert_complete(responses: &[ReceivedResponse], bodies: &[String]) {
     for response in responses {
         assert_eq!(response.status, StatusCode::OK);
         assert!(response.is_complete, "the stream was truncated: {response:?}");
-        assert_eq!(response.body, body.as_bytes());
     }
+    let mut received: Vec<&[u8]> = responses.iter().map(|response| &response.body[..]).collect();
+    let mut expected: Vec<&[u8]> = bodies.iter().map(String::as_bytes).collect();
+    received.sort_unstable();
+    expected.sort_unstable();
+    assert_eq!(received, expected);
 }
 
 /// Guards against streams that are given up before a retry is granted.
@@ -81,10 +86,24 @@
 
     let responses = responses(&fleet, STREAM, 2).await;
 
-    for response in &responses {
-        assert!(response.is_complete, "the stream was truncated: {response:?}");
-    }
+    assert_complete(&responses, &[events(1..=45), events(1..=30)]);
     assert_eq!(fleet.arrivals(), 2);
+    let stalls = fleet.entry.logged("stream stalled");
+    assert_eq!(stalls.len(), 1, "{stalls:?}");
+    assert_eq!(stalls[0]["attributes"]["has_retry"], "false");
+}
+
+/// Guards against pieces that are lost or repeated as a stream moves.
+#[tokio::test]
+async fn paused_stream_is_moved_to_another_replica_and_stays_whole() {
+    let fleet = Fleet::start(STREAM, &[steady(45), pausing(45, 5, PAUSE)]).await;
+    raise_timeouts(&fleet).await;
+
+    let responses = responses(&fleet, STREAM, 2).await;
+
+    assert_complete(&responses, &[events(1..=45), events(1..=45)]);
+    assert_eq!(fleet.entry.logged("stream moved").len(), 1);
+    assert_eq!(fleet.replicas[1].canceled_count(), 1);
 }
 
 /// Guards against streams that are ended because their replica is silent.
@@ -101,7 +120,8 @@
 
     let (responses, ()) = futures::join!(responses(&fleet, STREAM, 4), signal);
 
-    assert_complete(&responses, &events(1..=30));
+    assert_complete(&responses, &[(); 4].map(|()| events(1..=30)));
+    assert_eq!(fleet.entry.logged("draining").len(), 1);
 }
 
 /// Guards against streams that are given up before a place at another replica is granted.
@@ -113,11 +133,10 @@
 
     let responses = responses(&fleet, STREAM, 2 * SLOTS).await;
 
-    for response in &responses {
-        assert_eq!(response.status, StatusCode::OK);
-        assert!(response.is_complete, "the stream was truncated: {response:?}");
-    }
+    let bodies = [vec![events(1..=60); SLOTS], vec![events(1..=20); SLOTS]].concat();
+    assert_complete(&responses, &bodies);
     assert_eq!(fleet.arrivals(), 2 * SLOTS);
+    assert_eq!(fleet.entry.logged("stream stalled").len(), SLOTS);
 }
 
 /// Guards against calls that are given up before a retry is granted, while they wait for their
@@ -130,10 +149,7 @@
 
     let responses = responses(&fleet, STREAM, 2).await;
 
-    for response in &responses {
-        assert_eq!(response.status, StatusCode::OK);
-        assert!(response.is_complete, "the stream was truncated: {response:?}");
-    }
+    assert_complete(&responses, &[events(1..=45), events(1..=10)]);
     assert_eq!(fleet.arrivals(), 2);
 }
 
@@ -161,3 +177,22 @@
 
     assert_eq!(responses[0].status, StatusCode::OK);
 }
+
+/// Guards against lookups that wait until their deadline at a replica that is down, so that their
+/// callers have no time to repeat them.
+#[tokio::test]
+async fn lookup_at_a_replica_that_fell_silent_is_refused_before_its_deadline() {
+    let fleet = Fleet::start_without_retries(IDEMPOTENT, &[Behaviour::Hang]).await;
+    raise_timeouts(&fleet).await;
+    let answer_once = async {
+        wait_for("the lookup", async || fleet.arrivals() == 1).await;
+        fleet.replicas[0].set_behaviour(Behaviour::Answer);
+        self::responses(&fleet, IDEMPOTENT, 1).await
+    };
+
+    let (silent, answered) = futures::join!(responses(&fleet, IDEMPOTENT, 1), answer_once);
+
+    assert_eq!(answered[0].status, StatusCode::OK);
+    // 504 would say that its time was up.
+    assert_eq!(silent[0].status, StatusCode::BAD_GATEWAY);
+}
