Drain: each accepted connection gets its first request answered

Cause: a connection that a process accepted after it had begun to close idle ones was closed before its first request was read. And the port was open until the process exited, so that connections queued there were reset.

Change: a connection is given 1 s for its first request; requests that have arrived are read before idle connections are closed. Before the process exits it accepts what is queued, closes its port and answers those connections. The line `drained` counts connections that were closed before their first request.

Before: each_accepted_connection_gets_a_response_during_the_drain failed (142 of 431 calls without a response), silent_connection_does_not_hold_up_the_drain failed (no count `unused`). The five tests of streams that outlast signals and changes during the drain pass on the former code, too.

--- a/crates/direct/src/drain.rs
+++ b/crates/direct/src/drain.rs
@@ -1,12 +1,15 @@
 //! Graceful shutdown: drains connections and requests before the process exits.
 
 use std::{
-    sync::atomic::{AtomicUsize, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
 use parking_lot::Mutex;
-use tokio::sync::watch;
+use tokio::{sync::watch, task::JoinHandle};
 
 /// How long a draining entry still accepts requests. The platform probes readiness once a second
 /// and needs two failures, and callers may wait a second for a connection.
@@ -19,18 +22,33 @@
 /// Time between the forced end of the drain and the end of the grace period.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
 
+/// How often open connections are counted.
+const CONNECTION_CHECK_PERIOD: Duration = Duration::from_millis(20);
+
+/// What a process does with its connections, in the order of a drain.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum DrainPhase {
+    /// Connections stay open.
+    Open,
+    /// Connections close as they become idle.
+    ClosingIdle,
+    /// No connection is accepted any more.
+    NotAccepting,
+}
+
 /// Drain state of the process and its count of open connections.
 pub(crate) struct Drain {
     started_at: Mutex<Option<Instant>>,
     connections: AtomicUsize,
-    /// Set once connections must close as they become idle.
-    closing: watch::Sender<bool>,
+    /// Connections that were closed before their first request.
+    unused_connections: AtomicUsize,
+    phase: watch::Sender<DrainPhase>,
 }
 
 /// Counts a connection as open until dropped.
-pub(crate) struct ConnectionGuard<'a>(&'a Drain);
+pub(crate) struct ConnectionGuard(Arc<Drain>);
 
-impl Drop for ConnectionGuard<'_> {
+impl Drop for ConnectionGuard {
     fn drop(&mut self) {
         self.0.connections.fetch_sub(1, Ordering::Relaxed);
     }
@@ -42,7 +60,8 @@
         Drain {
             started_at: Mutex::default(),
             connections: AtomicUsize::new(0),
-            closing: watch::Sender::new(false),
+            unused_connections: AtomicUsize::new(0),
+            phase: watch::Sender::new(DrainPhase::Open),
         }
     }
 }
@@ -57,28 +76,50 @@
         self.started_at.lock().is_some_and(|at| at.elapsed() >= ACCEPT_DURATION)
     }
 
-    pub(crate) fn track_connection(&self) -> ConnectionGuard<'_> {
+    pub(crate) fn track_connection(self: &Arc<Drain>) -> ConnectionGuard {
         self.connections.fetch_add(1, Ordering::Relaxed);
-        ConnectionGuard(self)
+        ConnectionGuard(Arc::clone(self))
+    }
+
+    /// Records that a connection was closed before its first request.
+    pub(crate) fn on_unused_connection_closed(&self) {
+        self.unused_connections.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Waits until connections must close as they become idle.
-    pub(crate) async fn closing(&self) {
-        let mut closing = self.closing.subscribe();
+    /// Waits until the drain has reached a phase.
+    pub(crate) async fn reached(&self, phase: DrainPhase) {
+        let mut current = self.phase.subscribe();
         // This can't fail: `self` owns the sender.
-        let _ = closing.wait_for(|is_closing| *is_closing).await;
+        let _ = current.wait_for(|current| *current >= phase).await;
     }
 
     /// Drains the process. Returns when all connections are closed or the grace period ends.
-    pub(crate) async fn run(&self, grace: Duration) {
-        *self.started_at.lock() = Some(Instant::now());
+    /// `listening` ends once no connection is accepted any more.
+    pub(crate) async fn run(&self, grace: Duration, listening: JoinHandle<()>) {
+        let started_at = Instant::now();
+        *self.started_at.lock() = Some(started_at);
         log::info!(connections = self.connections.load(Ordering::Relaxed); "draining");
+        let end = started_at + grace.saturating_sub(GRACE_MARGIN);
         tokio::time::sleep(CLOSE_IDLE_AFTER).await;
-        self.closing.send_replace(true);
-        let end = Instant::now() + grace.saturating_sub(CLOSE_IDLE_AFTER + GRACE_MARGIN);
+        self.phase.send_replace(DrainPhase::ClosingIdle);
+        self.wait_until_unused(end).await;
+        self.stop_accepting(listening).await;
+        self.wait_until_unused(end).await;
+        log::info!(left_over = self.connections.load(Ordering::Relaxed),
+            unused = self.unused_connections.load(Ordering::Relaxed); "drained");
+    }
+
+    async fn stop_accepting(&self, listening: JoinHandle<()>) {
+        self.phase.send_replace(DrainPhase::NotAccepting);
+        if let Err(error) = listening.await {
+            log::warn!(error:% = error; "listener failed");
+        }
+    }
+
+    /// Waits until no connection is open, or until `end`.
+    async fn wait_until_unused(&self, end: Instant) {
         while self.connections.load(Ordering::Relaxed) > 0 && Instant::now() < end {
-            tokio::time::sleep(Duration::from_millis(20)).await;
+            tokio::time::sleep(CONNECTION_CHECK_PERIOD).await;
         }
-        log::info!(left_over = self.connections.load(Ordering::Relaxed); "drained");
     }
 }
--- a/crates/direct/src/listener.rs
+++ b/crates/direct/src/listener.rs
@@ -1,18 +1,35 @@
 //! HTTP/1.1 listener for callers.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    io::ErrorKind,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use lynxmount_core::{CallerLimits, adapter::Dialect};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::Instant,
+};
 
-use crate::handler::Handler;
+use crate::{
+    drain::{ConnectionGuard, Drain, DrainPhase},
+    handler::Handler,
+};
 
 /// Delay after a failed accept. Accepting fails when file descriptors run out, and they become
 /// available as connections close.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// How long a draining process waits for the first request of a connection.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Multiple of the configured idle timeout after which an idle connection is closed, so that a
 /// longer timeout in a later configuration also holds for connections that are already open.
 const IDLE_TIMEOUT_FACTOR: u32 = 4;
@@ -20,13 +37,21 @@
 /// The smallest buffer size that hyper allows.
 const MIN_BUFFER_BYTES: usize = 8192;
 
-/// Serves callers until the task is dropped.
+/// Serves callers until the drain ends the accepting of connections.
 pub(crate) async fn serve<D: Dialect>(listener: TcpListener, handler: Arc<Handler<D>>) {
+    tokio::select! {
+        () = accept(&listener, &handler) => {}
+        () = handler.drain.reached(DrainPhase::NotAccepting) => {}
+    }
+    if let Err(error) = accept_queued(listener, &handler) {
+        log::warn!(error:% = error; "accept failed");
+    }
+}
+
+async fn accept<D: Dialect>(listener: &TcpListener, handler: &Arc<Handler<D>>) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::spawn(serve_connection(stream, Arc::clone(&handler)));
-            }
+            Ok((stream, _)) => spawn_connection(stream, handler),
             Err(error) => {
                 log::warn!(error:% = error; "accept failed");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -35,23 +60,57 @@
     }
 }
 
-async fn serve_connection<D: Dialect>(stream: TcpStream, handler: Arc<Handler<D>>) {
-    let drain = Arc::clone(&handler.drain);
-    let _guard = drain.track_connection();
+/// Accepts the connections that the kernel has queued, and closes the listener. Closing it first
+/// would reset them.
+///
+/// Fails if a connection can't be accepted.
+fn accept_queued<D: Dialect>(
+    listener: TcpListener,
+    handler: &Arc<Handler<D>>,
+) -> std::io::Result<()> {
+    let listener = listener.into_std()?;
+    loop {
+        let stream = match listener.accept() {
+            Ok((stream, _)) => stream,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+            Err(error) => return Err(error),
+        };
+        stream.set_nonblocking(true)?;
+        spawn_connection(TcpStream::from_std(stream)?, handler);
+    }
+}
+
+fn spawn_connection<D: Dialect>(stream: TcpStream, handler: &Arc<Handler<D>>) {
+    let guard = handler.drain.track_connection();
+    tokio::spawn(serve_connection(stream, Arc::clone(handler), guard));
+}
+
+async fn serve_connection<D: Dialect>(
+    stream: TcpStream,
+    handler: Arc<Handler<D>>,
+    _guard: ConnectionGuard,
+) {
+    let accepted_at = Instant::now();
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:% = error; "caller connection closed before first request");
         return;
     }
     let builder = builder(handler.fleet.config().map(|view| view.config.limits));
+    let has_request = AtomicBool::new(false);
     let service = service_fn(|request| {
+        has_request.store(true, Ordering::Relaxed);
         let handler = Arc::clone(&handler);
         async move { Ok::<_, Infallible>(handler.handle(request).await) }
     });
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let result = tokio::select! {
+        biased;
         result = &mut connection => result,
-        () = drain.closing() => {
+        () = until_closing(&handler.drain, accepted_at, &has_request) => {
+            if !has_request.load(Ordering::Relaxed) {
+                handler.drain.on_unused_connection_closed();
+            }
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -62,6 +121,17 @@
     }
 }
 
+/// Waits until a connection must close as it becomes idle. A new one is given time for its first
+/// request.
+async fn until_closing(drain: &Drain, accepted_at: Instant, has_request: &AtomicBool) {
+    drain.reached(DrainPhase::ClosingIdle).await;
+    if !has_request.load(Ordering::Relaxed) {
+        tokio::time::sleep_until(accepted_at + FIRST_REQUEST_TIMEOUT).await;
+    }
+    // The runtime polls its sockets first, so that a request that has arrived is read.
+    tokio::task::yield_now().await;
+}
+
 fn builder(limits: Option<CallerLimits>) -> http1::Builder {
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new());
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -161,10 +161,10 @@
         clock,
         mechanisms,
     };
-    tokio::spawn(listener::serve(bind(callers).await?, Arc::new(handler)));
+    let listening = tokio::spawn(listener::serve(bind(callers).await?, Arc::new(handler)));
     log::info!(process = &*settings.process, callers:% = callers, peers:% = peer_address;
         "started");
     wait_for_termination_signal().await?;
-    drain.run(settings.bounds.grace).await;
+    drain.run(settings.bounds.grace, listening).await;
     Ok(())
 }
