Drain: calls without a response get one before the process exits

Cause: the process exited under calls that waited for a permit, a verdict, a body or a response head, and their connections closed without a response.

Change: 0.2 s before the forced end of the drain each such call is canceled and refused: 503 if nothing was sent to an endpoint that may have run it, else 502. That is decided by a state which is set before anything is sent.

--- a/crates/direct/src/attempt_history.rs
+++ b/crates/direct/src/attempt_history.rs
@@ -15,14 +15,7 @@
 
 impl AttemptHistory {
     pub(crate) fn record(&mut self, error: AttemptError) {
-        self.may_have_run |= matches!(
-            error,
-            AttemptError::Quarantined
-                | AttemptError::Lost
-                | AttemptError::Overdue
-                | AttemptError::Stalled
-                | AttemptError::TimedOut
-        );
+        self.may_have_run |= may_have_run(error);
         self.unreachable += u32::from(matches!(
             error,
             AttemptError::Unreachable | AttemptError::OtherEndpoint | AttemptError::Paused
@@ -30,6 +23,22 @@
     }
 }
 
+/// Whether an attempt that failed with an error may have run.
+pub(crate) fn may_have_run(error: AttemptError) -> bool {
+    match error {
+        AttemptError::Quarantined
+        | AttemptError::Lost
+        | AttemptError::Overdue
+        | AttemptError::Stalled
+        | AttemptError::TimedOut => true,
+        AttemptError::NotRun
+        | AttemptError::OtherEndpoint
+        | AttemptError::Paused
+        | AttemptError::TooLate
+        | AttemptError::Unreachable => false,
+    }
+}
+
 /// The counter of attempts that failed with an error.
 pub(crate) fn attempt_counter(error: AttemptError) -> &'static str {
     match error {
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -25,9 +25,10 @@
         AttemptError, AttemptRequest, AttemptResult, CompleteResponse, ResponseHead, send,
         time_until,
     },
-    attempt_history::{AttemptHistory, attempt_counter},
+    attempt_history::{AttemptHistory, attempt_counter, may_have_run},
     call_times::QUEUE_TIME_FRACTION,
     endpoint::Permit,
+    execution_state::ExecutionState,
     reply::{Refusal, ReplyBody, full_body},
     service::{PermitRequest, Service, Unavailable},
     stream::StreamRelay,
@@ -67,6 +68,7 @@
     pub(crate) attempts: AtomicU32,
     /// Endpoints that were selected for attempts.
     pub(crate) tried: Mutex<Vec<EndpointId>>,
+    pub(crate) execution: Arc<ExecutionState>,
 }
 
 impl<D: Dialect> Call<D> {
@@ -248,8 +250,12 @@
             priority: None,
         };
         self.tried.lock().push(EndpointId::clone(&endpoint));
+        let mark = self.execution.start_attempt();
         let result =
             send(&*self.dialect, permit, &outgoing, context, self.attempt_deadline()).await;
+        if result.as_ref().is_err_and(|error| !may_have_run(*error)) {
+            mark.on_not_run();
+        }
         // Only attempts that reached their endpoint are counted.
         let is_unreached = matches!(
             result,
--- a/crates/direct/src/drain.rs
+++ b/crates/direct/src/drain.rs
@@ -22,6 +22,10 @@
 /// Time between the forced end of the drain and the end of the grace period.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time between the refusal of calls without a response and the forced end of the drain, in which
+/// these refusals are sent.
+const FLUSH_DURATION: Duration = Duration::from_millis(200);
+
 /// How often open connections are counted.
 const CONNECTION_CHECK_PERIOD: Duration = Duration::from_millis(20);
 
@@ -34,6 +38,8 @@
     ClosingIdle,
     /// No connection is accepted any more.
     NotAccepting,
+    /// Calls without a response are refused.
+    Exiting,
 }
 
 /// Drain state of the process and its count of open connections.
@@ -100,10 +106,13 @@
         *self.started_at.lock() = Some(started_at);
         log::info!(connections = self.connections.load(Ordering::Relaxed); "draining");
         let end = started_at + grace.saturating_sub(GRACE_MARGIN);
+        let refuse_at = started_at + grace.saturating_sub(GRACE_MARGIN + FLUSH_DURATION);
         tokio::time::sleep(CLOSE_IDLE_AFTER).await;
         self.phase.send_replace(DrainPhase::ClosingIdle);
-        self.wait_until_unused(end).await;
+        self.wait_until_unused(refuse_at).await;
         self.stop_accepting(listening).await;
+        self.wait_until_unused(refuse_at).await;
+        self.phase.send_replace(DrainPhase::Exiting);
         self.wait_until_unused(end).await;
         log::info!(left_over = self.connections.load(Ordering::Relaxed),
             unused = self.unused_connections.load(Ordering::Relaxed); "drained");
--- a/crates/direct/src/handler.rs
+++ b/crates/direct/src/handler.rs
@@ -21,8 +21,9 @@
     admission::{authenticate, draw_target, host, host_name, read_body},
     call::Call,
     call_times::outage_retry_delay,
-    drain::Drain,
+    drain::{Drain, DrainPhase},
     endpoint_set::EndpointSet,
+    execution_state::ExecutionState,
     fleet::{ConfigView, Fleet},
     reply::{Refusal, ReplyBody},
 };
@@ -49,7 +50,7 @@
         let (parts, body) = request.into_parts();
         let head = self.dialect.read_call(&parts);
         let id = head.id.clone();
-        let result = self.execute(parts, body, head, arrived_at).await;
+        let result = self.execute_until_exit(parts, body, head, arrived_at).await;
         let mut response = result.unwrap_or_else(|refusal| {
             self.metrics.count(refusal_counter(refusal));
             let waited_ms = arrived_at.elapsed().as_millis() as u64;
@@ -63,12 +64,34 @@
         response
     }
 
+    /// Executes a request, and cancels it if there is no response shortly before the process exits.
+    async fn execute_until_exit(
+        &self,
+        parts: Parts,
+        body: Incoming,
+        head: CallHead,
+        arrived_at: Instant,
+    ) -> Result<Response<ReplyBody>, Refusal> {
+        let time_left = head.time_left.unwrap_or(DEFAULT_TIME_LEFT);
+        let execution = Arc::new(ExecutionState::default());
+        let refusal = tokio::select! {
+            biased;
+            result = self.execute(parts, body, head, arrived_at, &execution) => return result,
+            () = self.drain.reached(DrainPhase::Exiting) => {
+                let retry_after = outage_retry_delay(&self.mechanisms, time_left);
+                refusal_at_exit(&execution, retry_after)
+            }
+        };
+        Err(refusal)
+    }
+
     async fn execute(
         &self,
         parts: Parts,
         body: Incoming,
         head: CallHead,
         arrived_at: Instant,
+        execution: &Arc<ExecutionState>,
     ) -> Result<Response<ReplyBody>, Refusal> {
         self.metrics.count("requests.received");
         let time_left = head.time_left.unwrap_or(DEFAULT_TIME_LEFT);
@@ -85,7 +108,7 @@
         drop(config);
         let body = read_body(body, body_limit, body_timeout).await?;
         let config = self.fleet.config().ok_or(not_ready)?;
-        let call = Arc::new(self.admit(&config, parts, body, head, arrived_at)?);
+        let call = Arc::new(self.admit(&config, parts, body, head, arrived_at, execution)?);
         call.service.record_call();
         self.quarantine.record_call(&call.identity);
         call.run().await
@@ -99,6 +122,7 @@
         body: Bytes,
         head: CallHead,
         arrived_at: Instant,
+        execution: &Arc<ExecutionState>,
     ) -> Result<Call<D>, Refusal> {
         let host = host(&parts).ok_or(Refusal::BadRequest)?;
         let route = config.route(host, parts.uri.path()).ok_or(Refusal::NoRoute)?;
@@ -139,10 +163,19 @@
             priority,
             attempts: AtomicU32::new(0),
             tried: Mutex::default(),
+            execution: Arc::clone(execution),
         })
     }
 }
 
+/// The refusal of a call that has no response when the process exits.
+fn refusal_at_exit(execution: &ExecutionState, retry_after: Duration) -> Refusal {
+    match execution.may_have_run() {
+        true => Refusal::MayHaveRun,
+        false => Refusal::NotRun { retry_after },
+    }
+}
+
 fn refusal_counter(refusal: Refusal) -> &'static str {
     match refusal {
         Refusal::Quarantined { .. } => "requests.held_back",
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -19,6 +19,7 @@
 mod drain;
 mod endpoint;
 mod endpoint_set;
+mod execution_state;
 mod fleet;
 mod group_listener;
 mod handler;
@@ -36,4 +37,5 @@
 mod watch;
 
 pub use config_poll::ConfigPoll;
+pub use execution_state::{AttemptMark, ExecutionState};
 pub use process::run;
--- a/crates/lynxmount/tests/platform_drain.rs
+++ b/crates/lynxmount/tests/platform_drain.rs
@@ -4,14 +4,20 @@
 
 use std::{net::TcpStream, time::Duration};
 
-use http::Method;
+use http::{Method, StatusCode};
 use lynxmount_platform_standin::{
     Behaviour, Call, CallerOutcome, CallerStandin,
-    fixture::{CONFIG_KEY, IDEMPOTENT, OPERATOR_TOPIC, REGISTRATIONS_TOPIC, STREAM, service_of},
+    fixture::{
+        CONFIG_KEY, HOST, IDEMPOTENT, NON_IDEMPOTENT, OPERATOR_TOPIC, REGISTRATIONS_TOPIC, STREAM,
+        service_of,
+    },
 };
 use nix::sys::signal::Signal;
 use platform_common::{Fleet, KEY, config, registration, wait_for};
-use tokio::task::JoinHandle;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    task::JoinHandle,
+};
 
 /// A stream that takes five seconds, longer than a draining entry takes requests.
 const LONG_STREAM: Behaviour = Behaviour::Stream { events: 100, gap: Duration::from_millis(50) };
@@ -118,6 +124,43 @@
     assert_eq!(drained["unused"], "1", "{drained}");
 }
 
+/// Guards against calls whose connections close without a response at the end of the drain.
+#[tokio::test]
+async fn call_that_may_have_run_gets_502_at_the_end_of_the_drain() {
+    let fleet = start_fleet(NON_IDEMPOTENT, Behaviour::Hang).await;
+    let waiting = start_call(&fleet, NON_IDEMPOTENT).await;
+
+    fleet.entry.signal(Signal::SIGTERM);
+
+    let outcome = waiting.await.expect("task completes");
+    let CallerOutcome::Response(response) = outcome else { panic!("no response: {outcome:?}") };
+    assert_eq!(response.status, StatusCode::BAD_GATEWAY);
+    wait_for("the cancellation", async || fleet.replicas[0].canceled_count() == 1).await;
+}
+
+/// Guards against calls that were sent to no endpoint, and are not told so at the end of the drain.
+#[tokio::test]
+async fn call_that_was_not_sent_gets_503_at_the_end_of_the_drain() {
+    let fleet = start_fleet(NON_IDEMPOTENT, Behaviour::Answer).await;
+    let mut connection =
+        tokio::net::TcpStream::connect(fleet.address()).await.expect("connection opens");
+    let path = format!("/{NON_IDEMPOTENT}/1");
+    let incomplete = format!(
+        "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nx-credential: {KEY}\r\nx-deadline-ms: 8000\r\n\
+         content-length: 2\r\n\r\n{{"
+    );
+    connection.write_all(incomplete.as_bytes()).await.expect("request is sent");
+
+    fleet.entry.signal(Signal::SIGTERM);
+
+    let mut response = String::new();
+    connection.read_to_string(&mut response).await.expect("response is read");
+    let response = response.to_ascii_lowercase();
+    assert!(response.starts_with("http/1.1 503 "), "{response}");
+    assert!(response.contains("\r\nretry-after: "), "{response}");
+    assert_eq!(fleet.arrivals(), 0);
+}
+
 /// Guards against a process that ends as its operator repeats SIGTERM.
 #[tokio::test]
 async fn second_sigterm_does_not_cut_a_stream() {
