Drain: requests are refused 0.2 s before the end of the time to accept

Cause: the time counted from the handling of the signal, the callers' from its sending. A request that came after 3 s could be taken and be cut at the end of the drain.

Change: a margin of 0.2 s. A request is refused only after its body was read: one that arrives late isn't taken, and no connection is closed with an unread body (by reading; no run shows that a response was lost so).

--- a/crates/direct/src/drain.rs
+++ b/crates/direct/src/drain.rs
@@ -11,10 +11,14 @@
 use parking_lot::Mutex;
 use tokio::{sync::watch, task::JoinHandle};
 
-/// How long a draining entry still accepts requests. The platform probes readiness once a second
-/// and needs two failures, and callers may wait a second for a connection.
+/// How long callers may expect a draining entry to accept requests. The platform probes readiness
+/// once a second and needs two failures, and callers may wait a second for a connection.
 const ACCEPT_DURATION: Duration = Duration::from_millis(3000);
 
+/// Time by which requests are refused earlier. Callers count from the sending of the signal, and a
+/// busy machine handles it later.
+const ACCEPT_MARGIN: Duration = Duration::from_millis(200);
+
 /// Time from the start of the drain until idle connections are closed. By then the platform sends
 /// no new ones.
 const CLOSE_IDLE_AFTER: Duration = Duration::from_millis(2600);
@@ -79,7 +83,8 @@
 
     /// Whether new requests are refused, because they might not finish before the process exits.
     pub(crate) fn is_refusing(&self) -> bool {
-        self.started_at.lock().is_some_and(|at| at.elapsed() >= ACCEPT_DURATION)
+        let limit = ACCEPT_DURATION - ACCEPT_MARGIN;
+        self.started_at.lock().is_some_and(|at| at.elapsed() >= limit)
     }
 
     pub(crate) fn track_connection(self: &Arc<Drain>) -> ConnectionGuard {
--- a/crates/direct/src/handler.rs
+++ b/crates/direct/src/handler.rs
@@ -98,15 +98,16 @@
         let not_ready =
             Refusal::NotRun { retry_after: outage_retry_delay(&self.mechanisms, time_left) };
         let config = self.fleet.config().ok_or(not_ready)?;
-        if self.drain.is_refusing() {
-            return Err(not_ready);
-        }
         let body_limit = config.config.limits.body_bytes;
         let body_timeout = config.config.limits.idle_timeout;
         // Reload the configuration after the body has arrived, as a key may have been revoked
         // meanwhile.
         drop(config);
         let body = read_body(body, body_limit, body_timeout).await?;
+        // A connection that closes with an unread body is reset, which may discard the response.
+        if self.drain.is_refusing() {
+            return Err(not_ready);
+        }
         let config = self.fleet.config().ok_or(not_ready)?;
         let call = Arc::new(self.admit(&config, parts, body, head, arrived_at, execution)?);
         call.service.record_call();
--- a/crates/lynxmount/tests/platform_drain.rs
+++ b/crates/lynxmount/tests/platform_drain.rs
@@ -2,7 +2,10 @@
 
 mod platform_common;
 
-use std::{net::TcpStream, time::Duration};
+use std::{
+    net::TcpStream,
+    time::{Duration, Instant},
+};
 
 use http::{Method, StatusCode};
 use lynxmount_platform_standin::{
@@ -19,6 +22,9 @@
     task::JoinHandle,
 };
 
+/// The longest time after SIGTERM at which callers may expect a request to be served.
+const ACCEPT_BOUND: Duration = Duration::from_secs(3);
+
 /// A stream that takes five seconds, longer than a draining entry takes requests.
 const LONG_STREAM: Behaviour = Behaviour::Stream { events: 100, gap: Duration::from_millis(50) };
 
@@ -124,6 +130,38 @@
     assert_eq!(drained["unused"], "1", "{drained}");
 }
 
+/// Guards against requests that are taken so late that they can't finish: the time to accept them
+/// counts from the sending of the signal, and a busy machine handles it later.
+#[tokio::test]
+async fn no_request_is_served_that_is_sent_after_the_accept_bound() {
+    let slow = Behaviour::Echo { delay: Duration::from_secs(5) };
+    let fleet = start_fleet(NON_IDEMPOTENT, slow).await;
+    let address = fleet.address();
+    let long = start_call(&fleet, NON_IDEMPOTENT).await;
+    fleet.replicas[0].set_behaviour(Behaviour::Answer);
+    let status = async |id: &str| {
+        let call = call(id, Method::POST, NON_IDEMPOTENT);
+        match CallerStandin::new(address).call(&call).await {
+            CallerOutcome::Response(response) => Some(response.status),
+            _ => None,
+        }
+    };
+    assert_eq!(status("early").await, Some(StatusCode::OK));
+
+    fleet.entry.signal(Signal::SIGSTOP);
+    fleet.entry.signal(Signal::SIGTERM);
+    let signaled_at = Instant::now();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    fleet.entry.signal(Signal::SIGCONT);
+    tokio::time::sleep_until((signaled_at + ACCEPT_BOUND).into()).await;
+
+    for index in 0..20 {
+        let late = status(&format!("late-{index}")).await;
+        assert_ne!(late, Some(StatusCode::OK), "at {:?}", signaled_at.elapsed());
+    }
+    assert_complete(long).await;
+}
+
 /// Guards against calls whose connections close without a response at the end of the drain.
 #[tokio::test]
 async fn call_that_may_have_run_gets_502_at_the_end_of_the_drain() {
