Signals: handled from the beginning of the start on

Cause: a process had bound its ports before it installed its signal handlers; SIGTERM or SIGHUP ended it at once then.

Change: handlers are installed first, in entries and endpoint processes, and read once the start is over.

The endpoint process has no such test.

--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -7,7 +7,7 @@
     Clock, Mechanism, ProcessId, SiteSettings,
     adapter::{Dialect, FleetSource},
 };
-use lynxmount_link::{bind, serve, wait_for_termination_signal};
+use lynxmount_link::{TerminationSignals, bind, serve};
 use lynxmount_policy::Membership;
 use lynxmount_quarantine::SharedQuarantine;
 use lynxmount_telemetry::{Metrics, MetricsHandler};
@@ -55,6 +55,7 @@
     dialect: impl Dialect,
     source: impl FleetSource,
 ) -> anyhow::Result<()> {
+    let mut signals = TerminationSignals::install()?;
     let callers = settings.callers_address.context("the settings name no address for callers")?;
     let default_peer_address = SocketAddr::new(settings.ip, settings.internal_ports.0);
     let peer_address = settings.control_address.unwrap_or(default_peer_address);
@@ -164,7 +165,7 @@
     let listening = tokio::spawn(listener::serve(bind(callers).await?, Arc::new(handler)));
     log::info!(process = &*settings.process, callers:% = callers, peers:% = peer_address;
         "started");
-    wait_for_termination_signal().await?;
+    signals.wait_for_termination().await;
     drain.run(settings.bounds.grace, listening).await;
     Ok(())
 }
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -22,4 +22,4 @@
     SUBSCRIBE_INTERVAL, SUBSCRIPTION_TTL, SlowRanksNotice,
 };
 pub use server::{RequestHandler, bind, serve};
-pub use signals::wait_for_termination_signal;
+pub use signals::TerminationSignals;
--- a/crates/link/src/signals.rs
+++ b/crates/link/src/signals.rs
@@ -1,22 +1,40 @@
 //! Unix signals.
 
 use lynxmount_core::{Result, Step, invalid};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
-/// Waits for SIGTERM or SIGINT. SIGHUP is ignored with a log event, as settings are read
-/// only at the start.
-///
-/// Fails if the signal handlers can't be installed.
-pub async fn wait_for_termination_signal() -> Result<()> {
-    let fail = |e: std::io::Error| invalid(Step::Start, "signals", e);
-    let mut terminate = signal(SignalKind::terminate()).map_err(fail)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(fail)?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(fail)?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hangup.recv() => log::info!("SIGHUP ignored, settings are read at start only"),
+/// The installed handlers of the signals that end or reload a process. They stay installed, so
+/// that later signals don't end the process while it shuts down.
+pub struct TerminationSignals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl TerminationSignals {
+    /// Installs the signal handlers. Until then the signals end the process.
+    ///
+    /// Fails if a handler can't be installed.
+    pub fn install() -> Result<TerminationSignals> {
+        let install = |kind| signal(kind).map_err(|e| invalid(Step::Start, "signals", e));
+        Ok(TerminationSignals {
+            terminate: install(SignalKind::terminate())?,
+            interrupt: install(SignalKind::interrupt())?,
+            hangup: install(SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits for SIGTERM or SIGINT, received at any time since the handlers were installed. SIGHUP
+    /// is ignored with a log event, as settings are read only at the start.
+    pub async fn wait_for_termination(&mut self) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.hangup.recv() => {
+                    log::info!("SIGHUP ignored, settings are read at start only");
+                }
+            }
         }
     }
 }
--- a/crates/lynxmount/tests/platform_drain.rs
+++ b/crates/lynxmount/tests/platform_drain.rs
@@ -3,7 +3,7 @@
 mod platform_common;
 
 use std::{
-    net::TcpStream,
+    net::{SocketAddr, TcpStream},
     time::{Duration, Instant},
 };
 
@@ -16,7 +16,10 @@
     },
 };
 use nix::sys::signal::Signal;
-use platform_common::{Fleet, KEY, config, registration, wait_for};
+use platform_common::{
+    CONTROL_PORT, Fleet, KEY, Process, allocate_network, config, entry_ip, entry_settings, ip,
+    registration, wait_for,
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     task::JoinHandle,
@@ -25,6 +28,9 @@
 /// The longest time after SIGTERM at which callers may expect a request to be served.
 const ACCEPT_BOUND: Duration = Duration::from_secs(3);
 
+/// Number of starts that get a signal, as its moment within the start varies.
+const STARTS: usize = 5;
+
 /// A stream that takes five seconds, longer than a draining entry takes requests.
 const LONG_STREAM: Behaviour = Behaviour::Stream { events: 100, gap: Duration::from_millis(50) };
 
@@ -244,3 +250,35 @@
     })
     .await;
 }
+
+/// Starts an entry, and sends it a signal as soon as its first port is bound.
+fn signal_at_start(network: u8, signal: Signal) -> Process {
+    let own_ip = entry_ip(network, 0);
+    // The store is out of reach, as it plays no part in the start.
+    let store = SocketAddr::new(ip(network, 250), 9);
+    let entry = Process::start("platform-entry", &entry_settings(own_ip, store, &[]));
+    let control = SocketAddr::new(own_ip, CONTROL_PORT);
+    while TcpStream::connect(control).is_err() {
+        std::hint::spin_loop();
+    }
+    entry.signal(signal);
+    entry
+}
+
+/// Guards against a process that has bound its ports and ends by a signal before it handles it.
+#[test]
+fn signals_are_handled_from_the_first_bound_port_on() {
+    let entries: Vec<Process> = (0..STARTS)
+        .map(|_| {
+            let entry = signal_at_start(allocate_network(), Signal::SIGHUP);
+            entry.signal(Signal::SIGTERM);
+            entry
+        })
+        .collect();
+
+    for mut entry in entries {
+        let exit_status = entry.child.wait().expect("entry exits");
+        assert!(exit_status.success(), "{exit_status}");
+        assert_eq!(entry.logged("drained").len(), 1);
+    }
+}
--- a/crates/rank/src/process.rs
+++ b/crates/rank/src/process.rs
@@ -9,9 +9,7 @@
     experts::{GroupEpoch, MapVersion},
 };
 use lynxmount_group::MapCache;
-use lynxmount_link::{
-    GROUP_PORT_OFFSET, bind, receive_datagrams, serve, wait_for_termination_signal,
-};
+use lynxmount_link::{GROUP_PORT_OFFSET, TerminationSignals, bind, receive_datagrams, serve};
 use lynxmount_telemetry::{Metrics, MetricsHandler};
 use parking_lot::Mutex;
 use tokio::{net::UdpSocket, sync::Notify};
@@ -56,6 +54,7 @@
     source: impl FleetSource,
     make_engine: impl Fn(SocketAddr) -> E + Send + Sync + 'static,
 ) -> anyhow::Result<()> {
+    let mut signals = TerminationSignals::install()?;
     let own_engine = settings.engine_address.context("the settings name no engine")?;
     let port = settings.internal_ports.0;
     let address = SocketAddr::new(settings.ip, port);
@@ -153,7 +152,7 @@
     };
     tokio::spawn(coordinator.run());
     log::info!(process = &*settings.process, engine:% = own_engine; "started");
-    wait_for_termination_signal().await?;
+    signals.wait_for_termination().await;
     log::info!("stopped");
     Ok(())
 }
