--- a/crates/direct/src/execution_state.rs
+++ b/crates/direct/src/execution_state.rs
@@ -13,7 +13,7 @@
 #[must_use]
 pub struct AttemptMark<'a> {
     state: &'a ExecutionState,
-    had_run_before: bool,
+    could_have_run_before: bool,
 }
 
 impl ExecutionState {
@@ -24,14 +24,14 @@
 
     /// Records that an attempt is about to be sent. A call's attempts follow each other.
     pub fn start_attempt(&self) -> AttemptMark<'_> {
-        let had_run_before = self.may_have_run.swap(true, Ordering::Relaxed);
-        AttemptMark { state: self, had_run_before }
+        let could_have_run_before = self.may_have_run.swap(true, Ordering::Relaxed);
+        AttemptMark { state: self, could_have_run_before }
     }
 }
 
 impl AttemptMark<'_> {
     /// Records that the attempt has not run and never will.
     pub fn on_not_run(self) {
-        self.state.may_have_run.store(self.had_run_before, Ordering::Relaxed);
+        self.state.may_have_run.store(self.could_have_run_before, Ordering::Relaxed);
     }
 }
