--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -25,8 +25,9 @@
         AttemptError, AttemptFailure, AttemptRequest, AttemptResult, CompleteResponse, OpenAttempt,
         OpenReplacement, ResponseHead, open, send, time_until,
     },
-    attempt_history::{AttemptHistory, attempt_counter},
+    attempt_history::{AttemptHistory, attempt_counter, may_have_run},
     endpoint::Permit,
+    execution_state::ExecutionState,
     replacement::RunningAttempt,
     reply::{Refusal, ReplyBody, full_body},
     service::{PermitRequest, Service, Unavailable},
@@ -67,6 +68,7 @@
     pub(crate) attempts: AtomicU32,
     /// Endpoints that were selected for attempts.
     pub(crate) tried: Mutex<Vec<EndpointId>>,
+    pub(crate) execution: Arc<ExecutionState>,
 }
 
 /// What the next attempt of a call starts from.
@@ -282,7 +284,11 @@
         let outgoing = self.attempt_request(waiting_since, &open_replacement);
         // Counted before it ends, as it may be replaced while it runs.
         self.attempts.fetch_add(1, Ordering::Relaxed);
+        let mark = self.execution.start_attempt();
         let result = send(&*self.dialect, opened, &outgoing, context, self.deadline).await;
+        if matches!(result, Err(AttemptFailure::Error(error)) if !may_have_run(error)) {
+            mark.on_not_run();
+        }
         // It did not reach its endpoint.
         if matches!(result, Err(AttemptFailure::Error(AttemptError::OtherEndpoint))) {
             self.attempts.fetch_sub(1, Ordering::Relaxed);
--- a/crates/direct/src/drain.rs
+++ b/crates/direct/src/drain.rs
@@ -1,17 +1,24 @@
 //! Graceful shutdown: drains connections and requests before the process exits.
 
 use std::{
-    sync::atomic::{AtomicUsize, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
 use parking_lot::Mutex;
-use tokio::sync::watch;
+use tokio::{sync::watch, task::JoinHandle};
 
-/// How long a draining entry still accepts requests. The platform probes readiness once a second
-/// and needs two failures, and callers may wait a second for a connection.
+/// How long callers may expect a draining entry to accept requests. The platform probes readiness
+/// once a second and needs two failures, and callers may wait a second for a connection.
 const ACCEPT_DURATION: Duration = Duration::from_millis(3000);
 
+/// Time by which requests are refused earlier. Callers count from the sending of the signal, and a
+/// busy machine handles it later.
+const ACCEPT_MARGIN: Duration = Duration::from_millis(200);
+
 /// Time from the start of the drain until idle connections are closed. By then the platform sends
 /// no new ones.
 const CLOSE_IDLE_AFTER: Duration = Duration::from_millis(2600);
@@ -19,20 +26,39 @@
 /// Time between the forced end of the drain and the end of the grace period.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time between the refusal of calls without a response and the forced end of the drain, in which
+/// these refusals are sent.
+const FLUSH_DURATION: Duration = Duration::from_millis(200);
+
+/// How often open connections are counted.
+const CONNECTION_CHECK_PERIOD: Duration = Duration::from_millis(20);
+
+/// What a process does with its connections, in the order of a drain.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum DrainPhase {
+    /// Connections stay open.
+    Open,
+    /// Connections close as they become idle.
+    ClosingIdle,
+    /// No connection is accepted any more.
+    NotAccepting,
+    /// Calls without a response are refused.
+    Exiting,
+}
+
 /// Drain state of the process and its count of open connections.
 pub(crate) struct Drain {
     started_at: Mutex<Option<Instant>>,
     connections: AtomicUsize,
     /// Connections that were closed before their first request.
     unused_connections: AtomicUsize,
-    /// Set once connections must close as they become idle.
-    closing: watch::Sender<bool>,
+    phase: watch::Sender<DrainPhase>,
 }
 
 /// Counts a connection as open until dropped.
-pub(crate) struct ConnectionGuard<'a>(&'a Drain);
+pub(crate) struct ConnectionGuard(Arc<Drain>);
 
-impl Drop for ConnectionGuard<'_> {
+impl Drop for ConnectionGuard {
     fn drop(&mut self) {
         self.0.connections.fetch_sub(1, Ordering::Relaxed);
     }
@@ -45,7 +71,7 @@
             started_at: Mutex::default(),
             connections: AtomicUsize::new(0),
             unused_connections: AtomicUsize::new(0),
-            closing: watch::Sender::new(false),
+            phase: watch::Sender::new(DrainPhase::Open),
         }
     }
 }
@@ -57,12 +83,13 @@
 
     /// Whether new requests are refused, because they might not finish before the process exits.
     pub(crate) fn is_refusing(&self) -> bool {
-        self.started_at.lock().is_some_and(|at| at.elapsed() >= ACCEPT_DURATION)
+        let limit = ACCEPT_DURATION - ACCEPT_MARGIN;
+        self.started_at.lock().is_some_and(|at| at.elapsed() >= limit)
     }
 
-    pub(crate) fn track_connection(&self) -> ConnectionGuard<'_> {
+    pub(crate) fn track_connection(self: &Arc<Drain>) -> ConnectionGuard {
         self.connections.fetch_add(1, Ordering::Relaxed);
-        ConnectionGuard(self)
+        ConnectionGuard(Arc::clone(self))
     }
 
     /// Records that a connection was closed before its first request.
@@ -70,24 +97,43 @@
         self.unused_connections.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Waits until connections must close as they become idle.
-    pub(crate) async fn closing(&self) {
-        let mut closing = self.closing.subscribe();
+    /// Waits until the drain has reached a phase.
+    pub(crate) async fn reached(&self, phase: DrainPhase) {
+        let mut current = self.phase.subscribe();
         // This can't fail: `self` owns the sender.
-        let _ = closing.wait_for(|is_closing| *is_closing).await;
+        let _ = current.wait_for(|current| *current >= phase).await;
     }
 
     /// Drains the process. Returns when all connections are closed or the grace period ends.
-    pub(crate) async fn run(&self, grace: Duration) {
-        *self.started_at.lock() = Some(Instant::now());
+    /// `listening` ends once no connection is accepted any more.
+    pub(crate) async fn run(&self, grace: Duration, listening: JoinHandle<()>) {
+        let started_at = Instant::now();
+        *self.started_at.lock() = Some(started_at);
         log::info!(connections = self.connections.load(Ordering::Relaxed); "draining");
+        let end = started_at + grace.saturating_sub(GRACE_MARGIN);
+        let refuse_at = started_at + grace.saturating_sub(GRACE_MARGIN + FLUSH_DURATION);
         tokio::time::sleep(CLOSE_IDLE_AFTER).await;
-        self.closing.send_replace(true);
-        let end = Instant::now() + grace.saturating_sub(CLOSE_IDLE_AFTER + GRACE_MARGIN);
-        while self.connections.load(Ordering::Relaxed) > 0 && Instant::now() < end {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
+        self.phase.send_replace(DrainPhase::ClosingIdle);
+        self.wait_until_unused(refuse_at).await;
+        self.stop_accepting(listening).await;
+        self.wait_until_unused(refuse_at).await;
+        self.phase.send_replace(DrainPhase::Exiting);
+        self.wait_until_unused(end).await;
         log::info!(left_over = self.connections.load(Ordering::Relaxed),
             unused = self.unused_connections.load(Ordering::Relaxed); "drained");
     }
+
+    async fn stop_accepting(&self, listening: JoinHandle<()>) {
+        self.phase.send_replace(DrainPhase::NotAccepting);
+        if let Err(error) = listening.await {
+            log::warn!(error:% = error; "listener failed");
+        }
+    }
+
+    /// Waits until no connection is open, or until `end`.
+    async fn wait_until_unused(&self, end: Instant) {
+        while self.connections.load(Ordering::Relaxed) > 0 && Instant::now() < end {
+            tokio::time::sleep(CONNECTION_CHECK_PERIOD).await;
+        }
+    }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -19,6 +19,7 @@
 mod drain;
 mod endpoint;
 mod endpoint_set;
+mod execution_state;
 mod fleet;
 mod group_listener;
 mod handler;
@@ -39,4 +40,5 @@
 mod watch;
 
 pub use config_poll::ConfigPoll;
+pub use execution_state::{AttemptMark, ExecutionState};
 pub use process::run;
