Streams go on while their back end is silent

Callers saw a stream that had begun end with an error event, 2 to 2.5 s (by the constants) after its back end went silent, although the back end went on later and nothing could take the stream over.

Cause: an endpoint process ends all its calls without a key when two load queries in a row have no response, so that they are retried elsewhere. An answer that is relayed already can't be retried, so it was given up for nothing.

Change: entry and endpoint share the decision when an answer is relayed (`lynxmount_wire::is_relayed`). From then on an answer ends with its back end, its deadline or its caller, not for silence. The stand-in engine can be frozen.

--- a/crates/endpoint/src/answer_sender.rs
+++ b/crates/endpoint/src/answer_sender.rs
@@ -1,10 +1,13 @@
 //! Sends an answer to an entry with credit-based flow control: no faster than the caller reads it.
 
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
 
 use bytes::Bytes;
 use lynxmount_wire::{
-    AttemptId, ExecutionFailure, Header, RefusalReason, ResponseAssembler, ToEntry,
+    AttemptId, ExecutionFailure, Header, RefusalReason, ResponseAssembler, ToEntry, is_relayed,
 };
 use tokio::sync::{Semaphore, mpsc};
 
@@ -37,6 +40,21 @@
     }
 }
 
+/// Whether the entry relays the answer to its caller already.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RelayStatus(Arc<AtomicBool>);
+
+impl RelayStatus {
+    /// Whether the request can no longer be retried elsewhere.
+    pub(crate) fn has_started(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn set_started(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 /// The entry has disconnected.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct EntryDisconnected;
@@ -47,6 +65,9 @@
     outbound: mpsc::Sender<ToEntry>,
     credit: Credit,
     answer: ResponseAssembler,
+    headers: Vec<Header>,
+    sent_bytes: usize,
+    relay_status: RelayStatus,
 }
 
 impl AnswerSender {
@@ -55,7 +76,20 @@
         outbound: mpsc::Sender<ToEntry>,
         credit: Credit,
     ) -> AnswerSender {
-        AnswerSender { id, outbound, credit, answer: ResponseAssembler::default() }
+        AnswerSender {
+            id,
+            outbound,
+            credit,
+            answer: ResponseAssembler::default(),
+            headers: Vec::new(),
+            sent_bytes: 0,
+            relay_status: RelayStatus::default(),
+        }
+    }
+
+    /// Whether the entry relays the answer, updated as the answer is sent.
+    pub(crate) fn relay_status(&self) -> RelayStatus {
+        self.relay_status.clone()
     }
 
     /// Sends status and headers.
@@ -66,6 +100,7 @@
         status: u16,
         headers: Vec<Header>,
     ) -> Result<(), EntryDisconnected> {
+        self.headers.clone_from(&headers);
         self.send(ToEntry::Head { id: self.id, status, headers }).await
     }
 
@@ -74,6 +109,10 @@
         self.credit.acquire(bytes.len()).await;
         let sequence = self.answer.chunk_count();
         self.answer.push(sequence, bytes.clone());
+        self.sent_bytes += bytes.len();
+        if is_relayed(&self.headers, self.sent_bytes) {
+            self.relay_status.set_started();
+        }
         self.send(ToEntry::Data { id: self.id, sequence, bytes }).await
     }
 
--- a/crates/endpoint/src/attempt_runner.rs
+++ b/crates/endpoint/src/attempt_runner.rs
@@ -5,14 +5,14 @@
     time::{Duration, SystemTime},
 };
 
-use http::{Response, header::CONTENT_TYPE};
+use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use lynxmount_config::{Service, ServiceKind};
 use lynxmount_core::{CallPhase, Cause, ServiceId, wall_time_ms};
 use lynxmount_node::{ControlView, Counter, InFlightGuard, NodeHandle};
 use lynxmount_wire::{
-    Binding, Dispatch, ExecutionFailure, MAX_EVENT_BYTES, RefusalReason, SseFramer,
+    Binding, Dispatch, ExecutionFailure, MAX_EVENT_BYTES, RefusalReason, SseFramer, is_event_stream,
 };
 use tokio_util::sync::CancellationToken;
 
@@ -30,9 +30,6 @@
 /// The largest number of times that one stream is resumed.
 const MAX_RESUMES: u32 = 3;
 
-/// The media type of a stream of server-sent events.
-const EVENT_STREAM: &[u8] = b"text/event-stream";
-
 /// The state that all attempts share.
 pub(crate) struct AttemptRunner {
     pub(crate) node: NodeHandle,
@@ -119,12 +116,13 @@
         sender: AnswerSender,
         cancel: CancellationToken,
     ) {
+        let relay_status = sender.relay_status();
         let mut sink = AnswerSink::Direct(sender);
         let end = tokio::select! {
             end = self.call(&dispatch, &mut sink) => end,
             () = cancel.cancelled() => RunEnd::Failed(ExecutionFailure::Cancelled),
             () = wait_until_deadline(&dispatch) => RunEnd::Failed(ExecutionFailure::Expired),
-            () = self.monitor.until_unresponsive() => {
+            () = self.monitor.until_abandonable(&relay_status) => {
                 return self.abandon_unresponsive(&dispatch, permit, sink).await;
             }
         };
@@ -248,7 +246,7 @@
                 return self.disconnect_failure(disconnected_call, self.phase_before_head()).await;
             }
         };
-        match is_event_stream(&response) {
+        match is_event_stream(&forwarded_headers(&response)) {
             true => self.relay_events(dispatch, response, sink).await,
             false => match self.relay_body(response, sink).await {
                 Ok(()) => RunEnd::Complete,
@@ -393,11 +391,6 @@
     (response.status().as_u16(), forwarded_headers(response))
 }
 
-fn is_event_stream(response: &Response<Incoming>) -> bool {
-    let media_type = response.headers().get(CONTENT_TYPE);
-    media_type.is_some_and(|value| value.as_bytes().starts_with(EVENT_STREAM))
-}
-
 /// Waits until the deadline of the request.
 async fn wait_until_deadline(dispatch: &Dispatch) {
     let now_ms = wall_time_ms(SystemTime::now());
--- a/crates/endpoint/src/backend_monitor.rs
+++ b/crates/endpoint/src/backend_monitor.rs
@@ -16,7 +16,10 @@
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
 
-use crate::backend::{Backend, Load};
+use crate::{
+    answer_sender::RelayStatus,
+    backend::{Backend, Load},
+};
 
 /// How often the back end's load is queried.
 const LOAD_QUERY_PERIOD: Duration = Duration::from_millis(500);
@@ -144,11 +147,15 @@
         disconnected_call
     }
 
-    /// Waits until the back end is unresponsive. It may still accept connections then.
-    pub(crate) async fn until_unresponsive(&self) {
+    /// Waits until the back end is unresponsive, although it may still accept connections, while a
+    /// call there can be retried elsewhere. An answer that is relayed already is left to go on.
+    pub(crate) async fn until_abandonable(&self, relay_status: &RelayStatus) {
         let mut missed = self.missed_queries.subscribe();
         // `self` keeps the sender alive.
         let _ = missed.wait_for(|missed| *missed >= MAX_MISSED_QUERIES).await;
+        if relay_status.has_started() {
+            std::future::pending().await
+        }
     }
 
     /// Waits for the verdict on the back end after the connection of a call broke, up to a timeout.
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -4,13 +4,12 @@
 
 use bytes::{Bytes, BytesMut};
 use futures::stream;
-use http::header::CONTENT_TYPE;
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 use lynxmount_core::{Error, Reason, RequestId, Step, TeamId, indeterminate};
 use lynxmount_node::{Counter, InFlightGuard, NodeHandle};
 use lynxmount_policy::{AttemptFailure, TeamLimits};
-use lynxmount_wire::{Header, RefusalReason};
+use lynxmount_wire::{Header, RefusalReason, is_event_stream, is_relayed};
 use parking_lot::Mutex;
 
 use crate::{
@@ -19,13 +18,6 @@
     reply::{Refusal, ReplyBody},
 };
 
-/// The largest answer that is buffered until it is complete. As long as an answer is buffered, the
-/// request can be retried at another endpoint.
-const MAX_BUFFERED_BYTES: usize = 256 * 1024;
-
-/// The media type of a stream of server-sent events.
-const EVENT_STREAM: &[u8] = b"text/event-stream";
-
 /// The result of an attempt, before the caller gets its first byte.
 pub(crate) enum CollectedAnswer {
     /// The attempt ended without a complete answer.
@@ -46,8 +38,8 @@
     attempt: Attempt,
 }
 
-/// Buffers the answer until it is complete, or until it must be streamed because it is too large
-/// or an event stream.
+/// Buffers the answer until it is complete, or until it is relayed because it is too large or an
+/// event stream.
 pub(crate) async fn collect_answer(mut attempt: Attempt, deadline: Deadline) -> CollectedAnswer {
     let (status, headers) = match attempt.next(deadline).await {
         AttemptEvent::Head { status, headers } => (status, headers),
@@ -58,7 +50,6 @@
             return CollectedAnswer::Failed(AttemptFailure::Failed);
         }
     };
-    let max_buffered_bytes = if is_event_stream(&headers) { 0 } else { MAX_BUFFERED_BYTES };
     let mut buffered = BytesMut::new();
     loop {
         match attempt.next(deadline).await {
@@ -73,7 +64,7 @@
                 return CollectedAnswer::Failed(AttemptFailure::Failed);
             }
         }
-        if buffered.len() > max_buffered_bytes {
+        if is_relayed(&headers, buffered.len()) {
             let buffered = buffered.freeze();
             let answer = StreamingAnswer { status, headers, buffered, attempt };
             return CollectedAnswer::Streaming(Box::new(answer));
@@ -206,10 +197,3 @@
         _ => chunks.concat().into(),
     }
 }
-
-fn is_event_stream(headers: &[Header]) -> bool {
-    headers
-        .iter()
-        .filter(|header| header.name == CONTENT_TYPE.as_str())
-        .any(|header| header.value.starts_with(EVENT_STREAM))
-}
--- a/crates/lynxmount/tests/frozen_processes.rs
+++ b/crates/lynxmount/tests/frozen_processes.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{Fleet, FleetOptions, Process, chat_request, eventually, streamed_text};
+use common::{Fleet, FleetOptions, Process, answer_text, chat_request, eventually, streamed_text};
 use http::Method;
 use http_body_util::BodyExt;
 use lynxmount_standin::{BatchOptions, ReceivedResponse};
@@ -17,6 +17,9 @@
 /// The number of tokens of a stream that runs longer than the test.
 const ENDLESS_STREAM_TOKENS: u32 = 100_000;
 
+/// The number of tokens of a stream that is still running when its back end is frozen.
+const LONG_STREAM_TOKENS: u32 = 250;
+
 /// The duration of a call that is still running when its endpoint is frozen.
 const LONG_CALL_DURATION: Duration = Duration::from_secs(3);
 
@@ -201,6 +204,33 @@
     assert_ne!(answer.json()["reason"], "timed-out");
 }
 
+/// Guards against streams that are ended because their back end is silent: the caller has a part of
+/// the answer, so that no other back end can take it over.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_continues_after_its_back_end_was_frozen() {
+    let fleet =
+        Fleet::start(FleetOptions { engines: 1, plain_services: 0, ..long_timeouts() }).await;
+    let caller = fleet.caller(0);
+    let body = chat_request("dent", LONG_STREAM_TOKENS, true);
+    let mut response = caller.open(Method::POST, CHAT_PATH, &[], body).await.unwrap();
+    let first = response.body_mut().frame().await.unwrap().unwrap().into_data().unwrap();
+    let unstarted = tokio::spawn(async move {
+        let body = chat_request("dent", ENDLESS_STREAM_TOKENS, false);
+        caller.call(Method::POST, CHAT_PATH, &[], body).await
+    });
+    eventually("the engine runs both", async || fleet.engines[0].active_sequences() == 2).await;
+
+    fleet.engines[0].freeze();
+    let unstarted = unstarted.await.unwrap().unwrap();
+    fleet.engines[0].thaw();
+    let rest = response.into_body().collect().await.expect("a whole answer").to_bytes();
+
+    assert_eq!(unstarted.outcome(), "unknown", "{}", unstarted.body);
+    let body = [first, rest].concat();
+    let text = streamed_text(&String::from_utf8_lossy(&body));
+    assert_eq!(text, (answer_text("dent", LONG_STREAM_TOKENS), true));
+}
+
 /// Checks that no call runs that was sent with a body of `body_bytes` to a frozen endpoint.
 async fn assert_no_frames_after_resuming(body_bytes: usize) {
     let fleet = Fleet::start(only_plain_services(1)).await;
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -47,6 +47,7 @@
     batch: Arc<Batch>,
     recorded_runs: Mutex<Vec<RecordedRun>>,
     cut_after: Mutex<Option<u32>>,
+    is_frozen: watch::Sender<bool>,
 }
 
 /// The text of one token: the prompt that it answers and its number.
@@ -64,6 +65,7 @@
             batch: Arc::clone(&batch),
             recorded_runs: Mutex::default(),
             cut_after: Mutex::default(),
+            is_frozen: watch::Sender::new(false),
         });
         let lifecycle = Lifecycle::default();
         let (address, server) = serve(address, Arc::clone(&state), lifecycle, handle).await?;
@@ -91,6 +93,17 @@
         *self.state.cut_after.lock() = Some(tokens);
     }
 
+    /// Freezes the engine: its machine still accepts connections and requests, but nothing is sent
+    /// until it is thawed.
+    pub fn freeze(&self) {
+        self.state.is_frozen.send_replace(true);
+    }
+
+    /// Thaws the engine.
+    pub fn thaw(&self) {
+        self.state.is_frozen.send_replace(false);
+    }
+
     /// Stops the engine.
     pub fn stop(&self) {
         self.tasks.iter().for_each(JoinHandle::abort);
@@ -105,6 +118,7 @@
 }
 
 async fn handle(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
+    wait_until_thawed(&mut state.is_frozen.subscribe()).await;
     let path = request.uri().path().to_owned();
     match (request.method(), path.as_str()) {
         (&Method::GET, "/load") => {
@@ -142,7 +156,15 @@
     match body["stream"].as_bool() {
         Some(true) => {
             let cut_after = state.cut_after.lock().take();
-            event_stream(TokenStream { prompt, max_tokens, sent: 0, progress, cut_after })
+            let is_frozen = state.is_frozen.subscribe();
+            event_stream(TokenStream {
+                prompt,
+                max_tokens,
+                sent: 0,
+                progress,
+                cut_after,
+                is_frozen,
+            })
         }
         _ => full_response(prompt, max_tokens, progress).await,
     }
@@ -157,7 +179,10 @@
         return json(StatusCode::NOT_FOUND, &json!({ "error": "no such stream" }));
     };
     let RecordedRun { prompt, max_tokens, .. } = run;
-    event_stream(TokenStream { prompt, max_tokens, sent: from, progress, cut_after: None })
+    let is_frozen = state.is_frozen.subscribe();
+    let tokens =
+        TokenStream { prompt, max_tokens, sent: from, progress, cut_after: None, is_frozen };
+    event_stream(tokens)
 }
 
 struct TokenStream {
@@ -166,6 +191,7 @@
     sent: u32,
     progress: watch::Receiver<Progress>,
     cut_after: Option<u32>,
+    is_frozen: watch::Receiver<bool>,
 }
 
 type FrameResult = Result<Frame<Bytes>, anyhow::Error>;
@@ -180,6 +206,7 @@
 
 async fn next_event(tokens: Option<TokenStream>) -> Option<(FrameResult, Option<TokenStream>)> {
     let mut tokens = tokens?;
+    wait_until_thawed(&mut tokens.is_frozen).await;
     if tokens.cut_after.is_some_and(|after| tokens.sent >= after) {
         return Some((Err(anyhow::anyhow!("cut off")), None));
     }
@@ -196,6 +223,12 @@
     Some((Ok(Frame::data(event.into())), Some(tokens)))
 }
 
+/// Waits until the engine is not frozen.
+async fn wait_until_thawed(is_frozen: &mut watch::Receiver<bool>) {
+    // A stopped engine sends nothing anyway.
+    let _ = is_frozen.wait_for(|is_frozen| !is_frozen).await;
+}
+
 fn format_event(content: &str) -> String {
     let chunk = json!({
         "object": "chat.completion.chunk",
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,12 +6,14 @@
 
 #![forbid(unsafe_code)]
 
+mod answer_relay;
 mod codec;
 mod frame;
 mod response_assembler;
 mod sequenced_events;
 mod sse_framer;
 
+pub use answer_relay::{is_event_stream, is_relayed};
 pub use codec::{FrameReader, FrameWriter, MAX_FRAME_BYTES};
 pub use frame::{
     AttemptId, Binding, Dispatch, ExecutionFailure, Header, LoadReport, PROTOCOL_VERSION,
