Connections that an entry has accepted are served or refused

Callers who connected to an entry whose drain had ended, while it completed answers for up to 5 s, were accepted by the kernel and got neither an answer nor a refusal; a connection that had been accepted before was closed before its first request was read.

Cause: the listener stayed open, unread, until the process exited, and the graceful shutdown of a connection closes it if nothing was read yet.

Change: at the end of the drain the entry accepts what the kernel has opened and closes its listener, so that later callers are refused.

--- a/crates/entry/src/callers_port.rs
+++ b/crates/entry/src/callers_port.rs
@@ -1,17 +1,18 @@
 //! The HTTP listener for callers.
 
-use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
+use std::{future::Future, sync::Arc, time::Duration};
 
-use hyper::{server::conn::http1, service::service_fn};
-use hyper_util::{
-    rt::{TokioIo, TokioTimer},
-    server::graceful::GracefulShutdown,
-};
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioTimer;
 use lynxmount_config::EntrySettings;
 use lynxmount_core::{Result, Step, invalid};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::JoinSet,
+};
+use tokio_util::sync::CancellationToken;
 
-use crate::handler::Handler;
+use crate::{caller_connection, handler::Handler};
 
 /// Delay after a failed `accept`, which is usually caused by a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -22,8 +23,15 @@
 /// The bound listener and the HTTP settings of its connections.
 pub(crate) struct CallersPort {
     listener: TcpListener,
+    connections: Connections,
+}
+
+/// The connections that are open.
+struct Connections {
     handler: Arc<Handler>,
     http: http1::Builder,
+    closing: CancellationToken,
+    tasks: JoinSet<()>,
 }
 
 impl CallersPort {
@@ -41,37 +49,50 @@
         http.timer(TokioTimer::new());
         http.header_read_timeout(settings.header_timeout_ms);
         http.max_buf_size(settings.max_header_bytes);
-        Ok(CallersPort { listener, handler, http })
+        let (closing, tasks) = (CancellationToken::new(), JoinSet::new());
+        Ok(CallersPort { listener, connections: Connections { handler, http, closing, tasks } })
     }
 
-    /// Serves callers until `shutdown` resolves, then flushes completed answers.
+    /// Serves callers until `shutdown` resolves, then refuses new connections and flushes completed
+    /// answers.
     pub(crate) async fn serve_until(self, shutdown: impl Future<Output = ()>) {
-        let graceful = GracefulShutdown::new();
+        let CallersPort { listener, mut connections } = self;
         tokio::pin!(shutdown);
         loop {
             tokio::select! {
                 () = &mut shutdown => break,
-                accepted = self.listener.accept() => match accepted {
-                    Ok((stream, _)) => self.serve_connection(stream, &graceful),
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, _)) => connections.serve(stream),
                     Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
                 },
+                Some(_) = connections.tasks.join_next() => {}
             }
         }
-        let _ = tokio::time::timeout(FLUSH_TIMEOUT, graceful.shutdown()).await;
+        accept_pending(listener).for_each(|stream| connections.serve(stream));
+        connections.closing.cancel();
+        let _ = tokio::time::timeout(FLUSH_TIMEOUT, connections.all_closed()).await;
     }
+}
 
-    fn serve_connection(&self, stream: TcpStream, graceful: &GracefulShutdown) {
+impl Connections {
+    fn serve(&mut self, stream: TcpStream) {
         // Streamed tokens are small; Nagle's algorithm would delay each one.
         let _ = stream.set_nodelay(true);
-        let handler = Arc::clone(&self.handler);
-        let service = service_fn(move |request| {
-            let handler = Arc::clone(&handler);
-            async move { Ok::<_, Infallible>(handler.handle(request).await) }
-        });
-        let connection = self.http.serve_connection(TokioIo::new(stream), service);
-        let connection = graceful.watch(connection);
-        // A caller that disconnects in the middle of an answer causes an error here; the
-        // request's counters have already recorded it.
-        tokio::spawn(async move { drop(connection.await) });
+        let (handler, closing) = (Arc::clone(&self.handler), self.closing.clone());
+        self.tasks.spawn(caller_connection::serve(stream, &self.http, handler, closing));
     }
+
+    async fn all_closed(&mut self) {
+        while self.tasks.join_next().await.is_some() {}
+    }
+}
+
+/// Accepts the connections that the kernel has already opened, and closes the listener.
+fn accept_pending(listener: TcpListener) -> impl Iterator<Item = TcpStream> {
+    let listener = listener.into_std().ok();
+    let accepted = std::iter::from_fn(move || listener.as_ref()?.accept().ok());
+    accepted.filter_map(|(stream, _)| {
+        stream.set_nonblocking(true).ok()?;
+        TcpStream::from_std(stream).ok()
+    })
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 mod attempt;
 mod authentication;
 mod call;
+mod caller_connection;
 mod callers_port;
 mod claim_log;
 mod crash_report_log;
--- a/crates/lynxmount/tests/common/mod.rs
+++ b/crates/lynxmount/tests/common/mod.rs
@@ -54,6 +54,8 @@
     pub batch: BatchOptions,
     pub log_retention_ms: u64,
     pub entry_threads: usize,
+    pub drain_timeout_ms: u64,
+    pub header_timeout_ms: u64,
     pub statsd_address: Option<SocketAddr>,
 }
 
@@ -72,6 +74,8 @@
             batch: BatchOptions::default(),
             log_retention_ms: 604_800_000,
             entry_threads: 1,
+            drain_timeout_ms: 300_000,
+            header_timeout_ms: 500,
             statsd_address: None,
         }
     }
@@ -294,7 +298,7 @@
     pub fn spawn_entry(&self, number: usize) -> Process {
         let name = format!("entry-{number}");
         let settings = format!(
-            "{{ {}, \"callers_address\": \"{}\", \"traffic_threads\": {}, \"idle_timeout_ms\": 500, \"header_timeout_ms\": 500 }}",
+            "{{ {}, \"callers_address\": \"{}\", \"traffic_threads\": {}, \"idle_timeout_ms\": 500, \"header_timeout_ms\": {} }}",
             self.process_settings(
                 &name,
                 CONTROL_PORT + number as u16,
@@ -302,6 +306,7 @@
             ),
             self.callers_address(number),
             self.options.entry_threads,
+            self.options.header_timeout_ms,
         );
         self.spawn("entry", &name, &settings)
     }
@@ -343,12 +348,13 @@
             "{statsd}\"process_id\": \"{name}\", \"failure_domain\": \"north\", \"scope\": \"{SCOPE}\", \
              \"platform_address\": \"{}\", \"control_address\": \"{}\", \
              \"operators_address\": \"{}\", \"peers\": [{}], \
-             \"log_retention_ms\": {}",
+             \"log_retention_ms\": {}, \"drain_timeout_ms\": {}",
             self.platform_address,
             self.address(control),
             self.address(operators),
             peers.join(", "),
             self.options.log_retention_ms,
+            self.options.drain_timeout_ms,
         )
     }
 
