Calls that are left when an entry exits are answered

Callers whose calls were in progress 5 s after the end of an entry's drain (`drain_timeout_ms`) got no answer: their connections were closed, whether their calls waited in the queue or ran.

Cause: the process exits after the flush, whoever waits.

Change: after the flush the calls that are left are cut off and answered within 1 s: *not run* if no attempt was sent, *unknown* otherwise, an error event in a stream. A call that is cut off in the queue takes no capacity that others leave. Nothing ends sooner than before.

--- a/crates/entry/src/callers_port.rs
+++ b/crates/entry/src/callers_port.rs
@@ -20,6 +20,10 @@
 /// How long completed answers may take to be flushed on shutdown.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// How long calls that are cut off may take to be answered. Longer than the confirmation of an outcome
+/// by the claim log.
+const CUT_OFF_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The bound listener and the HTTP settings of its connections.
 pub(crate) struct CallersPort {
     listener: TcpListener,
@@ -53,8 +57,8 @@
         Ok(CallersPort { listener, connections: Connections { handler, http, closing, tasks } })
     }
 
-    /// Serves callers until `shutdown` resolves, then refuses new connections and flushes completed
-    /// answers.
+    /// Serves callers until `shutdown` resolves, then refuses new connections, flushes completed
+    /// answers and cuts off the calls that are left.
     pub(crate) async fn serve_until(self, shutdown: impl Future<Output = ()>) {
         let CallersPort { listener, mut connections } = self;
         tokio::pin!(shutdown);
@@ -70,7 +74,10 @@
         }
         accept_pending(listener).for_each(|stream| connections.serve(stream));
         connections.closing.cancel();
-        let _ = tokio::time::timeout(FLUSH_TIMEOUT, connections.all_closed()).await;
+        if tokio::time::timeout(FLUSH_TIMEOUT, connections.all_closed()).await.is_err() {
+            connections.handler.cut_off.cancel();
+            let _ = tokio::time::timeout(CUT_OFF_TIMEOUT, connections.all_closed()).await;
+        }
     }
 }
 
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -12,6 +12,7 @@
 use lynxmount_policy::{TeamLimits, TeamQuota};
 use lynxmount_quarantine::SharedQuarantine;
 use parking_lot::Mutex;
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     call::{Call, ResolvedRequest, max_body_bytes, resolve},
@@ -40,6 +41,8 @@
     pub(crate) quarantine: Arc<SharedQuarantine>,
     team_limits: Arc<Mutex<TeamLimits>>,
     idle_timeout: Duration,
+    /// Cancelled when the process exits although calls are in progress: each is answered at once.
+    pub(crate) cut_off: CancellationToken,
 }
 
 impl Handler {
@@ -58,6 +61,7 @@
             quarantine,
             team_limits,
             idle_timeout: settings.idle_timeout_ms,
+            cut_off: CancellationToken::new(),
         }
     }
 
@@ -96,7 +100,10 @@
         let config = self.ready_config().map_err(|refusal| unknown_if_keyed(refusal, &parts))?;
         let max_body_bytes = max_body_bytes(&parts, &config)?;
         drop(config);
-        let body = read_body(body, max_body_bytes, self.idle_timeout).await?;
+        let body = tokio::select! {
+            body = read_body(body, max_body_bytes, self.idle_timeout) => body?,
+            () = self.cut_off.cancelled() => return Err(unknown_if_keyed(leaving(), &parts)),
+        };
         for _ in 0..MAX_ADMISSIONS {
             // A request that has passed the readiness check is completed even if the entry has
             // started to drain since.
@@ -119,7 +126,7 @@
         let config = self.config()?;
         match self.node.view().is_ready() {
             true => Ok(config),
-            false => Err(Refusal::not_run(Reason::NotReady, "the entry is leaving")),
+            false => Err(leaving()),
         }
     }
 
@@ -221,7 +228,10 @@
     async fn wait_for_newer_config(&self, version: u64) {
         self.node.on_newer_peer_config();
         let newer = self.node.wait_for(|view| view.version() > version);
-        let _ = tokio::time::timeout(CONFIG_TIMEOUT, newer).await;
+        tokio::select! {
+            _ = tokio::time::timeout(CONFIG_TIMEOUT, newer) => {}
+            () = self.cut_off.cancelled() => {}
+        }
     }
 }
 
@@ -233,6 +243,11 @@
     }
 }
 
+/// Refuses a request because the process exits.
+pub(crate) fn leaving() -> Refusal {
+    Refusal::not_run(Reason::NotReady, "the entry is leaving")
+}
+
 fn pool_not_ready(service: &str) -> Refusal {
     Refusal::not_run(Reason::NotReady, format!("{service} is being set up"))
 }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -11,6 +11,7 @@
 use lynxmount_policy::{AttemptFailure, TeamLimits};
 use lynxmount_wire::{Header, RefusalReason, is_event_stream, is_relayed};
 use parking_lot::Mutex;
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     attempt::{Attempt, AttemptEvent},
@@ -95,6 +96,7 @@
     pub(crate) request: RequestId,
     pub(crate) deadline: Deadline,
     pub(crate) node: NodeHandle,
+    pub(crate) cut_off: CancellationToken,
     /// Released when the stream ends.
     pub(crate) _guards: RequestGuards,
 }
@@ -159,7 +161,7 @@
             state.phase = StreamPhase::Ended;
             Some((Err(truncation_error(&state)), state))
         }
-        StreamPhase::Relaying => match state.attempt.next(state.context.deadline).await {
+        StreamPhase::Relaying => match next_event(&mut state).await {
             AttemptEvent::Data(chunks) => Some((Ok(Frame::data(concat(chunks))), state)),
             AttemptEvent::Complete => {
                 state.phase = StreamPhase::Ended;
@@ -173,6 +175,15 @@
     }
 }
 
+/// The next event of the attempt; a failure if the call is cut off.
+async fn next_event(state: &mut StreamState) -> AttemptEvent {
+    tokio::select! {
+        biased;
+        event = state.attempt.next(state.context.deadline) => event,
+        () = state.context.cut_off.cancelled() => AttemptEvent::Failed(AttemptFailure::TimedOut),
+    }
+}
+
 fn abort_stream(mut state: StreamState) -> (Result<Frame<Bytes>, Error>, StreamState) {
     state.context.node.counters().count(Counter::RequestsUnknown);
     if !state.is_event_stream {
--- a/crates/entry/src/retry_loop.rs
+++ b/crates/entry/src/retry_loop.rs
@@ -13,7 +13,7 @@
 use crate::{
     attempt::Attempt,
     call::Call,
-    handler::Handler,
+    handler::{Handler, leaving},
     key_binding::bind_key,
     relay::{CollectedAnswer, StreamContext, StreamingAnswer, collect_answer},
     reply::{OUTCOME_HEADER, Refusal, ReplyBody, answer_response, full_body},
@@ -97,9 +97,18 @@
         unreachable!("the number of attempts is bounded by the retry policy")
     }
 
-    /// Waits until the answer is complete or is relayed as a stream. A request without a key ends
-    /// early if it is quarantined meanwhile; one with a key goes on, as it must not run again.
+    /// Waits until the answer is complete or is relayed as a stream, or the call is cut off.
     async fn collect(&self, attempt: Attempt, call: &Call) -> CollectedAnswer {
+        tokio::select! {
+            biased;
+            collected = self.collect_unless_quarantined(attempt, call) => collected,
+            () = self.cut_off.cancelled() => CollectedAnswer::Failed(AttemptFailure::TimedOut),
+        }
+    }
+
+    /// A request without a key ends early if it is quarantined meanwhile; one with a key goes on, as
+    /// it must not run again.
+    async fn collect_unless_quarantined(&self, attempt: Attempt, call: &Call) -> CollectedAnswer {
         let collecting = collect_answer(attempt, call.deadline);
         if call.key.is_some() {
             return collecting.await;
@@ -112,10 +121,24 @@
         }
     }
 
+    /// Reserves capacity for the next attempt, unless the call is cut off.
     async fn reserve(
         &self,
         call: &Call,
         tried: &[EndpointId],
+    ) -> Result<(Reservation, Option<Binding>), Refusal> {
+        tokio::select! {
+            // Capacity that other calls leave when they are cut off is not used any more.
+            biased;
+            () = self.cut_off.cancelled() => Err(leaving()),
+            reserved = self.wait_for_reservation(call, tried) => reserved,
+        }
+    }
+
+    async fn wait_for_reservation(
+        &self,
+        call: &Call,
+        tried: &[EndpointId],
     ) -> Result<(Reservation, Option<Binding>), Refusal> {
         self.wait_for_verdicts(call).await?;
         if let Some(remaining) = self.quarantine.quarantined_for(&call.identity) {
@@ -230,6 +253,7 @@
             request: call.id,
             deadline: call.deadline,
             node: self.node.clone(),
+            cut_off: self.cut_off.clone(),
             _guards: call.guards,
         };
         let (status, headers) = (answer.status, answer.headers.clone());
--- a/crates/lynxmount/tests/entry_shutdown.rs
+++ b/crates/lynxmount/tests/entry_shutdown.rs
@@ -4,8 +4,9 @@
 
 use std::time::Duration;
 
-use common::{Fleet, FleetOptions, chat_request, eventually, token_of};
+use common::{Fleet, FleetOptions, chat_request, eventually, streamed_text, token_of};
 use http::Method;
+use http_body_util::BodyExt;
 use lynxmount_standin::{BatchOptions, ReceivedResponse};
 use nix::sys::signal::Signal;
 use tokio::{
@@ -16,6 +17,9 @@
 
 const CHAT_PATH: &str = "/v1/chat/completions";
 
+/// The number of tokens of an answer that is not complete when the entry exits.
+const ENDLESS_ANSWER_TOKENS: u32 = 100_000;
+
 /// The number of tokens of an answer that is completed after the drain, before the entry exits.
 const LONG_ANSWER_TOKENS: u32 = 150;
 
@@ -52,6 +56,38 @@
     eventually("the engine runs the calls", async || engine.active_sequences() == count).await;
 }
 
+/// Guards against calls whose connections are closed without an answer because the entry exits.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_that_outlast_the_drain_are_answered_before_the_entry_exits() {
+    let mut fleet = Fleet::start(short_drain()).await;
+    let body = chat_request("dent", ENDLESS_ANSWER_TOKENS, true);
+    let mut stream = fleet.caller(0).open(Method::POST, CHAT_PATH, &[], body).await.unwrap();
+    assert!(stream.body_mut().frame().await.unwrap().is_ok());
+    let running = send_chat(&fleet, ENDLESS_ANSWER_TOKENS);
+    wait_until_running(&fleet, 2).await;
+    let queued = send_chat(&fleet, 1);
+    // The entry counts a call when it arrives, and again when it is admitted.
+    eventually("the entry has queued the call", async || {
+        fleet.entry_status(0).await.is_some_and(|status| status.running == 5)
+    })
+    .await;
+
+    terminate(&fleet);
+    let mut text = String::new();
+    while let Some(Ok(frame)) = stream.body_mut().frame().await {
+        text.push_str(&String::from_utf8_lossy(frame.data_ref().unwrap()));
+    }
+    let running = running.await.unwrap().expect("an answer to the running call");
+    let queued = queued.await.unwrap().expect("an answer to the queued call");
+    let code = fleet.entries[0].as_mut().unwrap().exit_code().await;
+
+    assert_eq!((running.status.as_u16(), running.outcome()), (504, "unknown"));
+    assert_eq!((queued.status.as_u16(), queued.outcome()), (503, "not-run"));
+    assert!(text.contains("\"outcome\":\"unknown\""), "the stream ends with an error event");
+    assert!(!streamed_text(&text).1);
+    assert_eq!(code, Some(0));
+}
+
 /// Guards against connections that the kernel accepts for an entry that no longer reads from them.
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_are_refused_after_the_drain_while_calls_are_completed() {
