Endpoints wait for their entries before they exit

Callers got 502 `lost-attempt`, *unknown*, for orders with a key while idle endpoints were restarted one after the other, although the orders had not run; calls without a key took retries from the budget.

Cause: an endpoint process exits as soon as nothing runs, milliseconds after it says that it is leaving. Dispatches on their way are closed unread, and a key that an entry has just claimed there can't be given back.

Change: after the drain an endpoint closes its listener and refuses what arrives until its entries have disconnected, for at most 3 s. An entry disconnects once the endpoint runs nothing and the entry holds no reservation there.

`--test endpoint_admission -- drained`: before, "connection closed" and no such disconnection in the audit trail; after, all 7 tests of the file passed, as did `process_failures`, `frozen_processes`, `outages`, `commands`, `probes`, `poison_requests`, `entry_shutdown` and `callers`.

--- a/crates/endpoint/src/data_port.rs
+++ b/crates/endpoint/src/data_port.rs
@@ -14,6 +14,10 @@
 /// Delay after a failed `accept`.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// How long entries may take to disconnect after the drain. Attempts that are on their way until then
+/// are refused. Longer than an entry takes to claim a key for this endpoint.
+const DISCONNECT_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// The bound listener.
 pub(crate) struct DataPort {
     listener: TcpListener,
@@ -37,8 +41,8 @@
         Ok(DataPort { listener, runner, reporter, pauses })
     }
 
-    /// Serves entries until `shutdown` resolves, then writes all queued frames and closes all
-    /// connections.
+    /// Serves entries until `shutdown` resolves and they have disconnected, then writes all queued
+    /// frames and closes the connections that are left.
     pub(crate) async fn serve_until(
         self,
         shutdown: impl Future<Output = ()>,
@@ -65,8 +69,15 @@
                 Some(_) = connections.join_next() => {}
             }
         }
-        closing.cancel();
-        let all_closed = async { while connections.join_next().await.is_some() {} };
-        let _ = tokio::time::timeout(flush_timeout, all_closed).await;
+        drop(self.listener);
+        self.reporter.report_now();
+        if tokio::time::timeout(DISCONNECT_TIMEOUT, all_closed(&mut connections)).await.is_err() {
+            closing.cancel();
+            let _ = tokio::time::timeout(flush_timeout, all_closed(&mut connections)).await;
+        }
     }
 }
+
+async fn all_closed(connections: &mut JoinSet<()>) {
+    while connections.join_next().await.is_some() {}
+}
--- a/crates/entry/src/endpoint_client.rs
+++ b/crates/entry/src/endpoint_client.rs
@@ -13,8 +13,8 @@
 use lynxmount_audit::AuditEvent;
 use lynxmount_config::Endpoint;
 use lynxmount_core::{
-    EndpointIncarnation, Error, Incarnation, Result, Step, indeterminate, invalid, timed_out,
-    unreachable,
+    EndpointIncarnation, Error, Incarnation, Result, Step, indeterminate, invalid, refused,
+    timed_out, unreachable,
 };
 use lynxmount_node::{Counter, NodeHandle};
 use lynxmount_policy::{Candidate, ChoiceOptions};
@@ -270,7 +270,12 @@
             match self.read_frame(&mut reader).await {
                 Err(error) => return error,
                 Ok(None) => return indeterminate(Step::ReadResponse, peer, "connection closed"),
-                Ok(Some(ToEntry::Report(report))) => self.on_report(report, node, pools),
+                Ok(Some(ToEntry::Report(report))) => {
+                    self.on_report(report, node, pools);
+                    if self.has_drained(&report) {
+                        return refused(Step::Connect, peer, "the endpoint has drained");
+                    }
+                }
                 Ok(Some(ToEntry::BackendCrashed { incarnation })) => {
                     self.on_backend_crashed(incarnation)
                 }
@@ -311,6 +316,12 @@
         pools.grant_queued(&self.endpoint.service);
     }
 
+    /// Whether the endpoint waits only for its entries to disconnect, and this one has no attempts
+    /// there, including those that are about to be sent.
+    fn has_drained(&self, report: &LoadReport) -> bool {
+        report.draining && report.running == 0 && self.own_running.load(Ordering::Relaxed) == 0
+    }
+
     fn deliver(&self, frame: ToEntry, node: &NodeHandle) {
         let Some(id) = frame.attempt() else { return };
         let state = self.state.lock();
--- a/crates/lynxmount/tests/endpoint_admission.rs
+++ b/crates/lynxmount/tests/endpoint_admission.rs
@@ -12,6 +12,7 @@
     AttemptId, Binding, Dispatch, ExecutionFailure, FrameReader, FrameWriter, PROTOCOL_VERSION,
     RefusalReason, ToEndpoint, ToEntry,
 };
+use nix::sys::signal::Signal;
 use tokio::net::{
     TcpStream,
     tcp::{OwnedReadHalf, OwnedWriteHalf},
@@ -218,3 +219,40 @@
     assert!(matches!(entry.last_frame_of(running.id).await, ToEntry::End { .. }));
     assert_eq!(run_count(&fleet), 1);
 }
+
+/// Guards against attempts that are lost, and keys whose outcome is unknown, because the endpoint
+/// exits while they are on their way to it.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_that_has_drained_refuses_attempts_until_its_entries_disconnect() {
+    let mut fleet = Fleet::start(fleet_options()).await;
+    let mut entry = FakeEntry::connect(&fleet).await;
+
+    fleet.endpoints[0].as_ref().unwrap().signal(Signal::SIGTERM);
+    common::eventually("the drain has ended", async || {
+        TcpStream::connect(fleet.address(DATA_PORT)).await.is_err()
+    })
+    .await;
+
+    assert_eq!(entry.refusal_reason_of(&dispatch(1)).await, Some(RefusalReason::Draining));
+    let key = dispatch_with_key(2, 1, entry.incarnation);
+    assert_eq!(entry.refusal_reason_of(&key).await, Some(RefusalReason::Draining));
+    drop(entry);
+    assert_eq!(fleet.endpoints[0].as_mut().unwrap().exit_code().await, Some(0));
+    assert_eq!(run_count(&fleet), 0);
+}
+
+/// Guards against endpoints that wait in vain for an entry that has no attempts there.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_disconnects_from_an_endpoint_that_has_drained() {
+    let mut fleet = Fleet::start(fleet_options()).await;
+
+    fleet.endpoints[0].as_ref().unwrap().signal(Signal::SIGTERM);
+    let code = fleet.endpoints[0].as_mut().unwrap().exit_code().await;
+
+    assert_eq!(code, Some(0));
+    common::eventually("the entry records why it has disconnected", async || {
+        let audit = fleet.run_command(&["audit", "--event", "endpoint-down"]);
+        String::from_utf8_lossy(&audit.stdout).contains("the endpoint has drained")
+    })
+    .await;
+}
