Leaders settle a map switch before they exit

Callers of a group saw all its streams pause when the process of its leader got SIGTERM during a map switch: for 1.4 s and more (by the constants of the next leader), or for good if ranks had frozen meanwhile, which no other process can read.

Cause: the process exits as soon as it handles the signal, under a hold that it owns.

Change: at SIGTERM the coordinator cancels a switch that can't hold the group yet, ends one that may, for at most 3 s, and begins no other.

--- a/crates/group/src/switch/mod.rs
+++ b/crates/group/src/switch/mod.rs
@@ -298,6 +298,14 @@
         }
     }
 
+    /// Gives the switch up unless the group may be held already: from then on only the switch itself
+    /// leaves nothing behind.
+    pub fn cancel(&mut self) {
+        if matches!(self.phase, Phase::Confirming { .. } | Phase::Preparing) {
+            self.phase = Phase::Over(SwitchOutcome::Cancelled);
+        }
+    }
+
     /// Returns the requests to send now; to be called after each answer, and periodically.
     pub fn tick(&mut self, now: Duration) -> Vec<OutgoingRequest> {
         self.advance(now);
--- a/crates/group/src/switch/options.rs
+++ b/crates/group/src/switch/options.rs
@@ -44,6 +44,8 @@
 /// The outcome of a switch.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SwitchOutcome {
+    /// The caller gave it up before the group was held; no rank was armed.
+    Cancelled,
     /// The group formed again under a new epoch; nothing of the switch is left.
     GroupReformed,
     /// The group could not be held in time, or the hold was not answered; no rank was armed.
--- a/crates/group/tests/switch_hold.rs
+++ b/crates/group/tests/switch_hold.rs
@@ -153,3 +153,30 @@
     let placement = choose(MAX_ORDER_DELAY).expect("a rank is free");
     assert_ne!(placement.rank, HELD);
 }
+
+/// Guards against a coordinator that exits under a hold, and against one that waits for copies first.
+#[test]
+fn a_switch_can_be_cancelled_until_the_group_may_be_held() {
+    let (mut unheld, mut held) = (start_switch(), start_switch());
+    let version = held.version();
+    execute_requests(&mut unheld, Duration::ZERO);
+    execute_requests(&mut held, Duration::ZERO);
+    let prepared = EngineReport { prepared: Some(version), ..report(FROZEN) };
+    held.observe(FROZEN, prepared);
+    for request in held.tick(Duration::from_millis(20)) {
+        held.observe(
+            request.rank,
+            EngineReport { prepared: Some(version), ..report(request.rank) },
+        );
+        held.on_answer(request.rank, request.id, Some(OrderResult::Accepted));
+    }
+    let hold = held.tick(Duration::from_millis(40));
+
+    unheld.cancel();
+    held.cancel();
+
+    let is_hold = |request: &RankRequest| matches!(request, RankRequest::Order(order) if matches!(order.action, Action::Hold { .. }));
+    assert!(hold.iter().any(|sent| is_hold(&sent.request)), "{hold:?}");
+    assert_eq!(unheld.outcome(), Some(SwitchOutcome::Cancelled));
+    assert_eq!(held.outcome(), None);
+}
--- a/crates/rank/src/coordinator/drive.rs
+++ b/crates/rank/src/coordinator/drive.rs
@@ -30,7 +30,7 @@
     S: FleetSource,
     F: Fn(SocketAddr) -> E + Send + Sync + 'static,
 {
-    /// Drives a switch to its end.
+    /// Drives a switch to its end, which is soon if the process is told to terminate.
     pub(super) async fn drive(
         &self,
         state: &mut LeaderState,
@@ -43,6 +43,9 @@
         > = FuturesUnordered::new();
         let delegate = self.hold_delegate(engines, switch.hold_rank());
         loop {
+            if self.terminating.is_cancelled() {
+                switch.cancel();
+            }
             let orders = switch.tick(self.clock.now());
             self.record_map(&orders);
             let mut relayed = self.relay(&orders, engines, base).await;
--- a/crates/rank/src/coordinator/mod.rs
+++ b/crates/rank/src/coordinator/mod.rs
@@ -25,6 +25,7 @@
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
 use rand::Rng;
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     balance_spec::BalanceSpec,
@@ -62,6 +63,8 @@
     pub(crate) clock: Clock,
     pub(crate) is_first_start: bool,
     pub(crate) mechanisms: Mechanisms,
+    /// Cancelled when the process is told to terminate.
+    pub(crate) terminating: CancellationToken,
 }
 
 impl<E, S, F> Coordinator<E, S, F>
@@ -70,10 +73,10 @@
     S: FleetSource,
     F: Fn(SocketAddr) -> E + Send + Sync + 'static,
 {
-    /// Balances until the task is dropped.
+    /// Balances until the process is told to terminate and no switch is in progress.
     pub(crate) async fn run(self) {
         let mut state = LeaderState::new(self.is_first_start);
-        loop {
+        while !self.terminating.is_cancelled() {
             tokio::time::sleep(BALANCE_PERIOD).await;
             let is_leading = self.leadership.is_leader();
             if is_leading != state.was_leader {
--- a/crates/rank/src/process.rs
+++ b/crates/rank/src/process.rs
@@ -1,6 +1,6 @@
 //! Startup of the endpoint process and dispatch of its datagrams.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use anyhow::Context;
 use lynxmount_core::{
@@ -15,6 +15,7 @@
 use lynxmount_telemetry::{Metrics, MetricsHandler};
 use parking_lot::Mutex;
 use tokio::{net::UdpSocket, sync::Notify};
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     coordinator::Coordinator,
@@ -34,6 +35,10 @@
 /// The size of the receive buffer. No UDP datagram is larger.
 const MAX_DATAGRAM_BYTES: usize = 65_536;
 
+/// How long a map switch may take to end when the process is told to terminate. A hold whose owner
+/// exits keeps its group stalled until another process finds it abandoned.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Runs an endpoint process until it is told to terminate.
 ///
 /// Fails if the settings have no engine address, or an address can't be bound.
@@ -134,6 +139,7 @@
     });
     tokio::spawn(Arc::clone(&notifier).listen());
     tokio::spawn(notifier.run());
+    let terminating = CancellationToken::new();
     let coordinator = Coordinator {
         engine,
         make_engine,
@@ -150,10 +156,15 @@
         clock,
         is_first_start: settings.is_first_start,
         mechanisms: settings.mechanisms.clone(),
+        terminating: terminating.clone(),
     };
-    tokio::spawn(coordinator.run());
+    let balancing = tokio::spawn(coordinator.run());
     log::info!(process = &*settings.process, engine:% = own_engine; "started");
     wait_for_termination_signal().await?;
+    terminating.cancel();
+    if tokio::time::timeout(SETTLE_TIMEOUT, balancing).await.is_err() {
+        log::warn!("map switch left unfinished");
+    }
     log::info!("stopped");
     Ok(())
 }
