--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -4,14 +4,14 @@
 
 use bytes::{Bytes, BytesMut};
 use futures::stream;
-use http::header::CONTENT_TYPE;
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 use lynxmount_core::{Error, Reason, RequestId, Step, TeamId, indeterminate};
 use lynxmount_node::{Counter, InFlightGuard, NodeHandle};
 use lynxmount_policy::{AttemptFailure, TeamLimits};
-use lynxmount_wire::{Header, RefusalReason};
+use lynxmount_wire::{Header, RefusalReason, is_event_stream, is_relayed};
 use parking_lot::Mutex;
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     attempt::{Attempt, AttemptEvent},
@@ -19,13 +19,6 @@
     reply::{Refusal, ReplyBody},
 };
 
-/// The largest answer that is buffered until it is complete. As long as an answer is buffered, the
-/// request can be retried at another endpoint.
-const MAX_BUFFERED_BYTES: usize = 256 * 1024;
-
-/// The media type of a stream of server-sent events.
-const EVENT_STREAM: &[u8] = b"text/event-stream";
-
 /// The result of an attempt, before the caller gets its first byte.
 pub(crate) enum CollectedAnswer {
     /// The attempt ended without a complete answer.
@@ -46,8 +39,8 @@
     attempt: Attempt,
 }
 
-/// Buffers the answer until it is complete, or until it must be streamed because it is too large
-/// or an event stream.
+/// Buffers the answer until it is complete, or until it is relayed because it is too large or an
+/// event stream.
 pub(crate) async fn collect_answer(mut attempt: Attempt, deadline: Deadline) -> CollectedAnswer {
     let (status, headers) = match attempt.next(deadline).await {
         AttemptEvent::Head { status, headers } => (status, headers),
@@ -58,7 +51,6 @@
             return CollectedAnswer::Failed(AttemptFailure::Failed);
         }
     };
-    let max_buffered_bytes = if is_event_stream(&headers) { 0 } else { MAX_BUFFERED_BYTES };
     let mut buffered = BytesMut::new();
     loop {
         match attempt.next(deadline).await {
@@ -73,7 +65,7 @@
                 return CollectedAnswer::Failed(AttemptFailure::Failed);
             }
         }
-        if buffered.len() > max_buffered_bytes {
+        if is_relayed(&headers, buffered.len()) {
             let buffered = buffered.freeze();
             let answer = StreamingAnswer { status, headers, buffered, attempt };
             return CollectedAnswer::Streaming(Box::new(answer));
@@ -104,6 +96,7 @@
     pub(crate) request: RequestId,
     pub(crate) deadline: Deadline,
     pub(crate) node: NodeHandle,
+    pub(crate) cut_off: CancellationToken,
     /// Released when the stream ends.
     pub(crate) _guards: RequestGuards,
 }
@@ -168,7 +161,7 @@
             state.phase = StreamPhase::Ended;
             Some((Err(truncation_error(&state)), state))
         }
-        StreamPhase::Relaying => match state.attempt.next(state.context.deadline).await {
+        StreamPhase::Relaying => match next_event(&mut state).await {
             AttemptEvent::Data(chunks) => Some((Ok(Frame::data(concat(chunks))), state)),
             AttemptEvent::Complete => {
                 state.phase = StreamPhase::Ended;
@@ -182,6 +175,15 @@
     }
 }
 
+/// The next event of the attempt; a failure if the call is cut off.
+async fn next_event(state: &mut StreamState) -> AttemptEvent {
+    tokio::select! {
+        biased;
+        event = state.attempt.next(state.context.deadline) => event,
+        () = state.context.cut_off.cancelled() => AttemptEvent::Failed(AttemptFailure::TimedOut),
+    }
+}
+
 fn abort_stream(mut state: StreamState) -> (Result<Frame<Bytes>, Error>, StreamState) {
     state.context.node.counters().count(Counter::RequestsUnknown);
     if !state.is_event_stream {
@@ -206,10 +208,3 @@
         _ => chunks.concat().into(),
     }
 }
-
-fn is_event_stream(headers: &[Header]) -> bool {
-    headers
-        .iter()
-        .filter(|header| header.name == CONTENT_TYPE.as_str())
-        .any(|header| header.value.starts_with(EVENT_STREAM))
-}
