Soak: long streams, pauses beside SIGTERM, and a check of truncated responses

Streams of 0.3 s were rarely open around a SIGTERM, and any disturbance of a call's endpoint, a pause among them, excused its truncation. Callers of streams of 1 to 4 s are added; a sequence of its own draws SIGTERMs of entries with pauses of endpoints of streams; LeavesGracefully and the new NotTruncated are excused by what breaks off a response only.

--- a/crates/soak/src/backpressure.rs
+++ b/crates/soak/src/backpressure.rs
@@ -111,6 +111,7 @@
     let is_endpoint_disturbed = history.is_disturbed(from, to, |what| {
         what == Disturbed::Crash(endpoint)
             || what == Disturbed::Endpoint(endpoint)
+            || what == Disturbed::Responses(endpoint)
             || what == Disturbed::Link(LinkId::Endpoint(endpoint))
     });
     let mut by_entry: BTreeMap<usize, Vec<Duration>> = BTreeMap::new();
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -11,7 +11,9 @@
 use http::{Method, StatusCode};
 use lynxmount_platform_standin::{
     Call, CallerOutcome, CallerStandin,
-    fixture::{CALLER_IDLE_TIMEOUT, IDEMPOTENT, NON_IDEMPOTENT, STREAM},
+    fixture::{
+        CALLER_IDLE_TIMEOUT, IDEMPOTENT, LONG_ROUTE_TIMEOUT, LONG_STREAM, NON_IDEMPOTENT, STREAM,
+    },
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -19,11 +21,18 @@
     fleet::{COMMON_KEY, Fleet, version_key},
     history::{CallClass, CallRecord, Outcome, ProbeRecord},
     plan::ProcessId,
+    promises::STREAM_EVENTS,
 };
 
 /// The deadline that callers send with a call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(3000);
 
+/// The duration of a long stream, in milliseconds.
+const REPORT_LENGTH_MS: std::ops::Range<u64> = 1000..4000;
+
+/// The gap between two events of a long stream, in milliseconds.
+const REPORT_GAP_MS: std::ops::Range<u64> = 25..60;
+
 /// How long after the deadline a call counts as timed out.
 const RESPONSE_GRACE: Duration = Duration::from_millis(5000);
 
@@ -39,10 +48,20 @@
 /// The gap between two rounds of configuration probes.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// What a caller sends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Load {
+    /// Long streams.
+    LongStreams,
+    /// Short calls of all kinds.
+    Mixed,
+}
+
 /// Sends calls in a closed loop until the run is over.
 pub(crate) async fn run_caller(
     fleet: Arc<Fleet>,
     number: usize,
+    load: Load,
     seed: u64,
     is_stopped: Arc<AtomicBool>,
 ) {
@@ -52,10 +71,18 @@
     let mut call_count = 0;
     while !is_stopped.load(Ordering::Relaxed) {
         call_count += 1;
-        let class = draw_class(&mut rng);
+        let class = match load {
+            Load::LongStreams => CallClass::Report,
+            Load::Mixed => draw_class(&mut rng),
+        };
         let id = format!("c{number}-{call_count}");
-        let sent = fleet.now();
-        let (limit, call) = (CALL_TIMEOUT + RESPONSE_GRACE, call(&id, class));
+        let (call, events) = match class {
+            CallClass::Report => report_call(&id, &mut rng),
+            CallClass::Draft => (call(&id, class), STREAM_EVENTS),
+            CallClass::Booking | CallClass::Lookup => (call(&id, class), 0),
+        };
+        let (sent, time_limit) = (fleet.now(), call.time_left);
+        let limit = time_limit + RESPONSE_GRACE;
         let calling = caller.call_with_idle_timeout(&call, idle_timeout(class));
         let received = tokio::time::timeout(limit, calling).await.ok();
         let has_connection = !matches!(
@@ -67,7 +94,8 @@
             _ => retry_delay(received.as_ref()),
         };
         let outcome = received.map_or(Outcome::TimedOut, to_outcome);
-        let record = CallRecord { id, class, entry, sent, ended: fleet.now(), outcome };
+        let ended = fleet.now();
+        let record = CallRecord { id, class, events, entry, sent, time_limit, ended, outcome };
         fleet.history.lock().calls.push(record);
         if !has_connection {
             entry = (entry + 1) % fleet.size.entries;
@@ -128,7 +156,7 @@
 fn idle_timeout(class: CallClass) -> Duration {
     match class {
         CallClass::Lookup | CallClass::Booking => Duration::MAX,
-        CallClass::Draft => CALLER_IDLE_TIMEOUT,
+        CallClass::Draft | CallClass::Report => CALLER_IDLE_TIMEOUT,
     }
 }
 
@@ -137,6 +165,7 @@
         CallClass::Lookup => (Method::GET, IDEMPOTENT),
         CallClass::Booking => (Method::POST, NON_IDEMPOTENT),
         CallClass::Draft => (Method::POST, STREAM),
+        CallClass::Report => (Method::POST, LONG_STREAM),
     };
     Call {
         id: id.to_owned(),
@@ -148,6 +177,15 @@
     }
 }
 
+/// A long stream and the number of its events.
+fn report_call(id: &str, rng: &mut SmallRng) -> (Call, u64) {
+    let gap_ms = rng.random_range(REPORT_GAP_MS);
+    let events = rng.random_range(REPORT_LENGTH_MS) / gap_ms;
+    let path = format!("/{LONG_STREAM}/{events}x{gap_ms}/{id}");
+    let call = Call { path, time_left: LONG_ROUTE_TIMEOUT, ..call(id, CallClass::Report) };
+    (call, events)
+}
+
 /// The time that a refused caller waits before its next call.
 fn retry_delay(received: Option<&CallerOutcome>) -> Duration {
     match received {
--- a/crates/soak/src/config_lateness.rs
+++ b/crates/soak/src/config_lateness.rs
@@ -69,6 +69,9 @@
         Disturbed::Leaving(process)
         | Disturbed::Link(LinkId::Store(process))
         | Disturbed::Process(process) => process == entry,
-        Disturbed::Crash(_) | Disturbed::Endpoint(_) | Disturbed::Link(_) => false,
+        Disturbed::Crash(_)
+        | Disturbed::Endpoint(_)
+        | Disturbed::Link(_)
+        | Disturbed::Responses(_) => false,
     }
 }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -18,6 +18,7 @@
 use crate::{
     fleet::{EXPERTS, Fleet, process_name},
     history::{Disturbed, LeaveRecord, LeavingSignalRecord, RateLimitRecord, RetryAfterRecord},
+    pauses::pause_streams,
     plan::{BackpressureKind, EndpointFault, Fault, FaultKind, LinkFault, LinkId, ProcessId},
     poison::repeat_poison,
     process::wait_for_exit,
@@ -106,7 +107,7 @@
                 fleet.group.lose_answers(0);
             }
             FaultKind::Misbehave(endpoint, fault_kind) => {
-                let disturbance = fleet.start_disturbance(Disturbed::Endpoint(endpoint));
+                let disturbance = fleet.start_disturbance(disturbed(endpoint, fault_kind));
                 fleet.endpoints[endpoint].set_behaviour(behaviour(fault_kind));
                 tokio::time::sleep(fault.length).await;
                 fleet.reset_behaviour(endpoint);
@@ -117,6 +118,7 @@
             }
             FaultKind::Kill(process) => self.kill(process).await?,
             FaultKind::Pause(process) => self.pause(process, fault.length).await?,
+            FaultKind::PauseStreams(paused) => pause_streams(fleet, paused, fault.length).await,
             FaultKind::RestoreStore(restore) => restore_store(fleet, restore, fault.length).await,
             FaultKind::StoreBusy => self.stop_store(StoreMode::Busy, fault.length).await,
             FaultKind::SilenceConfigs(silence) => self.silence_configs(silence, fault.length).await,
@@ -298,6 +300,17 @@
     }
 }
 
+fn disturbed(endpoint: usize, fault: EndpointFault) -> Disturbed {
+    match fault {
+        EndpointFault::AnswerTwice | EndpointFault::Reset | EndpointFault::Truncate => {
+            Disturbed::Responses(endpoint)
+        }
+        EndpointFault::Fail | EndpointFault::Hang | EndpointFault::Shed => {
+            Disturbed::Endpoint(endpoint)
+        }
+    }
+}
+
 fn behaviour(fault: EndpointFault) -> Behaviour {
     match fault {
         EndpointFault::AnswerTwice => Behaviour::AnswerTwice,
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -12,8 +12,9 @@
     Behaviour, Gate, GroupStandin, ReplicaStandin, StoreStandin,
     fixture::{
         CONFIG_KEY, EntryPorts, GroupService, IDEMPOTENT, NON_IDEMPOTENT, OPERATOR_TOPIC,
-        REGISTRATIONS_TOPIC, STREAM, config_text, endpoint_settings_text, entry_settings_text,
-        registration_text, restarted_registration_text, service_of,
+        REGISTRATIONS_TOPIC, RETRY_SLACK, STREAM, config_text, endpoint_settings_text,
+        entry_settings_text, registration_text, restarted_registration_text, service_of,
+        with_retry_slack,
     },
 };
 use parking_lot::Mutex;
@@ -44,6 +45,9 @@
 const ENDPOINT_PORT: u16 = 8230;
 const ENDPOINT_PROXY_PORT: u16 = 8231;
 
+/// Retries of a service that a small budget allows beyond their ratio, from all entries in a window.
+const SMALL_RETRY_SLACK: u32 = 12;
+
 /// The service time of a call.
 const SERVICE_TIME: Duration = Duration::from_millis(20);
 
@@ -135,6 +139,7 @@
             let id = ProcessId::Entry(entry);
             let store = self.start_store_link(id, own).await?;
             let settings = entry_settings_text(own, ENTRY_PORTS, store, &seeds);
+            let settings = with_retry_slack(&settings, retry_slack(options.seed));
             self.start_process(options, folder, id, &settings)?;
             let target = (own, ENTRY_PORTS.callers).into();
             let link = Proxy::start((own, CALLERS_PROXY_PORT).into(), target).await?;
@@ -264,6 +269,11 @@
     Behaviour::CrashOnRequest { path: POISON_PATH.to_owned(), otherwise }
 }
 
+/// Every second seed has a small retry budget, which a few pauses exhaust.
+fn retry_slack(seed: u64) -> u32 {
+    if seed.is_multiple_of(2) { RETRY_SLACK } else { SMALL_RETRY_SLACK }
+}
+
 pub(crate) fn process_name(id: ProcessId) -> String {
     match id {
         ProcessId::Endpoint(rank) => format!("endpoint-{rank}"),
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -14,6 +14,8 @@
     Booking,
     /// A resumable stream.
     Draft,
+    /// A resumable stream that takes seconds.
+    Report,
 }
 
 /// The outcome of a call.
@@ -55,10 +57,14 @@
     pub id: String,
     /// The required delivery semantics.
     pub class: CallClass,
+    /// The number of events of its response; 0 unless it is a stream.
+    pub events: u64,
     /// The entry that was called.
     pub entry: usize,
     /// When it was sent.
     pub sent: Duration,
+    /// How long after that its time is over.
+    pub time_limit: Duration,
     /// When its outcome was known.
     pub ended: Duration,
     /// The outcome.
@@ -85,6 +91,8 @@
     pub endpoint: usize,
     /// Whether the caller had closed its connection before it started.
     pub is_started_after_close: bool,
+    /// Whether it ended because the entry had closed the connection.
+    pub is_canceled: bool,
     /// When it ended.
     pub ended: Duration,
     /// When it would have ended if it had not been canceled.
@@ -185,7 +193,7 @@
     Configs,
     /// An endpoint whose process may crash on a poison request, or is down after such a crash.
     Crash(usize),
-    /// An endpoint.
+    /// An endpoint that breaks off no response, but stalls or fails.
     Endpoint(usize),
     /// A link.
     Link(LinkId),
@@ -193,6 +201,8 @@
     Process(ProcessId),
     /// A process that was asked to terminate gracefully.
     Leaving(ProcessId),
+    /// An endpoint that breaks off responses.
+    Responses(usize),
     /// The store.
     Store,
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use crate::independent_faults::draw_independent_faults;
+use crate::{drain_faults::draw_drains, independent_faults::draw_independent_faults};
 
 /// The mean gap between two faults: shorter than most faults last, so that they overlap.
 const MEAN_GAP_MS: u64 = 350;
@@ -121,6 +121,17 @@
     pub rewrite_delay_ms: u64,
 }
 
+/// What of the endpoints of streams is paused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub enum Paused {
+    /// All of them.
+    AllStreams,
+    /// One endpoint.
+    Endpoint(usize),
+    /// The newest stream of an endpoint.
+    Stream(usize),
+}
+
 /// The kind of a fault.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 pub enum FaultKind {
@@ -158,6 +169,8 @@
     Kill(ProcessId),
     /// A process is stopped by SIGSTOP, and continued later.
     Pause(ProcessId),
+    /// Streams are paused at their endpoints.
+    PauseStreams(Paused),
     /// The store responds with status 503.
     StoreBusy,
     /// The store does not respond.
@@ -204,6 +217,7 @@
         at += Duration::from_millis(rng.random_range(0..2 * MEAN_GAP_MS));
     }
     faults.extend(draw_independent_faults(seed, size, time));
+    faults.extend(draw_drains(seed, size, time));
     faults.retain(|fault| fault.at < time);
     faults.sort_by_key(|fault| fault.at);
     faults
--- a/crates/soak/src/poison.rs
+++ b/crates/soak/src/poison.rs
@@ -117,9 +117,9 @@
         let from = poison.from.saturating_sub(AFTEREFFECT_TIME);
         // Crashes can't be attributed, or a quarantine is lost with its process.
         let is_excused = history.is_disturbed(from, poison.to, |what| match what {
-            Disturbed::Endpoint(endpoint) | Disturbed::Link(LinkId::Endpoint(endpoint)) => {
-                poison.endpoints.contains(&endpoint)
-            }
+            Disturbed::Endpoint(endpoint)
+            | Disturbed::Link(LinkId::Endpoint(endpoint))
+            | Disturbed::Responses(endpoint) => poison.endpoints.contains(&endpoint),
             Disturbed::Leaving(process) | Disturbed::Process(process) => is_entry(process),
             _ => false,
         });
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -13,11 +13,12 @@
     backpressure::check_backpressure,
     config_lateness::check_configs_in_force,
     history::{CallClass, CallRecord, Disturbed, History, Outcome, ProbeRecord},
+    lost_calls::check_lost_calls,
     plan::{LinkId, ProcessId},
     poison::check_quarantine,
 };
 
-/// The number of events of each stream.
+/// The number of events of a short stream.
 pub const STREAM_EVENTS: u64 = 12;
 
 /// The statuses that guarantee that a call was not and will not be executed.
@@ -36,10 +37,6 @@
 /// The fraction of the calls that must succeed after that.
 const MIN_RECOVERED_FRACTION: f64 = 0.95;
 
-/// How long after a process was asked to exit it still accepts and finishes calls on persistent
-/// connections.
-const DRAIN_ACCEPT_TIME: Duration = Duration::from_secs(3);
-
 /// A promise to callers, back ends or operators.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum Promise {
@@ -59,7 +56,7 @@
     GrantsRest,
     /// Rate limits of endpoints are honoured.
     KeepsLimits,
-    /// A draining process finishes the calls that it has accepted.
+    /// A draining entry truncates no call that it has forwarded, and leaves none unanswered.
     LeavesGracefully,
     /// A leaving endpoint gets no new requests.
     LeavingGetsNothing,
@@ -67,6 +64,8 @@
     NotDenied,
     /// Endpoints cancel the executions of abandoned calls.
     NoWorkForGoneCallers,
+    /// Entries truncate no response that its endpoint has not broken off.
+    NotTruncated,
     /// A call that is reported as not run was not executed.
     NotRun,
     /// All ranks use the same expert map in each pass.
@@ -94,7 +93,7 @@
     check_responses(history, &mut violations);
     check_runs(history, &mut violations);
     check_abandoned_calls(history, &mut violations);
-    check_draining_processes(history, &mut violations);
+    check_lost_calls(history, &mut violations);
     check_draining_endpoints(history, &mut violations);
     check_backpressure(history, &mut violations);
     check_quarantine(history, &mut violations);
@@ -138,7 +137,7 @@
 fn expected_body(call: &CallRecord) -> String {
     match call.class {
         CallClass::Lookup | CallClass::Booking => echo_body(&call.id),
-        CallClass::Draft => echo_events(&call.id, STREAM_EVENTS),
+        CallClass::Draft | CallClass::Report => echo_events(&call.id, call.events),
     }
 }
 
@@ -171,35 +170,6 @@
     }
 }
 
-/// Checks that a call that an entry accepted before or soon after it was asked to exit gets a
-/// response, unless another disturbance affected it.
-fn check_draining_processes(history: &History, violations: &mut Vec<Violation>) {
-    let is_unanswered = |call: &&CallRecord| {
-        matches!(call.outcome, Outcome::NoResponse | Outcome::Truncated { status: 200, .. })
-    };
-    for call in history.calls.iter().filter(is_unanswered) {
-        let runs = history.runs.iter().filter(|run| run.id == call.id);
-        let endpoints: Vec<usize> = runs.map(|run| run.endpoint).collect();
-        // A call that races with the close of an idle connection was not accepted.
-        let is_accepted = call.outcome != Outcome::NoResponse || !endpoints.is_empty();
-        let entry = ProcessId::Entry(call.entry);
-        let is_leaving = history.disturbances.iter().any(|d| {
-            let is_in_time = call.sent <= d.from + DRAIN_ACCEPT_TIME;
-            d.what == Disturbed::Leaving(entry) && is_in_time && call.ended >= d.from
-        });
-        let from = call.sent.saturating_sub(AFTEREFFECT_TIME);
-        let is_affected = history.is_disturbed(from, call.ended, |what| match what {
-            Disturbed::Crash(endpoint)
-            | Disturbed::Endpoint(endpoint)
-            | Disturbed::Link(LinkId::Endpoint(endpoint)) => endpoints.contains(&endpoint),
-            _ => false,
-        });
-        if is_accepted && is_leaving && !is_affected && !is_entry_disturbed(history, call) {
-            record_violation(violations, Promise::LeavesGracefully, format!("{call:?}"));
-        }
-    }
-}
-
 fn check_draining_endpoints(history: &History, violations: &mut Vec<Violation>) {
     for leave in &history.leaves {
         let late = history.runs.iter().filter(|run| {
@@ -218,7 +188,8 @@
                 Disturbed::Link(LinkId::Callers(_))
                 | Disturbed::Configs
                 | Disturbed::Crash(_)
-                | Disturbed::Endpoint(_) => false,
+                | Disturbed::Endpoint(_)
+                | Disturbed::Responses(_) => false,
             });
             if !is_excused {
                 let seen = format!("{run:?} although it left at {:?}", leave.from);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     Report,
-    callers::{call, run_caller, run_probe},
+    callers::{Load, call, run_caller, run_probe},
     faults::Injector,
     fleet::{Fleet, process_name},
     history::{CallClass, Disturbed, ExecutionRecord, RunRecord},
@@ -29,6 +29,9 @@
 /// The number of callers of each entry.
 const CALLERS_PER_ENTRY: usize = 4;
 
+/// The number of further callers of each entry, which send long streams only.
+const STREAM_CALLERS_PER_ENTRY: usize = 5;
+
 /// How long each entry may take to serve at the start.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -66,9 +69,12 @@
     wait_until_serving(&fleet).await?;
     let is_stopped = Arc::new(AtomicBool::new(false));
     let mut traffic = JoinSet::new();
-    for number in 0..CALLERS_PER_ENTRY * options.size.entries {
+    let entries = options.size.entries;
+    let mixed = CALLERS_PER_ENTRY * entries;
+    for number in 0..mixed + STREAM_CALLERS_PER_ENTRY * entries {
         let (fleet, is_stopped) = (Arc::clone(&fleet), Arc::clone(&is_stopped));
-        traffic.spawn(run_caller(fleet, number, options.seed, is_stopped));
+        let load = if number < mixed { Load::Mixed } else { Load::LongStreams };
+        traffic.spawn(run_caller(fleet, number, load, options.seed, is_stopped));
     }
     for entry in 0..options.size.entries {
         traffic.spawn(run_probe(Arc::clone(&fleet), entry, Arc::clone(&is_stopped)));
@@ -126,6 +132,7 @@
         id: id.to_owned(),
         endpoint,
         is_started_after_close: execution.is_started_after_close,
+        is_canceled: execution.is_canceled,
         ended,
         would_end: ended.saturating_add(execution.remaining_time),
     }
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -1,11 +1,12 @@
 //! Tests that the schedule of faults is a function of the seed and fits the fleet.
 
-use std::time::Duration;
+use std::{ops::Range, time::Duration};
 
-use lynxmount_soak::plan::{Fault, FaultKind, LinkId, ProcessId, Size, draw_faults};
+use lynxmount_soak::plan::{Fault, FaultKind, LinkId, Paused, ProcessId, Size, draw_faults};
 
 const SIZE: Size = Size { entries: 3, ranks: 6, endpoints: 3 };
 const TIME: Duration = Duration::from_secs(60);
+const STREAM_ENDPOINTS: Range<usize> = 2 * SIZE.endpoints..3 * SIZE.endpoints;
 
 fn fits_fleet(kind: FaultKind) -> bool {
     let is_process_in_fleet = |process: ProcessId| match process {
@@ -78,3 +79,42 @@
         assert!(overlap.is_none(), "seed {seed}: {overlap:?}");
     }
 }
+
+fn is_drain(fault: &Fault) -> bool {
+    matches!(fault.kind, FaultKind::Terminate(ProcessId::Entry(_)))
+}
+
+fn is_pause(fault: &Fault) -> bool {
+    matches!(fault.kind, FaultKind::PauseStreams(_))
+}
+
+#[test]
+fn each_pause_of_streams_begins_within_four_seconds_after_a_drain() {
+    for seed in 0..40 {
+        let faults = draw_faults(seed, SIZE, TIME);
+        for pause in faults.iter().filter(|fault| is_pause(fault)) {
+            let drains = faults.iter().filter(|fault| is_drain(fault) && fault.at <= pause.at);
+            let last = drains.map(|drain| drain.at).max().expect("a drain");
+
+            assert!(pause.at - last < Duration::from_secs(4), "seed {seed}: {pause:?}");
+        }
+    }
+}
+
+#[test]
+fn pauses_of_all_kinds_are_drawn() {
+    let mut counts = [0; 3];
+    for fault in (0..40).flat_map(|seed| draw_faults(seed, SIZE, TIME)) {
+        let FaultKind::PauseStreams(paused) = fault.kind else { continue };
+        let (kind, is_stream_endpoint) = match paused {
+            Paused::AllStreams => (0, true),
+            Paused::Endpoint(endpoint) => (1, STREAM_ENDPOINTS.contains(&endpoint)),
+            Paused::Stream(endpoint) => (2, STREAM_ENDPOINTS.contains(&endpoint)),
+        };
+        counts[kind] += 1;
+
+        assert!(is_stream_endpoint, "{fault:?}");
+        assert!((800..2600).contains(&fault.length.as_millis()), "{fault:?}");
+    }
+    assert!(counts.into_iter().all(|count| count > 100), "{counts:?}");
+}
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -1,76 +1,26 @@
 //! Tests that each check reports exactly the histories that violate its promise.
 
-use std::time::Duration;
+mod history_fixture;
 
 use lynxmount_platform_standin::{echo_body, echo_events};
 use lynxmount_soak::{
     history::{
-        CallClass, CallRecord, ConfigRecord, Disturbance, Disturbed, ExecutionRecord, History,
-        LeaveRecord, LeavingSignalRecord, Outcome, PoisonRecord, ProbeRecord, RateLimitRecord,
-        RetryAfterRecord, RunRecord,
+        CallClass, CallRecord, ConfigRecord, Disturbed, ExecutionRecord, History, LeaveRecord,
+        LeavingSignalRecord, Outcome, PoisonRecord, ProbeRecord, RateLimitRecord, RetryAfterRecord,
     },
     plan::{LinkId, ProcessId},
-    promises::{Promise, RECOVERY_TIME, STREAM_EVENTS, check_history},
+    promises::{Promise, STREAM_EVENTS},
 };
 
-const FAULTS_OVER: Duration = Duration::from_secs(60);
-
-fn seconds(time_s: f64) -> Duration {
-    Duration::from_secs_f64(time_s)
-}
-
-fn answered(status: u16, body: &str) -> Outcome {
-    Outcome::Completed { status, is_signed: status == 200, body: body.to_owned() }
-}
-
-fn call(id: &str, class: CallClass, sent_s: f64, outcome: Outcome) -> CallRecord {
-    let ended = seconds(sent_s + 0.1);
-    CallRecord { id: id.to_owned(), class, entry: 0, sent: seconds(sent_s), ended, outcome }
-}
-
-fn run(id: &str, endpoint: usize, at_s: f64) -> RunRecord {
-    RunRecord { id: id.to_owned(), endpoint, at: seconds(at_s) }
-}
+use history_fixture::{
+    answered, call, disturbance, run, seconds, valid_history, violated, with_call,
+};
 
 fn probe(version: u64, sent_s: f64, is_known: bool) -> ProbeRecord {
     let ended = seconds(sent_s + 0.01);
     ProbeRecord { entry: 0, incarnation: 1, version, sent: seconds(sent_s), ended, is_known }
 }
 
-fn disturbance(what: Disturbed, from_s: f64, to_s: f64) -> Disturbance {
-    Disturbance { what, from: seconds(from_s), to: seconds(to_s) }
-}
-
-/// A history without violations.
-fn valid_history() -> History {
-    let after = (FAULTS_OVER + RECOVERY_TIME).as_secs_f64() + 1.0;
-    let calls = vec![
-        call("a", CallClass::Lookup, 10.0, answered(200, &echo_body("a"))),
-        call("b", CallClass::Booking, 11.0, answered(200, &echo_body("b"))),
-        call("c", CallClass::Draft, 12.0, answered(200, &echo_events("c", STREAM_EVENTS))),
-        call("d", CallClass::Booking, 13.0, answered(503, "")),
-        call("e", CallClass::Lookup, after, answered(200, &echo_body("e"))),
-    ];
-    History {
-        calls,
-        runs: vec![run("a", 0, 10.0), run("b", 3, 11.0), run("c", 6, 12.0), run("e", 0, after)],
-        configs: vec![ConfigRecord { version: 1, at: seconds(0.0) }],
-        passes_after: 100,
-        faults_over: FAULTS_OVER,
-        ..History::default()
-    }
-}
-
-fn violated(history: &History) -> Vec<Promise> {
-    check_history(history).into_iter().map(|violation| violation.promise).collect()
-}
-
-fn with_call(call: CallRecord) -> History {
-    let mut history = valid_history();
-    history.calls.push(call);
-    history
-}
-
 #[test]
 fn a_valid_history_has_no_violations() {
     assert_eq!(violated(&valid_history()), []);
@@ -86,16 +36,10 @@
     let unsigned = Outcome::Completed { status: 200, is_signed: false, body: echo_body("f") };
     let unsigned = with_call(call("f", CallClass::Lookup, 20.0, unsigned));
 
-    for history in [other, short, mixed, unsigned] {
+    for history in [other, short, unsigned] {
         assert_eq!(violated(&history), [Promise::WholeAnswer]);
     }
-}
-
-#[test]
-fn a_truncated_stream_is_no_violation() {
-    let cut = Outcome::Truncated { status: 200, received: echo_events("f", 3) };
-
-    assert_eq!(violated(&with_call(call("f", CallClass::Draft, 20.0, cut))), []);
+    assert_eq!(violated(&mixed), [Promise::WholeAnswer, Promise::NotTruncated]);
 }
 
 #[test]
@@ -139,6 +83,7 @@
         id: id.to_owned(),
         endpoint: 6,
         is_started_after_close: true,
+        is_canceled: true,
         ended: seconds(ended_s),
         would_end: seconds(would_end_s),
     }
@@ -197,23 +142,6 @@
     assert_eq!(violated(&cut_off), [Promise::AnsweredBeforeLeaving]);
 }
 
-#[test]
-fn a_call_that_a_draining_process_drops_is_reported_if_it_was_forwarded() {
-    let mut history = with_call(call("f", CallClass::Booking, 20.0, Outcome::NoResponse));
-    let leaving = Disturbed::Leaving(ProcessId::Entry(0));
-    history.disturbances.push(disturbance(leaving, 19.0, 24.0));
-    let raced_with_close = violated(&history);
-
-    history.runs.push(run("f", 3, 20.0));
-    history.disturbances.push(disturbance(Disturbed::Endpoint(4), 19.0, 22.0));
-    let dropped = violated(&history);
-    history.disturbances.push(disturbance(Disturbed::Endpoint(3), 19.0, 22.0));
-
-    assert_eq!(raced_with_close, []);
-    assert_eq!(dropped, [Promise::LeavesGracefully]);
-    assert_eq!(violated(&history), []);
-}
-
 #[test]
 fn requests_to_a_draining_endpoint_are_reported_unless_the_store_was_disturbed() {
     let mut history = valid_history();
