--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -30,7 +30,7 @@
 const CALLERS_PER_ENTRY: usize = 4;
 
 /// The number of further callers of each entry, which send long streams only.
-const STREAM_CALLERS_PER_ENTRY: usize = 5;
+const STREAM_CALLERS_PER_ENTRY: usize = 4;
 
 /// How long each entry may take to serve at the start.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
