Soak: callers may leave a stream whose endpoint is silent; work on a frozen machine counts from its thaw

AnsweredBeforeLeaving asked entries to end streams that have begun before their callers leave, which rule LOST forbids (a replica's silence is no reason to end an answer sooner). It holds unchanged for calls without a first event; a stream that has begun may only be left if an endpoint of it was disturbed or paused since its last event. Pauses and freezes are recorded for this. NoWorkForGoneCallers: such streams are left at frozen machines now, which detect the close as they thaw. What a frozen machine starts after the close counts as before: the fault that the check was built for.

--- a/crates/soak/src/abandoned_calls.rs
+++ b/crates/soak/src/abandoned_calls.rs
@@ -1,10 +1,12 @@
-//! Checks that callers of stalled streams get a response before their idle timeout, and that
-//! endpoints cancel the work of abandoned calls.
+//! Checks that callers get a response before their idle timeout, or leave a stream that has begun
+//! only because its endpoint is silent, and that endpoints cancel the work of abandoned calls.
 
 use std::time::Duration;
 
+use lynxmount_platform_standin::fixture::CALLER_IDLE_TIMEOUT;
+
 use crate::{
-    history::{CallRecord, Disturbed, ExecutionRecord, History, Outcome},
+    history::{CallRecord, Disturbance, Disturbed, ExecutionRecord, History, Outcome},
     plan::LinkId,
     promises::{AFTEREFFECT_TIME, Promise, Violation, is_entry_disturbed, record_violation},
 };
@@ -21,12 +23,35 @@
         matches!(call.outcome, Outcome::Abandoned { .. }) && !is_entry_disturbed(history, call)
     };
     let abandoned: Vec<&CallRecord> = history.calls.iter().filter(is_abandoned).collect();
-    for call in &abandoned {
+    for call in abandoned.iter().filter(|call| !is_left_at_silent_endpoint(history, call)) {
         record_violation(violations, Promise::AnsweredBeforeLeaving, format!("{call:?}"));
     }
     check_cancellation(history, &abandoned, violations);
 }
 
+/// Returns whether the response had begun, and an endpoint of the call may have been silent since
+/// its last event. An entry must not end such a response.
+fn is_left_at_silent_endpoint(history: &History, call: &CallRecord) -> bool {
+    let Outcome::Abandoned { received } = &call.outcome else { return false };
+    let executions = history.executions.iter().filter(|execution| execution.id == call.id);
+    let endpoints: Vec<usize> = executions.map(|execution| execution.endpoint).collect();
+    let from = call.ended.saturating_sub(CALLER_IDLE_TIMEOUT);
+    !received.is_empty()
+        && history.is_disturbed(from, call.ended, |what| match what {
+            Disturbed::Crash(endpoint)
+            | Disturbed::Endpoint(endpoint)
+            | Disturbed::Frozen(endpoint)
+            | Disturbed::Link(LinkId::Endpoint(endpoint))
+            | Disturbed::Paused(endpoint)
+            | Disturbed::Responses(endpoint) => endpoints.contains(&endpoint),
+            Disturbed::Configs
+            | Disturbed::Leaving(_)
+            | Disturbed::Link(_)
+            | Disturbed::Process(_)
+            | Disturbed::Store => false,
+        })
+}
+
 fn check_cancellation(
     history: &History,
     abandoned: &[&CallRecord],
@@ -34,14 +59,14 @@
 ) {
     let (mut unfinished, mut uncanceled) = (0, Vec::new());
     for call in abandoned {
-        let deadline = call.ended + CANCEL_TIME;
         let is_counted = |execution: &&ExecutionRecord| {
             execution.id == call.id
-                && execution.would_end > deadline
+                && execution.would_end > call.ended + CANCEL_TIME
                 && !is_link_disturbed(history, call, execution)
         };
         for execution in history.executions.iter().filter(is_counted) {
             unfinished += 1;
+            let deadline = closed_at(history, call, execution) + CANCEL_TIME;
             uncanceled.extend((execution.ended > deadline).then_some(execution));
         }
     }
@@ -52,6 +77,19 @@
     }
 }
 
+/// When the close of an abandoned call reached its execution. A frozen machine detects it as it
+/// thaws; what it only starts then counts from when the caller left.
+fn closed_at(history: &History, call: &CallRecord, execution: &ExecutionRecord) -> Duration {
+    let is_frozen = |disturbance: &&Disturbance| {
+        disturbance.what == Disturbed::Frozen(execution.endpoint)
+            && disturbance.from <= call.ended
+            && disturbance.to > call.ended
+            && !execution.is_started_after_close
+    };
+    let thaws = history.disturbances.iter().filter(is_frozen).map(|disturbance| disturbance.to);
+    thaws.max().unwrap_or(call.ended)
+}
+
 /// Returns whether a link fault may have kept the close of the call's connection from the endpoint.
 fn is_link_disturbed(history: &History, call: &CallRecord, execution: &ExecutionRecord) -> bool {
     let from = call.sent.saturating_sub(AFTEREFFECT_TIME);
--- a/crates/soak/src/config_lateness.rs
+++ b/crates/soak/src/config_lateness.rs
@@ -71,7 +71,9 @@
         | Disturbed::Process(process) => process == entry,
         Disturbed::Crash(_)
         | Disturbed::Endpoint(_)
+        | Disturbed::Frozen(_)
         | Disturbed::Link(_)
+        | Disturbed::Paused(_)
         | Disturbed::Responses(_) => false,
     }
 }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -139,9 +139,11 @@
 
     async fn freeze(&self, endpoint: usize, length: Duration) {
         let disturbance = self.fleet.start_disturbance(Disturbed::Endpoint(endpoint));
+        let frozen = self.fleet.start_disturbance(Disturbed::Frozen(endpoint));
         self.fleet.endpoints[endpoint].freeze();
         tokio::time::sleep(length).await;
         self.fleet.endpoints[endpoint].thaw();
+        self.fleet.end_disturbance(frozen);
         self.fleet.end_disturbance(disturbance);
     }
 
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -195,8 +195,12 @@
     Crash(usize),
     /// An endpoint that breaks off no response, but stalls or fails.
     Endpoint(usize),
+    /// An endpoint whose machine is frozen: it executes nothing, and detects no cancellation.
+    Frozen(usize),
     /// A link.
     Link(LinkId),
+    /// An endpoint of which at least one execution is paused; it breaks off no response.
+    Paused(usize),
     /// A process: killed, paused, or starting again.
     Process(ProcessId),
     /// A process that was asked to terminate gracefully.
--- a/crates/soak/src/lost_calls.rs
+++ b/crates/soak/src/lost_calls.rs
@@ -73,8 +73,10 @@
         }
         Disturbed::Configs
         | Disturbed::Endpoint(_)
+        | Disturbed::Frozen(_)
         | Disturbed::Leaving(_)
         | Disturbed::Link(_)
+        | Disturbed::Paused(_)
         | Disturbed::Process(_)
         | Disturbed::Store => false,
     })
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -42,7 +42,8 @@
 pub enum Promise {
     /// Every call gets a response before its deadline.
     Answered,
-    /// The caller of a stalled stream gets a response before its idle timeout.
+    /// No caller leaves at its idle timeout, but from a stream that has begun and whose endpoint is
+    /// silent.
     AnsweredBeforeLeaving,
     /// A call that is not idempotent is executed at most once.
     AtMostOnce,
@@ -189,6 +190,8 @@
                 | Disturbed::Configs
                 | Disturbed::Crash(_)
                 | Disturbed::Endpoint(_)
+                | Disturbed::Frozen(_)
+                | Disturbed::Paused(_)
                 | Disturbed::Responses(_) => false,
             });
             if !is_excused {
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -101,6 +101,52 @@
     assert_eq!(violated(&history), []);
 }
 
+/// A stream with two events that its caller abandons at 22 s.
+fn abandoned_stream(id: &str) -> CallRecord {
+    let outcome = Outcome::Abandoned { received: echo_events(id, 2) };
+    CallRecord { outcome, ..abandoned_call(id) }
+}
+
+#[test]
+fn a_stream_that_its_caller_leaves_is_reported_unless_its_endpoint_was_silent() {
+    let mut history = with_call(abandoned_stream("f"));
+    history.executions.push(execution("f", 22.0, 25.0));
+    let mut other = history.clone();
+    let mut over = history.clone();
+    let mut unanswered = with_call(abandoned_call("f"));
+    unanswered.executions.push(execution("f", 22.0, 25.0));
+    let sound = violated(&history);
+
+    history.disturbances.push(disturbance(Disturbed::Paused(6), 20.5, 23.0));
+    other.disturbances.push(disturbance(Disturbed::Paused(7), 20.5, 23.0));
+    over.disturbances.push(disturbance(Disturbed::Paused(6), 19.0, 19.9));
+    unanswered.disturbances.push(disturbance(Disturbed::Paused(6), 20.5, 23.0));
+
+    assert_eq!(violated(&history), []);
+    for reported in [sound, violated(&other), violated(&over), violated(&unanswered)] {
+        assert_eq!(reported, [Promise::AnsweredBeforeLeaving]);
+    }
+}
+
+#[test]
+fn work_on_a_frozen_machine_counts_from_its_thaw_unless_it_starts_then() {
+    let mut history = with_call(abandoned_stream("f"));
+    history.disturbances.push(disturbance(Disturbed::Frozen(6), 20.5, 24.0));
+    let running = |ended_s| ExecutionRecord {
+        is_started_after_close: false,
+        ..execution("f", ended_s, 29.0)
+    };
+    let with_execution = |execution| History { executions: vec![execution], ..history.clone() };
+
+    let ended = violated(&with_execution(running(24.1)));
+    let went_on = violated(&with_execution(running(24.6)));
+    let started = violated(&with_execution(execution("f", 24.1, 29.0)));
+
+    assert_eq!(ended, []);
+    assert_eq!(went_on, [Promise::NoWorkForGoneCallers]);
+    assert_eq!(started, [Promise::NoWorkForGoneCallers]);
+}
+
 #[test]
 fn events_received_before_the_caller_left_must_belong_to_its_call() {
     let abandoned = Outcome::Abandoned { received: echo_events("g", 2) };
