Entries keep a connection whose endpoint gets another label

Callers got 503 `no-endpoint` for some milliseconds after a change of the fleet file that changed only the failure domain, control address or fencing of all endpoints of a service.

Cause: the client of a changed endpoint was dropped from the pool at once, and the one that replaces it was not connected yet.

Change: the client is kept if the endpoint's id, service and data address stay; its locality is updated.

--- a/crates/entry/src/endpoint_client.rs
+++ b/crates/entry/src/endpoint_client.rs
@@ -5,7 +5,7 @@
     collections::HashMap,
     sync::{
         Arc,
-        atomic::{AtomicU32, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -58,10 +58,10 @@
 
 /// The connection to an endpoint, its latest load report and this entry's attempts there.
 pub(crate) struct EndpointClient {
-    /// The endpoint, as configured in the fleet file.
+    /// The endpoint, as configured in the fleet file when this client was created.
     pub(crate) endpoint: Endpoint,
     /// Whether the endpoint is in this entry's failure domain.
-    is_local: bool,
+    is_local: AtomicBool,
     quarantine: Arc<SharedQuarantine>,
     own_running: AtomicU32,
     last_chosen: AtomicU64,
@@ -102,7 +102,7 @@
     ) -> EndpointClient {
         EndpointClient {
             endpoint,
-            is_local,
+            is_local: AtomicBool::new(is_local),
             quarantine,
             own_running: AtomicU32::new(0),
             last_chosen: AtomicU64::new(0),
@@ -110,6 +110,18 @@
         }
     }
 
+    /// Whether this client's connection serves an endpoint with another configuration. Only then can
+    /// the connection be kept, so that calls need not wait for the next one.
+    pub(crate) fn serves(&self, endpoint: &Endpoint) -> bool {
+        let Endpoint { id, service, data_address, .. } = &self.endpoint;
+        (id, service, data_address) == (&endpoint.id, &endpoint.service, &endpoint.data_address)
+    }
+
+    /// Sets whether the endpoint is in this entry's failure domain.
+    pub(crate) fn set_local(&self, is_local: bool) {
+        self.is_local.store(is_local, Ordering::Relaxed);
+    }
+
     /// The incarnation of the endpoint process, if it is connected.
     pub(crate) fn incarnation(&self) -> Option<Incarnation> {
         self.state.lock().connection.as_ref().map(|connection| connection.incarnation)
@@ -126,7 +138,7 @@
             others_load: f64::from(others) / f64::from(max_running),
             report_age: state.reported_at.map_or(Duration::ZERO, |at| at.elapsed()),
             last_chosen: self.last_chosen.load(Ordering::Relaxed),
-            is_local: self.is_local,
+            is_local: self.is_local.load(Ordering::Relaxed),
         };
         // Attempts of other entries in an old report may have ended. If they have not, the
         // endpoint refuses, and counts as full until its next report.
--- a/crates/entry/src/endpoint_clients.rs
+++ b/crates/entry/src/endpoint_clients.rs
@@ -60,8 +60,10 @@
         let desired = desired_endpoints(&config.fleet, &self.node.settings().process_id);
         self.stop_undesired(&desired);
         for endpoint in desired.into_values() {
-            if !self.running.contains_key(&endpoint.id) {
-                self.start(endpoint);
+            let is_local = endpoint.failure_domain == self.node.settings().failure_domain;
+            match self.running.get(&endpoint.id) {
+                Some(running) => running.client.set_local(is_local),
+                None => self.start(endpoint, is_local),
             }
         }
         self.pools.set_config(config, self.by_service());
@@ -70,7 +72,7 @@
     fn stop_undesired(&mut self, desired: &BTreeMap<EndpointId, Endpoint>) {
         self.running.retain(|id, running| {
             let is_desired =
-                desired.get(id).is_some_and(|endpoint| *endpoint == running.client.endpoint);
+                desired.get(id).is_some_and(|endpoint| running.client.serves(endpoint));
             if !is_desired {
                 // Attempts in progress hold a reference to the client, which stays connected until
                 // they have ended: they are lost only if the endpoint fails.
@@ -80,8 +82,7 @@
         });
     }
 
-    fn start(&mut self, endpoint: Endpoint) {
-        let is_local = endpoint.failure_domain == self.node.settings().failure_domain;
+    fn start(&mut self, endpoint: Endpoint, is_local: bool) {
         let id = endpoint.id.clone();
         let client =
             Arc::new(EndpointClient::new(endpoint, is_local, Arc::clone(&self.quarantine)));
