--- a/crates/direct/src/replacement.rs
+++ b/crates/direct/src/replacement.rs
@@ -13,7 +13,7 @@
     call::Call,
     call_times::QUEUE_TIME_FRACTION,
     endpoint::Permit,
-    service::Search,
+    service::ReplacementSearch,
 };
 
 /// How often an endpoint is searched for after a stream broke once.
@@ -48,7 +48,7 @@
             return None;
         }
         let tried = self.tried.lock().clone();
-        let search = Search {
+        let search = ReplacementSearch {
             tried: &tried,
             excluded_group: excluded_group.as_deref(),
             // A refusal of the last attempt would truncate the response.
--- a/crates/direct/src/service/inner.rs
+++ b/crates/direct/src/service/inner.rs
@@ -19,7 +19,7 @@
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
-use super::{Grant, PermitRequest, Search, Service, Unavailable};
+use super::{Grant, PermitRequest, ReplacementSearch, Service, Unavailable};
 use crate::endpoint::{Capacity, Endpoint, Permit};
 
 /// An entry's maximum share of an endpoint's slots, as a factor of its even share. It exceeds 1
@@ -291,7 +291,7 @@
     }
 
     /// Whether a replacement may use an endpoint that was selected.
-    pub(super) fn meets(&self, index: usize, search: Search<'_>, now: Duration) -> bool {
+    pub(super) fn meets(&self, index: usize, search: ReplacementSearch<'_>, now: Duration) -> bool {
         let endpoint = &self.endpoints[index];
         let slots = self.slots.unwrap_or(endpoint.record.slots);
         let even_share = slots / self.entry_count() as u32;
--- a/crates/direct/src/service/mod.rs
+++ b/crates/direct/src/service/mod.rs
@@ -40,7 +40,7 @@
 
 /// What a permit for a replacement must meet.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Search<'a> {
+pub(crate) struct ReplacementSearch<'a> {
     /// Endpoints that were selected for earlier attempts of the call.
     pub(crate) tried: &'a [EndpointId],
     /// A group that has stalled.
@@ -242,7 +242,10 @@
 
     /// Acquires a permit at an endpoint that the call has not tried, if one is free now. A call in
     /// progress goes before those that wait.
-    pub(crate) fn acquire_elsewhere(self: &Arc<Service>, search: Search<'_>) -> Option<Permit> {
+    pub(crate) fn acquire_elsewhere(
+        self: &Arc<Service>,
+        search: ReplacementSearch<'_>,
+    ) -> Option<Permit> {
         let now = self.now();
         let mut inner = self.inner.lock();
         let (Selection::Endpoint(index), _) = inner.select(search.tried, now) else { return None };
