Incarnations are ordered within an era of the log

Callers saw: after the store came back from a copy, entries sent the calls for an endpoint's address to a former id of it, which is gone; such an attempt ends as Unreachable, and the current id gets none.

Cause: two ids at an address were ordered by the positions where each was first listed. An entry that started after the former id had left knew only the current one, at a position of era 0. The copy listed the former id again, at a position of era 1, and any position of era 1 is higher. The first position was kept, so that the order stayed wrong when the current id was registered again.

Fix: the first offset is kept for each era, and two ids are ordered by the first era that both were listed in. What the first list after a restore contains counts for the copied era too, as a registration of the copy has the same offset there.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 mod group_monitor;
 mod incarnation_tracker;
 mod inter_event_latency;
+mod listing_order;
 mod membership;
 mod outage_detector;
 mod outlier_detector;
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -15,10 +15,13 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use lynxmount_core::{
-    EndpointId, EndpointList, EndpointRecord, EndpointState, LogPosition, ServiceId,
+    EndpointId, EndpointList, EndpointRecord, EndpointState, LogEra, LogPosition, ServiceId,
 };
 
-use crate::restored_registrations::{KnownIncarnation, LastKnown, RestoredRegistrations};
+use crate::{
+    listing_order::FirstListings,
+    restored_registrations::{KnownIncarnation, LastKnown, RestoredRegistrations},
+};
 
 /// How long after the store's recovery a missing registration may still reappear.
 const REREGISTRATION_TIME: Duration = Duration::from_millis(2200);
@@ -41,9 +44,9 @@
 const ID_RETENTION: Duration = Duration::from_secs(60);
 
 /// When an id was first and last listed.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug, Default)]
 struct IdHistory {
-    first_listed_at: LogPosition,
+    first_listings: FirstListings,
     last_listed: Duration,
     started_ms: Option<u64>,
 }
@@ -103,6 +106,7 @@
         let was_unavailable =
             self.last_read.is_some_and(|read| now.saturating_sub(read) > max_read_interval);
         let is_restored = self.last_read.is_some() && list.as_of.era > self.as_of.era;
+        let copied_era = is_restored.then_some(self.as_of.era);
         if was_unavailable || is_restored {
             self.grace_until = now + REREGISTRATION_TIME;
         }
@@ -121,7 +125,7 @@
             false => self.missing.clear(),
         }
         self.missing.retain(|id, _| !self.listed.contains_key(id));
-        self.update_ids(now);
+        self.update_ids(copied_era, now);
     }
 
     /// Applies a list that another process has read from the store, if it is newer. An entry that
@@ -166,12 +170,18 @@
         known.collect()
     }
 
-    fn update_ids(&mut self, now: Duration) {
+    /// Records what is listed. In the first list after a restore, registrations may come from the
+    /// copy; they had the same offsets in the era that was copied.
+    fn update_ids(&mut self, copied_era: Option<LogEra>, now: Duration) {
         for (id, record) in &self.listed {
-            let started_ms = record.started_ms;
-            let new = IdHistory { first_listed_at: record.listed_at, last_listed: now, started_ms };
-            let history = self.ids.entry(EndpointId::clone(id)).or_insert(new);
-            *history = IdHistory { first_listed_at: history.first_listed_at, ..new };
+            let EndpointRecord { listed_at, started_ms, .. } = *record;
+            let history = self.ids.entry(EndpointId::clone(id)).or_default();
+            if let Some(era) = copied_era {
+                history.first_listings.record(LogPosition { era, ..listed_at });
+            }
+            history.first_listings.record(listed_at);
+            history.last_listed = now;
+            history.started_ms = started_ms;
         }
         self.ids.retain(|_, history| now < history.last_listed + ID_RETENTION);
     }
@@ -179,12 +189,16 @@
     /// Whether a record is of a later incarnation than another: by the start times of both, or
     /// else by which one was listed first.
     fn is_later(&self, record: &EndpointRecord, other: &EndpointRecord) -> bool {
-        let listed_at = |record: &EndpointRecord| {
-            self.ids.get(&record.id).map_or(record.listed_at, |history| history.first_listed_at)
-        };
         match (record.started_ms, other.started_ms) {
             (Some(started), Some(other)) if started != other => started > other,
-            _ => listed_at(record) > listed_at(other),
+            _ => self.is_listed_after(record, other),
+        }
+    }
+
+    fn is_listed_after(&self, record: &EndpointRecord, other: &EndpointRecord) -> bool {
+        match (self.ids.get(&record.id), self.ids.get(&other.id)) {
+            (Some(history), Some(other)) => history.first_listings.are_after(&other.first_listings),
+            _ => record.listed_at > other.listed_at,
         }
     }
 }
--- a/crates/policy/tests/membership_after_restore.rs
+++ b/crates/policy/tests/membership_after_restore.rs
@@ -1,6 +1,9 @@
 //! Membership while the registry comes back from an older copy.
 
-use std::time::Duration;
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    time::Duration,
+};
 
 use lynxmount_core::{EndpointList, EndpointRecord, EndpointState, LogPosition};
 use lynxmount_policy::Membership;
@@ -13,6 +16,9 @@
 /// How soon live endpoints register again after the store's return.
 const REREGISTRATION: Duration = Duration::from_millis(2000);
 
+/// The address of endpoints that replace each other.
+const SHARED_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 9);
+
 fn at_ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -40,6 +46,11 @@
     EndpointRecord { state: EndpointState::Draining, ..ready(id, at) }
 }
 
+/// A registration of an endpoint that replaces another one, or is replaced.
+fn at_shared_address(id: &str, at: LogPosition) -> EndpointRecord {
+    EndpointRecord { address: SHARED_ADDRESS, ..ready(id, at) }
+}
+
 fn list(as_of: LogPosition, endpoints: &[EndpointRecord]) -> EndpointList {
     EndpointList { as_of, endpoints: endpoints.to_vec() }
 }
@@ -181,3 +192,63 @@
 
     assert_eq!(ready_ids(&membership), ["b"]);
 }
+
+/// Guards against calls to a former incarnation that the copy lists, at a process that has never
+/// seen it because it started later.
+#[test]
+fn a_former_incarnation_that_the_copy_lists_does_not_replace_the_known_one() {
+    let mut membership = membership();
+    membership.update(&list(position(0, 8), &[at_shared_address("b", position(0, 7))]), at_ms(0));
+    let former = at_shared_address("a", position(1, 3));
+    let copy = list(position(1, 5), std::slice::from_ref(&former));
+    let rewritten = list(position(1, 6), &[former, at_shared_address("b", position(1, 5))]);
+
+    let reads = [(&copy, 1), (&rewritten, 2), (&rewritten, 3), (&rewritten, 9)];
+    let valid = reads.map(|(list, periods)| {
+        membership.update(list, READ_PERIOD * periods);
+        ready_ids(&membership)
+    });
+
+    assert!(valid.iter().all(|ids| ids == &["b"]), "{valid:?}");
+}
+
+/// Guards against the same after a second return, where the known incarnation was listed first in
+/// an era that the copy is not of.
+#[test]
+fn a_former_incarnation_that_a_second_copy_lists_does_not_replace_the_known_one() {
+    let mut membership = membership();
+    membership.update(&list(position(0, 8), &[at_shared_address("b", position(0, 7))]), at_ms(0));
+    let rewritten = at_shared_address("b", position(1, 5));
+    membership.update(&list(position(1, 6), &[rewritten]), READ_PERIOD);
+
+    let copy = [at_shared_address("a", position(2, 3)), at_shared_address("b", position(2, 5))];
+    membership.update(&list(position(2, 6), &copy), 2 * READ_PERIOD);
+
+    assert_eq!(ready_ids(&membership), ["b"]);
+}
+
+/// Guards against a new incarnation that gets no calls while the copy lists the former one.
+#[test]
+fn an_incarnation_that_registers_before_the_first_read_replaces_the_one_in_the_copy() {
+    let mut membership = membership();
+    membership.update(&list(position(0, 8), &[at_shared_address("a", position(0, 3))]), at_ms(0));
+
+    let listed = [at_shared_address("a", position(1, 3)), at_shared_address("b", position(1, 5))];
+    membership.update(&list(position(1, 6), &listed), READ_PERIOD);
+
+    assert_eq!(ready_ids(&membership), ["b"]);
+}
+
+/// Guards against a new incarnation that gets no calls because the copy lacks the former one, whose
+/// offset was higher.
+#[test]
+fn an_incarnation_that_registers_after_a_return_replaces_one_that_the_copy_lacks() {
+    let mut membership = membership();
+    membership.update(&list(position(0, 8), &[at_shared_address("a", position(0, 7))]), at_ms(0));
+    membership.update(&list(position(1, 5), &[]), READ_PERIOD);
+
+    let new = at_shared_address("b", position(1, 5));
+    membership.update(&list(position(1, 6), &[new]), 2 * READ_PERIOD);
+
+    assert_eq!(ready_ids(&membership), ["b"]);
+}
