A stream whose move is refused returns to the endpoint that it has left

Cause: no further attempt was left, and the first endpoint had been given up; that the next one accepts is known only when it answers. Change: the permit at the endpoint that a stream leaves is kept until another one takes it. If that one refuses and no other takes the stream, it is resumed where it was, with a retry of the budget. The call was sent to no endpoint more than before, and its first run is closed by then.

--- a/crates/direct/src/replacement.rs
+++ b/crates/direct/src/replacement.rs
@@ -39,6 +39,15 @@
     pub(crate) has_begun: bool,
 }
 
+/// What a stream that is resumed has already.
+#[derive(Default)]
+pub(crate) struct ResumeOptions {
+    /// The attempt that is sent first.
+    pub(crate) opened: Option<OpenAttempt>,
+    /// The permit at a silent endpoint that the stream leaves, kept until another one takes it.
+    pub(crate) origin: Option<Permit>,
+}
+
 impl<D: Dialect> Call<D> {
     /// Opens an attempt elsewhere and withdraws a retry for it, to replace an attempt that still
     /// runs; `None` if that is not possible now.
@@ -70,18 +79,17 @@
             && self.service.has_retry()
     }
 
-    /// Resumes a stream elsewhere, first with the attempt that is open already, if any; `None` if
-    /// that is not possible.
+    /// Resumes a stream elsewhere; `None` if that is not possible.
     pub(crate) async fn resume(
         &self,
         position: StreamPosition,
         why: &str,
-        opened: Option<OpenAttempt>,
+        options: ResumeOptions,
     ) -> Option<ResponseHead> {
         tokio::select! {
             biased;
             _ = self.quarantine.wait_until_quarantined(&self.identity) => None,
-            resumed = self.resume_with_retries(position, why, opened) => resumed,
+            resumed = self.resume_with_retries(position, why, options) => resumed,
         }
     }
 
@@ -89,8 +97,9 @@
         &self,
         position: StreamPosition,
         why: &str,
-        mut opened: Option<OpenAttempt>,
+        options: ResumeOptions,
     ) -> Option<ResponseHead> {
+        let ResumeOptions { mut opened, mut origin } = options;
         let mut searches = 0;
         loop {
             let attempt = match opened.take() {
@@ -98,7 +107,7 @@
                 None if searches == MAX_RESUME_SEARCHES => return None,
                 None => {
                     searches += 1;
-                    self.open_resumption(position, why).await
+                    self.open_resumption(position, why, &mut origin).await
                 }
             };
             let resumed = match attempt {
@@ -120,15 +129,28 @@
         }
     }
 
+    /// Opens the next attempt of a resumption: at an endpoint that takes it, or else at the one that
+    /// the stream has left. Returning there adds no endpoint to those that the call was sent to.
     async fn open_resumption(
         &self,
         position: StreamPosition,
         why: &str,
+        origin: &mut Option<Permit>,
     ) -> Result<OpenAttempt, AttemptError> {
-        let permit = self.acquire_resumption(position, why).await?;
+        let permit = match self.acquire_resumption(position, why).await {
+            Ok(permit) => permit,
+            Err(error) => self.return_to(origin.take()).ok_or(error)?,
+        };
         self.open(permit, Some(position.sent_at)).await
     }
 
+    fn return_to(&self, origin: Option<Permit>) -> Option<Permit> {
+        let origin = origin.filter(|_| self.service.withdraw_retry())?;
+        log::info!(request = self.head.id.as_deref(), endpoint = &*origin.endpoint.record.id;
+            "stream returned");
+        Some(origin)
+    }
+
     async fn acquire_resumption(
         &self,
         position: StreamPosition,
--- a/crates/direct/src/stream_move.rs
+++ b/crates/direct/src/stream_move.rs
@@ -8,7 +8,7 @@
 use crate::{
     attempt::{OpenAttempt, ResponseHead},
     endpoint::Permit,
-    replacement::{RunningAttempt, StreamPosition},
+    replacement::{ResumeOptions, RunningAttempt, StreamPosition},
     stream::StreamRelay,
 };
 
@@ -69,7 +69,7 @@
             return false;
         }
         self.detach();
-        let head = self.call.resume(self.position(), why, None).await;
+        let head = self.call.resume(self.position(), why, ResumeOptions::default()).await;
         self.attach(head)
     }
 
@@ -81,8 +81,8 @@
             last_event = self.events.last_id(),
             silent_ms = self.last_event_at.elapsed().as_millis() as u64; "stream moved");
         self.on_canceled();
-        self.detach();
-        let head = self.call.resume(self.position(), why, Some(next)).await;
+        let options = ResumeOptions { opened: Some(next), origin: self.detach() };
+        let head = self.call.resume(self.position(), why, options).await;
         self.attach(head)
     }
 
@@ -104,11 +104,11 @@
     }
 
     /// Closes the old connection before the stream is resumed, so that the call never runs twice
-    /// at a time.
-    fn detach(&mut self) {
+    /// at a time. Returns the permit there.
+    fn detach(&mut self) -> Option<Permit> {
         self.connection = None;
-        self.permit = None;
         self.events.discard_partial();
+        self.permit.take()
     }
 
     /// Continues with the response of another endpoint. Returns whether there is one.
--- a/crates/lynxmount/tests/platform_pauses.rs
+++ b/crates/lynxmount/tests/platform_pauses.rs
@@ -139,6 +139,23 @@
     assert_eq!(fleet.entry.logged("stream stalled").len(), SLOTS);
 }
 
+/// Guards against streams that are lost because the replica to which they are moved refuses them.
+#[tokio::test]
+async fn paused_stream_that_another_replica_refuses_returns_and_stays_whole() {
+    let fleet = Fleet::start(STREAM, &[steady(45), pausing(45, 5, PAUSE)]).await;
+    raise_timeouts(&fleet).await;
+    let refuse = async {
+        wait_for("the streams", async || fleet.arrivals() == 2).await;
+        fleet.replicas[0].set_behaviour(Behaviour::Shed);
+    };
+
+    let (responses, ()) = futures::join!(responses(&fleet, STREAM, 2), refuse);
+
+    assert_complete(&responses, &[events(1..=45), events(1..=45)]);
+    assert_eq!(fleet.entry.logged("stream moved").len(), 1);
+    assert_eq!(fleet.entry.logged("stream returned").len(), 1);
+}
+
 /// Guards against calls that are given up before a retry is granted, while they wait for their
 /// first event.
 #[tokio::test]
