--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -277,8 +277,8 @@
             priority: None,
         };
         let sent_at = waiting_since.unwrap_or_else(Instant::now);
-        let open_replacement = |excluded_group: Option<Arc<str>>| -> BoxFuture<'_, _> {
-            let running = RunningAttempt { excluded_group, sent_at, has_begun: false };
+        let open_replacement = |stalled_group: Option<Arc<str>>| -> BoxFuture<'_, _> {
+            let running = RunningAttempt { stalled_group, sent_at, has_begun: false };
             Box::pin(self.open_replacement(running))
         };
         let outgoing = self.attempt_request(waiting_since, &open_replacement);
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -147,14 +147,6 @@
         is_current.then_some(load.own_running + load.others_running)
     }
 
-    /// Whether one more call is certain to find a slot: one of those that this entry owns, or else
-    /// of its even share, or one that is free by a recent report.
-    pub(crate) fn has_certain_slot(&self, slots: u32, even_share: u32) -> bool {
-        let own_slots = self.load.lock().own_slots.map_or(even_share, |own| own.count);
-        self.own_running() < own_slots
-            || self.total_running().is_some_and(|running| running < slots)
-    }
-
     /// Sets the group in which the endpoint is a rank.
     pub(crate) fn set_group(&self, group: &Arc<str>) {
         self.load.lock().group = Some(Arc::clone(group));
@@ -179,6 +171,11 @@
         self.load.lock().own_slots.is_some()
     }
 
+    /// The slots that this entry owns, in a model service.
+    pub(crate) fn own_slots(&self) -> Option<u32> {
+        self.load.lock().own_slots.map(|own| own.count)
+    }
+
     pub(crate) fn own_running(&self) -> u32 {
         self.load.lock().own_running
     }
--- a/crates/direct/src/replacement.rs
+++ b/crates/direct/src/replacement.rs
@@ -32,7 +32,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct RunningAttempt {
     /// Its group, if that has stalled.
-    pub(crate) excluded_group: Option<Arc<str>>,
+    pub(crate) stalled_group: Option<Arc<str>>,
     /// When the caller was last sent something, or its call arrived.
     pub(crate) sent_at: Instant,
     /// Whether the caller was sent a part of the response.
@@ -52,16 +52,16 @@
     /// Opens an attempt elsewhere and withdraws a retry for it, to replace an attempt that still
     /// runs; `None` if that is not possible now.
     pub(crate) async fn open_replacement(&self, running: RunningAttempt) -> Option<OpenAttempt> {
-        let RunningAttempt { excluded_group, sent_at, has_begun } = running;
+        let RunningAttempt { stalled_group, sent_at, has_begun } = running;
         if !self.may_replace(sent_at) {
             return None;
         }
         let tried = self.tried.lock().clone();
         let search = ReplacementSearch {
             tried: &tried,
-            excluded_group: excluded_group.as_deref(),
+            stalled_group: stalled_group.as_deref(),
             // A refusal of the last attempt would truncate the response.
-            is_slot_certain: has_begun && !self.has_retry_left(),
+            is_slot_required: has_begun && !self.has_retry_left(),
         };
         let permit = self.service.acquire_elsewhere(search)?;
         let opened = self.open(permit, Some(sent_at)).await.ok()?;
--- a/crates/direct/src/service/inner.rs
+++ b/crates/direct/src/service/inner.rs
@@ -13,8 +13,8 @@
 use lynxmount_link::MembersFingerprint;
 use lynxmount_policy::{
     EndpointBackpressure, EndpointSnapshot, GroupMonitor, LatencyClass, REOPEN_GRACE,
-    RetrySchedule, Selection, ServiceQueue, ShareBorrowing, SlotOwners, Ticket, Waiter,
-    WindowBudget, earliest_resume, select_endpoint,
+    ReplacementCandidate, RetrySchedule, Selection, ServiceQueue, ShareBorrowing, SlotOwners,
+    Ticket, Waiter, WindowBudget, earliest_resume, select_endpoint,
 };
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
@@ -290,15 +290,26 @@
         Some(f64::from(self.slots?) * ranks as f64 / self.entry_count() as f64)
     }
 
-    /// Whether a replacement may use an endpoint that was selected.
-    pub(super) fn meets(&self, index: usize, search: ReplacementSearch<'_>, now: Duration) -> bool {
+    /// Whether an endpoint that was selected may replace another one.
+    pub(super) fn may_replace(
+        &self,
+        index: usize,
+        search: ReplacementSearch<'_>,
+        now: Duration,
+    ) -> bool {
         let endpoint = &self.endpoints[index];
         let slots = self.slots.unwrap_or(endpoint.record.slots);
         let even_share = slots / self.entry_count() as u32;
-        !search.tried.contains(&endpoint.record.id)
-            && !endpoint.is_slow(now)
-            && search.excluded_group.is_none_or(|group| *group != *endpoint.group())
-            && (!search.is_slot_certain || endpoint.has_certain_slot(slots, even_share))
+        let candidate = ReplacementCandidate {
+            was_tried: search.tried.contains(&endpoint.record.id),
+            is_in_stalled_group: search.stalled_group.is_some_and(|g| *g == *endpoint.group()),
+            is_slow: endpoint.is_slow(now),
+            own_running: endpoint.own_running(),
+            own_slots: endpoint.own_slots().unwrap_or(even_share),
+            reported_running: endpoint.total_running(),
+            slots,
+        };
+        candidate.may_replace(search.is_slot_required)
     }
 
     /// Grants a permit at the selected endpoint.
--- a/crates/direct/src/service/mod.rs
+++ b/crates/direct/src/service/mod.rs
@@ -43,10 +43,10 @@
 pub(crate) struct ReplacementSearch<'a> {
     /// Endpoints that were selected for earlier attempts of the call.
     pub(crate) tried: &'a [EndpointId],
-    /// A group that has stalled.
-    pub(crate) excluded_group: Option<&'a str>,
-    /// Whether the endpoint must be known to have a free slot.
-    pub(crate) is_slot_certain: bool,
+    /// The group that has stalled, if one has.
+    pub(crate) stalled_group: Option<&'a str>,
+    /// Whether the endpoint must be certain to have a free slot.
+    pub(crate) is_slot_required: bool,
 }
 
 /// Why no permit was granted.
@@ -249,7 +249,7 @@
         let now = self.now();
         let mut inner = self.inner.lock();
         let (Selection::Endpoint(index), _) = inner.select(search.tried, now) else { return None };
-        inner.meets(index, search, now).then(|| inner.grant(index, self))
+        inner.may_replace(index, search, now).then(|| inner.grant(index, self))
     }
 
     fn try_acquire(self: &Arc<Service>, request: PermitRequest<'_>) -> Result<Grant, Unavailable> {
--- a/crates/direct/src/stream_move.rs
+++ b/crates/direct/src/stream_move.rs
@@ -31,8 +31,8 @@
         async move { call.open_replacement(running).await }
     }
 
-    fn running_attempt(&self, excluded_group: Option<Arc<str>>) -> RunningAttempt {
-        RunningAttempt { excluded_group, sent_at: self.sent_at, has_begun: self.has_begun }
+    fn running_attempt(&self, stalled_group: Option<Arc<str>>) -> RunningAttempt {
+        RunningAttempt { stalled_group, sent_at: self.sent_at, has_begun: self.has_begun }
     }
 
     /// Records once for each silence that the endpoint has stalled.
