Entries log the number of entries that shares are divided by

Cause: retries beyond the budget have three explanations that neither logs nor metrics can tell apart: a wrong number of entries, a forgotten window, or arrivals that were not withdrawn. Change: the event 'entry count changed', and a counter of withdrawn retries beside that of denied ones. No decision changes.

--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -1,6 +1,9 @@
 //! Startup and shutdown of the entry process.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::AtomicUsize},
+};
 
 use anyhow::Context;
 use lynxmount_core::{
@@ -146,6 +149,7 @@
         poll_loss_suspected,
         era: Mutex::default(),
         store_restored: Notify::new(),
+        entry_count: AtomicUsize::new(0),
     });
     tokio::spawn(Arc::clone(&watch).watch_config());
     tokio::spawn(Arc::clone(&watch).watch_endpoints());
--- a/crates/direct/src/service/mod.rs
+++ b/crates/direct/src/service/mod.rs
@@ -156,9 +156,7 @@
         let entries = inner.entry_count();
         let is_allowed = self.mechanisms.has(Mechanism::Repeats)
             && inner.budget.try_withdraw(entries, self.now());
-        if !is_allowed {
-            self.metrics.count("retries.denied");
-        }
+        self.metrics.count(if is_allowed { "retries.withdrawn" } else { "retries.denied" });
         is_allowed
     }
 
--- a/crates/direct/src/watch.rs
+++ b/crates/direct/src/watch.rs
@@ -3,7 +3,10 @@
 use std::{
     net::SocketAddr,
     pin::pin,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -76,6 +79,8 @@
     pub(crate) era: Mutex<Option<LogEra>>,
     /// Notified when the store was restored from a copy.
     pub(crate) store_restored: Notify,
+    /// The number of entries, including this one, that was last applied; 0 before.
+    pub(crate) entry_count: AtomicUsize,
 }
 
 /// Logs when a dependency becomes unreachable and when it is reachable again.
@@ -252,7 +257,17 @@
         };
         let endpoints = self.membership.lock().endpoints(is_configured);
         let list = EndpointList { as_of, endpoints };
-        self.endpoint_set.update(&config, &list, &self.peers.slot_owners());
+        let owners = self.peers.slot_owners();
+        self.record_entry_count(owners.entries());
+        self.endpoint_set.update(&config, &list, &owners);
+    }
+
+    /// Logs the number of entries that limits and budgets are divided by.
+    fn record_entry_count(&self, entries: usize) {
+        let before = self.entry_count.swap(entries, Ordering::Relaxed);
+        if before != entries {
+            log::info!(entries, before; "entry count changed");
+        }
     }
 
     fn record_read(&self, era: Option<LogEra>) {
