Tests: the retry budget of all entries, judged by what replicas see

Change: a check of sliding windows, and real entries whose registrations lapse in an outage, that are killed in series, and whose attempts end in 13 ways.

--- /dev/null
+++ b/crates/lynxmount/tests/platform_retry_budget.rs
@@ -0,0 +1,255 @@
+//! The retry budget that all entries of the users' platform share, judged by what arrives at
+//! replicas.
+
+mod platform_common;
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use http::Method;
+use lynxmount_platform_standin::{
+    Behaviour, Call, CallerStandin, RecordedRequest, ReplicaStandin, RetryBounds, RetryWindow,
+    StoreMode, StoreStandin,
+    fixture::{
+        CONFIG_KEY, IDEMPOTENT, OPERATOR_TOPIC, PEERS_TOPIC, REGISTRATIONS_TOPIC, RETRY_SLACK,
+        STREAM,
+    },
+    worst_retry_window,
+};
+use parking_lot::Mutex;
+use platform_common::{
+    CALLERS_PORT, KEY, Process, READINESS_PORT, REPLICA_PORT, STORE_PORT, allocate_network, config,
+    entry_ip, entry_settings, get, ip, registration, wait_for,
+};
+use tokio::task::JoinSet;
+
+const BOUNDS: RetryBounds =
+    RetryBounds { ratio: 0.2, slack: RETRY_SLACK as f64, window: Duration::from_secs(10) };
+
+const REPLICAS: u8 = 6;
+
+/// The pause between two requests, which go to all entries in turn.
+const CALL_PAUSE: Duration = Duration::from_millis(40);
+
+/// How long a request may take.
+const CALL_TIME: Duration = Duration::from_secs(3);
+
+/// How long the store is away. Registrations expire meanwhile.
+const OUTAGE: Duration = Duration::from_secs(6);
+
+/// How long endpoints take to register again.
+const REREGISTRATION_TIME: Duration = Duration::from_millis(1500);
+
+/// Several entries, and the requests that callers have sent to them.
+struct Cluster {
+    network: u8,
+    route: &'static str,
+    store: StoreStandin,
+    replicas: Vec<ReplicaStandin>,
+    entries: Vec<Process>,
+    started: Instant,
+    sent: Arc<Mutex<Vec<Duration>>>,
+}
+
+impl Cluster {
+    async fn start(entries: u8, route: &'static str, behaviour: Behaviour) -> Cluster {
+        let network = allocate_network();
+        let store =
+            StoreStandin::start((ip(network, 250), STORE_PORT).into()).await.expect("store starts");
+        store.put(OPERATOR_TOPIC, CONFIG_KEY, &config(1, &[KEY]));
+        let mut replicas = Vec::new();
+        for index in 0..REPLICAS {
+            let address = (ip(network, 100 + index), REPLICA_PORT).into();
+            let id = format!("i-{index}");
+            let replica = ReplicaStandin::start(&id, address, behaviour.clone()).await;
+            replicas.push(replica.expect("replica starts"));
+        }
+        let mut cluster = Cluster {
+            network,
+            route,
+            store,
+            replicas,
+            entries: Vec::new(),
+            started: Instant::now(),
+            sent: Arc::default(),
+        };
+        cluster.register_replicas();
+        for index in 0..entries {
+            let entry = cluster.start_entry(index);
+            cluster.entries.push(entry);
+        }
+        cluster.wait_until_ready().await;
+        cluster
+    }
+
+    fn start_entry(&self, index: u8) -> Process {
+        let settings = entry_settings(entry_ip(self.network, index), self.store.address(), &[]);
+        Process::start("platform-entry", &settings)
+    }
+
+    fn register_replicas(&self) {
+        for replica in &self.replicas {
+            let registration = registration(replica, self.route, "ready");
+            self.store.put(REGISTRATIONS_TOPIC, &replica.id, &registration);
+        }
+    }
+
+    async fn wait_until_ready(&self) {
+        for index in 0..self.entries.len() as u8 {
+            let readiness = SocketAddr::new(entry_ip(self.network, index), READINESS_PORT);
+            wait_for("readiness", async || get(readiness, "/lynxmount/readyz").await.is_some())
+                .await;
+        }
+    }
+
+    /// Waits until each entry counts all entries.
+    async fn wait_until_known(&self) {
+        let count = self.entries.len().to_string();
+        let counts_all = |entry: &Process| {
+            let changes = entry.logged("entry count changed");
+            changes.last().is_some_and(|change| change["attributes"]["entries"] == *count)
+        };
+        wait_for("entries that know each other", async || self.entries.iter().all(counts_all))
+            .await;
+    }
+
+    /// Sends requests to all entries in turn until the returned tasks are dropped.
+    fn send_requests(&self, pause: Duration) -> JoinSet<()> {
+        let (sent, started, route) = (Arc::clone(&self.sent), self.started, self.route);
+        let count = self.entries.len();
+        let addresses: Vec<SocketAddr> = (0..count as u8)
+            .map(|index| (entry_ip(self.network, index), CALLERS_PORT).into())
+            .collect();
+        let mut callers = JoinSet::new();
+        callers.spawn(async move {
+            let mut requests = JoinSet::new();
+            for number in 0.. {
+                sent.lock().push(started.elapsed());
+                requests.spawn(send_request(addresses[number % count], route, number));
+                tokio::time::sleep(pause).await;
+            }
+        });
+        callers
+    }
+
+    /// The store goes away, and all registrations expire before it returns. Endpoints register again
+    /// a little later.
+    async fn lose_registrations(&self) {
+        self.store.set_mode(StoreMode::Silent);
+        tokio::time::sleep(OUTAGE).await;
+        self.store.expire(PEERS_TOPIC);
+        self.store.expire(REGISTRATIONS_TOPIC);
+        self.store.set_mode(StoreMode::Up);
+        tokio::time::sleep(REREGISTRATION_TIME).await;
+        self.register_replicas();
+    }
+
+    /// Ends the entries in turn, and starts each again at once.
+    async fn end_in_series(&mut self, ends: usize, pause: Duration) {
+        for number in 0..ends {
+            tokio::time::sleep(pause).await;
+            let index = number % self.entries.len();
+            // The former process ends before its addresses are used again.
+            self.entries[index].child.kill().expect("process runs");
+            self.entries[index].child.wait().expect("process ends");
+            self.entries[index] = self.start_entry(index as u8);
+        }
+    }
+
+    fn worst_window(&self) -> Option<RetryWindow> {
+        let seen: Vec<RecordedRequest> =
+            self.replicas.iter().flat_map(ReplicaStandin::requests).collect();
+        let arrivals = seen.iter().map(|seen| {
+            let at = seen.received_at.saturating_duration_since(self.started);
+            (seen.header("x-attempt-id").unwrap_or_default(), at)
+        });
+        worst_retry_window(&self.sent.lock(), arrivals, BOUNDS)
+    }
+}
+
+async fn send_request(entry: SocketAddr, route: &str, number: usize) {
+    let call = Call {
+        id: format!("attempt-{number}"),
+        method: Method::GET,
+        path: format!("/{route}/{number}"),
+        key: KEY.to_owned(),
+        time_left: CALL_TIME,
+        prompt_parts: Vec::new(),
+    };
+    CallerStandin::new(entry).call(&call).await;
+}
+
+fn assert_within_budget(worst: Option<RetryWindow>) {
+    let worst = worst.expect("some retries");
+    assert!(!worst.is_exceeded(), "{worst:?}");
+}
+
+#[tokio::test]
+async fn retry_budget_holds_while_registrations_of_entries_lapse_in_an_outage() {
+    let cluster = Cluster::start(6, IDEMPOTENT, Behaviour::Fail).await;
+    cluster.wait_until_known().await;
+    let callers = cluster.send_requests(CALL_PAUSE);
+
+    cluster.lose_registrations().await;
+    tokio::time::sleep(BOUNDS.window).await;
+
+    drop(callers);
+    assert_within_budget(cluster.worst_window());
+}
+
+#[tokio::test]
+async fn retry_budget_holds_while_entries_are_killed_in_series() {
+    let mut cluster = Cluster::start(3, IDEMPOTENT, Behaviour::Fail).await;
+    cluster.wait_until_known().await;
+    let callers = cluster.send_requests(CALL_PAUSE);
+
+    cluster.end_in_series(25, Duration::from_millis(600)).await;
+
+    drop(callers);
+    assert_within_budget(cluster.worst_window());
+}
+
+/// Guards against arrivals that are not withdrawn from the budget.
+#[tokio::test]
+async fn retry_budget_holds_whatever_ends_attempts() {
+    const EVENTS: u64 = 8;
+    let gap = Duration::from_millis(20);
+    let stream_ends = [
+        Behaviour::Reset,
+        Behaviour::Shed,
+        Behaviour::OtherInstance,
+        Behaviour::StreamCut { complete_events: 2, resumed_events: 0 },
+        Behaviour::StreamHang { events: 1 },
+        Behaviour::StreamUntilClose { events: 2, is_cut: true, resumed_events: 0 },
+        Behaviour::StreamPause {
+            events: EVENTS,
+            gap,
+            events_before: 2,
+            pause: Duration::from_millis(1500),
+        },
+    ];
+    let lookup_ends = [
+        Behaviour::AnswerTwice,
+        Behaviour::Hang,
+        Behaviour::OtherInstance,
+        Behaviour::Reset,
+        Behaviour::Shed,
+        Behaviour::Truncate,
+    ];
+    let ends = lookup_ends.map(|end| (IDEMPOTENT, end)).into_iter();
+    let runs = ends.chain(stream_ends.map(|end| (STREAM, end))).map(|(route, end)| async move {
+        let cluster = Cluster::start(2, route, end.clone()).await;
+        cluster.wait_until_known().await;
+        let callers = cluster.send_requests(CALL_PAUSE);
+        tokio::time::sleep(BOUNDS.window + CALL_TIME).await;
+        drop(callers);
+        (route, end, cluster.worst_window())
+    });
+
+    for (route, end, worst) in futures::future::join_all(runs).await {
+        assert!(!worst.is_some_and(|worst| worst.is_exceeded()), "{route} {end:?}: {worst:?}");
+    }
+}
