Entries count peers whose registrations have lapsed until they could register again

Cause: a list that lacks living members passed for the whole. A peer that was not in the newest list stopped to count at once, so that six entries divided limits and budgets by one; and an entry registered again only if the store's era had risen, so that the list stayed empty.

--- a/crates/core/src/adapter.rs
+++ b/crates/core/src/adapter.rs
@@ -137,15 +137,14 @@
         list: &EndpointList,
     ) -> impl Future<Output = Result<EndpointList>> + Send;
 
-    /// Registers this process, so that its peers can discover it. Returns the era of the
-    /// registration, which may be lost in the next one.
+    /// Registers this process, so that its peers can discover it.
     ///
     /// Fails if the platform can't be reached.
     fn register_peer(
         &self,
         name: &str,
         address: SocketAddr,
-    ) -> impl Future<Output = Result<LogEra>> + Send;
+    ) -> impl Future<Output = Result<()>> + Send;
 
     /// Reads the addresses of all registered processes, and the era that they are registered in.
     ///
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -44,6 +44,11 @@
         self.registered.lock().update(era, addresses, now);
     }
 
+    /// Whether no registered peer is missing that may register again.
+    pub(crate) fn are_settled(&self) -> bool {
+        self.registered.lock().is_settled()
+    }
+
     /// All entries as owners of slots: the registered ones, or the seeds while these are more.
     pub(crate) fn slot_owners(&self) -> SlotOwners {
         let registered = self.registered.lock().addresses();
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -148,7 +148,7 @@
         pull_requested: Notify::new(),
         poll_loss_suspected,
         era: Mutex::default(),
-        store_restored: Notify::new(),
+        peers_read_requested: Notify::new(),
         entry_count: AtomicUsize::new(0),
     });
     tokio::spawn(Arc::clone(&watch).watch_config());
--- a/crates/direct/src/watch.rs
+++ b/crates/direct/src/watch.rs
@@ -40,8 +40,8 @@
 /// Polling period of peers' addresses.
 const PEERS_PERIOD: Duration = Duration::from_secs(8);
 
-/// Delay before a failed registration, or read of peers' addresses, is retried.
-const PEERS_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// The same at the start and while registrations are missing; it doubles with each complete read.
+const MIN_PEERS_PERIOD: Duration = Duration::from_secs(1);
 
 // Endpoints' rate limits are shared among all entries, which must know each other by then.
 const _: () = assert!(PEERS_PERIOD.as_millis() < MEMBERSHIP_CONVERGENCE_TIME.as_millis());
@@ -77,8 +77,8 @@
     pub(crate) poll_loss_suspected: Arc<Notify>,
     /// The latest era of the store that a read has shown.
     pub(crate) era: Mutex<Option<LogEra>>,
-    /// Notified when the store was restored from a copy.
-    pub(crate) store_restored: Notify,
+    /// Notified when registrations of peers may have been lost.
+    pub(crate) peers_read_requested: Notify,
     /// The number of entries, including this one, that was last applied; 0 before.
     pub(crate) entry_count: AtomicUsize,
 }
@@ -166,6 +166,7 @@
                 Ok(list) => {
                     if reachability.on_success() {
                         self.store_regained.notify_one();
+                        self.peers_read_requested.notify_one();
                         self.poll_loss_suspected.notify_one();
                     }
                     self.record_read(Some(list.as_of.era));
@@ -202,34 +203,36 @@
 
     /// Registers this process and watches the addresses of its peers until the task is dropped.
     pub(crate) async fn watch_peers(self: Arc<FleetWatch<S>>, name: String, own: SocketAddr) {
-        let mut registered_in: Option<LogEra> = None;
+        let mut is_registered = false;
+        let mut period = MIN_PEERS_PERIOD;
         loop {
-            if registered_in.is_none() {
-                registered_in = self.register(&name, own).await;
+            if !is_registered {
+                is_registered = self.register(&name, own).await;
             }
-            let read_in = self.read_peers().await;
-            // A registration is lost if the store was restored from an older copy.
-            registered_in = registered_in.filter(|era| Some(*era) >= read_in);
-            let is_complete = registered_in.is_some() && read_in.is_some();
-            let period = if is_complete { PEERS_PERIOD } else { PEERS_RETRY_DELAY };
-            // A hint only: each read shows the era by itself.
-            let _ = tokio::time::timeout(period, self.store_restored.notified()).await;
+            let is_listed = self.read_peers(own).await;
+            is_registered &= is_listed != Some(false);
+            let is_complete = is_registered && is_listed.is_some() && self.peers.are_settled();
+            period = if is_complete { (period * 2).min(PEERS_PERIOD) } else { MIN_PEERS_PERIOD };
+            // A hint only: each read shows by itself whether registrations were lost.
+            let _ = tokio::time::timeout(period, self.peers_read_requested.notified()).await;
         }
     }
 
-    async fn register(&self, name: &str, own: SocketAddr) -> Option<LogEra> {
+    async fn register(&self, name: &str, own: SocketAddr) -> bool {
         let result = self.source.register_peer(name, own).await;
-        result.map_err(|e| log::warn!(error:% = e; "peer registration failed")).ok()
+        result.map_err(|e| log::warn!(error:% = e; "peer registration failed")).is_ok()
     }
 
-    /// Reads the peers' addresses, and returns the era that they are registered in.
-    async fn read_peers(&self) -> Option<LogEra> {
+    /// Reads the peers' addresses, and returns whether this process is among them; `None` if they
+    /// can't be read.
+    async fn read_peers(&self, own: SocketAddr) -> Option<bool> {
         let read = self.source.peers().await;
         let (era, addresses) =
             read.map_err(|e| log::warn!(error:% = e; "peer addresses not read")).ok()?;
+        let is_listed = addresses.contains(&own);
         self.peers.set_registered(era, addresses, self.clock.now());
         self.update_endpoint_set();
-        Some(era)
+        Some(is_listed)
     }
 
     /// Pulls state from peers at the start and when it is requested, until the task is dropped. Reads
@@ -287,6 +290,6 @@
         self.metrics.count("platform.store_restored");
         self.pull_requested.notify_one();
         self.poll_loss_suspected.notify_one();
-        self.store_restored.notify_one();
+        self.peers_read_requested.notify_one();
     }
 }
