A service's retries and limits are remembered while no configuration has it

Cause: the same as that of a new process. A service that is configured again was created anew, with an empty window and without what its endpoints had asked for. Change: both belong to a history that outlives the service until it is as good as new. What all services share is one struct, so that constructors stay short.

--- a/crates/direct/src/endpoint_set.rs
+++ b/crates/direct/src/endpoint_set.rs
@@ -2,73 +2,46 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use lynxmount_core::{Clock, EndpointList, EndpointState, Mechanisms, ServiceId, SiteBounds};
+use lynxmount_core::{EndpointList, EndpointState, ServiceId};
 use lynxmount_link::{GroupMembersNotice, GroupNotice, MembersFingerprint, SlowRanksNotice};
-use lynxmount_policy::BufferBudget;
-use lynxmount_telemetry::Metrics;
+use lynxmount_policy::WindowBudgetOptions;
 use parking_lot::Mutex;
 
 use crate::{
-    crash_detector::CrashDetector,
     endpoint::Endpoint,
     fleet::ConfigView,
-    limit_gossip::{LimitGossip, LimitReport},
+    limit_gossip::LimitReport,
     peers::EntryShares,
-    service::Service,
+    service::{Service, ServiceContext, ServiceHistory},
 };
 
 /// All services with their endpoints, according to the current configuration.
 pub(crate) struct EndpointSet {
-    clock: Clock,
-    bounds: SiteBounds,
-    mechanisms: Arc<Mechanisms>,
-    crash_detector: Arc<CrashDetector>,
-    metrics: Arc<Metrics>,
-    limit_gossip: Arc<LimitGossip>,
-    response_budget: BufferBudget,
+    context: ServiceContext,
+    retry_budget: WindowBudgetOptions,
     services: Mutex<HashMap<ServiceId, Arc<Service>>>,
+    /// Also of services that were configured recently.
+    histories: Mutex<HashMap<ServiceId, Arc<ServiceHistory>>>,
 }
 
 impl EndpointSet {
-    pub(crate) fn new(
-        clock: Clock,
-        bounds: SiteBounds,
-        mechanisms: Arc<Mechanisms>,
-        crash_detector: Arc<CrashDetector>,
-        metrics: Arc<Metrics>,
-        limit_gossip: Arc<LimitGossip>,
-        response_budget: BufferBudget,
-    ) -> EndpointSet {
-        EndpointSet {
-            clock,
-            bounds,
-            mechanisms,
-            crash_detector,
-            metrics,
-            limit_gossip,
-            response_budget,
-            services: Mutex::default(),
-        }
+    pub(crate) fn new(context: ServiceContext, retry_budget: WindowBudgetOptions) -> EndpointSet {
+        let (services, histories) = (Mutex::default(), Mutex::default());
+        EndpointSet { context, retry_budget, services, histories }
     }
 
     pub(crate) fn service(&self, id: &str) -> Option<Arc<Service>> {
         self.services.lock().get(id).cloned()
     }
 
-    fn new_service(&self) -> Arc<Service> {
-        let mechanisms = Arc::clone(&self.mechanisms);
-        let crash_detector = Arc::clone(&self.crash_detector);
-        let metrics = Arc::clone(&self.metrics);
-        let limit_gossip = Arc::clone(&self.limit_gossip);
-        Arc::new(Service::new(
-            self.clock,
-            &self.bounds,
-            mechanisms,
-            crash_detector,
-            metrics,
-            limit_gossip,
-            self.response_budget.clone(),
-        ))
+    fn new_service(&self, id: &ServiceId) -> Arc<Service> {
+        Arc::new(Service::new(self.context.clone(), self.history(id)))
+    }
+
+    fn history(&self, id: &ServiceId) -> Arc<ServiceHistory> {
+        let mut histories = self.histories.lock();
+        let new = || Arc::new(ServiceHistory::new(self.retry_budget));
+        Arc::clone(histories.entry(ServiceId::clone(id)).or_insert_with(new))
     }
 
     /// The endpoints whose engines may be ranks of groups.
@@ -112,9 +85,15 @@
     pub(crate) fn update(&self, config: &ConfigView, list: &EndpointList, shares: &EntryShares) {
         let mut services = self.services.lock();
         services.retain(|id, _| config.service(id).is_some());
+        let now = self.context.clock.now();
+        let is_needed = |id: &str, history: &ServiceHistory| {
+            config.service(id).is_some() || !history.is_empty(now)
+        };
+        self.histories.lock().retain(|id, history| is_needed(id, history));
         for spec in &config.config.services {
-            let service =
-                services.entry(ServiceId::clone(&spec.id)).or_insert_with(|| self.new_service());
+            let service = services
+                .entry(ServiceId::clone(&spec.id))
+                .or_insert_with(|| self.new_service(&spec.id));
             let ready = list.endpoints.iter().filter(|endpoint| {
                 endpoint.service == spec.id && endpoint.state == EndpointState::Ready
             });
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -11,7 +11,7 @@
     adapter::{Dialect, FleetSource},
 };
 use lynxmount_link::{TerminationSignals, bind, serve};
-use lynxmount_policy::Membership;
+use lynxmount_policy::{Membership, WindowBudgetOptions};
 use lynxmount_quarantine::SharedQuarantine;
 use lynxmount_telemetry::{Metrics, MetricsHandler};
 use parking_lot::Mutex;
@@ -30,6 +30,7 @@
     peers::{PeerHandler, Peers},
     readiness::ReadinessHandler,
     response_buffer::response_budget,
+    service::ServiceContext,
     watch::{FleetWatch, endpoints_period, registration_lease},
 };
 
@@ -76,15 +77,21 @@
         Arc::clone(&dialect) as _,
     );
     let limit_gossip = Arc::new(LimitGossip::default());
-    let endpoint_set = Arc::new(EndpointSet::new(
+    let retry_budget = WindowBudgetOptions {
+        ratio: settings.bounds.retry_ratio,
+        slack: settings.bounds.retry_slack,
+        window: settings.bounds.retry_window,
+    };
+    let service_context = ServiceContext {
         clock,
-        settings.bounds,
-        Arc::clone(&mechanisms),
-        Arc::new(crash_detector),
-        Arc::clone(&metrics),
-        Arc::clone(&limit_gossip),
-        response_budget(settings.memory_bytes()),
-    ));
+        group_stall: settings.bounds.group_stall,
+        mechanisms: Arc::clone(&mechanisms),
+        crash_detector: Arc::new(crash_detector),
+        metrics: Arc::clone(&metrics),
+        limit_gossip: Arc::clone(&limit_gossip),
+        response_budget: response_budget(settings.memory_bytes()),
+    };
+    let endpoint_set = Arc::new(EndpointSet::new(service_context, retry_budget));
     let peers = Arc::new(Peers::new(peer_address, settings.seeds.clone()));
     tokio::spawn(limit_gossip.publish(Arc::clone(&peers)));
     let last_read_at = Arc::new(Mutex::default());
--- a/crates/direct/src/service/inner.rs
+++ b/crates/direct/src/service/inner.rs
@@ -7,19 +7,16 @@
     time::Duration,
 };
 
-use lynxmount_core::{
-    EndpointId, EndpointIncarnation, EndpointRecord, EngineSpec, Mechanism, Mechanisms,
-};
+use lynxmount_core::{EndpointId, EndpointRecord, EngineSpec, Mechanism, Mechanisms};
 use lynxmount_link::MembersFingerprint;
 use lynxmount_policy::{
-    EndpointBackpressure, EndpointSnapshot, GroupMonitor, LatencyClass, REOPEN_GRACE,
-    ReplacementCandidate, RetrySchedule, Selection, ServiceQueue, ShareBorrowing, SlotOwners,
-    Ticket, Waiter, WindowBudget, earliest_resume, select_endpoint,
+    EndpointSnapshot, GroupMonitor, LatencyClass, REOPEN_GRACE, ReplacementCandidate,
+    RetrySchedule, Selection, ServiceQueue, ShareBorrowing, SlotOwners, Ticket, Waiter,
+    earliest_resume, select_endpoint,
 };
-use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
-use super::{Grant, PermitRequest, ReplacementSearch, Service, Unavailable};
+use super::{Grant, PermitRequest, ReplacementSearch, Service, ServiceHistory, Unavailable};
 use crate::{
     endpoint::{Capacity, Endpoint, Permit},
     peers::EntryShares,
@@ -47,15 +44,13 @@
     pub(super) groups: GroupMonitor,
     pub(super) queue: ServiceQueue,
     pub(super) waiting: HashMap<Ticket, oneshot::Sender<Permit>>,
-    pub(super) budget: WindowBudget,
+    pub(super) history: Arc<ServiceHistory>,
     /// Retry times of callers that were refused while all endpoints were paused.
     pub(super) retry_schedule: RetrySchedule,
     /// When the armed timer grants permits of endpoints that resume.
     pub(super) resume_timer: Option<Duration>,
     /// How far this entry exceeds its shares of endpoints and groups.
     borrowing: ShareBorrowing,
-    /// Backpressure by incarnation, including those that are temporarily not listed.
-    backpressure: HashMap<EndpointIncarnation, Arc<Mutex<EndpointBackpressure>>>,
     /// Number of permits granted so far.
     selections: u64,
     /// Path of the endpoints' health check.
@@ -68,7 +63,7 @@
 }
 
 impl Inner {
-    pub(super) fn new(budget: WindowBudget, mechanisms: Arc<Mechanisms>) -> Inner {
+    pub(super) fn new(history: Arc<ServiceHistory>, mechanisms: Arc<Mechanisms>) -> Inner {
         Inner {
             endpoints: Vec::new(),
             group_sizes: HashMap::new(),
@@ -76,11 +71,10 @@
             groups: GroupMonitor::default(),
             queue: ServiceQueue::default(),
             waiting: HashMap::new(),
-            budget,
+            history,
             retry_schedule: RetrySchedule::default(),
             resume_timer: None,
             borrowing: ShareBorrowing::default(),
-            backpressure: HashMap::new(),
             selections: 0,
             health_path: None,
             slots: None,
@@ -106,17 +100,16 @@
             let kept = previous.get(&record.id).filter(|kept| record.is_renewal_of(&kept.record));
             kept.cloned().unwrap_or_else(|| {
                 has_new = true;
-                let backpressure = self.backpressure.entry(record.incarnation()).or_default();
-                Arc::new(Endpoint::new(record.clone(), Arc::clone(backpressure)))
+                let backpressure = self.history.backpressure_of(record.incarnation());
+                Arc::new(Endpoint::new(record.clone(), backpressure))
             })
         });
         self.endpoints = endpoints.collect();
         drop(previous);
-        let is_in_use = |state: &Arc<_>| Arc::strong_count(state) > 1;
-        self.backpressure.retain(|_, state| is_in_use(state) || state.lock().is_recent(now));
+        self.history.remove_old_backpressure(now);
         self.slots = engine.map(|engine| engine.slots);
         self.update_groups();
-        self.budget.set_predecessor(shares.predecessor);
+        self.history.budget.lock().set_predecessor(shares.predecessor);
         if self.set_owners(&shares.owners) || has_new {
             self.set_limit_shares(now);
         }
--- a/crates/direct/src/service/mod.rs
+++ b/crates/direct/src/service/mod.rs
@@ -2,6 +2,7 @@
 
 mod backpressure;
 mod group_events;
+mod history;
 mod inner;
 
 use std::{
@@ -11,15 +12,14 @@
 
 use lynxmount_core::{
     CallFingerprint, CallIdentity, CallPhase, Clock, EndpointId, EndpointIncarnation,
-    EndpointRecord, Mechanism, Mechanisms, ServiceSpec, SiteBounds,
-};
-use lynxmount_policy::{
-    BufferBudget, QueueDecision, Selection, Ticket, Waiter, WindowBudget, WindowBudgetOptions,
+    EndpointRecord, Mechanism, Mechanisms, ServiceSpec,
 };
+use lynxmount_policy::{BufferBudget, QueueDecision, Selection, Ticket, Waiter};
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
+pub(crate) use self::history::ServiceHistory;
 use self::inner::Inner;
 use crate::{
     crash_detector::{CrashDetector, DisconnectedCall},
@@ -64,6 +64,19 @@
     Paused { retry_after: Duration },
 }
 
+/// What all services of a process share.
+#[derive(Clone)]
+pub(crate) struct ServiceContext {
+    pub(crate) clock: Clock,
+    /// How long a group stalls after losing a rank.
+    pub(crate) group_stall: Duration,
+    pub(crate) mechanisms: Arc<Mechanisms>,
+    pub(crate) crash_detector: Arc<CrashDetector>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) limit_gossip: Arc<LimitGossip>,
+    pub(crate) response_budget: BufferBudget,
+}
+
 /// A service with its endpoints, and its queue of waiting calls.
 pub(crate) struct Service {
     clock: Clock,
@@ -78,23 +91,17 @@
 }
 
 impl Service {
-    pub(crate) fn new(
-        clock: Clock,
-        bounds: &SiteBounds,
-        mechanisms: Arc<Mechanisms>,
-        crash_detector: Arc<CrashDetector>,
-        metrics: Arc<Metrics>,
-        limit_gossip: Arc<LimitGossip>,
-        response_budget: BufferBudget,
-    ) -> Service {
-        let options = WindowBudgetOptions {
-            ratio: bounds.retry_ratio,
-            slack: bounds.retry_slack,
-            window: bounds.retry_window,
-        };
-        let inner = Inner::new(WindowBudget::new(options), Arc::clone(&mechanisms));
-        let inner = Mutex::new(inner);
-        let group_stall = bounds.group_stall;
+    pub(crate) fn new(context: ServiceContext, history: Arc<ServiceHistory>) -> Service {
+        let ServiceContext {
+            clock,
+            group_stall,
+            mechanisms,
+            crash_detector,
+            metrics,
+            limit_gossip,
+            response_budget,
+        } = context;
+        let inner = Mutex::new(Inner::new(history, Arc::clone(&mechanisms)));
         Service {
             clock,
             group_stall,
@@ -140,22 +147,22 @@
 
     /// Counts a new call towards the retry budget.
     pub(crate) fn record_call(&self) {
-        self.inner.lock().budget.record_call(self.now());
+        self.inner.lock().history.budget.lock().record_call(self.now());
     }
 
     /// Whether the service's retry budget has a retry.
     pub(crate) fn has_retry(&self) -> bool {
-        let mut inner = self.inner.lock();
-        let entries = inner.entry_count();
-        self.mechanisms.has(Mechanism::Repeats) && inner.budget.has_retry(entries, self.now())
+        let inner = self.inner.lock();
+        let mut budget = inner.history.budget.lock();
+        self.mechanisms.has(Mechanism::Repeats) && budget.has_retry(inner.entry_count(), self.now())
     }
 
     /// Withdraws a retry from the service's retry budget. Returns whether one was available.
     pub(crate) fn withdraw_retry(&self) -> bool {
-        let mut inner = self.inner.lock();
-        let entries = inner.entry_count();
+        let inner = self.inner.lock();
+        let mut budget = inner.history.budget.lock();
         let is_allowed = self.mechanisms.has(Mechanism::Repeats)
-            && inner.budget.try_withdraw(entries, self.now());
+            && budget.try_withdraw(inner.entry_count(), self.now());
         self.metrics.count(if is_allowed { "retries.withdrawn" } else { "retries.denied" });
         is_allowed
     }
--- a/crates/lynxmount/tests/platform_retry_budget.rs
+++ b/crates/lynxmount/tests/platform_retry_budget.rs
@@ -15,7 +15,7 @@
     RetryWindow, StoreMode, StoreStandin, allowed_in_window,
     fixture::{
         CONFIG_KEY, IDEMPOTENT, OPERATOR_TOPIC, PEERS_TOPIC, REGISTRATIONS_TOPIC, RETRY_SLACK,
-        STREAM,
+        STREAM, service_of,
     },
     max_in_window, worst_retry_window,
 };
@@ -34,7 +34,7 @@
 /// The pause between two requests, which go to all entries in turn.
 const CALL_PAUSE: Duration = Duration::from_millis(40);
 
-/// The same for more requests than the limits of all replicas admit.
+/// The same for more requests than limits admit.
 const SHORT_CALL_PAUSE: Duration = Duration::from_millis(10);
 
 /// How long a request may take.
@@ -190,6 +190,16 @@
     CallerStandin::new(entry).call(&call).await;
 }
 
+/// A configuration without a route and its service.
+fn without_service_of(route: &str, config: &str) -> String {
+    let mut config: serde_json::Value = serde_json::from_str(config).expect("valid JSON");
+    for (list, name) in [("Routes", format!("r-{route}")), ("Services", service_of(route))] {
+        let members = config[list].as_array_mut().expect("a list");
+        members.retain(|member| member["Name"] != *name);
+    }
+    config.to_string()
+}
+
 fn assert_within_budget(worst: Option<RetryWindow>) {
     let worst = worst.expect("some retries");
     assert!(!worst.is_exceeded(), "{worst:?}");
@@ -220,6 +230,25 @@
     assert_within_budget(cluster.worst_window());
 }
 
+/// Guards against a service that forgets its retries because a configuration lacks it for a moment.
+#[tokio::test]
+async fn retry_budget_holds_while_a_service_is_removed_and_added_in_series() {
+    let cluster = Cluster::start(2, IDEMPOTENT, Behaviour::Fail).await;
+    cluster.wait_until_known().await;
+    let callers = cluster.send_requests(SHORT_CALL_PAUSE);
+
+    for version in 2..14 {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let config = config(version, &[KEY]);
+        let config =
+            if version % 2 == 0 { without_service_of(IDEMPOTENT, &config) } else { config };
+        cluster.store.put(OPERATOR_TOPIC, CONFIG_KEY, &config);
+    }
+
+    drop(callers);
+    assert_within_budget(cluster.worst_window());
+}
+
 /// Guards against arrivals that are not withdrawn from the budget.
 #[tokio::test]
 async fn retry_budget_holds_whatever_ends_attempts() {
