Registrations of entries that are not renewed expire

Registrations stay in the store for good, so that an entry whose peers have been removed was held to its share among them until its end. Change: entries renew their registration every 24 s; one that is not renewed for 75 s of readable store does not count, nor the older one of two at an address. Run: a_peer_that_does_not_renew_its_registration_expires and two more; the former RegisteredPeers has no notion of it. Cost: a write per entry and 24 s.

--- a/crates/core/src/adapter.rs
+++ b/crates/core/src/adapter.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     EndpointId, EndpointList, Evidence, EvidenceKey, FleetConfig, LogEra, LogPosition, LogRead,
-    ProcessId, ReceivedEvidence, Result, SegmentNumber, TeamId,
+    PeerRegistration, ProcessId, ReceivedEvidence, Result, SegmentNumber, TeamId,
     experts::{EngineOrder, EngineReport, ExpertCounts, OrderResult, RankMap},
 };
 
@@ -137,7 +137,7 @@
         list: &EndpointList,
     ) -> impl Future<Output = Result<EndpointList>> + Send;
 
-    /// Registers this process, so that its peers can discover it.
+    /// Registers this process, so that its peers can discover it, or renews its registration.
     ///
     /// Fails if the platform can't be reached.
     fn register_peer(
@@ -146,10 +146,10 @@
         address: SocketAddr,
     ) -> impl Future<Output = Result<()>> + Send;
 
-    /// Reads the addresses of all registered processes, and the era that they are registered in.
+    /// Reads all registrations of processes, and the era that they are registered in.
     ///
     /// Fails if the platform can't be reached.
-    fn peers(&self) -> impl Future<Output = Result<(LogEra, Vec<SocketAddr>)>> + Send;
+    fn peers(&self) -> impl Future<Output = Result<(LogEra, Vec<PeerRegistration>)>> + Send;
 
     /// Publishes crash reports to all processes, replacing this process's earlier reports
     /// of the same calls and segments.
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -233,6 +233,15 @@
     }
 }
 
+/// The registration of a process for its peers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PeerRegistration {
+    /// Address that peers connect to.
+    pub address: SocketAddr,
+    /// Position in the platform's log; it differs after each renewal.
+    pub written_at: LogPosition,
+}
+
 /// All registrations up to a position in the platform's log.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct EndpointList {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,7 +29,8 @@
 pub use fingerprint::{CallContent, CallFingerprint};
 pub use fleet::{
     ApiKey, CallKind, CallerLimits, ConfigVersion, EndpointList, EndpointRecord, EndpointState,
-    EngineSpec, ExpertSpec, FleetConfig, Route, RouteId, RouteTarget, ServiceSpec, TeamSpec,
+    EngineSpec, ExpertSpec, FleetConfig, PeerRegistration, Route, RouteId, RouteTarget,
+    ServiceSpec, TeamSpec,
 };
 pub use ids::{
     AttemptNumber, ChangeId, EndpointId, FailureDomainId, Incarnation, Offset, ProcessId, RegionId,
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -11,7 +11,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use lynxmount_core::{CrashReport, LogEra, Result, SegmentReport};
+use lynxmount_core::{CrashReport, LogEra, PeerRegistration, Result, SegmentReport};
 use lynxmount_link::{
     FleetQuery, FleetSnapshot, GossipTopic, RequestHandler, parse_fleet_query, publish,
     query_fleet, read_published,
@@ -51,17 +51,27 @@
 
     /// Records the first list of registrations that this process has read, before it registers. It
     /// has no predecessor if its address is not listed.
-    pub(crate) fn set_listed_before(&self, addresses: &[SocketAddr]) {
-        let predecessor = match addresses.contains(&self.own_address) {
+    pub(crate) fn set_listed_before(&self, registrations: &[PeerRegistration]) {
+        let predecessor = match self.is_listed(registrations) {
             true => Predecessor::Possible,
             false => Predecessor::None,
         };
         self.predecessor.lock().get_or_insert(predecessor);
     }
 
-    /// Applies the addresses that are registered at the platform in an era.
-    pub(crate) fn set_registered(&self, era: LogEra, addresses: Vec<SocketAddr>, now: Duration) {
-        self.registered.lock().update(era, addresses, now);
+    /// Applies the registrations at the platform in an era.
+    pub(crate) fn set_registered(
+        &self,
+        era: LogEra,
+        registrations: &[PeerRegistration],
+        now: Duration,
+    ) {
+        self.registered.lock().update(era, registrations, now);
+    }
+
+    /// Whether this process is registered.
+    pub(crate) fn is_listed(&self, registrations: &[PeerRegistration]) -> bool {
+        registrations.iter().any(|registration| registration.address == self.own_address)
     }
 
     /// Whether no registered peer is missing that may register again.
--- a/crates/direct/src/watch.rs
+++ b/crates/direct/src/watch.rs
@@ -13,7 +13,7 @@
 use lynxmount_core::{
     Clock, EndpointList, FleetConfig, LogEra, Result, ServiceId, SiteBounds, adapter::FleetSource,
 };
-use lynxmount_policy::{MEMBERSHIP_CONVERGENCE_TIME, Membership};
+use lynxmount_policy::{MEMBERSHIP_CONVERGENCE_TIME, Membership, PEER_RENEWAL_PERIOD};
 use lynxmount_quarantine::SharedQuarantine;
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
@@ -203,38 +203,42 @@
 
     /// Registers this process and watches the addresses of its peers until the task is dropped.
     pub(crate) async fn watch_peers(self: Arc<FleetWatch<S>>, name: String, own: SocketAddr) {
-        let mut is_registered = false;
+        if let Ok((_, former)) = self.source.peers().await {
+            self.peers.set_listed_before(&former);
+        }
+        let mut registered_at: Option<Duration> = None;
         let mut period = MIN_PEERS_PERIOD;
-        let former = self.source.peers().await;
-        let _ = former.map(|(_, addresses)| self.peers.set_listed_before(&addresses));
         loop {
-            if !is_registered {
-                is_registered = self.register(&name, own).await;
+            let is_due = |at: Duration| self.clock.now() >= at + PEER_RENEWAL_PERIOD;
+            if registered_at.is_none_or(is_due) {
+                registered_at = self.register(&name, own).await.or(registered_at);
             }
-            let is_listed = self.read_peers(own).await;
-            is_registered &= is_listed != Some(false);
-            let is_complete = is_registered && is_listed.is_some() && self.peers.are_settled();
+            let is_listed = self.read_peers().await;
+            registered_at = registered_at.filter(|_| is_listed != Some(false));
+            let is_complete =
+                registered_at.is_some() && is_listed.is_some() && self.peers.are_settled();
             period = if is_complete { (period * 2).min(PEERS_PERIOD) } else { MIN_PEERS_PERIOD };
             // A hint only: each read shows by itself whether registrations were lost.
             let _ = tokio::time::timeout(period, self.peers_read_requested.notified()).await;
         }
     }
 
-    async fn register(&self, name: &str, own: SocketAddr) -> bool {
+    /// Registers this process, and returns when it did.
+    async fn register(&self, name: &str, own: SocketAddr) -> Option<Duration> {
         let result = self.source.register_peer(name, own).await;
-        result.map_err(|e| log::warn!(error:% = e; "peer registration failed")).is_ok()
+        let registered = result.map_err(|e| log::warn!(error:% = e; "peer registration failed"));
+        registered.ok().map(|()| self.clock.now())
     }
 
-    /// Reads the peers' addresses, and returns whether this process is among them; `None` if they
-    /// can't be read.
-    async fn read_peers(&self, own: SocketAddr) -> Option<bool> {
+    /// Reads the registrations of peers, and returns whether this process is among them; `None` if
+    /// they can't be read.
+    async fn read_peers(&self) -> Option<bool> {
         let read = self.source.peers().await;
-        let (era, addresses) =
-            read.map_err(|e| log::warn!(error:% = e; "peer addresses not read")).ok()?;
-        let is_listed = addresses.contains(&own);
-        self.peers.set_registered(era, addresses, self.clock.now());
+        let (era, registrations) =
+            read.map_err(|e| log::warn!(error:% = e; "peer registrations not read")).ok()?;
+        self.peers.set_registered(era, &registrations, self.clock.now());
         self.update_endpoint_set();
-        Some(is_listed)
+        Some(self.peers.is_listed(&registrations))
     }
 
     /// Pulls state from peers at the start and when it is requested, until the task is dropped. Reads
--- a/crates/direct/tests/restored_log/mod.rs
+++ b/crates/direct/tests/restored_log/mod.rs
@@ -5,8 +5,8 @@
 
 use lynxmount_core::{
     CallerLimits, ConfigVersion, EndpointList, Evidence, EvidenceKey, FleetConfig, LogEra,
-    LogPosition, LogRead, ProcessId, ReceivedEvidence, Result, Step, adapter::FleetSource,
-    indeterminate,
+    LogPosition, LogRead, PeerRegistration, ProcessId, ReceivedEvidence, Result, Step,
+    adapter::FleetSource, indeterminate,
 };
 use parking_lot::Mutex;
 use tokio::time::Instant;
@@ -149,7 +149,7 @@
         unimplemented!("only configurations are read")
     }
 
-    async fn peers(&self) -> Result<(LogEra, Vec<SocketAddr>)> {
+    async fn peers(&self) -> Result<(LogEra, Vec<PeerRegistration>)> {
         unimplemented!("only configurations are read")
     }
 
--- a/crates/direct/tests/store_model/mod.rs
+++ b/crates/direct/tests/store_model/mod.rs
@@ -5,7 +5,7 @@
 use http::StatusCode;
 use lynxmount_core::{
     CallerLimits, EndpointList, Evidence, EvidenceKey, FleetConfig, LogEra, LogPosition, LogRead,
-    ProcessId, ReceivedEvidence, Result, Step, adapter::FleetSource, refused,
+    PeerRegistration, ProcessId, ReceivedEvidence, Result, Step, adapter::FleetSource, refused,
 };
 use parking_lot::Mutex;
 use tokio::time::Instant;
@@ -107,7 +107,7 @@
         unimplemented!("only configurations are read")
     }
 
-    async fn peers(&self) -> Result<(LogEra, Vec<SocketAddr>)> {
+    async fn peers(&self) -> Result<(LogEra, Vec<PeerRegistration>)> {
         unimplemented!("only configurations are read")
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -64,7 +64,7 @@
 pub use pause_detector::{HEARTBEAT_PERIOD, PauseDetector};
 pub use prefix_counts::PrefixCounts;
 pub use quarantine::{MergeOutcome, Quarantine};
-pub use registered_peers::RegisteredPeers;
+pub use registered_peers::{PEER_RENEWAL_PERIOD, RegisteredPeers};
 pub use rendezvous::{rendezvous, rendezvous_weight};
 pub use replacement::ReplacementCandidate;
 pub use retry::{AttemptFailure, RequestFailure, RetryDecision, RetryState};
--- a/crates/policy/tests/registered_peers.rs
+++ b/crates/policy/tests/registered_peers.rs
@@ -2,12 +2,22 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use lynxmount_core::{LogPosition, PeerRegistration};
 use lynxmount_policy::{MEMBERSHIP_CONVERGENCE_TIME, RegisteredPeers};
 
 fn peer(host: u8) -> SocketAddr {
     ([127, 0, 0, host], 1).into()
 }
 
+/// Registrations that are not renewed.
+fn registered(hosts: &[u8]) -> Vec<PeerRegistration> {
+    hosts.iter().map(|host| renewed(*host, 0)).collect()
+}
+
+fn renewed(host: u8, offset: u64) -> PeerRegistration {
+    PeerRegistration { address: peer(host), written_at: LogPosition { era: 0, offset } }
+}
+
 fn hosts(peers: &RegisteredPeers) -> Vec<SocketAddr> {
     peers.addresses().into_iter().collect()
 }
@@ -17,17 +27,17 @@
 #[test]
 fn peers_that_the_copy_lacks_are_kept_until_they_have_had_time_to_register_again() {
     let mut peers = RegisteredPeers::default();
-    peers.update(0, vec![peer(1), peer(2)], Duration::ZERO);
+    peers.update(0, &registered(&[1, 2]), Duration::ZERO);
 
     let restored_at = Duration::from_secs(8);
-    peers.update(1, vec![peer(1)], restored_at);
+    peers.update(1, &registered(&[1]), restored_at);
     assert_eq!(hosts(&peers), [peer(1), peer(2)]);
 
-    peers.update(1, vec![peer(1), peer(3)], restored_at + Duration::from_secs(1));
+    peers.update(1, &registered(&[1, 3]), restored_at + Duration::from_secs(1));
     assert_eq!(hosts(&peers), [peer(1), peer(2), peer(3)]);
 
     for second in 2..=9 {
-        peers.update(1, vec![peer(1), peer(3)], restored_at + Duration::from_secs(second));
+        peers.update(1, &registered(&[1, 3]), restored_at + Duration::from_secs(second));
     }
     assert_eq!(hosts(&peers), [peer(1), peer(3)]);
 }
@@ -36,16 +46,16 @@
 #[test]
 fn a_peer_that_is_no_longer_listed_is_kept_until_it_has_had_time_to_register_again() {
     let mut peers = RegisteredPeers::default();
-    peers.update(4, vec![peer(1), peer(2), peer(3)], Duration::ZERO);
+    peers.update(4, &registered(&[1, 2, 3]), Duration::ZERO);
     let lapsed_at = Duration::from_secs(8);
 
     for second in 0..9 {
-        let listed = if second < 4 { vec![] } else { vec![peer(1), peer(3)] };
-        peers.update(4, listed, lapsed_at + Duration::from_secs(second));
+        let listed = if second < 4 { registered(&[]) } else { registered(&[1, 3]) };
+        peers.update(4, &listed, lapsed_at + Duration::from_secs(second));
         assert_eq!(hosts(&peers), [peer(1), peer(2), peer(3)]);
         assert!(!peers.is_settled());
     }
-    peers.update(4, vec![peer(1), peer(3)], lapsed_at + MEMBERSHIP_CONVERGENCE_TIME);
+    peers.update(4, &registered(&[1, 3]), lapsed_at + MEMBERSHIP_CONVERGENCE_TIME);
 
     assert_eq!(hosts(&peers), [peer(1), peer(3)]);
     assert!(peers.is_settled());
@@ -54,15 +64,15 @@
 #[test]
 fn time_without_reads_is_no_time_to_register_again() {
     let mut peers = RegisteredPeers::default();
-    peers.update(4, vec![peer(1), peer(2)], Duration::ZERO);
-    peers.update(4, vec![peer(1)], Duration::from_secs(1));
+    peers.update(4, &registered(&[1, 2]), Duration::ZERO);
+    peers.update(4, &registered(&[1]), Duration::from_secs(1));
 
     let regained_at = Duration::from_secs(30);
-    peers.update(4, vec![peer(1)], regained_at);
+    peers.update(4, &registered(&[1]), regained_at);
     assert_eq!(hosts(&peers), [peer(1), peer(2)]);
 
     for second in 1..=9 {
-        peers.update(4, vec![peer(1)], regained_at + Duration::from_secs(second));
+        peers.update(4, &registered(&[1]), regained_at + Duration::from_secs(second));
     }
     assert_eq!(hosts(&peers), [peer(1)]);
 }
@@ -70,9 +80,53 @@
 #[test]
 fn a_late_list_of_an_earlier_era_is_ignored() {
     let mut peers = RegisteredPeers::default();
-    peers.update(2, vec![peer(1)], Duration::ZERO);
+    peers.update(2, &registered(&[1]), Duration::ZERO);
+
+    peers.update(1, &registered(&[2]), Duration::from_secs(1));
+
+    assert_eq!(hosts(&peers), [peer(1)]);
+}
+
+/// Guards against an entry that is held to its share among peers that are gone.
+#[test]
+fn a_peer_that_does_not_renew_its_registration_expires() {
+    let mut peers = RegisteredPeers::default();
+    let read = |peers: &mut RegisteredPeers, second: u64| {
+        let registrations = [renewed(1, second / 24), renewed(2, 0)];
+        peers.update(0, &registrations, Duration::from_secs(second));
+    };
+    for second in (0..75).step_by(8) {
+        read(&mut peers, second);
+        assert_eq!(hosts(&peers), [peer(1), peer(2)], "{second} s");
+    }
+
+    read(&mut peers, 75);
 
-    peers.update(1, vec![peer(2)], Duration::from_secs(1));
+    assert_eq!(hosts(&peers), [peer(1)]);
+}
+
+#[test]
+fn registrations_do_not_expire_while_nobody_can_renew_them() {
+    let mut peers = RegisteredPeers::default();
+    peers.update(0, &registered(&[1, 2]), Duration::ZERO);
+
+    let regained_at = Duration::from_secs(300);
+    peers.update(0, &registered(&[1, 2]), regained_at);
+    assert_eq!(hosts(&peers), [peer(1), peer(2)]);
+
+    for second in (8..=80).step_by(8) {
+        peers.update(0, &registered(&[1, 2]), regained_at + Duration::from_secs(second));
+    }
+    assert!(hosts(&peers).is_empty());
+}
+
+#[test]
+fn the_newest_registration_of_an_address_counts() {
+    let mut peers = RegisteredPeers::default();
+    for second in (0..=80).step_by(8) {
+        let registrations = [renewed(1, 100 + second / 24), renewed(1, 7)];
+        peers.update(0, &registrations, Duration::from_secs(second));
+    }
 
     assert_eq!(hosts(&peers), [peer(1)]);
 }
