Tests: answers that are cut at any byte never look whole

Change: a proxy that cuts answers at any byte by close, half-close or reset. Tests on both paths: lookups, calls that run once and streams through an entry of the users' platform, and through endpoint process and entry. Tests of all readers of heads: the two HTTP clients, that engines' reports, health checks, gossip and peers' state go through, and the store's lists, records, configurations and confirmations. A list of records that ends early with its connection is not whole: what it lacks is read next. No fault was found, so nothing is fixed. Where a body ends with its connection, only a cut in the head can be told, as the platform's rules say.

--- a/crates/lynxmount/tests/common/mod.rs
+++ b/crates/lynxmount/tests/common/mod.rs
@@ -57,6 +57,8 @@
     pub drain_timeout_ms: u64,
     pub header_timeout_ms: u64,
     pub statsd_address: Option<SocketAddr>,
+    /// A proxy in front of all back ends, if there is one.
+    pub backend_address: Option<SocketAddr>,
 }
 
 impl Default for FleetOptions {
@@ -77,6 +79,7 @@
             drain_timeout_ms: 300_000,
             header_timeout_ms: 500,
             statsd_address: None,
+            backend_address: None,
         }
     }
 }
@@ -172,12 +175,17 @@
     /// Starts all processes, applies the fleet file and waits until every entry serves requests.
     pub async fn start(options: FleetOptions) -> Fleet {
         let mut fleet = Fleet::start_without_config(options).await;
-        fleet.start_processes();
-        fleet.apply_config();
-        fleet.wait_until_serving().await;
+        fleet.start_serving().await;
         fleet
     }
 
+    /// Starts all processes beside stand-ins that run, and waits until every entry serves requests.
+    pub async fn start_serving(&mut self) {
+        self.start_processes();
+        self.apply_config();
+        self.wait_until_serving().await;
+    }
+
     /// Starts only the stand-ins; no process is started and no configuration is applied.
     pub async fn start_without_config(options: FleetOptions) -> Fleet {
         let ip = next_loopback_ip();
@@ -317,6 +325,7 @@
             None => (MODEL_SERVICE, self.engines[number].address()),
             Some(plain) => (PLAIN_SERVICE, self.plain_services[plain].address()),
         };
+        let backend = self.options.backend_address.unwrap_or(backend);
         let control = self.endpoint_control_port(number);
         let operators = OPERATORS_PORT + 50 + number as u16;
         let settings = format!(
--- a/crates/lynxmount/tests/platform_common/mod.rs
+++ b/crates/lynxmount/tests/platform_common/mod.rs
@@ -62,6 +62,15 @@
 
 impl Process {
     pub fn start(command: &str, settings: &str) -> Process {
+        Process::start_with(command, settings, &[])
+    }
+
+    /// Starts an entry without mechanisms, which are separated by commas.
+    pub fn start_without(command: &str, settings: &str, mechanisms: &str) -> Process {
+        Process::start_with(command, settings, &["--without", mechanisms])
+    }
+
+    fn start_with(command: &str, settings: &str, arguments: &[&str]) -> Process {
         let directory = TempDir::new().expect("temporary directory is created");
         let path = directory.path().join("local.conf");
         fs::write(&path, settings).expect("settings are written");
@@ -70,6 +79,7 @@
             .arg(command)
             .arg("--settings")
             .arg(&path)
+            .args(arguments)
             .stdout(Stdio::from(log))
             .spawn()
             .expect("process starts");
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 mod batch;
 mod caller;
 mod crash;
+mod cutting_proxy;
 mod engine;
 mod http_server;
 mod plain;
@@ -17,6 +18,7 @@
 pub use batch::BatchOptions;
 pub use caller::{Caller, ReceivedResponse};
 pub use crash::{CrashKind, Lifecycle};
+pub use cutting_proxy::{Cut, CutKind, CuttingProxy, Framing};
 pub use engine::{Engine, RecordedRun, token_text};
 pub use plain::{PlainService, PlainServiceOptions, RecordedCall};
 pub use platform::PlatformServer;
