Soak: registrations that lapse, entries that end in series, and the retry budget

Cause: the soak has no outage in which registrations lapse, its seeds outnumber the entries, and nothing judges repeats. Every third seed names one entry. The promise KeepsRetryBudget is judged from what endpoints receive, and the report has the worst window of each service. The tests of platform_retry_budget show the fault; the soak shows what else the plan meets.

--- a/crates/lynxmount/tests/platform_retry_budget.rs
+++ b/crates/lynxmount/tests/platform_retry_budget.rs
@@ -11,10 +11,10 @@
 
 use http::Method;
 use lynxmount_platform_standin::{
-    Backpressure, Behaviour, Call, CallerStandin, RecordedRequest, ReplicaStandin, RetryBounds,
-    RetryWindow, StoreMode, StoreStandin, allowed_in_window,
+    Backpressure, Behaviour, Call, CallerStandin, RecordedRequest, ReplicaStandin, RetryWindow,
+    StoreMode, StoreStandin, allowed_in_window,
     fixture::{
-        CONFIG_KEY, IDEMPOTENT, OPERATOR_TOPIC, PEERS_TOPIC, REGISTRATIONS_TOPIC, RETRY_SLACK,
+        CONFIG_KEY, IDEMPOTENT, OPERATOR_TOPIC, PEERS_TOPIC, REGISTRATIONS_TOPIC, RETRY_BOUNDS,
         STREAM, service_of,
     },
     max_in_window, worst_retry_window,
@@ -26,9 +26,6 @@
 };
 use tokio::task::JoinSet;
 
-const BOUNDS: RetryBounds =
-    RetryBounds { ratio: 0.2, slack: RETRY_SLACK as f64, window: Duration::from_secs(10) };
-
 const REPLICAS: u8 = 6;
 
 /// The pause between two requests, which go to all entries in turn.
@@ -174,7 +171,7 @@
             let at = seen.received_at.saturating_duration_since(self.started);
             (seen.header("x-attempt-id").unwrap_or_default(), at)
         });
-        worst_retry_window(&self.sent.lock(), arrivals, BOUNDS)
+        worst_retry_window(&self.sent.lock(), arrivals, RETRY_BOUNDS)
     }
 }
 
@@ -212,7 +209,7 @@
     let callers = cluster.send_requests(CALL_PAUSE);
 
     cluster.lose_registrations().await;
-    tokio::time::sleep(BOUNDS.window).await;
+    tokio::time::sleep(RETRY_BOUNDS.window).await;
 
     drop(callers);
     assert_within_budget(cluster.worst_window());
@@ -281,7 +278,7 @@
         let cluster = Cluster::start(2, route, end.clone()).await;
         cluster.wait_until_known().await;
         let callers = cluster.send_requests(CALL_PAUSE);
-        tokio::time::sleep(BOUNDS.window + CALL_TIME).await;
+        tokio::time::sleep(RETRY_BOUNDS.window + CALL_TIME).await;
         drop(callers);
         (route, end, cluster.worst_window())
     });
@@ -302,7 +299,7 @@
     let callers = cluster.send_requests(SHORT_CALL_PAUSE);
 
     cluster.lose_registrations().await;
-    tokio::time::sleep(BOUNDS.window).await;
+    tokio::time::sleep(RETRY_BOUNDS.window).await;
 
     drop(callers);
     let allowed = allowed_in_window(limit_per_s);
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -18,6 +18,7 @@
 use crate::{
     fleet::{EXPERTS, Fleet, process_name},
     history::{Disturbed, LeaveRecord, LeavingSignalRecord, RateLimitRecord, RetryAfterRecord},
+    lapse::lapse_registrations,
     pauses::pause_streams,
     plan::{BackpressureKind, EndpointFault, Fault, FaultKind, LinkFault, LinkId, ProcessId},
     poison::repeat_poison,
@@ -97,6 +98,9 @@
                 fleet.store.compact(REGISTRATIONS_TOPIC);
             }
             FaultKind::Freeze(endpoint) => self.freeze(endpoint, fault.length).await,
+            FaultKind::LapseRegistrations(lapse) => {
+                lapse_registrations(fleet, lapse, fault.length).await;
+            }
             FaultKind::Leave(endpoint) => self.leave(endpoint, fault.length).await,
             FaultKind::Link(link, fault_kind) => {
                 self.disturb_link(link, fault_kind, fault.length).await
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -131,7 +131,7 @@
 
     async fn start_entries(&mut self, options: &Options, folder: &Path) -> anyhow::Result<()> {
         let number = options.number;
-        let seeds: Vec<SocketAddr> = (0..self.size.entries.min(3))
+        let seeds: Vec<SocketAddr> = (0..self.size.entries.min(seed_count(options.seed)))
             .map(|entry| (loopback_ip(number, 1, entry), ENTRY_PORTS.control).into())
             .collect();
         for entry in 0..self.size.entries {
@@ -270,10 +270,15 @@
 }
 
 /// Every second seed has a small retry budget, which a few pauses exhaust.
-fn retry_slack(seed: u64) -> u32 {
+pub(crate) fn retry_slack(seed: u64) -> u32 {
     if seed.is_multiple_of(2) { RETRY_SLACK } else { SMALL_RETRY_SLACK }
 }
 
+/// Every third seed names a single entry, so that entries know the others only by the store.
+fn seed_count(seed: u64) -> usize {
+    if seed.is_multiple_of(3) { 1 } else { 3 }
+}
+
 pub(crate) fn process_name(id: ProcessId) -> String {
     match id {
         ProcessId::Endpoint(rank) => format!("endpoint-{rank}"),
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -3,6 +3,8 @@
 
 use std::{ops::Range, time::Duration};
 
+use lynxmount_platform_standin::RetryBounds;
+
 use crate::plan::{LinkId, ProcessId};
 
 /// The delivery semantics that a call requires.
@@ -173,6 +175,15 @@
     pub to: Duration,
 }
 
+/// The retry budget of each service.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryBudgetRecord {
+    /// The bounds.
+    pub bounds: RetryBounds,
+    /// The number of endpoints of each service, which follow each other.
+    pub endpoints_per_service: usize,
+}
+
 /// An interval during which a poison request was repeated.
 #[derive(Clone, Debug)]
 pub struct PoisonRecord {
@@ -241,6 +252,8 @@
     pub retry_afters: Vec<RetryAfterRecord>,
     /// All poison requests.
     pub poisons: Vec<PoisonRecord>,
+    /// The retry budget; `None` if it is not judged.
+    pub retry_budget: Option<RetryBudgetRecord>,
     /// All probes.
     pub probes: Vec<ProbeRecord>,
     /// All configurations.
--- /dev/null
+++ b/crates/soak/src/lapse.rs
@@ -0,0 +1,28 @@
+//! Outages of the store in which registrations lapse. Endpoints register again after its return;
+//! entries have to by themselves.
+
+use std::time::Duration;
+
+use lynxmount_platform_standin::{
+    StoreMode,
+    fixture::{PEERS_TOPIC, REGISTRATIONS_TOPIC},
+};
+
+use crate::{fleet::Fleet, history::Disturbed, plan::LapseFault};
+
+pub(crate) async fn lapse_registrations(fleet: &Fleet, fault: LapseFault, away_for: Duration) {
+    let disturbance = fleet.start_disturbance(Disturbed::Store);
+    fleet.store.set_mode(if fault.is_busy { StoreMode::Busy } else { StoreMode::Silent });
+    tokio::time::sleep(away_for).await;
+    let lapsed = fleet.store.latest(REGISTRATIONS_TOPIC);
+    fleet.store.expire(REGISTRATIONS_TOPIC);
+    fleet.store.expire(PEERS_TOPIC);
+    fleet.store.set_mode(StoreMode::Up);
+    tokio::time::sleep(Duration::from_millis(fault.register_delay_ms)).await;
+    let registered = fleet.store.latest(REGISTRATIONS_TOPIC);
+    let is_registered = |key: &str| registered.iter().any(|(registered, _)| registered == key);
+    for (key, value) in lapsed.iter().filter(|(key, _)| !is_registered(key)) {
+        fleet.store.put(REGISTRATIONS_TOPIC, key, value);
+    }
+    fleet.end_disturbance(disturbance);
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,6 +15,7 @@
 mod fleet;
 pub mod history;
 mod independent_faults;
+mod lapse;
 mod lost_calls;
 mod pauses;
 pub mod plan;
@@ -24,7 +25,9 @@
 pub mod proxy;
 mod report;
 mod restore;
+mod retry_budget;
 mod run;
+mod share_faults;
 
 pub use report::Report;
 pub use run::{Options, run};
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -8,7 +8,10 @@
 use serde::Serialize;
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use crate::{drain_faults::draw_drains, independent_faults::draw_independent_faults};
+use crate::{
+    drain_faults::draw_drains, independent_faults::draw_independent_faults,
+    share_faults::draw_share_faults,
+};
 
 /// The mean gap between two faults: shorter than most faults last, so that they overlap.
 const MEAN_GAP_MS: u64 = 350;
@@ -121,6 +124,15 @@
     pub rewrite_delay_ms: u64,
 }
 
+/// An outage of the store in which registrations lapse.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct LapseFault {
+    /// Whether it responds with status 503 while it is away; otherwise, it does not respond.
+    pub is_busy: bool,
+    /// How long after its return endpoints register again, in milliseconds.
+    pub register_delay_ms: u64,
+}
+
 /// What of the endpoints of streams is paused.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 pub enum Paused {
@@ -150,6 +162,8 @@
     CompactStore,
     /// An endpoint's machine freezes, and thaws later.
     Freeze(usize),
+    /// The store is away, and all registrations have lapsed when it returns.
+    LapseRegistrations(LapseFault),
     /// An endpoint registers as draining, and as ready later.
     Leave(usize),
     /// A link has a fault.
@@ -218,6 +232,7 @@
     }
     faults.extend(draw_independent_faults(seed, size, time));
     faults.extend(draw_drains(seed, size, time));
+    faults.extend(draw_share_faults(seed, size, time));
     faults.retain(|fault| fault.at < time);
     faults.sort_by_key(|fault| fault.at);
     faults
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -16,6 +16,7 @@
     lost_calls::check_lost_calls,
     plan::{LinkId, ProcessId},
     poison::check_quarantine,
+    retry_budget::check_retry_budgets,
 };
 
 /// The number of events of a short stream.
@@ -57,6 +58,8 @@
     GrantsRest,
     /// Rate limits of endpoints are honoured.
     KeepsLimits,
+    /// Repeated requests for a service stay within its retry budget.
+    KeepsRetryBudget,
     /// A draining entry truncates no call that it has forwarded, and leaves none unanswered.
     LeavesGracefully,
     /// A leaving endpoint gets no new requests.
@@ -97,6 +100,7 @@
     check_lost_calls(history, &mut violations);
     check_draining_endpoints(history, &mut violations);
     check_backpressure(history, &mut violations);
+    check_retry_budgets(history, &mut violations);
     check_quarantine(history, &mut violations);
     check_configs(history, &mut violations);
     check_group(history, &mut violations);
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -9,6 +9,7 @@
     history::{History, Outcome},
     plan::{Fault, Size},
     promises::{Violation, check_history},
+    retry_budget::worst_windows,
 };
 
 /// The report of one run, as JSON.
@@ -26,6 +27,9 @@
     pub begun_after_close: usize,
     /// The number of crashes that each poison request caused.
     pub crashes: Vec<u32>,
+    /// The worst window of each service's retry budget: the repeated arrivals, and how many were
+    /// allowed.
+    pub retry_windows: Vec<Option<(usize, usize)>>,
     /// The number of configuration probes.
     pub probes: usize,
     /// How much later than its bound a configuration was not yet in force at the worst, in seconds;
@@ -62,6 +66,10 @@
                 .filter(|work| work.is_started_after_close)
                 .count(),
             crashes: history.poisons.iter().map(|poison| poison.crashes).collect(),
+            retry_windows: worst_windows(history)
+                .into_iter()
+                .map(|worst| worst.map(|worst| (worst.retries, worst.allowed)))
+                .collect(),
             probes: history.probes.len(),
             config_lateness_s: worst_lateness_s(history),
             last_map_version,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -11,7 +11,9 @@
 
 use anyhow::{Context, bail};
 use http::StatusCode;
-use lynxmount_platform_standin::{CallerOutcome, CallerStandin, Execution};
+use lynxmount_platform_standin::{
+    CallerOutcome, CallerStandin, Execution, RetryBounds, fixture::RETRY_BOUNDS,
+};
 use tempfile::TempDir;
 use tokio::task::JoinSet;
 
@@ -19,8 +21,8 @@
     Report,
     callers::{Load, call, run_caller, run_probe},
     faults::Injector,
-    fleet::{Fleet, process_name},
-    history::{CallClass, Disturbed, ExecutionRecord, RunRecord},
+    fleet::{Fleet, process_name, retry_slack},
+    history::{CallClass, Disturbed, ExecutionRecord, RetryBudgetRecord, RunRecord},
     plan::{self, ProcessId, Size},
     poison::restart_crashed,
     promises::RECOVERY_TIME,
@@ -101,6 +103,10 @@
     let (version, _, split) = fleet.group.map();
     let mut history = fleet.history.lock().clone();
     history.split_pass = split;
+    history.retry_budget = Some(RetryBudgetRecord {
+        bounds: RetryBounds { slack: retry_slack(options.seed).into(), ..RETRY_BOUNDS },
+        endpoints_per_service: options.size.endpoints,
+    });
     for (endpoint, replica) in fleet.endpoints.iter().enumerate() {
         for request in replica.requests() {
             let at = request.received_at.saturating_duration_since(fleet.started);
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -2,11 +2,12 @@
 
 mod history_fixture;
 
-use lynxmount_platform_standin::{echo_body, echo_events};
+use lynxmount_platform_standin::{RetryBounds, echo_body, echo_events};
 use lynxmount_soak::{
     history::{
         CallClass, CallRecord, ConfigRecord, Disturbed, ExecutionRecord, History, LeaveRecord,
         LeavingSignalRecord, Outcome, PoisonRecord, ProbeRecord, RateLimitRecord, RetryAfterRecord,
+        RetryBudgetRecord,
     },
     plan::{LinkId, ProcessId},
     promises::{Promise, STREAM_EVENTS},
@@ -328,3 +329,20 @@
     disturbed.disturbances.push(disturbance(link, 21.0, 22.0));
     assert_eq!(violated(&disturbed), []);
 }
+
+#[test]
+fn too_many_repeated_arrivals_are_reported() {
+    let bounds = RetryBounds { ratio: 0.2, slack: 2.0, window: seconds(10.0) };
+    let retry_budget = Some(RetryBudgetRecord { bounds, endpoints_per_service: 3 });
+    let history = |repeats: usize| {
+        let mut history = History { retry_budget, ..valid_history() };
+        let call = history.calls.iter().find(|call| call.class == CallClass::Lookup);
+        let (id, sent_s) = call.map(|call| (call.id.clone(), call.sent.as_secs_f64())).unwrap();
+        let arrivals = (0..=repeats).map(|number| run(&id, 0, sent_s + 0.1 * number as f64));
+        history.arrivals = arrivals.collect();
+        history
+    };
+
+    assert_eq!(violated(&history(2)), []);
+    assert_eq!(violated(&history(4)), [Promise::KeepsRetryBudget]);
+}
