Soak: requests that are refused as misdirected are not asked to rest

Trace: a poison request had crashed the endpoint, which came back under another id while the store was away, so that the entry could not know; each of the requests names the former id and is refused with 421 within 1 ms, and no refusal that the entry got names a rest (no 'endpoint rest requested' in its log before 39:04). What was never said can't be kept. Change: arrivals that were refused as misdirected do not count for rests, limits and departures; they still count as repeats. Run: the test has the same requests with and without that mark.

--- a/crates/soak/src/backpressure.rs
+++ b/crates/soak/src/backpressure.rs
@@ -99,8 +99,8 @@
         .collect()
 }
 
-/// Times at which requests of undisturbed entries arrived at an endpoint within an interval, by
-/// entry; empty if the endpoint or its link was disturbed.
+/// Times at which requests of undisturbed entries arrived at the endpoint that they were meant for,
+/// within an interval, by entry; empty if the endpoint or its link was disturbed.
 pub(crate) fn arrivals(
     history: &History,
     entries: &HashMap<&str, usize>,
@@ -115,7 +115,12 @@
             || what == Disturbed::Link(LinkId::Endpoint(endpoint))
     });
     let mut by_entry: BTreeMap<usize, Vec<Duration>> = BTreeMap::new();
-    let is_selected = |run: &&RunRecord| run.endpoint == endpoint && run.at >= from && run.at < to;
+    let is_misdirected = |run: &RunRecord| {
+        history.misdirected.iter().any(|other| other.id == run.id && other.at == run.at)
+    };
+    let is_selected = |run: &&RunRecord| {
+        run.endpoint == endpoint && run.at >= from && run.at < to && !is_misdirected(run)
+    };
     for run in history.arrivals.iter().filter(is_selected).filter(|_| !is_endpoint_disturbed) {
         if let Some(entry) = entries.get(&*run.id) {
             by_entry.entry(*entry).or_default().push(run.at);
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -244,6 +244,8 @@
     pub executions: Vec<ExecutionRecord>,
     /// All requests that arrived at endpoints, executed or not.
     pub arrivals: Vec<RunRecord>,
+    /// Those of them that were meant for another incarnation, whose refusal asks for nothing.
+    pub misdirected: Vec<RunRecord>,
     /// All rate limits of endpoints.
     pub rate_limits: Vec<RateLimitRecord>,
     /// All leaving signals of endpoints.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -120,6 +120,9 @@
             if request.is_executed {
                 history.runs.push(arrival.clone());
             }
+            if request.is_misdirected {
+                history.misdirected.push(arrival.clone());
+            }
             history.arrivals.push(arrival);
         }
     }
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -330,6 +330,26 @@
     assert_eq!(violated(&disturbed), []);
 }
 
+#[test]
+fn requests_to_a_former_incarnation_are_not_asked_to_rest() {
+    let record = RetryAfterRecord {
+        endpoint: 0,
+        retry_after: seconds(4.0),
+        from: seconds(5.0),
+        to: seconds(12.0),
+    };
+    let calls = (0..7).map(|n| call(&format!("r{n}"), CallClass::Lookup, 6.0, Outcome::NoResponse));
+    let arrivals: Vec<_> =
+        (0..7).map(|n| run(&format!("r{n}"), 0, 6.0 + 0.3 * f64::from(n))).collect();
+    let mut refused = History { retry_afters: vec![record], ..valid_history() };
+    refused.calls.extend(calls);
+    refused.arrivals.extend(arrivals.clone());
+    let misdirected = History { misdirected: arrivals, ..refused.clone() };
+
+    assert_eq!(violated(&refused), [Promise::GrantsRest]);
+    assert_eq!(violated(&misdirected), []);
+}
+
 #[test]
 fn too_many_repeated_arrivals_are_reported() {
     let bounds = RetryBounds { ratio: 0.2, slack: 2.0, window: seconds(10.0) };
