Comments: maps assign experts, and holds are requested

Cause: 'places' is a verb of this project's own for both. Change: four doc comments; no code. Run: clippy without warnings, window_budget and registered_peers and the soak's tests pass.

--- a/crates/balance/src/expert_map.rs
+++ b/crates/balance/src/expert_map.rs
@@ -111,7 +111,7 @@
         self.ranks[rank][slot] = expert;
     }
 
-    /// Places experts that round robin has left out in the slots of replicas.
+    /// Assigns experts that round robin has left out to the slots of replicas.
     fn add_missing(&mut self, shape: Shape) {
         for expert in 0..shape.experts {
             let replicas = self.replicas(shape.experts);
--- a/crates/balance/src/replan.rs
+++ b/crates/balance/src/replan.rs
@@ -30,7 +30,7 @@
     replicas
 }
 
-/// Places each item on the least loaded rank that has a free slot and does not hold the
+/// Assigns each item to the least loaded rank that has a free slot and does not hold the
 /// expert yet. Items are sorted by descending load.
 fn pack(shape: Shape, items: &[(f64, Expert)]) -> ExpertMap {
     let mut ranks: Vec<Vec<Expert>> = vec![Vec::new(); shape.ranks];
--- a/crates/balance/src/search.rs
+++ b/crates/balance/src/search.rs
@@ -63,7 +63,7 @@
 /// One change of a map.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Move {
-    /// Places a replica of an expert in an empty slot.
+    /// Adds a replica of an expert in an empty slot.
     Add { rank: usize, expert: Expert },
     /// Replaces a replica of another expert by one of this expert.
     Replicate { rank: usize, slot: usize, expert: Expert },
--- a/crates/rank/src/coordinator/drive.rs
+++ b/crates/rank/src/coordinator/drive.rs
@@ -88,7 +88,7 @@
         hold_delegate(engines.len(), hold_rank, is_available).map(|rank| engines[rank])
     }
 
-    /// Places a hold at an engine through the delegate's process, and reads the state after it
+    /// Requests a hold at an engine through the delegate's process, and reads the state after it
     /// through the engine's own process: from elsewhere, an engine's report is out of date.
     ///
     /// Fails if the delegate does not answer once more after that. If it has frozen, the outcome of
