--- a/crates/lynxmount/tests/platform_retry_budget.rs
+++ b/crates/lynxmount/tests/platform_retry_budget.rs
@@ -9,10 +9,10 @@
     time::{Duration, Instant},
 };
 
-use http::Method;
+use http::{Method, StatusCode};
 use lynxmount_platform_standin::{
-    Backpressure, Behaviour, Call, CallerStandin, RecordedRequest, ReplicaStandin, RetryWindow,
-    StoreMode, StoreStandin, allowed_in_window,
+    Backpressure, Behaviour, Call, CallerOutcome, CallerStandin, RecordedRequest, ReplicaStandin,
+    RetryWindow, StoreMode, StoreStandin, allowed_in_window,
     fixture::{
         CONFIG_KEY, IDEMPOTENT, OPERATOR_TOPIC, PEERS_TOPIC, REGISTRATIONS_TOPIC, RETRY_BOUNDS,
         STREAM, service_of,
@@ -40,6 +40,9 @@
 /// How long the store is away. Registrations expire meanwhile.
 const OUTAGE: Duration = Duration::from_secs(6);
 
+/// Fraction of the allowed retries that lasting entries use if all calls need one.
+const MIN_USED_FRACTION: f64 = 0.6;
+
 /// How long endpoints take to register again.
 const REREGISTRATION_TIME: Duration = Duration::from_millis(1500);
 
@@ -52,6 +55,8 @@
     entries: Vec<Process>,
     started: Instant,
     sent: Arc<Mutex<Vec<Duration>>>,
+    /// What callers got; `None` without a whole answer.
+    answers: Arc<Mutex<Vec<Option<StatusCode>>>>,
 }
 
 impl Cluster {
@@ -75,6 +80,7 @@
             entries: Vec::new(),
             started: Instant::now(),
             sent: Arc::default(),
+            answers: Arc::default(),
         };
         cluster.register_replicas();
         for index in 0..entries {
@@ -119,6 +125,7 @@
     /// Sends requests to all entries in turn until the returned tasks are dropped.
     fn send_requests(&self, pause: Duration) -> JoinSet<()> {
         let (sent, started, route) = (Arc::clone(&self.sent), self.started, self.route);
+        let answers = Arc::clone(&self.answers);
         let count = self.entries.len();
         let addresses: Vec<SocketAddr> = (0..count as u8)
             .map(|index| (entry_ip(self.network, index), CALLERS_PORT).into())
@@ -128,7 +135,11 @@
             let mut requests = JoinSet::new();
             for number in 0.. {
                 sent.lock().push(started.elapsed());
-                requests.spawn(send_request(addresses[number % count], route, number));
+                let (address, answers) = (addresses[number % count], Arc::clone(&answers));
+                requests.spawn(async move {
+                    let answer = send_request(address, route, number).await;
+                    answers.lock().push(answer);
+                });
                 tokio::time::sleep(pause).await;
             }
         });
@@ -164,6 +175,22 @@
         requests.map(|seen| seen.received_at.saturating_duration_since(self.started)).collect()
     }
 
+    /// All replicas announce a rate limit from now on; returns the time.
+    fn limit_replicas(&self, limit_per_s: f64) -> Duration {
+        let limit = Backpressure::rate_limit(limit_per_s);
+        self.replicas.iter().for_each(|replica| replica.set_backpressure(limit));
+        self.started.elapsed()
+    }
+
+    fn assert_limit_is_kept(&self, limit_per_s: f64, limited_at: Duration) {
+        let allowed = allowed_in_window(limit_per_s);
+        for replica in &self.replicas {
+            let (id, most) = (&replica.id, max_in_window(&self.arrivals_at(replica), limited_at));
+            assert!(most > 0, "no request reached {id} under its limit");
+            assert!(most <= allowed, "{most} requests in a window at {id}, {allowed} allowed");
+        }
+    }
+
     fn worst_window(&self) -> Option<RetryWindow> {
         let seen: Vec<RecordedRequest> =
             self.replicas.iter().flat_map(ReplicaStandin::requests).collect();
@@ -175,7 +202,7 @@
     }
 }
 
-async fn send_request(entry: SocketAddr, route: &str, number: usize) {
+async fn send_request(entry: SocketAddr, route: &str, number: usize) -> Option<StatusCode> {
     let call = Call {
         id: format!("attempt-{number}"),
         method: Method::GET,
@@ -184,7 +211,12 @@
         time_left: CALL_TIME,
         prompt_parts: Vec::new(),
     };
-    CallerStandin::new(entry).call(&call).await;
+    match CallerStandin::new(entry).call(&call).await {
+        CallerOutcome::Response(response) => response.is_complete.then_some(response.status),
+        CallerOutcome::Abandoned(_) | CallerOutcome::NoResponse | CallerOutcome::NoConnection => {
+            None
+        }
+    }
 }
 
 /// A configuration without a route and its service.
@@ -203,7 +235,7 @@
 }
 
 #[tokio::test]
-async fn retry_budget_holds_while_registrations_of_entries_lapse_in_an_outage() {
+async fn retry_budget_holds_while_registrations_of_entries_expire_in_an_outage() {
     let cluster = Cluster::start(6, IDEMPOTENT, Behaviour::Fail).await;
     cluster.wait_until_known().await;
     let callers = cluster.send_requests(CALL_PAUSE);
@@ -288,28 +320,62 @@
     }
 }
 
+/// Guards against a budget that is kept by not using it.
 #[tokio::test]
-async fn rate_limits_hold_while_registrations_of_entries_lapse_in_an_outage() {
+async fn allowed_retries_are_used_while_all_replicas_fail() {
+    let cluster = Cluster::start(3, IDEMPOTENT, Behaviour::Fail).await;
+    cluster.wait_until_known().await;
+    let callers = cluster.send_requests(CALL_PAUSE);
+
+    tokio::time::sleep(RETRY_BOUNDS.window + CALL_TIME).await;
+
+    drop(callers);
+    let worst = cluster.worst_window().expect("some retries");
+    let used = worst.retries as f64 / worst.allowed as f64;
+    assert!(used >= MIN_USED_FRACTION, "{worst:?}");
+}
+
+#[tokio::test]
+async fn all_callers_are_served_while_one_of_six_replicas_fails() {
+    let cluster = Cluster::start(3, IDEMPOTENT, Behaviour::Answer).await;
+    cluster.wait_until_known().await;
+    cluster.replicas[0].set_behaviour(Behaviour::Fail);
+    let callers = cluster.send_requests(CALL_PAUSE);
+
+    tokio::time::sleep(RETRY_BOUNDS.window).await;
+
+    let answers = cluster.answers.lock().clone();
+    drop(callers);
+    assert!(!cluster.replicas[0].requests().is_empty());
+    assert!(answers.len() > 100, "{} answers", answers.len());
+    assert!(answers.iter().all(|answer| *answer == Some(StatusCode::OK)), "{answers:?}");
+}
+
+#[tokio::test]
+async fn rate_limits_hold_while_entries_are_killed_in_series() {
+    let limit_per_s = 3.0;
+    let mut cluster = Cluster::start(3, IDEMPOTENT, Behaviour::Answer).await;
+    cluster.wait_until_known().await;
+    let limited_at = cluster.limit_replicas(limit_per_s);
+    let callers = cluster.send_requests(SHORT_CALL_PAUSE);
+
+    cluster.end_in_series(25, Duration::from_millis(600)).await;
+
+    drop(callers);
+    cluster.assert_limit_is_kept(limit_per_s, limited_at);
+}
+
+#[tokio::test]
+async fn rate_limits_hold_while_registrations_of_entries_expire_in_an_outage() {
     let limit_per_s = 3.0;
     let cluster = Cluster::start(6, IDEMPOTENT, Behaviour::Answer).await;
     cluster.wait_until_known().await;
-    let limit = Backpressure::rate_limit(limit_per_s);
-    cluster.replicas.iter().for_each(|replica| replica.set_backpressure(limit));
-    let limited_at = cluster.started.elapsed();
+    let limited_at = cluster.limit_replicas(limit_per_s);
     let callers = cluster.send_requests(SHORT_CALL_PAUSE);
 
     cluster.lose_registrations().await;
     tokio::time::sleep(RETRY_BOUNDS.window).await;
 
     drop(callers);
-    let allowed = allowed_in_window(limit_per_s);
-    for replica in &cluster.replicas {
-        let most = max_in_window(&cluster.arrivals_at(replica), limited_at);
-        assert!(most > 0, "no request reached {} under its limit", replica.id);
-        assert!(
-            most <= allowed,
-            "{most} requests in a window at {}, {allowed} allowed",
-            replica.id
-        );
-    }
+    cluster.assert_limit_is_kept(limit_per_s, limited_at);
 }
--- a/crates/policy/src/window_budget.rs
+++ b/crates/policy/src/window_budget.rs
@@ -3,7 +3,8 @@
 //! Each entry knows its own calls and retries since its process started. The slack is divided among
 //! the entries, and what a former process at an entry's address, or an entry that has just left, has
 //! used of it in the same window is unknown. So a process that may have had a predecessor starts
-//! with a small part of its share, and the largest number of entries in the window counts.
+//! with a small part of its share, and the largest number of entries in the window counts. The load
+//! is endpoints that fail while entries crash, leave or lose their registrations.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -12,11 +13,11 @@
 const EARNED_FRACTION: f64 = 0.8;
 
 /// Fraction of its share of the slack that a process gets once it has run for a window.
-const LASTING_FRACTION: f64 = 0.6;
+const STEADY_FRACTION: f64 = 0.6;
 
-/// The fraction that grows with a younger process. What the processes that followed each other at
-/// one address use in any window stays within the share.
-const STARTING_FRACTION: f64 = 1.0 - LASTING_FRACTION;
+/// Fraction up to which the share of a younger process grows with its age, as in a slow start. What
+/// successive processes at one address use in any window stays within the share.
+const SLOW_START_FRACTION: f64 = 1.0 - STEADY_FRACTION;
 
 /// Fraction of its share of the slack that a process with a possible predecessor gets at its start,
 /// up to one retry.
@@ -116,12 +117,12 @@
         let entries = self.slices.iter().map(|slice| slice.entries).max();
         let share = self.options.slack / entries.unwrap_or_default().max(1) as f64;
         let age_windows = now.as_secs_f64() / self.window().as_secs_f64();
-        let growing = STARTING_FRACTION * age_windows * share;
+        let slow_start = SLOW_START_FRACTION * age_windows * share;
         match self.predecessor {
-            _ if age_windows >= 1.0 => LASTING_FRACTION * share,
-            Predecessor::None if now >= PEERS_KNOWN_AFTER => LASTING_FRACTION * share,
-            Predecessor::None => growing.max(UNCONFIRMED_FRACTION * share),
-            Predecessor::Possible => growing.max((FIRST_RETRY_FRACTION * share).min(1.0)),
+            _ if age_windows >= 1.0 => STEADY_FRACTION * share,
+            Predecessor::None if now >= PEERS_KNOWN_AFTER => STEADY_FRACTION * share,
+            Predecessor::None => slow_start.max(UNCONFIRMED_FRACTION * share),
+            Predecessor::Possible => slow_start.max((FIRST_RETRY_FRACTION * share).min(1.0)),
         }
     }
 
--- a/crates/policy/tests/registered_peers.rs
+++ b/crates/policy/tests/registered_peers.rs
@@ -42,20 +42,20 @@
     assert_eq!(hosts(&peers), [peer(1), peer(3)]);
 }
 
-/// Guards against shares that grow for all peers at once, because their registrations have lapsed.
+/// Guards against shares that grow for all peers at once, because their registrations have expired.
 #[test]
 fn a_peer_that_is_no_longer_listed_is_kept_until_it_has_had_time_to_register_again() {
     let mut peers = RegisteredPeers::default();
     peers.update(4, &registered(&[1, 2, 3]), Duration::ZERO);
-    let lapsed_at = Duration::from_secs(8);
+    let expired_at = Duration::from_secs(8);
 
     for second in 0..9 {
         let listed = if second < 4 { registered(&[]) } else { registered(&[1, 3]) };
-        peers.update(4, &listed, lapsed_at + Duration::from_secs(second));
+        peers.update(4, &listed, expired_at + Duration::from_secs(second));
         assert_eq!(hosts(&peers), [peer(1), peer(2), peer(3)]);
         assert!(!peers.is_settled());
     }
-    peers.update(4, &registered(&[1, 3]), lapsed_at + MEMBERSHIP_CONVERGENCE_TIME);
+    peers.update(4, &registered(&[1, 3]), expired_at + MEMBERSHIP_CONVERGENCE_TIME);
 
     assert_eq!(hosts(&peers), [peer(1), peer(3)]);
     assert!(peers.is_settled());
--- a/crates/policy/tests/window_budget.rs
+++ b/crates/policy/tests/window_budget.rs
@@ -17,7 +17,7 @@
 const MIN_START_GAP_MS: u64 = 500;
 
 /// How long entries have run before the events of a simulation, in milliseconds.
-const LASTING_MS: u64 = 2 * WINDOW_MS;
+const STEADY_MS: u64 = 2 * WINDOW_MS;
 
 fn at_ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -75,7 +75,7 @@
         let mut traffic = Traffic::default();
         let mut started_ms = 0;
         for &(ms, number, event) in events {
-            let now_ms = LASTING_MS + ms;
+            let now_ms = STEADY_MS + ms;
             let entry = &mut entries[number];
             let now = entry.age(now_ms);
             match event {
@@ -117,7 +117,7 @@
 
         let traffic = Traffic::play(&events);
 
-        for from_ms in (LASTING_MS..LASTING_MS + 30_000).step_by(500) {
+        for from_ms in (STEADY_MS..STEADY_MS + 30_000).step_by(500) {
             prop_assert!(traffic.is_within_bound(from_ms), "from {from_ms}: {traffic:?}");
         }
     }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -16,9 +16,9 @@
 use tokio::task::JoinSet;
 
 use crate::{
+    expiry::expire_registrations,
     fleet::{EXPERTS, Fleet, process_name},
     history::{Disturbed, LeaveRecord, LeavingSignalRecord, RateLimitRecord, RetryAfterRecord},
-    lapse::lapse_registrations,
     pauses::pause_streams,
     plan::{BackpressureKind, EndpointFault, Fault, FaultKind, LinkFault, LinkId, ProcessId},
     poison::repeat_poison,
@@ -98,8 +98,8 @@
                 fleet.store.compact(REGISTRATIONS_TOPIC);
             }
             FaultKind::Freeze(endpoint) => self.freeze(endpoint, fault.length).await,
-            FaultKind::LapseRegistrations(lapse) => {
-                lapse_registrations(fleet, lapse, fault.length).await;
+            FaultKind::ExpireRegistrations(expiry) => {
+                expire_registrations(fleet, expiry, fault.length).await;
             }
             FaultKind::Leave(endpoint) => self.leave(endpoint, fault.length).await,
             FaultKind::Link(link, fault_kind) => {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -124,9 +124,9 @@
     pub rewrite_delay_ms: u64,
 }
 
-/// An outage of the store in which registrations lapse.
+/// An outage of the store in which registrations expire.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
-pub struct LapseFault {
+pub struct ExpiryFault {
     /// Whether it responds with status 503 while it is away; otherwise, it does not respond.
     pub is_busy: bool,
     /// How long after its return endpoints register again, in milliseconds.
@@ -162,8 +162,8 @@
     CompactStore,
     /// An endpoint's machine freezes, and thaws later.
     Freeze(usize),
-    /// The store is away, and all registrations have lapsed when it returns.
-    LapseRegistrations(LapseFault),
+    /// The store is away, and all registrations have expired when it returns.
+    ExpireRegistrations(ExpiryFault),
     /// An endpoint registers as draining, and as ready later.
     Leave(usize),
     /// A link has a fault.
--- a/crates/soak/src/share_faults.rs
+++ b/crates/soak/src/share_faults.rs
@@ -1,11 +1,11 @@
 //! Draws disturbances of what is divided among entries, beside endpoints that fail: registrations
-//! that lapse in an outage of the store, and entries that end in series.
+//! that expire in an outage of the store, and entries that end in series.
 
 use std::time::Duration;
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use crate::plan::{EndpointFault, Fault, FaultKind, LapseFault, ProcessId, Size};
+use crate::plan::{EndpointFault, ExpiryFault, Fault, FaultKind, ProcessId, Size};
 
 /// The mean gap between two disturbances, in milliseconds.
 const SHARE_GAP_MS: u64 = 4000;
@@ -39,7 +39,7 @@
     let mut at = Duration::from_millis(rng.random_range(0..SHARE_GAP_MS));
     while at < time {
         let disturbed_for = match rng.random_bool(0.5) {
-            true => draw_lapse(&mut rng, at, &mut faults),
+            true => draw_expiry(&mut rng, at, &mut faults),
             false => draw_ends(&mut rng, size, at, &mut faults),
         };
         let length = disturbed_for + Duration::from_millis(rng.random_range(FAILS_AFTER_MS));
@@ -56,13 +56,13 @@
 }
 
 /// Draws an outage; returns its length.
-fn draw_lapse(rng: &mut SmallRng, at: Duration, faults: &mut Vec<Fault>) -> Duration {
+fn draw_expiry(rng: &mut SmallRng, at: Duration, faults: &mut Vec<Fault>) -> Duration {
     let length = Duration::from_millis(rng.random_range(AWAY_MS));
-    let lapse = LapseFault {
+    let expiry = ExpiryFault {
         is_busy: rng.random_bool(0.5),
         register_delay_ms: rng.random_range(REGISTER_DELAY_MS),
     };
-    faults.push(Fault { at, length, kind: FaultKind::LapseRegistrations(lapse) });
+    faults.push(Fault { at, length, kind: FaultKind::ExpireRegistrations(expiry) });
     length
 }
 
