A stream is moved only if a retry is left for its return

Cause: the stream was moved with the last retry of the budget; the replica that it was moved to crashed before it had read the request, and the return to the one that had held it was denied a retry. What is held was given up before what replaces it, or brings it back, was granted. Trace: 'stream moved', 'attempt lost', 'stream broken' with is_allowed false, no 'stream returned', 'stream truncated', within 60 ms. Change: a response that has begun is replaced only if the budget has two retries; the second is reserved for the return, and given back if it is not needed. Others need one.

--- a/crates/direct/src/replacement.rs
+++ b/crates/direct/src/replacement.rs
@@ -13,7 +13,7 @@
     call::Call,
     call_times::QUEUE_TIME_FRACTION,
     endpoint::Permit,
-    service::ReplacementSearch,
+    service::{ReplacementSearch, ReservedRetry},
 };
 
 /// How often an endpoint is searched for after a stream broke once.
@@ -39,6 +39,14 @@
     pub(crate) has_begun: bool,
 }
 
+impl RunningAttempt {
+    /// Retries that its replacement needs. A response that has begun can't start again, so that its
+    /// return is secured before it is moved.
+    fn required_retries(&self) -> u32 {
+        if self.has_begun { 2 } else { 1 }
+    }
+}
+
 /// What a stream that is resumed has already.
 #[derive(Default)]
 pub(crate) struct ResumeOptions {
@@ -46,16 +54,18 @@
     pub(crate) opened: Option<OpenAttempt>,
     /// The permit at a silent endpoint that the stream leaves, kept until another one takes it.
     pub(crate) origin: Option<Permit>,
+    /// The retry for a return to that endpoint.
+    pub(crate) return_retry: Option<ReservedRetry>,
 }
 
 impl<D: Dialect> Call<D> {
     /// Opens an attempt elsewhere and withdraws a retry for it, to replace an attempt that still
     /// runs; `None` if that is not possible now.
     pub(crate) async fn open_replacement(&self, running: RunningAttempt) -> Option<OpenAttempt> {
-        let RunningAttempt { stalled_group, sent_at, has_begun } = running;
-        if !self.may_replace(sent_at) {
+        if !self.may_replace(&running) {
             return None;
         }
+        let RunningAttempt { stalled_group, sent_at, has_begun } = running;
         let tried = self.tried.lock().clone();
         let search = ReplacementSearch {
             tried: &tried,
@@ -64,19 +74,23 @@
             is_slot_required: has_begun && !self.has_retry_left(),
         };
         let permit = self.service.acquire_elsewhere(search)?;
-        let opened = self.open(permit, Some(sent_at)).await.ok()?;
-        self.service.withdraw_retry().then_some(opened)
+        let mut opened = self.open(permit, Some(sent_at)).await.ok()?;
+        if !has_begun {
+            return self.service.withdraw_retry().then_some(opened);
+        }
+        opened.return_retry = Some(self.service.withdraw_with_reserve()?);
+        Some(opened)
     }
 
     /// Whether a retry is allowed now and in time. A call that may have crashed endpoints stays
     /// where it is.
-    fn may_replace(&self, sent_at: Instant) -> bool {
-        let idle_time = self.remaining_idle_time(sent_at);
+    fn may_replace(&self, running: &RunningAttempt) -> bool {
+        let idle_time = self.remaining_idle_time(running.sent_at);
         self.can_retry()
             && idle_time.is_none_or(|time| time >= MIN_ATTEMPT_TIME)
             && self.quarantine.quarantined_for(&self.identity).is_none()
             && self.quarantine.remaining_hold(&self.identity.fingerprint).is_none()
-            && self.service.has_retry()
+            && self.service.has_retries(running.required_retries())
     }
 
     /// Resumes a stream elsewhere; `None` if that is not possible.
@@ -99,7 +113,7 @@
         why: &str,
         options: ResumeOptions,
     ) -> Option<ResponseHead> {
-        let ResumeOptions { mut opened, mut origin } = options;
+        let ResumeOptions { mut opened, mut origin, mut return_retry } = options;
         let mut searches = 0;
         loop {
             let attempt = match opened.take() {
@@ -107,7 +121,7 @@
                 None if searches == MAX_RESUME_SEARCHES => return None,
                 None => {
                     searches += 1;
-                    self.open_resumption(position, why, &mut origin).await
+                    self.open_resumption(position, why, &mut origin, &mut return_retry).await
                 }
             };
             let resumed = match attempt {
@@ -136,16 +150,26 @@
         position: StreamPosition,
         why: &str,
         origin: &mut Option<Permit>,
+        return_retry: &mut Option<ReservedRetry>,
     ) -> Result<OpenAttempt, AttemptError> {
         let permit = match self.acquire_resumption(position, why).await {
             Ok(permit) => permit,
-            Err(error) => self.return_to(origin.take()).ok_or(error)?,
+            Err(error) => self.return_to(origin.take(), return_retry.take()).ok_or(error)?,
         };
         self.open(permit, Some(position.sent_at)).await
     }
 
-    fn return_to(&self, origin: Option<Permit>) -> Option<Permit> {
-        let origin = origin.filter(|_| self.service.withdraw_retry())?;
+    fn return_to(
+        &self,
+        origin: Option<Permit>,
+        return_retry: Option<ReservedRetry>,
+    ) -> Option<Permit> {
+        let origin = origin?;
+        match return_retry {
+            Some(reserved) => reserved.redeem(),
+            None if self.service.withdraw_retry() => {}
+            None => return None,
+        }
         log::info!(request = self.head.id.as_deref(), endpoint = &*origin.endpoint.record.id;
             "stream returned");
         Some(origin)
--- a/crates/direct/src/service/mod.rs
+++ b/crates/direct/src/service/mod.rs
@@ -150,19 +150,30 @@
         self.inner.lock().history.budget.lock().record_call(self.now());
     }
 
-    /// Whether the service's retry budget has a retry.
-    pub(crate) fn has_retry(&self) -> bool {
+    /// Whether the service's retry budget has a number of retries.
+    pub(crate) fn has_retries(&self, count: u32) -> bool {
         let inner = self.inner.lock();
         let mut budget = inner.history.budget.lock();
-        self.mechanisms.has(Mechanism::Repeats) && budget.has_retry(inner.entry_count(), self.now())
+        self.mechanisms.has(Mechanism::Repeats)
+            && budget.has_retries(count, inner.entry_count(), self.now())
     }
 
     /// Withdraws a retry from the service's retry budget. Returns whether one was available.
     pub(crate) fn withdraw_retry(&self) -> bool {
+        self.withdraw_retries(1)
+    }
+
+    /// Withdraws two retries, of which one is reserved; `None` if there are not as many.
+    pub(crate) fn withdraw_with_reserve(self: &Arc<Service>) -> Option<ReservedRetry> {
+        let is_allowed = self.withdraw_retries(2);
+        is_allowed.then(|| ReservedRetry { service: Arc::clone(self), is_used: false })
+    }
+
+    fn withdraw_retries(&self, count: u32) -> bool {
         let inner = self.inner.lock();
         let mut budget = inner.history.budget.lock();
         let is_allowed = self.mechanisms.has(Mechanism::Repeats)
-            && budget.try_withdraw(inner.entry_count(), self.now());
+            && budget.try_withdraw(count, inner.entry_count(), self.now());
         self.metrics.count(if is_allowed { "retries.withdrawn" } else { "retries.denied" });
         is_allowed
     }
@@ -331,6 +342,27 @@
     }
 }
 
+/// A retry that was withdrawn in advance. Dropping it unused returns it to the budget.
+pub(crate) struct ReservedRetry {
+    service: Arc<Service>,
+    is_used: bool,
+}
+
+impl ReservedRetry {
+    /// Uses the retry.
+    pub(crate) fn redeem(mut self) {
+        self.is_used = true;
+    }
+}
+
+impl Drop for ReservedRetry {
+    fn drop(&mut self) {
+        if !self.is_used {
+            self.service.inner.lock().history.budget.lock().refund();
+        }
+    }
+}
+
 /// Immediate result of a permit request.
 enum Grant {
     Immediate(Permit),
--- a/crates/direct/src/stream_move.rs
+++ b/crates/direct/src/stream_move.rs
@@ -47,7 +47,7 @@
         log::info!(request = self.call.head.id.as_deref(), why = stall_name(stall),
             endpoint = self.permit.as_ref().map(|permit| &*permit.endpoint.record.id),
             silent_ms = self.last_event_at.elapsed().as_millis() as u64,
-            has_retry = self.call.service.has_retry(); "stream stalled");
+            has_retry = self.call.service.has_retries(1); "stream stalled");
     }
 
     /// What has stalled under the stream, if the stream is resumable.
@@ -75,13 +75,14 @@
 
     /// Moves the stream to another endpoint, which is ready to take it. Returns false if the stream
     /// is lost.
-    pub(crate) async fn move_to(&mut self, next: OpenAttempt, why: &'static str) -> bool {
+    pub(crate) async fn move_to(&mut self, mut next: OpenAttempt, why: &'static str) -> bool {
         log::info!(request = self.call.head.id.as_deref(), why,
             endpoint = self.permit.as_ref().map(|permit| &*permit.endpoint.record.id),
             last_event = self.events.last_id(),
             silent_ms = self.last_event_at.elapsed().as_millis() as u64; "stream moved");
         self.on_canceled();
-        let options = ResumeOptions { opened: Some(next), origin: self.detach() };
+        let return_retry = next.return_retry.take();
+        let options = ResumeOptions { opened: Some(next), origin: self.detach(), return_retry };
         let head = self.call.resume(self.position(), why, options).await;
         self.attach(head)
     }
--- a/crates/lynxmount/tests/platform_common/mod.rs
+++ b/crates/lynxmount/tests/platform_common/mod.rs
@@ -17,6 +17,7 @@
     fixture::{
         CONFIG_KEY, EntryPorts, GroupService, OPERATOR_TOPIC, REGISTRATIONS_TOPIC, config_text,
         endpoint_settings_text, entry_settings_text, registration_text, service_of,
+        with_retry_slack,
     },
 };
 use nix::{
@@ -170,6 +171,20 @@
         fleet
     }
 
+    /// Starts a fleet whose entry allows this many retries in a window beyond a fifth of the calls.
+    pub async fn start_with_retry_slack(
+        service: &str,
+        behaviours: &[Behaviour],
+        retry_slack: u32,
+    ) -> Fleet {
+        let fleet = Fleet::start_with_settings(service, behaviours, |settings| {
+            with_retry_slack(&settings, retry_slack)
+        })
+        .await;
+        fleet.wait_until_ready(entry_ip(fleet.network, 0)).await;
+        fleet
+    }
+
     async fn start_with_settings(
         service: &str,
         behaviours: &[Behaviour],
--- a/crates/lynxmount/tests/platform_pauses.rs
+++ b/crates/lynxmount/tests/platform_pauses.rs
@@ -156,6 +156,40 @@
     assert_eq!(fleet.entry.logged("stream returned").len(), 1);
 }
 
+/// Guards against streams that are lost because the replica to which they are moved breaks off.
+#[tokio::test]
+async fn paused_stream_whose_next_replica_breaks_off_returns_and_stays_whole() {
+    let fleet = Fleet::start(STREAM, &[steady(45), pausing(45, 5, PAUSE)]).await;
+    raise_timeouts(&fleet).await;
+    let break_off = async {
+        wait_for("the streams", async || fleet.arrivals() == 2).await;
+        fleet.replicas[0].set_behaviour(Behaviour::Reset);
+    };
+
+    let (responses, ()) = futures::join!(responses(&fleet, STREAM, 2), break_off);
+
+    assert_complete(&responses, &[events(1..=45), events(1..=45)]);
+    assert_eq!(fleet.entry.logged("stream returned").len(), 1);
+}
+
+/// Guards against streams that are moved with the last retry, and have none for their return.
+#[tokio::test]
+async fn paused_stream_goes_on_at_its_replica_if_no_retry_is_left_for_its_return() {
+    // The slack allows one retry from two seconds after the start on; the pause begins then.
+    let behaviours = [steady(75), pausing(50, 35, PAUSE)];
+    let fleet = Fleet::start_with_retry_slack(STREAM, &behaviours, 2).await;
+    raise_timeouts(&fleet).await;
+    let break_off = async {
+        wait_for("the streams", async || fleet.arrivals() == 2).await;
+        fleet.replicas[0].set_behaviour(Behaviour::Reset);
+    };
+
+    let (responses, ()) = futures::join!(responses(&fleet, STREAM, 2), break_off);
+
+    assert_complete(&responses, &[events(1..=75), events(1..=50)]);
+    assert_eq!(fleet.arrivals(), 2);
+}
+
 /// Guards against calls that are given up before a retry is granted, while they wait for their
 /// first event.
 #[tokio::test]
--- a/crates/policy/src/window_budget.rs
+++ b/crates/policy/src/window_budget.rs
@@ -87,23 +87,32 @@
         self.current_slice(now).calls += 1;
     }
 
-    /// Whether this entry's share of the budget has a retry. `now` is the time since the start of
-    /// the process.
-    pub fn has_retry(&mut self, entries: usize, now: Duration) -> bool {
+    /// Whether this entry's share of the budget has a number of retries. `now` is the time since the
+    /// start of the process.
+    pub fn has_retries(&mut self, count: u32, entries: usize, now: Duration) -> bool {
         let current = self.current_slice(now);
         current.entries = current.entries.max(entries);
         let calls: u32 = self.slices.iter().map(|slice| slice.calls).sum();
         let retries: u32 = self.slices.iter().map(|slice| slice.retries).sum();
         let earned = EARNED_FRACTION * self.options.ratio * f64::from(calls);
-        f64::from(retries) + 1.0 <= earned + self.own_slack(now)
+        f64::from(retries + count) <= earned + self.own_slack(now)
     }
 
-    /// Withdraws one retry from this entry's share of the budget. Returns whether there was one.
-    /// `now` is the time since the start of the process.
-    pub fn try_withdraw(&mut self, entries: usize, now: Duration) -> bool {
-        let has_retry = self.has_retry(entries, now);
-        self.current_slice(now).retries += u32::from(has_retry);
-        has_retry
+    /// Withdraws a number of retries from this entry's share of the budget, all or none. Returns
+    /// whether it had them. `now` is the time since the start of the process.
+    pub fn try_withdraw(&mut self, count: u32, entries: usize, now: Duration) -> bool {
+        let has_retries = self.has_retries(count, entries, now);
+        if has_retries {
+            self.current_slice(now).retries += count;
+        }
+        has_retries
+    }
+
+    /// Returns a withdrawn retry that was not sent.
+    pub fn refund(&mut self) {
+        if let Some(slice) = self.slices.iter_mut().rev().find(|slice| slice.retries > 0) {
+            slice.retries -= 1;
+        }
     }
 
     /// Whether nothing in the window counts any more.
--- a/crates/policy/tests/window_budget.rs
+++ b/crates/policy/tests/window_budget.rs
@@ -28,7 +28,7 @@
 }
 
 fn withdraw_all(budget: &mut WindowBudget, entries: usize, now_ms: u64) -> usize {
-    (0..1000).take_while(|_| budget.try_withdraw(entries, at_ms(now_ms))).count()
+    (0..1000).take_while(|_| budget.try_withdraw(1, entries, at_ms(now_ms))).count()
 }
 
 /// An entry whose process may be started again.
@@ -83,7 +83,7 @@
                     entry.budget.record_call(now);
                     traffic.calls.push(now_ms);
                 }
-                Event::Failure if entry.budget.try_withdraw(ENTRIES, now) => {
+                Event::Failure if entry.budget.try_withdraw(1, ENTRIES, now) => {
                     traffic.retries.push(now_ms);
                 }
                 Event::Start if now_ms >= started_ms + MIN_START_GAP_MS => {
@@ -147,8 +147,8 @@
 fn first_retry_is_refused_where_it_is_a_large_part_of_the_share() {
     let mut budget = budget();
 
-    assert!(!budget.try_withdraw(10, Duration::ZERO));
-    assert!(budget.try_withdraw(10, at_ms(3000)));
+    assert!(!budget.try_withdraw(1, 10, Duration::ZERO));
+    assert!(budget.try_withdraw(1, 10, at_ms(3000)));
 }
 
 /// Guards against callers that are served less at an entry which nobody has used before.
@@ -176,7 +176,7 @@
 #[test]
 fn largest_number_of_entries_in_the_window_divides_the_slack() {
     let mut budget = budget();
-    assert!(budget.has_retry(ENTRIES, at_ms(WINDOW_MS)));
+    assert!(budget.has_retries(1, ENTRIES, at_ms(WINDOW_MS)));
 
     let at_once = withdraw_all(&mut budget, 1, WINDOW_MS + 1000);
     let a_window_later = withdraw_all(&mut budget, 1, 2 * WINDOW_MS + 1600);
@@ -188,10 +188,10 @@
 fn asking_whether_there_is_a_retry_withdraws_none() {
     let mut budget = budget();
 
-    let asked = (0..100).filter(|_| budget.has_retry(ENTRIES, at_ms(WINDOW_MS))).count();
+    let asked = (0..100).filter(|_| budget.has_retries(1, ENTRIES, at_ms(WINDOW_MS))).count();
 
     assert_eq!((asked, withdraw_all(&mut budget, ENTRIES, WINDOW_MS)), (100, 13));
-    assert!(!budget.has_retry(ENTRIES, at_ms(WINDOW_MS)));
+    assert!(!budget.has_retries(1, ENTRIES, at_ms(WINDOW_MS)));
 }
 
 #[test]
@@ -202,3 +202,15 @@
     assert!(!budget.is_unused(at_ms(WINDOW_MS)));
     assert!(budget.is_unused(at_ms(WINDOW_MS + 600)));
 }
+
+#[test]
+fn retries_are_withdrawn_all_or_none_and_refunded_one_by_one() {
+    let mut budget = budget();
+    let withdrawn = withdraw_all(&mut budget, ENTRIES, WINDOW_MS);
+    budget.refund();
+
+    assert_eq!(withdrawn, 13);
+    assert!(!budget.try_withdraw(2, ENTRIES, at_ms(WINDOW_MS)));
+    assert!(budget.try_withdraw(1, ENTRIES, at_ms(WINDOW_MS)));
+    assert!(!budget.has_retries(1, ENTRIES, at_ms(WINDOW_MS)));
+}
