Own log: an unreadable record costs only itself

What callers saw: one record of another writer whose data is nested 125 deep or more, and every later change of the configuration is lost, keyed calls get 503, an entry that starts again answers 503 to all. No line at WARN or ERROR says why.

Cause: a page of the log was parsed as one JSON value. The page nests a record by three, so that the record's nesting exceeds the parser's limit in the page, and each reader reads the same page for good. And a page larger than 64 MiB failed as a whole.

Change: a page is split into raw records, which are parsed one by one as the type of their reader. One that can't be is skipped and logged with stream and offset. A page that brings the reader no further is an error, so that no reader loops. Pages above 4 MiB are read with fewer records; a record that no response can hold is skipped. Claims are applied page by page. Offsets are checked against the page's range.

--- a/crates/entry/src/claim_log.rs
+++ b/crates/entry/src/claim_log.rs
@@ -9,7 +9,7 @@
 use lynxmount_core::{Error, Offset, Result, Step, timed_out, wall_time_ms};
 use lynxmount_idempotency::{ActiveClaim, CLAIMS_STREAM, Claim, ClaimBatch, ClaimTable, KeyDigest};
 use lynxmount_node::{Counter, NodeHandle};
-use lynxmount_platform::{Page, PlatformClient};
+use lynxmount_platform::{PlatformClient, StreamRead};
 use parking_lot::Mutex;
 use tokio::sync::{Mutex as AsyncMutex, mpsc, oneshot, watch};
 
@@ -79,9 +79,7 @@
     async fn read_to_end(&self) -> Result<()> {
         let _guard = self.confirm_lock.lock().await;
         let next = self.table.lock().next_offset();
-        let page = self.platform.read_to_end(CLAIMS_STREAM, next).await?;
-        self.apply(page);
-        Ok(())
+        self.platform.read_pages_to_end(CLAIMS_STREAM, next, |page| self.apply(page)).await
     }
 
     /// Appends a claim and returns the active claim of its key, which may be another entry's.
@@ -131,14 +129,14 @@
         }
     }
 
-    fn apply(&self, page: Page) {
+    fn apply(&self, read: StreamRead<ClaimBatch>) {
         let mut table = self.table.lock();
-        table.skip_to(page.first);
-        for record in page.records {
-            // A record that cannot be parsed is ignored; all processes do the same.
-            let batch = serde_json::from_value(record.data);
-            table.apply(record.offset, batch.unwrap_or(ClaimBatch { claims: Vec::new() }));
+        table.skip_to(read.first);
+        for record in read.records {
+            table.apply(record.offset, record.data);
         }
+        // Unreadable records are skipped by all processes alike.
+        table.skip_to(read.next);
         self.applied_to.send_replace(table.next_offset());
     }
 
--- a/crates/entry/src/crash_report_log.rs
+++ b/crates/entry/src/crash_report_log.rs
@@ -6,7 +6,7 @@
 use std::{sync::Arc, time::Duration};
 
 use lynxmount_core::{CrashReport, Evidence, Offset};
-use lynxmount_platform::{Page, PlatformClient};
+use lynxmount_platform::PlatformClient;
 use lynxmount_quarantine::{SharedQuarantine, split};
 
 /// The stream of the platform's log that holds crash reports.
@@ -37,27 +37,19 @@
         let mut next: Offset = 0;
         loop {
             match self.platform.read(CRASH_REPORTS_STREAM, next, LONG_POLL_TIMEOUT).await {
-                Ok(page) => next = self.apply(&page, next),
+                Ok(read) => {
+                    next = read.next;
+                    read.records.into_iter().for_each(|record| self.apply(record.data));
+                }
                 Err(_) => tokio::time::sleep(RETRY_DELAY).await,
             }
             self.quarantine.expire();
         }
     }
 
-    fn apply(&self, page: &Page, next: Offset) -> Offset {
-        for record in &page.records {
-            match serde_json::from_value::<Vec<CrashReport>>(record.data.clone()) {
-                Ok(reports) => {
-                    let evidence: Vec<Evidence> = reports.into_iter().map(Evidence::Call).collect();
-                    self.quarantine.merge_from_platform(evidence.iter());
-                }
-                Err(error) => {
-                    log::warn!("crash report at offset {} invalid: {error}", record.offset);
-                }
-            }
-        }
-        let end = page.records.last().map_or(page.first, |record| record.offset + 1);
-        end.max(next)
+    fn apply(&self, reports: Vec<CrashReport>) {
+        let evidence: Vec<Evidence> = reports.into_iter().map(Evidence::Call).collect();
+        self.quarantine.merge_from_platform(evidence.iter());
     }
 
     /// Publishes this entry's crash reports until the process exits.
--- a/crates/lynxmount/src/commands/audit.rs
+++ b/crates/lynxmount/src/commands/audit.rs
@@ -6,7 +6,7 @@
 use lynxmount_audit::{AUDIT_STREAM, AuditBatch, AuditRecord};
 use lynxmount_config::CONFIG_STREAM;
 use lynxmount_core::{Offset, Result};
-use lynxmount_platform::{Page, PlatformClient};
+use lynxmount_platform::{PlatformClient, StreamRead};
 use serde::Serialize;
 use serde_json::{Map, Value};
 
@@ -40,9 +40,12 @@
     let Some(operator) = Operator::from_matches(matches, format)? else { return Ok(Exit::Invalid) };
     let scope = &operator.settings.scope;
     let mut log = operator.config_log().await?;
-    let page = operator.platform.read_to_end(AUDIT_STREAM, 0).await?;
-    let mut next = next_offset(&page);
-    let mut rows = audit_rows(page, scope);
+    let (mut next, mut rows) = (0, Vec::new());
+    let on_page = |page: StreamRead<AuditBatch>| {
+        next = page.next;
+        rows.extend(audit_rows(page, scope));
+    };
+    operator.platform.read_pages_to_end(AUDIT_STREAM, 0, on_page).await?;
     rows.extend(log.changes.iter().map(change_row));
     rows.sort_by_key(|row| row.time_ms);
     rows.retain(|row| is_selected(row, matches));
@@ -65,7 +68,7 @@
     scope: &str,
 ) -> Result<Vec<AuditRow>> {
     let page = platform.read(AUDIT_STREAM, *next, LONG_POLL_TIMEOUT).await?;
-    *next = next_offset(&page).max(*next);
+    *next = page.next;
     let reported = log.changes.len();
     log.refresh().await?;
     let mut rows: Vec<AuditRow> = log.changes[reported..].iter().map(change_row).collect();
@@ -73,19 +76,13 @@
     Ok(rows)
 }
 
-fn next_offset(page: &Page) -> Offset {
-    page.records.last().map_or(page.end, |record| record.offset + 1)
-}
-
-fn audit_rows(page: Page, scope: &str) -> Vec<AuditRow> {
-    let mut rows = Vec::new();
-    for record in page.records {
-        let Ok(batch) = serde_json::from_value::<AuditBatch>(record.data) else { continue };
-        if batch.scope == scope {
-            rows.extend(batch.records.iter().map(|audit| process_row(record.offset, audit)));
-        }
-    }
-    rows
+fn audit_rows(page: StreamRead<AuditBatch>, scope: &str) -> Vec<AuditRow> {
+    let of_scope = page.records.iter().filter(|record| record.data.scope == scope);
+    of_scope
+        .flat_map(|record| {
+            record.data.records.iter().map(|audit| process_row(record.offset, audit))
+        })
+        .collect()
 }
 
 fn process_row(offset: Offset, record: &AuditRecord) -> AuditRow {
--- a/crates/lynxmount/src/config_log.rs
+++ b/crates/lynxmount/src/config_log.rs
@@ -4,7 +4,7 @@
 
 use lynxmount_config::{CONFIG_STREAM, ChangeRecord, ConfigRecord, ConfigState, Fleet, Verdict};
 use lynxmount_core::{Offset, Result};
-use lynxmount_platform::PlatformClient;
+use lynxmount_platform::{PlatformClient, Record, StreamRead};
 
 /// A change with its verdict.
 #[derive(Clone, Debug)]
@@ -21,6 +21,8 @@
 #[derive(Debug)]
 pub(crate) struct ConfigLog {
     platform: PlatformClient,
+    /// Offset of the next record to read.
+    next: Offset,
     pub(crate) config_state: ConfigState,
     pub(crate) changes: Vec<ResolvedChange>,
 }
@@ -31,7 +33,7 @@
     /// Fails if the platform can't be reached.
     pub(crate) async fn read(platform: PlatformClient, scope: &str) -> Result<ConfigLog> {
         let config_state = ConfigState::new(scope);
-        let mut log = ConfigLog { platform, config_state, changes: Vec::new() };
+        let mut log = ConfigLog { platform, next: 0, config_state, changes: Vec::new() };
         log.refresh().await?;
         Ok(log)
     }
@@ -40,22 +42,15 @@
     ///
     /// Fails if the platform can't be reached.
     pub(crate) async fn refresh(&mut self) -> Result<()> {
-        let page =
-            self.platform.read_to_end(CONFIG_STREAM, self.config_state.next_offset()).await?;
-        let records: Vec<(Offset, u64, ConfigRecord)> = page
-            .records
-            .into_iter()
-            .filter_map(|record| {
-                let content = serde_json::from_value(record.data).ok()?;
-                Some((record.offset, record.time_ms, content))
-            })
-            .collect();
-        if page.first > self.config_state.next_offset() {
-            self.config_state.restore(page.first, records.iter().map(|(_, _, record)| record));
+        let read: StreamRead<ConfigRecord> =
+            self.platform.read_to_end(CONFIG_STREAM, self.next).await?;
+        self.next = read.next;
+        if read.first > self.config_state.next_offset() {
+            self.config_state.restore(read.first, read.records.iter().map(|record| &record.data));
         }
-        for (offset, time_ms, record) in records {
-            let verdict = self.config_state.apply(offset, &record);
-            if let (ConfigRecord::Change(change), Some(verdict)) = (record, verdict) {
+        for Record { offset, time_ms, data } in read.records {
+            let verdict = self.config_state.apply(offset, &data);
+            if let (ConfigRecord::Change(change), Some(verdict)) = (data, verdict) {
                 let change = *change;
                 let fleet = match self.config_state.head() {
                     Some(head) => Arc::clone(&head.fleet),
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -4,8 +4,7 @@
 
 use lynxmount_config::{CONFIG_STREAM, ConfigRecord, ProcessSettings};
 use lynxmount_core::{Offset, Result};
-use lynxmount_platform::{Page, PlatformClient};
-use serde::Deserialize;
+use lynxmount_platform::{PlatformClient, StreamRead};
 use tokio::{
     sync::{Notify, mpsc},
     task::JoinSet,
@@ -61,8 +60,9 @@
                 }
             };
             match read {
-                Ok(page) => {
-                    next = self.send_page(page, next);
+                Ok(read) => {
+                    next = read.next;
+                    self.send_records(read);
                     wait = LONG_POLL_TIME;
                 }
                 Err(error) => {
@@ -84,30 +84,19 @@
         }
     }
 
-    async fn read(&self, next: Offset, wait: Duration) -> Result<Page> {
+    async fn read(&self, next: Offset, wait: Duration) -> Result<StreamRead<ConfigRecord>> {
         match wait {
             Duration::ZERO => self.platform.read_to_end(CONFIG_STREAM, next).await,
             wait => self.platform.read(CONFIG_STREAM, next, wait).await,
         }
     }
 
-    /// Sends the page's records to the control thread and returns the next offset to read.
-    fn send_page(&self, page: Page, next: Offset) -> Offset {
-        let next_offset =
-            page.records.last().map_or(next, |record| record.offset + 1).max(page.first);
-        let newest_time_ms = page.records.last().map(|record| record.time_ms);
-        let records = page
-            .records
-            .into_iter()
-            // A record that can't be parsed is ignored by all processes alike.
-            .filter_map(|record| {
-                let content = ConfigRecord::deserialize(record.data).ok()?;
-                Some((record.offset, content))
-            })
-            .collect();
-        let read = ConfigRead { first: page.first, records, newest_time_ms };
+    /// Sends records to the control thread.
+    fn send_records(&self, read: StreamRead<ConfigRecord>) {
+        let newest_time_ms = read.records.last().map(|record| record.time_ms);
+        let records = read.records.into_iter().map(|record| (record.offset, record.data)).collect();
+        let read = ConfigRead { first: read.first, records, newest_time_ms };
         let _ = self.events.send(Event::ConfigRead(read));
-        next_offset
     }
 
     /// Fetches the peers' configurations concurrently: unresponsive peers must not delay the
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{Method, Request, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
@@ -14,7 +14,10 @@
 };
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::{AppendRequest, AppendResponse, Page, ReadQuery, VmList};
+use crate::{
+    AppendRequest, AppendResponse, ReadQuery, StreamRead, VmList,
+    stream_read::{log_unreadable, parse_page},
+};
 
 /// Timeout of a response, in addition to the wait time of a long poll.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -31,9 +34,29 @@
 /// Upper limit of records per read.
 const MAX_PAGE_RECORDS: u32 = 1000;
 
-/// Largest response: a page of records, each a fleet file at most.
+/// Largest response: a record, which is a fleet file at most.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 
+/// Largest page of several records. One that is larger is read again with fewer records.
+const MAX_PAGE_BYTES: usize = 4 * 1024 * 1024;
+
+/// A call of the platform.
+struct Call<'a> {
+    step: Step,
+    method: Method,
+    path_and_query: &'a str,
+    body: Bytes,
+    timeout: Duration,
+    max_response_bytes: usize,
+}
+
+/// A complete response to a call that succeeded.
+enum ResponseBody {
+    Complete(Bytes),
+    /// It was larger than allowed, and was not read.
+    TooLarge,
+}
+
 /// A client for one platform address; clones share a connection pool.
 #[derive(Clone, Debug)]
 pub struct PlatformClient {
@@ -62,16 +85,30 @@
         let path = format!("/v1/streams/{stream}/records");
         let body = serde_json::to_vec(&AppendRequest { data })
             .map_err(|e| invalid(step, self.address, e))?;
-        let response: AppendResponse =
-            self.call(step, Method::POST, &path, body.into(), RESPONSE_TIMEOUT).await?;
-        Ok(response.offset)
+        let call = Call {
+            step,
+            method: Method::POST,
+            path_and_query: &path,
+            body: body.into(),
+            timeout: RESPONSE_TIMEOUT,
+            max_response_bytes: MAX_RESPONSE_BYTES,
+        };
+        let response = self.call(call).await?;
+        let AppendResponse { offset } = self.parse(step, response)?;
+        Ok(offset)
     }
 
-    /// Long-polls for records from an offset on. A poll that is not answered soon after its wait is
-    /// hedged by a read without wait on another connection, as its response may be lost.
+    /// Long-polls for records from an offset on. Records that can't be parsed are logged and skipped. A
+    /// poll that is not answered soon after its wait is hedged by a read without wait on another
+    /// connection, as its response may be lost.
     ///
     /// Fails if the platform can't be reached or doesn't respond in time.
-    pub async fn read(&self, stream: &str, from: Offset, wait: Duration) -> Result<Page> {
+    pub async fn read<T: DeserializeOwned>(
+        &self,
+        stream: &str,
+        from: Offset,
+        wait: Duration,
+    ) -> Result<StreamRead<T>> {
         if wait.is_zero() {
             return self.read_once(stream, from, wait).await;
         }
@@ -85,62 +122,129 @@
         }
     }
 
-    async fn read_once(&self, stream: &str, from: Offset, wait: Duration) -> Result<Page> {
-        let query = ReadQuery { from, limit: MAX_PAGE_RECORDS, wait_ms: wait };
+    async fn read_once<T: DeserializeOwned>(
+        &self,
+        stream: &str,
+        from: Offset,
+        wait: Duration,
+    ) -> Result<StreamRead<T>> {
+        let mut query = ReadQuery { from, limit: MAX_PAGE_RECORDS, wait_ms: wait };
+        loop {
+            match self.read_page(stream, query).await? {
+                ResponseBody::Complete(body) => {
+                    let parsed = parse_page(stream, query.from, &body);
+                    return parsed.map_err(|e| indeterminate(Step::ReadLog, self.address, e));
+                }
+                ResponseBody::TooLarge if query.limit > 1 => query.limit /= 2,
+                ResponseBody::TooLarge => {
+                    log_unreadable(stream, query.from, "it is larger than a response may be");
+                    query = ReadQuery { from: query.from.saturating_add(1), ..query };
+                    query.limit = MAX_PAGE_RECORDS;
+                }
+            }
+        }
+    }
+
+    async fn read_page(&self, stream: &str, query: ReadQuery) -> Result<ResponseBody> {
         let path = format!(
             "/v1/streams/{stream}/records?from={}&limit={}&wait_ms={}",
             query.from,
             query.limit,
             query.wait_ms.as_millis()
         );
-        self.call(Step::ReadLog, Method::GET, &path, Bytes::new(), wait + RESPONSE_TIMEOUT).await
+        let call = Call {
+            step: Step::ReadLog,
+            method: Method::GET,
+            path_and_query: &path,
+            body: Bytes::new(),
+            timeout: query.wait_ms + RESPONSE_TIMEOUT,
+            max_response_bytes: if query.limit > 1 { MAX_PAGE_BYTES } else { MAX_RESPONSE_BYTES },
+        };
+        self.call(call).await
     }
 
-    /// Reads a stream up to the end that it has when the read starts.
+    /// Reads a stream up to the end that it has when the read starts, page by page.
     ///
     /// Fails as [`PlatformClient::read`] does.
-    pub async fn read_to_end(&self, stream: &str, from: Offset) -> Result<Page> {
-        let mut result = self.read(stream, from, Duration::ZERO).await?;
-        let end = result.end;
-        while let Some(next) = result.records.last().map(|r| r.offset + 1).filter(|&o| o < end) {
+    pub async fn read_pages_to_end<T: DeserializeOwned>(
+        &self,
+        stream: &str,
+        from: Offset,
+        mut on_page: impl FnMut(StreamRead<T>),
+    ) -> Result<()> {
+        let mut next = from;
+        let mut end = None;
+        loop {
             let page = self.read(stream, next, Duration::ZERO).await?;
-            if page.records.is_empty() {
-                break;
+            let end = *end.get_or_insert(page.end);
+            let is_last = page.next >= end || page.next <= next;
+            next = page.next;
+            on_page(page);
+            if is_last {
+                return Ok(());
             }
-            result.records.extend(page.records);
         }
-        Ok(result)
+    }
+
+    /// Reads a stream up to the end that it has when the read starts.
+    ///
+    /// Fails as [`PlatformClient::read`] does.
+    pub async fn read_to_end<T: DeserializeOwned>(
+        &self,
+        stream: &str,
+        from: Offset,
+    ) -> Result<StreamRead<T>> {
+        let mut result: Option<StreamRead<T>> = None;
+        self.read_pages_to_end(stream, from, |page| match &mut result {
+            Some(result) => {
+                result.next = page.next;
+                result.records.extend(page.records);
+            }
+            None => result = Some(page),
+        })
+        .await?;
+        let empty = StreamRead { first: from, end: from, next: from, records: Vec::new() };
+        Ok(result.unwrap_or(empty))
     }
 
     /// Reads the VM list, which is updated with a delay.
     ///
     /// Fails if the platform can't be reached or doesn't respond in time.
     pub async fn list_vms(&self) -> Result<VmList> {
-        self.call(Step::ListVms, Method::GET, "/v1/vms", Bytes::new(), RESPONSE_TIMEOUT).await
+        let step = Step::ListVms;
+        let call = Call {
+            step,
+            method: Method::GET,
+            path_and_query: "/v1/vms",
+            body: Bytes::new(),
+            timeout: RESPONSE_TIMEOUT,
+            max_response_bytes: MAX_RESPONSE_BYTES,
+        };
+        let response = self.call(call).await?;
+        self.parse(step, response)
     }
 
-    async fn call<T: DeserializeOwned>(
-        &self,
-        step: Step,
-        method: Method,
-        path_and_query: &str,
-        body: Bytes,
-        timeout: Duration,
-    ) -> Result<T> {
-        let exchange = self.exchange(step, method, path_and_query, body);
-        match tokio::time::timeout(timeout, exchange).await {
+    fn parse<T: DeserializeOwned>(&self, step: Step, response: ResponseBody) -> Result<T> {
+        match response {
+            ResponseBody::Complete(body) => {
+                serde_json::from_slice(&body).map_err(|e| indeterminate(step, self.address, e))
+            }
+            ResponseBody::TooLarge => {
+                Err(indeterminate(step, self.address, "the response is too large"))
+            }
+        }
+    }
+
+    async fn call(&self, call: Call<'_>) -> Result<ResponseBody> {
+        let (step, timeout) = (call.step, call.timeout);
+        match tokio::time::timeout(timeout, self.exchange(call)).await {
             Ok(result) => result,
             Err(_) => Err(timed_out(step, self.address, "no answer in time")),
         }
     }
 
-    async fn exchange<T: DeserializeOwned>(
-        &self,
-        step: Step,
-        method: Method,
-        path_and_query: &str,
-        body: Bytes,
-    ) -> Result<T> {
+    async fn exchange(&self, call: Call<'_>) -> Result<ResponseBody> {
+        let Call { step, method, path_and_query, body, timeout: _, max_response_bytes } = call;
         let uri = Uri::builder()
             .scheme("http")
             .authority(self.address.to_string())
@@ -156,12 +260,14 @@
         let response =
             self.http.request(request).await.map_err(|e| self.transport_error(step, &e))?;
         let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
-        let body = body.map_err(|e| indeterminate(step, self.address, e))?.to_bytes();
+        let body = Limited::new(response.into_body(), max_response_bytes).collect().await;
+        let body = match body {
+            Ok(body) => body.to_bytes(),
+            Err(error) if error.is::<LengthLimitError>() => return Ok(ResponseBody::TooLarge),
+            Err(error) => return Err(indeterminate(step, self.address, error)),
+        };
         match status {
-            StatusCode::OK => {
-                serde_json::from_slice(&body).map_err(|e| indeterminate(step, self.address, e))
-            }
+            StatusCode::OK => Ok(ResponseBody::Complete(body)),
             status if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE => {
                 Err(refused(step, self.address, status))
             }
--- a/crates/platform/src/interface.rs
+++ b/crates/platform/src/interface.rs
@@ -45,14 +45,14 @@
 }
 
 /// One record of a stream.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Record {
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Record<T = serde_json::Value> {
     /// The record's position.
     pub offset: Offset,
     /// When it was appended, in milliseconds since the Unix epoch.
     pub time_ms: u64,
     /// The record's content.
-    pub data: serde_json::Value,
+    pub data: T,
 }
 
 /// Response to `GET /v1/vms`.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,8 @@
 
 mod client;
 mod interface;
+mod stream_read;
 
 pub use client::PlatformClient;
 pub use interface::{AppendRequest, AppendResponse, Page, ReadQuery, Record, Vm, VmList, VmState};
+pub use stream_read::StreamRead;
--- a/crates/standin/tests/lost_poll.rs
+++ b/crates/standin/tests/lost_poll.rs
@@ -14,8 +14,9 @@
         .expect("platform starts");
     let client = PlatformClient::new(server.address());
     server.log.set_faults(Faults { is_silent: true, ..Faults::default() });
-    let polling =
-        tokio::spawn(async move { client.read(STREAM, 0, Duration::from_millis(100)).await });
+    let polling = tokio::spawn(async move {
+        client.read::<serde_json::Value>(STREAM, 0, Duration::from_millis(100)).await
+    });
     while server.log.lost_read_count(STREAM) == 0 {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
