--- a/crates/lynxmount/tests/platform_entry.rs
+++ b/crates/lynxmount/tests/platform_entry.rs
@@ -584,7 +584,8 @@
     fleet.store.put(REGISTRATIONS_TOPIC, "i-other", text);
     fleet.store.put(REGISTRATIONS_TOPIC, "i-unread", "\u{0}\u{1}[");
     wait_for("both log records", async || {
-        fleet.entry.logged_with_prefix("unreadable registration").len() >= 2
+        let lines = fleet.entry.logged("unreadable record");
+        lines.iter().filter(|line| line["attributes"]["topic"] == REGISTRATIONS_TOPIC).count() >= 2
     })
     .await;
 
--- /dev/null
+++ b/crates/lynxmount/tests/platform_odd_records.rs
@@ -0,0 +1,97 @@
+//! Entries on the users' platform beside records that another writer has left in the store.
+
+mod crowd;
+mod platform_common;
+
+use std::{net::SocketAddr, time::Duration};
+
+use crowd::Held;
+use http::{Method, StatusCode};
+use lynxmount_platform_standin::{
+    Behaviour,
+    fixture::{
+        CONFIG_KEY, CRASH_REPORTS_TOPIC, IDEMPOTENT, OPERATOR_TOPIC, PEERS_TOPIC,
+        REGISTRATIONS_TOPIC,
+    },
+};
+use platform_common::{
+    CALLERS_PORT, Fleet, KEY, Process, REPLICA_PORT, call, config, entry_ip, entry_settings, ip,
+    registration, wait_for,
+};
+
+const REPLICAS: [Behaviour; 3] = [Behaviour::Answer, Behaviour::Answer, Behaviour::Answer];
+
+/// The memory of an entry.
+const MEMORY_BYTES: u64 = 128_000_000;
+
+/// The size of a value that ends its page of a list.
+const PAGE_BYTES: usize = 1_000_000;
+
+/// An unreadable value with this many bytes.
+fn odd_value(bytes: usize) -> String {
+    "[".repeat(bytes)
+}
+
+async fn lookup(entry: SocketAddr) -> Option<StatusCode> {
+    let answer = call(entry, Method::GET, &format!("/{IDEMPOTENT}/7"), KEY).await;
+    answer.map(|answer| answer.status)
+}
+
+/// A second entry, which reads all lists from their beginning.
+fn start_second_entry(fleet: &Fleet) -> (Process, SocketAddr) {
+    let address = entry_ip(fleet.network, 1);
+    let settings = entry_settings(address, fleet.store.address(), &[]);
+    (Process::start("platform-entry", &settings), (address, CALLERS_PORT).into())
+}
+
+async fn wait_until_answered(entry: SocketAddr) {
+    wait_for("an answer", async || lookup(entry).await == Some(StatusCode::OK)).await;
+}
+
+/// Guards against entries that follow nothing any more, or run out of memory, as a key or a value of
+/// another writer is odd.
+#[tokio::test]
+async fn lookups_are_answered_beside_odd_records_in_all_lists() {
+    let fleet = Fleet::start(IDEMPOTENT, &REPLICAS).await;
+    for topic in [REGISTRATIONS_TOPIC, PEERS_TOPIC, CRASH_REPORTS_TOPIC, OPERATOR_TOPIC] {
+        fleet.store.put(topic, "", &odd_value(PAGE_BYTES));
+        for key in ["a b", "zz\u{e9}#", "#"] {
+            fleet.store.put(topic, key, &odd_value(PAGE_BYTES));
+        }
+    }
+
+    let (process, entry) = start_second_entry(&fleet);
+    wait_until_answered(entry).await;
+    // What is written behind the odd records is read, too.
+    fleet.store.put(OPERATOR_TOPIC, CONFIG_KEY, &config(2, &["another key"]));
+    wait_for("the second configuration", async || {
+        lookup(entry).await == Some(StatusCode::UNAUTHORIZED)
+    })
+    .await;
+
+    let unreadable = process.logged("unreadable record");
+    for topic in [REGISTRATIONS_TOPIC, PEERS_TOPIC, CRASH_REPORTS_TOPIC] {
+        let is_logged = unreadable.iter().any(|line| {
+            let attributes = &line["attributes"];
+            attributes["topic"] == topic && attributes["key"] == "a b" && attributes["offset"] != ""
+        });
+        assert!(is_logged, "{topic}: {unreadable:?}");
+    }
+    let held = Held::by(process.child.id());
+    assert!(held.peak_bytes <= MEMORY_BYTES, "{} bytes of memory", held.peak_bytes);
+}
+
+/// Guards against a reader that holds all pages of a list until it has read the last.
+#[tokio::test]
+async fn memory_is_bounded_beside_many_large_records() {
+    let fleet = Fleet::start(IDEMPOTENT, &REPLICAS).await;
+    for number in 0..250 {
+        fleet.store.put(REGISTRATIONS_TOPIC, &format!("odd-{number}"), &odd_value(900_000));
+    }
+
+    let (process, entry) = start_second_entry(&fleet);
+    wait_until_answered(entry).await;
+
+    let held = Held::by(process.child.id());
+    assert!(held.peak_bytes <= MEMORY_BYTES, "{} bytes of memory", held.peak_bytes);
+}
