An unreadable configuration leaves the one in force

What operators saw: a configuration that can't be parsed fails the read, so that it is read again and again, the store counts as lost, and what stands beside it is not applied until a later one comes.

Cause: the position moved only with a configuration that could be parsed, and only the newest by its version was tried.

--- a/crates/lynxmount/tests/platform_odd_records.rs
+++ b/crates/lynxmount/tests/platform_odd_records.rs
@@ -95,3 +95,25 @@
     let held = Held::by(process.child.id());
     assert!(held.peak_bytes <= MEMORY_BYTES, "{} bytes of memory", held.peak_bytes);
 }
+
+#[tokio::test]
+async fn a_configuration_is_followed_behind_an_unreadable_one() {
+    let fleet = Fleet::start(IDEMPOTENT, &REPLICAS).await;
+    wait_until_answered(fleet.address()).await;
+
+    fleet.store.put(OPERATOR_TOPIC, CONFIG_KEY, r#"{"Version":2,"Routes":[{"TimeoutMs":1e999}]}"#);
+    wait_for("the unreadable configuration", async || {
+        let lines = fleet.entry.logged("unreadable record");
+        lines.iter().any(|line| line["attributes"]["key"] == CONFIG_KEY)
+    })
+    .await;
+    let served = lookup(fleet.address()).await;
+    fleet.store.put(OPERATOR_TOPIC, CONFIG_KEY, &config(3, &["another key"]));
+
+    assert_eq!(served, Some(StatusCode::OK));
+    wait_for("the third configuration", async || {
+        lookup(fleet.address()).await == Some(StatusCode::UNAUTHORIZED)
+    })
+    .await;
+    assert_eq!(fleet.entry.logged("dependency lost").len(), 0);
+}
