--- a/crates/lynxmount/tests/platform_odd_records.rs
+++ b/crates/lynxmount/tests/platform_odd_records.rs
@@ -117,3 +117,33 @@
     .await;
     assert_eq!(fleet.entry.logged("dependency lost").len(), 0);
 }
+
+/// Guards against capacities that overflow, and against calls that wait for an address where nothing
+/// can listen.
+#[tokio::test]
+async fn lookups_are_answered_beside_registrations_with_numbers_out_of_range() {
+    let fleet = Fleet::start(IDEMPOTENT, &REPLICAS).await;
+    let sound = registration(&fleet.replicas[0], IDEMPOTENT, "ready");
+    let own = fleet.replicas[0].address.to_string();
+    let odd = [
+        sound.replace("\"Slots\":8", "\"Slots\":4294967295"),
+        sound.replace(&format!(":{REPLICA_PORT}"), ":0"),
+        sound.replace(&own, "0.0.0.0:8110"),
+        sound.replace(&own, "255.255.255.255:8110"),
+        sound.replace(&own, &format!("{}:70000", ip(fleet.network, 100))),
+    ];
+    // The first one is another description of a live replica.
+    fleet.store.put(REGISTRATIONS_TOPIC, "i-0", &odd[0]);
+    for (index, odd) in odd.iter().enumerate().skip(1) {
+        fleet.store.put(REGISTRATIONS_TOPIC, &format!("odd-{index}"), odd);
+    }
+    wait_for("the odd registrations", async || {
+        fleet.entry.logged("unreadable record").len() >= odd.len() - 1
+    })
+    .await;
+
+    for _ in 0..30 {
+        assert_eq!(lookup(fleet.address()).await, Some(StatusCode::OK));
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
