Who answers at an address decides which registration is valid

What callers saw: another writer registers an endpoint at the address of each live replica, and no lookup is answered any more until another replica registers: all calls go to ids that nobody has.

Cause: of several registrations at one address the one that was listed later, or names a later start, was valid. The replicas' answers, each of which says that it is another one, were not taken for evidence.

Change: an answer for another endpoint marks the incarnation that was called. Of the registrations at an address those without a mark are preferred, then the one whose mark is oldest, then the order as before. So a reused address goes over with the first answer for its new endpoint, and back with the first one against it. Marks end with their registration. Renewals are not compared: an answer is there within one call, a missed renewal after two heartbeats.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -26,6 +26,7 @@
 mod health_check;
 mod limit_gossip;
 mod listener;
+mod misdirections;
 mod peers;
 mod pool;
 mod process;
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -27,6 +27,7 @@
     handler::Handler,
     limit_gossip::LimitGossip,
     listener::{self, peer_timeouts},
+    misdirections::Misdirections,
     peers::{PeerHandler, Peers},
     readiness::ReadinessHandler,
     service::ServiceContext,
@@ -77,6 +78,7 @@
         Arc::clone(&dialect) as _,
     );
     let limit_gossip = Arc::new(LimitGossip::default());
+    let misdirections = Arc::new(Misdirections::default());
     let retry_budget = WindowBudgetOptions {
         ratio: settings.bounds.retry_ratio,
         slack: settings.bounds.retry_slack,
@@ -89,6 +91,7 @@
         crash_detector: Arc::new(crash_detector),
         metrics: Arc::clone(&metrics),
         limit_gossip: Arc::clone(&limit_gossip),
+        misdirections: Arc::clone(&misdirections),
     };
     let endpoint_set = Arc::new(EndpointSet::new(service_context, retry_budget));
     let peers = Arc::new(Peers::new(peer_address, settings.seeds.clone()));
@@ -160,6 +163,7 @@
     tokio::spawn(Arc::clone(&watch).watch_config());
     tokio::spawn(Arc::clone(&watch).watch_endpoints());
     tokio::spawn(Arc::clone(&watch).serve_pull_requests());
+    tokio::spawn(Arc::clone(&watch).apply_misdirections(misdirections));
     tokio::spawn(watch.watch_peers(settings.process.to_string(), peer_address));
     let (watched_budget, limiting_fleet) = (budget.clone(), Arc::clone(&fleet));
     tokio::spawn(watched_budget.watch(move || {
--- a/crates/direct/src/service/mod.rs
+++ b/crates/direct/src/service/mod.rs
@@ -25,6 +25,7 @@
     crash_detector::{CrashDetector, DisconnectedCall},
     endpoint::{Endpoint, Permit},
     limit_gossip::LimitGossip,
+    misdirections::Misdirections,
     peers::EntryShares,
 };
 
@@ -74,6 +75,7 @@
     pub(crate) crash_detector: Arc<CrashDetector>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) limit_gossip: Arc<LimitGossip>,
+    pub(crate) misdirections: Arc<Misdirections>,
 }
 
 /// A service with its endpoints, and its queue of waiting calls.
@@ -85,6 +87,7 @@
     crash_detector: Arc<CrashDetector>,
     metrics: Arc<Metrics>,
     limit_gossip: Arc<LimitGossip>,
+    misdirections: Arc<Misdirections>,
     inner: Mutex<Inner>,
 }
 
@@ -97,9 +100,19 @@
             crash_detector,
             metrics,
             limit_gossip,
+            misdirections,
         } = context;
         let inner = Mutex::new(Inner::new(history, Arc::clone(&mechanisms)));
-        Service { clock, group_stall, mechanisms, crash_detector, metrics, limit_gossip, inner }
+        Service {
+            clock,
+            group_stall,
+            mechanisms,
+            crash_detector,
+            metrics,
+            limit_gossip,
+            misdirections,
+            inner,
+        }
     }
 
     pub(crate) fn update<'a>(
@@ -208,6 +221,7 @@
     /// Records that another endpoint responds at an endpoint's address. This is no crash if the
     /// endpoint has left.
     pub(crate) fn on_replaced(&self, endpoint: &Endpoint) {
+        self.misdirections.record(endpoint.incarnation);
         if !self.has_left(endpoint) {
             self.crash_detector.on_replaced(endpoint);
         }
--- a/crates/direct/src/watch.rs
+++ b/crates/direct/src/watch.rs
@@ -19,7 +19,10 @@
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
-use crate::{config_poll::ConfigPoll, endpoint_set::EndpointSet, fleet::Fleet, peers::Peers};
+use crate::{
+    config_poll::ConfigPoll, endpoint_set::EndpointSet, fleet::Fleet, misdirections::Misdirections,
+    peers::Peers,
+};
 
 /// Polling period of registrations, as a fraction of the time within which a draining endpoint must
 /// get no more calls. It leaves time for one lost read.
@@ -201,6 +204,26 @@
         self.update_endpoint_set();
     }
 
+    /// Lets other registrations take the addresses at which calls were misdirected, until the task is
+    /// dropped.
+    pub(crate) async fn apply_misdirections(
+        self: Arc<FleetWatch<S>>,
+        misdirections: Arc<Misdirections>,
+    ) {
+        loop {
+            let incarnations = misdirections.next().await;
+            let now = self.clock.now();
+            let mut membership = self.membership.lock();
+            let contested = incarnations.iter().filter(|i| membership.on_misdirected(**i, now));
+            let contested = contested.count();
+            drop(membership);
+            if contested > 0 {
+                log::warn!(contested; "registrations disproved");
+                self.update_endpoint_set();
+            }
+        }
+    }
+
     /// Registers this process and watches the addresses of its peers until the task is dropped.
     pub(crate) async fn watch_peers(self: Arc<FleetWatch<S>>, name: String, own: SocketAddr) {
         if let Ok((_, former)) = self.source.peers().await {
--- a/crates/lynxmount/tests/platform_odd_records.rs
+++ b/crates/lynxmount/tests/platform_odd_records.rs
@@ -85,12 +85,17 @@
 #[tokio::test]
 async fn memory_is_bounded_beside_many_large_records() {
     let fleet = Fleet::start(IDEMPOTENT, &REPLICAS).await;
-    for number in 0..250 {
+    const RECORDS: usize = 250;
+    for number in 0..RECORDS {
         fleet.store.put(REGISTRATIONS_TOPIC, &format!("odd-{number}"), &odd_value(900_000));
     }
 
     let (process, entry) = start_second_entry(&fleet);
     wait_until_answered(entry).await;
+    wait_for("the whole list", async || {
+        process.logged_with_prefix("unreadable re").len() >= RECORDS
+    })
+    .await;
 
     let held = Held::by(process.child.id());
     assert!(held.peak_bytes <= MEMORY_BYTES, "{} bytes of memory", held.peak_bytes);
@@ -118,6 +123,30 @@
     assert_eq!(fleet.entry.logged("dependency lost").len(), 0);
 }
 
+/// Guards against a registration of another writer that takes the address of a live replica.
+#[tokio::test]
+async fn lookups_are_answered_beside_odd_registrations_at_the_addresses_of_all_replicas() {
+    let fleet = Fleet::start(IDEMPOTENT, &REPLICAS).await;
+    wait_until_answered(fleet.address()).await;
+
+    let reads = fleet.store.request_count_of_topic(REGISTRATIONS_TOPIC);
+    for (index, replica) in fleet.replicas.iter().enumerate() {
+        let odd = registration(replica, IDEMPOTENT, "ready");
+        let odd = odd.replacen('{', r#"{"born":18446744073709551615,"#, 1 - index % 2);
+        fleet.store.put(REGISTRATIONS_TOPIC, &format!("odd-{index}"), &odd);
+    }
+    wait_for("reads of the odd registrations", async || {
+        fleet.store.request_count_of_topic(REGISTRATIONS_TOPIC) >= reads + 2
+    })
+    .await;
+
+    // Replicas renew nothing here, so that only their answers tell them from the odd ones.
+    wait_until_answered(fleet.address()).await;
+    for _ in 0..10 {
+        assert_eq!(lookup(fleet.address()).await, Some(StatusCode::OK));
+    }
+}
+
 /// Guards against capacities that overflow, and against calls that wait for an address where nothing
 /// can listen.
 #[tokio::test]
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -8,14 +8,24 @@
 //! for three heartbeats. Of two registrations at one address that of the later incarnation is
 //! valid: half of the calls after a loss of power went to ids that were gone.
 //!
+//! Another writer may register an endpoint at the address of a live one. So which registration is
+//! valid is decided by who answers there: one for which another endpoint has answered yields to those
+//! of which that is not known, or was known before.
+//!
 //! The store may also come back from an older copy, between two reads that both succeed. The lists
 //! then have positions of a later era, and what they lack or contain is confirmed before it counts:
 //! live endpoints may be missing, and endpoints that have left may be back.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    cmp::Ordering,
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use lynxmount_core::{
-    EndpointId, EndpointList, EndpointRecord, EndpointState, LogEra, LogPosition, ServiceId,
+    EndpointId, EndpointIncarnation, EndpointList, EndpointRecord, EndpointState, LogEra,
+    LogPosition, ServiceId,
 };
 
 use crate::{
@@ -70,6 +80,8 @@
     /// Until when missing registrations may reappear.
     grace_until: Duration,
     restored: RestoredRegistrations,
+    /// When another endpoint last answered a call to an incarnation.
+    misdirected: BTreeMap<EndpointIncarnation, Duration>,
 }
 
 impl Default for Membership {
@@ -94,6 +106,7 @@
             as_of: LogPosition::default(),
             grace_until: Duration::ZERO,
             restored: RestoredRegistrations::default(),
+            misdirected: BTreeMap::new(),
         }
     }
 
@@ -144,7 +157,7 @@
         let mut latest: BTreeMap<SocketAddr, &EndpointRecord> = BTreeMap::new();
         for record in self.missing.values().chain(self.listed.values()).filter(configured) {
             let known = latest.entry(record.address).or_insert(record);
-            if self.is_later(record, known) {
+            if self.is_preferred(record, known) {
                 *known = record;
             }
         }
@@ -155,6 +168,21 @@
         maybe_alive.filter(is_latest).cloned().collect()
     }
 
+    /// Records that another endpoint has answered a call to an incarnation. Returns whether another
+    /// registration has its address, which may be the valid one.
+    pub fn on_misdirected(&mut self, incarnation: EndpointIncarnation, now: Duration) -> bool {
+        let registered = || self.listed.values().chain(self.missing.values());
+        let Some(record) = registered().find(|record| record.incarnation() == incarnation) else {
+            return false;
+        };
+        let is_other = |other: &&EndpointRecord| {
+            other.address == record.address && other.incarnation() != incarnation
+        };
+        let is_contested = registered().any(|other| is_other(&other));
+        self.misdirected.insert(incarnation, now);
+        is_contested
+    }
+
     /// The endpoints that drain or have left, as far as that is known.
     fn known(&self) -> BTreeMap<EndpointId, KnownIncarnation> {
         let last_known = |id: &EndpointId| match self.listed.get(id) {
@@ -184,6 +212,32 @@
             history.started_ms = started_ms;
         }
         self.ids.retain(|_, history| now < history.last_listed + ID_RETENTION);
+        self.forget_misdirected();
+    }
+
+    /// Forgets incarnations that are no longer registered.
+    fn forget_misdirected(&mut self) {
+        if self.misdirected.is_empty() {
+            return;
+        }
+        let registered = self.listed.values().chain(self.missing.values());
+        let registered: BTreeSet<EndpointIncarnation> =
+            registered.map(EndpointRecord::incarnation).collect();
+        self.misdirected.retain(|incarnation, _| registered.contains(incarnation));
+    }
+
+    /// Whether a record is valid, rather than another one at its address.
+    fn is_preferred(&self, record: &EndpointRecord, other: &EndpointRecord) -> bool {
+        if self.misdirected.is_empty() {
+            return self.is_later(record, other);
+        }
+        let misdirected_at =
+            |record: &EndpointRecord| self.misdirected.get(&record.incarnation()).copied();
+        match misdirected_at(record).cmp(&misdirected_at(other)) {
+            Ordering::Less => true,
+            Ordering::Equal => self.is_later(record, other),
+            Ordering::Greater => false,
+        }
     }
 
     /// Whether a record is of a later incarnation than another: by the start times of both, or
