A process that may replace another one elsewhere starts with a small part of its share

Cause: a process whose address was not listed passed for one without a predecessor, and took its steady share of the slack after 2 s, although the process that it replaces had spent that share in the same window. Once the former registration is dropped, nothing else counts it.

Change: only in the first start of the whole system (a setting of the platform), and at an address that is not listed, has a process no predecessor. All others start slowly, as those that start again at their address do. The log says which it is. The stand-in's settings name the first start, as those of the platform do.

Cost: an entry that is added or replaced has few retries in its first 10 s.

--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -38,24 +38,32 @@
 pub(crate) struct Peers {
     own_address: SocketAddr,
     seeds: Vec<SocketAddr>,
+    /// Whether the whole system starts for the first time.
+    is_first_start: bool,
     registered: Mutex<RegisteredPeers>,
     /// Known from the first list of registrations that is read.
     predecessor: Mutex<Option<Predecessor>>,
 }
 
 impl Peers {
-    pub(crate) fn new(own_address: SocketAddr, seeds: Vec<SocketAddr>) -> Peers {
+    pub(crate) fn new(
+        own_address: SocketAddr,
+        seeds: Vec<SocketAddr>,
+        is_first_start: bool,
+    ) -> Peers {
         let (registered, predecessor) = (Mutex::default(), Mutex::default());
-        Peers { own_address, seeds, registered, predecessor }
+        Peers { own_address, seeds, is_first_start, registered, predecessor }
     }
 
-    /// Records the first list of registrations that this process has read, before it registers. It
-    /// has no predecessor if its address is not listed.
+    /// Records the first list of registrations that this process has read, before it registers. Only
+    /// in the first start of the whole system, and at an address that is not listed, it has no
+    /// predecessor: later, it may replace a process at another address.
     pub(crate) fn set_listed_before(&self, registrations: &[PeerRegistration]) {
-        let predecessor = match self.is_listed(registrations) {
-            true => Predecessor::Possible,
-            false => Predecessor::None,
+        let predecessor = match self.is_first_start && !self.is_listed(registrations) {
+            true => Predecessor::None,
+            false => Predecessor::Possible,
         };
+        log::info!(predecessor:? = predecessor; "predecessor determined");
         self.predecessor.lock().get_or_insert(predecessor);
     }
 
--- a/crates/lynxmount/tests/platform_retry_budget.rs
+++ b/crates/lynxmount/tests/platform_retry_budget.rs
@@ -4,7 +4,7 @@
 mod platform_common;
 
 use std::{
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -53,6 +53,8 @@
     store: StoreStandin,
     replicas: Vec<ReplicaStandin>,
     entries: Vec<Process>,
+    /// The addresses of the entries.
+    addresses: Arc<Mutex<Vec<IpAddr>>>,
     started: Instant,
     sent: Arc<Mutex<Vec<Duration>>>,
     /// What callers got; `None` without a whole answer.
@@ -78,22 +80,26 @@
             store,
             replicas,
             entries: Vec::new(),
+            addresses: Arc::default(),
             started: Instant::now(),
             sent: Arc::default(),
             answers: Arc::default(),
         };
         cluster.register_replicas();
         for index in 0..entries {
-            let entry = cluster.start_entry(index);
+            let address = entry_ip(network, index);
+            let entry = cluster.start_entry(address, true);
             cluster.entries.push(entry);
+            cluster.addresses.lock().push(address);
         }
         cluster.wait_until_ready().await;
         cluster
     }
 
-    fn start_entry(&self, index: u8) -> Process {
-        let settings = entry_settings(entry_ip(self.network, index), self.store.address(), &[]);
-        Process::start("platform-entry", &settings)
+    fn start_entry(&self, address: IpAddr, is_first_start: bool) -> Process {
+        let settings = entry_settings(address, self.store.address(), &[]);
+        let first_start = format!("FirstStart={is_first_start}\n");
+        Process::start("platform-entry", &settings.replace("FirstStart=true\n", &first_start))
     }
 
     fn register_replicas(&self) {
@@ -104,8 +110,9 @@
     }
 
     async fn wait_until_ready(&self) {
-        for index in 0..self.entries.len() as u8 {
-            let readiness = SocketAddr::new(entry_ip(self.network, index), READINESS_PORT);
+        let addresses = self.addresses.lock().clone();
+        for address in addresses {
+            let readiness = SocketAddr::new(address, READINESS_PORT);
             wait_for("readiness", async || get(readiness, "/lynxmount/readyz").await.is_some())
                 .await;
         }
@@ -126,16 +133,17 @@
     fn send_requests(&self, pause: Duration) -> JoinSet<()> {
         let (sent, started, route) = (Arc::clone(&self.sent), self.started, self.route);
         let answers = Arc::clone(&self.answers);
-        let count = self.entries.len();
-        let addresses: Vec<SocketAddr> = (0..count as u8)
-            .map(|index| (entry_ip(self.network, index), CALLERS_PORT).into())
-            .collect();
+        let addresses = Arc::clone(&self.addresses);
         let mut callers = JoinSet::new();
         callers.spawn(async move {
             let mut requests = JoinSet::new();
             for number in 0.. {
                 sent.lock().push(started.elapsed());
-                let (address, answers) = (addresses[number % count], Arc::clone(&answers));
+                let address = {
+                    let addresses = addresses.lock();
+                    SocketAddr::new(addresses[number % addresses.len()], CALLERS_PORT)
+                };
+                let answers = Arc::clone(&answers);
                 requests.spawn(async move {
                     let answer = send_request(address, route, number).await;
                     answers.lock().push(answer);
@@ -166,7 +174,22 @@
             // The former process ends before its addresses are used again.
             self.entries[index].child.kill().expect("process runs");
             self.entries[index].child.wait().expect("process ends");
-            self.entries[index] = self.start_entry(index as u8);
+            let address = self.addresses.lock()[index];
+            self.entries[index] = self.start_entry(address, false);
+        }
+    }
+
+    /// Ends the entries in turn and starts one elsewhere for each at once. Nobody keeps the
+    /// registrations of those that have ended.
+    async fn replace_in_series(&mut self, replacements: usize, pause: Duration) {
+        for number in 0..replacements {
+            tokio::time::sleep(pause).await;
+            let index = number % self.entries.len();
+            let address = entry_ip(self.network, (self.entries.len() + number) as u8);
+            let replacement = self.start_entry(address, false);
+            drop(std::mem::replace(&mut self.entries[index], replacement));
+            let former = std::mem::replace(&mut self.addresses.lock()[index], address);
+            self.store.put(PEERS_TOPIC, &format!("node-{former}"), "");
         }
     }
 
@@ -259,6 +282,25 @@
     assert_within_budget(cluster.worst_window());
 }
 
+/// Guards against a process that passes for one without a predecessor as its address is new.
+#[tokio::test]
+async fn retry_budget_holds_while_entries_are_replaced_at_other_addresses() {
+    let runs = [(4, 25, 800), (2, 14, 1500)].map(|(entries, replacements, pause_ms)| async move {
+        let mut cluster = Cluster::start(entries, IDEMPOTENT, Behaviour::Fail).await;
+        cluster.wait_until_known().await;
+        let callers = cluster.send_requests(CALL_PAUSE);
+
+        cluster.replace_in_series(replacements, Duration::from_millis(pause_ms)).await;
+
+        drop(callers);
+        cluster.worst_window()
+    });
+
+    for worst in futures::future::join_all(runs).await {
+        assert_within_budget(worst);
+    }
+}
+
 /// Guards against a service that forgets its retries because a configuration lacks it for a moment.
 #[tokio::test]
 async fn retry_budget_holds_while_a_service_is_removed_and_added_in_series() {
--- a/crates/policy/src/window_budget.rs
+++ b/crates/policy/src/window_budget.rs
@@ -46,9 +46,9 @@
 /// Whether another process has used an entry's share of the slack before the current one.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Predecessor {
-    /// No process at the entry's address has ever run.
+    /// The entry is none that replaces another one, at its address or elsewhere.
     None,
-    /// One may have run until the current process started.
+    /// A process may have run until the current one started.
     #[default]
     Possible,
 }
