An accepted connection stays pending if accepting is canceled

What callers could see: a connection that was accepted is closed without a byte, without a line in the log.

Cause: accept took a connection and then waited until room was made for it. It is one branch of several: the drain, or the end of another connection, cancels it meanwhile, and the connection is dropped.

Change: an acceptor keeps the accepted connection until there is room for it; what is pending as the listener closes is served if there is room. A trial that made room before accepting was given up: a crowd that keeps its connections left no answer to an ordinary request (connections_that_are_ kept_after_a_request).

--- a/crates/direct/src/listener.rs
+++ b/crates/direct/src/listener.rs
@@ -13,7 +13,7 @@
 use hyper_util::rt::TokioTimer;
 use lynxmount_core::{CallerLimits, adapter::Dialect};
 use lynxmount_policy::{PeerKind, PeerTimeouts};
-use lynxmount_resources::{SharedBudget, TrackedConnection, accept, serve_connection};
+use lynxmount_resources::{Acceptor, SharedBudget, TrackedConnection, serve_connection};
 use tokio::{
     net::{TcpListener, TcpStream},
     time::Instant,
@@ -44,22 +44,22 @@
     handler: Arc<Handler<D>>,
     budget: SharedBudget,
 ) {
+    let mut acceptor = Acceptor::new(&listener, &budget, PeerKind::Caller);
     tokio::select! {
-        () = accept_all(&listener, &handler, &budget) => {}
+        () = accept_all(&mut acceptor, &handler) => {}
         () = handler.drain.reached(DrainPhase::NotAccepting) => {}
     }
+    if let Some((stream, connection)) = acceptor.into_pending() {
+        spawn_connection(stream, connection, &handler);
+    }
     if let Err(error) = accept_queued(listener, &handler, &budget) {
         log::warn!(error:% = error; "accept failed");
     }
 }
 
-async fn accept_all<D: Dialect>(
-    listener: &TcpListener,
-    handler: &Arc<Handler<D>>,
-    budget: &SharedBudget,
-) {
+async fn accept_all<D: Dialect>(acceptor: &mut Acceptor<'_>, handler: &Arc<Handler<D>>) {
     loop {
-        match accept(listener, budget, PeerKind::Caller).await {
+        match acceptor.accept().await {
             Ok((stream, connection)) => spawn_connection(stream, connection, handler),
             Err(error) => {
                 log::warn!(error:% = error; "accept failed");
--- a/crates/endpoint/src/data_port.rs
+++ b/crates/endpoint/src/data_port.rs
@@ -4,7 +4,7 @@
 
 use lynxmount_core::{Result, Step, invalid};
 use lynxmount_policy::PeerKind;
-use lynxmount_resources::accept;
+use lynxmount_resources::Acceptor;
 use tokio::{
     net::{TcpListener, TcpStream},
     task::JoinSet,
@@ -57,10 +57,11 @@
         let closing = CancellationToken::new();
         let mut connections = JoinSet::new();
         tokio::pin!(shutdown);
+        let mut acceptor = Acceptor::new(&self.listener, budget, PeerKind::Caller);
         loop {
             tokio::select! {
                 () = &mut shutdown => break,
-                accepted = accept(&self.listener, budget, PeerKind::Caller) => match accepted {
+                accepted = acceptor.accept() => match accepted {
                     Ok((stream, tracked)) => {
                         let connection = EntryConnection {
                             runner: Arc::clone(&self.runner),
@@ -76,6 +77,7 @@
                 Some(_) = connections.join_next() => {}
             }
         }
+        drop(acceptor);
         drop(self.listener);
         self.reporter.report_now();
         if tokio::time::timeout(DISCONNECT_TIMEOUT, all_closed(&mut connections)).await.is_err() {
--- a/crates/entry/src/callers_port.rs
+++ b/crates/entry/src/callers_port.rs
@@ -7,7 +7,7 @@
 use lynxmount_config::EntrySettings;
 use lynxmount_core::{Result, Step, invalid};
 use lynxmount_policy::PeerKind;
-use lynxmount_resources::{SharedBudget, TrackedConnection, accept};
+use lynxmount_resources::{Acceptor, SharedBudget, TrackedConnection};
 use tokio::{
     net::{TcpListener, TcpStream},
     task::JoinSet,
@@ -67,16 +67,20 @@
     pub(crate) async fn serve_until(self, shutdown: impl Future<Output = ()>) {
         let CallersPort { listener, budget, mut connections } = self;
         tokio::pin!(shutdown);
+        let mut acceptor = Acceptor::new(&listener, &budget, PeerKind::Caller);
         loop {
             tokio::select! {
                 () = &mut shutdown => break,
-                accepted = accept(&listener, &budget, PeerKind::Caller) => match accepted {
+                accepted = acceptor.accept() => match accepted {
                     Ok((stream, connection)) => connections.serve(stream, connection),
                     Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
                 },
                 Some(_) = connections.tasks.join_next() => {}
             }
         }
+        if let Some((stream, connection)) = acceptor.into_pending() {
+            connections.serve(stream, connection);
+        }
         for stream in accept_pending(listener) {
             if let Some(connection) = budget.open_now(PeerKind::Caller) {
                 connections.serve(stream, connection);
--- a/crates/link/src/server.rs
+++ b/crates/link/src/server.rs
@@ -13,7 +13,7 @@
 use lynxmount_core::{Result, Step, invalid};
 use lynxmount_policy::PeerKind;
 use lynxmount_resources::{
-    BufferedBody, SharedBudget, TrackedConnection, accept, serve_connection,
+    Acceptor, BufferedBody, SharedBudget, TrackedConnection, serve_connection,
 };
 use tokio::net::TcpListener;
 
@@ -63,8 +63,9 @@
 pub async fn serve(listener: TcpListener, handler: Arc<impl RequestHandler>, budget: SharedBudget) {
     let mut http = http1::Builder::new();
     http.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT).max_buf_size(MAX_HEAD_BYTES);
+    let mut acceptor = Acceptor::new(&listener, &budget, PeerKind::Internal);
     loop {
-        let (stream, connection) = match accept(&listener, &budget, PeerKind::Internal).await {
+        let (stream, connection) = match acceptor.accept().await {
             Ok(accepted) => accepted,
             Err(error) => {
                 log::warn!("accept failed: {error}");
--- a/crates/resources/src/lib.rs
+++ b/crates/resources/src/lib.rs
@@ -15,4 +15,4 @@
 pub use budget::{BudgetEvent, Exhausted, Reservation, SharedBudget};
 pub use connection::TrackedConnection;
 pub use metered_stream::MeteredStream;
-pub use server::{accept, serve_connection};
+pub use server::{Acceptor, serve_connection};
--- a/crates/resources/src/server.rs
+++ b/crates/resources/src/server.rs
@@ -27,20 +27,42 @@
 /// How often an evicted connection whose request runs is checked.
 const RUNNING_CHECK_PERIOD: Duration = Duration::from_secs(1);
 
-/// Accepts a connection. Ones for which there is no room are closed.
-///
-/// Fails if the listener does, usually for lack of descriptors.
-pub async fn accept(
-    listener: &TcpListener,
-    budget: &SharedBudget,
+/// Accepts the connections of a listener for which there is room.
+pub struct Acceptor<'a> {
+    listener: &'a TcpListener,
+    budget: SharedBudget,
     kind: PeerKind,
-) -> std::io::Result<(TcpStream, Arc<TrackedConnection>)> {
-    loop {
-        let (stream, _) = listener.accept().await?;
-        if let Some(connection) = budget.open(kind).await {
-            return Ok((stream, connection));
+    /// Was accepted, and waits until room is made for it.
+    pending: Option<TcpStream>,
+}
+
+impl<'a> Acceptor<'a> {
+    /// Starts without a pending connection.
+    pub fn new(listener: &'a TcpListener, budget: &SharedBudget, kind: PeerKind) -> Acceptor<'a> {
+        Acceptor { listener, budget: budget.clone(), kind, pending: None }
+    }
+
+    /// Accepts a connection. Ones for which there is no room are closed. Dropping the future loses no
+    /// connection: one that was accepted stays pending.
+    ///
+    /// Fails if the listener does, usually for lack of descriptors.
+    pub async fn accept(&mut self) -> std::io::Result<(TcpStream, Arc<TrackedConnection>)> {
+        loop {
+            if self.pending.is_none() {
+                self.pending = Some(self.listener.accept().await?.0);
+            }
+            let connection = self.budget.open(self.kind).await;
+            if let (Some(stream), Some(connection)) = (self.pending.take(), connection) {
+                return Ok((stream, connection));
+            }
         }
     }
+
+    /// The pending connection, if there is one and there is room for it now.
+    pub fn into_pending(self) -> Option<(TcpStream, Arc<TrackedConnection>)> {
+        let stream = self.pending?;
+        Some((stream, self.budget.open_now(self.kind)?))
+    }
 }
 
 /// Answers the request that has arrived completely, unless its peer does not read the response.
