--- a/crates/lynxmount/tests/platform_drain_requests.rs
+++ b/crates/lynxmount/tests/platform_drain_requests.rs
@@ -7,10 +7,10 @@
 use http::StatusCode;
 use lynxmount_platform_standin::{
     Behaviour,
-    fixture::{HOST, IDEMPOTENT, NON_IDEMPOTENT},
+    fixture::{CONFIG_KEY, HOST, IDEMPOTENT, NON_IDEMPOTENT, OPERATOR_TOPIC},
 };
 use nix::sys::signal::Signal;
-use platform_common::{Fleet, KEY, wait_for};
+use platform_common::{Fleet, KEY, config, wait_for};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -124,3 +124,24 @@
         assert_eq!(statuses(&received), [StatusCode::OK.as_u16()], "{received}");
     }
 }
+
+#[tokio::test]
+async fn calls_are_answered_while_configurations_change_around_sighup_and_sigterm() {
+    let fleet = Fleet::start(IDEMPOTENT, &[Behaviour::Echo { delay: SERVICE_TIME }]).await;
+    let request = head("a", "").replace(NON_IDEMPOTENT, IDEMPOTENT) + BODY;
+    let mut streams = Vec::new();
+    let signals = [Signal::SIGHUP, Signal::SIGHUP, Signal::SIGTERM, Signal::SIGHUP];
+    for (version, signal) in (2..).zip(signals) {
+        streams.push(connect(&fleet, &request).await);
+        let sent = streams.len();
+        wait_for("the call", async || fleet.arrivals() == sent).await;
+        fleet.store.put(OPERATOR_TOPIC, CONFIG_KEY, &config(version, &[KEY, "another key"]));
+        fleet.entry.signal(signal);
+        fleet.store.put(OPERATOR_TOPIC, CONFIG_KEY, &config(10 + version, &[KEY]));
+    }
+
+    for stream in streams {
+        let received = read_all(stream).await;
+        assert_eq!(statuses(&received), [StatusCode::OK.as_u16()], "{received}");
+    }
+}
