Soak: work on a machine that freezes again counts from its last thaw

The endpoint's machine is frozen by two faults that overlap. Its gate counts holds, so that it thaws with the last of them, while the check took only the freezes that had begun before the caller left, and so counted from the first thaw.

Change: the check follows freezes that overlap to their last thaw.

--- a/crates/soak/src/abandoned_calls.rs
+++ b/crates/soak/src/abandoned_calls.rs
@@ -6,7 +6,7 @@
 use lynxmount_platform_standin::fixture::CALLER_IDLE_TIMEOUT;
 
 use crate::{
-    history::{CallRecord, Disturbance, Disturbed, ExecutionRecord, History, Outcome},
+    history::{CallRecord, Disturbed, ExecutionRecord, History, Outcome},
     plan::LinkId,
     promises::{AFTEREFFECT_TIME, Promise, Violation, is_entry_disturbed, record_violation},
 };
@@ -78,16 +78,23 @@
 }
 
 /// When the close of an abandoned call reached its execution. A frozen machine detects it as it
-/// thaws; what it only starts then counts from when the caller left.
+/// thaws, after the last of several freezes that overlap; what it only starts then counts from when the
+/// caller left.
 fn closed_at(history: &History, call: &CallRecord, execution: &ExecutionRecord) -> Duration {
-    let is_frozen = |disturbance: &&Disturbance| {
-        disturbance.what == Disturbed::Frozen(execution.endpoint)
-            && disturbance.from <= call.ended
-            && disturbance.to > call.ended
-            && !execution.is_started_after_close
+    if execution.is_started_after_close {
+        return call.ended;
+    }
+    let frozen = Disturbed::Frozen(execution.endpoint);
+    let freezes = || history.disturbances.iter().filter(|freeze| freeze.what == frozen);
+    let thaw_after = |at: Duration| {
+        let lasting = freezes().filter(|freeze| freeze.from <= at && freeze.to > at);
+        lasting.map(|freeze| freeze.to).max()
     };
-    let thaws = history.disturbances.iter().filter(is_frozen).map(|disturbance| disturbance.to);
-    thaws.max().unwrap_or(call.ended)
+    let mut closed_at = call.ended;
+    while let Some(thaw) = thaw_after(closed_at) {
+        closed_at = thaw;
+    }
+    closed_at
 }
 
 /// Returns whether a link fault may have kept the close of the call's connection from the endpoint.
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -148,6 +148,27 @@
     assert_eq!(started, [Promise::NoWorkForGoneCallers]);
 }
 
+/// A machine thaws after the last of several freezes that overlap.
+#[test]
+fn work_on_a_machine_that_freezes_again_counts_from_its_last_thaw() {
+    let mut history = with_call(abandoned_stream("f"));
+    history.disturbances.push(disturbance(Disturbed::Frozen(6), 20.5, 24.0));
+    history.disturbances.push(disturbance(Disturbed::Frozen(6), 23.0, 26.0));
+    history.disturbances.push(disturbance(Disturbed::Frozen(6), 27.0, 28.0));
+    history.disturbances.push(disturbance(Disturbed::Frozen(7), 25.0, 29.0));
+    let running = |ended_s| ExecutionRecord {
+        is_started_after_close: false,
+        ..execution("f", ended_s, 29.0)
+    };
+    let with_execution = |execution| History { executions: vec![execution], ..history.clone() };
+
+    let ended = violated(&with_execution(running(26.1)));
+    let went_on = violated(&with_execution(running(26.6)));
+
+    assert_eq!(ended, []);
+    assert_eq!(went_on, [Promise::NoWorkForGoneCallers]);
+}
+
 #[test]
 fn events_received_before_the_caller_left_must_belong_to_its_call() {
     let abandoned = Outcome::Abandoned { received: echo_events("g", 2) };
