Marks of misdirected endpoints are kept by id

Cause: marks were kept by incarnation, whose digest was computed for every registration at every read while one mark lasts: some 30,000 digests a read at 10,000 endpoints, by calculation.

Change: marks are kept by id, with the start time; registrations are looked up. No change of behaviour.

Run: membership_contested_addresses and membership_after_restore pass.

--- a/crates/direct/src/service/mod.rs
+++ b/crates/direct/src/service/mod.rs
@@ -221,7 +221,7 @@
     /// Records that another endpoint responds at an endpoint's address. This is no crash if the
     /// endpoint has left.
     pub(crate) fn on_replaced(&self, endpoint: &Endpoint) {
-        self.misdirections.record(endpoint.incarnation);
+        self.misdirections.record(&endpoint.record);
         if !self.has_left(endpoint) {
             self.crash_detector.on_replaced(endpoint);
         }
--- a/crates/direct/src/watch.rs
+++ b/crates/direct/src/watch.rs
@@ -211,11 +211,11 @@
         misdirections: Arc<Misdirections>,
     ) {
         loop {
-            let incarnations = misdirections.next().await;
+            let endpoints = misdirections.next().await;
             let now = self.clock.now();
             let mut membership = self.membership.lock();
-            let contested = incarnations.iter().filter(|i| membership.on_misdirected(**i, now));
-            let contested = contested.count();
+            let is_contested = |(id, started_ms)| membership.on_misdirected(id, started_ms, now);
+            let contested = endpoints.into_iter().map(is_contested).filter(|c| *c).count();
             drop(membership);
             if contested > 0 {
                 log::warn!(contested; "registrations disproved");
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -16,16 +16,10 @@
 //! then have positions of a later era, and what they lack or contain is confirmed before it counts:
 //! live endpoints may be missing, and endpoints that have left may be back.
 
-use std::{
-    cmp::Ordering,
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-    time::Duration,
-};
+use std::{cmp::Ordering, collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use lynxmount_core::{
-    EndpointId, EndpointIncarnation, EndpointList, EndpointRecord, EndpointState, LogEra,
-    LogPosition, ServiceId,
+    EndpointId, EndpointList, EndpointRecord, EndpointState, LogEra, LogPosition, ServiceId,
 };
 
 use crate::{
@@ -61,6 +55,13 @@
     started_ms: Option<u64>,
 }
 
+/// An incarnation for which another endpoint has answered.
+#[derive(Clone, Copy, Debug)]
+struct Misdirected {
+    started_ms: Option<u64>,
+    last_at: Duration,
+}
+
 /// The endpoints that may be alive.
 #[derive(Debug)]
 pub struct Membership {
@@ -80,8 +81,8 @@
     /// Until when missing registrations may reappear.
     grace_until: Duration,
     restored: RestoredRegistrations,
-    /// When another endpoint last answered a call to an incarnation.
-    misdirected: BTreeMap<EndpointIncarnation, Duration>,
+    /// The endpoints for whose latest known incarnations others have answered.
+    misdirected: BTreeMap<EndpointId, Misdirected>,
 }
 
 impl Default for Membership {
@@ -168,18 +169,19 @@
         maybe_alive.filter(is_latest).cloned().collect()
     }
 
-    /// Records that another endpoint has answered a call to an incarnation. Returns whether another
-    /// registration has its address, which may be the valid one.
-    pub fn on_misdirected(&mut self, incarnation: EndpointIncarnation, now: Duration) -> bool {
-        let registered = || self.listed.values().chain(self.missing.values());
-        let Some(record) = registered().find(|record| record.incarnation() == incarnation) else {
-            return false;
-        };
-        let is_other = |other: &&EndpointRecord| {
-            other.address == record.address && other.incarnation() != incarnation
-        };
-        let is_contested = registered().any(|other| is_other(&other));
-        self.misdirected.insert(incarnation, now);
+    /// Records that another endpoint has answered a call to an incarnation, which its id and start time
+    /// name. Returns whether another registration has its address, which may be the valid one.
+    pub fn on_misdirected(
+        &mut self,
+        id: EndpointId,
+        started_ms: Option<u64>,
+        now: Duration,
+    ) -> bool {
+        let registered = self.listed.get(&id).or_else(|| self.missing.get(&id));
+        let Some(address) = registered.map(|record| record.address) else { return false };
+        let mut others = self.listed.values().chain(self.missing.values());
+        let is_contested = others.any(|other| other.address == address && other.id != id);
+        self.misdirected.insert(id, Misdirected { started_ms, last_at: now });
         is_contested
     }
 
@@ -212,27 +214,16 @@
             history.started_ms = started_ms;
         }
         self.ids.retain(|_, history| now < history.last_listed + ID_RETENTION);
-        self.forget_misdirected();
-    }
-
-    /// Forgets incarnations that are no longer registered.
-    fn forget_misdirected(&mut self) {
-        if self.misdirected.is_empty() {
-            return;
-        }
-        let registered = self.listed.values().chain(self.missing.values());
-        let registered: BTreeSet<EndpointIncarnation> =
-            registered.map(EndpointRecord::incarnation).collect();
-        self.misdirected.retain(|incarnation, _| registered.contains(incarnation));
+        let (listed, missing) = (&self.listed, &self.missing);
+        self.misdirected.retain(|id, _| listed.contains_key(id) || missing.contains_key(id));
     }
 
     /// Whether a record is valid, rather than another one at its address.
     fn is_preferred(&self, record: &EndpointRecord, other: &EndpointRecord) -> bool {
-        if self.misdirected.is_empty() {
-            return self.is_later(record, other);
-        }
-        let misdirected_at =
-            |record: &EndpointRecord| self.misdirected.get(&record.incarnation()).copied();
+        let misdirected_at = |record: &EndpointRecord| {
+            let known = self.misdirected.get(&record.id);
+            known.filter(|known| known.started_ms == record.started_ms).map(|known| known.last_at)
+        };
         match misdirected_at(record).cmp(&misdirected_at(other)) {
             Ordering::Less => true,
             Ordering::Equal => self.is_later(record, other),
--- a/crates/policy/tests/membership_contested_addresses.rs
+++ b/crates/policy/tests/membership_contested_addresses.rs
@@ -32,6 +32,11 @@
     membership
 }
 
+/// Another endpoint answers a call to this one. Returns whether its address is contested.
+fn misdirect(membership: &mut Membership, endpoint: &EndpointRecord, now: Duration) -> bool {
+    membership.on_misdirected(endpoint.id.clone(), endpoint.started_ms, now)
+}
+
 fn valid_ids(membership: &Membership) -> Vec<String> {
     membership.endpoints(|_| true).iter().map(|endpoint| endpoint.id.to_string()).collect()
 }
@@ -42,7 +47,7 @@
     let mut membership = membership_of(&[live, odd.clone()]);
     let before = valid_ids(&membership);
 
-    let is_contested = membership.on_misdirected(odd.incarnation(), at_ms(100));
+    let is_contested = misdirect(&mut membership, &odd, at_ms(100));
 
     assert!(is_contested);
     assert_eq!(before, ["odd"]);
@@ -56,7 +61,7 @@
     let odd = EndpointRecord { started_ms: Some(u64::MAX), ..registration("odd", 2) };
     let mut membership = membership_of(&[live, odd.clone()]);
 
-    membership.on_misdirected(odd.incarnation(), at_ms(100));
+    misdirect(&mut membership, &odd, at_ms(100));
 
     assert_eq!(valid_ids(&membership), ["live"]);
 }
@@ -66,10 +71,10 @@
 fn a_reused_address_goes_over_with_the_first_answer_for_its_new_endpoint() {
     let (first, second) = (registration("first", 1), registration("second", 2));
     let mut membership = membership_of(&[first.clone(), second.clone()]);
-    membership.on_misdirected(second.incarnation(), at_ms(100));
+    misdirect(&mut membership, &second, at_ms(100));
     let before = valid_ids(&membership);
 
-    membership.on_misdirected(first.incarnation(), at_ms(200));
+    misdirect(&mut membership, &first, at_ms(200));
 
     assert_eq!(before, ["first"]);
     assert_eq!(valid_ids(&membership), ["second"]);
@@ -79,14 +84,14 @@
 fn a_later_incarnation_is_not_misdirected_by_what_was_known_of_the_former_one() {
     let former = registration("a", 1);
     let mut membership = membership_of(std::slice::from_ref(&former));
-    membership.on_misdirected(former.incarnation(), at_ms(100));
+    misdirect(&mut membership, &former, at_ms(100));
     let restarted = EndpointRecord { started_ms: Some(7), ..registration("a", 3) };
     let as_of = LogPosition { era: 0, offset: 12 };
     let other = registration("b", 2);
     let list = EndpointList { as_of, endpoints: vec![restarted, other.clone()] };
 
     membership.update(&list, at_ms(800));
-    membership.on_misdirected(other.incarnation(), at_ms(900));
+    misdirect(&mut membership, &other, at_ms(900));
 
     assert_eq!(valid_ids(&membership), ["a"]);
 }
@@ -96,7 +101,7 @@
     let only = registration("only", 1);
     let mut membership = membership_of(std::slice::from_ref(&only));
 
-    let is_contested = membership.on_misdirected(only.incarnation(), at_ms(100));
+    let is_contested = misdirect(&mut membership, &only, at_ms(100));
 
     assert!(!is_contested);
     assert_eq!(valid_ids(&membership), ["only"]);
