Test of memory beside large records: a list that is read in time under load

Change: 100 records, and a bound of 48 MB in place of 128: what a reader that keeps all pages holds is 1.9 times the bound, where it was 1.8.

--- a/crates/lynxmount/tests/platform_odd_records.rs
+++ b/crates/lynxmount/tests/platform_odd_records.rs
@@ -85,7 +85,8 @@
 #[tokio::test]
 async fn memory_is_bounded_beside_many_large_records() {
     let fleet = Fleet::start(IDEMPOTENT, &REPLICAS).await;
-    const RECORDS: usize = 250;
+    const RECORDS: usize = 100;
+    const LITTLE_MEMORY_BYTES: u64 = 48_000_000;
     for number in 0..RECORDS {
         fleet.store.put(REGISTRATIONS_TOPIC, &format!("odd-{number}"), &odd_value(900_000));
     }
@@ -98,7 +99,7 @@
     .await;
 
     let held = Held::by(process.child.id());
-    assert!(held.peak_bytes <= MEMORY_BYTES, "{} bytes of memory", held.peak_bytes);
+    assert!(held.peak_bytes <= LITTLE_MEMORY_BYTES, "{} bytes of memory", held.peak_bytes);
 }
 
 #[tokio::test]
