Tests of shares of an unknown whole, endless answers and short graces, which fail

Change: platform_joining_entries, endless_answers and platform_short_grace. The cluster of platform_retry_budget moves to a module of both; the stand-in of the store has further addresses with modes of their own, and the first plain back end of a test's fleet can be replaced.

--- a/crates/lynxmount/tests/common/mod.rs
+++ b/crates/lynxmount/tests/common/mod.rs
@@ -63,6 +63,8 @@
     pub statsd_address: Option<SocketAddr>,
     /// A proxy in front of all back ends, if there is one.
     pub backend_address: Option<SocketAddr>,
+    /// The back end of the first plain service's endpoint, if it is another one.
+    pub first_plain_backend: Option<SocketAddr>,
 }
 
 impl Default for FleetOptions {
@@ -86,6 +88,7 @@
             max_descriptors: None,
             statsd_address: None,
             backend_address: None,
+            first_plain_backend: None,
         }
     }
 }
@@ -347,7 +350,9 @@
             None => (MODEL_SERVICE, self.engines[number].address()),
             Some(plain) => (PLAIN_SERVICE, self.plain_services[plain].address()),
         };
-        let backend = self.options.backend_address.unwrap_or(backend);
+        let is_first_plain = number == self.options.engines;
+        let first_plain = self.options.first_plain_backend.filter(|_| is_first_plain);
+        let backend = self.options.backend_address.or(first_plain).unwrap_or(backend);
         let control = self.endpoint_control_port(number);
         let operators = OPERATORS_PORT + 50 + number as u16;
         let settings = format!(
--- a/crates/lynxmount/tests/platform_retry_budget.rs
+++ b/crates/lynxmount/tests/platform_retry_budget.rs
@@ -2,246 +2,23 @@
 //! replicas.
 
 mod platform_common;
+mod retry_cluster;
 
-use std::{
-    net::{IpAddr, SocketAddr},
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::time::Duration;
 
-use http::{Method, StatusCode};
+use http::StatusCode;
 use lynxmount_platform_standin::{
-    Backpressure, Behaviour, Call, CallerOutcome, CallerStandin, RecordedRequest, ReplicaStandin,
-    RetryWindow, StoreMode, StoreStandin, allowed_in_window,
-    fixture::{
-        CONFIG_KEY, IDEMPOTENT, OPERATOR_TOPIC, PEERS_TOPIC, REGISTRATIONS_TOPIC, RETRY_BOUNDS,
-        STREAM, service_of,
-    },
-    max_in_window, worst_retry_window,
+    Behaviour,
+    fixture::{CONFIG_KEY, IDEMPOTENT, OPERATOR_TOPIC, RETRY_BOUNDS, STREAM, service_of},
 };
-use parking_lot::Mutex;
-use platform_common::{
-    CALLERS_PORT, KEY, Process, READINESS_PORT, REPLICA_PORT, STORE_PORT, allocate_network, config,
-    entry_ip, entry_settings, get, ip, registration, wait_for,
+use platform_common::{KEY, config};
+use retry_cluster::{
+    CALL_PAUSE, CALL_TIME, Cluster, FirstStart, SHORT_CALL_PAUSE, assert_within_budget,
 };
-use tokio::task::JoinSet;
-
-const REPLICAS: u8 = 6;
-
-/// The pause between two requests, which go to all entries in turn.
-const CALL_PAUSE: Duration = Duration::from_millis(40);
-
-/// The same for more requests than limits admit.
-const SHORT_CALL_PAUSE: Duration = Duration::from_millis(10);
-
-/// How long a request may take.
-const CALL_TIME: Duration = Duration::from_secs(3);
-
-/// How long the store is away. Registrations expire meanwhile.
-const OUTAGE: Duration = Duration::from_secs(6);
 
 /// Fraction of the allowed retries that lasting entries use if all calls need one.
 const MIN_USED_FRACTION: f64 = 0.6;
 
-/// How long endpoints take to register again.
-const REREGISTRATION_TIME: Duration = Duration::from_millis(1500);
-
-/// Several entries, and the requests that callers have sent to them.
-struct Cluster {
-    network: u8,
-    route: &'static str,
-    store: StoreStandin,
-    replicas: Vec<ReplicaStandin>,
-    entries: Vec<Process>,
-    /// The addresses of the entries.
-    addresses: Arc<Mutex<Vec<IpAddr>>>,
-    started: Instant,
-    sent: Arc<Mutex<Vec<Duration>>>,
-    /// What callers got; `None` without a whole answer.
-    answers: Arc<Mutex<Vec<Option<StatusCode>>>>,
-}
-
-impl Cluster {
-    async fn start(entries: u8, route: &'static str, behaviour: Behaviour) -> Cluster {
-        let network = allocate_network();
-        let store =
-            StoreStandin::start((ip(network, 250), STORE_PORT).into()).await.expect("store starts");
-        store.put(OPERATOR_TOPIC, CONFIG_KEY, &config(1, &[KEY]));
-        let mut replicas = Vec::new();
-        for index in 0..REPLICAS {
-            let address = (ip(network, 100 + index), REPLICA_PORT).into();
-            let id = format!("i-{index}");
-            let replica = ReplicaStandin::start(&id, address, behaviour.clone()).await;
-            replicas.push(replica.expect("replica starts"));
-        }
-        let mut cluster = Cluster {
-            network,
-            route,
-            store,
-            replicas,
-            entries: Vec::new(),
-            addresses: Arc::default(),
-            started: Instant::now(),
-            sent: Arc::default(),
-            answers: Arc::default(),
-        };
-        cluster.register_replicas();
-        for index in 0..entries {
-            let address = entry_ip(network, index);
-            let entry = cluster.start_entry(address, true);
-            cluster.entries.push(entry);
-            cluster.addresses.lock().push(address);
-        }
-        cluster.wait_until_ready().await;
-        cluster
-    }
-
-    fn start_entry(&self, address: IpAddr, is_first_start: bool) -> Process {
-        let settings = entry_settings(address, self.store.address(), &[]);
-        let first_start = format!("FirstStart={is_first_start}\n");
-        Process::start("platform-entry", &settings.replace("FirstStart=true\n", &first_start))
-    }
-
-    fn register_replicas(&self) {
-        for replica in &self.replicas {
-            let registration = registration(replica, self.route, "ready");
-            self.store.put(REGISTRATIONS_TOPIC, &replica.id, &registration);
-        }
-    }
-
-    async fn wait_until_ready(&self) {
-        let addresses = self.addresses.lock().clone();
-        for address in addresses {
-            let readiness = SocketAddr::new(address, READINESS_PORT);
-            wait_for("readiness", async || get(readiness, "/lynxmount/readyz").await.is_some())
-                .await;
-        }
-    }
-
-    /// Waits until each entry counts all entries.
-    async fn wait_until_known(&self) {
-        let count = self.entries.len().to_string();
-        let counts_all = |entry: &Process| {
-            let changes = entry.logged("entry count changed");
-            changes.last().is_some_and(|change| change["attributes"]["entries"] == *count)
-        };
-        wait_for("entries that know each other", async || self.entries.iter().all(counts_all))
-            .await;
-    }
-
-    /// Sends requests to all entries in turn until the returned tasks are dropped.
-    fn send_requests(&self, pause: Duration) -> JoinSet<()> {
-        let (sent, started, route) = (Arc::clone(&self.sent), self.started, self.route);
-        let answers = Arc::clone(&self.answers);
-        let addresses = Arc::clone(&self.addresses);
-        let mut callers = JoinSet::new();
-        callers.spawn(async move {
-            let mut requests = JoinSet::new();
-            for number in 0.. {
-                sent.lock().push(started.elapsed());
-                let address = {
-                    let addresses = addresses.lock();
-                    SocketAddr::new(addresses[number % addresses.len()], CALLERS_PORT)
-                };
-                let answers = Arc::clone(&answers);
-                requests.spawn(async move {
-                    let answer = send_request(address, route, number).await;
-                    answers.lock().push(answer);
-                });
-                tokio::time::sleep(pause).await;
-            }
-        });
-        callers
-    }
-
-    /// The store goes away, and all registrations expire before it returns. Endpoints register again
-    /// a little later.
-    async fn lose_registrations(&self) {
-        self.store.set_mode(StoreMode::Silent);
-        tokio::time::sleep(OUTAGE).await;
-        self.store.expire(PEERS_TOPIC);
-        self.store.expire(REGISTRATIONS_TOPIC);
-        self.store.set_mode(StoreMode::Up);
-        tokio::time::sleep(REREGISTRATION_TIME).await;
-        self.register_replicas();
-    }
-
-    /// Ends the entries in turn, and starts each again at once.
-    async fn end_in_series(&mut self, ends: usize, pause: Duration) {
-        for number in 0..ends {
-            tokio::time::sleep(pause).await;
-            let index = number % self.entries.len();
-            // The former process ends before its addresses are used again.
-            self.entries[index].child.kill().expect("process runs");
-            self.entries[index].child.wait().expect("process ends");
-            let address = self.addresses.lock()[index];
-            self.entries[index] = self.start_entry(address, false);
-        }
-    }
-
-    /// Ends the entries in turn and starts one elsewhere for each at once. Nobody keeps the
-    /// registrations of those that have ended.
-    async fn replace_in_series(&mut self, replacements: usize, pause: Duration) {
-        for number in 0..replacements {
-            tokio::time::sleep(pause).await;
-            let index = number % self.entries.len();
-            let address = entry_ip(self.network, (self.entries.len() + number) as u8);
-            let replacement = self.start_entry(address, false);
-            drop(std::mem::replace(&mut self.entries[index], replacement));
-            let former = std::mem::replace(&mut self.addresses.lock()[index], address);
-            self.store.put(PEERS_TOPIC, &format!("node-{former}"), "");
-        }
-    }
-
-    fn arrivals_at(&self, replica: &ReplicaStandin) -> Vec<Duration> {
-        let requests = replica.requests().into_iter();
-        requests.map(|seen| seen.received_at.saturating_duration_since(self.started)).collect()
-    }
-
-    /// All replicas announce a rate limit from now on; returns the time.
-    fn limit_replicas(&self, limit_per_s: f64) -> Duration {
-        let limit = Backpressure::rate_limit(limit_per_s);
-        self.replicas.iter().for_each(|replica| replica.set_backpressure(limit));
-        self.started.elapsed()
-    }
-
-    fn assert_limit_is_kept(&self, limit_per_s: f64, limited_at: Duration) {
-        let allowed = allowed_in_window(limit_per_s);
-        for replica in &self.replicas {
-            let (id, most) = (&replica.id, max_in_window(&self.arrivals_at(replica), limited_at));
-            assert!(most > 0, "no request reached {id} under its limit");
-            assert!(most <= allowed, "{most} requests in a window at {id}, {allowed} allowed");
-        }
-    }
-
-    fn worst_window(&self) -> Option<RetryWindow> {
-        let seen: Vec<RecordedRequest> =
-            self.replicas.iter().flat_map(ReplicaStandin::requests).collect();
-        let arrivals = seen.iter().map(|seen| {
-            let at = seen.received_at.saturating_duration_since(self.started);
-            (seen.header("x-attempt-id").unwrap_or_default(), at)
-        });
-        worst_retry_window(&self.sent.lock(), arrivals, RETRY_BOUNDS)
-    }
-}
-
-async fn send_request(entry: SocketAddr, route: &str, number: usize) -> Option<StatusCode> {
-    let call = Call {
-        id: format!("attempt-{number}"),
-        method: Method::GET,
-        path: format!("/{route}/{number}"),
-        key: KEY.to_owned(),
-        time_left: CALL_TIME,
-        prompt_parts: Vec::new(),
-    };
-    match CallerStandin::new(entry).call(&call).await {
-        CallerOutcome::Response(response) => response.is_complete.then_some(response.status),
-        CallerOutcome::Abandoned(_) | CallerOutcome::NoResponse | CallerOutcome::NoConnection => {
-            None
-        }
-    }
-}
-
 /// A configuration without a route and its service.
 fn without_service_of(route: &str, config: &str) -> String {
     let mut config: serde_json::Value = serde_json::from_str(config).expect("valid JSON");
@@ -252,11 +29,6 @@
     config.to_string()
 }
 
-fn assert_within_budget(worst: Option<RetryWindow>) {
-    let worst = worst.expect("some retries");
-    assert!(!worst.is_exceeded(), "{worst:?}");
-}
-
 #[tokio::test]
 async fn retry_budget_holds_while_registrations_of_entries_expire_in_an_outage() {
     let cluster = Cluster::start(6, IDEMPOTENT, Behaviour::Fail).await;
@@ -290,7 +62,8 @@
         cluster.wait_until_known().await;
         let callers = cluster.send_requests(CALL_PAUSE);
 
-        cluster.replace_in_series(replacements, Duration::from_millis(pause_ms)).await;
+        let pause = Duration::from_millis(pause_ms);
+        cluster.replace_in_series(replacements, pause, FirstStart::False).await;
 
         drop(callers);
         cluster.worst_window()
