Entries log whether lists of entries name them, and since when

Change: MembershipTracker, without influence on decisions; the line 'membership evidence changed' with a counter, and the evidence beside 'entry count changed'.

--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -16,7 +16,9 @@
     FleetQuery, FleetSnapshot, GossipTopic, RequestHandler, parse_fleet_query, publish,
     query_fleet, read_published,
 };
-use lynxmount_policy::{Predecessor, RegisteredPeers, SlotOwners};
+use lynxmount_policy::{
+    MembershipEvidence, MembershipTracker, Predecessor, RegisteredPeers, SlotOwners,
+};
 use lynxmount_quarantine::SharedQuarantine;
 use parking_lot::Mutex;
 use rand::seq::SliceRandom;
@@ -31,6 +33,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct EntryShares {
     pub(crate) owners: SlotOwners,
+    pub(crate) evidence: MembershipEvidence,
     pub(crate) predecessor: Predecessor,
 }
 
@@ -41,6 +44,7 @@
     /// Whether the whole system starts for the first time.
     is_first_start: bool,
     registered: Mutex<RegisteredPeers>,
+    lists: Mutex<MembershipTracker>,
     /// Known from the first list of registrations that is read.
     predecessor: Mutex<Option<Predecessor>>,
 }
@@ -51,8 +55,9 @@
         seeds: Vec<SocketAddr>,
         is_first_start: bool,
     ) -> Peers {
-        let (registered, predecessor) = (Mutex::default(), Mutex::default());
-        Peers { own_address, seeds, is_first_start, registered, predecessor }
+        let (registered, lists, predecessor) =
+            (Mutex::default(), Mutex::default(), Mutex::default());
+        Peers { own_address, seeds, is_first_start, registered, lists, predecessor }
     }
 
     /// Records the first list of registrations that this process has read, before it registers. Only
@@ -75,6 +80,7 @@
         now: Duration,
     ) {
         self.registered.lock().update(era, registrations, now);
+        self.lists.lock().on_list(self.is_listed(registrations), now);
     }
 
     /// Whether this process is registered.
@@ -88,9 +94,10 @@
     }
 
     /// All entries: the registered ones, or the seeds while these are more.
-    pub(crate) fn shares(&self) -> EntryShares {
+    pub(crate) fn shares(&self, now: Duration) -> EntryShares {
         let predecessor = self.predecessor.lock().unwrap_or_default();
-        EntryShares { owners: self.slot_owners(), predecessor }
+        let evidence = self.lists.lock().evidence(now);
+        EntryShares { owners: self.slot_owners(), evidence, predecessor }
     }
 
     fn slot_owners(&self) -> SlotOwners {
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -160,6 +160,7 @@
         era: Mutex::default(),
         peers_read_requested: Notify::new(),
         entry_count: AtomicUsize::new(0),
+        evidence: Mutex::default(),
     });
     tokio::spawn(Arc::clone(&watch).watch_config());
     tokio::spawn(Arc::clone(&watch).watch_endpoints());
--- a/crates/direct/src/watch.rs
+++ b/crates/direct/src/watch.rs
@@ -13,15 +13,20 @@
 use lynxmount_core::{
     Clock, EndpointList, FleetConfig, LogEra, Result, ServiceId, SiteBounds, adapter::FleetSource,
 };
-use lynxmount_policy::{MEMBERSHIP_CONVERGENCE_TIME, Membership, PEER_RENEWAL_PERIOD};
+use lynxmount_policy::{
+    MEMBERSHIP_CONVERGENCE_TIME, Membership, MembershipEvidence, PEER_RENEWAL_PERIOD,
+};
 use lynxmount_quarantine::SharedQuarantine;
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
 use crate::{
-    config_poll::ConfigPoll, endpoint_set::EndpointSet, fleet::Fleet, misdirections::Misdirections,
-    peers::Peers,
+    config_poll::ConfigPoll,
+    endpoint_set::EndpointSet,
+    fleet::Fleet,
+    misdirections::Misdirections,
+    peers::{EntryShares, Peers},
 };
 
 /// Polling period of registrations, as a fraction of the time within which a draining endpoint must
@@ -84,6 +89,8 @@
     pub(crate) peers_read_requested: Notify,
     /// The number of entries, including this one, that was last applied; 0 before.
     pub(crate) entry_count: AtomicUsize,
+    /// The evidence that was last applied.
+    pub(crate) evidence: Mutex<MembershipEvidence>,
 }
 
 /// Logs when a dependency becomes unreachable and when it is reachable again.
@@ -289,16 +296,23 @@
         };
         let endpoints = self.membership.lock().endpoints(is_configured);
         let list = EndpointList { as_of, endpoints };
-        let shares = self.peers.shares();
-        self.record_entry_count(shares.owners.entries());
+        let shares = self.peers.shares(self.clock.now());
+        self.record_shares(&shares);
         self.endpoint_set.update(&config, &list, &shares);
     }
 
-    /// Logs the number of entries that limits and budgets are divided by.
-    fn record_entry_count(&self, entries: usize) {
+    /// Logs what limits and budgets are divided by, and whether all entries are known.
+    fn record_shares(&self, shares: &EntryShares) {
+        let (entries, evidence) = (shares.owners.entries(), shares.evidence);
         let before = self.entry_count.swap(entries, Ordering::Relaxed);
         if before != entries {
-            log::info!(entries, before; "entry count changed");
+            log::info!(entries, before, evidence:? = evidence; "entry count changed");
+        }
+        let before = std::mem::replace(&mut *self.evidence.lock(), evidence);
+        if before != evidence {
+            self.metrics.count("entries.evidence_changed");
+            log::info!(entries, evidence:? = evidence, before:? = before;
+                "membership evidence changed");
         }
     }
 
--- /dev/null
+++ b/crates/policy/tests/membership_evidence.rs
@@ -0,0 +1,60 @@
+//! Evidence that a process knows all members.
+
+use std::time::Duration;
+
+use lynxmount_policy::{MembershipEvidence, MembershipTracker};
+
+fn at_s(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// A process that a list named after two seconds.
+fn listed() -> MembershipTracker {
+    let mut tracker = MembershipTracker::default();
+    tracker.on_list(true, at_s(2));
+    tracker
+}
+
+/// Guards against a process that passes for a member because it is old.
+#[test]
+fn age_is_no_evidence() {
+    let mut tracker = MembershipTracker::default();
+
+    tracker.on_list(false, at_s(2));
+
+    assert_eq!(tracker.evidence(at_s(2)), MembershipEvidence::None);
+    assert_eq!(tracker.evidence(at_s(1000)), MembershipEvidence::None);
+}
+
+#[test]
+fn evidence_is_as_old_as_the_first_list_and_as_recent_as_the_last() {
+    let mut tracker = listed();
+
+    tracker.on_list(true, at_s(10));
+
+    assert_eq!(tracker.evidence(at_s(20)), MembershipEvidence::Current { since: at_s(2) });
+    assert_eq!(tracker.evidence(at_s(21)), MembershipEvidence::Stale { since: at_s(2) });
+}
+
+#[test]
+fn evidence_is_stale_while_lists_do_not_name_the_process() {
+    let mut tracker = listed();
+
+    tracker.on_list(false, at_s(3));
+    assert_eq!(tracker.evidence(at_s(3)), MembershipEvidence::Stale { since: at_s(2) });
+
+    tracker.on_list(true, at_s(4));
+    assert_eq!(tracker.evidence(at_s(4)), MembershipEvidence::Current { since: at_s(2) });
+}
+
+/// Guards against the return of a process that the others have dropped meanwhile.
+#[test]
+fn evidence_starts_anew_once_others_may_have_dropped_the_process() {
+    let mut tracker = listed();
+    let returned_at = at_s(2 + 75);
+
+    assert_eq!(tracker.evidence(returned_at), MembershipEvidence::None);
+    tracker.on_list(true, returned_at);
+
+    assert_eq!(tracker.evidence(returned_at), MembershipEvidence::Current { since: returned_at });
+}
