The registry, not the settings, shows whether an entry has a predecessor

What callers saw: repeats beyond the budget, 167 and 139 of 136 allowed, where entries start again with FirstStart=true, together or elsewhere. Cause: such an entry passed for one without a predecessor as soon as its address was not listed, and had its whole share after 2 s, though what it replaces had spent its own in the same window. Change: an entry has no predecessor only where the registry has never held a record and was never restored from a copy. The list of entries comes with the position at which the registry ends. An entry that starts again, or replaces one, finds the end of the registry behind its predecessor's record, whether that is still listed or not.

--- a/crates/core/src/adapter.rs
+++ b/crates/core/src/adapter.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, Response, StatusCode, request::Parts};
 
 use crate::{
-    EndpointId, EndpointList, Evidence, EvidenceKey, FleetConfig, LogEra, LogPosition, LogRead,
+    EndpointId, EndpointList, Evidence, EvidenceKey, FleetConfig, LogPosition, LogRead,
     PeerRegistration, ProcessId, ReceivedEvidence, Result, SegmentNumber, TeamId,
     experts::{EngineOrder, EngineReport, ExpertCounts, OrderResult, RankMap},
 };
@@ -146,10 +146,10 @@
         address: SocketAddr,
     ) -> impl Future<Output = Result<()>> + Send;
 
-    /// Reads all registrations of processes, and the era that they are registered in.
+    /// Reads all registrations of processes, and where the registry ends.
     ///
     /// Fails if the platform can't be reached.
-    fn peers(&self) -> impl Future<Output = Result<(LogEra, Vec<PeerRegistration>)>> + Send;
+    fn peers(&self) -> impl Future<Output = Result<(LogPosition, Vec<PeerRegistration>)>> + Send;
 
     /// Publishes crash reports to all processes, replacing this process's earlier reports
     /// of the same calls and segments.
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -11,7 +11,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use lynxmount_core::{CrashReport, LogEra, PeerRegistration, Result, SegmentReport};
+use lynxmount_core::{CrashReport, LogEra, LogPosition, PeerRegistration, Result, SegmentReport};
 use lynxmount_link::{
     FleetQuery, FleetSnapshot, GossipTopic, RequestHandler, parse_fleet_query, publish,
     query_fleet, read_published,
@@ -41,8 +41,6 @@
 pub(crate) struct Peers {
     own_address: SocketAddr,
     seeds: Vec<SocketAddr>,
-    /// Whether the whole system starts for the first time.
-    is_first_start: bool,
     registered: Mutex<RegisteredPeers>,
     lists: Mutex<MembershipTracker>,
     /// Known from the first list of registrations that is read.
@@ -50,25 +48,21 @@
 }
 
 impl Peers {
-    pub(crate) fn new(
-        own_address: SocketAddr,
-        seeds: Vec<SocketAddr>,
-        is_first_start: bool,
-    ) -> Peers {
+    pub(crate) fn new(own_address: SocketAddr, seeds: Vec<SocketAddr>) -> Peers {
         let (registered, lists, predecessor) =
             (Mutex::default(), Mutex::default(), Mutex::default());
-        Peers { own_address, seeds, is_first_start, registered, lists, predecessor }
+        Peers { own_address, seeds, registered, lists, predecessor }
     }
 
-    /// Records the first list of registrations that this process has read, before it registers. Only
-    /// in the first start of the whole system, and at an address that is not listed, it has no
-    /// predecessor: later, it may replace a process at another address.
-    pub(crate) fn set_listed_before(&self, registrations: &[PeerRegistration]) {
-        let predecessor = match self.is_first_start && !self.is_listed(registrations) {
+    /// Records where the registry ended before this process registered. Only where it has never held
+    /// a record, and was never restored from a copy, no process has run before: settings may say
+    /// "first start" of a process that starts again, or replaces one elsewhere.
+    pub(crate) fn set_registry_end(&self, end: LogPosition) {
+        let predecessor = match end == LogPosition::default() {
             true => Predecessor::None,
             false => Predecessor::Possible,
         };
-        log::info!(predecessor:? = predecessor; "predecessor determined");
+        log::info!(predecessor:? = predecessor, registry_end:? = end; "predecessor determined");
         self.predecessor.lock().get_or_insert(predecessor);
     }
 
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -94,8 +94,7 @@
         misdirections: Arc::clone(&misdirections),
     };
     let endpoint_set = Arc::new(EndpointSet::new(service_context, retry_budget));
-    let peers = Peers::new(peer_address, settings.seeds.clone(), settings.is_first_start);
-    let peers = Arc::new(peers);
+    let peers = Arc::new(Peers::new(peer_address, settings.seeds.clone()));
     tokio::spawn(limit_gossip.publish(Arc::clone(&peers)));
     let last_read_at = Arc::new(Mutex::default());
     let group_listener =
--- a/crates/direct/src/watch.rs
+++ b/crates/direct/src/watch.rs
@@ -233,8 +233,8 @@
 
     /// Registers this process and watches the addresses of its peers until the task is dropped.
     pub(crate) async fn watch_peers(self: Arc<FleetWatch<S>>, name: String, own: SocketAddr) {
-        if let Ok((_, former)) = self.source.peers().await {
-            self.peers.set_listed_before(&former);
+        if let Ok((end, _)) = self.source.peers().await {
+            self.peers.set_registry_end(end);
         }
         let mut registered_at: Option<Duration> = None;
         let mut period = MIN_PEERS_PERIOD;
@@ -264,9 +264,9 @@
     /// they can't be read.
     async fn read_peers(&self) -> Option<bool> {
         let read = self.source.peers().await;
-        let (era, registrations) =
+        let (end, registrations) =
             read.map_err(|e| log::warn!(error:% = e; "peer registrations not read")).ok()?;
-        self.peers.set_registered(era, &registrations, self.clock.now());
+        self.peers.set_registered(end.era, &registrations, self.clock.now());
         self.update_endpoint_set();
         Some(self.peers.is_listed(&registrations))
     }
--- a/crates/direct/tests/restored_log/mod.rs
+++ b/crates/direct/tests/restored_log/mod.rs
@@ -149,7 +149,7 @@
         unimplemented!("only configurations are read")
     }
 
-    async fn peers(&self) -> Result<(LogEra, Vec<PeerRegistration>)> {
+    async fn peers(&self) -> Result<(LogPosition, Vec<PeerRegistration>)> {
         unimplemented!("only configurations are read")
     }
 
--- a/crates/direct/tests/store_model/mod.rs
+++ b/crates/direct/tests/store_model/mod.rs
@@ -4,7 +4,7 @@
 
 use http::StatusCode;
 use lynxmount_core::{
-    CallerLimits, EndpointList, Evidence, EvidenceKey, FleetConfig, LogEra, LogPosition, LogRead,
+    CallerLimits, EndpointList, Evidence, EvidenceKey, FleetConfig, LogPosition, LogRead,
     PeerRegistration, ProcessId, ReceivedEvidence, Result, Step, adapter::FleetSource, refused,
 };
 use parking_lot::Mutex;
@@ -107,7 +107,7 @@
         unimplemented!("only configurations are read")
     }
 
-    async fn peers(&self) -> Result<(LogEra, Vec<PeerRegistration>)> {
+    async fn peers(&self) -> Result<(LogPosition, Vec<PeerRegistration>)> {
         unimplemented!("only configurations are read")
     }
 
