A share of a retry budget needs a list of entries that names its process

Cause: the share grew with the age of the process, whether it knew the other entries or not. Change: the slow start counts from the first list that names the process, and without one there is no slack, however old the process is. What is earned by own calls needs no evidence and stays.

--- a/crates/direct/src/service/inner.rs
+++ b/crates/direct/src/service/inner.rs
@@ -109,7 +109,10 @@
         self.history.remove_old_backpressure(now);
         self.slots = engine.map(|engine| engine.slots);
         self.update_groups();
-        self.history.budget.lock().set_predecessor(shares.predecessor);
+        let mut budget = self.history.budget.lock();
+        budget.set_predecessor(shares.predecessor);
+        budget.set_evidence(shares.evidence);
+        drop(budget);
         if self.set_owners(&shares.owners) || has_new {
             self.set_limit_shares(now);
         }
--- a/crates/policy/src/window_budget.rs
+++ b/crates/policy/src/window_budget.rs
@@ -2,25 +2,29 @@
 //!
 //! Each entry knows its own calls and retries since its process started. The slack is divided among
 //! the entries, and what a former process at an entry's address, or an entry that has just left, has
-//! used of it in the same window is unknown. So a process that may have had a predecessor starts
-//! with a small part of its share, and the largest number of entries in the window counts. The load
-//! is endpoints that fail while entries crash, leave or lose their registrations.
+//! used of it in the same window is unknown. So a share starts small and grows with the time for
+//! which the entries are known, one that doesn't know them has none, and the largest number of entries
+//! in the window counts. The load is endpoints that fail while entries crash, join, leave or lose
+//! their registrations.
 
 use std::{collections::VecDeque, time::Duration};
 
+use crate::MembershipEvidence;
+
 /// Fraction of the retries that calls earn which entries use. A retry that waits for its endpoint
 /// arrives in a later window than that in which it was withdrawn.
 const EARNED_FRACTION: f64 = 0.8;
 
-/// Fraction of its share of the slack that a process gets once it has run for a window.
+/// Fraction of its share of the slack that a process gets once it has known the entries for a window.
 const STEADY_FRACTION: f64 = 0.6;
 
-/// Fraction up to which the share of a younger process grows with its age, as in a slow start. What
-/// successive processes at one address use in any window stays within the share.
+/// Fraction up to which the share grows until then, as in a slow start. What successive processes at
+/// one address use in any window stays within the share, and so does what entries that miss those
+/// which have joined use beside them.
 const SLOW_START_FRACTION: f64 = 1.0 - STEADY_FRACTION;
 
-/// Fraction of its share of the slack that a process with a possible predecessor gets at its start,
-/// up to one retry.
+/// Fraction of its share of the slack that a process with a possible predecessor gets at first, up
+/// to one retry.
 const FIRST_RETRY_FRACTION: f64 = 0.05;
 
 /// Fraction of its share that a process without a predecessor gets until it knows its peers.
@@ -46,9 +50,9 @@
 /// Whether another process has used an entry's share of the slack before the current one.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Predecessor {
-    /// The entry is none that replaces another one, at its address or elsewhere.
+    /// No entry has run before those that start together with this one.
     None,
-    /// A process may have run until the current one started.
+    /// A process may have run until the current one started, at its address or elsewhere.
     #[default]
     Possible,
 }
@@ -67,14 +71,19 @@
 pub struct WindowBudget {
     options: WindowBudgetOptions,
     predecessor: Predecessor,
+    evidence: MembershipEvidence,
     slices: VecDeque<Slice>,
 }
 
 impl WindowBudget {
     /// Starts with an empty window.
     pub fn new(options: WindowBudgetOptions) -> WindowBudget {
-        let predecessor = Predecessor::default();
-        WindowBudget { options, predecessor, slices: VecDeque::new() }
+        WindowBudget {
+            options,
+            predecessor: Predecessor::default(),
+            evidence: MembershipEvidence::default(),
+            slices: VecDeque::new(),
+        }
     }
 
     /// Sets whether the entry has had another process.
@@ -82,6 +91,11 @@
         self.predecessor = predecessor;
     }
 
+    /// Sets whether this entry knows all entries.
+    pub fn set_evidence(&mut self, evidence: MembershipEvidence) {
+        self.evidence = evidence;
+    }
+
     /// Counts the first arrival of a call.
     pub fn record_call(&mut self, now: Duration) {
         self.current_slice(now).calls += 1;
@@ -125,13 +139,23 @@
     fn own_slack(&self, now: Duration) -> f64 {
         let entries = self.slices.iter().map(|slice| slice.entries).max();
         let share = self.options.slack / entries.unwrap_or_default().max(1) as f64;
-        let age_windows = now.as_secs_f64() / self.window().as_secs_f64();
-        let slow_start = SLOW_START_FRACTION * age_windows * share;
+        let known_since = match self.evidence {
+            MembershipEvidence::None => return 0.0,
+            MembershipEvidence::Current { since } if now >= since + self.window() => {
+                return STEADY_FRACTION * share;
+            }
+            MembershipEvidence::Current { since } | MembershipEvidence::Stale { since } => since,
+        };
+        let windows = now.saturating_sub(known_since).as_secs_f64() / self.window().as_secs_f64();
+        let slow_start = SLOW_START_FRACTION * windows.min(1.0) * share;
         match self.predecessor {
-            _ if age_windows >= 1.0 => STEADY_FRACTION * share,
-            Predecessor::None if now >= PEERS_KNOWN_AFTER => STEADY_FRACTION * share,
-            Predecessor::None => slow_start.max(UNCONFIRMED_FRACTION * share),
-            Predecessor::Possible => slow_start.max((FIRST_RETRY_FRACTION * share).min(1.0)),
+            Predecessor::None if now < PEERS_KNOWN_AFTER => {
+                slow_start.max(UNCONFIRMED_FRACTION * share)
+            }
+            Predecessor::None if now < self.window() => STEADY_FRACTION * share,
+            Predecessor::None | Predecessor::Possible => {
+                slow_start.max((FIRST_RETRY_FRACTION * share).min(1.0))
+            }
         }
     }
 
--- a/crates/policy/tests/window_budget.rs
+++ b/crates/policy/tests/window_budget.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use lynxmount_policy::{Predecessor, WindowBudget, WindowBudgetOptions};
+use lynxmount_policy::{MembershipEvidence, Predecessor, WindowBudget, WindowBudgetOptions};
 use proptest::prelude::*;
 
 const RATIO: f64 = 0.2;
@@ -23,8 +23,16 @@
     Duration::from_millis(ms)
 }
 
+/// A budget of an entry that knows the others from its start on.
 fn budget() -> WindowBudget {
-    WindowBudget::new(WindowBudgetOptions { ratio: RATIO, slack: SLACK, window: at_ms(WINDOW_MS) })
+    budget_with(MembershipEvidence::Current { since: Duration::ZERO })
+}
+
+fn budget_with(evidence: MembershipEvidence) -> WindowBudget {
+    let options = WindowBudgetOptions { ratio: RATIO, slack: SLACK, window: at_ms(WINDOW_MS) };
+    let mut budget = WindowBudget::new(options);
+    budget.set_evidence(evidence);
+    budget
 }
 
 fn withdraw_all(budget: &mut WindowBudget, entries: usize, now_ms: u64) -> usize {
@@ -163,6 +171,42 @@
     assert_eq!(withdrawn, [3, 3, 13]);
 }
 
+/// Guards against a share that grows with the age of a process which knows too few of the others.
+#[test]
+fn share_grows_with_the_time_for_which_entries_are_known() {
+    const KNOWN_AT_MS: u64 = 30_000;
+    let ages_ms = [0, 5000, 9999, 10_000].map(|age_ms| KNOWN_AT_MS + age_ms);
+    let evidence = MembershipEvidence::Current { since: at_ms(KNOWN_AT_MS) };
+
+    let known = ages_ms.map(|age_ms| withdraw_all(&mut budget_with(evidence), ENTRIES, age_ms));
+    let unknown = ages_ms
+        .map(|age_ms| withdraw_all(&mut budget_with(MembershipEvidence::None), ENTRIES, age_ms));
+
+    assert_eq!((known, unknown), ([1, 4, 8, 13], [0; 4]));
+}
+
+/// Guards against old lists: what those that miss the entries which have joined use beside them
+/// stays within the slack.
+#[test]
+fn share_is_reduced_while_no_list_is_read() {
+    let evidence = MembershipEvidence::Stale { since: Duration::ZERO };
+
+    let stale = withdraw_all(&mut budget_with(evidence), ENTRIES, 3 * WINDOW_MS);
+    let joined = withdraw_all(&mut budget(), ENTRIES, 3 * WINDOW_MS);
+
+    assert_eq!((stale, joined), (8, 13));
+    assert!((stale + joined) as f64 <= SLACK / ENTRIES as f64);
+}
+
+/// Guards against calls that are served less at an entry which doesn't know the others.
+#[test]
+fn calls_earn_retries_without_evidence() {
+    let mut budget = budget_with(MembershipEvidence::None);
+    (0..100).for_each(|_| budget.record_call(Duration::ZERO));
+
+    assert_eq!(withdraw_all(&mut budget, ENTRIES, 0), 16);
+}
+
 #[test]
 fn calls_earn_retries_from_the_start_on() {
     let mut budget = budget();
