A share of an endpoint's limit needs a list of entries that names its process

What endpoints saw: 49 requests in 4 s of 23 allowed by a limit of 3 a second, where twelve entries join four while the store is silent. Change: the interval of an entry that no list names is thirty times as long; once its last list is old, twice; and three times until 9 s after the first list that names it, not after its start.

--- a/crates/direct/src/service/backpressure.rs
+++ b/crates/direct/src/service/backpressure.rs
@@ -150,10 +150,12 @@
 impl Inner {
     /// This entry's share of an endpoint's rate limit.
     fn limit_share(&self, endpoint: &Endpoint, limit_per_s: f64) -> LimitShare {
-        match &self.owners {
-            Some(owners) => LimitShare::new(owners, &endpoint.record.id, limit_per_s),
-            None => LimitShare::new(&SlotOwners::default(), &endpoint.record.id, limit_per_s),
-        }
+        let id = &endpoint.record.id;
+        let share = match &self.owners {
+            Some(owners) => LimitShare::new(owners, id, limit_per_s),
+            None => LimitShare::new(&SlotOwners::default(), id, limit_per_s),
+        };
+        share.with_evidence(self.evidence)
     }
 
     /// Sets this entry's shares of the rate limits of all endpoints that have one.
--- a/crates/direct/src/service/inner.rs
+++ b/crates/direct/src/service/inner.rs
@@ -10,9 +10,9 @@
 use lynxmount_core::{EndpointId, EndpointRecord, EngineSpec, Mechanism, Mechanisms};
 use lynxmount_link::MembersFingerprint;
 use lynxmount_policy::{
-    EndpointSnapshot, GroupMonitor, LatencyClass, REOPEN_GRACE, ReplacementCandidate,
-    RetrySchedule, Selection, ServiceQueue, ShareBorrowing, SlotOwners, Ticket, Waiter,
-    earliest_resume, select_endpoint,
+    EndpointSnapshot, GroupMonitor, LatencyClass, MembershipEvidence, REOPEN_GRACE,
+    ReplacementCandidate, RetrySchedule, Selection, ServiceQueue, ShareBorrowing, SlotOwners,
+    Ticket, Waiter, earliest_resume, select_endpoint,
 };
 use tokio::sync::oneshot;
 
@@ -59,6 +59,8 @@
     pub(super) slots: Option<u32>,
     /// All entries; `None` until they are known.
     pub(super) owners: Option<SlotOwners>,
+    /// Whether this entry knows all entries.
+    pub(super) evidence: MembershipEvidence,
     mechanisms: Arc<Mechanisms>,
 }
 
@@ -79,6 +81,7 @@
             health_path: None,
             slots: None,
             owners: None,
+            evidence: MembershipEvidence::default(),
             mechanisms,
         }
     }
@@ -113,7 +116,9 @@
         budget.set_predecessor(shares.predecessor);
         budget.set_evidence(shares.evidence);
         drop(budget);
-        if self.set_owners(&shares.owners) || has_new {
+        let before = std::mem::replace(&mut self.evidence, shares.evidence);
+        let is_same_evidence = before == self.evidence;
+        if self.set_owners(&shares.owners) || has_new || !is_same_evidence {
             self.set_limit_shares(now);
         }
     }
--- a/crates/policy/src/endpoint_rate_limit.rs
+++ b/crates/policy/src/endpoint_rate_limit.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use crate::SlotOwners;
+use crate::{MembershipEvidence, SlotOwners};
 
 /// The lowest limit that is enforced, in requests a second. An endpoint that gets no requests
 /// can't announce that its limit is lifted.
@@ -34,6 +34,13 @@
 /// Factor by which an entry's interval is longer until membership has converged.
 const CONVERGENCE_INTERVAL_FACTOR: u32 = 3;
 
+/// The same for an entry whose list of entries is old: others that have joined since use shares of
+/// the whole limit beside it.
+const STALE_INTERVAL_FACTOR: u32 = 2;
+
+/// The same for an entry that no list names. It does not know how many are in the same state.
+const UNLISTED_INTERVAL_FACTOR: u32 = 30;
+
 /// One entry's share of an endpoint's limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitShare {
@@ -42,10 +49,12 @@
     /// Fraction of the interval before its first request, so that entries that learn of a limit at
     /// the same time don't send at the same time.
     pub phase: f64,
+    /// Whether the own entry knows all entries.
+    pub evidence: MembershipEvidence,
 }
 
 impl LimitShare {
-    /// The own entry's share of a limit.
+    /// The own entry's share of a limit, as if it knew all entries from its start on.
     pub fn new(owners: &SlotOwners, endpoint: &str, limit_per_s: f64) -> LimitShare {
         let limit_per_s = limit_per_s.clamp(MIN_LIMIT_PER_S, MAX_LIMIT_PER_S);
         let entries = owners.entries();
@@ -60,9 +69,15 @@
         LimitShare {
             interval: Duration::from_secs_f64(sharers as f64 / rate_per_s),
             phase: (position + 1) as f64 / sharers as f64,
+            evidence: MembershipEvidence::Current { since: Duration::ZERO },
         }
     }
 
+    /// The share of an entry with this evidence.
+    pub fn with_evidence(self, evidence: MembershipEvidence) -> LimitShare {
+        LimitShare { evidence, ..self }
+    }
+
     /// Rate in requests a second.
     pub fn rate_per_s(&self) -> f64 {
         self.interval.as_secs_f64().recip()
@@ -70,10 +85,17 @@
 
     /// The interval after a request that is sent at a time since the entry's start.
     fn interval_at(&self, now: Duration) -> Duration {
-        match now < MEMBERSHIP_CONVERGENCE_TIME {
-            true => self.interval * CONVERGENCE_INTERVAL_FACTOR,
-            false => self.interval,
-        }
+        self.interval
+            * match self.evidence {
+                MembershipEvidence::None => UNLISTED_INTERVAL_FACTOR,
+                MembershipEvidence::Current { since } | MembershipEvidence::Stale { since }
+                    if now < since + MEMBERSHIP_CONVERGENCE_TIME =>
+                {
+                    CONVERGENCE_INTERVAL_FACTOR
+                }
+                MembershipEvidence::Stale { .. } => STALE_INTERVAL_FACTOR,
+                MembershipEvidence::Current { .. } => 1,
+            }
     }
 }
 
--- a/crates/policy/tests/circuit_breaker.rs
+++ b/crates/policy/tests/circuit_breaker.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use lynxmount_policy::{CircuitBreaker, EndpointBackpressure, LimitShare};
+use lynxmount_policy::{CircuitBreaker, EndpointBackpressure, LimitShare, MembershipEvidence};
 use proptest::prelude::*;
 
 /// How long after a refusal calls may still arrive that were in flight.
@@ -69,7 +69,11 @@
 #[test]
 fn an_acquired_call_is_not_sent_if_the_breaker_has_opened_since() {
     let mut backpressure = EndpointBackpressure::default();
-    let share = LimitShare { interval: at_ms(100), phase: 1.0 };
+    let share = LimitShare {
+        interval: at_ms(100),
+        phase: 1.0,
+        evidence: MembershipEvidence::Current { since: Duration::ZERO },
+    };
     backpressure.rate_limit.on_response(Some(10.0), at_ms(20_000), at_ms(20_000), |_| share);
 
     let is_acquired = backpressure.try_acquire(at_ms(20_100));
--- a/crates/policy/tests/endpoint_rate_limit.rs
+++ b/crates/policy/tests/endpoint_rate_limit.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use lynxmount_policy::{EndpointRateLimit, LimitChange, LimitShare, RetrySchedule, SlotOwners};
+use lynxmount_policy::{
+    EndpointRateLimit, LimitChange, LimitShare, MembershipEvidence, RetrySchedule, SlotOwners,
+};
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -26,7 +28,11 @@
 }
 
 fn share(interval_ms: u64) -> LimitShare {
-    LimitShare { interval: at_ms(interval_ms), phase: 1.0 }
+    LimitShare {
+        interval: at_ms(interval_ms),
+        phase: 1.0,
+        evidence: MembershipEvidence::Current { since: Duration::ZERO },
+    }
 }
 
 /// A simulated entry.
@@ -330,6 +336,26 @@
     assert_eq!(limit.resumes_at(at_ms(0)), Some(at_ms(3_000)));
 }
 
+/// Guards against entries that share the whole limit as if they were as few as they know.
+#[test]
+fn an_entry_that_does_not_know_the_others_uses_a_small_part_of_its_share() {
+    let since = Duration::ZERO;
+    let now = at_ms(20_000);
+    let intervals = [
+        MembershipEvidence::None,
+        MembershipEvidence::Stale { since },
+        MembershipEvidence::Current { since: at_ms(19_000) },
+        MembershipEvidence::Current { since },
+    ]
+    .map(|evidence| {
+        let mut limit = EndpointRateLimit::default();
+        limit.on_response(Some(1.0), now, now, |_| share(100).with_evidence(evidence));
+        limit.resumes_at(now).expect("the limit is active") - now
+    });
+
+    assert_eq!(intervals, [3_000, 200, 300, 100].map(at_ms));
+}
+
 #[test]
 fn limits_out_of_range_neither_stop_an_endpoint_nor_overflow() {
     for limit_per_s in [0.0, 1e-9, 1e18, f64::MAX] {
