The product's own entry ejects endpoints whose attempts fail

What callers saw: 207 to 210 of 240 lookups failed beside one of two back ends that sends header lines, a header, trailers or garbage without end, while the other one was idle. Cause: an endpoint that fails at once always looks free, and two choices send it nearly everything; the retry budget is soon used up. Change: the OutlierDetector of the entry on the users' platform, fed by failures of the back end, its statuses from 500 on and refusals as it can't be reached. An ejected endpoint is avoided while another one serves, and gets one attempt at a time until it succeeds. Line 'endpoint ejected', counter endpoints.ejected.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use lynxmount_core::CallFingerprint;
 use lynxmount_node::{Counter, NodeHandle};
-use lynxmount_policy::{AttemptFailure, LivenessEvidence};
+use lynxmount_policy::{AttemptFailure, CallOutcome, LivenessEvidence};
 use lynxmount_quarantine::SharedQuarantine;
 use lynxmount_wire::{
     AssemblyState, AttemptId, ChunkStatus, Dispatch, ExecutionFailure, Header, RefusalReason,
@@ -18,6 +18,9 @@
 /// Bytes relayed to the caller before the endpoint is granted flow-control credit for them.
 const CREDIT_GRANT_BYTES: u32 = 64 * 1024;
 
+/// The lowest status of a failure of the back end.
+const FIRST_SERVER_ERROR: u16 = 500;
+
 /// The next event of an attempt.
 #[derive(Debug)]
 pub(crate) enum AttemptEvent {
@@ -48,6 +51,8 @@
     call: CallFingerprint,
     quarantine: Arc<SharedQuarantine>,
     has_ended: bool,
+    /// Whether the answer is a failure of the back end.
+    is_server_error: bool,
     uncredited_bytes: u32,
 }
 
@@ -76,6 +81,7 @@
             call,
             quarantine: Arc::clone(quarantine),
             has_ended: false,
+            is_server_error: false,
             uncredited_bytes: 0,
         })
     }
@@ -114,7 +120,10 @@
 
     fn on_frame(&mut self, frame: ToEntry) -> Option<AttemptEvent> {
         match frame {
-            ToEntry::Head { status, headers, .. } => Some(AttemptEvent::Head { status, headers }),
+            ToEntry::Head { status, headers, .. } => {
+                self.is_server_error = status >= FIRST_SERVER_ERROR;
+                Some(AttemptEvent::Head { status, headers })
+            }
             ToEntry::Data { sequence, bytes, .. } => self.on_data(sequence, bytes),
             ToEntry::End { chunks, digest, .. } => {
                 let end = self.answer.on_end(chunks, digest);
@@ -153,6 +162,10 @@
             AssemblyState::Complete => {
                 self.has_ended = true;
                 self.quarantine.record_survival(self.call);
+                self.record_outcome(match self.is_server_error {
+                    true => CallOutcome::Failed,
+                    false => CallOutcome::Answered,
+                });
                 Some(AttemptEvent::Complete)
             }
             AssemblyState::Incomplete => None,
@@ -160,8 +173,15 @@
         }
     }
 
+    fn record_outcome(&self, outcome: CallOutcome) {
+        if self.reservation.client.record_outcome(outcome, self.node.now()) {
+            self.node.counters().count(Counter::EndpointsEjected);
+        }
+    }
+
     fn on_corrupt_answer(&mut self) -> AttemptEvent {
         self.node.counters().count(Counter::ResponsesCorrupt);
+        self.record_outcome(CallOutcome::Failed);
         AttemptEvent::Failed(AttemptFailure::Failed)
     }
 
@@ -175,6 +195,16 @@
     }
 
     fn on_failure(&self, failure: ExecutionFailure) {
+        match failure {
+            ExecutionFailure::Backend
+            | ExecutionFailure::BackendCrashed { .. }
+            | ExecutionFailure::BackendDisconnected { .. } => {
+                self.record_outcome(CallOutcome::Failed);
+            }
+            ExecutionFailure::AnswerGone
+            | ExecutionFailure::Cancelled
+            | ExecutionFailure::Expired => {}
+        }
         match failure {
             ExecutionFailure::BackendDisconnected { incarnation, phase, is_alive } => {
                 let evidence =
@@ -194,7 +224,10 @@
     fn on_refusal(&self, reason: RefusalReason) {
         self.node.counters().count(Counter::AttemptsRefused);
         match reason {
-            RefusalReason::BackendUnreachable => self.reservation.client.set_backend_down(),
+            RefusalReason::BackendUnreachable => {
+                self.record_outcome(CallOutcome::Unreachable);
+                self.reservation.client.set_backend_down();
+            }
             RefusalReason::Busy => self.reservation.client.set_full(),
             RefusalReason::ConfigOutdated => self.node.on_newer_peer_config(),
             RefusalReason::Draining => self.reservation.client.set_draining(),
--- a/crates/entry/src/endpoint_client.rs
+++ b/crates/entry/src/endpoint_client.rs
@@ -17,7 +17,7 @@
     timed_out, unreachable,
 };
 use lynxmount_node::{Counter, NodeHandle};
-use lynxmount_policy::{Candidate, ChoiceOptions};
+use lynxmount_policy::{CallOutcome, Candidate, ChoiceOptions, OutlierDetector};
 use lynxmount_quarantine::SharedQuarantine;
 use lynxmount_wire::{
     AttemptId, FrameReader, FrameWriter, LoadReport, PROTOCOL_VERSION, ToEndpoint, ToEntry,
@@ -66,6 +66,8 @@
     own_running: AtomicU32,
     last_chosen: AtomicU64,
     state: Mutex<ClientState>,
+    /// Kept across connections.
+    outliers: Mutex<OutlierDetector>,
 }
 
 #[derive(Default)]
@@ -107,6 +109,7 @@
             own_running: AtomicU32::new(0),
             last_chosen: AtomicU64::new(0),
             state: Mutex::default(),
+            outliers: Mutex::default(),
         }
     }
 
@@ -152,6 +155,23 @@
         state.connection.is_some() && !state.report.draining && state.report.backend_up
     }
 
+    /// Records how an attempt ended. Returns whether that ejects the endpoint.
+    pub(crate) fn record_outcome(&self, outcome: CallOutcome, now: Duration) -> bool {
+        let is_ejected = self.outliers.lock().record(outcome, now);
+        if is_ejected {
+            log::info!(endpoint = &*self.endpoint.id, outcome:? = outcome; "endpoint ejected");
+        }
+        is_ejected
+    }
+
+    /// Whether the endpoint is avoided, because its attempts fail: it is ejected, or its one trial
+    /// after an ejection is running.
+    pub(crate) fn is_avoided(&self, now: Duration) -> bool {
+        let is_running = self.own_running.load(Ordering::Relaxed) > 0;
+        let outliers = self.outliers.lock();
+        outliers.is_ejected(now) || (outliers.is_on_trial() && is_running)
+    }
+
     /// Records that the endpoint was chosen, as the pool's choice count.
     pub(crate) fn set_last_chosen(&self, choice_count: u64) {
         self.last_chosen.store(choice_count, Ordering::Relaxed);
--- a/crates/entry/src/service_pool.rs
+++ b/crates/entry/src/service_pool.rs
@@ -1,7 +1,10 @@
 //! Admission control and load balancing over the endpoints of a service: each request reserves
 //! capacity at an endpoint, waits in the queue for it, or is refused.
+//!
+//! An endpoint that fails fast always has free capacity, so that endpoints are ejected by their
+//! failures, not by their load.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use lynxmount_core::{EndpointId, Reason, ServiceId};
 use lynxmount_node::{ActiveConfig, Counter, NodeHandle};
@@ -190,8 +193,9 @@
         let mut undelivered = Vec::new();
         let mut state = self.state.lock();
         while !state.queue.is_empty() {
-            let Some(client) = state.choose_endpoint(&[], None) else { break };
-            let Some(ticket) = state.queue.dequeue(self.node.now()) else { break };
+            let now = self.node.now();
+            let Some(client) = state.choose_endpoint(&[], None, now) else { break };
+            let Some(ticket) = state.queue.dequeue(now) else { break };
             let Some(sender) = state.waiting.remove(&ticket) else { continue };
             undelivered.extend(sender.send(self.reserve_at(client)).err());
         }
@@ -203,9 +207,9 @@
         if !state.clients.iter().any(|client| client.is_serving()) {
             return Err(Refusal::not_run(Reason::NoEndpoint, "no endpoint of the service serves"));
         }
-        let free = state.choose_endpoint(request.tried, request.prefix);
-        match (state.queue.try_admit(request.waiter.clone(), free.is_some(), self.node.now()), free)
-        {
+        let now = self.node.now();
+        let free = state.choose_endpoint(request.tried, request.prefix, now);
+        match (state.queue.try_admit(request.waiter.clone(), free.is_some(), now), free) {
             (QueueDecision::Start, Some(client)) => {
                 client.reserve();
                 Ok(Admission::Granted(client))
@@ -233,16 +237,20 @@
 
 impl PoolState {
     /// Chooses an endpoint with free capacity by power of two choices; endpoints that were tried
-    /// are chosen only if there is no other.
+    /// are chosen only if there is no other, and those that fail only if no other serves.
     fn choose_endpoint(
         &mut self,
         tried: &[EndpointId],
         prefix: Option<&str>,
+        now: Duration,
     ) -> Option<Arc<EndpointClient>> {
+        let is_sound = |client: &Arc<EndpointClient>| !client.is_avoided(now);
+        let has_sound = self.clients.iter().any(|client| is_sound(client) && client.is_serving());
         let free: Vec<(usize, Candidate)> = self
             .clients
             .iter()
             .enumerate()
+            .filter(|(_, client)| !has_sound || is_sound(client))
             .filter_map(|(index, client)| Some((index, client.candidate(self.max_running)?)))
             .collect();
         let is_untried =
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -44,6 +44,8 @@
     ConnectionsOverdue => "connections.overdue",
     /// New connections that were closed for want of room.
     ConnectionsRefused => "connections.refused",
+    /// Endpoints that were ejected because their attempts fail.
+    EndpointsEjected => "endpoints.ejected",
     /// Frames that were too large or came too slowly; their connections are closed.
     FramesRefused => "frames.refused",
     /// Frames that were dropped as late, duplicated or of an earlier attempt.
--- a/crates/policy/src/outlier_detector.rs
+++ b/crates/policy/src/outlier_detector.rs
@@ -61,6 +61,11 @@
         now < self.ejected_until
     }
 
+    /// Whether the endpoint was ejected, and has not succeeded since.
+    pub fn is_on_trial(&self) -> bool {
+        self.consecutive_ejections > 0
+    }
+
     fn eject(&mut self, now: Duration) {
         let factor = 1 << self.consecutive_ejections.min(8);
         self.ejected_until = now + (BASE_EJECTION_TIME * factor).min(MAX_EJECTION_TIME);
