The times of a drain follow from the grace period

What callers saw: 11, 11 and 12 calls cut without an answer at a grace of 1, 2 and 3 s. Cause: idle connections were closed 2.6 s after SIGTERM and requests taken until 2.8 s, whatever the grace: the phase that refuses calls without a response came after the exit. Change: DrainSchedule.

--- a/crates/direct/src/drain.rs
+++ b/crates/direct/src/drain.rs
@@ -8,28 +8,10 @@
     time::{Duration, Instant},
 };
 
+use lynxmount_policy::DrainSchedule;
 use parking_lot::Mutex;
 use tokio::{sync::watch, task::JoinHandle};
 
-/// How long callers may expect a draining entry to accept requests. The platform probes readiness
-/// once a second and needs two failures, and callers may wait a second for a connection.
-const ACCEPT_DURATION: Duration = Duration::from_millis(3000);
-
-/// Time by which requests are refused earlier. Callers count from the sending of the signal, and a
-/// busy machine handles it later.
-const ACCEPT_MARGIN: Duration = Duration::from_millis(200);
-
-/// Time from the start of the drain until idle connections are closed. By then the platform sends
-/// no new ones.
-const CLOSE_IDLE_AFTER: Duration = Duration::from_millis(2600);
-
-/// Time between the forced end of the drain and the end of the grace period.
-const GRACE_MARGIN: Duration = Duration::from_millis(500);
-
-/// Time between the refusal of calls without a response and the forced end of the drain, in which
-/// these refusals are sent.
-const FLUSH_DURATION: Duration = Duration::from_millis(200);
-
 /// How often open connections are counted.
 const CONNECTION_CHECK_PERIOD: Duration = Duration::from_millis(20);
 
@@ -48,7 +30,8 @@
 
 /// Drain state of the process and its count of open connections.
 pub(crate) struct Drain {
-    started_at: Mutex<Option<Instant>>,
+    /// When new requests are refused, once the process drains.
+    refuses_at: Mutex<Option<Instant>>,
     connections: AtomicUsize,
     /// Connections that were closed before their first request.
     unused_connections: AtomicUsize,
@@ -68,7 +51,7 @@
     /// Starts in the state of a process that is not draining.
     fn default() -> Drain {
         Drain {
-            started_at: Mutex::default(),
+            refuses_at: Mutex::default(),
             connections: AtomicUsize::new(0),
             unused_connections: AtomicUsize::new(0),
             phase: watch::Sender::new(DrainPhase::Open),
@@ -78,13 +61,12 @@
 
 impl Drain {
     pub(crate) fn is_draining(&self) -> bool {
-        self.started_at.lock().is_some()
+        self.refuses_at.lock().is_some()
     }
 
     /// Whether new requests are refused, because they might not finish before the process exits.
     pub(crate) fn is_refusing(&self) -> bool {
-        let limit = ACCEPT_DURATION - ACCEPT_MARGIN;
-        self.started_at.lock().is_some_and(|at| at.elapsed() >= limit)
+        self.refuses_at.lock().is_some_and(|at| Instant::now() >= at)
     }
 
     pub(crate) fn track_connection(self: &Arc<Drain>) -> ConnectionGuard {
@@ -108,11 +90,12 @@
     /// `listening` ends once no connection is accepted any more.
     pub(crate) async fn run(&self, grace: Duration, listening: JoinHandle<()>) {
         let started_at = Instant::now();
-        *self.started_at.lock() = Some(started_at);
+        let schedule = DrainSchedule::new(grace);
+        *self.refuses_at.lock() = Some(started_at + schedule.refuse_after);
         log::info!(connections = self.connections.load(Ordering::Relaxed); "draining");
-        let end = started_at + grace.saturating_sub(GRACE_MARGIN);
-        let refuse_at = started_at + grace.saturating_sub(GRACE_MARGIN + FLUSH_DURATION);
-        tokio::time::sleep(CLOSE_IDLE_AFTER).await;
+        let end = started_at + schedule.exit_after;
+        let refuse_at = started_at + schedule.refuse_unanswered_after;
+        tokio::time::sleep(schedule.close_idle_after).await;
         self.phase.send_replace(DrainPhase::ClosingIdle);
         self.wait_until_unused(refuse_at).await;
         self.stop_accepting(listening).await;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 mod caller_idle_timeout;
 mod circuit_breaker;
 mod disconnected_calls;
+mod drain_schedule;
 mod endpoint_backpressure;
 mod endpoint_rate_limit;
 mod endpoint_selection;
@@ -51,6 +52,7 @@
 pub use caller_idle_timeout::{CallerIdleTimeout, UNRESPONSIVE_AFTER};
 pub use circuit_breaker::CircuitBreaker;
 pub use disconnected_calls::{CRASH_ATTRIBUTION_WINDOW, DisconnectedCalls, LivenessEvidence};
+pub use drain_schedule::DrainSchedule;
 pub use endpoint_backpressure::EndpointBackpressure;
 pub use endpoint_rate_limit::{
     EndpointRateLimit, LimitChange, LimitShare, MEMBERSHIP_CONVERGENCE_TIME,
