Informational heads without end break their connection

Cause: a response head was bounded, the number of heads before it was not. Change: the 17th informational head of a request closes its connection; the call fails as if the endpoint had closed it.

--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -1,6 +1,15 @@
 //! HTTP/1.1 client connections, and probes of addresses.
 
-use std::{convert::Infallible, io::ErrorKind, net::SocketAddr, time::Duration};
+use std::{
+    convert::Infallible,
+    io::ErrorKind,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -12,12 +21,15 @@
 use hyper_util::rt::TokioIo;
 use lynxmount_core::{Error, Result, Step, unreachable};
 use socket2::{SockRef, TcpKeepalive};
-use tokio::{net::TcpStream, task::JoinHandle};
+use tokio::{net::TcpStream, sync::Notify, task::JoinHandle};
 
 /// Limit of a response head and of the read-ahead for a slow reader. hyper's default of
 /// 400 kB per connection is too much memory for a small process.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
+/// Informational heads (1xx) before a response. A peer that sends more may send them without end.
+const MAX_INFORMATIONAL_HEADS: u32 = 16;
+
 /// TCP keepalive: idle time before the first probe, interval of probes, and number of lost
 /// probes after which the connection breaks. A lost peer is detected within 2 s; long polls
 /// must deliver their result within 3 s after a network partition heals.
@@ -33,6 +45,8 @@
 /// A connection. Dropping it closes it, which cancels its request at the peer.
 pub struct Connection {
     sender: SendRequest<RequestBody>,
+    /// Notified when the peer has sent too much that is no response.
+    excess: Arc<Notify>,
     task: JoinHandle<()>,
 }
 
@@ -70,11 +84,16 @@
         builder.max_buf_size(MAX_BUFFER_BYTES);
         let result = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = result.map_err(|e| unreachable(Step::Connect, address, e))?;
+        let excess = Arc::new(Notify::new());
+        let closing = Arc::clone(&excess);
         let task = tokio::spawn(async move {
             // A connection error is also returned to the call that uses the connection.
-            let _ = connection.await;
+            tokio::select! {
+                _ = connection => {}
+                () = closing.notified() => {}
+            }
         });
-        Ok(Connection { sender, task })
+        Ok(Connection { sender, excess, task })
     }
 
     /// Opens a connection that is reset when it is dropped, so that data which the peer has
@@ -95,12 +114,20 @@
 
     /// Sends a request and waits for the response head.
     ///
-    /// Fails if the connection breaks first; the peer may have received the request.
+    /// Fails if the connection breaks first, or the peer sends too many informational heads; the peer
+    /// may have received the request.
     pub async fn send(
         &mut self,
         request: Request<impl Body<Data = Bytes, Error = Infallible> + Send + 'static>,
     ) -> std::result::Result<Response<Incoming>, hyper::Error> {
-        self.sender.send_request(request.map(BodyExt::boxed_unsync)).await
+        let mut request = request.map(BodyExt::boxed_unsync);
+        let (excess, heads) = (Arc::clone(&self.excess), AtomicU32::new(0));
+        hyper::ext::on_informational(&mut request, move |_| {
+            if heads.fetch_add(1, Ordering::Relaxed) >= MAX_INFORMATIONAL_HEADS {
+                excess.notify_one();
+            }
+        });
+        self.sender.send_request(request).await
     }
 
     /// Waits until the connection can send a request.
