A coordinator's first life is believed only before the group's first pass

Change: it switches at once only if it saw the group before its first pass, when nobody can have switched for want of demand. Else it waits as one that may have a former life does: 12 s, six steps, or another epoch. The former line of the test asked for a switch without a view of the group; it now has one, and its opposite beside.

--- a/crates/group/src/switch/hold_history.rs
+++ b/crates/group/src/switch/hold_history.rs
@@ -33,7 +33,7 @@
 pub struct HoldHistory {
     epoch: GroupEpoch,
     last_by_rank: BTreeMap<RankNumber, PlacedHold>,
-    /// Whether no former life of this coordinator can have placed holds.
+    /// Whether settings say that this coordinator has no former life.
     is_first_life: bool,
     first_seen: Option<FirstSeen>,
 }
@@ -52,7 +52,7 @@
 }
 
 impl HoldHistory {
-    /// The history of a coordinator that has no former life.
+    /// The history of a coordinator whose settings say that it has no former life.
     pub fn of_first_life() -> HoldHistory {
         HoldHistory { is_first_life: true, ..HoldHistory::default() }
     }
@@ -65,11 +65,15 @@
     /// Whether no release of a former life of this coordinator can meet a hold for a switch: such a
     /// life may have placed holds shortly before this one began, and they are not known here.
     ///
-    /// `age` is the age of this life.
+    /// Settings that name no former life are believed only by a life that has seen the group before
+    /// its first pass: until then there is no demand to switch for. `age` is the age of this life.
     pub fn may_switch(&self, epoch: GroupEpoch, step: GroupStep, age: Duration) -> bool {
-        let has_moved_on =
-            |first: FirstSeen| epoch != first.epoch || step >= first.step + MAX_HOLD_LEAD;
-        self.is_first_life || age >= MAX_ORDER_DELAY || self.first_seen.is_some_and(has_moved_on)
+        let is_safe = |first: FirstSeen| {
+            epoch != first.epoch
+                || step >= first.step + MAX_HOLD_LEAD
+                || (self.is_first_life && first.step == 0)
+        };
+        age >= MAX_ORDER_DELAY || self.first_seen.is_some_and(is_safe)
     }
 
     /// Chooses a rank without a hold; for the rollback of an abandoned switch, one that this
--- a/crates/group/tests/switch_hold.rs
+++ b/crates/group/tests/switch_hold.rs
@@ -136,7 +136,19 @@
     assert!(history.may_switch(EPOCH, 7 + 6, Duration::from_secs(1)), "a busy group");
     assert!(history.may_switch(EPOCH + 1, 0, Duration::from_secs(1)), "a new epoch");
     assert!(history.may_switch(EPOCH, 9, MAX_ORDER_DELAY), "no order is so late");
-    assert!(HoldHistory::of_first_life().may_switch(EPOCH, 0, Duration::ZERO), "no former life");
+}
+
+/// Guards against settings that name no former life of a coordinator which starts again.
+#[test]
+fn a_first_life_switches_at_once_only_if_it_saw_the_group_before_its_first_pass() {
+    let [mut first, mut restarted] = [(); 2].map(|()| HoldHistory::of_first_life());
+    first.on_seen(EPOCH, 0);
+    restarted.on_seen(EPOCH, 7);
+
+    assert!(first.may_switch(EPOCH, 0, Duration::ZERO), "no former life");
+    assert!(first.may_switch(EPOCH, 2, Duration::ZERO), "no former life");
+    assert!(!restarted.may_switch(EPOCH, 9, Duration::from_secs(1)), "an idle group");
+    assert!(restarted.may_switch(EPOCH, 9, MAX_ORDER_DELAY), "no order is so late");
 }
 
 /// Guards against a group that stays held for ever, as late orders have held it at a step at which
