One list of entries is no evidence that all are known

Change: a later list, 0.8 s after the first at least, has to confirm that the process is named. Until then a process without a predecessor has 0.15 of its share for its first 2 s, as before, and any other one none.

--- a/crates/policy/src/membership_evidence.rs
+++ b/crates/policy/src/membership_evidence.rs
@@ -6,6 +6,10 @@
 
 use std::time::Duration;
 
+/// Time between a list that names the process and a later one that confirms it. Members that have
+/// started together with the process may not be in its first list.
+const CONFIRMED_AFTER: Duration = Duration::from_millis(800);
+
 /// Longest time between two lists. Members that have joined meanwhile may not be known.
 const MAX_LIST_AGE: Duration = Duration::from_secs(10);
 
@@ -15,7 +19,7 @@
 /// Whether a process knows all members. Times are since its start.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum MembershipEvidence {
-    /// No list names it.
+    /// No list names it, or only one that no later list has confirmed.
     #[default]
     None,
     /// Lists have named it since a time, the last one recently.
@@ -41,7 +45,7 @@
 impl MembershipTracker {
     /// Records that the list of members was read, and whether it names this process.
     pub fn on_list(&mut self, is_listed: bool, now: Duration) {
-        let is_dropped = self.evidence(now) == MembershipEvidence::None;
+        let is_dropped = now >= self.listed_at + DROPPED_AFTER;
         self.is_listed = is_listed;
         if is_listed {
             self.since = self.since.filter(|_| !is_dropped).or(Some(now));
@@ -52,7 +56,8 @@
     /// What is known now.
     pub fn evidence(&self, now: Duration) -> MembershipEvidence {
         let age = now.saturating_sub(self.listed_at);
-        match self.since {
+        let is_confirmed = |since: &Duration| self.listed_at >= *since + CONFIRMED_AFTER;
+        match self.since.filter(is_confirmed) {
             Some(since) if self.is_listed && age <= MAX_LIST_AGE => {
                 MembershipEvidence::Current { since }
             }
--- a/crates/policy/src/window_budget.rs
+++ b/crates/policy/src/window_budget.rs
@@ -140,7 +140,7 @@
         let entries = self.slices.iter().map(|slice| slice.entries).max();
         let share = self.options.slack / entries.unwrap_or_default().max(1) as f64;
         let known_since = match self.evidence {
-            MembershipEvidence::None => return 0.0,
+            MembershipEvidence::None => return self.unconfirmed_slack(share, now),
             MembershipEvidence::Current { since } if now >= since + self.window() => {
                 return STEADY_FRACTION * share;
             }
@@ -159,6 +159,15 @@
         }
     }
 
+    /// This entry's part of the slack while it does not know all entries. Those that start together
+    /// without a predecessor may all divide by one.
+    fn unconfirmed_slack(&self, share: f64, now: Duration) -> f64 {
+        match self.predecessor {
+            Predecessor::None if now < PEERS_KNOWN_AFTER => UNCONFIRMED_FRACTION * share,
+            Predecessor::None | Predecessor::Possible => 0.0,
+        }
+    }
+
     fn window(&self) -> Duration {
         self.options.window.max(Duration::from_millis(1))
     }
--- a/crates/policy/tests/window_budget.rs
+++ b/crates/policy/tests/window_budget.rs
@@ -171,6 +171,18 @@
     assert_eq!(withdrawn, [3, 3, 13]);
 }
 
+/// Guards against processes without a predecessor that never learn of each other.
+#[test]
+fn process_without_predecessor_that_does_not_know_its_peers_loses_its_share() {
+    let withdrawn = [0, 1999, 2000, 30_000].map(|age_ms| {
+        let mut budget = budget_with(MembershipEvidence::None);
+        budget.set_predecessor(Predecessor::None);
+        withdraw_all(&mut budget, ENTRIES, age_ms)
+    });
+
+    assert_eq!(withdrawn, [3, 3, 0, 0]);
+}
+
 /// Guards against a share that grows with the age of a process which knows too few of the others.
 #[test]
 fn share_grows_with_the_time_for_which_entries_are_known() {
