Soak: an endpoint that is ready again keeps its newest incarnation

Cause: the injector's. The end of an overlapping leave registers the endpoint without the time at which its newest incarnation began, 0.3 s after the registration of that incarnation, which it replaces. Change: each registration of an endpoint names its newest incarnation. No check has changed.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -13,8 +13,7 @@
     fixture::{
         CONFIG_KEY, EntryPorts, GroupService, IDEMPOTENT, NON_IDEMPOTENT, OPERATOR_TOPIC,
         REGISTRATIONS_TOPIC, RETRY_SLACK, STREAM, config_text, endpoint_settings_text,
-        entry_settings_text, registration_text, restarted_registration_text, service_of,
-        with_retry_slack,
+        entry_settings_text, registration_text, service_of, with_retry_slack,
     },
 };
 use parking_lot::Mutex;
@@ -78,6 +77,8 @@
     processes: HashMap<String, Mutex<Process>>,
     /// All configurations that were written, as text.
     configs: Mutex<Vec<String>>,
+    /// When the newest incarnations of endpoints began, by endpoint; without those of the start.
+    born_ms: Mutex<HashMap<usize, u64>>,
     pub(crate) history: Mutex<History>,
 }
 
@@ -104,6 +105,7 @@
             store_links: HashMap::new(),
             processes: HashMap::new(),
             configs: Mutex::default(),
+            born_ms: Mutex::default(),
             history: Mutex::default(),
         };
         fleet.put_config(1);
@@ -219,21 +221,23 @@
         }
     }
 
-    /// Writes an endpoint's registration.
+    /// Writes the registration of an endpoint's newest incarnation.
     pub(crate) fn register(&self, endpoint: usize, state: &str) {
         let route = route_of(endpoint, self.size);
         let address = self.endpoint_links[endpoint].address();
         let registration = registration_text(address, &service_of(route), state);
+        let registration = match self.born_ms.lock().get(&endpoint) {
+            Some(born_ms) => registration.replacen('{', &format!(r#"{{"born":{born_ms},"#), 1),
+            None => registration,
+        };
         self.store.put(REGISTRATIONS_TOPIC, &self.endpoints[endpoint].instance_id(), &registration);
     }
 
     /// Writes the registration of an endpoint's next incarnation.
     pub(crate) fn register_restarted(&self, endpoint: usize) {
-        let address = self.endpoint_links[endpoint].address();
-        let service = service_of(route_of(endpoint, self.size));
         let born_ms = self.now().as_millis() as u64;
-        let registration = restarted_registration_text(address, &service, born_ms);
-        self.store.put(REGISTRATIONS_TOPIC, &self.endpoints[endpoint].instance_id(), &registration);
+        self.born_ms.lock().insert(endpoint, born_ms);
+        self.register(endpoint, "ready");
     }
 
     /// The indices of the endpoints of streams.
