--- a/crates/policy/tests/window_budget.rs
+++ b/crates/policy/tests/window_budget.rs
@@ -197,8 +197,7 @@
     assert_eq!((known, unknown), ([1, 4, 8, 13], [0; 4]));
 }
 
-/// Guards against old lists: what those that miss the entries which have joined use beside them
-/// stays within the slack.
+/// Guards against entries that miss those which have joined, and exceed the slack beside them.
 #[test]
 fn share_is_reduced_while_no_list_is_read() {
     let evidence = MembershipEvidence::Stale { since: Duration::ZERO };
