--- a/review/4/case.rs
+++ b/review/4/case.rs
@@ -13,7 +13,7 @@
     time::{Duration, Instant},
 };
 
-use standins::{Channel, Entry, Head, Log, Store, address, call, has_trouble, listen, manifest};
+use standins::{Channel, Entry, Head, Log, Store, address, call, listen, manifest};
 
 const SERVERS: std::ops::Range<u8> = 21..29;
 const EVENT_GAP: Duration = Duration::from_millis(40);
@@ -116,6 +116,11 @@
     }
 }
 
+/// Whether the case is played with its disruption: unless `TROUBLE` is 0.
+fn has_trouble() -> bool {
+    std::env::var("TROUBLE").as_deref() != Ok("0")
+}
+
 fn play(folder: &Path, log: &Log) -> Result<bool> {
     let store_address = address(1, 8223);
     let store = Store::start(store_address)?;
--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -13,7 +13,7 @@
     time::Duration,
 };
 
-use standins::{Channel, Entry, Head, Log, Store, address, call, has_trouble, listen, manifest};
+use standins::{Channel, Entry, Head, Log, Store, address, call, listen, manifest};
 
 const EVENTS: u64 = 24;
 const EVENT_GAP: Duration = Duration::from_millis(15);
@@ -96,6 +96,11 @@
     }
 }
 
+/// Whether the case is played with its disruption: unless `TROUBLE` is 0.
+fn has_trouble() -> bool {
+    std::env::var("TROUBLE").as_deref() != Ok("0")
+}
+
 fn play(folder: &Path, log: &Log) -> Result<bool> {
     let store_address = address(1, 8223);
     let store = Store::start(store_address)?;
--- a/review/standins-2/standins.rs
+++ b/review/standins-2/standins.rs
@@ -480,11 +480,6 @@
     )
 }
 
-/// Whether the case is to be played with its disruption.
-pub fn has_trouble() -> bool {
-    std::env::var("TROUBLE").map_or(true, |value| value != "0")
-}
-
 /// Ends the program: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 pub fn finish(folder: &Path, play: impl FnOnce(&Path, &Log) -> Result<bool>) -> ! {
     let result = Log::create(folder).and_then(|log| {
