Endpoint processes take their engine's service from their settings

Cause: a registration of another service at the engine's address. Registry::own_service took the service from the registrations at that address, and of several configured ones the first by name. The process then announced its rank to machines that have no process of ours, and the leader's picture of the group stayed incomplete. Missing fields are not the cause: a complete registration does the same.

Change: the settings name the service, and go before the registrations; without them a service with engines goes before a plain one. The fixtures' settings name it, as the platform's do.

Evidence: hold_is_settled_although_another_service_is_registered_at_a_rank, with product code of: no pass within 20 s, 1 of 1; with this change: passes, as do the other 16 tests of platform_endpoint. Why it works: the settings are written by the platform for this machine, and no other writer reaches them.

--- a/crates/core/src/site.rs
+++ b/crates/core/src/site.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use crate::{FailureDomainId, Mechanisms, ProcessId};
+use crate::{FailureDomainId, Mechanisms, ProcessId, ServiceId};
 
 /// Bytes per megabit.
 const BYTES_PER_MBIT: f64 = 125_000.0;
@@ -59,6 +59,8 @@
     pub store_address: SocketAddr,
     /// The address of the engine beside the process, if it is an endpoint process.
     pub engine_address: Option<SocketAddr>,
+    /// The service of that engine, if set.
+    pub engine_service: Option<ServiceId>,
     /// Bandwidth of the machine's network link in Mbit/s, if set.
     pub link_mbit_per_s: Option<f64>,
     /// Memory limit of the process in MB, if set.
--- a/crates/lynxmount/tests/platform_common/mod.rs
+++ b/crates/lynxmount/tests/platform_common/mod.rs
@@ -279,7 +279,8 @@
         for (rank, engine) in engines.iter().enumerate() {
             let registration = registration_text(*engine, &service, "ready");
             store.put(REGISTRATIONS_TOPIC, &format!("i-{rank}"), &registration);
-            let settings = endpoint_settings_text(*engine, INTERNAL_PORT, store.address());
+            let settings =
+                endpoint_settings_text(*engine, &service, INTERNAL_PORT, store.address());
             let settings = format!("{settings}{settings_lines}");
             processes.push(Process::start_with("platform-endpoint", &settings, arguments));
         }
--- a/crates/lynxmount/tests/platform_endpoint.rs
+++ b/crates/lynxmount/tests/platform_endpoint.rs
@@ -10,10 +10,11 @@
 use lynxmount_platform_standin::{
     GroupStandin, StoreStandin, TopicSilence,
     fixture::{
-        CONFIG_KEY, GroupService, OPERATOR_TOPIC, REGISTRATIONS_TOPIC, config_text,
+        CONFIG_KEY, GroupService, IDEMPOTENT, OPERATOR_TOPIC, REGISTRATIONS_TOPIC, config_text,
         endpoint_settings_text, registration_text, service_of,
     },
 };
+use lynxmount_policy::rendezvous;
 use nix::sys::signal::Signal;
 use platform_common::{INTERNAL_PORT, Process, STORE_PORT, allocate_network, ip, wait_for};
 use tokio::net::UdpSocket;
@@ -26,6 +27,8 @@
 const PASS_PERIOD: Duration = Duration::from_millis(20);
 /// How many passes begin between an order to hold a group and the hold.
 const PASSES_BEFORE_HOLD: u64 = 20;
+/// How many directories a group has.
+const DIRECTORIES: usize = 2;
 const HOLD_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// One group of engines with its endpoint processes.
@@ -72,7 +75,8 @@
 impl TestService {
     /// Starts the endpoint process of an engine.
     fn start_process(&self, engine: SocketAddr) -> Process {
-        let text = endpoint_settings_text(engine, INTERNAL_PORT, self.store.address());
+        let text =
+            endpoint_settings_text(engine, &self.service, INTERNAL_PORT, self.store.address());
         Process::start("platform-endpoint", &text)
     }
 
@@ -81,6 +85,31 @@
         SocketAddr::from((ip(self.network, 10 + rank), ENGINE_PORT))
     }
 
+    fn start_processes(&mut self, ranks: impl IntoIterator<Item = u8>) {
+        for rank in ranks {
+            let process = self.start_process(self.engine(rank));
+            self.processes.push(process);
+        }
+    }
+
+    /// Kills all processes, holds the only group through a rank, and waits until that stops it.
+    /// Returns the step that it is held at.
+    async fn hold_without_processes(&mut self, rank: u8) -> u64 {
+        self.processes.clear();
+        let held_at = self.groups[0].step() + PASSES_BEFORE_HOLD;
+        hold(self.engine(rank), held_at).await;
+        wait_for("the hold", async || self.groups[0].step() + 1 == held_at).await;
+        held_at
+    }
+
+    /// The ranks of the only group whose processes are not its directories.
+    fn ranks_that_are_no_directories(&self) -> Vec<u8> {
+        let engines: Vec<String> = (0..RANKS).map(|rank| self.engine(rank).to_string()).collect();
+        let directories = rendezvous("a", &engines, |engine| engine, DIRECTORIES);
+        let is_directory = |rank: u8| directories.contains(&&engines[usize::from(rank)]);
+        (0..RANKS).filter(|rank| !is_directory(*rank)).collect()
+    }
+
     fn register(&self, engine: SocketAddr) {
         let registration = registration_text(engine, &self.service, "ready");
         self.store.put(REGISTRATIONS_TOPIC, &format!("i-{engine}"), &registration);
@@ -128,8 +157,9 @@
         let registration = registration_text(*engine, &service, "ready");
         store.put(REGISTRATIONS_TOPIC, &format!("i-{rank}"), &registration);
     }
-    let to_settings =
-        |engine: &SocketAddr| endpoint_settings_text(*engine, INTERNAL_PORT, store.address());
+    let to_settings = |engine: &SocketAddr| {
+        endpoint_settings_text(*engine, &service, INTERNAL_PORT, store.address())
+    };
     let settings: Vec<String> = engines.iter().map(to_settings).collect();
     let processes = settings.iter().map(|text| Process::start("platform-endpoint", text)).collect();
     TestGroup { group, processes, settings }
@@ -257,17 +287,33 @@
     wait_for("replicas", async || replicas_in(&test_service.groups[0], 2) >= 3).await;
 
     test_service.store.set_silence(OPERATOR_TOPIC, Some(TopicSilence::All));
-    test_service.processes.clear();
-    let held_at = test_service.groups[0].step() + PASSES_BEFORE_HOLD;
-    hold(test_service.engine(1), held_at).await;
-    let is_held = async || test_service.groups[0].step() + 1 == held_at;
-    wait_for("the hold", is_held).await;
-    for rank in 0..RANKS {
-        let process = test_service.start_process(test_service.engine(rank));
-        test_service.processes.push(process);
+    let held_at = test_service.hold_without_processes(1).await;
+    test_service.start_processes(0..RANKS);
+
+    wait_for("passes", async || test_service.groups[0].step() > held_at + 20).await;
+    assert_no_split(&test_service.groups);
+}
+
+/// Guards against a group that stays held, with all its streams, because a process takes another
+/// service that is registered at its engine's address for its own, and its rank stays unknown.
+#[tokio::test]
+async fn hold_is_settled_although_another_service_is_registered_at_a_rank() {
+    let mut test_service = start_groups(&["a"]).await;
+    test_service.groups[0].set_demand(demand_for(2));
+    wait_for("replicas", async || replicas_in(&test_service.groups[0], 2) >= 3).await;
+
+    // The name of this service sorts before that of the group's.
+    let plain = service_of(IDEMPOTENT);
+    for rank in test_service.ranks_that_are_no_directories() {
+        let foreign = registration_text(test_service.engine(rank), &plain, "ready");
+        test_service.store.put(REGISTRATIONS_TOPIC, &format!("x-{rank}"), &foreign);
     }
+    let held_at = test_service.hold_without_processes(1).await;
+    test_service.start_processes(0..RANKS);
 
     wait_for("passes", async || test_service.groups[0].step() > held_at + 20).await;
+    test_service.groups[0].set_demand(demand_for(7));
+    wait_for("replicas", async || replicas_in(&test_service.groups[0], 7) >= 3).await;
     assert_no_split(&test_service.groups);
 }
 
--- a/crates/rank/src/process.rs
+++ b/crates/rank/src/process.rs
@@ -71,7 +71,8 @@
     let address = SocketAddr::new(settings.ip, port);
     let metrics = Arc::new(Metrics::default());
     let clock = Clock::start();
-    let registry = Arc::new(Registry::new(clock, settings.bounds.heartbeat));
+    let own_service = settings.engine_service.clone();
+    let registry = Arc::new(Registry::new(clock, settings.bounds.heartbeat, own_service));
     let demand = Demand::new(settings.mechanisms.has(Mechanism::ShiftDetection));
     let rank_states = Arc::new(Mutex::new(RankStates::new(own_engine, demand)));
     let maps: Arc<Mutex<MapCache>> = Arc::default();
--- a/crates/rank/src/registry.rs
+++ b/crates/rank/src/registry.rs
@@ -2,7 +2,7 @@
 //!
 //! Rendezvous hashing of a group's name selects the group's directories among them.
 
-use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+use std::{cmp::Reverse, collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use lynxmount_core::{
     Clock, ConfigVersion, EndpointList, EndpointRecord, FailureDomainId, Result, ServiceId,
@@ -52,16 +52,23 @@
 /// The registered engines of the own service.
 pub(crate) struct Registry {
     clock: Clock,
+    /// The own service, if the settings name it.
+    configured_service: Option<ServiceId>,
     membership: Mutex<Membership>,
     endpoints: Mutex<ServiceEndpoints>,
 }
 
 impl Registry {
     /// Starts without engines. They renew their registrations with every heartbeat.
-    pub(crate) fn new(clock: Clock, heartbeat: Duration) -> Registry {
+    pub(crate) fn new(
+        clock: Clock,
+        heartbeat: Duration,
+        configured_service: Option<ServiceId>,
+    ) -> Registry {
         let lease = heartbeat * LEASE_HEARTBEATS;
         let membership = Membership::new(true, REFRESH_PERIOD + MAX_READ_DELAY, lease);
-        Registry { clock, membership: Mutex::new(membership), endpoints: Mutex::default() }
+        let (membership, endpoints) = (Mutex::new(membership), Mutex::default());
+        Registry { clock, configured_service, membership, endpoints }
     }
 
     /// The own service; `None` until the own engine is found registered.
@@ -104,8 +111,10 @@
         *self.endpoints.lock() = ServiceEndpoints { service: Some(service), engines };
     }
 
-    /// The service of the own engine. A registration at its address may come from another writer;
-    /// of several services, the configured one is valid.
+    /// The service of the own engine, once it is registered. A registration at its address may come
+    /// from another writer, or be left from another service that had the address, so that the settings
+    /// are asked first. Without them, of several services a configured one is valid, and one with
+    /// engines goes before a plain one.
     async fn own_service(
         &self,
         source: &impl FleetSource,
@@ -114,15 +123,18 @@
     ) -> Option<ServiceId> {
         let at_own_address = list.endpoints.iter().filter(|endpoint| endpoint.address == own);
         let services: BTreeSet<&ServiceId> = at_own_address.map(|e| &e.service).collect();
+        if let Some(configured) = &self.configured_service {
+            return services.get(configured).map(|service| ServiceId::clone(service));
+        }
         if services.len() < 2 {
             return services.into_iter().next().cloned();
         }
         match source.config_from(None, Duration::ZERO).await {
             Ok(config) => {
                 let config = config.value?;
-                let is_configured =
-                    |service: &&ServiceId| config.services.iter().any(|spec| spec.id == **service);
-                services.into_iter().find(is_configured).cloned()
+                let specs = config.services.iter().filter(|spec| services.contains(&spec.id));
+                let preferred = specs.min_by_key(|spec| (Reverse(spec.engine.is_some()), &spec.id));
+                preferred.map(|spec| ServiceId::clone(&spec.id))
             }
             Err(error) => {
                 log::warn!(error:% = error; "configuration read failed");
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -112,11 +112,12 @@
         fleet.start_endpoints(number).await?;
         fleet.start_entries(options, folder).await?;
         for (rank, engine) in engines.iter().enumerate() {
-            let registration = registration_text(*engine, &service_of("model"), "ready");
+            let service = service_of("model");
+            let registration = registration_text(*engine, &service, "ready");
             fleet.store.put(REGISTRATIONS_TOPIC, &format!("rank-{rank}"), &registration);
             let id = ProcessId::Endpoint(rank);
             let link = fleet.start_store_link(id, engine.ip()).await?;
-            let settings = endpoint_settings_text(*engine, INTERNAL_PORT, link);
+            let settings = endpoint_settings_text(*engine, &service, INTERNAL_PORT, link);
             fleet.start_process(options, folder, id, &settings)?;
         }
         Ok(fleet)
