Ranks without a process are found by reading registered engines

Cause: an abandoned hold is settled only with the state of all ranks, and a leader knows only engines whose processes have announced themselves since it began. A hold can't be released with less: a rank of which nothing is known may be armed, or be armed late, for another map at that step. But the engine lives and can be asked.

Change: a leader that misses ranks reads registered engines of its service of which nothing is known, a few at a time. Such a rank is a member without a process: no candidate, no reports. Announcements go to it, and their receivers know the sender. Who may hold the group through which rank depends on the rank only; a leader beyond the first three ranks only settles. What a leader lacks is logged.

--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -26,7 +26,10 @@
 pub use commit_participant::{ArmedChange, CommitParticipant, EngineState, ParticipantAction};
 pub use lease::{LEASE_MARGIN, Lease, LeaseRecord, LeaseTable};
 pub use map_cache::{MapCache, RankRow};
-pub use membership::{Announcement, GroupDirectory, GroupMembers, MembershipView};
+pub use membership::{
+    Announcement, EngineSearch, GroupDirectory, GroupMembers, MembershipView, hold_owner,
+    may_start_switches,
+};
 pub use relay::{Relay, RelayTarget, plan_relays, should_relay};
 pub use switch::{
     HoldHistory, HoldPlacement, MapSwitch, OutgoingRequest, RankRequest, RequestId, SwitchInputs,
--- a/crates/group/src/membership.rs
+++ b/crates/group/src/membership.rs
@@ -4,8 +4,15 @@
 //! knows its own rank. So each process announces its rank to a directory, one or two
 //! processes that rendezvous hashing picks by the group's name, and receives the other
 //! members. It then reports the state of its rank to the first ranks of its group only.
+//!
+//! Nobody announces a rank whose process is gone. Its engine is found by reading registered engines
+//! ([`EngineSearch`]); such a rank is a member, but its process gets no reports.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use lynxmount_core::experts::GroupMembership;
 use serde::{Deserialize, Serialize};
@@ -29,6 +36,10 @@
 /// How long discovery lasts at most: a group that lacks a rank for longer has lost it.
 const DISCOVERY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// How many engines are read at a time in the search for missing ranks. A read from another machine
+/// is charged as a probe.
+const MAX_SEARCH_READS: usize = 4;
+
 /// How long a directory keeps a group without announcements: far longer than a group
 /// needs to form again.
 const GROUP_TTL: Duration = Duration::from_secs(60);
@@ -91,10 +102,10 @@
     /// when directories are gone, the leader candidates still know all members.
     pub fn fill_missing(&mut self, view: &MembershipView, now: Duration) {
         let Some(announced) = &view.own else { return };
-        let entry = self.entry(&announced.group, view.engines.len(), now);
-        for (rank, engine) in view.engines.iter().enumerate() {
-            if entry.engines[rank].is_none() && !entry.engines.contains(engine) {
-                entry.engines[rank] = *engine;
+        let entry = self.entry(&announced.group, view.ranks.len(), now);
+        for (rank, engine) in view.engines_with_process().into_iter().enumerate() {
+            if entry.engines[rank].is_none() && !entry.engines.contains(&engine) {
+                entry.engines[rank] = engine;
             }
         }
     }
@@ -118,11 +129,19 @@
     }
 }
 
+/// A known rank of a process's own group.
+#[derive(Clone, Copy, Debug)]
+struct KnownRank {
+    engine: SocketAddr,
+    /// Whether a process beside the engine has announced or reported the rank.
+    has_process: bool,
+}
+
 /// A process's view of the members of its own group.
 #[derive(Debug, Default)]
 pub struct MembershipView {
     own: Option<Announcement>,
-    engines: Vec<Option<SocketAddr>>,
+    ranks: Vec<Option<KnownRank>>,
     /// When this process's engine became this rank of this group.
     joined_at: Duration,
     announced_at: Option<Duration>,
@@ -133,11 +152,11 @@
     /// whether to announce the rank now.
     pub fn set_own(&mut self, own: Announcement, now: Duration) -> bool {
         if self.own.as_ref() != Some(&own) {
-            let mut engines = vec![None; own.ranks];
-            if let Some(slot) = engines.get_mut(own.rank) {
-                *slot = Some(own.engine);
+            let mut ranks = vec![None; own.ranks];
+            if let Some(slot) = ranks.get_mut(own.rank) {
+                *slot = Some(KnownRank { engine: own.engine, has_process: true });
             }
-            *self = MembershipView { own: Some(own), engines, joined_at: now, announced_at: None };
+            *self = MembershipView { own: Some(own), ranks, joined_at: now, announced_at: None };
         }
         let is_due = self.announced_at.is_none_or(|at| now >= at + self.announcement_period(now));
         if is_due {
@@ -149,33 +168,62 @@
     /// Merges a directory's answer; keeps ranks that the directory does not know.
     pub fn merge(&mut self, members: GroupMembers) {
         let Some(own) = &self.own else { return };
-        if members.group != own.group || members.engines.len() > self.engines.len() {
+        if members.group != own.group || members.engines.len() > self.ranks.len() {
             return;
         }
-        let pairs = self.engines.iter_mut().zip(members.engines).enumerate();
+        let pairs = self.ranks.iter_mut().zip(members.engines).enumerate();
         for (_, (known, engine)) in pairs.filter(|(rank, _)| *rank != own.rank) {
-            *known = engine.or(*known);
+            *known = engine.map(|engine| KnownRank { engine, has_process: true }).or(*known);
         }
     }
 
-    /// Adds the rank that an engine states in its report. Leader candidates may receive a
+    /// Adds the rank that a process has announced or reported. Leader candidates may receive a
     /// rank's report before a directory's answer that has the rank.
-    pub fn on_report(&mut self, engine: SocketAddr, membership: &GroupMembership) {
-        let Some(own) = &self.own else { return };
-        let is_other = membership.group == own.group && membership.rank != own.rank;
-        if let Some(known) = self.engines.get_mut(membership.rank).filter(|_| is_other) {
-            *known = Some(engine);
+    pub fn on_process(&mut self, engine: SocketAddr, group: &str, rank: RankNumber) {
+        if let Some(known) = self.other_rank(group, rank) {
+            *known = Some(KnownRank { engine, has_process: true });
+        }
+    }
+
+    /// Adds the rank that an engine states itself, unless a process has announced that rank.
+    /// Returns whether the engine belongs to the own group.
+    pub fn on_engine_found(&mut self, engine: SocketAddr, membership: &GroupMembership) -> bool {
+        let Some(known) = self.other_rank(&membership.group, membership.rank) else { return false };
+        if known.is_none_or(|known| !known.has_process) {
+            *known = Some(KnownRank { engine, has_process: false });
         }
+        true
+    }
+
+    fn other_rank(&mut self, group: &str, rank: RankNumber) -> Option<&mut Option<KnownRank>> {
+        let own = self.own.as_ref()?;
+        let is_other = group == own.group && rank != own.rank;
+        self.ranks.get_mut(rank).filter(|_| is_other)
     }
 
-    /// The engines of the first known ranks, whose processes receive all reports.
+    /// The engines of the first known ranks with a process. These receive all reports.
     pub fn leader_candidates(&self) -> Vec<SocketAddr> {
-        self.engines.iter().flatten().take(LEADER_CANDIDATES).copied().collect()
+        self.engines_with_process().into_iter().flatten().take(LEADER_CANDIDATES).collect()
     }
 
     /// The engines of all known ranks, ordered by rank.
     pub fn engines(&self) -> Vec<SocketAddr> {
-        self.engines.iter().flatten().copied().collect()
+        self.ranks.iter().flatten().map(|known| known.engine).collect()
+    }
+
+    /// The engines to whose processes an announcement goes: the directories, those whose process is
+    /// not known, and while ranks are missing the leader candidates too, which still know all ranks
+    /// after the directories have terminated.
+    pub fn announcement_receivers(&self, directories: Vec<SocketAddr>) -> Vec<SocketAddr> {
+        let mut receivers = directories;
+        let without_process = self.ranks.iter().flatten().filter(|known| !known.has_process);
+        receivers.extend(without_process.map(|known| known.engine));
+        if !self.is_complete() {
+            receivers.extend(self.leader_candidates());
+        }
+        receivers.sort();
+        receivers.dedup();
+        receivers
     }
 
     /// When this process's engine became its current rank.
@@ -192,11 +240,52 @@
 
     /// Whether all members are known that this process needs.
     fn is_complete(&self) -> bool {
-        let needed = |own: &Announcement| needed_by(own.engine, &self.engines);
-        self.own.as_ref().is_some_and(|own| !needed(own).contains(&None))
+        let engines = self.engines_with_process();
+        self.own.as_ref().is_some_and(|own| !needed_by(own.engine, &engines).contains(&None))
+    }
+
+    fn engines_with_process(&self) -> Vec<Option<SocketAddr>> {
+        let with_process = |known: &KnownRank| known.has_process.then_some(known.engine);
+        self.ranks.iter().map(|known| known.as_ref().and_then(with_process)).collect()
     }
 
     fn announcement_period(&self, now: Duration) -> Duration {
         if self.is_discovering(now) { DISCOVERY_PERIOD } else { STEADY_PERIOD }
     }
 }
+
+/// Takes turns among the registered engines that may be ranks of which nothing is known.
+#[derive(Debug, Default)]
+pub struct EngineSearch {
+    last: Option<SocketAddr>,
+}
+
+impl EngineSearch {
+    /// The next engines to read, of these in the order of their addresses.
+    pub fn next(&mut self, candidates: impl Iterator<Item = SocketAddr>) -> Vec<SocketAddr> {
+        let candidates: BTreeSet<SocketAddr> = candidates.collect();
+        let is_later = |engine: &&SocketAddr| self.last.is_none_or(|last| **engine > last);
+        let (later, earlier): (Vec<&SocketAddr>, Vec<&SocketAddr>) =
+            candidates.iter().partition(is_later);
+        let turn = later.into_iter().chain(earlier).take(MAX_SEARCH_READS);
+        let engines: Vec<SocketAddr> = turn.copied().collect();
+        self.last = engines.last().copied().or(self.last);
+        engines
+    }
+}
+
+/// The rank whose process holds a group through this rank, if it leads. It does not depend on which
+/// members a process knows, so that no two processes hold the group through the same rank.
+pub fn hold_owner(rank: RankNumber) -> RankNumber {
+    match rank < LEADER_CANDIDATES {
+        true => rank,
+        false => rank % LEADER_CANDIDATES,
+    }
+}
+
+/// Whether the process of a rank may start map switches when it leads. A later one leads while the
+/// processes of the first ranks are gone. It owns no ranks to hold the group through, and only
+/// settles what they have left.
+pub fn may_start_switches(rank: RankNumber) -> bool {
+    rank < LEADER_CANDIDATES
+}
--- a/crates/group/tests/membership.rs
+++ b/crates/group/tests/membership.rs
@@ -2,7 +2,6 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use lynxmount_core::experts::GroupMembership;
 use lynxmount_group::{Announcement, GroupDirectory, GroupMembers, MembershipView};
 
 const TICK: Duration = Duration::from_millis(100);
@@ -228,20 +227,13 @@
 
 #[test]
 fn a_candidate_learns_ranks_from_their_reports() {
-    let membership = |group: &str, rank| GroupMembership {
-        group: group.to_owned(),
-        epoch: 1,
-        rank,
-        ranks: 3,
-        is_open: true,
-    };
     let mut view = MembershipView::default();
     view.set_own(announcement("a", 0, 1), TICK);
 
-    view.on_report(engine(3), &membership("a", 2));
-    view.on_report(engine(7), &membership("b", 1));
-    view.on_report(engine(8), &membership("a", 0));
-    view.on_report(engine(9), &membership("a", 5));
+    view.on_process(engine(3), "a", 2);
+    view.on_process(engine(7), "b", 1);
+    view.on_process(engine(8), "a", 0);
+    view.on_process(engine(9), "a", 5);
 
     assert_eq!(view.engines(), [engine(1), engine(3)]);
 }
--- a/crates/group/tests/switch.rs
+++ b/crates/group/tests/switch.rs
@@ -114,3 +114,19 @@
 
     run(300, faults);
 }
+
+/// Guards against a pass with different maps where the processes of the first ranks are gone, and a
+/// later one settles what they have left, while they come and go.
+#[test]
+fn a_coordinator_that_only_settles_keeps_maps_consistent() {
+    let faults = Faults {
+        lost_answers: 0.15,
+        late_orders: 0.15,
+        crashes: 0.004,
+        pauses: 0.005,
+        missed_reports: 0.9,
+        coordinators: 5,
+    };
+
+    run(200, faults);
+}
--- a/crates/group/tests/switch_simulation/mod.rs
+++ b/crates/group/tests/switch_simulation/mod.rs
@@ -6,7 +6,7 @@
 use lynxmount_core::experts::{Action, EngineReport, GroupMap, GroupStep, OrderResult};
 use lynxmount_group::{
     HoldHistory, MapSwitch, OutgoingRequest, RankRequest, RequestId, SwitchInputs, SwitchOptions,
-    SwitchOutcome, abandoned_step,
+    SwitchOutcome, abandoned_step, hold_owner, may_start_switches,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -25,7 +25,8 @@
     pub(crate) pauses: f64,
     /// That a coordinator misses a rank's report, so that it acts on an old one.
     pub(crate) missed_reports: f64,
-    /// The number of concurrent coordinators.
+    /// The number of concurrent coordinators. Those of later ranks start no switches,
+    /// and own no rank but their own.
     pub(crate) coordinators: usize,
 }
 
@@ -44,8 +45,8 @@
 /// A coordinator beside one rank.
 struct Coordinator {
     incarnation: u64,
-    /// It places holds on the ranks with this remainder modulo [`MAX_COORDINATORS`].
-    remainder: usize,
+    /// The rank beside which it runs.
+    rank: usize,
     switch: Option<MapSwitch>,
     hold_history: HoldHistory,
     paused_until: Duration,
@@ -74,9 +75,6 @@
 
 const TICK: Duration = Duration::from_millis(5);
 
-/// The maximum number of coordinators. Each one places holds on its own share of the ranks.
-const MAX_COORDINATORS: usize = 3;
-
 /// The number of events that are kept in the trace.
 const TRACE_LINES: usize = 60;
 
@@ -94,7 +92,7 @@
         let coordinators = (0..faults.coordinators)
             .map(|index| Coordinator {
                 incarnation: index as u64,
-                remainder: index,
+                rank: index,
                 switch: None,
                 hold_history: HoldHistory::default(),
                 paused_until: Duration::ZERO,
@@ -220,12 +218,13 @@
         let is_rollback_due = since.is_some_and(|since| {
             self.now >= since + ABANDONED_AFTER + ROLLBACK_STAGGER * index as u32
         });
+        let may_start = may_start && may_start_switches(coordinator.rank);
         let is_start_due = since.is_none() && may_start && self.rng.random_bool(0.05);
         if !is_rollback_due && !is_start_due {
             return;
         }
-        let remainder = coordinator.remainder;
-        let is_own = |rank: usize| rank % MAX_COORDINATORS == remainder;
+        let own = coordinator.rank;
+        let is_own = |rank: usize| rank == own || hold_owner(rank) == own;
         let hold_history = &coordinator.hold_history;
         let Some(placement) = hold_history.choose(EPOCH, &reports, is_own, self.now) else {
             return;
--- a/crates/lynxmount/tests/platform_endpoint.rs
+++ b/crates/lynxmount/tests/platform_endpoint.rs
@@ -317,6 +317,26 @@
     assert_no_split(&test_service.groups);
 }
 
+/// Guards against a group that stays held, with all its streams, because some of its processes do not
+/// come back after all were killed: a directory, the leader, or all leader candidates.
+#[tokio::test]
+async fn hold_is_settled_by_the_processes_that_come_back() {
+    for present in [vec![0, 1, 3], vec![1, 2, 3], vec![2, 3], vec![3]] {
+        for held in [1, 3] {
+            let mut test_service = start_groups(&["a"]).await;
+            test_service.groups[0].set_demand(demand_for(2));
+            wait_for("replicas", async || replicas_in(&test_service.groups[0], 2) >= 3).await;
+
+            let held_at = test_service.hold_without_processes(held).await;
+            test_service.start_processes(present.iter().copied());
+
+            let has_passes = async || test_service.groups[0].step() > held_at + 20;
+            wait_for(&format!("passes with {present:?}, held at {held}"), has_passes).await;
+            assert_no_split(&test_service.groups);
+        }
+    }
+}
+
 #[tokio::test]
 async fn groups_of_one_service_are_balanced_independently() {
     let test_service = start_groups(&["a", "b", "c"]).await;
--- a/crates/rank/src/coordinator/mod.rs
+++ b/crates/rank/src/coordinator/mod.rs
@@ -20,7 +20,8 @@
     experts::GroupMap,
 };
 use lynxmount_group::{
-    MapCache, MapSwitch, RankNumber, SwitchInputs, SwitchOutcome, abandoned_step,
+    MapCache, MapSwitch, RankNumber, SwitchInputs, SwitchOutcome, abandoned_step, hold_owner,
+    may_start_switches,
 };
 use lynxmount_telemetry::Metrics;
 use parking_lot::Mutex;
@@ -32,6 +33,7 @@
     discovery::Discovery,
     leader_state::LeaderState,
     leadership::Leadership,
+    obstacle::Obstacle,
     order_client::OrderClient,
     rank_states::{GroupSnapshot, RankStates},
     registry::Registry,
@@ -91,11 +93,16 @@
 
     async fn balance(&self, state: &mut LeaderState) {
         self.read_silent_engines(state);
-        let Some(group) = self.rank_states.lock().snapshot(self.own_engine) else { return };
+        let Some(group) = self.rank_states.lock().snapshot(self.own_engine) else {
+            let missing = self.rank_states.lock().missing_ranks();
+            let obstacle = (!missing.is_empty()).then_some(Obstacle::MissingRanks(missing));
+            return state.obstacle.set(obstacle);
+        };
         let is_unfinished = abandoned_step(&group.reports).is_some();
         match (is_unfinished, state.unfinished_since) {
             (false, _) => {
                 state.unfinished_since = None;
+                state.obstacle.set(None);
                 // Only a new switch needs the configuration: settling one must not wait for it.
                 let Some(spec) = self.spec(state).await else { return };
                 self.rebalance(state, &spec, group).await;
@@ -153,6 +160,9 @@
         if !state.hold_history.may_switch(group.epoch, step, self.clock.now()) {
             return;
         }
+        if !self.own_rank(&group).is_some_and(may_start_switches) {
+            return;
+        }
         let Some(current) = self.current_map(state, &group).await else { return };
         let Some(demand) = self.rank_states.lock().demand(spec.experts.experts) else { return };
         let slowdowns = match self.mechanisms.has(Mechanism::SlowRanks) {
@@ -171,6 +181,10 @@
         self.record_switch(&plan, &switch, pressure, outcome, started_at.elapsed());
     }
 
+    fn own_rank(&self, group: &GroupSnapshot) -> Option<RankNumber> {
+        group.engines.iter().position(|engine| *engine == self.own_engine)
+    }
+
     fn switch_inputs(
         &self,
         state: &LeaderState,
@@ -178,9 +192,8 @@
         current: &GroupMap,
     ) -> Option<SwitchInputs> {
         let reports = group.reports.clone();
-        let candidates = self.discovery.leader_candidates();
-        let position = candidates.iter().position(|engine| *engine == self.own_engine)?;
-        let is_own = |rank: usize| is_own_hold_rank(&group.engines, &candidates, position, rank);
+        let own_rank = self.own_rank(group)?;
+        let is_own = |rank: RankNumber| rank == own_rank || hold_owner(rank) == own_rank;
         let placement =
             state.hold_history.choose(group.epoch, &reports, is_own, self.clock.now())?;
         Some(SwitchInputs {
@@ -216,8 +229,13 @@
     }
 
     async fn roll_back(&self, state: &mut LeaderState, group: GroupSnapshot) {
-        let Some(current) = self.current_map(state, &group).await else { return };
-        let Some(inputs) = self.switch_inputs(state, &group, &current) else { return };
+        let Some(current) = self.current_map(state, &group).await else {
+            return state.obstacle.set(Some(Obstacle::UnknownMap));
+        };
+        let Some(inputs) = self.switch_inputs(state, &group, &current) else {
+            return state.obstacle.set(Some(Obstacle::NoHoldRank));
+        };
+        state.obstacle.set(None);
         let Some(mut switch) = MapSwitch::roll_back(inputs) else { return };
         log::warn!(epoch = group.epoch; "abandoned map switch found");
         state.min_version = state.min_version.max(switch.version());
@@ -226,17 +244,3 @@
         self.metrics.count("maps.undone");
     }
 }
-
-/// Whether this process may hold the group through a rank. Each leader candidate has its own
-/// rank, and ranks of other processes are divided among the candidates.
-fn is_own_hold_rank(
-    engines: &[SocketAddr],
-    candidates: &[SocketAddr],
-    position: usize,
-    rank: RankNumber,
-) -> bool {
-    match candidates.iter().position(|candidate| *candidate == engines[rank]) {
-        Some(candidate) => candidate == position,
-        None => rank % candidates.len() == position,
-    }
-}
--- a/crates/rank/src/discovery.rs
+++ b/crates/rank/src/discovery.rs
@@ -65,7 +65,8 @@
         if directories.is_empty() || !self.own_group.lock().set_own(own.clone(), self.clock.now()) {
             return;
         }
-        for receiver in self.announcement_receivers(directories) {
+        let receivers = self.own_group.lock().announcement_receivers(directories);
+        for receiver in receivers {
             match receiver == self.own_engine {
                 true => self.on_members(self.handle_announcement(own.clone())),
                 false => {
@@ -76,18 +77,6 @@
         }
     }
 
-    /// The directories, and while ranks are missing the leader candidates too, which still
-    /// know all ranks after the directories have terminated.
-    fn announcement_receivers(&self, directories: Vec<SocketAddr>) -> Vec<SocketAddr> {
-        let mut receivers = directories;
-        if self.is_discovering() {
-            receivers.extend(self.leader_candidates());
-        }
-        receivers.sort();
-        receivers.dedup();
-        receivers
-    }
-
     /// Answers the announcement of another process.
     pub(crate) async fn on_announcement(&self, peer: SocketAddr, announcement: Announcement) {
         let members = self.handle_announcement(announcement);
@@ -96,14 +85,20 @@
 
     fn handle_announcement(&self, announcement: Announcement) -> GroupMembers {
         let now = self.clock.now();
-        let (own, mut directory) = (self.own_group.lock(), self.directory.lock());
+        let (mut own, mut directory) = (self.own_group.lock(), self.directory.lock());
+        own.on_process(announcement.engine, &announcement.group, announcement.rank);
         directory.fill_missing(&own, now);
         directory.register(announcement, now)
     }
 
     /// Records the rank of an engine from a report of its process.
     pub(crate) fn on_report(&self, engine: SocketAddr, membership: &GroupMembership) {
-        self.own_group.lock().on_report(engine, membership);
+        self.own_group.lock().on_process(engine, &membership.group, membership.rank);
+    }
+
+    /// Records the rank that an engine states itself. Returns whether it belongs to the own group.
+    pub(crate) fn on_engine_found(&self, engine: SocketAddr, membership: &GroupMembership) -> bool {
+        self.own_group.lock().on_engine_found(engine, membership)
     }
 
     /// Records the members that a directory has answered.
--- a/crates/rank/src/leader_state.rs
+++ b/crates/rank/src/leader_state.rs
@@ -7,9 +7,9 @@
     Result,
     experts::{GroupStep, MapVersion},
 };
-use lynxmount_group::{HoldHistory, SwitchOptions};
+use lynxmount_group::{EngineSearch, HoldHistory, SwitchOptions};
 
-use crate::{balance_spec::BalanceSpec, message::OrderAnswer};
+use crate::{balance_spec::BalanceSpec, message::OrderAnswer, obstacle::ObstacleLog};
 
 /// How many steps ahead a group is held while answers to orders get lost. Arming all ranks
 /// then takes 50 to 100 ms, and the group works meanwhile instead of being stopped. One step is
@@ -30,6 +30,8 @@
     pub(crate) answer_lost_at: Option<Instant>,
     pub(crate) hold_history: HoldHistory,
     pub(crate) direct_reads_at: Option<Instant>,
+    pub(crate) engine_search: EngineSearch,
+    pub(crate) obstacle: ObstacleLog,
     /// The map that was requested from other processes, and when.
     pub(crate) requested_map: Option<(MapVersion, Instant)>,
 }
--- a/crates/rank/src/lib.rs
+++ b/crates/rank/src/lib.rs
@@ -15,6 +15,7 @@
 mod leadership;
 pub mod message;
 mod notifier;
+mod obstacle;
 mod order_client;
 mod order_handler;
 mod process;
--- a/crates/rank/src/rank_states.rs
+++ b/crates/rank/src/rank_states.rs
@@ -1,12 +1,13 @@
 //! The last known state of each rank of the own group, as a leader candidate keeps it.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     time::{Duration, Instant},
 };
 
 use lynxmount_core::experts::{EngineReport, GroupEpoch, GroupMembership, GroupStep, MapVersion};
+use lynxmount_group::RankNumber;
 use lynxmount_policy::{planned_slowdown, slow_ranks};
 
 use crate::{
@@ -118,6 +119,16 @@
         group.is_some_and(|group| group.reports.iter().all(|report| report.held.is_none()))
     }
 
+    /// The ranks of the own group without a fresh state; none while it is not open.
+    pub(crate) fn missing_ranks(&self) -> Vec<RankNumber> {
+        let Some(own) = self.own_membership().filter(|own| own.is_open) else { return Vec::new() };
+        let fresh = self.entries.values().filter(|entry| entry.is_fresh());
+        let memberships = fresh.filter_map(|entry| entry.report.membership.as_ref());
+        let of_group = memberships.filter(|m| m.group == own.group && m.epoch == own.epoch);
+        let known: BTreeSet<RankNumber> = of_group.map(|membership| membership.rank).collect();
+        (0..own.ranks).filter(|rank| !known.contains(rank)).collect()
+    }
+
     /// The engines of the own group's slow ranks.
     pub(crate) fn slow_engines(&self) -> Vec<SocketAddr> {
         let Some(group) = self.own_membership() else { return Vec::new() };
--- a/crates/rank/src/registry.rs
+++ b/crates/rank/src/registry.rs
@@ -71,6 +71,11 @@
         Registry { clock, configured_service, membership, endpoints }
     }
 
+    /// The registered engines.
+    pub(crate) fn engines(&self) -> Vec<SocketAddr> {
+        self.endpoints.lock().engines.iter().map(|engine| engine.address).collect()
+    }
+
     /// The own service; `None` until the own engine is found registered.
     pub(crate) fn service(&self) -> Option<ServiceId> {
         self.endpoints.lock().service.clone()
