Events that precede spoiled bytes are relayed

Cause: SequencedEvents::push advanced its position event by event, and dropped the events before the first one that does not fit. A resumption began behind events that the caller never got. Endpoint processes of the own path did the same with events in one read with one that is too large.

Change: events in sequence are returned, and the stream breaks with the next read; the position is that of the last event returned.

Evidence: event_that_comes_with_bytes_that_are_none_is_delivered, product code of: failed 1 of 1; now the 43 tests of platform_entry pass, those of wire, endpoint, platform_cut_answers and endless_answers, too. Why it works: nothing moves the position but what is relayed.

--- a/crates/direct/src/stream_move.rs
+++ b/crates/direct/src/stream_move.rs
@@ -109,7 +109,7 @@
     fn detach(&mut self) -> Option<Permit> {
         self.call.on_attempt_abandoned();
         self.connection = None;
-        self.events.discard_partial();
+        self.events.restart();
         self.permit.take()
     }
 
--- a/crates/direct/src/stream_read.rs
+++ b/crates/direct/src/stream_read.rs
@@ -62,6 +62,9 @@
         let replacement = Fuse::terminated();
         tokio::pin!(replacement);
         let mut stall = Stall::Endpoint;
+        if self.events.is_broken() {
+            return Read::Broken(StreamError::OutOfOrder);
+        }
         loop {
             let limit = time_until(self.call.deadline).min(STALL_CHECK_PERIOD);
             let limit = self.until_overdue().map_or(limit, |time| match time.is_zero() {
--- a/crates/endpoint/src/attempt_runner.rs
+++ b/crates/endpoint/src/attempt_runner.rs
@@ -360,14 +360,14 @@
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else { return false };
             self.monitor.on_activity();
-            let complete = frame.data_ref().and_then(|bytes| events.push(bytes));
-            if events.partial_bytes() > MAX_EVENT_BYTES {
-                return false;
-            }
-            if let Some(complete) = complete {
+            // Events that are counted are relayed, whatever comes behind them.
+            if let Some(complete) = frame.data_ref().and_then(|bytes| events.push(bytes)) {
                 sink.write_head(head.take()).await;
                 sink.write_chunk(complete).await;
             }
+            if events.partial_bytes() > MAX_EVENT_BYTES {
+                return false;
+            }
         }
         sink.write_head(head.take()).await;
         if let Some(remainder) = events.take_partial() {
--- a/crates/lynxmount/tests/platform_entry.rs
+++ b/crates/lynxmount/tests/platform_entry.rs
@@ -253,6 +253,21 @@
     assert!(resumed.into_iter().any(|seen| seen.header("last-event-id") == Some("4")));
 }
 
+/// Guards against a stream that ends as complete without an event which came in one read with bytes
+/// that are none, as its resumption begins behind that event.
+#[tokio::test]
+async fn event_that_comes_with_bytes_that_are_none_is_delivered() {
+    for events_before in [1, 4, 9] {
+        let spoiled = Behaviour::StreamSpoiled { events: events_before, resumed_events: 9 };
+        let fleet = Fleet::start(STREAM, &[spoiled.clone(), spoiled]).await;
+
+        let response =
+            call(fleet.address(), Method::POST, &path(STREAM), KEY).await.expect("response");
+
+        assert_eq!(response.body.as_deref(), Some(events(1..=9).as_bytes()), "{events_before}");
+    }
+}
+
 /// A stream without length or chunks that ends after an event is complete.
 #[tokio::test]
 async fn stream_that_ends_with_its_connection_is_complete() {
--- a/crates/wire/src/sequenced_events.rs
+++ b/crates/wire/src/sequenced_events.rs
@@ -22,40 +22,61 @@
 }
 
 /// Returns complete events as long as their ids are consecutive.
+///
+/// The position only covers events that were returned: a stream that is resumed after it misses none.
 #[derive(Debug, Default)]
 pub struct SequencedEvents {
     framer: SseFramer,
     last_id: Option<u64>,
+    /// Whether bytes behind the last event that was returned are out of sequence.
+    is_broken: bool,
 }
 
 impl SequencedEvents {
     /// Starts after the last event that the reader has, if any.
     pub fn resume_after(last_id: Option<u64>) -> SequencedEvents {
-        SequencedEvents { framer: SseFramer::default(), last_id }
+        SequencedEvents { last_id, ..SequencedEvents::default() }
     }
 
-    /// The id of the last complete event.
+    /// The id of the last event that was returned.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
     }
 
-    /// Adds bytes of the stream.
+    /// Adds bytes of the stream. Events that continue the sequence are returned even if what comes
+    /// behind them does not; [`SequencedEvents::is_broken`] tells.
     pub fn push(&mut self, bytes: &[u8]) -> SequenceCheck {
-        let events = self.framer.push(bytes);
-        if self.framer.partial_bytes() > MAX_EVENT_BYTES {
+        if self.is_broken {
             return SequenceCheck::OutOfSequence;
         }
-        let Some(events) = events else { return SequenceCheck::Incomplete };
-        for id in event_ids(&events) {
-            match (id, self.last_id) {
-                (Some(id), Some(last_id)) if id != last_id + 1 => {
-                    return SequenceCheck::OutOfSequence;
-                }
-                (Some(id), _) => self.last_id = Some(id),
-                (None, _) => return SequenceCheck::OutOfSequence,
-            }
+        let events = self.framer.push(bytes);
+        self.is_broken = self.framer.partial_bytes() > MAX_EVENT_BYTES;
+        let complete = events.map(|events| self.take_in_sequence(events)).unwrap_or_default();
+        match (complete.is_empty(), self.is_broken) {
+            (false, _) => SequenceCheck::Events(complete),
+            (true, true) => SequenceCheck::OutOfSequence,
+            (true, false) => SequenceCheck::Incomplete,
+        }
+    }
+
+    /// Whether the stream can't continue: what came behind the last events is out of sequence.
+    pub fn is_broken(&self) -> bool {
+        self.is_broken
+    }
+
+    /// The events up to the first one that is out of sequence.
+    fn take_in_sequence(&mut self, events: Bytes) -> Bytes {
+        let mut valid_bytes = 0;
+        for (id, end) in event_ids(&events) {
+            let is_next = |id: u64| self.last_id.is_none_or(|last| last.checked_add(1) == Some(id));
+            let Some(id) = id.filter(|id| is_next(*id)) else {
+                self.is_broken = true;
+                return events.slice(..valid_bytes);
+            };
+            self.last_id = Some(id);
+            valid_bytes = end;
         }
-        SequenceCheck::Events(events)
+        events
     }
 
     /// Size of the event that is not complete yet.
@@ -68,22 +89,26 @@
         self.framer.take_partial().is_some()
     }
 
-    /// Discards the partial event at which the stream broke.
-    pub fn discard_partial(&mut self) {
+    /// Discards what followed the last event that was returned, as the stream is resumed behind it.
+    pub fn restart(&mut self) {
         self.framer.discard_partial();
+        self.is_broken = false;
     }
 }
 
-/// The id of each event, if it has a numeric one.
-fn event_ids(events: &[u8]) -> Vec<Option<u64>> {
+/// The id of each event, if it has a numeric one, and where the event ends.
+fn event_ids(events: &[u8]) -> Vec<(Option<u64>, usize)> {
     let mut ids = Vec::new();
     let mut id = None;
     let mut is_empty = true;
-    for line in events.split(|&byte| byte == b'\n') {
+    let mut end = 0;
+    for line in events.split_inclusive(|&byte| byte == b'\n') {
+        end += line.len();
+        let line = line.strip_suffix(b"\n").unwrap_or(line);
         match line.strip_prefix(ID_FIELD) {
             Some(value) => id = std::str::from_utf8(value).ok().and_then(|v| v.trim().parse().ok()),
             None if line.is_empty() && !is_empty => {
-                ids.push(id.take());
+                ids.push((id.take(), end));
                 is_empty = true;
                 continue;
             }
