A silent stream is kept until another endpoint has sent its next event

Cause: a stream was closed once a replacement had a permit, a connection and retries. Neither shows that the replacement goes on with it; its own server may have given its place away as it returns.

Change: the replacement is started beside the running attempt, and its first event ends that one (make before break); an event of the running one cancels the replacement. Returns, and the retry kept for them, are gone.

Why it works: nothing is given up before its successor has shown that it is sooner.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -19,7 +19,6 @@
     endpoint::{Permit, Silence},
     reply::ReplyBody,
     response_head::{HeadError, wait_for_head},
-    service::ReservedRetry,
 };
 
 /// Minimum time for an attempt; no engine reads a prompt in less.
@@ -115,8 +114,6 @@
 pub(crate) struct OpenAttempt {
     pub(crate) permit: Permit,
     connection: Connection,
-    /// The retry for a return to the endpoint that a stream leaves for this attempt.
-    pub(crate) return_retry: Option<ReservedRetry>,
 }
 
 /// Why an attempt has no usable response.
@@ -169,7 +166,7 @@
         permit.endpoint.pool.release(connection, None);
         return Err(AttemptError::Paused);
     }
-    Ok(OpenAttempt { permit, connection, return_retry: None })
+    Ok(OpenAttempt { permit, connection })
 }
 
 /// Sends an attempt and waits for the response head.
@@ -180,7 +177,7 @@
     context: AttemptContext<'_>,
     deadline: Instant,
 ) -> Result<ResponseHead, AttemptFailure> {
-    let OpenAttempt { permit, mut connection, return_retry: _ } = opened;
+    let OpenAttempt { permit, mut connection } = opened;
     let request = request(dialect, outgoing, &context);
     let sent_at = Instant::now();
     let mut pending = PendingHead { permit: &permit, outgoing, sent_at, is_done: false };
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -208,7 +208,7 @@
         };
         if self.kind.is_stream() && head.status.is_success() {
             let result = self.start_stream(head).await;
-            return result.map_or_else(AttemptResult::from, AttemptResult::Responded);
+            return result.map_or_else(AttemptResult::Error, AttemptResult::Responded);
         }
         let endpoint = EndpointId::clone(&head.permit.endpoint.record.id);
         let sent_at = head.sent_at;
@@ -322,15 +322,11 @@
     async fn start_stream(
         self: &Arc<Call<D>>,
         head: ResponseHead,
-    ) -> Result<Response<ReplyBody>, AttemptFailure> {
-        let mut response = Response::new(());
-        *response.status_mut() = head.status;
-        *response.headers_mut() = self.dialect.response_headers(&head.headers);
-        response.headers_mut().remove(header::CONTENT_LENGTH);
+    ) -> Result<Response<ReplyBody>, AttemptError> {
         let mut relay = StreamRelay::new(Arc::clone(self), head);
         let first = relay.first_events().await.inspect_err(|_| self.on_attempt_abandoned())?;
         self.metrics.record_latency("requests.first_event", self.arrived_at.elapsed());
-        Ok(response.map(|()| relay.into_body(first)))
+        Ok(relay.response_head().map(|()| relay.into_body(first)))
     }
 
     pub(crate) fn has_attempts_left(&self) -> bool {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -39,6 +39,7 @@
 mod stream;
 mod stream_move;
 mod stream_read;
+mod stream_replacement;
 mod watch;
 
 pub use config_poll::ConfigPoll;
--- a/crates/direct/src/replacement.rs
+++ b/crates/direct/src/replacement.rs
@@ -1,7 +1,7 @@
 //! Replaces attempts that may still succeed, and resumes streams that broke.
 //!
-//! The next attempt has its permit, its connection and its retry before a running one is given up;
-//! without them the running one goes on.
+//! The next attempt has its permit, its connection and its retry before a running one is given up, and
+//! its first events if a stream's head has arrived; without them the running one goes on.
 
 use std::{sync::Arc, time::Instant};
 
@@ -39,25 +39,6 @@
     pub(crate) has_begun: bool,
 }
 
-impl RunningAttempt {
-    /// Retries that its replacement needs. A response that has begun can't start again, so that its
-    /// return is secured before it is moved.
-    fn required_retries(&self) -> u32 {
-        if self.has_begun { 2 } else { 1 }
-    }
-}
-
-/// What a stream that is resumed has already.
-#[derive(Default)]
-pub(crate) struct ResumeOptions {
-    /// The attempt that is sent first.
-    pub(crate) opened: Option<OpenAttempt>,
-    /// The permit at a silent endpoint that the stream leaves, kept until another one takes it.
-    pub(crate) origin: Option<Permit>,
-    /// The retry for a return to that endpoint.
-    pub(crate) return_retry: Option<ReservedRetry>,
-}
-
 impl<D: Dialect> Call<D> {
     /// Opens an attempt elsewhere and withdraws a retry for it, to replace an attempt that still
     /// runs; `None` if that is not possible now.
@@ -70,16 +51,12 @@
         let search = ReplacementSearch {
             tried: &tried,
             stalled_group: stalled_group.as_deref(),
-            // A refusal of the last attempt would truncate the response.
+            // A refusal of the last attempt leaves none for a response that breaks later.
             is_slot_required: has_begun && !self.has_retry_left(),
         };
         let permit = self.service.acquire_elsewhere(search)?;
-        let mut opened = self.open(permit, Some(sent_at)).await.ok()?;
-        if !has_begun {
-            return self.service.withdraw_retry().then_some(opened);
-        }
-        opened.return_retry = Some(self.service.withdraw_with_reserve()?);
-        Some(opened)
+        let opened = self.open(permit, Some(sent_at)).await.ok()?;
+        self.service.withdraw_retry().then_some(opened)
     }
 
     /// Whether a retry is allowed now and in time. A call that may have crashed endpoints stays
@@ -90,20 +67,15 @@
             && idle_time.is_none_or(|time| time >= MIN_ATTEMPT_TIME)
             && self.quarantine.quarantined_for(&self.identity).is_none()
             && self.quarantine.remaining_hold(&self.identity.fingerprint).is_none()
-            && self.service.has_retries(running.required_retries())
+            && self.service.has_retries(1)
     }
 
-    /// Resumes a stream elsewhere; `None` if that is not possible.
-    pub(crate) async fn resume(
-        &self,
-        position: StreamPosition,
-        why: &str,
-        options: ResumeOptions,
-    ) -> Option<ResponseHead> {
+    /// Resumes a stream that broke; `None` if that is not possible.
+    pub(crate) async fn resume(&self, position: StreamPosition, why: &str) -> Option<ResponseHead> {
         tokio::select! {
             biased;
             _ = self.quarantine.wait_until_quarantined(&self.identity) => None,
-            resumed = self.resume_with_retries(position, why, options) => resumed,
+            resumed = self.resume_with_retries(position, why) => resumed,
         }
     }
 
@@ -111,9 +83,8 @@
         &self,
         position: StreamPosition,
         why: &str,
-        options: ResumeOptions,
     ) -> Option<ResponseHead> {
-        let ResumeOptions { mut opened, mut origin, mut return_retry } = options;
+        let mut opened = None;
         let mut searches = 0;
         loop {
             let attempt = match opened.take() {
@@ -121,7 +92,7 @@
                 None if searches == MAX_RESUME_SEARCHES => return None,
                 None => {
                     searches += 1;
-                    self.open_resumption(position, why, &mut origin, &mut return_retry).await
+                    self.open_resumption(position, why).await
                 }
             };
             let resumed = match attempt {
@@ -143,35 +114,16 @@
         }
     }
 
-    /// Opens the next attempt of a resumption: at an endpoint that takes it, or else at the one that
-    /// the stream has left. Returning there adds no endpoint to those that the call was sent to.
     async fn open_resumption(
         &self,
         position: StreamPosition,
         why: &str,
-        origin: &mut Option<Permit>,
-        return_retry: &mut Option<ReservedRetry>,
     ) -> Result<OpenAttempt, AttemptError> {
-        let (permit, retry) = match self.acquire_resumption(position, why).await {
-            Ok(acquired) => acquired,
-            Err(error) => self.return_to(origin.take(), return_retry.take()).ok_or(error)?,
-        };
+        let (permit, retry) = self.acquire_resumption(position, why).await?;
         let opened = self.open(permit, Some(position.sent_at)).await?;
         retry.withdraw().then_some(opened).ok_or(AttemptError::NoPermit)
     }
 
-    fn return_to(
-        &self,
-        origin: Option<Permit>,
-        return_retry: Option<ReservedRetry>,
-    ) -> Option<(Permit, ReservedRetry)> {
-        let origin = origin?;
-        let retry = return_retry.or_else(|| self.service.reserve_retry())?;
-        log::info!(request = self.head.id.as_deref(), endpoint = &*origin.endpoint.record.id;
-            "stream returned");
-        Some((origin, retry))
-    }
-
     async fn acquire_resumption(
         &self,
         position: StreamPosition,
@@ -189,7 +141,7 @@
         permit.map(|permit| (permit, retry)).map_err(|_| AttemptError::NoPermit)
     }
 
-    async fn resume_at(
+    pub(crate) async fn resume_at(
         &self,
         opened: OpenAttempt,
         position: StreamPosition,
--- a/crates/direct/src/service/retries.rs
+++ b/crates/direct/src/service/retries.rs
@@ -49,16 +49,6 @@
         is_allowed.then(|| ReservedRetry { service: Arc::clone(self), is_used: false })
     }
 
-    /// Withdraws a retry that is sent at once and reserves another one; `None` if there are not both.
-    pub(crate) fn withdraw_with_reserve(self: &Arc<Service>) -> Option<ReservedRetry> {
-        let is_allowed = self.use_budget(|budget, entries, now| {
-            budget.has_retries(2, entries, now)
-                && budget.try_withdraw(1, entries, now)
-                && budget.try_reserve(entries, now)
-        });
-        is_allowed.then(|| ReservedRetry { service: Arc::clone(self), is_used: false })
-    }
-
     /// Asks the retry budget for retries with `withdraw`, and counts those that are sent or denied.
     fn use_budget(
         &self,
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use futures::stream::unfold;
+use http::{HeaderMap, Response, StatusCode, header};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use lynxmount_core::{CallPhase, Mechanism, adapter::Dialect};
@@ -16,12 +17,12 @@
 use lynxmount_wire::SequencedEvents;
 
 use crate::{
-    attempt::{AttemptError, AttemptFailure, ResponseHead, time_until},
+    attempt::{AttemptError, ResponseHead, time_until},
     call::Call,
     endpoint::{Permit, Silence},
     reply::ReplyBody,
-    stream_move::stall_name,
     stream_read::{Read, StreamError},
+    stream_replacement::PendingReplacement,
 };
 
 /// Relays a stream from an endpoint to its caller.
@@ -33,7 +34,14 @@
     /// The endpoint's idle timeout of the connection, if it announces one.
     pub(crate) keep_alive: Option<Duration>,
     pub(crate) body: ResponseBody,
+    /// Status and headers of the response that the caller gets.
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
     pub(crate) events: SequencedEvents,
+    /// Events that `events` has returned, and that are relayed next.
+    pub(crate) pending_events: Option<Bytes>,
+    /// Another attempt that is being started while the endpoint is silent or slow.
+    pub(crate) replacement: Option<PendingReplacement<D>>,
     /// Memory of an event that is not complete yet.
     pub(crate) event_memory: Option<Reservation>,
     pub(crate) last_event_at: Instant,
@@ -62,7 +70,11 @@
             connection: Some(head.connection),
             keep_alive: head.metadata.keep_alive,
             body: head.body,
+            status: head.status,
+            headers: head.headers,
             events,
+            pending_events: None,
+            replacement: None,
             event_memory: None,
             last_event_at: Instant::now(),
             sent_at,
@@ -78,39 +90,56 @@
     /// Waits for the first events. Until they arrive, the call can still be retried from its start.
     ///
     /// Fails if the stream breaks, or ends without an event.
-    pub(crate) async fn first_events(&mut self) -> Result<Bytes, AttemptFailure> {
-        let first = self.read().await;
-        // A stream that fails before its first event is logged as a failed attempt, not as a
-        // finished call.
-        self.is_done = !matches!(first, Read::Events(_));
-        match first {
-            Read::Events(events) => {
-                self.on_started();
-                Ok(events)
-            }
-            Read::Overdue => {
-                self.on_overdue();
-                Err(AttemptError::Overdue.into())
-            }
-            Read::TimedOut => {
-                self.record_outcome(CallOutcome::Unreachable);
-                Err(AttemptError::TimedOut.into())
-            }
-            Read::Broken(error) => {
-                self.on_broken(error);
-                Err(AttemptError::Lost.into())
-            }
-            Read::End => {
-                self.on_broken(StreamError::Disconnected);
-                Err(AttemptError::Lost.into())
-            }
-            Read::Replaced(_, next) => {
-                self.on_canceled();
-                Err(AttemptFailure::Replaced(AttemptError::Stalled, next))
+    pub(crate) async fn first_events(&mut self) -> Result<Bytes, AttemptError> {
+        loop {
+            match self.read().await {
+                Read::Events(events) => {
+                    self.on_started();
+                    return Ok(events);
+                }
+                Read::Replaced(cause, next) => {
+                    self.on_canceled();
+                    self.move_to(cause, next);
+                }
+                Read::Broken(error) => {
+                    self.on_broken(error);
+                    if !self.move_to_replacement().await {
+                        return Err(self.fail(AttemptError::Lost));
+                    }
+                }
+                Read::End => {
+                    self.on_broken(StreamError::Disconnected);
+                    if !self.move_to_replacement().await {
+                        return Err(self.fail(AttemptError::Lost));
+                    }
+                }
+                Read::Overdue => {
+                    self.on_overdue();
+                    return Err(self.fail(AttemptError::Overdue));
+                }
+                Read::TimedOut => {
+                    self.record_outcome(CallOutcome::Unreachable);
+                    return Err(self.fail(AttemptError::TimedOut));
+                }
             }
         }
     }
 
+    /// Ends a stream before its first event. It is logged as a failed attempt, not as a finished call.
+    fn fail(&mut self, error: AttemptError) -> AttemptError {
+        self.is_done = true;
+        error
+    }
+
+    /// The head of the caller's response.
+    pub(crate) fn response_head(&self) -> Response<()> {
+        let mut response = Response::new(());
+        *response.status_mut() = self.status;
+        *response.headers_mut() = self.call.dialect.response_headers(&self.headers);
+        response.headers_mut().remove(header::CONTENT_LENGTH);
+        response
+    }
+
     /// The body of the caller's response, starting with the first events.
     pub(crate) fn into_body(self, first: Bytes) -> ReplyBody {
         let frames = unfold((self, Some(first)), |(mut relay, first)| async move {
@@ -128,16 +157,11 @@
             return None;
         }
         loop {
-            if !self.leave_slow_endpoint().await {
-                self.finish("truncated mid-stream");
-                return Some(Err(aborted("endpoint slow")));
-            }
+            self.leave_slow_endpoint();
             match self.read().await {
-                Read::Replaced(stall, next) => {
-                    if !self.move_to(next, stall_name(stall)).await {
-                        self.finish("truncated mid-stream");
-                        return Some(Err(aborted(stall_name(stall))));
-                    }
+                Read::Replaced(cause, next) => {
+                    self.on_canceled();
+                    self.move_to(cause, next);
                 }
                 Read::Events(events) => return Some(Ok(events)),
                 Read::End => {
--- a/crates/direct/src/stream_read.rs
+++ b/crates/direct/src/stream_read.rs
@@ -3,19 +3,15 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use futures::{
-    FutureExt,
-    future::{Fuse, FusedFuture},
-};
 use http_body_util::BodyExt;
 use lynxmount_core::adapter::Dialect;
-use lynxmount_policy::Stall;
 use lynxmount_resources::{Exhausted, Reservation};
 use lynxmount_wire::SequenceCheck;
 
 use crate::{
-    attempt::{OpenAttempt, time_until},
+    attempt::time_until,
     stream::StreamRelay,
+    stream_replacement::{MoveCause, StartedReplacement, next_started},
 };
 
 /// How often a silent call is checked for a stall.
@@ -25,13 +21,13 @@
 const SMALL_EVENT_BYTES: usize = 8 * 1024;
 
 /// Result of reading from a stream.
-pub(crate) enum Read {
+pub(crate) enum Read<D: Dialect> {
     Broken(StreamError),
     End,
     Events(Bytes),
     Overdue,
-    /// Another endpoint takes the stream, whose endpoint is silent.
-    Replaced(Stall, OpenAttempt),
+    /// Another endpoint has gone on with the stream.
+    Replaced(MoveCause, Box<StartedReplacement<D>>),
     TimedOut,
 }
 
@@ -56,12 +52,13 @@
 }
 
 impl<D: Dialect> StreamRelay<D> {
-    /// Reads the next events. While the endpoint is silent, a replacement is sought, and the
-    /// endpoint may go on before one is granted.
-    pub(crate) async fn read(&mut self) -> Read {
-        let replacement = Fuse::terminated();
-        tokio::pin!(replacement);
-        let mut stall = Stall::Endpoint;
+    /// Reads the next events. While the endpoint is silent, a replacement is started, and the endpoint
+    /// may go on before that one does.
+    pub(crate) async fn read(&mut self) -> Read<D> {
+        if let Some(events) = self.pending_events.take() {
+            self.on_events();
+            return Read::Events(events);
+        }
         if self.events.is_broken() {
             return Read::Broken(StreamError::OutOfOrder);
         }
@@ -74,7 +71,10 @@
             let frame = tokio::select! {
                 biased;
                 frame = tokio::time::timeout(limit, self.body.frame()) => frame,
-                Some(next) = &mut replacement => return Read::Replaced(stall, next),
+                started = next_started(&mut self.replacement) => match started {
+                    Some((cause, next)) => return Read::Replaced(cause, next),
+                    None => continue,
+                },
             };
             match frame {
                 Ok(Some(Ok(frame))) => {
@@ -82,7 +82,6 @@
                     match self.events.push(&data) {
                         SequenceCheck::Events(events) => {
                             self.on_events();
-                            self.event_memory = None;
                             return Read::Events(events);
                         }
                         SequenceCheck::Incomplete => {
@@ -105,10 +104,7 @@
                 Err(_) => {
                     let Some(detected) = self.stall() else { continue };
                     self.on_stalled(detected);
-                    if replacement.is_terminated() {
-                        stall = detected;
-                        replacement.set(self.open_replacement(detected).fuse());
-                    }
+                    self.start_replacement(MoveCause::Stalled(detected));
                 }
             }
         }
@@ -142,7 +138,10 @@
         !self.has_begun
     }
 
-    fn on_events(&mut self) {
+    /// Records that the current endpoint has sent events. One that goes on is not replaced as stalled.
+    pub(crate) fn on_events(&mut self) {
+        self.event_memory = None;
+        self.replacement.take_if(|pending| pending.cause != MoveCause::Slow);
         let gap = self.has_events.then(|| self.last_event_at.elapsed());
         if let Some(permit) = &self.permit {
             permit.on_event(gap, self.call.gap_goal);
--- a/crates/wire/src/sequenced_events.rs
+++ b/crates/wire/src/sequenced_events.rs
@@ -28,6 +28,8 @@
 pub struct SequencedEvents {
     framer: SseFramer,
     last_id: Option<u64>,
+    /// Events up to this one were returned by another attempt.
+    skip_to: Option<u64>,
     /// Whether bytes behind the last event that was returned are out of sequence.
     is_broken: bool,
 }
@@ -40,7 +42,16 @@
 
     /// The id of the last event that was returned.
     pub fn last_id(&self) -> Option<u64> {
-        self.last_id
+        self.last_id.max(self.skip_to)
+    }
+
+    /// Takes over from another attempt at the stream, which has returned the events up to `returned`.
+    /// Returns those of `first`, which [`SequencedEvents::push`] has returned, that come behind it.
+    pub fn skip_to(&mut self, returned: Option<u64>, first: Bytes) -> Bytes {
+        self.skip_to = returned;
+        let skipped = event_ids(&first).into_iter().take_while(|(id, _)| *id <= returned);
+        let skipped_bytes = skipped.last().map_or(0, |(_, end)| end);
+        first.slice(skipped_bytes..)
     }
 
     /// Adds bytes of the stream. Events that continue the sequence are returned even if what comes
@@ -64,19 +75,23 @@
         self.is_broken
     }
 
-    /// The events up to the first one that is out of sequence.
+    /// The events up to the first one that is out of sequence, without those to skip.
     fn take_in_sequence(&mut self, events: Bytes) -> Bytes {
+        let mut skipped_bytes = 0;
         let mut valid_bytes = 0;
         for (id, end) in event_ids(&events) {
             let is_next = |id: u64| self.last_id.is_none_or(|last| last.checked_add(1) == Some(id));
             let Some(id) = id.filter(|id| is_next(*id)) else {
                 self.is_broken = true;
-                return events.slice(..valid_bytes);
+                return events.slice(skipped_bytes..valid_bytes);
             };
             self.last_id = Some(id);
             valid_bytes = end;
+            if self.skip_to.is_some_and(|last| id <= last) {
+                skipped_bytes = end;
+            }
         }
-        events
+        events.slice(skipped_bytes..)
     }
 
     /// Size of the event that is not complete yet.
@@ -92,6 +107,8 @@
     /// Discards what followed the last event that was returned, as the stream is resumed behind it.
     pub fn restart(&mut self) {
         self.framer.discard_partial();
+        self.last_id = self.last_id();
+        self.skip_to = None;
         self.is_broken = false;
     }
 }
--- a/crates/wire/tests/sequenced_events.rs
+++ b/crates/wire/tests/sequenced_events.rs
@@ -77,6 +77,43 @@
     }
 }
 
+/// Guards against events that come twice, or are left out, as a stream moves to an attempt that began
+/// some events before.
+#[test]
+fn attempt_that_takes_over_skips_what_another_has_returned() {
+    for returned in 3..=6 {
+        let mut events = SequencedEvents::resume_after(Some(2));
+        let SequenceCheck::Events(first) = events.push((event(3) + &event(4)).as_bytes()) else {
+            panic!("events in sequence")
+        };
+
+        let mut passed = events.skip_to(Some(returned), first).to_vec();
+        let taken_over_at = events.last_id();
+        for id in 5..=8 {
+            if let SequenceCheck::Events(complete) = events.push(event(id).as_bytes()) {
+                passed.extend_from_slice(&complete);
+            }
+        }
+
+        assert_eq!(taken_over_at, Some(returned.max(4)));
+        assert_eq!(ids(&passed), (returned + 1..=8).collect::<Vec<_>>());
+        assert_eq!(events.last_id(), Some(8));
+    }
+}
+
+/// Guards against a position that covers events which were skipped and not returned by anyone.
+#[test]
+fn resumption_after_a_break_while_events_are_skipped_begins_behind_what_was_returned() {
+    let mut events = SequencedEvents::resume_after(Some(2));
+    events.skip_to(Some(6), Default::default());
+    events.push(event(3).as_bytes());
+
+    events.restart();
+
+    assert_eq!(events.last_id(), Some(6));
+    assert!(matches!(events.push(event(7).as_bytes()), SequenceCheck::Events(_)));
+}
+
 const EVENTS: u64 = 12;
 
 /// A part of what an endpoint sends in one attempt.
