--- a/crates/core/src/adapter.rs
+++ b/crates/core/src/adapter.rs
@@ -107,7 +107,14 @@
     fn read_call(&self, parts: &Parts) -> CallHead;
 
     /// Builds the headers of an attempt from those of the caller's request.
-    fn attempt_headers(&self, headers: &HeaderMap, context: &AttemptContext<'_>) -> HeaderMap;
+    ///
+    /// Fails if one of them can't be written: without it an endpoint of another service, or of another
+    /// team, might run the attempt.
+    fn attempt_headers(
+        &self,
+        headers: &HeaderMap,
+        context: &AttemptContext<'_>,
+    ) -> Result<HeaderMap>;
 
     /// Reads the metadata of a response to the request with this id.
     fn read_response(&self, id: Option<&str>, head: &Response<()>) -> ResponseMetadata;
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -178,7 +178,10 @@
     deadline: Instant,
 ) -> Result<ResponseHead, AttemptFailure> {
     let OpenAttempt { permit, mut connection } = opened;
-    let request = request(dialect, outgoing, &context);
+    let request = request(dialect, outgoing, &context).map_err(|error| {
+        log::error!(request = outgoing.id, error:% = error; "attempt not sent");
+        AttemptError::Unreachable
+    })?;
     let sent_at = Instant::now();
     let mut pending = PendingHead { permit: &permit, outgoing, sent_at, is_done: false };
     let result = wait_for_head(&permit, &mut connection, request, outgoing, deadline).await;
@@ -252,12 +255,12 @@
     dialect: &impl Dialect,
     outgoing: &AttemptRequest<'_>,
     context: &AttemptContext<'_>,
-) -> Request<BufferedBody> {
+) -> lynxmount_core::Result<Request<BufferedBody>> {
     let mut request = Request::new(outgoing.body.clone());
     *request.method_mut() = outgoing.method.clone();
     *request.uri_mut() = outgoing.uri.clone();
-    *request.headers_mut() = dialect.attempt_headers(outgoing.headers, context);
-    request
+    *request.headers_mut() = dialect.attempt_headers(outgoing.headers, context)?;
+    Ok(request)
 }
 
 /// Classifies a response and records what its head says about the endpoint.
--- a/crates/direct/src/health_check.rs
+++ b/crates/direct/src/health_check.rs
@@ -52,7 +52,10 @@
     let mut request = Request::new(Full::default());
     let Ok(uri) = path.parse() else { return HealthCheckResult::Silent };
     *request.uri_mut() = uri;
-    *request.headers_mut() = dialect.attempt_headers(&HeaderMap::new(), &context);
+    let Ok(headers) = dialect.attempt_headers(&HeaderMap::new(), &context) else {
+        return HealthCheckResult::Silent;
+    };
+    *request.headers_mut() = headers;
     if let Ok(host) = endpoint.address.to_string().parse() {
         request.headers_mut().insert(HOST, host);
     }
