Streams without a first event are answered before their callers leave

Cause: before the head, a call is answered right before its caller leaves, whatever its server sends to others; after the head and before the first event, that limit did not hold (StreamRelay::until_overdue).

Change: it holds until the first event.

Why it works: the time follows from when the caller leaves, not from what others get.

--- a/crates/direct/src/stream_read.rs
+++ b/crates/direct/src/stream_read.rs
@@ -65,8 +65,9 @@
         loop {
             let limit = time_until(self.call.deadline).min(STALL_CHECK_PERIOD);
             let limit = self.until_overdue().map_or(limit, |time| match time.is_zero() {
-                true => limit,
-                false => limit.min(time),
+                // A stream that has begun is never overdue.
+                true if self.has_begun => limit,
+                _ => limit.min(time),
             });
             let frame = tokio::select! {
                 biased;
@@ -154,9 +155,15 @@
         self.is_overdue = false;
     }
 
-    /// How much longer the endpoint may stay silent before the caller's idle timeout is due.
+    /// How much longer the endpoint may stay silent before the caller's idle timeout is due. Before the
+    /// first event, it may not for longer even if it sends events of other streams.
     fn until_overdue(&self) -> Option<Duration> {
         let idle_time = self.call.remaining_idle_time(self.sent_at)?;
-        Some(self.permit.as_ref().map_or(idle_time, |permit| permit.until_overdue(idle_time)))
+        let overdue_in =
+            self.permit.as_ref().map_or(idle_time, |permit| permit.until_overdue(idle_time));
+        match self.has_begun {
+            true => Some(overdue_in),
+            false => Some(overdue_in.min(time_until(self.call.final_response_at(self.sent_at)?))),
+        }
     }
 }
--- a/crates/lynxmount/tests/platform_entry.rs
+++ b/crates/lynxmount/tests/platform_entry.rs
@@ -774,6 +774,33 @@
     assert!(response.retry_after_s.is_some_and(|after_s| after_s > 0.0), "{response:?}");
 }
 
+/// Guards against calls that hang behind a response head until their callers disconnect, at an endpoint
+/// that sends events of other streams.
+#[tokio::test]
+async fn stream_without_an_event_is_answered_before_its_caller_disconnects() {
+    let fleet = start_with_idle_timeout(&[Behaviour::StreamHang { events: 0 }]).await;
+    let address = fleet.address();
+    let hanging = call_with_timeout(&fleet);
+    let others = async {
+        wait_for("the call", async || fleet.arrivals() == 1).await;
+        fleet.replicas[0]
+            .set_behaviour(Behaviour::Stream { events: 3, gap: Duration::from_millis(20) });
+        loop {
+            call(address, Method::POST, &format!("/{STREAM}/2"), KEY).await;
+        }
+    };
+
+    let result = tokio::select! {
+        result = hanging => result,
+        () = others => unreachable!("the loop of other calls does not end"),
+    };
+
+    let Some(CallerOutcome::Response(response)) = result else {
+        panic!("the caller disconnected: {result:?}")
+    };
+    assert_eq!(response.status, StatusCode::GATEWAY_TIMEOUT);
+}
+
 /// Guards against streams that are ended because their endpoint is silent, and against work that
 /// goes on after their callers have left.
 #[tokio::test]
