Entries that start together don't take each other for predecessors

What callers saw: a server's own 500 in the first seconds of a whole system although a retry was allowed; the flake all_callers_are_served_while_one_of_six_replicas_fails, and allowed_retries_are_used_while_all_replicas_fail.

Change: where each address has registered once, the registry was never restored, and all the others answer and have only just started, there is no predecessor. Peers say how long they have run.

--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -11,13 +11,17 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use lynxmount_core::{CrashReport, LogEra, LogPosition, PeerRegistration, Result, SegmentReport};
+use lynxmount_core::{
+    Clock, ConfigVersion, CrashReport, LogEra, LogPosition, Offset, PeerRegistration, Result,
+    SegmentReport,
+};
 use lynxmount_link::{
     FleetQuery, FleetSnapshot, GossipTopic, RequestHandler, parse_fleet_query, publish,
     query_fleet, read_published,
 };
 use lynxmount_policy::{
-    MembershipEvidence, MembershipTracker, Predecessor, RegisteredPeers, SharingMembers, SlotOwners,
+    MembershipEvidence, MembershipTracker, Predecessor, RegisteredPeers, SharingMembers,
+    SlotOwners, is_first_start,
 };
 use lynxmount_quarantine::SharedQuarantine;
 use parking_lot::Mutex;
@@ -26,6 +30,9 @@
 
 use crate::{endpoint_set::EndpointSet, fleet::Fleet, limit_gossip::LimitReport};
 
+/// Age up to which a process has spent no retries yet.
+const STARTED_TOGETHER: Duration = Duration::from_millis(1500);
+
 /// Number of random peers that a pull or a gossip round contacts.
 const FANOUT: usize = 3;
 
@@ -60,11 +67,17 @@
         }
     }
 
-    /// Records where the registry ended before this process registered. Only where it has never held
-    /// a record, and was never restored from a copy, no process has run before: settings may say
-    /// "first start" of a process that starts again, or replaces one elsewhere.
-    pub(crate) fn set_registry_end(&self, end: LogPosition) {
-        let predecessor = match end == LogPosition::default() {
+    /// Determines from the registry, as it was before this process registered, whether another process
+    /// may have run in its place. Settings may say "first start" of a process that starts again, or
+    /// replaces one elsewhere.
+    pub(crate) async fn determine_predecessor(
+        &self,
+        end: LogPosition,
+        registrations: &[PeerRegistration],
+    ) {
+        let addresses = registrations.iter().map(|registration| registration.address);
+        let may_be_first = is_first_start(end, addresses.clone(), self.own_address);
+        let predecessor = match may_be_first && have_just_started(addresses).await {
             true => Predecessor::None,
             false => Predecessor::Possible,
         };
@@ -153,6 +166,20 @@
     }
 }
 
+/// Whether all of these processes answer, and have started only just now.
+async fn have_just_started(peers: impl Iterator<Item = SocketAddr>) -> bool {
+    let query = FleetQuery {
+        config_after: Some(ConfigVersion::MAX),
+        endpoints_after: Some(LogPosition { era: LogEra::MAX, offset: Offset::MAX }),
+        crash_reports_digest: None,
+    };
+    let answers = futures::future::join_all(peers.map(|peer| query_fleet(peer, query))).await;
+    let uptimes = answers.into_iter().map(|answer| answer.ok().and_then(|state| state.uptime_ms));
+    uptimes.into_iter().all(|uptime| {
+        uptime.is_some_and(|uptime_ms| Duration::from_millis(uptime_ms) <= STARTED_TOGETHER)
+    })
+}
+
 async fn pull_from(
     peer: SocketAddr,
     fleet: &Fleet,
@@ -192,6 +219,7 @@
     pub(crate) quarantine: Arc<SharedQuarantine>,
     /// When the platform was last read.
     pub(crate) last_read_at: Arc<Mutex<Option<Instant>>>,
+    pub(crate) clock: Clock,
 }
 
 impl RequestHandler for PeerHandler {
@@ -259,6 +287,7 @@
                 false => Vec::new(),
             },
             read_ago_ms: read_ago.map_or(u64::MAX, |ago| ago.as_millis() as u64),
+            uptime_ms: Some(self.clock.now().as_millis() as u64),
         }
     }
 }
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -110,6 +110,7 @@
         fleet: Arc::clone(&fleet),
         quarantine: Arc::clone(&quarantine),
         last_read_at: Arc::clone(&last_read_at),
+        clock,
     };
     tokio::spawn(serve(bind(peer_address).await?, Arc::new(peer_handler), budget.clone()));
     if let Some(port) = metrics_port {
--- a/crates/direct/src/watch.rs
+++ b/crates/direct/src/watch.rs
@@ -233,8 +233,8 @@
 
     /// Registers this process and watches the addresses of its peers until the task is dropped.
     pub(crate) async fn watch_peers(self: Arc<FleetWatch<S>>, name: String, own: SocketAddr) {
-        if let Ok((end, _)) = self.source.peers().await {
-            self.peers.set_registry_end(end);
+        if let Ok((end, registrations)) = self.source.peers().await {
+            self.peers.determine_predecessor(end, &registrations).await;
         }
         let mut registered_at: Option<Duration> = None;
         let mut period = MIN_PEERS_PERIOD;
--- a/crates/link/src/fleet_query.rs
+++ b/crates/link/src/fleet_query.rs
@@ -33,6 +33,9 @@
     pub segment_reports: Vec<SegmentReport>,
     /// Time since the peer last read the platform, in milliseconds.
     pub read_ago_ms: u64,
+    /// Time since the peer's process started, in milliseconds; `None` if it does not say.
+    #[serde(default)]
+    pub uptime_ms: Option<u64>,
 }
 
 /// A query for the state that a process lacks.
--- a/crates/policy/src/registered_peers.rs
+++ b/crates/policy/src/registered_peers.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use lynxmount_core::{LogEra, PeerRegistration};
+use lynxmount_core::{LogEra, LogPosition, Offset, PeerRegistration};
 
 use crate::MEMBERSHIP_CONVERGENCE_TIME;
 
@@ -28,6 +28,27 @@
 /// The same while peers are missing, as the registry is then read more often.
 const MAX_READ_PAUSE_UNSETTLED: Duration = Duration::from_secs(3);
 
+/// Most processes that are taken to start together, so that few have to be asked.
+const MAX_STARTING_TOGETHER: usize = 64;
+
+/// Whether all processes that have ever registered may run in their first life, by the addresses in the
+/// registry and where it ends: it was never restored from a copy, and each address has registered once.
+/// Where that holds, a process whose address is not among them has no predecessor, if none of the others
+/// has ended since.
+pub fn is_first_start(
+    end: LogPosition,
+    addresses: impl Iterator<Item = SocketAddr>,
+    own: SocketAddr,
+) -> bool {
+    let mut records = 0;
+    let distinct: BTreeSet<SocketAddr> = addresses.inspect(|_| records += 1).collect();
+    let is_complete = end == LogPosition { era: LogEra::default(), offset: records as Offset };
+    is_complete
+        && distinct.len() == records
+        && records <= MAX_STARTING_TOGETHER
+        && !distinct.contains(&own)
+}
+
 /// A registration in the newest list.
 #[derive(Clone, Copy, Debug)]
 struct Listed {
--- a/crates/policy/tests/registered_peers.rs
+++ b/crates/policy/tests/registered_peers.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use lynxmount_core::{LogPosition, PeerRegistration};
-use lynxmount_policy::{MEMBERSHIP_CONVERGENCE_TIME, RegisteredPeers};
+use lynxmount_policy::{MEMBERSHIP_CONVERGENCE_TIME, RegisteredPeers, is_first_start};
 
 fn peer(host: u8) -> SocketAddr {
     ([127, 0, 0, host], 1).into()
@@ -130,3 +130,25 @@
 
     assert_eq!(hosts(&peers), [peer(1)]);
 }
+
+/// Guards against entries that start together and take each other for their predecessors, so that
+/// callers get failures although retries are left.
+#[test]
+fn processes_that_start_together_have_no_predecessor() {
+    let at = |host: u8| SocketAddr::from(([10, 0, 0, host], 8000));
+    let is_first = |era, offset, hosts: &[u8]| {
+        is_first_start(LogPosition { era, offset }, hosts.iter().map(|host| at(*host)), at(9))
+    };
+
+    assert!(is_first(0, 0, &[]));
+    assert!(is_first(0, 2, &[1, 2]));
+    // Another record was written: a process has started again, or was dropped.
+    assert!(!is_first(0, 3, &[1, 2]));
+    assert!(!is_first(0, 1, &[]));
+    // This process's address has registered before.
+    assert!(!is_first(0, 2, &[1, 9]));
+    // One address under two names.
+    assert!(!is_first(0, 2, &[1, 1]));
+    // The registry was restored from a copy.
+    assert!(!is_first(1, 2, &[1, 2]));
+}
