Rename: a member of a group is called Member

KnownRank spoke of what is known; the field's term is the group's member. No change of behaviour; the tests of membership and discovery_orders pass.

--- a/crates/group/src/membership.rs
+++ b/crates/group/src/membership.rs
@@ -129,9 +129,9 @@
     }
 }
 
-/// A known rank of a process's own group.
+/// A member of the own group: the engine of a rank.
 #[derive(Clone, Copy, Debug)]
-struct KnownRank {
+struct Member {
     engine: SocketAddr,
     /// Whether a process beside the engine has announced or reported the rank.
     has_process: bool,
@@ -141,7 +141,7 @@
 #[derive(Debug, Default)]
 pub struct MembershipView {
     own: Option<Announcement>,
-    ranks: Vec<Option<KnownRank>>,
+    ranks: Vec<Option<Member>>,
     /// When this process's engine became this rank of this group.
     joined_at: Duration,
     announced_at: Option<Duration>,
@@ -154,7 +154,7 @@
         if self.own.as_ref() != Some(&own) {
             let mut ranks = vec![None; own.ranks];
             if let Some(slot) = ranks.get_mut(own.rank) {
-                *slot = Some(KnownRank { engine: own.engine, has_process: true });
+                *slot = Some(Member { engine: own.engine, has_process: true });
             }
             *self = MembershipView { own: Some(own), ranks, joined_at: now, announced_at: None };
         }
@@ -173,7 +173,7 @@
         }
         let pairs = self.ranks.iter_mut().zip(members.engines).enumerate();
         for (_, (known, engine)) in pairs.filter(|(rank, _)| *rank != own.rank) {
-            *known = engine.map(|engine| KnownRank { engine, has_process: true }).or(*known);
+            *known = engine.map(|engine| Member { engine, has_process: true }).or(*known);
         }
     }
 
@@ -181,7 +181,7 @@
     /// rank's report before a directory's answer that has the rank.
     pub fn on_process(&mut self, engine: SocketAddr, group: &str, rank: RankNumber) {
         if let Some(known) = self.other_rank(group, rank) {
-            *known = Some(KnownRank { engine, has_process: true });
+            *known = Some(Member { engine, has_process: true });
         }
     }
 
@@ -190,12 +190,12 @@
     pub fn on_engine_found(&mut self, engine: SocketAddr, membership: &GroupMembership) -> bool {
         let Some(known) = self.other_rank(&membership.group, membership.rank) else { return false };
         if known.is_none_or(|known| !known.has_process) {
-            *known = Some(KnownRank { engine, has_process: false });
+            *known = Some(Member { engine, has_process: false });
         }
         true
     }
 
-    fn other_rank(&mut self, group: &str, rank: RankNumber) -> Option<&mut Option<KnownRank>> {
+    fn other_rank(&mut self, group: &str, rank: RankNumber) -> Option<&mut Option<Member>> {
         let own = self.own.as_ref()?;
         let is_other = group == own.group && rank != own.rank;
         self.ranks.get_mut(rank).filter(|_| is_other)
@@ -245,7 +245,7 @@
     }
 
     fn engines_with_process(&self) -> Vec<Option<SocketAddr>> {
-        let with_process = |known: &KnownRank| known.has_process.then_some(known.engine);
+        let with_process = |known: &Member| known.has_process.then_some(known.engine);
         self.ranks.iter().map(|known| known.as_ref().and_then(with_process)).collect()
     }
 
