--- a/crates/lynxmount/tests/platform_entry.rs
+++ b/crates/lynxmount/tests/platform_entry.rs
@@ -730,6 +730,23 @@
     tokio::time::timeout(CALLER_IDLE_TIMEOUT, caller.call(&call)).await.ok()
 }
 
+/// Sends a call as [`call_with_timeout`] does, while its replica streams to others.
+async fn call_beside_streams(fleet: &Fleet) -> Option<CallerOutcome> {
+    let address = fleet.address();
+    let others = async {
+        wait_for("the call", async || fleet.arrivals() == 1).await;
+        fleet.replicas[0]
+            .set_behaviour(Behaviour::Stream { events: 3, gap: Duration::from_millis(20) });
+        loop {
+            call(address, Method::POST, &format!("/{STREAM}/2"), KEY).await;
+        }
+    };
+    tokio::select! {
+        result = call_with_timeout(fleet) => result,
+        () = others => unreachable!("the loop of other calls does not end"),
+    }
+}
+
 /// Guards against calls that wait in a stalled group until their callers disconnect, and run there
 /// afterwards.
 #[tokio::test]
@@ -751,21 +768,8 @@
 #[tokio::test]
 async fn call_that_hangs_at_a_live_endpoint_is_answered_before_its_caller_disconnects() {
     let fleet = start_with_idle_timeout(&[Behaviour::Hang]).await;
-    let address = fleet.address();
-    let hanging = call_with_timeout(&fleet);
-    let others = async {
-        wait_for("the call", async || fleet.arrivals() == 1).await;
-        fleet.replicas[0]
-            .set_behaviour(Behaviour::Stream { events: 3, gap: Duration::from_millis(20) });
-        loop {
-            call(address, Method::POST, &format!("/{STREAM}/2"), KEY).await;
-        }
-    };
 
-    let result = tokio::select! {
-        result = hanging => result,
-        () = others => unreachable!("the loop of other calls does not end"),
-    };
+    let result = call_beside_streams(&fleet).await;
 
     let Some(CallerOutcome::Response(response)) = result else {
         panic!("the caller disconnected: {result:?}")
@@ -779,21 +783,8 @@
 #[tokio::test]
 async fn stream_without_an_event_is_answered_before_its_caller_disconnects() {
     let fleet = start_with_idle_timeout(&[Behaviour::StreamHang { events: 0 }]).await;
-    let address = fleet.address();
-    let hanging = call_with_timeout(&fleet);
-    let others = async {
-        wait_for("the call", async || fleet.arrivals() == 1).await;
-        fleet.replicas[0]
-            .set_behaviour(Behaviour::Stream { events: 3, gap: Duration::from_millis(20) });
-        loop {
-            call(address, Method::POST, &format!("/{STREAM}/2"), KEY).await;
-        }
-    };
 
-    let result = tokio::select! {
-        result = hanging => result,
-        () = others => unreachable!("the loop of other calls does not end"),
-    };
+    let result = call_beside_streams(&fleet).await;
 
     let Some(CallerOutcome::Response(response)) = result else {
         panic!("the caller disconnected: {result:?}")
