--- a/crates/direct/src/execution_state.rs
+++ b/crates/direct/src/execution_state.rs
@@ -22,7 +22,7 @@
         self.may_have_run.load(Ordering::Relaxed)
     }
 
-    /// Records that an attempt is about to be sent. A call's attempts follow each other.
+    /// Records that an attempt is about to be sent. One that is sent beside another finds the call marked.
     pub fn start_attempt(&self) -> AttemptMark<'_> {
         let could_have_run_before = self.may_have_run.swap(true, Ordering::Relaxed);
         AttemptMark { state: self, could_have_run_before }
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -21,7 +21,7 @@
 };
 use lynxmount_policy::{
     MembershipEvidence, MembershipTracker, Predecessor, RegisteredPeers, SharingMembers,
-    SlotOwners, is_first_start,
+    SlotOwners, shows_first_start,
 };
 use lynxmount_quarantine::SharedQuarantine;
 use parking_lot::Mutex;
@@ -30,7 +30,7 @@
 
 use crate::{endpoint_set::EndpointSet, fleet::Fleet, limit_gossip::LimitReport};
 
-/// Age up to which a process has spent no retries yet.
+/// Age up to which processes count as started together.
 const STARTED_TOGETHER: Duration = Duration::from_millis(1500);
 
 /// Number of random peers that a pull or a gossip round contacts.
@@ -76,7 +76,7 @@
         registrations: &[PeerRegistration],
     ) {
         let addresses = registrations.iter().map(|registration| registration.address);
-        let may_be_first = is_first_start(end, addresses.clone(), self.own_address);
+        let may_be_first = shows_first_start(end, addresses.clone(), self.own_address);
         let predecessor = match may_be_first && have_just_started(addresses).await {
             true => Predecessor::None,
             false => Predecessor::Possible,
--- a/crates/group/src/membership.rs
+++ b/crates/group/src/membership.rs
@@ -254,7 +254,7 @@
     }
 }
 
-/// Takes turns among the registered engines that may be ranks of which nothing is known.
+/// Round-robin search for ranks without a process, among the registered engines.
 #[derive(Debug, Default)]
 pub struct EngineSearch {
     last: Option<SocketAddr>,
@@ -274,8 +274,8 @@
     }
 }
 
-/// The rank whose process holds a group through this rank, if it leads. It does not depend on which
-/// members a process knows, so that no two processes hold the group through the same rank.
+/// The rank whose process may place holds on this rank. It does not depend on which members a process
+/// knows, so that no two leaders hold a group through the same rank.
 pub fn hold_owner(rank: RankNumber) -> RankNumber {
     match rank < LEADER_CANDIDATES {
         true => rank,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -71,7 +71,7 @@
 pub use prefix_counts::PrefixCounts;
 pub use quarantine::{MergeOutcome, Quarantine};
 pub use readiness::{MAX_READINESS_WAIT, is_entry_ready};
-pub use registered_peers::{PEER_RENEWAL_PERIOD, RegisteredPeers, is_first_start};
+pub use registered_peers::{PEER_RENEWAL_PERIOD, RegisteredPeers, shows_first_start};
 pub use rendezvous::{rendezvous, rendezvous_weight};
 pub use replacement::ReplacementCandidate;
 pub use resource_budget::{
--- a/crates/policy/src/registered_peers.rs
+++ b/crates/policy/src/registered_peers.rs
@@ -31,11 +31,10 @@
 /// Most processes that are taken to start together, so that few have to be asked.
 const MAX_STARTING_TOGETHER: usize = 64;
 
-/// Whether all processes that have ever registered may run in their first life, by the addresses in the
-/// registry and where it ends: it was never restored from a copy, and each address has registered once.
-/// Where that holds, a process whose address is not among them has no predecessor, if none of the others
-/// has ended since.
-pub fn is_first_start(
+/// Whether a registry, by its addresses and its end, shows that the whole system starts for the first time:
+/// it was never restored from a copy, each address has registered once, and the own one has not. A process
+/// then has no predecessor if none of the others has ended.
+pub fn shows_first_start(
     end: LogPosition,
     addresses: impl Iterator<Item = SocketAddr>,
     own: SocketAddr,
--- a/crates/policy/tests/registered_peers.rs
+++ b/crates/policy/tests/registered_peers.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use lynxmount_core::{LogPosition, PeerRegistration};
-use lynxmount_policy::{MEMBERSHIP_CONVERGENCE_TIME, RegisteredPeers, is_first_start};
+use lynxmount_policy::{MEMBERSHIP_CONVERGENCE_TIME, RegisteredPeers, shows_first_start};
 
 fn peer(host: u8) -> SocketAddr {
     ([127, 0, 0, host], 1).into()
@@ -137,7 +137,7 @@
 fn processes_that_start_together_have_no_predecessor() {
     let at = |host: u8| SocketAddr::from(([10, 0, 0, host], 8000));
     let is_first = |era, offset, hosts: &[u8]| {
-        is_first_start(LogPosition { era, offset }, hosts.iter().map(|host| at(*host)), at(9))
+        shows_first_start(LogPosition { era, offset }, hosts.iter().map(|host| at(*host)), at(9))
     };
 
     assert!(is_first(0, 0, &[]));
--- a/crates/rank/src/obstacle.rs
+++ b/crates/rank/src/obstacle.rs
@@ -1,4 +1,4 @@
-//! Why the leader can't settle what an earlier one has left, for the log.
+//! Logs why the leader can neither balance its group nor roll back an abandoned map switch.
 
 use std::time::{Duration, Instant};
 
@@ -14,7 +14,7 @@
     MissingRanks(Vec<RankNumber>),
     /// The map in use, which all ranks would prepare again.
     UnknownMap,
-    /// A rank to hold the group through meanwhile.
+    /// A rank on which it could place a hold of its own.
     NoHoldRank,
 }
 
@@ -30,7 +30,7 @@
     pub(crate) fn set(&mut self, obstacle: Option<Obstacle>) {
         if self.current.as_ref().map(|(current, _)| current) != obstacle.as_ref() {
             if obstacle.is_none() && self.is_logged {
-                log::info!("group state complete");
+                log::info!("balancing resumed");
             }
             self.current = obstacle.map(|obstacle| (obstacle, Instant::now()));
             self.is_logged = false;
@@ -38,7 +38,7 @@
         match &self.current {
             Some((obstacle, since)) if !self.is_logged && since.elapsed() >= LOG_AFTER => {
                 self.is_logged = true;
-                log::warn!(obstacle:? = obstacle; "holds can't be settled");
+                log::warn!(obstacle:? = obstacle; "balancing suspended");
             }
             _ => {}
         }
