Connections count with what they take, so that crowds of heads stay within the memory

Callers saw nothing; a process could pass its memory beside a crowd of heads that stop, and be ended with all its calls.

Cause: two counts were wrong. An open connection takes 28.7 KB, in release builds as well, and counted as 12; and a read buffer that grows by its first size counted as one that does not grow.

Change: 20 KB for a connection beside its read buffer; the buffer counts with what it holds. Nothing is granted without being counted any more, so the cache of grants is gone.

--- a/crates/policy/src/resource_budget.rs
+++ b/crates/policy/src/resource_budget.rs
@@ -24,8 +24,9 @@
 /// Bytes that count as progress. A body that transfers less than this in [`STALL_TIME`] is stalled.
 const PROGRESS_BYTES: usize = 8 * 1024;
 
-/// Memory of an open connection besides its read buffer: its task and its write buffer.
-const CONNECTION_BASE_BYTES: usize = 4 * 1024;
+/// Memory of an open connection besides its read buffer: its write buffer, its task and the state of
+/// a call.
+const CONNECTION_BASE_BYTES: usize = 20 * 1024;
 
 /// Read buffer of a new connection.
 const INITIAL_BUFFER_BYTES: usize = 8 * 1024;
@@ -118,6 +119,15 @@
 
 const PEER_KINDS: [PeerKind; 2] = [PeerKind::Caller, PeerKind::Internal];
 
+/// The size of a read buffer that was given this room.
+fn buffer_size(filled_bytes: usize, growth_bytes: usize) -> usize {
+    let needed_bytes = filled_bytes + growth_bytes;
+    match growth_bytes <= INITIAL_BUFFER_BYTES {
+        true => needed_bytes,
+        false => needed_bytes.max(growth_bytes * GROWN_BUFFER_FACTOR),
+    }
+}
+
 impl Connection {
     fn eviction_key(&self, id: ConnectionId) -> Option<EvictionKey> {
         let class = self.phase.eviction_class().filter(|_| !self.is_evicted)?;
@@ -242,11 +252,18 @@
         }
     }
 
-    /// Decides whether the read buffer of a connection may grow by `growth_bytes`.
-    pub fn grow_buffer(&mut self, id: ConnectionId, growth_bytes: usize, now: Duration) -> Verdict {
+    /// Decides whether the read buffer of a connection may have room for `growth_bytes` beside
+    /// `filled_bytes` that it holds.
+    pub fn grow_buffer(
+        &mut self,
+        id: ConnectionId,
+        filled_bytes: usize,
+        growth_bytes: usize,
+        now: Duration,
+    ) -> Verdict {
         let Some(connection) = self.connections.get(&id) else { return Verdict::Refused };
-        let needed = CONNECTION_BASE_BYTES + growth_bytes * GROWN_BUFFER_FACTOR;
-        if growth_bytes <= INITIAL_BUFFER_BYTES || needed <= connection.buffer_bytes {
+        let needed = CONNECTION_BASE_BYTES + buffer_size(filled_bytes, growth_bytes);
+        if needed <= connection.buffer_bytes {
             return Verdict::Granted;
         }
         let missing = needed - connection.buffer_bytes;
--- a/crates/policy/tests/resource_budget.rs
+++ b/crates/policy/tests/resource_budget.rs
@@ -145,13 +145,29 @@
 fn connections_with_large_heads_are_evicted_when_their_buffers_take_too_much() {
     let mut budget = ResourceBudget::new(ResourceLimits { caller_connections: 1000, ..limits() });
     let first = open(&mut budget, ConnectionPhase::Head, at_ms(0));
-    assert_eq!(budget.grow_buffer(first, 256 * KIB, at_ms(0)), Verdict::Granted);
+    assert_eq!(budget.grow_buffer(first, 0, 256 * KIB, at_ms(0)), Verdict::Granted);
 
     let second = open(&mut budget, ConnectionPhase::Head, at_ms(1));
 
-    assert_eq!(budget.grow_buffer(second, 256 * KIB, at_ms(1)), Verdict::Evict(first));
+    assert_eq!(budget.grow_buffer(second, 0, 256 * KIB, at_ms(1)), Verdict::Evict(first));
     budget.close(first);
-    assert_eq!(budget.grow_buffer(second, 256 * KIB, at_ms(1)), Verdict::Granted);
+    assert_eq!(budget.grow_buffer(second, 0, 256 * KIB, at_ms(1)), Verdict::Granted);
+}
+
+/// Guards against a buffer that grows by its first size again and again, each time unnoticed.
+#[test]
+fn a_read_buffer_counts_with_what_it_holds() {
+    let mut budget = ResourceBudget::new(limits());
+    let head = open(&mut budget, ConnectionPhase::Head, at_ms(0));
+    let opened_bytes = budget.buffer_bytes();
+
+    for filled_bytes in [0, 100, 8 * KIB, 16 * KIB] {
+        let growth_bytes = 8 * KIB - filled_bytes % (8 * KIB);
+        let verdict = budget.grow_buffer(head, filled_bytes, growth_bytes, at_ms(1));
+        assert_eq!(verdict, Verdict::Granted);
+        let counted_bytes = budget.buffer_bytes() - opened_bytes;
+        assert_eq!(counted_bytes, filled_bytes + growth_bytes - 8 * KIB);
+    }
 }
 
 #[test]
--- a/crates/resources/src/budget.rs
+++ b/crates/resources/src/budget.rs
@@ -237,9 +237,16 @@
 
     /// Whether the read buffer of a connection may grow. Others are evicted for it if need be, but
     /// it is not granted before they are closed.
-    pub(crate) fn grow_buffer(&self, connection: ConnectionId, growth_bytes: usize) -> bool {
+    pub(crate) fn grow_buffer(
+        &self,
+        connection: ConnectionId,
+        filled_bytes: usize,
+        growth_bytes: usize,
+    ) -> bool {
         let now = self.0.clock.now();
-        let verdict = self.0.state.lock().budget.grow_buffer(connection, growth_bytes, now);
+        let mut state = self.0.state.lock();
+        let verdict = state.budget.grow_buffer(connection, filled_bytes, growth_bytes, now);
+        drop(state);
         if let Verdict::Evict(id) = verdict {
             self.evict(id);
         }
--- a/crates/resources/src/connection.rs
+++ b/crates/resources/src/connection.rs
@@ -13,8 +13,8 @@
     budget: SharedBudget,
     id: ConnectionId,
     phase: Mutex<ConnectionPhase>,
-    /// The largest growth of its read buffer that was granted.
-    granted_growth_bytes: AtomicUsize,
+    /// Received since the last request head, bodies left out: what its read buffer holds at least.
+    unparsed_bytes: AtomicUsize,
     /// Whether the response to the current request is complete, but for what is not written yet.
     has_response_ended: AtomicBool,
     evicted: CancellationToken,
@@ -32,7 +32,7 @@
             budget,
             id,
             phase: Mutex::new(ConnectionPhase::Unused),
-            granted_growth_bytes: AtomicUsize::new(0),
+            unparsed_bytes: AtomicUsize::new(0),
             has_response_ended: AtomicBool::new(false),
             evicted: CancellationToken::new(),
         }
@@ -67,6 +67,7 @@
 
     /// Records that a request head has arrived.
     pub(crate) fn on_request(&self, has_body: bool) {
+        self.unparsed_bytes.store(0, Ordering::Relaxed);
         self.set_phase(match has_body {
             true => ConnectionPhase::Body,
             false => ConnectionPhase::Running,
@@ -95,7 +96,11 @@
     }
 
     pub(crate) fn on_received(&self, bytes: usize) {
-        match self.phase() {
+        let phase = self.phase();
+        if phase != ConnectionPhase::Body {
+            self.unparsed_bytes.fetch_add(bytes, Ordering::Relaxed);
+        }
+        match phase {
             ConnectionPhase::Unused | ConnectionPhase::Idle => {
                 self.set_phase(ConnectionPhase::Head);
             }
@@ -125,14 +130,8 @@
 
     /// Whether the read buffer may have this much room for the next read.
     pub(crate) fn may_read(&self, room_bytes: usize) -> bool {
-        if room_bytes <= self.granted_growth_bytes.load(Ordering::Relaxed) {
-            return true;
-        }
-        let is_granted = self.budget.grow_buffer(self.id, room_bytes);
-        if is_granted {
-            self.granted_growth_bytes.store(room_bytes, Ordering::Relaxed);
-        }
-        is_granted
+        let filled_bytes = self.unparsed_bytes.load(Ordering::Relaxed);
+        self.budget.grow_buffer(self.id, filled_bytes, room_bytes)
     }
 
     pub(crate) fn evict(&self) {
