An endpoint's status does not tell callers of a single run that it was not run

Cause: to callers 408, 421, 429 and 503 promise that a request has not run; an endpoint that sends one without the header that says so may have run it, and the status was passed on.

Change: such a status becomes 502 for callers that may not repeat their request; others get it unchanged.

--- a/crates/core/src/adapter.rs
+++ b/crates/core/src/adapter.rs
@@ -119,6 +119,10 @@
     /// Reads the metadata of a response to the request with this id.
     fn read_response(&self, id: Option<&str>, head: &Response<()>) -> ResponseMetadata;
 
+    /// Returns whether callers take a response with this status for a promise that their request has
+    /// not run and never will.
+    fn is_not_run_status(&self, status: StatusCode) -> bool;
+
     /// Builds the headers for the caller from those of an endpoint's response.
     fn response_headers(&self, headers: &HeaderMap) -> HeaderMap;
 
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -9,7 +9,7 @@
 };
 
 use futures::future::BoxFuture;
-use http::{Method, Response, header, request::Parts};
+use http::{Method, Response, StatusCode, header, request::Parts};
 use lynxmount_core::{
     CallIdentity, CallKind, Clock, EndpointId, RouteId, TeamId,
     adapter::{AttemptContext, CallHead, Dialect},
@@ -337,9 +337,16 @@
         self.has_attempts_left() && !time_until(self.deadline).is_zero()
     }
 
+    /// The status for the caller of an endpoint's response. The endpoint may have run the call, so
+    /// that a caller who may not repeat it gets no status that says otherwise.
+    fn caller_status(&self, from_endpoint: StatusCode) -> StatusCode {
+        let is_false = !self.kind.is_retryable() && self.dialect.is_not_run_status(from_endpoint);
+        if is_false { StatusCode::BAD_GATEWAY } else { from_endpoint }
+    }
+
     fn caller_response(&self, from_endpoint: CompleteResponse) -> Response<ReplyBody> {
         let mut response = Response::new(full_body(from_endpoint.body));
-        *response.status_mut() = from_endpoint.status;
+        *response.status_mut() = self.caller_status(from_endpoint.status);
         *response.headers_mut() = self.dialect.response_headers(&from_endpoint.headers);
         if self.parts.method != Method::HEAD {
             response.headers_mut().remove(header::CONTENT_LENGTH);
