--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -189,20 +189,10 @@
     pub services: Vec<ServiceSpec>,
     /// All teams.
     pub teams: Vec<TeamSpec>,
-    /// Whether callers need a team's key although there may be no team.
-    #[serde(default)]
-    pub has_team_list: bool,
     /// Limits of callers' requests.
     pub limits: CallerLimits,
 }
 
-impl FleetConfig {
-    /// Returns whether callers need the key of a team, but on public routes.
-    pub fn needs_keys(&self) -> bool {
-        self.has_team_list || !self.teams.is_empty()
-    }
-}
-
 /// The state that an endpoint registers.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum EndpointState {
--- a/crates/direct/src/admission.rs
+++ b/crates/direct/src/admission.rs
@@ -29,7 +29,7 @@
     route: &Route,
     head: &CallHead,
 ) -> Result<(Option<TeamId>, u8), Refusal> {
-    if route.is_public || !config.config.needs_keys() {
+    if route.is_public || config.config.teams.is_empty() {
         return Ok((None, route.priority));
     }
     let key = head.key.as_deref().ok_or(Refusal::UnknownKey)?;
