--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,6 +30,7 @@
 mod rendezvous;
 mod replacement;
 mod resource_budget;
+mod resource_connection;
 mod resource_limits;
 mod restored_registrations;
 mod retry;
@@ -74,10 +75,8 @@
 pub use registered_peers::{PEER_RENEWAL_PERIOD, RegisteredPeers, shows_first_start};
 pub use rendezvous::{rendezvous, rendezvous_weight};
 pub use replacement::ReplacementCandidate;
-pub use resource_budget::{
-    ConnectionId, ConnectionPhase, PeerKind, PeerTimeouts, ResourceBudget, SMALL_BODY_BYTES,
-    Verdict,
-};
+pub use resource_budget::{PeerTimeouts, ResourceBudget, SMALL_BODY_BYTES, Verdict};
+pub use resource_connection::{ConnectionId, ConnectionPhase, PeerKind};
 pub use resource_limits::ResourceLimits;
 pub use retry::{AttemptFailure, RequestFailure, RetryDecision, RetryState};
 pub use retry_budget::RetryBudget;
--- a/crates/policy/src/resource_budget.rs
+++ b/crates/policy/src/resource_budget.rs
@@ -10,10 +10,13 @@
     time::Duration,
 };
 
-use crate::ResourceLimits;
-
-/// Identifies a connection.
-pub type ConnectionId = u64;
+use crate::{
+    ResourceLimits,
+    resource_connection::{
+        CONNECTION_BASE_BYTES, Connection, ConnectionId, ConnectionPhase, EvictionClass,
+        EvictionKey, INITIAL_BUFFER_BYTES, PeerKind, buffer_size,
+    },
+};
 
 /// Size up to which a body may take the memory that is reserved for small ones.
 pub const SMALL_BODY_BYTES: usize = 64 * 1024;
@@ -24,42 +27,6 @@
 /// Bytes that count as progress. A body that transfers less than this in [`STALL_TIME`] is stalled.
 const PROGRESS_BYTES: usize = 8 * 1024;
 
-/// Memory of an open connection besides its read buffer: its write buffer, its task and the state of
-/// a call.
-const CONNECTION_BASE_BYTES: usize = 20 * 1024;
-
-/// Read buffer of a new connection.
-const INITIAL_BUFFER_BYTES: usize = 8 * 1024;
-
-/// Memory of a read buffer that has grown, in multiples of the last growth.
-const GROWN_BUFFER_FACTOR: usize = 2;
-
-/// Who connects.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub enum PeerKind {
-    /// A caller.
-    Caller,
-    /// Another process of the system, an operator or a probe.
-    Internal,
-}
-
-/// What a connection waits for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ConnectionPhase {
-    /// The first byte of the first request.
-    Unused,
-    /// The rest of a request head.
-    Head,
-    /// The rest of a request body.
-    Body,
-    /// This process.
-    Running,
-    /// Its peer, which does not read the response.
-    Blocked,
-    /// The next request.
-    Idle,
-}
-
 /// The answer to a demand.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
@@ -80,61 +47,8 @@
     pub blocked: Duration,
 }
 
-/// Classes of connections, in the order in which they are evicted.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum EvictionClass {
-    Body,
-    Head,
-    Unused,
-    Idle,
-}
-
-impl ConnectionPhase {
-    fn eviction_class(self) -> Option<EvictionClass> {
-        match self {
-            ConnectionPhase::Unused => Some(EvictionClass::Unused),
-            ConnectionPhase::Head => Some(EvictionClass::Head),
-            ConnectionPhase::Body | ConnectionPhase::Blocked => Some(EvictionClass::Body),
-            ConnectionPhase::Running => None,
-            ConnectionPhase::Idle => Some(EvictionClass::Idle),
-        }
-    }
-}
-
-#[derive(Debug)]
-struct Connection {
-    kind: PeerKind,
-    phase: ConnectionPhase,
-    /// When the phase began or its body last made progress.
-    since: Duration,
-    /// Bytes since then.
-    progress_bytes: usize,
-    buffer_bytes: usize,
-    body_bytes: usize,
-    is_evicted: bool,
-}
-
-/// Position of a connection among those that may be evicted.
-type EvictionKey = (PeerKind, EvictionClass, Duration, ConnectionId);
-
 const PEER_KINDS: [PeerKind; 2] = [PeerKind::Caller, PeerKind::Internal];
 
-/// The size of a read buffer that was given this room.
-fn buffer_size(filled_bytes: usize, growth_bytes: usize) -> usize {
-    let needed_bytes = filled_bytes + growth_bytes;
-    match growth_bytes <= INITIAL_BUFFER_BYTES {
-        true => needed_bytes,
-        false => needed_bytes.max(growth_bytes * GROWN_BUFFER_FACTOR),
-    }
-}
-
-impl Connection {
-    fn eviction_key(&self, id: ConnectionId) -> Option<EvictionKey> {
-        let class = self.phase.eviction_class().filter(|_| !self.is_evicted)?;
-        Some((self.kind, class, self.since, id))
-    }
-}
-
 /// The resource budget of a process.
 #[derive(Debug)]
 pub struct ResourceBudget {
